--- /dev/null
+++ b/crates/sedgehill-core/src/ids.rs
@@ -0,0 +1,311 @@
+//! Names and numbers that identify things, each a type of its own.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+/// The longest name accepted, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+quick_error! {
+    /// Why a text is not a name or an identifier.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum IdError {
+        /// The text is empty or too long.
+        Length(found: usize) {
+            display("expected 1 to {MAX_NAME_BYTES} characters, found {found}")
+        }
+        /// The text holds a character that names may not have.
+        Character(found: char) {
+            display("expected lower-case letters, digits and `-`, found `{found}`")
+        }
+        /// The text is not an identifier of the expected kind.
+        Malformed(expected: &'static str) {
+            display("expected {expected}")
+        }
+    }
+}
+
+fn check_name(text: &str) -> Result<(), IdError> {
+    if text.is_empty() || text.len() > MAX_NAME_BYTES {
+        return Err(IdError::Length(text.len()));
+    }
+    let allowed = |c: &char| c.is_ascii_lowercase() || c.is_ascii_digit() || *c == '-';
+    match text.chars().find(|c| !allowed(c)) {
+        Some(found) => Err(IdError::Character(found)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_types {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_name(text)?;
+                Ok($name(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+    )*};
+}
+
+name_types! {
+    /// An entry box.
+    BoxId;
+    /// A data hall.
+    HallName;
+    /// A rack within a data hall.
+    RackName;
+    /// An endpoint that answers requests.
+    EndpointId;
+    /// A worker that runs tasks.
+    WorkerId;
+    /// An organisation whose parameters fill in a template.
+    OrgName;
+    /// A template.
+    TemplateName;
+    /// A kind of work within a service template.
+    KindName;
+}
+
+macro_rules! number_types {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                text.parse().map($name).map_err(|_| IdError::Malformed("a whole number"))
+            }
+        }
+    )*};
+}
+
+number_types! {
+    /// A position in the platform's log.
+    Offset;
+    /// A version of a template or of parameters: the offset of the record that published it.
+    Version;
+    /// A term of leadership over a data hall: the offset of the record that claimed it.
+    Epoch;
+    /// One run of a process: a later run of the same box or worker has another number.
+    Incarnation;
+}
+
+impl Offset {
+    /// The offset after this one.
+    pub fn next(self) -> Offset {
+        Offset(self.0 + 1)
+    }
+}
+
+macro_rules! uuid_types {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub Uuid);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                Uuid::parse_str(text).map($name).map_err(|_| IdError::Malformed("a UUID"))
+            }
+        }
+    )*};
+}
+
+uuid_types! {
+    /// One record of the log. A record appended again keeps its id.
+    RecordId;
+    /// One job: the id of the record that submitted it.
+    JobId;
+    /// One request, as numbered by the box that received it.
+    RequestId;
+}
+
+/// What a caller names its once-only request with: a version 7 UUID, which carries the time it
+/// was made at, so that a key from before the claim window is recognised without being stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Uuid", into = "Uuid")]
+pub struct IdempotencyKey(Uuid);
+
+impl IdempotencyKey {
+    /// When the caller made the key, in milliseconds of Unix time.
+    pub fn made_at_ms(&self) -> u64 {
+        let (seconds, nanos) = self.0.get_timestamp().map_or((0, 0), |at| at.to_unix());
+        seconds * 1000 + u64::from(nanos) / 1_000_000
+    }
+}
+
+impl TryFrom<Uuid> for IdempotencyKey {
+    type Error = IdError;
+
+    fn try_from(uuid: Uuid) -> Result<Self, IdError> {
+        match uuid.get_version_num() {
+            7 => Ok(IdempotencyKey(uuid)),
+            _ => Err(IdError::Malformed("a version 7 UUID")),
+        }
+    }
+}
+
+impl From<IdempotencyKey> for Uuid {
+    fn from(key: IdempotencyKey) -> Uuid {
+        key.0
+    }
+}
+
+impl FromStr for IdempotencyKey {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        Uuid::parse_str(text).map_err(|_| IdError::Malformed("a version 7 UUID"))?.try_into()
+    }
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// One task: its job and its place within it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TaskId {
+    /// The job that the task belongs to.
+    pub job: JobId,
+    /// The place of the task within its job, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.job, self.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let malformed = IdError::Malformed("a job id, a dot and a number");
+        let (job, index) = text.split_once('.').ok_or(malformed.clone())?;
+        Ok(TaskId {
+            job: job.parse().map_err(|_| malformed.clone())?,
+            index: index.parse().map_err(|_| malformed)?,
+        })
+    }
+}
+
+impl TryFrom<String> for TaskId {
+    type Error = IdError;
+
+    fn try_from(text: String) -> Result<Self, IdError> {
+        text.parse()
+    }
+}
+
+impl From<TaskId> for String {
+    fn from(id: TaskId) -> String {
+        id.to_string()
+    }
+}
+
+/// One attempt at a task. A task that is tried again has another attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct AttemptId {
+    /// The task.
+    pub task: TaskId,
+    /// Which attempt, from 0.
+    pub attempt: u32,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.task, self.attempt)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let malformed = IdError::Malformed("a task id, `@` and a number");
+        let (task, attempt) = text.split_once('@').ok_or(malformed.clone())?;
+        Ok(AttemptId {
+            task: task.parse().map_err(|_| malformed.clone())?,
+            attempt: attempt.parse().map_err(|_| malformed)?,
+        })
+    }
+}
+
+impl TryFrom<String> for AttemptId {
+    type Error = IdError;
+
+    fn try_from(text: String) -> Result<Self, IdError> {
+        text.parse()
+    }
+}
+
+impl From<AttemptId> for String {
+    fn from(id: AttemptId) -> String {
+        id.to_string()
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-core/src/place/room.rs
@@ -0,0 +1,238 @@
+//! The account of one worker's room.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::{FIRST_SHUT_OUT, LONGEST_SHUT_OUT, SHUT_OUT_FAILURES, WorkerInventory};
+use crate::ids::{AttemptId, HallName, Incarnation, RackName, WorkerId};
+use crate::job::TaskOutcome;
+use crate::units::{Moment, ResourceSet, TimeSpan};
+
+/// What the platform's list says of a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerView {
+    /// The worker.
+    pub id: WorkerId,
+    /// Its data hall.
+    pub hall: HallName,
+    /// Its rack.
+    pub rack: RackName,
+    /// Where it listens; none if it is no longer listed.
+    pub address: Option<std::net::SocketAddr>,
+    /// What it has.
+    pub total: ResourceSet,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// How far the start of a task has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TaskPhase {
+    /// The order is under way.
+    Starting,
+    /// The order was not answered; it may still arrive until this moment.
+    Uncertain {
+        /// When it has surely arrived or been lost.
+        until: Moment,
+    },
+    /// The worker has said that it runs.
+    Running {
+        /// When that was first heard.
+        confirmed: Moment,
+    },
+}
+
+/// A task that holds room.
+#[derive(Debug, Clone)]
+pub(super) struct PlacedTask {
+    pub worker: WorkerId,
+    pub attempt: u32,
+    pub resources: ResourceSet,
+    pub phase: TaskPhase,
+    pub since: Moment,
+    /// When its lease has surely lapsed, if nothing is heard of it until then.
+    pub surely_over: Moment,
+}
+
+impl PlacedTask {
+    /// Whether an inventory asked for at `sent` must list the task if it runs.
+    pub fn surely_arrived_before(&self, sent: Moment) -> bool {
+        match self.phase {
+            TaskPhase::Starting => false,
+            TaskPhase::Uncertain { until } => until <= sent,
+            TaskPhase::Running { confirmed } => confirmed < sent,
+        }
+    }
+}
+
+/// One worker as its lead knows it.
+#[derive(Debug, Clone)]
+pub(super) struct WorkerRoom {
+    pub view: WorkerView,
+    pub listed: bool,
+    pub in_roster: bool,
+    /// Ended attempts that the worker reports until it is told to forget them.
+    pub reported_ends: BTreeSet<AttemptId>,
+    /// Attempts that run here although the task is known to run elsewhere; they are stopped.
+    pub strays: BTreeMap<AttemptId, ResourceSet>,
+    used: ResourceSet,
+    syncing: bool,
+    silent: bool,
+    incarnation: Option<Incarnation>,
+    next_sync: Moment,
+    failures: u32,
+    shut_outs: u32,
+    shut_out_until: Option<Moment>,
+}
+
+impl WorkerRoom {
+    pub fn new(view: WorkerView) -> WorkerRoom {
+        WorkerRoom {
+            view,
+            listed: true,
+            in_roster: false,
+            reported_ends: BTreeSet::new(),
+            strays: BTreeMap::new(),
+            used: ResourceSet::default(),
+            syncing: false,
+            silent: false,
+            incarnation: None,
+            next_sync: Moment(0),
+            failures: 0,
+            shut_outs: 0,
+            shut_out_until: None,
+        }
+    }
+
+    /// A worker that an earlier lead used and the platform no longer lists.
+    pub fn unlisted(id: WorkerId, hall: HallName) -> WorkerRoom {
+        let rack = "unknown".parse().expect("a valid name");
+        let total = ResourceSet::default();
+        let view = WorkerView { id, hall, rack, address: None, total, leaving: true };
+        WorkerRoom { listed: false, ..WorkerRoom::new(view) }
+    }
+
+    /// Takes a newer view of the platform.
+    pub fn renew(&mut self, view: WorkerView) {
+        self.view = view;
+        self.listed = true;
+    }
+
+    /// What is free; nothing in a dimension where more is in use than the worker has.
+    pub fn free(&self) -> ResourceSet {
+        self.view.total.saturating_minus(&self.used)
+    }
+
+    /// Whether the last sync was not answered.
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
+    /// Whether the worker has said what it runs.
+    pub fn is_known(&self) -> bool {
+        self.incarnation.is_some()
+    }
+
+    pub fn is_shut_out(&self, now: Moment) -> bool {
+        self.shut_out_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether a task may be started here now. After being shut out, one task probes the worker.
+    pub fn is_usable(&self, now: Moment) -> bool {
+        let probing = self.shut_out_until.is_some() && !self.used.is_empty();
+        self.listed
+            && self.in_roster
+            && self.is_known()
+            && !self.view.leaving
+            && !self.is_shut_out(now)
+            && !probing
+            && !self.silent
+    }
+
+    /// Gives room to a task about to be started.
+    pub fn take(&mut self, need: &ResourceSet) {
+        self.add(need);
+        assert!(self.view.total.fits(&self.used), "invariant: no worker is given more than it has");
+    }
+
+    /// Counts what runs already, whether it fits or not.
+    pub fn add(&mut self, need: &ResourceSet) {
+        self.used = self.used.plus(need);
+    }
+
+    pub fn give_back(&mut self, need: &ResourceSet) {
+        self.used = self.used.minus(need).expect("invariant: room is given back once");
+    }
+
+    /// Notes an attempt that must not run here. Returns whether it was not known before.
+    pub fn add_stray(&mut self, attempt: AttemptId, need: ResourceSet) -> bool {
+        let new = self.strays.insert(attempt, need).is_none();
+        if new {
+            self.add(&need);
+        }
+        new
+    }
+
+    /// Drops the strays that have stopped.
+    pub fn drop_strays(&mut self, stopped: impl Fn(&AttemptId) -> bool) {
+        let gone: Vec<AttemptId> =
+            self.strays.keys().filter(|attempt| stopped(attempt)).copied().collect();
+        for attempt in gone {
+            let need = self.strays.remove(&attempt).expect("the key was just seen");
+            self.give_back(&need);
+        }
+    }
+
+    /// Notes the answer to a sync, or that there was none.
+    pub fn sync_ended(&mut self, reply: Option<&WorkerInventory>) {
+        self.syncing = false;
+        self.silent = reply.is_none();
+        let Some(inventory) = reply else { return };
+        self.incarnation = Some(inventory.incarnation);
+        let reported: BTreeSet<AttemptId> = inventory
+            .tasks
+            .iter()
+            .filter(|report| report.outcome.is_some())
+            .map(|report| report.attempt)
+            .collect();
+        self.reported_ends.retain(|attempt| reported.contains(attempt));
+    }
+
+    pub fn note_outcome(&mut self, outcome: TaskOutcome, now: Moment) {
+        if outcome == TaskOutcome::Done {
+            self.failures = 0;
+            self.shut_outs = 0;
+            self.shut_out_until = None;
+            return;
+        }
+        self.failures += 1;
+        let probed = self.shut_out_until.is_some();
+        if probed || self.failures >= SHUT_OUT_FAILURES {
+            let wait = FIRST_SHUT_OUT.0.saturating_mul(1 << self.shut_outs.min(16));
+            self.shut_outs += 1;
+            self.shut_out_until = Some(now.after(TimeSpan(wait.min(LONGEST_SHUT_OUT.0))));
+        }
+    }
+
+    /// Whether it is time to ask the worker; if so, the next time is set.
+    pub fn take_sync_turn(&mut self, every: TimeSpan, now: Moment) -> bool {
+        let due = !self.syncing && self.next_sync <= now && self.view.address.is_some();
+        if due {
+            self.syncing = true;
+            self.next_sync = now.after(every);
+        }
+        due
+    }
+
+    /// Asserts that the account of the worker matches the tasks placed on it.
+    pub fn check(&self, placed: ResourceSet) {
+        let runs = self.strays.values().fold(placed, |sum, need| sum.plus(need));
+        assert!(
+            self.used == runs,
+            "invariant: no worker is given more than it has: {} accounts for {}, runs {runs}",
+            self.view.id,
+            self.used
+        );
+    }
+}
--- /dev/null
+++ b/crates/sedgehill/src/commands/list.rs
@@ -0,0 +1,17 @@
+//! `sedgehill list`: lists templates and parameters.
+
+use pico_args::Arguments;
+
+use super::{CommandContext, no_more_arguments};
+use crate::error::CliError;
+use crate::output::print_result;
+
+/// Lists every key with its version in force.
+pub fn run(context: &CommandContext, args: Arguments) -> Result<(), CliError> {
+    no_more_arguments(args)?;
+    let entries = context.block_on(context.client.configs())?;
+    print_result(context.format, &entries, |entries| {
+        entries.iter().map(|entry| format!("{} version {}\n", entry.key, entry.version)).collect()
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/sedgehilld/src/admin.rs
@@ -0,0 +1,97 @@
+//! The pages for operators: health, metrics, and what the command line asks for.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use sedgehill_core::spec::ConfigKey;
+use sedgehill_platform::admin::{BoxHealth, ChangeRequest};
+use tokio::net::TcpListener;
+use warp::http::StatusCode;
+use warp::reply::{Json, WithStatus};
+use warp::{Filter, Rejection, Reply};
+
+use crate::controllers::{ControlHandle, ControlState};
+use crate::shared::SharedState;
+
+/// The largest change that is read, in bytes.
+const MAX_CHANGE_BYTES: u64 = 1 << 20;
+
+/// Serves operators until the process ends.
+pub async fn serve(listener: TcpListener, shared: Arc<SharedState>, handle: ControlHandle) {
+    let routes = pages(shared).or(reads(handle.clone())).or(changes(handle));
+    warp::serve(routes).incoming(listener).run().await;
+}
+
+fn pages(
+    shared: Arc<SharedState>,
+) -> impl Filter<Extract = (impl Reply,), Error = Rejection> + Clone {
+    let health_of = shared.clone();
+    let health = warp::path!("health").and(warp::get()).map(move || health_page(&health_of));
+    let metrics = warp::path!("metrics").and(warp::get()).map(move || shared.metrics.render());
+    health.or(metrics)
+}
+
+fn health_page(shared: &SharedState) -> WithStatus<Json> {
+    let report = shared.health.load();
+    let status = match report.health {
+        BoxHealth::Ready => StatusCode::OK,
+        BoxHealth::Draining | BoxHealth::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    warp::reply::with_status(warp::reply::json(&**report), status)
+}
+
+fn reads(handle: ControlHandle) -> impl Filter<Extract = (impl Reply,), Error = Rejection> + Clone {
+    let with_handle = warp::any().map(move || handle.clone());
+    let status = warp::path!("v1" / "status")
+        .and(with_handle.clone())
+        .and_then(|handle| read(handle, ControlState::status));
+    let list = warp::path!("v1" / "configs")
+        .and(with_handle.clone())
+        .and_then(|handle| read(handle, ControlState::listing));
+    let jobs = warp::path!("v1" / "jobs")
+        .and(with_handle.clone())
+        .and_then(|handle| read(handle, ControlState::jobs));
+    let history = warp::path!("v1" / "history")
+        .and(warp::query::<HistoryQuery>())
+        .and(with_handle.clone())
+        .and_then(|query: HistoryQuery, handle| {
+            read(handle, move |state| state.history(&query.key))
+        });
+    let explain = warp::path!("v1" / "explain" / String)
+        .and(with_handle)
+        .and_then(|subject: String, handle| read(handle, move |state| state.explain(&subject)));
+    warp::get().and(status.or(list).or(jobs).or(history).or(explain))
+}
+
+#[derive(serde::Deserialize)]
+struct HistoryQuery {
+    key: ConfigKey,
+}
+
+async fn read<R: serde::Serialize + Send + 'static>(
+    handle: ControlHandle,
+    read: impl FnOnce(&ControlState) -> R + Send + 'static,
+) -> Result<WithStatus<Json>, Infallible> {
+    Ok(match handle.read(read).await {
+        Some(value) => warp::reply::with_status(warp::reply::json(&value), StatusCode::OK),
+        None => {
+            let body = warp::reply::json(&"the box is stopping");
+            warp::reply::with_status(body, StatusCode::SERVICE_UNAVAILABLE)
+        }
+    })
+}
+
+fn changes(
+    handle: ControlHandle,
+) -> impl Filter<Extract = (impl Reply,), Error = Rejection> + Clone {
+    warp::path!("v1" / "change")
+        .and(warp::post())
+        .and(warp::body::content_length_limit(MAX_CHANGE_BYTES))
+        .and(warp::body::json())
+        .and(warp::any().map(move || handle.clone()))
+        .and_then(change)
+}
+
+async fn change(change: ChangeRequest, handle: ControlHandle) -> Result<Json, Infallible> {
+    Ok(warp::reply::json(&handle.change(change).await))
+}
--- /dev/null
+++ b/crates/sedgehilld/src/filters/identify.rs
@@ -0,0 +1,143 @@
+//! Who asks for what: from a raw request to a checked [`RequestContext`].
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::{Method, Request};
+use sedgehill_core::ids::{IdempotencyKey, KindName, RequestId, TemplateName};
+use sedgehill_core::spec::{KindShape, OrgParameters};
+use sedgehill_core::units::{Moment, TimeSpan};
+use sedgehill_platform::admin::BoxHealth;
+
+use super::outcome::{NotRunReason, RequestOutcome};
+use crate::clock;
+use crate::shared::SharedState;
+
+/// The header that carries the key of a once-only request.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// The header in which a caller says how long it waits, such as `2s`.
+pub const DEADLINE_HEADER: &str = "sedgehill-deadline";
+
+/// A request whose parts are known and checked.
+#[derive(Debug)]
+pub struct RequestContext {
+    /// The request.
+    pub id: RequestId,
+    /// The service that it is for.
+    pub service: TemplateName,
+    /// What the organisation has filled in for the service.
+    pub parameters: Arc<OrgParameters>,
+    /// The kind of work.
+    pub kind: KindShape,
+    /// The key of a once-only request.
+    pub key: Option<IdempotencyKey>,
+    /// When it arrived.
+    pub arrived: Moment,
+    /// When it is given up if it still waits.
+    pub deadline: Moment,
+    /// Its method.
+    pub method: Method,
+    /// The path and query for the endpoint.
+    pub target: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body, whole.
+    pub body: Bytes,
+}
+
+/// Reads a request and checks it against what is in force.
+pub async fn identify(
+    shared: &SharedState,
+    id: RequestId,
+    request: Request<Incoming>,
+) -> Result<RequestContext, RequestOutcome> {
+    let arrived = clock::now();
+    if shared.health.load().health == BoxHealth::NotReady {
+        return Err(RequestOutcome::NotRun(NotRunReason::NotReady));
+    }
+    let (parts, body) = request.into_parts();
+    let path =
+        RequestPath::parse(parts.uri.path()).ok_or_else(|| not_run(NotRunReason::BadPath))?;
+    let view = shared.view.load_full();
+    let shape =
+        view.services.get(&path.service).ok_or_else(|| not_run(NotRunReason::NoSuchService))?;
+    let kind = shape.kinds.get(&path.kind).ok_or_else(|| not_run(NotRunReason::NoSuchService))?;
+    let parameters = view
+        .parameters
+        .get(&(path.organisation.clone(), path.service.clone()))
+        .ok_or_else(|| not_run(NotRunReason::NoParameters))?;
+    let key = parse_header::<IdempotencyKey>(&parts.headers, KEY_HEADER)?;
+    if kind.once_only && key.is_none() {
+        return Err(not_run(NotRunReason::KeyMissing));
+    }
+    let patience =
+        parse_header::<TimeSpan>(&parts.headers, DEADLINE_HEADER)?.unwrap_or(kind.timeout);
+    let body = read_body(shared, body).await?;
+    Ok(RequestContext {
+        id,
+        service: path.service,
+        parameters: parameters.clone(),
+        kind: kind.clone(),
+        key,
+        arrived,
+        deadline: arrived.after(patience),
+        method: parts.method,
+        target: path.target
+            + &parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default(),
+        headers: parts.headers,
+        body,
+    })
+}
+
+fn not_run(reason: NotRunReason) -> RequestOutcome {
+    RequestOutcome::NotRun(reason)
+}
+
+/// The parts of `/ORGANISATION/SERVICE/KIND[/REST]`.
+struct RequestPath {
+    organisation: sedgehill_core::ids::OrgName,
+    service: TemplateName,
+    kind: KindName,
+    target: String,
+}
+
+impl RequestPath {
+    fn parse(path: &str) -> Option<RequestPath> {
+        let mut parts = path.strip_prefix('/')?.splitn(3, '/');
+        let organisation = parts.next()?.parse().ok()?;
+        let service = parts.next()?.parse().ok()?;
+        let tail = parts.next()?;
+        let kind = tail.split('/').next()?.parse().ok()?;
+        Some(RequestPath { organisation, service, kind, target: format!("/{tail}") })
+    }
+}
+
+fn parse_header<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &'static str,
+) -> Result<Option<T>, RequestOutcome> {
+    let mut values = headers.get_all(HeaderName::from_static(name)).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    match (parsed, values.next()) {
+        (Some(parsed), None) => Ok(Some(parsed)),
+        _ => Err(not_run(NotRunReason::BadHeader)),
+    }
+}
+
+/// Reads the whole body before anything else happens, so that a slow caller holds no endpoint.
+async fn read_body(shared: &SharedState, body: Incoming) -> Result<Bytes, RequestOutcome> {
+    let limits = &shared.settings.limits;
+    let limited = Limited::new(body, limits.body.0 as usize);
+    let time = Duration::from_millis(limits.receive.as_millis());
+    match tokio::time::timeout(time, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(not_run(NotRunReason::BodyTooLarge))
+        }
+        Ok(Err(_)) | Err(_) => Err(not_run(NotRunReason::BodyIncomplete)),
+    }
+}
--- /dev/null
+++ b/crates/sedgehilld/src/filters/mod.rs
@@ -0,0 +1,137 @@
+//! The filters that each request passes, in order: identify, limit, claim, dispatch and forward,
+//! answer. Each ends the request with a [`RequestOutcome`] or hands it on.
+
+mod answer;
+mod claim;
+mod dispatch;
+mod forward;
+mod identify;
+mod limit;
+mod outcome;
+mod pool;
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response};
+use parking_lot::Mutex;
+use sedgehill_core::ids::RequestId;
+use sedgehill_core::limit::RetryBudget;
+use slog::info;
+use uuid::Uuid;
+
+use crate::clock;
+use crate::controllers::ControlHandle;
+use crate::shared::{RequestTrace, SharedState};
+use crate::telemetry;
+use identify::RequestContext;
+use outcome::{RequestOutcome, RequestRecord};
+use pool::EndpointPool;
+
+/// What the filters of one box share.
+pub struct FilterChain {
+    shared: Arc<SharedState>,
+    handle: ControlHandle,
+    pool: EndpointPool,
+    budget: Mutex<RetryBudget>,
+}
+
+impl FilterChain {
+    /// The filters of a box.
+    pub fn new(shared: Arc<SharedState>, handle: ControlHandle) -> FilterChain {
+        FilterChain { shared, handle, pool: EndpointPool::default(), budget: Mutex::default() }
+    }
+}
+
+/// Runs one request through the filters and answers it.
+pub async fn run_chain(chain: &FilterChain, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let _guard = chain.shared.enter();
+    let id = RequestId(Uuid::now_v7());
+    let mut record = RequestRecord::default();
+    let path = request.uri().path().to_owned();
+    let outcome = match run_filters(chain, id, request, &mut record).await {
+        Ok(outcome) | Err(outcome) => outcome,
+    };
+    note_outcome(chain, id, &path, &record, &outcome);
+    answer::build(id, outcome, chain.shared.is_draining())
+}
+
+async fn run_filters(
+    chain: &FilterChain,
+    id: RequestId,
+    request: Request<Incoming>,
+    record: &mut RequestRecord,
+) -> Result<RequestOutcome, RequestOutcome> {
+    let context = identify::identify(&chain.shared, id, request).await?;
+    limit::check(&chain.shared, &context)?;
+    let claim = claim::claim(&chain.handle, &context).await?;
+    let outcome = run_attempts(chain, &context, record).await;
+    if let Some(claim) = claim {
+        claim::settle(&chain.handle, &context, claim, &outcome);
+    }
+    Ok(outcome)
+}
+
+async fn run_attempts(
+    chain: &FilterChain,
+    context: &RequestContext,
+    record: &mut RequestRecord,
+) -> RequestOutcome {
+    chain.budget.lock().note_request();
+    let started = Instant::now();
+    loop {
+        let slot = match dispatch::dispatch(&chain.shared, context).await {
+            Ok(slot) => slot,
+            Err(outcome) => return outcome,
+        };
+        telemetry::note_wait(started.elapsed().as_secs_f64());
+        record.note_attempt(slot.choice(), started.elapsed());
+        let result = forward::forward(chain, context, slot).await;
+        match result {
+            Ok(answer) => return RequestOutcome::Answered(answer),
+            Err(failure) => match failure.into_outcome(chain, record) {
+                Some(outcome) => return outcome,
+                None => {
+                    telemetry::count_retry();
+                    forward::back_off().await;
+                }
+            },
+        }
+    }
+}
+
+fn note_outcome(
+    chain: &FilterChain,
+    id: RequestId,
+    path: &str,
+    record: &RequestRecord,
+    outcome: &RequestOutcome,
+) {
+    let (name, reason) = (outcome.name(), outcome.reason());
+    telemetry::count_request(name, reason);
+    let applied = chain.shared.view.load().applied;
+    if chain.shared.settings.log_decisions {
+        info!(chain.shared.log.logger, "request";
+            "request" => %id,
+            "path" => path,
+            "endpoint" => record.endpoint.as_ref().map(|id| id.as_str().to_owned()),
+            "candidates" => record.candidates,
+            "attempts" => record.attempts,
+            "wait_us" => record.wait.as_micros() as u64,
+            "outcome" => name,
+            "reason" => reason,
+            "applied" => applied.0,
+        );
+    }
+    chain.shared.remember(RequestTrace {
+        id,
+        at_ms: clock::unix_ms(),
+        endpoint: record.endpoint.clone(),
+        candidates: record.candidates,
+        outcome: name,
+        reason,
+        applied,
+    });
+}
--- /dev/null
+++ b/crates/sedgehilld/src/logging.rs
@@ -0,0 +1,53 @@
+//! Log lines as JSON on standard error, never holding up whoever logs.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
+
+use crate::settings::BoxSettings;
+
+/// Lines that wait for the sink before further ones are dropped.
+const LINE_QUEUE: usize = 8_192;
+
+/// A logger, and the count of lines that its sink was too slow for.
+#[derive(Debug, Clone)]
+pub struct LogSink {
+    /// Where to log.
+    pub logger: Logger,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LogSink {
+    /// Lines dropped since the start.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+struct CountingDrain {
+    core: slog_async::AsyncCore,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Drain for CountingDrain {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        if self.core.log(record, values).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+}
+
+/// Builds the logger of a box.
+pub fn build_logger(settings: &BoxSettings) -> LogSink {
+    let lines = slog_json::Json::default(std::io::stderr()).ignore_res();
+    let core = slog_async::AsyncCore::custom(lines).chan_size(LINE_QUEUE).blocking(false).build();
+    let dropped = Arc::new(AtomicU64::new(0));
+    let drain = CountingDrain { core, dropped: dropped.clone() };
+    let logger = Logger::root(drain, o!("box" => settings.id.to_string()));
+    LogSink { logger, dropped }
+}
--- /dev/null
+++ b/crates/sedgehilld/src/main.rs
@@ -0,0 +1,202 @@
+//! `sedgehilld`: the daemon that runs on every entry box.
+//!
+//! One thread runs the [`controllers`], which own all state and publish immutable views of it. The
+//! other threads run the [`filters`], through which each request passes, and read those views.
+
+mod admin;
+mod clock;
+mod controllers;
+mod filters;
+mod logging;
+mod settings;
+mod shared;
+mod telemetry;
+mod traffic;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use quick_error::quick_error;
+use sedgehill_peer::{PeerIdentity, PeerLink};
+use tokio::sync::mpsc;
+
+use crate::controllers::{CONTROL_QUEUE_LENGTH, ControlHandle};
+use crate::settings::{BoxSettings, SettingsError};
+use crate::shared::SharedState;
+
+const HELP: &str = "\
+sedgehilld: the entry box daemon of the sedgehill cluster scheduler
+
+usage: sedgehilld --settings FILE [--check]
+
+options:
+    --settings FILE    the settings of this box, in JSON
+    --check            check the settings and exit
+    --help             print this help
+    --version          print the version
+
+exit codes: 0 stopped as planned, 1 could not run, 2 wrong usage, 3 wrong settings
+";
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+const EXIT_SETTINGS: u8 = 3;
+/// The exit code after a broken invariant.
+const EXIT_INVARIANT: i32 = 70;
+
+quick_error! {
+    /// Why the daemon could not run.
+    #[derive(Debug)]
+    enum DaemonError {
+        /// The settings are wrong.
+        Settings(cause: SettingsError) {
+            from()
+            display("could not use the settings")
+            source(cause)
+        }
+        /// The links to peers are not usable.
+        Peer(cause: sedgehill_peer::PeerError) {
+            from()
+            display("could not open the links to peers")
+            source(cause)
+        }
+        /// The identity files are not usable.
+        Identity(cause: sedgehill_peer::IdentityError) {
+            from()
+            display("could not use the certificates")
+            source(cause)
+        }
+        /// An address cannot be listened on.
+        Listen(address: std::net::SocketAddr, cause: std::io::Error) {
+            display("could not listen on {address}")
+            source(cause)
+        }
+        /// The threads could not be started.
+        Runtime(cause: std::io::Error) {
+            display("could not start the threads")
+            source(cause)
+        }
+    }
+}
+
+struct DaemonArgs {
+    settings: PathBuf,
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = match parse_args() {
+        Ok(Some(args)) => args,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("error: {message}\n\n{HELP}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            print_error(&error);
+            match error {
+                DaemonError::Settings(_) => ExitCode::from(EXIT_SETTINGS),
+                _ => ExitCode::from(EXIT_FAILED),
+            }
+        }
+    }
+}
+
+fn parse_args() -> Result<Option<DaemonArgs>, String> {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains("--help") {
+        print!("{HELP}");
+        return Ok(None);
+    }
+    if args.contains("--version") {
+        println!("sedgehilld {}", env!("CARGO_PKG_VERSION"));
+        return Ok(None);
+    }
+    let settings = args.value_from_str("--settings").map_err(|error| error.to_string())?;
+    let check = args.contains("--check");
+    match args.finish().first() {
+        Some(extra) => Err(format!("unexpected argument `{}`", extra.to_string_lossy())),
+        None => Ok(Some(DaemonArgs { settings, check })),
+    }
+}
+
+fn print_error(error: &dyn std::error::Error) {
+    eprintln!("error: {error}");
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        eprintln!("  caused by: {error}");
+        cause = error.source();
+    }
+}
+
+fn run(args: &DaemonArgs) -> Result<(), DaemonError> {
+    let settings = BoxSettings::load(&args.settings)?;
+    let identity =
+        PeerIdentity::load(&settings.tls.certificate, &settings.tls.key, &settings.tls.authority)?;
+    if args.check {
+        eprintln!("checked {}", args.settings.display());
+        return Ok(());
+    }
+    stop_on_broken_invariant();
+    let log = logging::build_logger(&settings);
+    let metrics = telemetry::install();
+    let shared = Arc::new(SharedState::new(settings, log, metrics));
+    let (handle, inbox) = mpsc::channel(CONTROL_QUEUE_LENGTH);
+    let handle = ControlHandle::new(handle);
+    let traffic = start_traffic(shared.clone(), handle)?;
+    let result = run_control(shared, identity, inbox);
+    traffic.shutdown_background();
+    result
+}
+
+/// A broken invariant stops the process, whichever thread finds it.
+fn stop_on_broken_invariant() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::exit(EXIT_INVARIANT);
+    }));
+}
+
+fn start_traffic(
+    shared: Arc<SharedState>,
+    handle: ControlHandle,
+) -> Result<tokio::runtime::Runtime, DaemonError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(shared.settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(DaemonError::Runtime)?;
+    let listen = shared.settings.listen.clone();
+    let traffic = runtime
+        .block_on(tokio::net::TcpListener::bind(listen.traffic))
+        .map_err(|error| DaemonError::Listen(listen.traffic, error))?;
+    let admin = runtime
+        .block_on(tokio::net::TcpListener::bind(listen.admin))
+        .map_err(|error| DaemonError::Listen(listen.admin, error))?;
+    runtime.spawn(traffic::serve(traffic, shared.clone(), handle.clone()));
+    runtime.spawn(admin::serve(admin, shared, handle));
+    Ok(runtime)
+}
+
+fn run_control(
+    shared: Arc<SharedState>,
+    identity: PeerIdentity,
+    inbox: mpsc::Receiver<controllers::ControlRequest>,
+) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(DaemonError::Runtime)?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async move {
+        let (link, peers) = PeerLink::bind(shared.settings.listen.peer, &identity)?;
+        controllers::run(shared, link, peers, inbox).await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/sedgehilld/src/traffic.rs
@@ -0,0 +1,68 @@
+//! Takes callers' connections and runs each request through the filters.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::controllers::ControlHandle;
+use crate::filters::{FilterChain, run_chain};
+use crate::shared::SharedState;
+
+/// The most header bytes of a request.
+const MAX_HEADER_BYTES: usize = 64 << 10;
+/// The most headers of a request.
+const MAX_HEADERS: usize = 100;
+/// How long to wait after the machine could not take a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves callers until traffic is asked to stop.
+pub async fn serve(listener: TcpListener, shared: Arc<SharedState>, handle: ControlHandle) {
+    let chain = Arc::new(FilterChain::new(shared.clone(), handle));
+    let mut stopped = shared.stopped();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(serve_connection(stream, chain.clone(), shared.clone()));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+            () = wait_for_stop(&mut stopped) => return,
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, chain: Arc<FilterChain>, shared: Arc<SharedState>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let chain = chain.clone();
+        async move { Ok::<Response<Full<Bytes>>, Infallible>(run_chain(&chain, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(shared.settings.limits.receive.as_millis()))
+        .max_buf_size(MAX_HEADER_BYTES)
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut stopped = shared.stopped();
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = wait_for_stop(&mut stopped) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
+    // An error means that the box is gone, which is a stop as well.
+    let _ = stopped.wait_for(|stop| *stop).await;
+}
