standin: stand-ins, whole-path test and the demonstration

Cause: nothing showed that the packages work together. Change: stand-ins for log, list, workers, endpoints and callers with a ledger of broken promises; a test in separate processes; cargo demo.

--- a/crates/sedgehill-core/src/dispatch.rs
+++ b/crates/sedgehill-core/src/dispatch.rs
@@ -224,10 +224,9 @@
 
     /// Offers a request.
     pub fn offer(&mut self, request: DispatchRequest, token: T, now: Moment) -> DispatchOffer<T> {
-        if self.waiting.is_empty() || self.first_due() > Some(request.due) {
-            if let Some(choice) = self.choose(&request, now) {
-                return DispatchOffer::Chosen(choice, token);
-            }
+        let is_first = self.first_due().is_none_or(|due| due > request.due);
+        if is_first && let Some(choice) = self.choose(&request, now) {
+            return DispatchOffer::Chosen(choice, token);
         }
         match self.check_queue(&request, now) {
             Err(refusal) => DispatchOffer::Refused(refusal, token),
--- /dev/null
+++ b/crates/sedgehill-standin/src/demo/mod.rs
@@ -0,0 +1,105 @@
+//! The demonstration: a whole cell with both deployments of the brief, under load and faults, with
+//! broken promises counted by the stand-ins.
+
+mod load;
+mod report;
+mod sample;
+mod scenario;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use pico_args::Arguments;
+use sedgehill_standin::cluster::{
+    ClusterPlan, EndpointGroup, TestCluster, WorkerGroup, quick_settings, usual_worker,
+};
+
+use crate::commands::{CommandResult, finish};
+
+/// Halls of Haddad & Sons.
+const HADDAD_HALLS: [&str; 4] = ["abdali", "sweifieh", "marka", "tlaa-ali"];
+/// Halls of Inkaso Trójmiasto.
+const INKASO_HALLS: [&str; 3] = ["gdansk-hala-a", "gdynia-hala-b", "sopot-hala-c"];
+const DEFAULT_SECONDS: u64 = 20;
+/// Shorter runs would leave no time between the faults.
+const MIN_SECONDS: u64 = 10;
+
+/// Runs the demonstration. Whatever it started ends with it, also when it is interrupted.
+pub async fn run(mut args: Arguments) -> CommandResult {
+    let seconds = args.opt_value_from_str("--seconds").map_err(|error| error.to_string())?;
+    let json: Option<PathBuf> =
+        args.opt_value_from_str("--json").map_err(|error| error.to_string())?;
+    finish(args)?;
+    let seconds: u64 = seconds.unwrap_or(DEFAULT_SECONDS);
+    if seconds < MIN_SECONDS {
+        return Err(format!("--seconds: expected at least {MIN_SECONDS}, found {seconds}"));
+    }
+    let plan = brief_plan();
+    tokio::select! {
+        report = scenario::run(&plan, Duration::from_secs(seconds)) => {
+            print!("{}", report.render());
+            if let Some(path) = json {
+                let text = serde_json::to_string_pretty(&report).expect("our types serialize");
+                std::fs::write(&path, text).map_err(|error| error.to_string())?;
+            }
+            Ok(if report.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+        () = interrupted() => {
+            eprintln!("{:>12} everything that was started ends", "Interrupted");
+            Ok(ExitCode::FAILURE)
+        }
+    }
+}
+
+async fn interrupted() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate()).expect("signals can be listened to");
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = terminate.recv() => {}
+    }
+}
+
+/// The two deployments of the brief in one cell, behind three boxes.
+fn brief_plan() -> ClusterPlan {
+    ClusterPlan {
+        boxes: vec!["abdali", "gdansk-hala-a", "sweifieh"],
+        endpoints: vec![
+            EndpointGroup {
+                service: "cdr-lookup",
+                halls: HADDAD_HALLS.to_vec(),
+                count: 50,
+                slots: 8,
+            },
+            EndpointGroup { service: "windyk", halls: INKASO_HALLS.to_vec(), count: 50, slots: 8 },
+        ],
+        workers: vec![
+            WorkerGroup {
+                halls: HADDAD_HALLS.to_vec(),
+                count: 50,
+                per_rack: 6,
+                total: usual_worker(),
+            },
+            WorkerGroup {
+                halls: INKASO_HALLS.to_vec(),
+                count: 50,
+                per_rack: 8,
+                total: usual_worker(),
+            },
+        ],
+        list_lag: Duration::from_millis(500),
+        settings: quick_settings(),
+    }
+}
+
+/// Says what is being done.
+fn progress(verb: &str, what: impl std::fmt::Display) {
+    eprintln!("{verb:>12} {what}");
+}
+
+/// Publishes both examples through the command line.
+async fn publish_examples(cluster: &TestCluster) {
+    progress("Publishing", "examples/haddad.json and examples/inkaso.json");
+    cluster.client_ok(&["publish", "examples/haddad.json", "examples/inkaso.json"]).await;
+}
--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -1,2 +1,58 @@
-//! x
-fn main() {}
+//! `sedgehill-standin`: the stand-ins as commands, and the demonstration of the whole path.
+//!
+//! A tool for tests and demonstrations; it is not shipped.
+
+mod commands;
+mod demo;
+
+use std::process::ExitCode;
+
+const HELP: &str = "\
+sedgehill-standin: stand-ins for tests and demonstrations of sedgehill
+
+usage: sedgehill-standin COMMAND [OPTIONS]
+
+commands:
+    demo         bring up a whole cell, send load, break things and count broken promises
+                 [--seconds N] [--json FILE]
+    log          --listen ADDRESS
+    list         --listen ADDRESS --file LIST.json
+    worker       --listen ADDRESS --id NAME [--cores N] [--memory SIZE] [--accelerators N]
+    endpoint     --listen ADDRESS --id NAME [--slots N]
+    certificates --directory DIR --box NAME [--box NAME]...
+    call         --box ADDRESS --path ORG/SERVICE/KIND [--count N] [--work TIME] [--once]
+
+exit codes: 0 done, 1 a promise was broken or the run failed, 2 wrong usage
+";
+
+fn main() -> ExitCode {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains("--help") {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let command = args.subcommand().ok().flatten().unwrap_or_default();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .expect("threads can be started");
+    let result = runtime.block_on(async {
+        match command.as_str() {
+            "demo" => demo::run(args).await,
+            "log" => commands::log(args).await,
+            "list" => commands::list(args).await,
+            "worker" => commands::worker(args).await,
+            "endpoint" => commands::endpoint(args).await,
+            "certificates" => commands::certificates(args),
+            "call" => commands::call(args).await,
+            other => Err(format!("there is no command `{other}`\n\n{HELP}")),
+        }
+    });
+    match result {
+        Ok(code) => code,
+        Err(message) => {
+            eprintln!("error: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! The system as separate processes, against stand-ins that fail on purpose.
+
+mod support;
+mod whole_path;
--- /dev/null
+++ b/crates/sedgehill-standin/tests/testsuite/support.rs
@@ -0,0 +1,70 @@
+//! What the tests share: a small cell and what is usually done with it.
+
+use std::time::Duration;
+
+use sedgehill_platform::admin::JobListing;
+use sedgehill_standin::cluster::{
+    ClusterPlan, EndpointGroup, TestCluster, WorkerGroup, quick_settings, usual_worker, wait_for,
+};
+use serde_json::Value;
+
+/// The path of a quick check.
+pub const CHECK: &str = "inkaso/windyk/check";
+/// The path of an offer, which must run at most once.
+pub const OFFER: &str = "inkaso/windyk/offer";
+
+/// Three boxes, a few endpoints and a few workers in two halls.
+pub fn small_plan() -> ClusterPlan {
+    ClusterPlan {
+        boxes: vec!["gdansk-hala-a", "gdynia-hala-b", "sopot-hala-c"],
+        endpoints: vec![EndpointGroup {
+            service: "windyk",
+            halls: vec!["gdansk-hala-a", "gdynia-hala-b"],
+            count: 6,
+            slots: 8,
+        }],
+        workers: vec![WorkerGroup {
+            halls: vec!["gdansk-hala-a", "gdynia-hala-b"],
+            count: 6,
+            per_rack: 8,
+            total: usual_worker(),
+        }],
+        list_lag: Duration::from_millis(300),
+        settings: quick_settings(),
+    }
+}
+
+/// Starts a cell with the Inkaso example published.
+pub async fn start_published(plan: &ClusterPlan) -> TestCluster {
+    let cluster = TestCluster::start(plan).await;
+    cluster.client_ok(&["publish", "examples/inkaso.json"]).await;
+    cluster
+}
+
+/// Submits a job and returns its id.
+pub async fn submit(cluster: &TestCluster, template: &str, tasks: u32) -> String {
+    let tasks = tasks.to_string();
+    let args = ["submit", "--organisation", "inkaso", "--template", template, "--tasks", &tasks];
+    cluster.client_ok(&args).await.trim().to_owned()
+}
+
+/// The jobs as the command line lists them.
+pub async fn jobs(cluster: &TestCluster) -> Vec<JobListing> {
+    let text = cluster.client_ok(&["--format", "json", "jobs"]).await;
+    serde_json::from_str(&text).expect("the client prints jobs")
+}
+
+/// Waits until a job has the phase of this name.
+pub async fn wait_phase(cluster: &TestCluster, job: &str, phase: &str) {
+    wait_for(&format!("job {job} to be {phase}"), async || {
+        let jobs = jobs(cluster).await;
+        jobs.iter()
+            .any(|listing| listing.id.to_string() == job && listing.job.phase.to_string() == phase)
+    })
+    .await;
+}
+
+/// Parses what the command line printed with `--format json`.
+pub fn parse(text: &str) -> Value {
+    serde_json::from_str(text).expect("the client prints JSON")
+}
--- a/crates/sedgehilld/src/filters/answer.rs
+++ b/crates/sedgehilld/src/filters/answer.rs
@@ -18,7 +18,7 @@
 pub fn build(id: RequestId, outcome: RequestOutcome, draining: bool) -> Response<Full<Bytes>> {
     let (name, reason) = (outcome.name(), outcome.reason());
     let mut response = match outcome {
-        RequestOutcome::Answered(answer) => pass_on(answer),
+        RequestOutcome::Answered(answer) => pass_on(*answer),
         RequestOutcome::NotRun(not_run) => {
             let mut response = explain(not_run.status(), name, reason);
             if let Some(seconds) = not_run.retry_after() {
--- a/crates/sedgehilld/src/filters/mod.rs
+++ b/crates/sedgehilld/src/filters/mod.rs
@@ -90,7 +90,7 @@
         record.note_attempt(slot.choice(), started.elapsed());
         let result = forward::forward(chain, context, slot).await;
         match result {
-            Ok(answer) => return RequestOutcome::Answered(answer),
+            Ok(answer) => return RequestOutcome::Answered(Box::new(answer)),
             Err(failure) => match failure.into_outcome(chain, record) {
                 Some(outcome) => return outcome,
                 None => {
--- a/crates/sedgehilld/src/filters/outcome.rs
+++ b/crates/sedgehilld/src/filters/outcome.rs
@@ -11,7 +11,7 @@
 #[derive(Debug)]
 pub enum RequestOutcome {
     /// An endpoint answered, and this is its whole answer.
-    Answered(Response<Bytes>),
+    Answered(Box<Response<Bytes>>),
     /// The request surely did not run.
     NotRun(NotRunReason),
     /// The request may have run.
