--- a/crates/sedgehill-standin/src/demo/load.rs
+++ b/crates/sedgehill-standin/src/demo/load.rs
@@ -38,6 +38,8 @@
 
 /// How often a request that was told "not run" is sent again.
 const MAX_TRIES: u32 = 3;
+/// The longest waiting that is told apart, in microseconds.
+const LONGEST_WAIT_US: u64 = 120_000_000;
 const LOAD_SEED: u64 = 20261202;
 
 /// Where requests are sent now: what the platform's balancer would keep.
@@ -60,7 +62,9 @@
 
 impl Default for KindTally {
     fn default() -> Self {
-        let waiting = Histogram::new(3).expect("three digits are supported");
+        // With its bounds set: one that grows by itself does not grow for a saturating record.
+        let waiting =
+            Histogram::new_with_bounds(1, LONGEST_WAIT_US, 3).expect("the bounds are valid");
         KindTally { waiting, outcomes: BTreeMap::new(), reasons: BTreeMap::new() }
     }
 }
@@ -112,7 +116,11 @@
         let mut tally = self.tally.lock();
         let tally = tally.entry(kind.path).or_default();
         *tally.outcomes.entry(report.outcome).or_default() += 1;
-        if report.outcome == ToldOutcome::Answered {
+        let success = report.status.is_some_and(|status| (200..300).contains(&status));
+        if report.outcome == ToldOutcome::Answered && !success {
+            let reason = format!("answered with status {:?}", report.status);
+            *tally.reasons.entry(reason).or_default() += 1;
+        } else if report.outcome == ToldOutcome::Answered {
             let waited = report.took.saturating_sub(plan.work).as_micros() as u64;
             tally.waiting.saturating_record(waited.max(1));
         } else {
--- a/crates/sedgehill-standin/tests/testsuite/whole_path.rs
+++ b/crates/sedgehill-standin/tests/testsuite/whole_path.rs
@@ -19,7 +19,9 @@
     }
     let plan = CallPlan::once_only(OFFER, Duration::from_millis(20));
     let report = caller.call(cluster.boxes[0].addresses.traffic, &plan, false).await;
-    assert_eq!(report.outcome, ToldOutcome::Answered, "{report:?}");
+    assert_eq!((report.outcome, report.status), (ToldOutcome::Answered, Some(200)), "{report:?}");
+    assert!(report.took >= plan.work, "an answer came before its work was done: {report:?}");
+    assert_eq!(cluster.ledger.request_runs(&plan.token), 1);
 
     let batch = submit(&cluster, "arrears-rerun", 10).await;
     let gang = submit(&cluster, "utility-merge", 3).await;
--- a/crates/sedgehilld/src/controllers/log_reader.rs
+++ b/crates/sedgehilld/src/controllers/log_reader.rs
@@ -26,8 +26,19 @@
     let client = LogClient::new(context.caller.clone(), context.shared.settings.platform.log);
     loop {
         let from = context.state.borrow().fold.next();
-        match client.read(from, READ_WAIT).await {
-            Ok(reply) => take_reply(&context, reply),
+        // Before there is a state the log is not asked to wait: an empty one may stay so for long.
+        let has_state = context.state.borrow().cluster().is_some();
+        let wait = if has_state { READ_WAIT } else { Duration::ZERO };
+        match client.read(from, wait).await {
+            Ok(reply) => {
+                let idle = reply.entries.is_empty() && !has_state;
+                take_reply(&context, reply);
+                if idle && context.state.borrow().cluster().is_none() {
+                    // The log has forgotten its beginning and shows no snapshot yet.
+                    ask_peers(&context).await;
+                    tokio::time::sleep(READ_WAIT).await;
+                }
+            }
             Err(error) => {
                 context.state.borrow_mut().log_error = error.to_string();
                 ask_peers(&context).await;
