requests: pass over endpoints that refused, and hold requests at a box that woke

A retry went to the endpoint that had just refused, since it looked idle (149 of 150 answered). A box paused for 4 s routed to endpoints that had been leaving for longer, because traffic threads run before the controllers have read the list again. The stand-in cut answers before their head had left. Ruled out: a larger retry budget (it only hides the first), a shorter list interval (it cannot help a box that did not run). Change: a request avoids endpoints that refused it while there are others; a gap of more than a second between two publications is a pause, after which nothing is published or handed out until log and list were looked at again; the stand-in waits before it cuts.

--- a/crates/sedgehill-core/src/dispatch.rs
+++ b/crates/sedgehill-core/src/dispatch.rs
@@ -12,6 +12,9 @@
 
 /// How many waiting requests are looked at for a freed endpoint that the first may not use.
 const MAX_LOOKAHEAD: usize = 64;
+/// How long what the controllers said holds. A box that was paused hands nothing out until its
+/// controllers have looked again.
+const STALE_AFTER: TimeSpan = TimeSpan(1_000);
 
 /// How an endpoint is kept from work after failures.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,6 +105,8 @@
     pub queue_limit: u32,
     /// The size of its body, in bytes.
     pub bytes: usize,
+    /// Endpoints that refused it before; they are passed over while there are others.
+    pub avoid: Vec<EndpointId>,
 }
 
 /// Why a request is not taken in.
@@ -174,6 +179,8 @@
     waiting_bytes: usize,
     waiting_by_org: BTreeMap<OrgName, u32>,
     sequence: u64,
+    /// When the controllers last said which endpoints there are.
+    synced: Moment,
     /// The running mean time that a request holds a slot, in milliseconds.
     mean_hold_ms: f64,
 }
@@ -190,6 +197,7 @@
             waiting_bytes: 0,
             waiting_by_org: BTreeMap::new(),
             sequence: 0,
+            synced: Moment(0),
             mean_hold_ms: 0.0,
         }
     }
@@ -207,6 +215,7 @@
     /// Takes in the endpoints as the controllers see them now, and gives freed room to requests
     /// that wait.
     pub fn sync(&mut self, views: Vec<EndpointView>, now: Moment) -> Vec<(DispatchChoice, T)> {
+        self.synced = now;
         for entry in self.endpoints.values_mut() {
             entry.present = false;
         }
@@ -290,11 +299,15 @@
     /// Chooses the least busy endpoint with room, of the near hall where it is as free as any, and
     /// takes one of its slots.
     fn choose(&mut self, request: &DispatchRequest, now: Moment) -> Option<DispatchChoice> {
+        if now.since(self.synced) > STALE_AFTER {
+            return None;
+        }
+        let avoid = self.avoidable(request);
         let mut candidates = 0;
         let mut best: Option<(u64, &EndpointId)> = None;
         for (id, entry) in &self.endpoints {
             let allowed = request.halls.is_empty() || request.halls.contains(&entry.view.hall);
-            if !allowed || !entry.has_room(now) {
+            if !allowed || !entry.has_room(now) || avoid.contains(id) {
                 continue;
             }
             candidates += 1;
@@ -312,6 +325,21 @@
         Some(DispatchChoice { endpoint: id, address: entry.view.address, candidates })
     }
 
+    /// The endpoints to pass over; none if there is no other that may serve the request.
+    fn avoidable<'r>(&self, request: &'r DispatchRequest) -> &'r [EndpointId] {
+        let serves = |entry: &EndpointEntry| {
+            let allowed = request.halls.is_empty() || request.halls.contains(&entry.view.hall);
+            allowed && entry.present && !entry.view.leaving && entry.view.share > 0
+        };
+        let others = |(id, entry): (&EndpointId, &EndpointEntry)| {
+            serves(entry) && !request.avoid.contains(id)
+        };
+        match request.avoid.is_empty() || self.endpoints.iter().any(others) {
+            true => &request.avoid,
+            false => &[],
+        }
+    }
+
     /// Ends an attempt that held a slot for `held`, and gives the freed room to whoever waits.
     pub fn release(
         &mut self,
--- a/crates/sedgehill-standin/src/endpoint.rs
+++ b/crates/sedgehill-standin/src/endpoint.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -28,6 +28,8 @@
 const REFUSED_HEADER: &str = "sedgehill-refused";
 /// What an answer is filled with where no size is asked for, in bytes.
 const DEFAULT_SIZE: usize = 64;
+/// Between the first half of a cut answer and the cut.
+const CUT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What is wrong with an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -201,32 +203,19 @@
 /// An answer that promises all bytes, sends half and fails.
 fn cut(answer: Bytes) -> Response<AnswerBody> {
     let half = answer.slice(..answer.len() / 2);
-    let frames = [Ok(Frame::data(half)), Err(std::io::Error::other("cut on purpose"))];
-    let mut frames = frames.into_iter();
-    let stream = StreamBody::new(PollStream(move || frames.next()));
-    let mut response = Response::new(stream.boxed_unsync());
+    let (mut sender, body) = http_body_util::channel::Channel::new(1);
+    tokio::spawn(async move {
+        let _ = sender.send_data(half).await;
+        // What was sent so far leaves before the connection is closed.
+        tokio::time::sleep(CUT_PAUSE).await;
+        sender.abort(std::io::Error::other("cut on purpose"));
+    });
+    let mut response = Response::new(body.boxed_unsync());
     let length = http::HeaderValue::from_str(&answer.len().to_string()).expect("digits");
     response.headers_mut().insert(http::header::CONTENT_LENGTH, length);
     response
 }
 
-/// A stream of the values that a closure returns.
-struct PollStream<F>(F);
-
-impl<F, T> futures_core::Stream for PollStream<F>
-where
-    F: FnMut() -> Option<T> + Unpin,
-{
-    type Item = T;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        _: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<T>> {
-        std::task::Poll::Ready((self.0)())
-    }
-}
-
 async fn answer_garbage(mut stream: tokio::net::TcpStream) {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let mut buffer = [0; 4096];
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -1,4 +1,12 @@
 //! The system as separate processes, against stand-ins that fail on purpose.
 
+mod client;
+mod configuration;
+mod endpoints;
+mod ledger;
+mod once_only;
+mod peers;
+mod placement;
+mod stops;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/sedgehill-standin/tests/testsuite/once_only.rs
@@ -0,0 +1,114 @@
+//! Once-only requests: over boxes, lost answers of the log, outages and kills.
+
+use std::time::Duration;
+
+use sedgehill_standin::caller::CallPlan;
+use sedgehill_standin::ledger::ToldOutcome;
+use sedgehill_standin::log_server::LogFaults;
+use uuid::{Timestamp, Uuid};
+
+use crate::support::{CHECK, OFFER, small_plan, start_published};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_key_sent_to_every_box_at_once_runs_once() {
+    let cluster = start_published(&small_plan()).await;
+    for _ in 0..20 {
+        let plan = CallPlan::once_only(OFFER, Duration::from_millis(10));
+        let mut calls = tokio::task::JoinSet::new();
+        for process in &cluster.boxes {
+            let (caller, plan, address) =
+                (cluster.caller(), plan.clone(), process.addresses.traffic);
+            calls.spawn(async move { caller.call(address, &plan, true).await });
+        }
+        let reports = calls.join_all().await;
+        let answered =
+            reports.iter().filter(|report| report.outcome == ToldOutcome::Answered).count();
+        assert_eq!(answered, 1, "{reports:?}");
+        assert_eq!(cluster.ledger.request_runs(&plan.token), 1);
+    }
+    cluster.assert_no_violation();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_answers_of_the_log_run_nothing_twice() {
+    let cluster = start_published(&small_plan()).await;
+    cluster.log.set_faults(LogFaults { lost_answers: 50, ..LogFaults::default() });
+    let mut answered = 0;
+    for round in 0..30 {
+        let plan = CallPlan::once_only(OFFER, Duration::from_millis(5));
+        for attempt in 0..3 {
+            let process = &cluster.boxes[(round + attempt) % cluster.boxes.len()];
+            let report = cluster.caller().call(process.addresses.traffic, &plan, true).await;
+            answered += usize::from(report.outcome == ToldOutcome::Answered);
+        }
+        assert!(cluster.ledger.request_runs(&plan.token) <= 1);
+    }
+    assert!(answered >= 25, "{answered} of 30 were answered");
+    cluster.assert_no_violation();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn while_the_log_is_down_once_only_is_refused_and_the_rest_goes_on() {
+    let cluster = start_published(&small_plan()).await;
+    cluster.log.set_faults(LogFaults { down: true, ..LogFaults::default() });
+    let caller = cluster.caller();
+    let address = cluster.boxes[0].addresses.traffic;
+    let offer = CallPlan::once_only(OFFER, Duration::from_millis(5));
+    let report = caller.call(address, &offer, true).await;
+    assert_eq!((report.outcome, report.reason.as_str()), (ToldOutcome::NotRun, "log-unavailable"));
+    assert!(report.retry_after.is_some());
+    let report = caller.call(address, &CallPlan::new(CHECK, Duration::from_millis(5)), false).await;
+    assert_eq!(report.outcome, ToldOutcome::Answered, "{report:?}");
+
+    cluster.log.set_faults(LogFaults::default());
+    // The refused request may be sent again under its key once the log answers.
+    let mut outcome = ToldOutcome::NotRun;
+    for _ in 0..20 {
+        outcome = caller.call(address, &offer, true).await.outcome;
+        if outcome == ToldOutcome::Answered {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(outcome, ToldOutcome::Answered);
+    assert_eq!(cluster.ledger.request_runs(&offer.token), 1);
+    cluster.assert_no_violation();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_is_remembered_when_its_box_is_killed() {
+    let mut cluster = start_published(&small_plan()).await;
+    let plan = CallPlan::once_only(OFFER, Duration::from_millis(1_500));
+    let (caller, first) = (cluster.caller(), plan.clone());
+    let address = cluster.boxes[0].addresses.traffic;
+    let call = tokio::spawn(async move { caller.call(address, &first, false).await });
+    let token = plan.token.clone();
+    sedgehill_standin::cluster::wait_for("the request to run", async || {
+        cluster.ledger.request_runs(&token) == 1
+    })
+    .await;
+    cluster.boxes[0].kill();
+    assert_eq!(call.await.expect("the call ends").outcome, ToldOutcome::Nothing);
+    for process in &cluster.boxes[1..] {
+        let report = cluster.caller().call(process.addresses.traffic, &plan, false).await;
+        assert_eq!((report.outcome, report.reason.as_str()), (ToldOutcome::Unknown, "key-claimed"));
+    }
+    assert_eq!(cluster.ledger.request_runs(&plan.token), 1);
+    cluster.assert_no_violation();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_from_outside_the_window_is_refused_as_not_run() {
+    const TWO_HOURS: u64 = 7_200;
+    let cluster = start_published(&small_plan()).await;
+    let now =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    for seconds in [now.as_secs() - TWO_HOURS, now.as_secs() + TWO_HOURS] {
+        let mut plan = CallPlan::once_only(OFFER, Duration::ZERO);
+        plan.key = Some(Uuid::new_v7(Timestamp::from_unix(uuid::NoContext, seconds, 0)));
+        let report = cluster.caller().call(cluster.boxes[0].addresses.traffic, &plan, false).await;
+        let told = (report.outcome, report.reason.as_str());
+        assert_eq!(told, (ToldOutcome::NotRun, "key-outside-window"), "{report:?}");
+    }
+    cluster.assert_no_violation();
+}
--- a/crates/sedgehill-standin/tests/testsuite/support.rs
+++ b/crates/sedgehill-standin/tests/testsuite/support.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use sedgehill_platform::admin::JobListing;
+use sedgehill_standin::caller::{CallPlan, CallReport};
 use sedgehill_standin::cluster::{
     ClusterPlan, EndpointGroup, TestCluster, WorkerGroup, quick_settings, usual_worker, wait_for,
 };
@@ -68,3 +69,25 @@
 pub fn parse(text: &str) -> Value {
     serde_json::from_str(text).expect("the client prints JSON")
 }
+
+/// Makes calls to all boxes in turn, a few at a time, and returns how each went.
+pub async fn call_many(
+    cluster: &TestCluster,
+    path: &str,
+    count: usize,
+    work: Duration,
+) -> Vec<CallReport> {
+    const AT_ONCE: usize = 10;
+    let mut reports = Vec::new();
+    let mut calls = tokio::task::JoinSet::new();
+    for index in 0..count {
+        let address = cluster.boxes[index % cluster.boxes.len()].addresses.traffic;
+        let (caller, plan) = (cluster.caller(), CallPlan::new(path, work));
+        calls.spawn(async move { caller.call(address, &plan, false).await });
+        if calls.len() >= AT_ONCE {
+            reports.extend(calls.join_next().await.map(|report| report.expect("a call ends")));
+        }
+    }
+    reports.extend(calls.join_all().await);
+    reports
+}
--- a/crates/sedgehilld/src/controllers/log_reader.rs
+++ b/crates/sedgehilld/src/controllers/log_reader.rs
@@ -16,6 +16,8 @@
 
 /// How long the log is asked to wait for something new.
 const READ_WAIT: Duration = Duration::from_secs(1);
+/// Between two reads of a box that woke and waits for its other controllers to look.
+const WAKING_PAUSE: Duration = Duration::from_millis(20);
 /// The longest pause after a failed read, in milliseconds.
 const MAX_PAUSE_MS: u64 = 500;
 /// By how much of the interval a snapshot is put off at random, so that boxes do not all write one.
@@ -28,8 +30,12 @@
         let from = context.state.borrow().fold.next();
         // Before there is a state the log is not asked to wait: an empty one may stay so for long.
         let has_state = context.state.borrow().cluster().is_some();
-        let wait = if has_state { READ_WAIT } else { Duration::ZERO };
-        match client.read(from, wait).await {
+        let is_awake = context.state.borrow().woke.is_none();
+        let wait = if has_state && is_awake { READ_WAIT } else { Duration::ZERO };
+        let began = clock::now();
+        let result = client.read(from, wait).await;
+        context.state.borrow_mut().log_looked = began;
+        match result {
             Ok(reply) => {
                 let idle = reply.entries.is_empty() && !has_state;
                 take_reply(&context, reply);
@@ -37,6 +43,8 @@
                     // The log has forgotten its beginning and shows no snapshot yet.
                     ask_peers(&context).await;
                     tokio::time::sleep(READ_WAIT).await;
+                } else if !is_awake {
+                    tokio::time::sleep(WAKING_PAUSE).await;
                 }
             }
             Err(error) => {
--- a/crates/sedgehilld/src/controllers/members.rs
+++ b/crates/sedgehilld/src/controllers/members.rs
@@ -13,13 +13,19 @@
 
 use super::{ControlContext, ControlState, publish};
 use crate::clock;
+use crate::shared::PAUSE_LIMIT;
 
 /// Reads the platform's list for as long as the box runs.
 pub async fn read_list(context: ControlContext) {
     let client = ListClient::new(context.caller.clone(), context.shared.settings.platform.list);
     let every = Duration::from_millis(context.shared.settings.heartbeat_every.as_millis());
     loop {
-        if let Ok(list) = client.fetch().await {
+        let began = clock::now();
+        let result = client.fetch().await;
+        let paused = clock::now().since(began) > PAUSE_LIMIT;
+        if let Ok(list) = result
+            && !paused
+        {
             let changed = {
                 let mut state = context.state.borrow_mut();
                 let changed = state.list != list || !state.list_read;
@@ -32,6 +38,7 @@
                 context.place_wanted.notify_one();
             }
         }
+        context.state.borrow_mut().list_looked = began;
         tokio::time::sleep(every).await;
     }
 }
--- a/crates/sedgehilld/src/controllers/mod.rs
+++ b/crates/sedgehilld/src/controllers/mod.rs
@@ -149,6 +149,13 @@
     members: MemberTable,
     list: PlatformList,
     list_read: bool,
+    /// When the last look at the log that has ended was begun.
+    log_looked: Moment,
+    /// When the last look at the list that has ended was begun.
+    list_looked: Moment,
+    last_published: Moment,
+    /// When the box last woke from a pause, until it has looked at everything again.
+    woke: Option<Moment>,
     leads: BTreeMap<HallName, LeadTimer>,
     placers: BTreeMap<HallName, HallPlacer>,
     decisions: VecDeque<DecisionRecord>,
@@ -170,6 +177,10 @@
             members: MemberTable::new(shared.settings.member),
             list: PlatformList::default(),
             list_read: false,
+            log_looked: Moment(0),
+            list_looked: Moment(0),
+            last_published: now,
+            woke: None,
             leads: BTreeMap::new(),
             placers: BTreeMap::new(),
             decisions: VecDeque::new(),
--- a/crates/sedgehilld/src/controllers/publish.rs
+++ b/crates/sedgehilld/src/controllers/publish.rs
@@ -11,12 +11,14 @@
 
 use super::{ControlContext, ControlState, members};
 use crate::clock;
-use crate::shared::TrafficView;
+use crate::shared::{PAUSE_LIMIT, TrafficView};
 use crate::telemetry;
 
 const TURN: Duration = Duration::from_millis(50);
 /// Turns between two looks at health and membership.
 const SLOW_TURNS: u32 = 4;
+/// How long a box that woke waits for the platform before it goes on with what it has.
+const LOOK_LIMIT: TimeSpan = TimeSpan(3_000);
 /// How long a box that hears of nobody believes that what it has is still in force.
 const ISOLATION_LIMIT: TimeSpan = TimeSpan(5_000);
 
@@ -37,8 +39,12 @@
 
 /// Publishes everything as it is now.
 pub fn publish(context: &ControlContext) {
-    let state = context.state.borrow();
     let now = clock::now();
+    if !is_awake(&mut context.state.borrow_mut(), now) {
+        return;
+    }
+    context.shared.set_fresh(now);
+    let state = context.state.borrow();
     if let Some(cluster) = state.cluster() {
         if context.shared.view.load().applied != cluster.next {
             context.shared.view.store(Arc::new(TrafficView::of(cluster)));
@@ -55,6 +61,21 @@
     note_gauges(context, &state, now);
 }
 
+/// Whether everything was looked at since the last pause. The controllers run many times a second,
+/// so a long gap between two publications is a pause, and what was read before it may be stale.
+fn is_awake(state: &mut ControlState, now: Moment) -> bool {
+    if now.since(state.last_published) > PAUSE_LIMIT {
+        state.woke = Some(now);
+    }
+    state.last_published = now;
+    let Some(woke) = state.woke else { return true };
+    let looked = state.log_looked >= woke && state.list_looked >= woke;
+    if looked || now.since(woke) > LOOK_LIMIT {
+        state.woke = None;
+    }
+    state.woke.is_none()
+}
+
 fn endpoint_views(
     state: &ControlState,
     view: &TrafficView,
--- a/crates/sedgehilld/src/filters/dispatch.rs
+++ b/crates/sedgehilld/src/filters/dispatch.rs
@@ -6,6 +6,7 @@
 use sedgehill_core::dispatch::{
     DispatchChoice, DispatchOffer, DispatchRefusal, DispatchRequest, EndpointEvidence,
 };
+use sedgehill_core::ids::EndpointId;
 use sedgehill_core::units::TimeSpan;
 use tokio::sync::oneshot;
 
@@ -66,6 +67,7 @@
 pub async fn dispatch(
     shared: &SharedState,
     context: &RequestContext,
+    avoid: &[EndpointId],
 ) -> Result<EndpointSlot, RequestOutcome> {
     let queue = shared
         .queue(&context.service)
@@ -78,6 +80,7 @@
         deadline: context.deadline,
         queue_limit: context.parameters.queue,
         bytes: context.body.len(),
+        avoid: avoid.to_vec(),
     };
     let (sender, receiver) = oneshot::channel();
     match queue.with(|queue| queue.offer(request, sender, clock::now())) {
--- a/crates/sedgehilld/src/filters/identify.rs
+++ b/crates/sedgehilld/src/filters/identify.rs
@@ -21,6 +21,9 @@
 /// The header in which a caller says how long it waits, such as `2s`.
 pub const DEADLINE_HEADER: &str = "sedgehill-deadline";
 
+/// How long a request is held at a box that woke from a pause.
+const FRESH_LIMIT: TimeSpan = TimeSpan(5_000);
+
 /// A request whose parts are known and checked.
 #[derive(Debug)]
 pub struct RequestContext {
@@ -55,6 +58,7 @@
     request: Request<Incoming>,
 ) -> Result<RequestContext, RequestOutcome> {
     let arrived = clock::now();
+    wait_fresh(shared, arrived).await;
     if shared.health.load().health == BoxHealth::NotReady {
         return Err(RequestOutcome::NotRun(NotRunReason::NotReady));
     }
@@ -92,6 +96,15 @@
     })
 }
 
+/// Holds a request that arrives at a box just woken from a pause, until its controllers have looked
+/// at what changed meanwhile.
+async fn wait_fresh(shared: &SharedState, arrived: Moment) {
+    const POLL: Duration = Duration::from_millis(10);
+    while !shared.is_fresh(clock::now()) && clock::now().since(arrived) < FRESH_LIMIT {
+        tokio::time::sleep(POLL).await;
+    }
+}
+
 fn not_run(reason: NotRunReason) -> RequestOutcome {
     RequestOutcome::NotRun(reason)
 }
--- a/crates/sedgehilld/src/filters/mod.rs
+++ b/crates/sedgehilld/src/filters/mod.rs
@@ -81,13 +81,15 @@
 ) -> RequestOutcome {
     chain.budget.lock().note_request();
     let started = Instant::now();
+    let mut avoid = Vec::new();
     loop {
-        let slot = match dispatch::dispatch(&chain.shared, context).await {
+        let slot = match dispatch::dispatch(&chain.shared, context, &avoid).await {
             Ok(slot) => slot,
             Err(outcome) => return outcome,
         };
         telemetry::note_wait(started.elapsed().as_secs_f64());
         record.note_attempt(slot.choice(), started.elapsed());
+        let endpoint = slot.choice().endpoint.clone();
         let result = forward::forward(chain, context, slot).await;
         match result {
             Ok(answer) => return RequestOutcome::Answered(Box::new(answer)),
@@ -95,6 +97,7 @@
                 Some(outcome) => return outcome,
                 None => {
                     telemetry::count_retry();
+                    avoid.push(endpoint);
                     forward::back_off().await;
                 }
             },
--- a/crates/sedgehilld/src/shared.rs
+++ b/crates/sedgehilld/src/shared.rs
@@ -24,6 +24,9 @@
 /// Requests whose way is remembered for reading back.
 const KEPT_TRACES: usize = 8_192;
 
+/// Controllers that did not run for this long were paused, and what they knew may be stale.
+pub const PAUSE_LIMIT: TimeSpan = TimeSpan(1_000);
+
 const EJECT_POLICY: EjectPolicy =
     EjectPolicy { failures: 3, first: TimeSpan(1_000), longest: TimeSpan(30_000), max_percent: 50 };
 
@@ -149,6 +152,8 @@
     buckets: Mutex<HashMap<(OrgName, TemplateName), TokenBucket>>,
     traces: Mutex<VecDeque<RequestTrace>>,
     in_flight: std::sync::atomic::AtomicUsize,
+    /// When the controllers last found the view to be fresh.
+    fresh_at: std::sync::atomic::AtomicU64,
     stop: tokio::sync::watch::Sender<bool>,
 }
 
@@ -169,6 +174,7 @@
             buckets: Mutex::default(),
             traces: Mutex::default(),
             in_flight: std::sync::atomic::AtomicUsize::new(0),
+            fresh_at: std::sync::atomic::AtomicU64::new(0),
             stop: tokio::sync::watch::Sender::new(false),
         }
     }
@@ -229,6 +235,17 @@
         InFlightGuard { shared: self.clone() }
     }
 
+    /// Notes that the view is fresh as of `now`.
+    pub fn set_fresh(&self, now: Moment) {
+        self.fresh_at.store(now.0, std::sync::atomic::Ordering::Release);
+    }
+
+    /// Whether the view may be acted on. It may not after a pause until the controllers have looked.
+    pub fn is_fresh(&self, now: Moment) -> bool {
+        let fresh_at = Moment(self.fresh_at.load(std::sync::atomic::Ordering::Acquire));
+        now.since(fresh_at) <= PAUSE_LIMIT
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(std::sync::atomic::Ordering::SeqCst)
