core: random runs over a whole cell, and each safety rule switched off is noticed

Cause: the placement rules were proved by a handful of end-to-end failures only. Change: three cores, a log and six workers under random steps (proptest-state-machine), with what really runs as the oracle; the same steps with one of seven rules switched off must break a promise. Found: workers that had failed tasks were probed with one task at a time for ever, so a gang that needed several tasks on them never started. A time of probing now ends. Ruled out: the lease of the failed tasks (all had ended), the back-off (at most 32 s).

--- a/crates/sedgehill-core/src/place/room.rs
+++ b/crates/sedgehill-core/src/place/room.rs
@@ -84,6 +84,9 @@
     failures: u32,
     shut_outs: u32,
     shut_out_until: Option<Moment>,
+    /// Until then one task at a time probes the worker. Without an end a gang that needs several
+    /// tasks on it would wait for ever.
+    probed_until: Moment,
 }
 
 impl WorkerRoom {
@@ -102,6 +105,7 @@
             failures: 0,
             shut_outs: 0,
             shut_out_until: None,
+            probed_until: Moment(0),
         }
     }
 
@@ -140,7 +144,7 @@
 
     /// Whether a task may be started here now. After being shut out, one task probes the worker.
     pub fn is_usable(&self, now: Moment) -> bool {
-        let probing = self.shut_out_until.is_some() && !self.used.is_empty();
+        let probing = now < self.probed_until && !self.used.is_empty();
         self.listed
             && self.in_roster
             && self.is_known()
@@ -204,14 +208,17 @@
             self.failures = 0;
             self.shut_outs = 0;
             self.shut_out_until = None;
+            self.probed_until = Moment(0);
             return;
         }
         self.failures += 1;
         let probed = self.shut_out_until.is_some();
         if probed || self.failures >= SHUT_OUT_FAILURES {
             let wait = FIRST_SHUT_OUT.0.saturating_mul(1 << self.shut_outs.min(16));
+            let wait = TimeSpan(wait.min(LONGEST_SHUT_OUT.0));
             self.shut_outs += 1;
-            self.shut_out_until = Some(now.after(TimeSpan(wait.min(LONGEST_SHUT_OUT.0))));
+            self.shut_out_until = Some(now.after(wait));
+            self.probed_until = now.after(wait).after(wait);
         }
     }
 
--- /dev/null
+++ b/crates/sedgehill-core/tests/testsuite/main.rs
@@ -0,0 +1,12 @@
+//! The core, apart from all I/O.
+
+mod cell;
+mod dispatch;
+mod lead;
+mod manifest;
+mod member;
+mod mutations;
+mod random_cell;
+mod regressions;
+mod state;
+mod units;
