docs, measurements: design, callers, operators, proofs; what a box adds; slopes of capacity

Cause: nothing was measured, and the pages were missing. Change: the pages; measure path and measure capacity; one write of the log sink for each line instead of one for each piece; tools that are interrupted end what they started (two daemons had outlived an interrupted measurement).

--- a/crates/sedgehill-core/src/place/mod.rs
+++ b/crates/sedgehill-core/src/place/mod.rs
@@ -195,6 +195,16 @@
         self.tasks.get(task).map(|placed| (&placed.worker, placed.since))
     }
 
+    /// The tasks that hold room on a worker, as the worker would report them.
+    pub fn running_on(&self, worker: &WorkerId) -> impl Iterator<Item = TaskReport> {
+        let here = self.tasks.iter().filter(move |(_, placed)| placed.worker == *worker);
+        here.map(|(task, placed)| TaskReport {
+            attempt: AttemptId { task: *task, attempt: placed.attempt },
+            resources: placed.resources,
+            outcome: None,
+        })
+    }
+
     /// Why a task waits.
     pub fn wait_reason(&self, task: &TaskId) -> Option<WaitReason> {
         self.waits.get(task).copied()
--- a/crates/sedgehill-standin/src/demo/mod.rs
+++ b/crates/sedgehill-standin/src/demo/mod.rs
@@ -17,6 +17,8 @@
 
 use crate::commands::{CommandResult, finish};
 
+pub use sample::process_cost;
+
 /// Halls of Haddad & Sons.
 const HADDAD_HALLS: [&str; 4] = ["abdali", "sweifieh", "marka", "tlaa-ali"];
 /// Halls of Inkaso Trójmiasto.
@@ -25,7 +27,7 @@
 /// Shorter runs would leave no time between the faults.
 const MIN_SECONDS: u64 = 10;
 
-/// Runs the demonstration. Whatever it started ends with it, also when it is interrupted.
+/// Runs the demonstration. Whatever it started ends with it.
 pub async fn run(mut args: Arguments) -> CommandResult {
     let seconds = args.opt_value_from_str("--seconds").map_err(|error| error.to_string())?;
     let json: Option<PathBuf> =
@@ -35,30 +37,13 @@
     if seconds < MIN_SECONDS {
         return Err(format!("--seconds: expected at least {MIN_SECONDS}, found {seconds}"));
     }
-    let plan = brief_plan();
-    tokio::select! {
-        report = scenario::run(&plan, Duration::from_secs(seconds)) => {
-            print!("{}", report.render());
-            if let Some(path) = json {
-                let text = serde_json::to_string_pretty(&report).expect("our types serialize");
-                std::fs::write(&path, text).map_err(|error| error.to_string())?;
-            }
-            Ok(if report.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
-        }
-        () = interrupted() => {
-            eprintln!("{:>12} everything that was started ends", "Interrupted");
-            Ok(ExitCode::FAILURE)
-        }
-    }
-}
-
-async fn interrupted() {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut terminate = signal(SignalKind::terminate()).expect("signals can be listened to");
-    tokio::select! {
-        _ = tokio::signal::ctrl_c() => {}
-        _ = terminate.recv() => {}
+    let report = scenario::run(&brief_plan(), Duration::from_secs(seconds)).await;
+    print!("{}", report.render());
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&report).expect("our types serialize");
+        std::fs::write(&path, text).map_err(|error| error.to_string())?;
     }
+    Ok(if report.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 /// The two deployments of the brief in one cell, behind three boxes.
--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -4,6 +4,7 @@
 
 mod commands;
 mod demo;
+mod measure;
 
 use std::process::ExitCode;
 
@@ -15,6 +16,9 @@
 commands:
     demo         bring up a whole cell, send load, break things and count broken promises
                  [--seconds N] [--json FILE]
+    measure      path|capacity [--json FILE]
+                 path: what a box adds to a request, against the direct way
+                 capacity: state, messages, time and memory at growing sizes
     log          --listen ADDRESS
     list         --listen ADDRESS --file LIST.json
     worker       --listen ADDRESS --id NAME [--cores N] [--memory SIZE] [--accelerators N]
@@ -37,15 +41,12 @@
         .build()
         .expect("threads can be started");
     let result = runtime.block_on(async {
-        match command.as_str() {
-            "demo" => demo::run(args).await,
-            "log" => commands::log(args).await,
-            "list" => commands::list(args).await,
-            "worker" => commands::worker(args).await,
-            "endpoint" => commands::endpoint(args).await,
-            "certificates" => commands::certificates(args),
-            "call" => commands::call(args).await,
-            other => Err(format!("there is no command `{other}`\n\n{HELP}")),
+        tokio::select! {
+            result = run_command(&command, args) => result,
+            () = interrupted() => {
+                eprintln!("{:>12} everything that was started ends", "Interrupted");
+                Ok(ExitCode::FAILURE)
+            }
         }
     });
     match result {
@@ -56,3 +57,28 @@
         }
     }
 }
+
+async fn run_command(command: &str, args: pico_args::Arguments) -> commands::CommandResult {
+    match command {
+        "demo" => demo::run(args).await,
+        "measure" => measure::run(args).await,
+        "log" => commands::log(args).await,
+        "list" => commands::list(args).await,
+        "worker" => commands::worker(args).await,
+        "endpoint" => commands::endpoint(args).await,
+        "certificates" => commands::certificates(args),
+        "call" => commands::call(args).await,
+        other => Err(format!("there is no command `{other}`\n\n{HELP}")),
+    }
+}
+
+/// Resolves when the user or the system asks the program to end. Dropping the command then ends the
+/// processes that it started.
+async fn interrupted() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate()).expect("signals can be listened to");
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = terminate.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-standin/src/measure/mod.rs
@@ -0,0 +1,39 @@
+//! Measurements. Each prints a table and, with `--json FILE`, writes the same figures as JSON. What
+//! is compared is measured in one run.
+
+mod capacity;
+mod path;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+use serde::Serialize;
+
+use crate::commands::{CommandResult, finish};
+
+/// Runs the measurement that is named first.
+pub async fn run(mut args: Arguments) -> CommandResult {
+    let json: Option<PathBuf> =
+        args.opt_value_from_str("--json").map_err(|error| error.to_string())?;
+    let name: String = args.free_from_str().map_err(|error| error.to_string())?;
+    finish(args)?;
+    match name.as_str() {
+        "path" => show(json, &path::measure().await, path::PathReport::render),
+        "capacity" => show(json, &capacity::measure().await, capacity::CapacityReport::render),
+        other => Err(format!("there is no measurement `{other}`, expected: path, capacity")),
+    }
+}
+
+fn show<T: Serialize>(
+    json: Option<PathBuf>,
+    report: &T,
+    render: fn(&T) -> String,
+) -> CommandResult {
+    print!("{}", render(report));
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(report).expect("our types serialize");
+        std::fs::write(&path, text).map_err(|error| error.to_string())?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/sedgehilld/src/logging.rs
+++ b/crates/sedgehilld/src/logging.rs
@@ -10,6 +10,9 @@
 /// Lines that wait for the sink before further ones are dropped.
 const LINE_QUEUE: usize = 8_192;
 
+/// The longest line that is written at once, in bytes.
+const LINE_BYTES: usize = 16 << 10;
+
 /// A logger, and the count of lines that its sink was too slow for.
 #[derive(Debug, Clone)]
 pub struct LogSink {
@@ -44,7 +47,9 @@
 
 /// Builds the logger of a box.
 pub fn build_logger(settings: &BoxSettings) -> LogSink {
-    let lines = slog_json::Json::default(std::io::stderr()).ignore_res();
+    // Standard error is not buffered, and a line is written in many small pieces.
+    let sink = std::io::LineWriter::with_capacity(LINE_BYTES, std::io::stderr());
+    let lines = slog_json::Json::default(sink).ignore_res();
     let core = slog_async::AsyncCore::custom(lines).chan_size(LINE_QUEUE).blocking(false).build();
     let dropped = Arc::new(AtomicU64::new(0));
     let drain = CountingDrain { core, dropped: dropped.clone() };
