placement: work of a turn follows what changed; bounded orders under way

Cause: at 540 workers and 3,400 tasks a turn with one decision took 620 us (p99 982): each sync, the check of the account and the look for waiting tasks went over every task. A box that led 180 workers held 41.9 MiB: a burst of starts opened a connection for each order, and the memory stayed. Ruled out: idle connections to workers (at most one kept: 39.3 MiB).

--- a/crates/sedgehill-core/src/place/room.rs
+++ b/crates/sedgehill-core/src/place/room.rs
@@ -77,6 +77,8 @@
     /// Attempts that run here although the task is known to run elsewhere; they are stopped.
     pub strays: BTreeMap<AttemptId, ResourceSet>,
     used: ResourceSet,
+    /// Whether `used` changed since it was last checked.
+    changed: bool,
     syncing: bool,
     silent: bool,
     incarnation: Option<Incarnation>,
@@ -98,6 +100,7 @@
             reported_ends: BTreeSet::new(),
             strays: BTreeMap::new(),
             used: ResourceSet::default(),
+            changed: true,
             syncing: false,
             silent: false,
             incarnation: None,
@@ -163,9 +166,11 @@
     /// Counts what runs already, whether it fits or not.
     pub fn add(&mut self, need: &ResourceSet) {
         self.used = self.used.plus(need);
+        self.changed = true;
     }
 
     pub fn give_back(&mut self, need: &ResourceSet) {
+        self.changed = true;
         self.used = self.used.minus(need).expect("invariant: room is given back once");
     }
 
@@ -232,6 +237,11 @@
         due
     }
 
+    /// Whether the account changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Asserts that the account of the worker matches the tasks placed on it.
     pub fn check(&self, placed: ResourceSet) {
         let runs = self.strays.values().fold(placed, |sum, need| sum.plus(need));
--- a/crates/sedgehill-platform/src/caller.rs
+++ b/crates/sedgehill-platform/src/caller.rs
@@ -16,6 +16,9 @@
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
+/// Connections kept to each address while nothing is under way.
+const MAX_IDLE: usize = 1;
+
 quick_error! {
     /// Why a call has no answer.
     #[derive(Debug)]
@@ -61,6 +64,8 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(1)));
         let client = Client::builder(TokioExecutor::new())
+            // A burst of starts would leave many connections to each worker behind.
+            .pool_max_idle_per_host(MAX_IDLE)
             .pool_idle_timeout(Duration::from_secs(30))
             // A call that may have been sent is never sent again behind our back.
             .retry_canceled_requests(false)
--- a/crates/sedgehilld/src/controllers/mod.rs
+++ b/crates/sedgehilld/src/controllers/mod.rs
@@ -26,7 +26,7 @@
 use sedgehill_platform::admin::{ChangeReply, ChangeRequest, DecisionRecord};
 use sedgehill_platform::caller::JsonCaller;
 use sedgehill_platform::list::PlatformList;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
 
 use crate::clock;
 use crate::shared::SharedState;
@@ -34,6 +34,8 @@
 
 /// Requests to the control thread that wait before traffic is told that it is busy.
 pub const CONTROL_QUEUE_LENGTH: usize = 4_096;
+/// Orders under way to workers at once.
+const ORDERS_AT_ONCE: usize = 32;
 /// Decisions that are remembered for reading back.
 const KEPT_DECISIONS: usize = 4_096;
 
@@ -228,6 +230,8 @@
     write_wanted: Rc<Notify>,
     /// Wakes the placement controller.
     place_wanted: Rc<Notify>,
+    /// Bounds the orders under way to workers: each needs memory for its connection.
+    orders: Rc<Semaphore>,
 }
 
 /// Runs the controllers until the box stops.
@@ -244,6 +248,7 @@
         caller: JsonCaller::new(),
         write_wanted: Rc::default(),
         place_wanted: Rc::default(),
+        orders: Rc::new(Semaphore::new(ORDERS_AT_ONCE)),
     };
     tokio::task::spawn_local(log_reader::run(context.clone()));
     tokio::task::spawn_local(log_writer::run(context.clone()));
--- a/crates/sedgehilld/src/controllers/placement.rs
+++ b/crates/sedgehilld/src/controllers/placement.rs
@@ -163,6 +163,7 @@
     worker: WorkerId,
     start: TaskStart,
 ) {
+    let _order = context.orders.acquire().await.expect("it is never closed");
     let address = address_of(&context.state.borrow(), &worker);
     let sent = clock::now();
     let held = held_lead(&context.state.borrow(), &hall, sent);
--- a/crates/sedgehilld/src/settings.rs
+++ b/crates/sedgehilld/src/settings.rs
@@ -261,7 +261,7 @@
 fn read_place(group: &mut FieldReader<'_>) -> Option<PlaceTiming> {
     let lease = group.text_or("lease", TimeSpan(20_000));
     let settle = group.text_or("settle", TimeSpan(2_000));
-    let sync_every = group.text_or("sync_every", TimeSpan(1_000));
+    let sync_every = group.text_or("sync_every", TimeSpan(2_000));
     Some(PlaceTiming { lease: lease?, settle: settle?, sync_every: sync_every? })
 }
 
