--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod configuration;
+mod demo;
 mod endpoints;
 mod ledger;
 mod logging;
