placement: a gang that lost a task starts whole again

Cause: a task of a running gang that was lost was tried again alone, so the gang ran in parts. Ruled out: restarting only when there is room for all (the rest would hold room without use). Change: the tasks of the gang that still run are stopped, and all that are not done start together. Conclusion: a gang holds no room in part, except while a silent worker's leases last.

--- a/crates/sedgehill-core/src/place/mod.rs
+++ b/crates/sedgehill-core/src/place/mod.rs
@@ -131,6 +131,8 @@
     NeverFits,
     /// It failed lately and is tried again later.
     BackOff,
+    /// The other tasks of its gang are being stopped, so that all start together.
+    Regrouping,
 }
 
 /// One decision, for the log line and for reading back.
@@ -155,6 +157,8 @@
     tasks: TaskAccount,
     /// Open jobs of which no task waits, so that a look at waiting work passes them over.
     quiet: BTreeSet<JobId>,
+    /// Gangs that lost a task: the others are stopped, so that all start together again.
+    regrouping: BTreeSet<JobId>,
     ended: BTreeMap<TaskId, TaskEnd>,
     handed_over: BTreeSet<TaskId>,
     roster_asked: (BTreeSet<WorkerId>, BTreeSet<WorkerId>),
@@ -175,6 +179,7 @@
             rooms: BTreeMap::new(),
             tasks: TaskAccount::default(),
             quiet: BTreeSet::new(),
+            regrouping: BTreeSet::new(),
             ended: BTreeMap::new(),
             handed_over: BTreeSet::new(),
             roster_asked: Default::default(),
@@ -322,6 +327,7 @@
         self.back_off.retain(|task, _| is_open(state, &task.job));
         self.waits.retain(|task, _| is_open(state, &task.job));
         self.quiet.retain(|job| is_open(state, job));
+        self.regrouping.retain(|job| is_open(state, job));
     }
 
     /// Ends that were not handed over to be recorded before.
@@ -419,7 +425,8 @@
 
     /// Whether an attempt is the one that the log expects to run in this hall.
     fn is_wanted(&self, state: &ClusterState, attempt: &AttemptId) -> bool {
-        let job = state.jobs.get(&attempt.task.job);
+        let regrouping = self.regrouping.contains(&attempt.task.job);
+        let job = state.jobs.get(&attempt.task.job).filter(|_| !regrouping);
         job.filter(|job| job.hall == self.hall && !job.phase.is_final())
             .and_then(|job| job.tasks.get(attempt.task.index as usize))
             .is_some_and(|task| task.outcome.is_none() && task.attempts == attempt.attempt)
@@ -593,6 +600,8 @@
             }
             if !recovered {
                 self.note_waits(&waiting, WaitReason::Recovering, 0);
+            } else if job.gang && self.must_regroup(*id, job, &waiting) {
+                self.note_waits(&waiting, WaitReason::Regrouping, 0);
             } else if job.gang {
                 actions.extend(self.place_gang(job, &waiting, now));
             } else {
@@ -602,6 +611,18 @@
         actions
     }
 
+    /// Whether a gang with waiting tasks has others that run, are being recorded or back off. Those
+    /// that run are stopped: a gang starts whole.
+    fn must_regroup(&mut self, id: JobId, job: &JobState, waiting: &[(TaskId, u32)]) -> bool {
+        let unfinished = job.tasks.iter().filter(|task| task.outcome.is_none()).count();
+        let whole = waiting.len() == unfinished;
+        match whole {
+            true => self.regrouping.remove(&id),
+            false => self.regrouping.insert(id),
+        };
+        !whole
+    }
+
     /// The tasks of a job that may be placed now.
     fn waiting_tasks(&mut self, id: JobId, job: &JobState, now: Moment) -> Vec<(TaskId, u32)> {
         let unplaced: Vec<(TaskId, u32)> = job
--- a/crates/sedgehill-standin/tests/testsuite/placement.rs
+++ b/crates/sedgehill-standin/tests/testsuite/placement.rs
@@ -186,3 +186,20 @@
     let explained = cluster.client_ok(&["explain", &huge]).await;
     assert!(explained.contains("no worker of the hall is large enough"), "{explained}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gang_that_lost_a_task_starts_whole_again() {
+    const TASKS: usize = 5;
+    let cluster = start_published(&small_plan()).await;
+    let gang = submit(&cluster, "utility-merge", TASKS as u32).await;
+    let running = || cluster.workers.iter().map(|worker| worker.running().len()).sum::<usize>();
+    wait_for("the whole gang to run", async || running() == TASKS).await;
+    let hit = cluster.workers.iter().find(|worker| !worker.running().is_empty());
+    let lost = hit.map(|worker| worker.running().len()).expect("a worker runs some of it");
+    assert!(lost < TASKS, "the gang is on several workers");
+    hit.expect("a worker runs some of it").restart();
+    wait_phase(&cluster, &gang, "done").await;
+    let starts = cluster.ledger.task_starts() as usize;
+    assert_eq!(starts, 2 * TASKS, "the others ran on without the {lost} that were lost");
+    cluster.assert_no_violation();
+}
