--- a/crates/sedgehill-core/src/ids.rs
+++ b/crates/sedgehill-core/src/ids.rs
@@ -40,6 +40,26 @@
     }
 }
 
+/// Lets a type that is written and read as text stand in JSON as that text.
+macro_rules! text_conversions {
+    ($name:ident) => {
+        impl TryFrom<String> for $name {
+            type Error = $crate::ids::IdError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(value: $name) -> String {
+                value.to_string()
+            }
+        }
+    };
+}
+pub(crate) use text_conversions;
+
 macro_rules! name_types {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
@@ -69,19 +89,7 @@
             }
         }
 
-        impl TryFrom<String> for $name {
-            type Error = IdError;
-
-            fn try_from(text: String) -> Result<Self, IdError> {
-                text.parse()
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(name: $name) -> String {
-                name.0.as_ref().to_owned()
-            }
-        }
+        text_conversions!($name);
     )*};
 }
 
@@ -253,19 +261,7 @@
     }
 }
 
-impl TryFrom<String> for TaskId {
-    type Error = IdError;
-
-    fn try_from(text: String) -> Result<Self, IdError> {
-        text.parse()
-    }
-}
-
-impl From<TaskId> for String {
-    fn from(id: TaskId) -> String {
-        id.to_string()
-    }
-}
+text_conversions!(TaskId);
 
 /// One attempt at a task. A task that is tried again has another attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -296,16 +292,4 @@
     }
 }
 
-impl TryFrom<String> for AttemptId {
-    type Error = IdError;
-
-    fn try_from(text: String) -> Result<Self, IdError> {
-        text.parse()
-    }
-}
-
-impl From<AttemptId> for String {
-    fn from(id: AttemptId) -> String {
-        id.to_string()
-    }
-}
+text_conversions!(AttemptId);
--- a/crates/sedgehill-core/src/spec.rs
+++ b/crates/sedgehill-core/src/spec.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HallName, IdError, KindName, OrgName, TemplateName};
+use crate::ids::{HallName, IdError, KindName, OrgName, TemplateName, text_conversions};
 use crate::units::{EventRate, ResourceSet, TimeSpan};
 
 /// What operators publish: the shape of a workload, without an organisation.
@@ -129,19 +129,7 @@
     }
 }
 
-impl TryFrom<String> for ConfigKey {
-    type Error = IdError;
-
-    fn try_from(text: String) -> Result<Self, IdError> {
-        text.parse()
-    }
-}
-
-impl From<ConfigKey> for String {
-    fn from(key: ConfigKey) -> String {
-        key.to_string()
-    }
-}
+text_conversions!(ConfigKey);
 
 /// The content of one published version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/sedgehill-standin/src/cluster.rs
+++ b/crates/sedgehill-standin/src/cluster.rs
@@ -1,15 +1,10 @@
 //! A whole cell on loopback: the stand-ins in this process, the boxes in processes of their own.
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::path::Path;
+use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
 use sedgehill_core::ids::{BoxId, HallName, TemplateName};
 use sedgehill_core::place::WorkerView;
 use sedgehill_core::units::{CoreCount, MemorySize, ResourceSet};
@@ -19,6 +14,8 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use crate::binaries::{BuiltBinaries, build_binaries, workspace_root};
+use crate::box_process::{BoxAddresses, BoxProcess};
 use crate::caller::StandinCaller;
 use crate::certificates::{IdentityFiles, TestAuthority};
 use crate::endpoint::StandinEndpoint;
@@ -26,51 +23,13 @@
 use crate::ledger::RuleLedger;
 use crate::list_server::StandinList;
 use crate::log_server::StandinLog;
+use crate::network::LoopbackNetwork;
 use crate::worker::StandinWorker;
 
 /// How long an operation on a cluster may take before the run is given up.
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(20);
 
-/// The built programs.
-#[derive(Debug, Clone)]
-pub struct BuiltBinaries {
-    /// The daemon.
-    pub daemon: PathBuf,
-    /// The command line.
-    pub client: PathBuf,
-}
-
-/// Builds the two shipped programs in the profile of this one, once in a process.
-pub fn build_binaries() -> BuiltBinaries {
-    static BINARIES: OnceLock<BuiltBinaries> = OnceLock::new();
-    BINARIES.get_or_init(build_now).clone()
-}
-
-fn build_now() -> BuiltBinaries {
-    let own = std::env::current_exe().expect("a process knows its program");
-    let mut directory = own.parent().expect("a program is in a directory");
-    if directory.ends_with("deps") {
-        directory = directory.parent().expect("deps is in a directory");
-    }
-    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
-    let mut command = Command::new(cargo);
-    // The whole workspace, as everything else builds it: with fewer packages, dependencies would be
-    // built again with other features.
-    command.args(["build", "--quiet", "--locked", "--workspace", "--bins"]);
-    if directory.ends_with("release") {
-        command.arg("--release");
-    }
-    let status = command.current_dir(workspace_root()).status().expect("cargo can be started");
-    assert!(status.success(), "the programs could not be built");
-    BuiltBinaries { daemon: directory.join("sedgehilld"), client: directory.join("sedgehill") }
-}
-
-/// The root of the workspace.
-pub fn workspace_root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
-}
-
 /// One group of endpoints.
 #[derive(Debug, Clone)]
 pub struct EndpointGroup {
@@ -129,97 +88,6 @@
     })
 }
 
-/// Where one box listens.
-#[derive(Debug, Clone, Copy)]
-pub struct BoxAddresses {
-    /// For callers.
-    pub traffic: SocketAddr,
-    /// For operators.
-    pub admin: SocketAddr,
-    /// For other boxes.
-    pub peer: SocketAddr,
-}
-
-/// A box in a process of its own, killed when dropped.
-#[derive(Debug)]
-pub struct BoxProcess {
-    /// Its name.
-    pub id: BoxId,
-    /// Where it listens.
-    pub addresses: BoxAddresses,
-    settings: PathBuf,
-    log: PathBuf,
-    child: Option<Child>,
-}
-
-impl BoxProcess {
-    /// The process id, while it runs.
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
-    /// Starts the process, its log going to a file.
-    pub fn start(&mut self, binaries: &BuiltBinaries) {
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
-        self.start_logging_to(binaries, log.expect("the log file can be opened").into());
-    }
-
-    /// Starts the process with a log that nobody reads, so that the pipe is soon full.
-    pub fn start_with_unread_log(&mut self, binaries: &BuiltBinaries) {
-        self.start_logging_to(binaries, Stdio::piped());
-    }
-
-    fn start_logging_to(&mut self, binaries: &BuiltBinaries, log: Stdio) {
-        let child = Command::new(&binaries.daemon)
-            .arg("--settings")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn();
-        self.child = Some(child.expect("the daemon can be started"));
-    }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: Signal) {
-        if let Some(pid) = self.pid() {
-            let _ = kill(Pid::from_raw(pid as i32), signal);
-        }
-    }
-
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        self.signal(Signal::SIGKILL);
-        self.wait();
-    }
-
-    /// Waits for the end of the process and returns its exit code.
-    pub fn wait(&mut self) -> Option<i32> {
-        let mut child = self.child.take()?;
-        child.wait().ok()?.code()
-    }
-
-    /// The exit code, if the process has ended.
-    pub fn try_wait(&mut self) -> Option<Option<i32>> {
-        let status = self.child.as_mut()?.try_wait().ok()??;
-        self.child = None;
-        Some(status.code())
-    }
-
-    /// What the process has logged.
-    pub fn log_text(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
-}
-
-impl Drop for BoxProcess {
-    fn drop(&mut self) {
-        // A stopped process must run to be killed.
-        self.signal(Signal::SIGCONT);
-        self.kill();
-    }
-}
-
 /// A whole cell.
 pub struct TestCluster {
     /// The programs.
@@ -259,7 +127,7 @@
     pub async fn prepare(plan: &ClusterPlan) -> TestCluster {
         const LEAVING_GRACE: Duration = Duration::from_secs(2);
         let binaries = build_binaries();
-        let net = Network::new();
+        let net = LoopbackNetwork::new();
         let directory = tempfile::tempdir().expect("a directory can be made");
         let ledger = RuleLedger::new(LEAVING_GRACE + plan.list_lag);
         let mut servers = Vec::new();
@@ -295,7 +163,7 @@
             let identity =
                 authority.issue(id.as_str(), directory.path()).expect("files can be written");
             let settings = box_settings(plan, &id, &hall, &addresses, &platform, &identity);
-            write_box(directory.path(), id, addresses, &settings)
+            BoxProcess::write(directory.path(), id, addresses, &settings)
         });
         TestCluster {
             binaries,
@@ -433,44 +301,6 @@
     }
 }
 
-/// Loopback addresses that no other cluster of this machine uses.
-struct Network {
-    second: u8,
-    third: u8,
-}
-
-impl Network {
-    fn new() -> Network {
-        static CLUSTERS: AtomicU32 = AtomicU32::new(0);
-        let number = CLUSTERS.fetch_add(1, Ordering::SeqCst);
-        Network { second: 1 + (std::process::id() % 250) as u8, third: (number % 250) as u8 }
-    }
-
-    fn ip(&self, host: u8) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(127, self.second, self.third, host))
-    }
-
-    fn address(&self, host: u8) -> SocketAddr {
-        SocketAddr::new(self.ip(host), 0)
-    }
-
-    fn box_addresses(&self, index: usize) -> BoxAddresses {
-        let ip = self.ip(10 + index as u8);
-        BoxAddresses { traffic: free_address(ip), admin: free_address(ip), peer: free_address(ip) }
-    }
-}
-
-/// An address whose port is free for TCP and UDP. Nothing else uses the IP, so it stays free.
-fn free_address(ip: IpAddr) -> SocketAddr {
-    loop {
-        let listener = TcpListener::bind((ip, 0)).expect("loopback can be listened on");
-        let address = listener.local_addr().expect("a listener has an address");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn box_name(index: usize) -> BoxId {
     name(&format!("box-{}", index + 1))
 }
@@ -484,7 +314,7 @@
 
 async fn start_endpoints(
     plan: &ClusterPlan,
-    net: &Network,
+    net: &LoopbackNetwork,
     ledger: &RuleLedger,
 ) -> (Vec<StandinEndpoint>, BTreeMap<String, ServerGuard>, Vec<EndpointListing>) {
     let mut endpoints = Vec::new();
@@ -512,7 +342,7 @@
 
 async fn start_workers(
     plan: &ClusterPlan,
-    net: &Network,
+    net: &LoopbackNetwork,
     ledger: &RuleLedger,
     servers: &mut Vec<ServerGuard>,
 ) -> (Vec<StandinWorker>, Vec<WorkerView>) {
@@ -567,11 +397,3 @@
     });
     settings
 }
-
-fn write_box(directory: &Path, id: BoxId, addresses: BoxAddresses, settings: &Value) -> BoxProcess {
-    let path = directory.join(format!("{id}.json"));
-    let text = serde_json::to_string_pretty(settings).expect("JSON serializes");
-    std::fs::write(&path, text).expect("settings can be written");
-    let log = directory.join(format!("{id}.log"));
-    BoxProcess { id, addresses, settings: path, log, child: None }
-}
--- a/crates/sedgehill-standin/src/demo/report.rs
+++ b/crates/sedgehill-standin/src/demo/report.rs
@@ -56,34 +56,45 @@
     violations: Vec<(SafetyRule, RuleCount)>,
 }
 
+/// What a report is made from.
+pub struct DemoFindings<'r> {
+    /// The cell.
+    pub cluster: &'r TestCluster,
+    /// What callers saw.
+    pub shared: &'r LoadShared,
+    /// How long each box took to be ready.
+    pub start_up: &'r [Duration],
+    /// How full workers were.
+    pub packing: &'r PackingSamples,
+    /// How configuration came into force.
+    pub configs: &'r ConfigWatch,
+    /// What each box used.
+    pub costs: &'r BTreeMap<String, BoxCost>,
+    /// Jobs that were submitted.
+    pub jobs: usize,
+    /// Jobs that did not end in time.
+    pub unfinished_jobs: usize,
+}
+
 fn all_millis(times: &[Duration]) -> Vec<f64> {
     times.iter().map(|time| time.as_secs_f64() * 1000.0).collect()
 }
 
 impl DemoReport {
     /// Gathers the findings.
-    #[expect(clippy::too_many_arguments, reason = "one finding each")]
-    pub fn new(
-        cluster: &TestCluster,
-        shared: &LoadShared,
-        start_up: Vec<Duration>,
-        packing: &PackingSamples,
-        configs: &ConfigWatch,
-        boxes: &BTreeMap<String, BoxCost>,
-        jobs: usize,
-        unfinished_jobs: usize,
-    ) -> DemoReport {
+    pub fn new(findings: &DemoFindings<'_>) -> DemoReport {
+        let DemoFindings { cluster, shared, packing, configs, costs, .. } = findings;
         let tally = shared.tally();
         DemoReport {
             kinds: tally.iter().map(|(path, tally)| KindReport::new(path, tally)).collect(),
-            start_up_ms: all_millis(&start_up),
+            start_up_ms: all_millis(findings.start_up),
             packing: packing.share(),
             in_force_ms: all_millis(&configs.took),
             task_starts: cluster.ledger.task_starts(),
-            jobs,
-            unfinished_jobs,
+            jobs: findings.jobs,
+            unfinished_jobs: findings.unfinished_jobs,
             log_appends: cluster.log.appends(),
-            boxes: boxes.clone(),
+            boxes: (*costs).clone(),
             violations: cluster.ledger.violations(),
         }
     }
--- a/crates/sedgehill-standin/src/demo/scenario.rs
+++ b/crates/sedgehill-standin/src/demo/scenario.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 
 use super::load::{BRIEF_LOAD, BalancerView, LoadShared, send};
-use super::report::DemoReport;
+use super::report::{DemoFindings, DemoReport};
 use super::sample::{BoxCost, ConfigWatch, PackingSamples, process_cost};
 use super::{progress, publish_examples};
 
@@ -73,16 +73,16 @@
     run.load(length).await;
     let unfinished = run.finish_jobs(&jobs).await;
     run.check_lost_calls();
-    DemoReport::new(
-        &run.cluster,
-        &run.shared,
-        start_up,
-        &run.packing,
-        &run.configs,
-        &run.costs,
-        jobs.len(),
-        unfinished,
-    )
+    DemoReport::new(&DemoFindings {
+        cluster: &run.cluster,
+        shared: &run.shared,
+        start_up: &start_up,
+        packing: &run.packing,
+        configs: &run.configs,
+        costs: &run.costs,
+        jobs: jobs.len(),
+        unfinished_jobs: unfinished,
+    })
 }
 
 impl DemoRun {
--- a/crates/sedgehill-standin/src/lib.rs
+++ b/crates/sedgehill-standin/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing here is linked into the shipped programs. What the stand-ins see is counted by a
 //! [`ledger::RuleLedger`] of their own, so that a broken promise is found without asking the system.
 
+pub mod binaries;
+pub mod box_process;
 pub mod caller;
 pub mod certificates;
 pub mod cluster;
@@ -11,4 +13,5 @@
 pub mod ledger;
 pub mod list_server;
 pub mod log_server;
+mod network;
 pub mod worker;
--- a/crates/sedgehill-standin/tests/testsuite/client.rs
+++ b/crates/sedgehill-standin/tests/testsuite/client.rs
@@ -2,7 +2,7 @@
 
 use std::process::{Command, Output};
 
-use sedgehill_standin::cluster::{build_binaries, workspace_root};
+use sedgehill_standin::binaries::{build_binaries, workspace_root};
 
 use crate::support::{parse, small_plan, start_published};
 
