--- a/crates/sedgehilld/src/filters/mod.rs
+++ b/crates/sedgehilld/src/filters/mod.rs
@@ -25,7 +25,7 @@
 use crate::clock;
 use crate::controllers::ControlHandle;
 use crate::shared::{RequestTrace, SharedState};
-use crate::telemetry;
+use crate::telemetry::{self, RequestMetrics};
 use identify::RequestContext;
 use outcome::{RequestOutcome, RequestRecord};
 use pool::EndpointPool;
@@ -36,12 +36,19 @@
     handle: ControlHandle,
     pool: EndpointPool,
     budget: Mutex<RetryBudget>,
+    metrics: RequestMetrics,
 }
 
 impl FilterChain {
     /// The filters of a box.
     pub fn new(shared: Arc<SharedState>, handle: ControlHandle) -> FilterChain {
-        FilterChain { shared, handle, pool: EndpointPool::default(), budget: Mutex::default() }
+        FilterChain {
+            shared,
+            handle,
+            pool: EndpointPool::default(),
+            budget: Mutex::default(),
+            metrics: RequestMetrics::new(),
+        }
     }
 }
 
@@ -87,7 +94,7 @@
             Ok(slot) => slot,
             Err(outcome) => return outcome,
         };
-        telemetry::note_wait(started.elapsed().as_secs_f64());
+        chain.metrics.note_wait(started.elapsed().as_secs_f64());
         record.note_attempt(slot.choice(), started.elapsed());
         let endpoint = slot.choice().endpoint.clone();
         let result = forward::forward(chain, context, slot).await;
@@ -113,7 +120,7 @@
     outcome: &RequestOutcome,
 ) {
     let (name, reason) = (outcome.name(), outcome.reason());
-    telemetry::count_request(name, reason);
+    chain.metrics.count(name, reason);
     let applied = chain.shared.view.load().applied;
     if chain.shared.settings.log_decisions {
         info!(chain.shared.log.logger, "request";
--- a/crates/sedgehilld/src/main.rs
+++ b/crates/sedgehilld/src/main.rs
@@ -182,6 +182,7 @@
     let admin = runtime
         .block_on(tokio::net::TcpListener::bind(listen.admin))
         .map_err(|error| DaemonError::Listen(listen.admin, error))?;
+    runtime.spawn(telemetry::run_upkeep(shared.metrics.clone()));
     runtime.spawn(traffic::serve(traffic, shared.clone(), handle.clone()));
     runtime.spawn(admin::serve(admin, shared, handle));
     Ok(runtime)
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -1,8 +1,12 @@
 //! Metrics, by the names that docs/OPERATING.md explains.
 
-use metrics::{counter, gauge, histogram};
+use std::time::Duration;
+
+use metrics::{Counter, Histogram, counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
+const REQUESTS: &str = "sedgehill_requests_total";
+const UPKEEP_EVERY: Duration = Duration::from_secs(2);
 /// Bounds of the buckets of times, in seconds.
 const TIME_BUCKETS: [f64; 10] = [0.0005, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0, 30.0];
 
@@ -17,14 +21,42 @@
     handle
 }
 
-/// Counts a request by how it ended.
-pub fn count_request(outcome: &'static str, reason: &'static str) {
-    counter!("sedgehill_requests_total", "outcome" => outcome, "reason" => reason).increment(1);
+/// The metrics of requests. The handles of what every request touches are looked up once.
+pub struct RequestMetrics {
+    answered: Counter,
+    wait: Histogram,
+}
+
+impl RequestMetrics {
+    /// Looks up the handles in the recorder of the process.
+    pub fn new() -> RequestMetrics {
+        RequestMetrics {
+            answered: counter!(REQUESTS, "outcome" => "answered", "reason" => ""),
+            wait: histogram!("sedgehill_request_wait_seconds"),
+        }
+    }
+
+    /// Counts a request by how it ended.
+    pub fn count(&self, outcome: &'static str, reason: &'static str) {
+        match outcome {
+            "answered" => self.answered.increment(1),
+            _ => counter!(REQUESTS, "outcome" => outcome, "reason" => reason).increment(1),
+        }
+    }
+
+    /// Notes how long a request waited for an endpoint.
+    pub fn note_wait(&self, seconds: f64) {
+        self.wait.record(seconds);
+    }
 }
 
-/// Notes how long a request waited for an endpoint.
-pub fn note_wait(seconds: f64) {
-    histogram!("sedgehill_request_wait_seconds").record(seconds);
+/// Drains what histograms have gathered, for as long as the box runs: without it they would grow
+/// until somebody reads the metrics.
+pub async fn run_upkeep(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP_EVERY).await;
+        handle.run_upkeep();
+    }
 }
 
 /// Counts an attempt at an endpoint that never began and was made elsewhere.
