workers: ask right before each write whether the lead still holds

Ruled out: the time limit of a call (a timer is looked at after the call itself, so a call that can go on does). Change: connections to workers ask a permit right before each write; it ends with the lead, and each epoch has connections of its own, so that an order of an old epoch is not let through by a new one. Conclusion: what remains is the time between the look and the system call, with nothing in between.

--- a/crates/sedgehill-platform/src/caller.rs
+++ b/crates/sedgehill-platform/src/caller.rs
@@ -13,6 +13,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::fence::{FencedConnector, WritePermit, always};
+
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
@@ -48,7 +50,7 @@
 /// Makes calls, reusing connections.
 #[derive(Debug, Clone)]
 pub struct JsonCaller {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<FencedConnector, Full<Bytes>>,
 }
 
 impl Default for JsonCaller {
@@ -60,6 +62,11 @@
 impl JsonCaller {
     /// A caller without connections.
     pub fn new() -> JsonCaller {
+        JsonCaller::fenced(always())
+    }
+
+    /// A caller that asks a permit right before each write.
+    pub fn fenced(permit: WritePermit) -> JsonCaller {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(1)));
@@ -69,7 +76,7 @@
             .pool_idle_timeout(Duration::from_secs(30))
             // A call that may have been sent is never sent again behind our back.
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(FencedConnector::new(connector, permit));
         JsonCaller { client }
     }
 
--- a/crates/sedgehill-platform/src/lib.rs
+++ b/crates/sedgehill-platform/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod caller;
+pub mod fence;
 pub mod list;
 pub mod log;
 pub mod worker;
--- a/crates/sedgehilld/src/controllers/mod.rs
+++ b/crates/sedgehilld/src/controllers/mod.rs
@@ -31,6 +31,7 @@
 use crate::clock;
 use crate::shared::SharedState;
 use log_writer::LogWriter;
+use placement::OrderLine;
 
 /// Requests to the control thread that wait before traffic is told that it is busy.
 pub const CONTROL_QUEUE_LENGTH: usize = 4_096;
@@ -160,6 +161,7 @@
     woke: Option<Moment>,
     leads: BTreeMap<HallName, LeadTimer>,
     placers: BTreeMap<HallName, HallPlacer>,
+    order_lines: BTreeMap<HallName, OrderLine>,
     decisions: VecDeque<DecisionRecord>,
     stopping: bool,
     handed_over: BTreeSet<HallName>,
@@ -185,6 +187,7 @@
             woke: None,
             leads: BTreeMap::new(),
             placers: BTreeMap::new(),
+            order_lines: BTreeMap::new(),
             decisions: VecDeque::new(),
             stopping: false,
             handed_over: BTreeSet::new(),
--- a/crates/sedgehilld/src/controllers/placement.rs
+++ b/crates/sedgehilld/src/controllers/placement.rs
@@ -1,6 +1,8 @@
 //! Drives the [`HallPlacer`] of each hall that this box leads.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use sedgehill_core::ids::{Epoch, HallName, WorkerId};
@@ -11,6 +13,7 @@
 use sedgehill_core::record::RecordBody;
 use sedgehill_core::units::Moment;
 use sedgehill_platform::admin::DecisionRecord;
+use sedgehill_platform::caller::JsonCaller;
 use sedgehill_platform::worker::WorkerClient;
 use slog::info;
 
@@ -21,27 +24,51 @@
 /// The longest time between two looks at a hall.
 const TURN: Duration = Duration::from_millis(100);
 
+/// The way of orders to the workers of one hall under one epoch. Nothing is written on it once the
+/// lead has ended, also if it was decided before.
+pub struct OrderLine {
+    epoch: Epoch,
+    until: Arc<AtomicU64>,
+    client: WorkerClient,
+}
+
+impl OrderLine {
+    fn new(epoch: Epoch) -> OrderLine {
+        let until = Arc::new(AtomicU64::new(0));
+        let limit = until.clone();
+        let permit = Arc::new(move || clock::now() < Moment(limit.load(Ordering::SeqCst)));
+        OrderLine { epoch, until, client: WorkerClient::new(JsonCaller::fenced(permit)) }
+    }
+}
+
+impl Drop for OrderLine {
+    fn drop(&mut self) {
+        self.until.store(0, Ordering::SeqCst);
+    }
+}
+
 /// Places for as long as the box runs.
 pub async fn run(context: ControlContext) {
-    let client = WorkerClient::new(context.caller.clone());
     loop {
         let halls: Vec<HallName> = context.state.borrow().leads.keys().cloned().collect();
         for hall in halls {
-            take_turn(&context, &client, &hall);
+            take_turn(&context, &hall);
         }
         // Either something changed, or it is time to look again.
         let _ = tokio::time::timeout(TURN, context.place_wanted.notified()).await;
     }
 }
 
-fn take_turn(context: &ControlContext, client: &WorkerClient, hall: &HallName) {
+fn take_turn(context: &ControlContext, hall: &HallName) {
     let now = clock::now();
     let actions = {
         let mut state = context.state.borrow_mut();
         let Some(held) = held_lead(&state, hall, now) else {
             state.placers.remove(hall);
+            state.order_lines.remove(hall);
             return;
         };
+        renew_line(&mut state, hall, held);
         if state.handed_over.contains(hall) || !state.list_read {
             return;
         }
@@ -50,8 +77,17 @@
         actions
     };
     for action in actions {
-        act(context, client, hall, action, now);
+        act(context, hall, action, now);
+    }
+}
+
+/// Lets orders be written until the end of the lead, on a line of its epoch.
+fn renew_line(state: &mut ControlState, hall: &HallName, held: HeldLead) {
+    let line = state.order_lines.entry(hall.clone()).or_insert_with(|| OrderLine::new(held.epoch));
+    if line.epoch != held.epoch {
+        *line = OrderLine::new(held.epoch);
     }
+    line.until.store(held.until.0, Ordering::SeqCst);
 }
 
 fn held_lead(state: &ControlState, hall: &HallName, now: Moment) -> Option<HeldLead> {
@@ -121,22 +157,17 @@
     .to_owned()
 }
 
-fn act(
-    context: &ControlContext,
-    client: &WorkerClient,
-    hall: &HallName,
-    action: PlaceAction,
-    now: Moment,
-) {
+fn act(context: &ControlContext, hall: &HallName, action: PlaceAction, now: Moment) {
     let mut state = context.state.borrow_mut();
     let Some(epoch) = state.placers.get(hall).map(HallPlacer::epoch) else { return };
+    let Some(client) = state.order_lines.get(hall).map(|line| line.client.clone()) else { return };
     match action {
         PlaceAction::Start(worker, start) => {
-            let order = start_task(context.clone(), client.clone(), hall.clone(), worker, start);
+            let order = start_task(context.clone(), client, hall.clone(), worker, start);
             tokio::task::spawn_local(order);
         }
         PlaceAction::Sync(worker, sync) => {
-            let order = sync_worker(context.clone(), client.clone(), hall.clone(), worker, sync);
+            let order = sync_worker(context.clone(), client, hall.clone(), worker, sync);
             tokio::task::spawn_local(order);
         }
         PlaceAction::End(ends) => {
