--- a/crates/sedgehill-standin/src/cluster.rs
+++ b/crates/sedgehill-standin/src/cluster.rs
@@ -8,7 +8,7 @@
 use sedgehill_core::ids::{BoxId, HallName, TemplateName};
 use sedgehill_core::place::WorkerView;
 use sedgehill_core::units::{CoreCount, MemorySize, ResourceSet};
-use sedgehill_platform::admin::{BoxStatus, HealthReport};
+use sedgehill_platform::admin::{BoxHealth, BoxStatus, HealthReport};
 use sedgehill_platform::caller::{CallError, JsonCaller};
 use sedgehill_platform::list::{BoxListing, EndpointListing, PlatformList};
 use serde_json::{Value, json};
@@ -234,12 +234,18 @@
     /// Waits until a box is ready and returns how long that took.
     pub async fn wait_ready(&self, index: usize) -> Duration {
         let started = Instant::now();
-        wait_for("a box to be ready", async || {
-            let report = self.health(index).await;
-            report
-                .is_some_and(|report| report.health == sedgehill_platform::admin::BoxHealth::Ready)
-        })
-        .await;
+        let mut last = None;
+        while !last.as_ref().is_some_and(is_ready) {
+            let process = &self.boxes[index];
+            assert!(
+                started.elapsed() < SETTLE_LIMIT,
+                "waited too long for {} to be ready: {last:?}, log: {}",
+                process.id,
+                process.log_text()
+            );
+            tokio::time::sleep(POLL).await;
+            last = self.health(index).await;
+        }
         started.elapsed()
     }
 
@@ -301,6 +307,10 @@
     }
 }
 
+fn is_ready(report: &HealthReport) -> bool {
+    report.health == BoxHealth::Ready
+}
+
 fn box_name(index: usize) -> BoxId {
     name(&format!("box-{}", index + 1))
 }
