standin: a slow sender is given up and holds no endpoint

Cause: the limit on how long a caller may take to send had no test. Change: half a head and half a body, with a limit of 500 ms. It was not run against a box without the limit. Conclusion: the limit works for both.

--- a/crates/sedgehill-standin/tests/testsuite/endpoints.rs
+++ b/crates/sedgehill-standin/tests/testsuite/endpoints.rs
@@ -165,3 +165,25 @@
     assert_eq!(status.services[0].under_way, 0, "{:?}", status.services);
     assert_eq!(status.services[0].waiting, 0, "{:?}", status.services);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_sender_is_given_up_and_holds_no_endpoint() {
+    const LIMIT: Duration = Duration::from_secs(10);
+    let mut plan = small_plan();
+    plan.settings["limits"] = serde_json::json!({ "receive": "500ms" });
+    let cluster = start_published(&plan).await;
+    let address = cluster.boxes[0].addresses.traffic;
+    let half_a_head: &[u8] = b"POST /inkaso/windyk/check HTTP/1.1\r\nhost";
+    let half_a_body: &[u8] =
+        b"POST /inkaso/windyk/check HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nten bytes.";
+    for (sent, expected) in [(half_a_head, ""), (half_a_body, "HTTP/1.1 408")] {
+        let mut stream = TcpStream::connect(address).await.expect("the box listens");
+        stream.write_all(sent).await.expect("the box reads");
+        let mut buffer = vec![0; 1024];
+        let read = tokio::time::timeout(LIMIT, stream.read(&mut buffer));
+        let read = read.await.expect("the box gives up").unwrap_or(0);
+        let text = String::from_utf8_lossy(&buffer[..read]);
+        assert!(text.starts_with(expected), "{text}");
+    }
+    assert_eq!(cluster.ledger.request_runs(""), 0, "an endpoint was reached");
+}
