core, standin: take out what nothing uses

Cause: a read of the whole change. A list of workers on the placer, counters in the report of explain, the core-seconds of the stand-in worker and the reason back-off were never used or produced, and the operators' page named the last; the test node made start and sync orders twice. Change: they are gone, the page no longer names back-off, and the test node makes both orders in one place. Conclusion: behaviour is as it was.

--- a/crates/sedgehill-core/src/place/decision.rs
+++ b/crates/sedgehill-core/src/place/decision.rs
@@ -36,8 +36,6 @@
     NoRoom,
     /// No worker of the hall could ever hold it.
     NeverFits,
-    /// It failed lately and is tried again later.
-    BackOff,
     /// The other tasks of its gang are being stopped, so that all start together.
     Regrouping,
 }
--- a/crates/sedgehill-core/src/place/mod.rs
+++ b/crates/sedgehill-core/src/place/mod.rs
@@ -144,16 +144,6 @@
         self.tasks.iter().any(|(_, placed)| matches!(placed.phase, TaskPhase::Starting))
     }
 
-    /// Each worker with its free room and whether it is heard of and shut out.
-    pub fn workers(
-        &self,
-        now: Moment,
-    ) -> impl Iterator<Item = (&WorkerView, ResourceSet, bool, bool)> {
-        self.rooms
-            .values()
-            .map(move |room| (&room.view, room.free(), room.is_known(), room.is_shut_out(now)))
-    }
-
     /// Takes in the workers that the platform lists, and those on which an earlier lead may have
     /// started tasks.
     pub fn sync_workers(&mut self, listed: &[WorkerView], roster: &BTreeSet<WorkerId>) {
--- a/crates/sedgehill-core/tests/testsuite/cell/node.rs
+++ b/crates/sedgehill-core/tests/testsuite/cell/node.rs
@@ -211,41 +211,26 @@
         now: Moment,
     ) {
         let node = self.index;
-        let (hall_name, sent) = (hall.clone(), now);
-        match action {
+        let (worker, ask) = match action {
             PlaceAction::Start(worker, mut start) => {
                 start.lease = PLACE_TIMING.lease;
-                let ask = WorkerAsk::Start(start);
-                self.outbox.push(WorkerMessage::Ask {
-                    node,
-                    epoch,
-                    hall: hall_name,
-                    worker,
-                    ask,
-                    sent,
-                });
+                (worker, WorkerAsk::Start(start))
             }
             PlaceAction::Sync(worker, mut sync) => {
                 sync.lease = PLACE_TIMING.lease;
-                let ask = WorkerAsk::Sync(sync);
-                self.outbox.push(WorkerMessage::Ask {
-                    node,
-                    epoch,
-                    hall: hall_name,
-                    worker,
-                    ask,
-                    sent,
-                });
+                (worker, WorkerAsk::Sync(sync))
             }
             PlaceAction::End(ends) => {
-                let id = cell.new_id();
-                self.submit(id, RecordBody::EndTasks { hall: hall_name, epoch, ends });
+                let body = RecordBody::EndTasks { hall: hall.clone(), epoch, ends };
+                return self.submit(cell.new_id(), body);
             }
             PlaceAction::Roster { add, remove } => {
-                let id = cell.new_id();
-                self.submit(id, RecordBody::Roster { hall: hall_name, epoch, add, remove });
+                let body = RecordBody::Roster { hall: hall.clone(), epoch, add, remove };
+                return self.submit(cell.new_id(), body);
             }
-        }
+        };
+        let (hall, sent) = (hall.clone(), now);
+        self.outbox.push(WorkerMessage::Ask { node, epoch, hall, worker, ask, sent });
     }
 
     /// Sends what was decided at the last turn, after one more look at the clock.
--- a/crates/sedgehill-platform/src/admin.rs
+++ b/crates/sedgehill-platform/src/admin.rs
@@ -1,7 +1,5 @@
 //! What operators ask of a box, and what it answers. Shared by the daemon and the command line.
 
-use std::collections::BTreeMap;
-
 use sedgehill_core::ids::{
     BoxId, EndpointId, Epoch, HallName, JobId, Offset, RecordId, TemplateName, Version, WorkerId,
 };
@@ -233,7 +231,4 @@
     pub places: Vec<TaskPlace>,
     /// Decisions that the box remembers, the oldest first.
     pub decisions: Vec<DecisionRecord>,
-    /// Counters by name, for totals that a decision alone does not show.
-    #[serde(default)]
-    pub counters: BTreeMap<String, u64>,
 }
--- a/crates/sedgehill-standin/src/worker.rs
+++ b/crates/sedgehill-standin/src/worker.rs
@@ -46,9 +46,6 @@
     faults: WorkerFaults,
     running: HashMap<AttemptId, RunningTask>,
     ended: HashMap<AttemptId, (ResourceSet, TaskOutcome)>,
-    busy_since: Instant,
-    /// Core-seconds used, in thousandths.
-    used: f64,
 }
 
 /// A worker, shared by its server and by whoever makes it fail.
@@ -68,8 +65,6 @@
             faults: WorkerFaults::default(),
             running: HashMap::new(),
             ended: HashMap::new(),
-            busy_since: Instant::now(),
-            used: 0.0,
         };
         StandinWorker { id, total, ledger, store: Arc::new(Mutex::new(store)) }
     }
@@ -104,13 +99,6 @@
         (used(&self.store.lock()), self.total)
     }
 
-    /// Core-seconds used so far.
-    pub fn core_seconds(&self) -> f64 {
-        let mut store = self.store.lock();
-        account(&mut store);
-        store.used / 1000.0
-    }
-
     /// Listens on `address`.
     pub async fn serve(&self, address: SocketAddr) -> std::io::Result<ServerGuard> {
         let worker = self.clone();
@@ -139,7 +127,6 @@
     /// Ends tasks that are done or whose leases have lapsed.
     fn turn(&self, now: Instant) {
         let mut store = self.store.lock();
-        account(&mut store);
         let over: Vec<AttemptId> = store
             .running
             .iter()
@@ -179,7 +166,6 @@
     fn start(&self, start: &TaskStart) -> StartAnswer {
         let now = Instant::now();
         let mut store = self.store.lock();
-        account(&mut store);
         let fails = store.faults.fails_all;
         let run_time = Duration::from_millis(start.run_time.as_millis());
         let task = RunningTask {
@@ -201,7 +187,6 @@
     fn sync(&self, sync: &WorkerSync) -> WorkerInventory {
         let now = Instant::now();
         let mut store = self.store.lock();
-        account(&mut store);
         for attempt in &sync.stop {
             if store.running.remove(attempt).is_some() {
                 self.ledger.task_ended(*attempt, &self.id);
@@ -237,13 +222,6 @@
     WorkerInventory { incarnation: store.incarnation, tasks: running.chain(ended).collect() }
 }
 
-fn account(store: &mut WorkerStore) {
-    let now = Instant::now();
-    let cores: u64 = store.running.values().map(|task| task.resources.cores.0).sum();
-    store.used += cores as f64 * (now - store.busy_since).as_secs_f64();
-    store.busy_since = now;
-}
-
 fn new_incarnation() -> Incarnation {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_micros() as u64);
     Incarnation(now)
--- a/crates/sedgehilld/src/controllers/placement.rs
+++ b/crates/sedgehilld/src/controllers/placement.rs
@@ -152,7 +152,6 @@
         WaitReason::NoRoom => "no worker of the hall has room now",
         WaitReason::NeverFits => "no worker of the hall is large enough",
         WaitReason::Regrouping => "the rest of its gang is stopped, so that all start together",
-        WaitReason::BackOff => "it failed lately and is tried again later",
     }
     .to_owned()
 }
