--- /dev/null
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -0,0 +1,18 @@
+//! The decisions of one cell: which task of which job runs on which worker, and when.
+//!
+//! Like `sedgehill-core`, nothing here opens a socket, reads a clock or starts a thread. Time and
+//! messages come in as arguments and orders go out as values, so the daemon and the tests drive the
+//! same code.
+//!
+//! - [`job`] describes jobs as callers hand them in, and the policy of the queue they came through.
+//! - [`progress`] is what must survive of a job's course.
+//! - [`replica`] folds the cell's records into the jobs that every box knows.
+//! - [`authority`] decides which box leads the cell.
+//! - [`scheduler`] is the lead's own state: workers, runs, waiting tasks and orders.
+
+pub mod authority;
+pub mod ids;
+pub mod job;
+pub mod progress;
+pub mod replica;
+pub mod scheduler;
--- /dev/null
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -0,0 +1,66 @@
+//! What must survive of a job's course: tasks that are done, and failed attempts.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::RunNumber;
+use crate::job::JobSpec;
+
+/// How far a job is, as callers see it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// No task has begun.
+    #[default]
+    Pending,
+    /// A task has begun.
+    Running,
+    /// Every task ended done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// The caller cancelled the job.
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether the job is over.
+    pub fn is_final(self) -> bool {
+        matches!(self, JobState::Completed | JobState::Failed | JobState::Cancelled)
+    }
+}
+
+/// The course of one task that is worth keeping.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TaskProgress {
+    /// It ended done, and must not run again.
+    pub done: bool,
+    /// Runs that ended failed. A worker lists an end again until it is acknowledged, also to a new
+    /// lead, and the ends of several workers are heard in any order: each run counts once.
+    pub failed_runs: Vec<RunNumber>,
+    /// The highest run known to have been ordered.
+    pub run: RunNumber,
+    /// What a next run goes on from; empty if nothing was saved.
+    pub checkpoint: String,
+}
+
+/// The course of a job. Each stored record replaces the one before.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobProgress {
+    /// How far the job is.
+    pub state: JobState,
+    /// Set before the first order: from then on a task may run somewhere without being known.
+    pub ordered: bool,
+    /// The tasks of all steps of all repetitions, in order; empty until the first end.
+    pub tasks: Vec<TaskProgress>,
+}
+
+impl JobProgress {
+    /// The tasks of all steps, made if none was kept yet.
+    pub fn tasks_of(&self, spec: &JobSpec) -> Vec<TaskProgress> {
+        let each: usize = spec.steps.iter().map(|step| usize::from(step.count)).sum();
+        let total = each * spec.repetitions() as usize;
+        match self.tasks.len() == total {
+            true => self.tasks.clone(),
+            false => vec![TaskProgress::default(); total],
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -0,0 +1,186 @@
+//! What every box knows of the cell: accepted jobs, cancellations and progress.
+//!
+//! Each statement stands under a key of its own, so that a copy of an old one that arrives late
+//! never undoes a newer statement of another kind.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{CellIdError, JobId, QueueName};
+use crate::job::JobRecord;
+use crate::progress::{JobProgress, JobState};
+
+/// One statement about a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CellRecord {
+    /// The job was accepted.
+    Job(JobRecord),
+    /// The caller cancelled the job.
+    Cancel,
+    /// The lead notes how far the job is.
+    Progress(JobProgress),
+}
+
+quick_error! {
+    /// Why a record of the cell cannot be read.
+    #[derive(Debug)]
+    pub enum RecordError {
+        /// The key names no job.
+        Key(key: String) {
+            display("`{key}` is no key of a cell record")
+        }
+        /// The id in the key is wrong.
+        Id(cause: CellIdError) {
+            from()
+            display("the key holds a wrong id")
+            source(cause)
+        }
+        /// The value does not decode.
+        Value(cause: postcard::Error) {
+            from()
+            display("the value does not decode")
+            source(cause)
+        }
+    }
+}
+
+impl CellRecord {
+    /// The key under which the record is kept.
+    pub fn key(&self, job: JobId) -> String {
+        let kind = match self {
+            CellRecord::Job(_) => 'j',
+            CellRecord::Cancel => 'c',
+            CellRecord::Progress(_) => 'p',
+        };
+        format!("{kind}{job}")
+    }
+
+    /// The stored form of the record.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("records of the cell have no types that cannot be encoded")
+    }
+
+    /// Reads a record back.
+    pub fn decode(key: &str, value: &[u8]) -> Result<(JobId, CellRecord), RecordError> {
+        let id = key.get(1..).ok_or_else(|| RecordError::Key(key.to_owned()))?;
+        Ok((id.parse()?, postcard::from_bytes(value)?))
+    }
+}
+
+/// One job as every box knows it.
+#[derive(Debug, Clone, Default)]
+pub struct KnownJob {
+    /// What was accepted; none if only later statements have been seen.
+    pub record: Option<Rc<JobRecord>>,
+    /// Whether the caller cancelled it.
+    pub cancelled: bool,
+    /// How far it is.
+    pub progress: JobProgress,
+}
+
+impl KnownJob {
+    /// How far the job is, as callers are told.
+    pub fn state(&self) -> JobState {
+        match self.progress.state {
+            state if state.is_final() => state,
+            _ if self.cancelled => JobState::Cancelled,
+            state => state,
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.record.is_some() && self.state() == JobState::Pending
+    }
+}
+
+/// What changed by a record.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReplicaChange {
+    /// A job not known before.
+    Accepted(JobId),
+    /// A job not cancelled before.
+    Cancelled(JobId),
+    /// Nothing that matters to a lead.
+    Other,
+}
+
+/// The jobs of a cell.
+#[derive(Debug, Default)]
+pub struct CellReplica {
+    jobs: HashMap<JobId, KnownJob>,
+    waiting: HashMap<QueueName, usize>,
+}
+
+impl CellReplica {
+    /// A job, if it is known and accepted.
+    pub fn job(&self, id: JobId) -> Option<&KnownJob> {
+        self.jobs.get(&id).filter(|job| job.record.is_some())
+    }
+
+    /// All accepted jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobId, &KnownJob)> {
+        self.jobs.iter().map(|(id, job)| (*id, job)).filter(|(_, job)| job.record.is_some())
+    }
+
+    /// Jobs of a queue none of whose tasks has begun.
+    pub fn waiting(&self, queue: &QueueName) -> usize {
+        self.waiting.get(queue).copied().unwrap_or(0)
+    }
+
+    /// Jobs that are known.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether no job is known.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Takes in a record.
+    pub fn apply(&mut self, id: JobId, record: CellRecord) -> ReplicaChange {
+        let job = self.jobs.entry(id).or_default();
+        let was_waiting = job.is_waiting();
+        let change = match record {
+            CellRecord::Job(_) if job.record.is_some() => ReplicaChange::Other,
+            CellRecord::Job(record) => {
+                job.record = Some(Rc::new(record));
+                ReplicaChange::Accepted(id)
+            }
+            CellRecord::Cancel if job.cancelled => ReplicaChange::Other,
+            CellRecord::Cancel => {
+                job.cancelled = true;
+                ReplicaChange::Cancelled(id)
+            }
+            CellRecord::Progress(progress) => {
+                job.progress = progress;
+                ReplicaChange::Other
+            }
+        };
+        let is_waiting = job.is_waiting();
+        if let Some(record) = &job.record
+            && was_waiting != is_waiting
+        {
+            let count = self.waiting.entry(record.queue.clone()).or_default();
+            match is_waiting {
+                true => *count += 1,
+                false => *count -= 1,
+            }
+        }
+        change
+    }
+
+    /// Forgets a job.
+    pub fn forget(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        if job.is_waiting()
+            && let Some(record) = job.record
+            && let Some(count) = self.waiting.get_mut(&record.queue)
+        {
+            *count -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -0,0 +1,308 @@
+//! What goes into and out of the scheduler.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use sedgehill_core::units::{ResourceSet, TimeSpan};
+
+use crate::ids::{CellTask, JobId, PoolName, RunNumber, StepId, WorkerLife};
+use crate::job::JobRecord;
+use crate::progress::JobProgress;
+
+/// The scheduler's handle of one life of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerKey(pub usize);
+
+/// A box that asks the advice service on the lead's behalf. The service serves each box by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HelperId(pub u64);
+
+/// The lead's own box as a helper.
+pub const OWN_BOX: HelperId = HelperId(0);
+
+/// A time on a worker's own clock, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorkerTime(pub u64);
+
+impl WorkerTime {
+    /// The time `span` later.
+    pub fn after(self, span: TimeSpan) -> WorkerTime {
+        WorkerTime(self.0 + span.as_millis())
+    }
+}
+
+/// A worker as it stands in the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkerEntry {
+    /// The life of the worker.
+    pub life: WorkerLife,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// The pool it serves.
+    pub pool: PoolName,
+    /// It will leave and takes no new work.
+    pub draining: bool,
+    /// What it has.
+    pub capacity: ResourceSet,
+    /// Its kind and its rack.
+    pub labels: Vec<Arc<str>>,
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone)]
+pub struct StartOrder {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The task.
+    pub task: CellTask,
+    /// The run.
+    pub run: RunNumber,
+    /// The job, for what the task is given.
+    pub record: Rc<JobRecord>,
+    /// The lease of all runs on the worker lasts at least until then.
+    pub lease_until: WorkerTime,
+    /// What allows the step to run there.
+    pub ticket: Option<Arc<str>>,
+    /// What the run goes on from; empty for a start from nothing.
+    pub checkpoint: String,
+}
+
+/// An order to stop a run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StopOrder {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The task.
+    pub task: CellTask,
+    /// The run.
+    pub run: RunNumber,
+}
+
+/// A question for the advice service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdviceQuestion {
+    /// The box that asks.
+    pub helper: HelperId,
+    /// The step.
+    pub step: StepId,
+    /// The workers in question.
+    pub workers: Vec<WorkerLife>,
+}
+
+/// What the scheduler wants done.
+#[derive(Debug, Clone)]
+pub enum CellOrder {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+    /// Ask which workers may run a step.
+    Ask(AdviceQuestion),
+}
+
+/// What to ask of a worker next: renew the lease, forget ends, and say what runs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HoldOrder {
+    /// The lease lasts at least until then; none for a look that renews nothing.
+    pub lease_until: Option<WorkerTime>,
+    /// Ends up to this number are in the store.
+    pub acknowledged: u64,
+    /// How long the answer may wait for an end.
+    pub wait: TimeSpan,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// It did its work.
+    Done,
+    /// It failed, by its own fault or the worker's.
+    Failed,
+    /// It was stopped by an order.
+    Stopped,
+    /// Its lease ended.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited in vain for the other members of its gang.
+    Alone,
+}
+
+/// A run that a worker lists as running.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunningRow {
+    /// The task.
+    pub task: CellTask,
+    /// The run.
+    pub run: RunNumber,
+    /// The newest saved state.
+    pub checkpoint: String,
+}
+
+/// An end that a worker lists.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndRow {
+    /// The number of the end in this life of the worker.
+    pub number: u64,
+    /// The task.
+    pub task: CellTask,
+    /// The run.
+    pub run: RunNumber,
+    /// How it ended.
+    pub end: RunEnd,
+    /// The newest saved state.
+    pub checkpoint: String,
+}
+
+/// A worker's account of what runs there.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct HoldReport {
+    /// The worker's clock.
+    pub clock: WorkerTime,
+    /// What runs.
+    pub running: Vec<RunningRow>,
+    /// Ends that were not yet acknowledged.
+    pub ended: Vec<EndRow>,
+}
+
+/// Why a worker did not do as ordered. Nothing was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkerRefusal {
+    /// A higher token has been seen there.
+    Fenced,
+    /// The run is not above one that was stopped or ended there.
+    OldRun,
+    /// The order's lease had ended before it arrived.
+    Late,
+    /// It does not fit.
+    NoRoom,
+    /// The ticket is not valid.
+    Ticket,
+    /// The worker is not well.
+    Unhealthy,
+    /// Another life of the worker answered.
+    OtherLife,
+    /// The worker found the order wrong.
+    Malformed,
+    /// Nothing was sent, or surely nothing arrived.
+    Unreached,
+    /// The lead held the order back, since it may not be the lead any more.
+    Withheld,
+}
+
+/// What came of a call to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WorkerAnswer<T> {
+    /// It was done.
+    Done(T),
+    /// It was surely not done.
+    NotDone(WorkerRefusal),
+    /// It may have been done, or may be done later.
+    Unknown,
+}
+
+/// A batch of progress that is to be recorded.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ProgressBatch {
+    /// The number of the batch; batches are recorded in this order.
+    pub number: u64,
+    /// The progress of each job.
+    pub jobs: Vec<(JobId, JobProgress)>,
+}
+
+/// A decision worth a log line.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CellEvent {
+    /// A start was ordered.
+    Placed {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// Since the job was accepted.
+        waited: TimeSpan,
+        /// Time left on the ticket.
+        ticket_left: Option<TimeSpan>,
+    },
+    /// A start was refused or went unanswered.
+    StartFailed {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// Why; none if there was no answer.
+        refusal: Option<WorkerRefusal>,
+    },
+    /// A run ended.
+    Ended {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// How.
+        end: RunEnd,
+    },
+    /// A stop was ordered.
+    Stopping {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A run is taken as gone.
+    RunLost {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// Why.
+        reason: &'static str,
+    },
+    /// The advice service was asked.
+    Asked {
+        /// The step.
+        step: StepId,
+        /// Workers named.
+        named: usize,
+        /// Who asks.
+        helper: HelperId,
+    },
+    /// The advice service answered, or did not.
+    Advised {
+        /// The step.
+        step: StepId,
+        /// Workers that may run the step; none without an answer.
+        good: Option<usize>,
+        /// Since the question.
+        took: TimeSpan,
+    },
+    /// A job is over.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: crate::progress::JobState,
+        /// Since it was accepted.
+        after: TimeSpan,
+    },
+    /// A worker is new, or takes orders again, or does not.
+    Worker {
+        /// The worker.
+        worker: WorkerLife,
+        /// What changed.
+        change: &'static str,
+    },
+}
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -0,0 +1,303 @@
+//! The lead of a cell: it owns the account of all workers, runs and waiting tasks.
+//!
+//! A new lead begins with what every box knows of the jobs, and with no belief about workers: it
+//! starts nothing before it has an account from every worker, or until whatever an earlier lead may
+//! have ordered has surely ended ([`Scheduler::take_over`]). An end is acknowledged to its worker
+//! only when it is recorded. A task whose start went unanswered is settled before it runs elsewhere:
+//! by an answered stop, by an account that lists the run, or by the end of the worker's lease.
+
+mod accounts;
+mod advice;
+mod message;
+mod placement;
+mod rank;
+mod timing;
+mod work;
+mod worker;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
+use sedgehill_core::units::{Moment, TimeSpan};
+
+pub use self::advice::{AdviceDesk, GoodShare};
+pub use self::message::*;
+pub use self::timing::CellTiming;
+use self::work::{JobWork, OrderedMark, TaskPhase};
+use self::worker::{RunPhase, WorkerState};
+use crate::ids::{CellTask, JobId, QueueName, RunNumber, WorkerLife};
+use crate::job::JobRecord;
+use crate::progress::{JobProgress, JobState};
+
+/// How far a new lead has settled what earlier leads did.
+#[derive(Debug, Clone, Copy)]
+struct TakeOver {
+    /// When the lead was claimed.
+    since: Moment,
+    /// Whether an earlier lead may still give orders for a time.
+    predecessor: bool,
+    /// Every worker has answered, or what it runs has surely ended.
+    settled: bool,
+}
+
+/// The lead's state.
+#[derive(Debug)]
+pub struct Scheduler {
+    timing: CellTiming,
+    workers: Vec<WorkerState>,
+    lives: HashMap<WorkerLife, WorkerKey>,
+    jobs: BTreeMap<JobId, JobWork>,
+    desk: AdviceDesk,
+    shares: HashMap<QueueName, GoodShare>,
+    take_over: TakeOver,
+    surveyed: bool,
+    orders: Vec<CellOrder>,
+    events: Vec<CellEvent>,
+    dirty: BTreeSet<JobId>,
+    lazy: BTreeSet<JobId>,
+    lazy_since: Option<Moment>,
+    next_batch: u64,
+    recorded: u64,
+    fenced_out: bool,
+}
+
+impl Scheduler {
+    /// The state of a box that has just claimed the lead. `predecessor` says whether an earlier lead
+    /// may go on giving orders until its term ends.
+    pub fn take_over(timing: CellTiming, predecessor: bool, now: Moment) -> Scheduler {
+        Scheduler {
+            timing,
+            workers: Vec::new(),
+            lives: HashMap::new(),
+            jobs: BTreeMap::new(),
+            desk: AdviceDesk::default(),
+            shares: HashMap::new(),
+            take_over: TakeOver { since: now, predecessor, settled: false },
+            surveyed: false,
+            orders: Vec::new(),
+            events: Vec::new(),
+            dirty: BTreeSet::new(),
+            lazy: BTreeSet::new(),
+            lazy_since: None,
+            next_batch: 1,
+            recorded: 0,
+            fenced_out: false,
+        }
+    }
+
+    /// Whether a worker said that a later lead exists.
+    pub fn is_fenced_out(&self) -> bool {
+        self.fenced_out
+    }
+
+    /// Whether what earlier leads did is settled.
+    pub fn is_settled(&self) -> bool {
+        self.take_over.settled
+    }
+
+    /// Takes the orders that were decided on.
+    pub fn take_orders(&mut self) -> Vec<CellOrder> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Takes the decisions since the last call.
+    pub fn take_events(&mut self) -> Vec<CellEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// A worker by its handle.
+    pub fn entry(&self, worker: WorkerKey) -> &WorkerEntry {
+        &self.workers[worker.0].entry
+    }
+
+    /// Jobs that are not over.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// A box can ask the advice service.
+    pub fn add_helper(&mut self, helper: HelperId) {
+        self.desk.add_helper(helper);
+    }
+
+    /// A box cannot ask any more.
+    pub fn remove_helper(&mut self, helper: HelperId, now: Moment) {
+        for step in self.desk.remove_helper(helper) {
+            self.forget_question(step, now);
+        }
+    }
+
+    /// Takes in a job. `age` is how long ago it was accepted.
+    pub fn add_job(
+        &mut self,
+        id: JobId,
+        record: Rc<JobRecord>,
+        kept: &JobProgress,
+        age: TimeSpan,
+        now: Moment,
+    ) {
+        if kept.state.is_final() || self.jobs.contains_key(&id) {
+            return;
+        }
+        let accepted = Moment(now.0.saturating_sub(age.as_millis()));
+        let job = JobWork::new(id, record, accepted, kept);
+        let needs_mark = job.ordered == OrderedMark::Missing;
+        self.jobs.insert(id, job);
+        if needs_mark {
+            self.mark_ordered(id);
+        }
+        self.finish_if_over(id, now);
+    }
+
+    fn mark_ordered(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.ordered = OrderedMark::Asked;
+            self.dirty.insert(id);
+        }
+    }
+
+    /// The caller cancelled a job.
+    pub fn cancel_job(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.cancelled = true;
+        for (task, worker, run) in job.placed() {
+            self.stop_run(worker, task, run, "cancelled", now);
+        }
+        self.finish_if_over(id, now);
+    }
+
+    /// A job with a final state whose runs have all ended needs no further work.
+    fn finish_if_over(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if !job.state.is_final() && job.is_done() {
+            job.state = JobState::Completed;
+        } else if !job.state.is_final() && job.cancelled && job.placed().is_empty() {
+            job.state = JobState::Cancelled;
+        }
+        if !job.state.is_final() {
+            return;
+        }
+        if !self.dirty.contains(&id) || job.state != JobState::Running {
+            self.dirty.insert(id);
+        }
+        let after = now.since(job.accepted);
+        let state = job.state;
+        if job.placed().is_empty() {
+            self.events.push(CellEvent::JobEnded { job: id, state, after });
+        }
+    }
+
+    /// The next batch of progress to record, if any is due. One batch is under way at a time.
+    pub fn take_batch(&mut self, now: Moment) -> Option<ProgressBatch> {
+        if self.next_batch - 1 > self.recorded {
+            return None;
+        }
+        let lazy_due =
+            self.lazy_since.is_some_and(|since| now >= since.after(self.timing.lazy_record));
+        if self.dirty.is_empty() && !lazy_due {
+            return None;
+        }
+        let mut ids = std::mem::take(&mut self.dirty);
+        ids.append(&mut self.lazy);
+        self.lazy_since = None;
+        let jobs = ids
+            .into_iter()
+            .filter_map(|id| self.jobs.get(&id).map(|job| (id, job.progress())))
+            .collect();
+        let batch = ProgressBatch { number: self.next_batch, jobs };
+        self.next_batch += 1;
+        Some(batch)
+    }
+
+    /// A batch is in the store.
+    pub fn batch_recorded(&mut self, batch: &ProgressBatch) {
+        self.recorded = batch.number;
+        for (id, progress) in &batch.jobs {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            if job.ordered == OrderedMark::Asked && progress.ordered {
+                job.ordered = OrderedMark::Recorded;
+            }
+            let over = progress.state.is_final() && job.placed().is_empty();
+            if over && !self.dirty.contains(id) {
+                self.jobs.remove(id);
+            }
+        }
+    }
+
+    fn note_begun(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.state == JobState::Pending {
+            job.state = JobState::Running;
+            self.lazy.insert(id);
+            self.lazy_since.get_or_insert(now);
+        }
+    }
+
+    /// Does what time asks for, and starts what can be started.
+    pub fn schedule(&mut self, now: Moment) {
+        for step in self.desk.expire(now) {
+            self.forget_question(step, now);
+        }
+        self.expire_leases(now);
+        self.repeat_stops(now);
+        self.settle_take_over(now);
+        if self.surveyed {
+            self.place_all(now);
+        }
+    }
+
+    fn stop_run(
+        &mut self,
+        key: WorkerKey,
+        task: CellTask,
+        run: RunNumber,
+        reason: &'static str,
+        now: Moment,
+    ) {
+        let worker = &mut self.workers[key.0];
+        let Some(entry) = worker.runs.get_mut(&task).filter(|entry| entry.run == run) else {
+            return;
+        };
+        if matches!(entry.phase, RunPhase::Stopping(_) | RunPhase::Stopped) {
+            return;
+        }
+        entry.phase = RunPhase::Stopping(now);
+        let life = worker.entry.life.clone();
+        self.events.push(CellEvent::Stopping { task, run, worker: life, reason });
+        self.orders.push(CellOrder::Stop(StopOrder { worker: key, task, run }));
+    }
+
+    fn repeat_stops(&mut self, now: Moment) {
+        let again = self.timing.stop_again;
+        for (number, worker) in self.workers.iter_mut().enumerate() {
+            for (task, run) in &mut worker.runs {
+                let RunPhase::Stopping(sent) = run.phase else { continue };
+                if now < sent.after(again) {
+                    continue;
+                }
+                run.phase = RunPhase::Stopping(now);
+                let order = StopOrder { worker: WorkerKey(number), task: *task, run: run.run };
+                self.orders.push(CellOrder::Stop(order));
+            }
+        }
+    }
+
+    /// Frees a task whose run is over without having ended done.
+    fn release_task(
+        &mut self,
+        task: &CellTask,
+        run: RunNumber,
+        from: Moment,
+        checkpoint: Option<&str>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(index) = job.task_index(task) else { return };
+        let work = &mut job.tasks[index];
+        if let Some(checkpoint) = checkpoint.filter(|text| !text.is_empty()) {
+            work.kept.checkpoint = checkpoint.to_owned();
+        }
+        if matches!(work.phase, TaskPhase::Placed(_, placed) if placed == run) {
+            work.phase = TaskPhase::Waiting(from);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -0,0 +1,371 @@
+//! Which waiting steps get room and advice.
+
+use std::sync::Arc;
+
+use sedgehill_core::units::{Moment, ResourceSet};
+
+use super::rank::rank_job;
+use super::worker::WorkerRun;
+use super::*;
+use crate::ids::StepId;
+use crate::job::StepSpec;
+
+/// Workers named in one question, at the most: the users' objective counts one question on 30.
+const NAMED_MOST: usize = 30;
+/// Room to ask for, as a multiple of what the step needs: others take some of it meanwhile.
+const ROOM_FACTOR: f64 = 1.6;
+/// How long a question that failed is not repeated.
+const ASK_BACKOFF: TimeSpan = TimeSpan(60);
+
+/// A step that could use room now.
+struct Candidate {
+    job: JobId,
+    step: usize,
+}
+
+/// Where the tasks of a step go.
+type Assignment = Vec<(u16, WorkerKey)>;
+
+impl Scheduler {
+    /// Starts what can be started, and asks for the advice that is missing, best ranked first.
+    pub(super) fn place_all(&mut self, now: Moment) {
+        if !self.may_start_new(now) {
+            return;
+        }
+        for candidate in self.candidates(now) {
+            self.place_step(&candidate, now);
+        }
+    }
+
+    fn candidates(&self, now: Moment) -> Vec<Candidate> {
+        let settled = self.take_over.settled;
+        let mut ranked = Vec::new();
+        for job in self.jobs.values() {
+            // An order of an earlier lead may still run unseen.
+            let may_start = settled || !job.foreign_orders;
+            if job.is_over() || !may_start {
+                continue;
+            }
+            let rank = rank_job(job, now);
+            for step in 0..job.steps.len() {
+                if job.steps[step].left > 0 && job.is_due(step) && wants_room(job, step, now) {
+                    ranked.push((rank, Candidate { job: job.id, step }));
+                }
+            }
+        }
+        ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.job, candidate.step));
+        ranked.into_iter().map(|(_, candidate)| candidate).collect()
+    }
+
+    fn place_step(&mut self, candidate: &Candidate, now: Moment) {
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let spec = job.step_spec(candidate.step).clone();
+        let waiting = waiting_tasks(job, candidate.step, now);
+        if job.ordered == OrderedMark::Recorded {
+            let assignment = match spec.gang {
+                true => self.assign_gang(candidate, &spec, &waiting, now),
+                false => self.assign_each(candidate, &spec, &waiting, now),
+            };
+            let placed = assignment.len();
+            self.start_all(candidate, &spec, assignment, now);
+            if placed == waiting.len() {
+                return;
+            }
+        }
+        self.ask_advice(candidate, &spec, now);
+    }
+
+    /// How many tasks of a step a worker can take now, apart from advice.
+    fn room_on(
+        &self,
+        key: usize,
+        job: &JobWork,
+        step: usize,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> usize {
+        let worker = &self.workers[key];
+        if worker.entry.pool != job.record.policy.pool || !worker.takes_work(now, &self.timing) {
+            return 0;
+        }
+        let labels = &worker.entry.labels;
+        if spec.label.as_ref().is_some_and(|label| !labels.contains(label)) {
+            return 0;
+        }
+        let fits = worker.free.capacity_for(&spec.need) as usize;
+        let Some(most) = spec.max_per_worker else { return fits };
+        let probe = CellTask { step: job.steps[step].id, index: 0 };
+        fits.min(usize::from(most).saturating_sub(worker.runs_of_step(&probe)))
+    }
+
+    /// Workers that may run the step now, with the tasks they can take; the fullest first.
+    fn usable_rooms(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> Vec<(WorkerKey, usize)> {
+        let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
+        let needs_ticket = job.record.policy.advice.is_some();
+        let advice = &job.steps[candidate.step].advice;
+        if needs_ticket && advice.known.is_empty() {
+            return Vec::new();
+        }
+        let mut rooms = Vec::new();
+        for (number, worker) in self.workers.iter().enumerate() {
+            let margin = self.timing.ticket_margin;
+            if needs_ticket && advice.ticket(&worker.entry.life, now, margin).is_none() {
+                continue;
+            }
+            let room = self.room_on(number, job, candidate.step, spec, now);
+            if room > 0 {
+                let near =
+                    spec.near_rack.as_ref().is_some_and(|rack| worker.entry.labels.contains(rack));
+                rooms.push((!near, worker.free.cores, number, room));
+            }
+        }
+        rooms.sort();
+        rooms.into_iter().map(|(_, _, number, room)| (WorkerKey(number), room)).collect()
+    }
+
+    fn assign_each(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        waiting: &[u16],
+        now: Moment,
+    ) -> Assignment {
+        let mut rooms = self.usable_rooms(candidate, spec, now);
+        let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
+        let mut assignment = Vec::new();
+        for index in waiting {
+            let failed_at = job.step_tasks(candidate.step)[usize::from(*index)].failed_at;
+            let choice = rooms
+                .iter()
+                .position(|(key, _)| Some(*key) != failed_at)
+                .or_else(|| (!rooms.is_empty()).then_some(0));
+            let Some(choice) = choice else { break };
+            assignment.push((*index, rooms[choice].0));
+            rooms[choice].1 -= 1;
+            if rooms[choice].1 == 0 {
+                rooms.remove(choice);
+            }
+        }
+        assignment
+    }
+
+    fn assign_gang(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        waiting: &[u16],
+        now: Moment,
+    ) -> Assignment {
+        let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
+        let left = job.steps[candidate.step].left;
+        if waiting.len() < left {
+            return Vec::new();
+        }
+        let rooms = self.usable_rooms(candidate, spec, now);
+        let mut slots = rooms.iter().flat_map(|(key, room)| std::iter::repeat_n(*key, *room));
+        let assignment: Assignment = waiting.iter().copied().zip(slots.by_ref()).collect();
+        match assignment.len() == waiting.len() {
+            true => assignment,
+            false => Vec::new(),
+        }
+    }
+
+    fn start_all(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        assignment: Assignment,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
+        if assignment.is_empty() {
+            return;
+        }
+        let highest = job.step_tasks(candidate.step).iter().map(|task| task.kept.run).max();
+        let gang_run = highest.unwrap_or_default().next();
+        let step = &job.steps[candidate.step];
+        let (first, step_id) = (step.first, step.id);
+        // Any member's saved state serves for its gang, and all must bring the same.
+        let saved = job.step_tasks(candidate.step).iter().map(|task| &task.kept.checkpoint);
+        let gang_checkpoint =
+            saved.filter(|text| !text.is_empty()).max().cloned().unwrap_or_default();
+        for (index, key) in assignment {
+            let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
+            let task = CellTask { step: step_id, index };
+            let work = &mut job.tasks[first + usize::from(index)];
+            let run = if spec.gang { gang_run } else { work.kept.run.next() };
+            work.kept.run = run;
+            work.phase = TaskPhase::Placed(key, run);
+            let checkpoint = match spec.gang {
+                true => gang_checkpoint.clone(),
+                false => work.kept.checkpoint.clone(),
+            };
+            self.order_start(key, task, run, spec.need, checkpoint, now);
+        }
+    }
+
+    fn order_start(
+        &mut self,
+        key: WorkerKey,
+        task: CellTask,
+        run: RunNumber,
+        need: ResourceSet,
+        checkpoint: String,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let Some(step) = job.step_index(&task.step) else { return };
+        let worker = &mut self.workers[key.0];
+        assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
+        let life = worker.entry.life.clone();
+        let ticket = job.steps[step].advice.ticket(&life, now, TimeSpan(0));
+        let entry = WorkerRun { run, need, phase: RunPhase::Ordered, listed_from: None };
+        worker.add_run(task, entry);
+        let lease = self.timing.lease;
+        let lease_until =
+            worker.extend_lease(now, lease).expect("a worker that takes work has a clock");
+        self.events.push(CellEvent::Placed {
+            task,
+            run,
+            worker: life,
+            waited: now.since(job.accepted),
+            ticket_left: ticket.map(|ticket| ticket.until.since(now)),
+        });
+        self.orders.push(CellOrder::Start(StartOrder {
+            worker: key,
+            task,
+            run,
+            record: job.record.clone(),
+            lease_until,
+            ticket: ticket.map(|ticket| ticket.text.clone()),
+            checkpoint,
+        }));
+    }
+
+    /// Asks which workers may run a step, if there is room that an answer could open.
+    fn ask_advice(&mut self, candidate: &Candidate, spec: &StepSpec, now: Moment) {
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let Some(policy) = job.record.policy.advice else { return };
+        let advice = &job.steps[candidate.step].advice;
+        if advice.asking.is_some() || now < advice.not_before {
+            return;
+        }
+        let named = self.workers_to_name(candidate, job, spec, now);
+        if named.is_empty() {
+            return;
+        }
+        let cost = policy.cost(named.len());
+        let Some(helper) = self.desk.free_helper(cost) else { return };
+        let step = job.steps[candidate.step].id;
+        self.desk.begin(helper, step, cost, now);
+        if let Some(job) = self.jobs.get_mut(&candidate.job) {
+            job.steps[candidate.step].advice.asking = Some(now);
+        }
+        self.events.push(CellEvent::Asked { step, named: named.len(), helper });
+        self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers: named }));
+    }
+
+    /// The workers whose tickets could give the step enough room: those known as good first, then
+    /// those with the most room. Empty if too little room is free.
+    fn workers_to_name(
+        &self,
+        candidate: &Candidate,
+        job: &JobWork,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> Vec<WorkerLife> {
+        let share = self.shares.get(&job.record.queue).copied().unwrap_or_default().share();
+        let advice = &job.steps[candidate.step].advice;
+        let mut rooms: Vec<(bool, usize, &WorkerLife)> = Vec::new();
+        let mut usable = 0;
+        for (number, worker) in self.workers.iter().enumerate() {
+            let room = self.room_on(number, job, candidate.step, spec, now);
+            let life = &worker.entry.life;
+            match advice.known.get(life) {
+                _ if room == 0 => {}
+                Some(None) => {}
+                Some(Some(ticket)) if ticket.until > now.after(self.timing.ticket_margin) => {
+                    usable += room
+                }
+                Some(Some(_)) => rooms.push((true, room, life)),
+                None => rooms.push((false, room, life)),
+            }
+        }
+        let left = job.steps[candidate.step].left;
+        let needed = waiting_tasks(job, candidate.step, now).len().saturating_sub(usable);
+        rooms.sort_by_key(|(good, room, life)| (!good, std::cmp::Reverse(*room), (*life).clone()));
+        let wanted = needed as f64 * ROOM_FACTOR;
+        let mut expected = 0.0;
+        let mut named = Vec::new();
+        for (good, room, life) in rooms.into_iter().take(NAMED_MOST) {
+            if expected >= wanted {
+                break;
+            }
+            expected += room.min(left) as f64 * if good { 1.0 } else { share };
+            named.push(life.clone());
+        }
+        let least = if spec.gang { needed as f64 } else { 0.0 };
+        match expected > 0.0 && expected >= least {
+            true => named,
+            false => Vec::new(),
+        }
+    }
+
+    /// Takes in an answer of the advice service, or that there is none.
+    pub fn advice_answered(
+        &mut self,
+        question: &AdviceQuestion,
+        answer: Option<Vec<(WorkerLife, Arc<str>)>>,
+        valid: TimeSpan,
+        now: Moment,
+    ) {
+        let Some(sent) = self.desk.finish(question.helper, question.step) else { return };
+        let good = answer.as_ref().map(Vec::len);
+        let took = now.since(sent);
+        self.events.push(CellEvent::Advised { step: question.step, good, took });
+        let Some(answer) = answer else {
+            self.forget_question(question.step, now);
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&question.step.job) else { return };
+        let Some(step) = job.step_index(&question.step) else { return };
+        let advice = &mut job.steps[step].advice;
+        advice.asking = None;
+        for life in &question.workers {
+            advice.known.insert(life.clone(), None);
+        }
+        let until = now.after(valid);
+        for (life, text) in answer {
+            advice.known.insert(life, Some(advice::StepTicket { text, until }));
+        }
+        let share = self.shares.entry(job.record.queue.clone()).or_default();
+        share.learn(good.unwrap_or(0), question.workers.len());
+    }
+
+    pub(super) fn forget_question(&mut self, step: StepId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(index) = job.step_index(&step) else { return };
+        let advice = &mut job.steps[index].advice;
+        advice.asking = None;
+        advice.not_before = now.after(ASK_BACKOFF);
+    }
+}
+
+fn wants_room(job: &JobWork, step: usize, now: Moment) -> bool {
+    let ready = |phase: TaskPhase| matches!(phase, TaskPhase::Waiting(from) if now >= from);
+    job.step_tasks(step).iter().any(|task| !task.kept.done && ready(task.phase))
+}
+
+fn waiting_tasks(job: &JobWork, step: usize, now: Moment) -> Vec<u16> {
+    let ready = |phase: TaskPhase| matches!(phase, TaskPhase::Waiting(from) if now >= from);
+    let tasks = job.step_tasks(step).iter().enumerate();
+    tasks
+        .filter(|(_, task)| !task.kept.done && ready(task.phase))
+        .map(|(index, _)| index as u16)
+        .collect()
+}
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/timing.rs
@@ -0,0 +1,61 @@
+//! Times and limits of the scheduler.
+
+use sedgehill_core::units::TimeSpan;
+
+/// Times and limits of the scheduler. Those that the platform fixes come from the settings.
+#[derive(Debug, Clone)]
+pub struct CellTiming {
+    /// The lease asked for while the store answers. It covers a take-over after a kill, which takes
+    /// about 1.5 s, and bounds how long the tasks of a worker that cannot be reached wait.
+    pub lease: TimeSpan,
+    /// The longest lease a worker grants, asked for while the store does not answer.
+    pub lease_most: TimeSpan,
+    /// How much slower than this box's clock a worker's may run, in thousandths.
+    pub clock_drift_permille: u64,
+    /// Added to a lease before its runs are taken as ended: a worker may take so long to end them.
+    pub lapse_margin: TimeSpan,
+    /// How long a stop may take at a worker.
+    pub stop: TimeSpan,
+    /// How long a worker may be asked to wait for an end before it answers.
+    pub hold_wait: TimeSpan,
+    /// A worker that answered longer ago gets no new work.
+    pub fresh: TimeSpan,
+    /// How long a lead may give orders after its last renewal; an earlier lead may have done so.
+    pub authority_term: TimeSpan,
+    /// Time between two stops of one run.
+    pub stop_again: TimeSpan,
+    /// How long a task waits after a refused start.
+    pub start_backoff: TimeSpan,
+    /// How long a worker that refused for no known reason, or did not answer, gets no new work.
+    pub worker_backoff: TimeSpan,
+    /// Failed ends of different jobs in a row after which a worker gets no new work for a time.
+    pub failures_allowed: u32,
+    /// How long such a worker gets no new work.
+    pub failing_backoff: TimeSpan,
+    /// A ticket is not used when it has less time left: the start has to arrive.
+    pub ticket_margin: TimeSpan,
+    /// How long progress that nobody waits for may wait for a batch.
+    pub lazy_record: TimeSpan,
+}
+
+impl Default for CellTiming {
+    fn default() -> CellTiming {
+        CellTiming {
+            lease: TimeSpan(4_000),
+            lease_most: TimeSpan(6_000),
+            clock_drift_permille: 20,
+            lapse_margin: TimeSpan(150),
+            stop: TimeSpan(400),
+            hold_wait: TimeSpan(700),
+            fresh: TimeSpan(1_200),
+            authority_term: TimeSpan(2_400),
+            stop_again: TimeSpan(400),
+            start_backoff: TimeSpan(30),
+            worker_backoff: TimeSpan(300),
+            failures_allowed: 3,
+            failing_backoff: TimeSpan(2_500),
+            ticket_margin: TimeSpan(120),
+            lazy_record: TimeSpan(300),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -0,0 +1,213 @@
+//! A job as the lead works on it.
+
+use std::rc::Rc;
+
+use sedgehill_core::units::{Moment, TimeSpan};
+
+use super::advice::StepAdvice;
+use super::message::WorkerKey;
+use crate::ids::{CellTask, JobId, RunNumber, StepId};
+use crate::job::{JobRecord, StepSpec};
+use crate::progress::{JobProgress, JobState, TaskProgress};
+
+/// An earlier lead may have ordered so many runs of a task after the last that it recorded.
+const RUN_GAP: u32 = 8;
+
+/// Where a task is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskPhase {
+    /// It runs nowhere, as far as is known, and not before the given moment.
+    Waiting(Moment),
+    /// It runs on a worker, or may.
+    Placed(WorkerKey, RunNumber),
+}
+
+/// One task.
+#[derive(Debug, Clone)]
+pub struct TaskWork {
+    /// Where it is.
+    pub phase: TaskPhase,
+    /// What is kept of it.
+    pub kept: TaskProgress,
+    /// Where its last run failed.
+    pub failed_at: Option<WorkerKey>,
+}
+
+/// One step of one repetition.
+#[derive(Debug)]
+pub struct StepWork {
+    /// Its id.
+    pub id: StepId,
+    /// Its tasks' place among the tasks of the job.
+    pub first: usize,
+    /// Tasks that are not done.
+    pub left: usize,
+    /// What the advice service said.
+    pub advice: StepAdvice,
+}
+
+/// Whether it is recorded that tasks of the job may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderedMark {
+    /// Not even asked for.
+    Missing,
+    /// In this batch, or one to come.
+    Asked,
+    /// Recorded: tasks may be started.
+    Recorded,
+}
+
+/// A job as the lead works on it.
+#[derive(Debug)]
+pub struct JobWork {
+    /// The job.
+    pub id: JobId,
+    /// What was accepted.
+    pub record: Rc<JobRecord>,
+    /// When it was accepted, by this box's clock.
+    pub accepted: Moment,
+    /// How far it is.
+    pub state: JobState,
+    /// Whether the caller cancelled it.
+    pub cancelled: bool,
+    /// Whether tasks may be started.
+    pub ordered: OrderedMark,
+    /// An earlier lead may have started tasks of it, unknown to this one.
+    pub foreign_orders: bool,
+    /// All tasks, step after step.
+    pub tasks: Vec<TaskWork>,
+    /// All steps of all repetitions.
+    pub steps: Vec<StepWork>,
+}
+
+impl JobWork {
+    /// A job with what was kept of its course.
+    pub fn new(id: JobId, record: Rc<JobRecord>, accepted: Moment, kept: &JobProgress) -> JobWork {
+        let mut tasks: Vec<TaskWork> = kept
+            .tasks_of(&record.spec)
+            .into_iter()
+            .map(|kept| TaskWork { phase: TaskPhase::Waiting(Moment(0)), kept, failed_at: None })
+            .collect();
+        if kept.ordered {
+            for task in &mut tasks {
+                task.kept.run.0 += RUN_GAP;
+            }
+        }
+        let mut steps = Vec::new();
+        let mut first = 0;
+        for repetition in 0..record.spec.repetitions() {
+            for (number, spec) in record.spec.steps.iter().enumerate() {
+                let count = usize::from(spec.count);
+                let left = tasks[first..first + count].iter().filter(|task| !task.kept.done);
+                steps.push(StepWork {
+                    id: StepId { job: id, repetition, step: number as u16 },
+                    first,
+                    left: left.count(),
+                    advice: StepAdvice::default(),
+                });
+                first += count;
+            }
+        }
+        let ordered = match kept.ordered {
+            true => OrderedMark::Recorded,
+            false => OrderedMark::Missing,
+        };
+        JobWork {
+            id,
+            record,
+            accepted,
+            state: kept.state,
+            cancelled: false,
+            ordered,
+            foreign_orders: kept.ordered,
+            tasks,
+            steps,
+        }
+    }
+
+    /// The place of a step among all steps, if there is such a step.
+    pub fn step_index(&self, step: &StepId) -> Option<usize> {
+        let each = self.record.spec.steps.len();
+        let index = step.repetition as usize * each + usize::from(step.step);
+        (usize::from(step.step) < each && index < self.steps.len()).then_some(index)
+    }
+
+    /// The place of a task among all tasks, if there is such a task.
+    pub fn task_index(&self, task: &CellTask) -> Option<usize> {
+        let step = self.step_index(&task.step)?;
+        let count = self.step_spec(step).count;
+        (task.index < count).then(|| self.steps[step].first + usize::from(task.index))
+    }
+
+    /// What the caller said of a step.
+    pub fn step_spec(&self, step: usize) -> &StepSpec {
+        &self.record.spec.steps[step % self.record.spec.steps.len()]
+    }
+
+    /// The tasks of a step.
+    pub fn step_tasks(&self, step: usize) -> &[TaskWork] {
+        let first = self.steps[step].first;
+        &self.tasks[first..first + usize::from(self.step_spec(step).count)]
+    }
+
+    /// Whether the steps before this one are done.
+    pub fn is_due(&self, step: usize) -> bool {
+        let each = self.record.spec.steps.len();
+        let base = step - step % each;
+        let after = &self.step_spec(step).after;
+        after.iter().all(|before| self.steps[base + usize::from(*before)].left == 0)
+    }
+
+    /// The longest chain of estimates over steps that are not done.
+    pub fn remaining_chain(&self) -> TimeSpan {
+        let each = self.record.spec.steps.len();
+        let base = self.steps.len() - each;
+        let mut ends: Vec<u64> = Vec::with_capacity(each);
+        for (number, spec) in self.record.spec.steps.iter().enumerate() {
+            let begin = spec.after.iter().map(|before| ends[usize::from(*before)]).max();
+            let own = match self.steps[base + number].left {
+                0 => 0,
+                _ => spec.estimate.as_millis(),
+            };
+            ends.push(begin.unwrap_or(0) + own);
+        }
+        TimeSpan(ends.into_iter().max().unwrap_or(0))
+    }
+
+    /// Whether every task is done.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(|step| step.left == 0)
+    }
+
+    /// Whether no task is to be started any more.
+    pub fn is_over(&self) -> bool {
+        self.cancelled || self.state.is_final()
+    }
+
+    /// What is kept of the job's course now.
+    pub fn progress(&self) -> JobProgress {
+        let untouched = TaskProgress::default();
+        let kept = match self.tasks.iter().all(|task| task.kept == untouched) {
+            true => Vec::new(),
+            false => self.tasks.iter().map(|task| task.kept.clone()).collect(),
+        };
+        JobProgress {
+            state: self.state,
+            ordered: self.ordered != OrderedMark::Missing,
+            tasks: kept,
+        }
+    }
+
+    /// Runs that are placed, with their workers.
+    pub fn placed(&self) -> Vec<(CellTask, WorkerKey, RunNumber)> {
+        let mut placed = Vec::new();
+        for (number, step) in self.steps.iter().enumerate() {
+            for (index, task) in self.step_tasks(number).iter().enumerate() {
+                if let TaskPhase::Placed(worker, run) = task.phase {
+                    placed.push((CellTask { step: step.id, index: index as u16 }, worker, run));
+                }
+            }
+        }
+        placed
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -0,0 +1,188 @@
+//! One life of a worker as the lead knows it.
+
+use std::collections::{HashMap, VecDeque};
+
+use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
+
+use super::message::{WorkerEntry, WorkerTime};
+use super::timing::CellTiming;
+use crate::ids::{CellTask, RunNumber};
+
+/// How far an order to run is settled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunPhase {
+    /// The start was sent and not yet answered.
+    Ordered,
+    /// The worker said that it runs.
+    Confirmed,
+    /// It is to be stopped; set to when the last stop was sent.
+    Stopping(Moment),
+    /// A stop was answered; the end is about to be listed.
+    Stopped,
+}
+
+/// One run on a worker. It takes room until its end is listed.
+#[derive(Debug, Clone)]
+pub struct WorkerRun {
+    /// The run.
+    pub run: RunNumber,
+    /// The room it takes.
+    pub need: ResourceSet,
+    /// How far it is settled.
+    pub phase: RunPhase,
+    /// An account asked for later than this, which lists the run neither as running nor as ended,
+    /// proves that there is no such run.
+    pub listed_from: Option<Moment>,
+}
+
+/// One life of a worker.
+#[derive(Debug)]
+pub struct WorkerState {
+    /// What the store says of it.
+    pub entry: WorkerEntry,
+    /// Whether the store still lists it.
+    pub listed: bool,
+    /// It is known to have ended: nothing runs there.
+    pub dead: bool,
+    /// It answered an order of this lead, so it refuses every earlier lead.
+    pub fenced: bool,
+    /// What runs there, or may.
+    pub runs: HashMap<CellTask, WorkerRun>,
+    /// Room left.
+    pub free: ResourceSet,
+    /// A run whose need is unknown takes unknown room.
+    pub unknown_runs: usize,
+    /// When it last answered.
+    pub answered: Option<Moment>,
+    /// Calls in a row without an answer.
+    pub silent_calls: u32,
+    /// No new work before then.
+    pub avoid_until: Moment,
+    /// Ends `failed` of different jobs in a row.
+    pub failures_in_row: u32,
+    clock: Option<(WorkerTime, Moment)>,
+    lease_until: WorkerTime,
+    processed: u64,
+    unrecorded: VecDeque<(u64, u64)>,
+}
+
+impl WorkerState {
+    /// A worker that has not answered yet.
+    pub fn new(entry: WorkerEntry) -> WorkerState {
+        WorkerState {
+            free: entry.capacity,
+            entry,
+            listed: true,
+            dead: false,
+            fenced: false,
+            runs: HashMap::new(),
+            unknown_runs: 0,
+            answered: None,
+            silent_calls: 0,
+            avoid_until: Moment(0),
+            failures_in_row: 0,
+            clock: None,
+            lease_until: WorkerTime(0),
+            processed: 0,
+            unrecorded: VecDeque::new(),
+        }
+    }
+
+    /// The worker's clock at `now`, as far as its answers tell.
+    pub fn clock_at(&self, now: Moment) -> Option<WorkerTime> {
+        self.clock.map(|(clock, at)| clock.after(now.since(at)))
+    }
+
+    /// Takes in the clock of an answer that was received at `now`.
+    pub fn note_answer(&mut self, clock: Option<WorkerTime>, now: Moment, timing: &CellTiming) {
+        self.answered = Some(now);
+        self.silent_calls = 0;
+        let Some(clock) = clock else { return };
+        if !self.fenced {
+            // An earlier lead may have renewed the lease as far as workers allow.
+            self.lease_until = self.lease_until.max(clock.after(timing.lease_most));
+        }
+        self.fenced = true;
+        if self.clock_at(now).is_none_or(|estimate| clock >= estimate) {
+            self.clock = Some((clock, now));
+        }
+    }
+
+    /// Chooses the end of a lease that begins now and remembers it.
+    pub fn extend_lease(&mut self, now: Moment, lease: TimeSpan) -> Option<WorkerTime> {
+        let until = self.clock_at(now)?.after(lease);
+        self.lease_until = self.lease_until.max(until);
+        Some(until)
+    }
+
+    /// Whether every lease that was ever asked for has surely ended.
+    pub fn surely_lapsed(&self, now: Moment, timing: &CellTiming) -> bool {
+        let Some((clock, at)) = self.clock else { return false };
+        let elapsed = now.since(at).as_millis();
+        let least = clock.0 + elapsed - elapsed * timing.clock_drift_permille / 1000;
+        least > self.lease_until.0 + timing.lapse_margin.as_millis()
+    }
+
+    /// Whether new work may be sent there.
+    pub fn takes_work(&self, now: Moment, timing: &CellTiming) -> bool {
+        let fresh = self
+            .answered
+            .is_some_and(|answered| now.since(answered).as_millis() <= timing.fresh.as_millis());
+        self.listed
+            && !self.dead
+            && !self.entry.draining
+            && self.fenced
+            && fresh
+            && self.silent_calls == 0
+            && self.unknown_runs == 0
+            && now >= self.avoid_until
+    }
+
+    /// Takes room for a run.
+    pub fn add_run(&mut self, task: CellTask, run: WorkerRun) {
+        let previous = self.runs.insert(task, run);
+        debug_assert!(previous.is_none(), "a worker is told of one run of a task at a time");
+        self.count_room();
+    }
+
+    /// Gives back the room of a run.
+    pub fn remove_run(&mut self, task: &CellTask) -> Option<WorkerRun> {
+        let run = self.runs.remove(task);
+        self.count_room();
+        run
+    }
+
+    fn count_room(&mut self) {
+        let used =
+            self.runs.values().fold(ResourceSet::default(), |used, run| used.plus(&run.need));
+        self.free = self.entry.capacity.saturating_minus(&used);
+    }
+
+    /// Runs of one step that are there.
+    pub fn runs_of_step(&self, task: &CellTask) -> usize {
+        self.runs.keys().filter(|other| other.step == task.step).count()
+    }
+
+    /// Whether an end was not seen before; it is seen from then on.
+    pub fn is_new_end(&mut self, number: u64) -> bool {
+        let new = number > self.processed;
+        self.processed = self.processed.max(number);
+        new
+    }
+
+    /// Notes that an end may be forgotten once batch `batch` is recorded.
+    pub fn await_record(&mut self, number: u64, batch: u64) {
+        self.unrecorded.push_back((number, batch));
+    }
+
+    /// The number up to which ends may be forgotten when all batches up to `recorded` are.
+    pub fn acknowledged(&mut self, recorded: u64) -> u64 {
+        while self.unrecorded.front().is_some_and(|(_, batch)| *batch <= recorded) {
+            self.unrecorded.pop_front();
+        }
+        match self.unrecorded.front() {
+            Some((number, _)) => number - 1,
+            None => self.processed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -0,0 +1,83 @@
+//! Who leads, and until when.
+
+use sedgehill_cell::authority::{AuthorityTiming, LeadRecord, LeadWatch};
+use sedgehill_cell::ids::BoxName;
+use sedgehill_core::units::{Moment, TimeSpan};
+
+const START: Moment = Moment(50_000);
+
+fn watch(name: &str, life: u64) -> LeadWatch {
+    LeadWatch::new(BoxName::from(name), life, START)
+}
+
+fn at(span: u64) -> Moment {
+    START.after(TimeSpan(span))
+}
+
+#[test]
+fn authority_ends_a_term_after_the_last_renewal_was_sent() {
+    let timing = AuthorityTiming::default();
+    let mut own = watch("a", 1);
+    let claim = own.next_claim("127.0.0.1:1");
+    own.note_own(claim.clone(), START, &timing);
+    assert_eq!(own.authority(at(timing.term.0 - 1)), Some(claim.token));
+    assert_eq!(own.authority(at(timing.term.0)), None);
+    assert!(own.is_holder());
+}
+
+#[test]
+fn a_later_claim_ends_authority_at_once() {
+    let timing = AuthorityTiming::default();
+    let mut own = watch("a", 1);
+    let claim = own.next_claim("127.0.0.1:1");
+    own.note_own(claim, START, &timing);
+    let mut other = watch("b", 2);
+    other.note_record(own.newest().unwrap().clone(), START);
+    let later = other.next_claim("127.0.0.1:2");
+    own.note_record(later, at(10));
+    assert_eq!(own.authority(at(11)), None);
+    assert!(!own.is_holder());
+}
+
+#[test]
+fn an_older_record_that_arrives_late_changes_nothing() {
+    let mut box_watch = watch("a", 1);
+    let first = LeadRecord {
+        token: sedgehill_cell::ids::FencingToken(4),
+        holder: BoxName::from("b"),
+        life: 2,
+        peer_address: String::new(),
+        resigned: false,
+    };
+    let older = LeadRecord { token: sedgehill_cell::ids::FencingToken(3), ..first.clone() };
+    box_watch.note_record(first.clone(), START);
+    box_watch.note_record(older, at(5));
+    assert_eq!(box_watch.newest(), Some(&first));
+}
+
+#[test]
+fn a_silent_lead_is_followed_and_a_resigned_one_at_once() {
+    let timing = AuthorityTiming::default();
+    let lead = watch("a", 1).next_claim("127.0.0.1:1");
+    let mut follower = watch("b", 2);
+    follower.note_record(lead.clone(), START);
+    follower.note_reachable(true);
+    assert!(!follower.should_claim(at(timing.suspect.0), 0, &timing));
+    assert!(follower.should_claim(at(timing.silence.0), 0, &timing));
+    follower.note_reachable(false);
+    assert!(follower.should_claim(at(timing.suspect.0), 0, &timing));
+    assert!(!follower.should_claim(at(timing.suspect.0 - 1), 0, &timing));
+    follower.note_record(LeadRecord { resigned: true, ..lead }, at(1));
+    assert!(follower.should_claim(at(1), 0, &timing));
+}
+
+#[test]
+fn a_restarted_box_follows_its_own_earlier_life_at_once() {
+    let timing = AuthorityTiming::default();
+    let lead = watch("a", 1).next_claim("127.0.0.1:1");
+    let mut again = watch("a", 3);
+    again.note_record(lead.clone(), START);
+    assert!(!again.is_holder());
+    assert!(again.should_claim(START, 0, &timing));
+    assert!(again.next_claim("127.0.0.1:1").token > lead.token);
+}
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/scheduler.rs
@@ -0,0 +1,231 @@
+//! What the lead of a cell does.
+
+use sedgehill_cell::progress::JobState;
+use sedgehill_cell::scheduler::{CellOrder, RunEnd};
+
+use crate::fake::{FakeCell, job, step, task};
+
+#[test]
+fn a_job_runs_and_its_end_is_acknowledged_once_recorded() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(2, 1)]));
+    cell.turns(&mut lead, 3);
+    assert_eq!(cell.starts.len(), 2);
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Done);
+    cell.end_anywhere(task(1, 0, 1), RunEnd::Done);
+    cell.look(&mut lead);
+    // The end was seen but is not in the store yet, so the worker must go on listing it.
+    cell.look(&mut lead);
+    assert_eq!(cell.listed_ends(0) + cell.listed_ends(1), 2);
+    cell.turns(&mut lead, 2);
+    assert_eq!(cell.listed_ends(0) + cell.listed_ends(1), 0);
+    assert_eq!(cell.progress(1).state, JobState::Completed);
+    assert_eq!(lead.open_jobs(), 0);
+}
+
+#[test]
+fn an_end_listed_to_two_leads_counts_as_one_attempt() {
+    let mut cell = FakeCell::new(1, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Failed);
+    cell.look(&mut lead);
+    cell.record(&mut lead);
+    assert_eq!(cell.progress(1).tasks[0].failed_runs.len(), 1);
+    // The lead is lost before it acknowledges the end, so the worker lists it to the next one.
+    let mut next = cell.lead(false);
+    cell.look(&mut next);
+    cell.record(&mut next);
+    assert_eq!(cell.progress(1).tasks[0].failed_runs.len(), 1);
+    cell.turns(&mut next, 4);
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Failed);
+    cell.turns(&mut next, 2);
+    assert_eq!(cell.progress(1).tasks[0].failed_runs.len(), 2);
+    assert_ne!(cell.progress(1).state, JobState::Failed);
+}
+
+#[test]
+fn a_job_fails_after_as_many_failed_runs_as_its_queue_allows() {
+    let mut cell = FakeCell::new(3, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    for _ in 0..3 {
+        cell.turns(&mut lead, 5);
+        cell.end_anywhere(task(1, 0, 0), RunEnd::Failed);
+    }
+    cell.turns(&mut lead, 10);
+    assert_eq!(cell.progress(1).state, JobState::Failed);
+    assert_eq!(cell.starts.len(), 3);
+}
+
+#[test]
+fn a_step_waits_for_the_steps_before_it() {
+    let mut cell = FakeCell::new(1, 16);
+    let mut lead = cell.lead(false);
+    let mut second = step(1, 1);
+    second.after = vec![0];
+    cell.submit(&mut lead, 1, job(vec![step(1, 1), second]));
+    cell.turns(&mut lead, 10);
+    assert_eq!(cell.starts.len(), 1);
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Done);
+    cell.turns(&mut lead, 5);
+    assert!(cell.place(task(1, 1, 0)).is_some());
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    let mut gang = step(3, 2);
+    gang.gang = true;
+    cell.submit(&mut lead, 1, job(vec![step(3, 2)]));
+    cell.turns(&mut lead, 3);
+    cell.submit(&mut lead, 2, job(vec![gang]));
+    cell.turns(&mut lead, 10);
+    assert_eq!(cell.starts.len(), 3, "one place is free, and the gang needs three");
+    for index in 0..3 {
+        cell.end_anywhere(task(1, 0, index), RunEnd::Done);
+    }
+    cell.turns(&mut lead, 5);
+    let runs: Vec<_> = cell.starts[3..].iter().map(|(_, run, _)| *run).collect();
+    assert_eq!(runs.len(), 3);
+    assert!(runs.iter().all(|run| *run == runs[0]), "the members share a run");
+    cell.end_anywhere(task(2, 0, 1), RunEnd::Done);
+    cell.turns(&mut lead, 3);
+    assert_eq!(cell.progress(2).state, JobState::Completed, "one end stands for all");
+}
+
+#[test]
+fn a_start_without_an_answer_is_settled_before_the_task_runs_elsewhere() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 2);
+    for worker in &mut cell.workers {
+        worker.mute = true;
+    }
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.record(&mut lead);
+    cell.now.0 += 20;
+    lead.schedule(cell.now);
+    for order in lead.take_orders() {
+        cell.obey(&mut lead, &order);
+    }
+    assert_eq!(cell.starts.len(), 1, "it was carried out, and nobody heard");
+    for worker in &mut cell.workers {
+        worker.mute = false;
+    }
+    // The fake panics if the task ever runs in two places.
+    cell.turns(&mut lead, 200);
+    let stops = cell.starts.len();
+    assert!(stops >= 2, "it runs again once the first run was stopped");
+}
+
+#[test]
+fn tasks_of_a_silent_worker_wait_until_its_lease_has_ended() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    let number = cell.place(task(1, 0, 0)).unwrap();
+    cell.workers[number].cut = true;
+    // The lapse is applied when the worker is looked at, which a cut worker never is: the fake
+    // panics if the task starts elsewhere while it runs there, so time alone must pass first.
+    let begun = cell.now;
+    while cell.starts.len() == 1 {
+        cell.now.0 += 20;
+        for number in 0..2 {
+            if cell.now.0 - begun.0 > 4_000 {
+                cell.workers[number].expire_for_test();
+            }
+        }
+        cell.look(&mut lead);
+        cell.record(&mut lead);
+        lead.schedule(cell.now);
+        for order in lead.take_orders() {
+            cell.obey(&mut lead, &order);
+        }
+        assert!(cell.now.0 - begun.0 < 10_000, "the task never ran again");
+    }
+    assert!(cell.now.0 - begun.0 >= 4_000);
+}
+
+#[test]
+fn a_new_lead_starts_nothing_ordered_before_while_a_worker_is_silent() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    let number = cell.place(task(1, 0, 0)).unwrap();
+    cell.workers[number].cut = true;
+    let mut next = cell.lead(true);
+    let begun = cell.now;
+    while cell.now.0 - begun.0 < 2_000 {
+        cell.turn(&mut next);
+    }
+    assert_eq!(cell.starts.len(), 1);
+    cell.workers[number].cut = false;
+    cell.turns(&mut next, 5);
+    assert!(next.is_settled());
+    assert_eq!(cell.starts.len(), 1, "the run was found where it is");
+}
+
+#[test]
+fn a_leaving_worker_gets_no_new_work() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.workers[0].entry.draining = true;
+    let entries = cell.workers.iter().map(|worker| worker.entry.clone()).collect();
+    lead.update_workers(entries, cell.now);
+    cell.submit(&mut lead, 1, job(vec![step(20, 1)]));
+    cell.turns(&mut lead, 20);
+    assert_eq!(cell.starts.len(), 16);
+    assert!(cell.starts.iter().all(|(_, _, life)| *life == cell.workers[1].entry.life));
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_starts_nothing_more() {
+    let mut cell = FakeCell::new(1, 2);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(4, 1)]));
+    cell.turns(&mut lead, 5);
+    assert_eq!(cell.starts.len(), 2);
+    lead.cancel_job(sedgehill_cell::ids::JobId(1), cell.now);
+    let orders = cell.turn(&mut lead);
+    let stops = orders.iter().filter(|order| matches!(order, CellOrder::Stop(_))).count();
+    assert_eq!(stops, 2);
+    cell.turns(&mut lead, 10);
+    assert_eq!(cell.starts.len(), 2);
+    assert_eq!(cell.progress(1).state, JobState::Cancelled);
+}
+
+#[test]
+fn failed_runs_are_counted_in_whatever_order_a_new_lead_hears_of_them() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    // The lead sees both ends and is lost before either is recorded.
+    for _ in 0..2 {
+        cell.end_anywhere(task(1, 0, 0), RunEnd::Failed);
+        for _ in 0..10 {
+            cell.now.0 += 20;
+            cell.look(&mut lead);
+            lead.schedule(cell.now);
+            for order in lead.take_orders() {
+                cell.obey(&mut lead, &order);
+            }
+        }
+    }
+    assert_eq!(cell.starts.len(), 3);
+    let later = cell.starts[1].2 != cell.workers[0].entry.life;
+    let mut next = cell.lead(false);
+    // The account that holds the later end is heard first.
+    let order = if later { [1, 0] } else { [0, 1] };
+    for number in order {
+        cell.look_at(&mut next, number);
+    }
+    cell.record(&mut next);
+    assert_eq!(cell.progress(1).tasks[0].failed_runs.len(), 2);
+}
--- /dev/null
+++ b/crates/sedgehilld/src/cell/accept.rs
@@ -0,0 +1,143 @@
+//! Puts jobs and cancellations into the store, several at a time.
+//!
+//! A record stands under its job's id, so a copy that is appended twice, or late, changes nothing.
+//! Only what is sure is told: accepted after the store acknowledged, not done if no append that
+//! holds the record can have arrived, otherwise unknown.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
+use sedgehill_cell::ids::JobId;
+use sedgehill_cell::replica::CellRecord;
+use sedgehill_core::units::{Moment, TimeSpan};
+use slog::warn;
+use tokio::sync::{mpsc, oneshot};
+
+use super::state::CellBox;
+use crate::clock;
+
+/// Appends under way at once.
+const APPENDS_AT_ONCE: usize = 3;
+/// Records in one append.
+const BATCH_RECORDS: usize = 64;
+/// Submissions that wait for an append before further ones are refused.
+const QUEUE_LENGTH: usize = 512;
+/// How long one try of an append may take.
+const TRY_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long an append whose answer was lost is tried again.
+const SETTLE_LIMIT: TimeSpan = TimeSpan(6_000);
+/// Pause before the next try.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// What came of a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AcceptOutcome {
+    /// It is in the store.
+    Kept,
+    /// It is not in the store and will not be.
+    NotDone,
+    /// It may be in the store, now or later.
+    Unknown,
+}
+
+/// A record on its way into the store.
+pub struct Submission {
+    record: KeyedRecord,
+    reply: oneshot::Sender<AcceptOutcome>,
+}
+
+/// Hands records over to the appender.
+#[derive(Clone)]
+pub struct AcceptHandle {
+    queue: mpsc::Sender<Submission>,
+}
+
+impl AcceptHandle {
+    /// The handle and the queue that [`run`] works off.
+    pub fn new() -> (AcceptHandle, mpsc::Receiver<Submission>) {
+        let (queue, inbox) = mpsc::channel(QUEUE_LENGTH);
+        (AcceptHandle { queue }, inbox)
+    }
+
+    /// Puts a record into the store. Waits for at most `patience`.
+    pub async fn submit(
+        &self,
+        job: JobId,
+        record: &CellRecord,
+        patience: Duration,
+    ) -> AcceptOutcome {
+        let record = KeyedRecord { key: record.key(job), value: record.encode().into() };
+        let (reply, answer) = oneshot::channel();
+        if self.queue.try_send(Submission { record, reply }).is_err() {
+            return AcceptOutcome::NotDone;
+        }
+        match tokio::time::timeout(patience, answer).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => AcceptOutcome::Unknown,
+        }
+    }
+}
+
+/// Works off the queue.
+pub async fn run(host: Rc<CellBox>, mut inbox: mpsc::Receiver<Submission>) {
+    let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(APPENDS_AT_ONCE));
+    let mut batch = Vec::new();
+    loop {
+        if inbox.recv_many(&mut batch, BATCH_RECORDS).await == 0 {
+            return;
+        }
+        let Ok(slot) = slots.clone().acquire_owned().await else { return };
+        while batch.len() < BATCH_RECORDS {
+            let Ok(submission) = inbox.try_recv() else { break };
+            batch.push(submission);
+        }
+        let batch = std::mem::take(&mut batch);
+        let host = host.clone();
+        tokio::task::spawn_local(async move {
+            append_batch(&host, batch).await;
+            drop(slot);
+        });
+    }
+}
+
+async fn append_batch(host: &CellBox, mut batch: Vec<Submission>) {
+    // A caller that has gone is served by its next try.
+    batch.retain(|submission| !submission.reply.is_closed());
+    if batch.is_empty() {
+        return;
+    }
+    let records: Vec<KeyedRecord> =
+        batch.iter().map(|submission| submission.record.clone()).collect();
+    let outcome = settle_append(host, &records, clock::now()).await;
+    for submission in batch {
+        // A caller that does not wait any more asks again.
+        let _ = submission.reply.send(outcome);
+    }
+}
+
+async fn settle_append(host: &CellBox, records: &[KeyedRecord], begun: Moment) -> AcceptOutcome {
+    let mut doubtful = false;
+    loop {
+        let store = &host.clients.store;
+        match store.append(StoreTopic::Cell, records, &AppendCondition::None, TRY_LIMIT).await {
+            Ok(AppendOutcome::Kept { .. }) => return AcceptOutcome::Kept,
+            Ok(outcome) => {
+                // No condition was set, so none can have failed.
+                warn!(host.log, "append refused"; "outcome" => ?outcome);
+                doubtful = true;
+            }
+            Err(error) => {
+                warn!(host.log, "append failed"; "records" => records.len(), "error" => %error);
+                doubtful |= !error.is_surely_not_done();
+                if !doubtful {
+                    return AcceptOutcome::NotDone;
+                }
+            }
+        }
+        if clock::now().since(begun) > SETTLE_LIMIT {
+            return AcceptOutcome::Unknown;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -0,0 +1,208 @@
+//! Serves callers, who hand in jobs, ask for their state and cancel them.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sedgehill_adapter::caller::{
+    CallerAnswer, CallerRequest, decode_patience, decode_request, decode_submission, encode_answer,
+    encode_ready,
+};
+use sedgehill_adapter::config::QueueRoute;
+use sedgehill_cell::ids::JobId;
+use sedgehill_cell::job::JobRecord;
+use sedgehill_cell::replica::CellRecord;
+use slog::info;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::accept::{AcceptHandle, AcceptOutcome};
+use super::state::CellBox;
+use crate::clock;
+
+/// The most header bytes of a call. A connection's buffer begins small and grows up to it.
+const HEADER_BYTES: usize = 16 << 10;
+/// How long a caller may take to send a call.
+const RECEIVE_LIMIT: Duration = Duration::from_millis(5_000);
+/// How long a caller waits that names no time.
+const DEFAULT_PATIENCE: Duration = Duration::from_millis(3_000);
+/// Kept of a caller's time for the way back.
+const ANSWER_RESERVE: Duration = Duration::from_millis(400);
+/// When a refused caller should come again.
+const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// How long to wait after the machine could not take a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What serving a caller needs.
+struct CallerDesk {
+    host: Rc<CellBox>,
+    accept: AcceptHandle,
+}
+
+/// Serves callers until the box ends.
+pub async fn serve(host: Rc<CellBox>, accept: AcceptHandle, listener: TcpListener) {
+    let desk = Rc::new(CallerDesk { host, accept });
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(desk.clone(), stream));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_connection(desk: Rc<CallerDesk>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let host = desk.host.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let desk = desk.clone();
+        async move {
+            let answer = answer_call(&desk, request).await;
+            Ok::<Response<Full<Bytes>>, Infallible>(encode_answer(&answer))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(HEADER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    host.connections.set(host.connections.get() + 1);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = host.closing.notified() => {
+            connection.as_mut().graceful_shutdown();
+            // The caller ended the connection, or has the last answer.
+            let _ = connection.await;
+        }
+    }
+    host.connections.set(host.connections.get() - 1);
+}
+
+async fn answer_call(desk: &CallerDesk, request: Request<Incoming>) -> CallerAnswer {
+    let host = &desk.host;
+    let config = host.config();
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path();
+    let Some((route, call)) = decode_request(&config, &parts.method, path, &parts.headers) else {
+        return match host.config_view.is_fresh() && config.version > 0 {
+            true => CallerAnswer::NoQueue,
+            false => CallerAnswer::NotDone(RETRY_AFTER),
+        };
+    };
+    let patience = decode_patience(&parts.headers).unwrap_or(DEFAULT_PATIENCE);
+    let patience = patience.saturating_sub(ANSWER_RESERVE);
+    match call {
+        Err(answer) => answer,
+        Ok(CallerRequest::Waiting) => count_waiting(host, route),
+        Ok(CallerRequest::State(id)) => tell_state(host, id),
+        Ok(CallerRequest::Cancel(id)) => cancel_job(desk, id, patience).await,
+        Ok(CallerRequest::Submit(id)) => {
+            let answer = submit_job(desk, route, id, body, config.body_bytes, patience).await;
+            info!(host.log, "submission"; "job" => %id, "queue" => %route.queue,
+                "config" => config.version, "answer" => ?answer);
+            answer
+        }
+    }
+}
+
+fn count_waiting(host: &CellBox, route: &QueueRoute) -> CallerAnswer {
+    match host.cell_view.is_fresh() {
+        true => CallerAnswer::Waiting(host.replica.borrow().waiting(&route.queue)),
+        false => CallerAnswer::NotDone(RETRY_AFTER),
+    }
+}
+
+fn tell_state(host: &CellBox, id: JobId) -> CallerAnswer {
+    match host.replica.borrow().job(id) {
+        Some(job) => CallerAnswer::State(job.state()),
+        None if host.cell_view.is_fresh() => CallerAnswer::NoJob,
+        None => CallerAnswer::NotDone(RETRY_AFTER),
+    }
+}
+
+async fn cancel_job(desk: &CallerDesk, id: JobId, patience: Duration) -> CallerAnswer {
+    let host = &desk.host;
+    let known = host.replica.borrow().job(id).map(|job| job.cancelled);
+    let answer = match known {
+        Some(true) => CallerAnswer::Cancelled,
+        None if host.cell_view.is_fresh() => CallerAnswer::NoJob,
+        None => CallerAnswer::NotDone(RETRY_AFTER),
+        Some(false) => match desk.accept.submit(id, &CellRecord::Cancel, patience).await {
+            AcceptOutcome::Kept => CallerAnswer::Cancelled,
+            AcceptOutcome::NotDone => CallerAnswer::NotDone(RETRY_AFTER),
+            AcceptOutcome::Unknown => CallerAnswer::Unknown,
+        },
+    };
+    info!(host.log, "cancellation"; "job" => %id, "known" => known.is_some(),
+        "answer" => ?answer);
+    answer
+}
+
+async fn submit_job(
+    desk: &CallerDesk,
+    route: &QueueRoute,
+    id: JobId,
+    body: Incoming,
+    body_bytes: usize,
+    patience: Duration,
+) -> CallerAnswer {
+    let host = &desk.host;
+    let reading = Limited::new(body, body_bytes).collect();
+    let body = match tokio::time::timeout(RECEIVE_LIMIT, reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return CallerAnswer::TooLong,
+        Ok(Err(_)) | Err(_) => return CallerAnswer::Wrong("the body did not arrive".to_owned()),
+    };
+    let spec = match decode_submission(&body) {
+        Ok(spec) => spec,
+        Err(answer) => return answer,
+    };
+    if host.replica.borrow().job(id).is_some() {
+        return CallerAnswer::Accepted;
+    }
+    if !host.cell_view.is_fresh() {
+        // The store does not answer this box, and nothing was sent there.
+        return CallerAnswer::NotDone(RETRY_AFTER);
+    }
+    let record = JobRecord {
+        queue: route.queue.clone(),
+        policy: route.policy.clone(),
+        spec,
+        accepted_unix_ms: clock::unix_ms(),
+    };
+    match desk.accept.submit(id, &CellRecord::Job(record), patience).await {
+        AcceptOutcome::Kept => CallerAnswer::Accepted,
+        AcceptOutcome::NotDone => CallerAnswer::NotDone(RETRY_AFTER),
+        AcceptOutcome::Unknown => CallerAnswer::Unknown,
+    }
+}
+
+/// Answers the platform's question whether callers should come here.
+pub async fn serve_ready(host: Rc<CellBox>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let host = host.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = encode_ready(request.uri().path(), host.is_ready());
+            async move { Ok::<Response<Full<Bytes>>, Infallible>(answer) }
+        });
+        tokio::task::spawn_local(async move {
+            let connection = http1::Builder::new()
+                .max_buf_size(HEADER_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
+            // Who asks sees for itself that the connection ended.
+            let _ = connection.await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -0,0 +1,178 @@
+//! Follows the topics of the store: configuration, jobs, and who leads.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use sedgehill_adapter::config::decode_config;
+use sedgehill_adapter::error::CallError;
+use sedgehill_adapter::store::{KeyedRecord, ReadOutcome, StoreTopic};
+use sedgehill_cell::authority::LeadRecord;
+use sedgehill_cell::replica::{CellRecord, ReplicaChange};
+use sedgehill_core::units::TimeSpan;
+use slog::{info, warn};
+
+use super::state::{CellBox, TopicView};
+use crate::clock;
+
+/// How long a read waits for a record. An empty answer proves that nothing is missing.
+const READ_WAIT: Duration = Duration::from_millis(1_000);
+/// How long reading the newest records may take, a page.
+const NEWEST_LIMIT: Duration = Duration::from_millis(2_500);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// Pause between two reads of the cell's topic by a box that does not lead: each read is paid for,
+/// and a state may be shown this much later.
+const CELL_PAUSE: Duration = Duration::from_millis(50);
+/// The same for the lead, which waits for jobs to place.
+const CELL_PAUSE_LEAD: Duration = Duration::from_millis(14);
+
+/// Follows the configuration.
+pub async fn follow_config(host: Rc<CellBox>) {
+    let apply = |host: &CellBox, record: &KeyedRecord| apply_config(host, record);
+    follow(&host, StoreTopic::Operators, &host.config_view, apply, |_| Duration::ZERO).await;
+}
+
+/// Follows who leads.
+pub async fn follow_leads(host: Rc<CellBox>) {
+    let apply = |host: &CellBox, record: &KeyedRecord| apply_lead(host, record);
+    follow(&host, StoreTopic::Leads, &host.lead_view, apply, |_| Duration::ZERO).await;
+}
+
+/// Follows the jobs of the cell.
+pub async fn follow_cell(host: Rc<CellBox>) {
+    let apply = |host: &CellBox, record: &KeyedRecord| apply_cell(host, record);
+    let pause = |host: &CellBox| match host.session.borrow().is_some() {
+        true => CELL_PAUSE_LEAD,
+        false => CELL_PAUSE,
+    };
+    follow(&host, StoreTopic::Cell, &host.cell_view, apply, pause).await;
+}
+
+async fn follow(
+    host: &CellBox,
+    topic: StoreTopic,
+    view: &TopicView,
+    apply: impl Fn(&CellBox, &KeyedRecord),
+    pause: impl Fn(&CellBox) -> Duration,
+) {
+    let mut failing = false;
+    loop {
+        let result = match view.offset.get() {
+            None => read_newest(host, topic, view, &apply).await,
+            Some(offset) => read_on(host, topic, view, offset, &apply).await,
+        };
+        match result {
+            Ok(0) => {}
+            Ok(_) => tokio::time::sleep(pause(host)).await,
+            Err(error) => {
+                if !failing {
+                    warn!(host.log, "store lost"; "topic" => ?topic, "error" => %error);
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+                failing = true;
+                continue;
+            }
+        }
+        if failing {
+            info!(host.log, "store regained"; "topic" => ?topic);
+            failing = false;
+        }
+    }
+}
+
+async fn read_newest(
+    host: &CellBox,
+    topic: StoreTopic,
+    view: &TopicView,
+    apply: &impl Fn(&CellBox, &KeyedRecord),
+) -> Result<usize, CallError> {
+    let asked = clock::now();
+    let newest = host.clients.store.newest(topic, NEWEST_LIMIT).await?;
+    for record in &newest.records {
+        apply(host, record);
+    }
+    view.offset.set(Some(newest.end));
+    view.note_complete(asked);
+    info!(host.log, "topic read";
+        "topic" => ?topic, "records" => newest.records.len(), "end" => newest.end);
+    Ok(newest.records.len())
+}
+
+async fn read_on(
+    host: &CellBox,
+    topic: StoreTopic,
+    view: &TopicView,
+    offset: u64,
+    apply: &impl Fn(&CellBox, &KeyedRecord),
+) -> Result<usize, CallError> {
+    let asked = clock::now();
+    match host.clients.store.read(topic, offset, READ_WAIT).await? {
+        ReadOutcome::Gone => {
+            info!(host.log, "topic history gone"; "topic" => ?topic, "offset" => offset);
+            view.offset.set(None);
+            Ok(0)
+        }
+        ReadOutcome::Records(records) => {
+            for record in &records {
+                apply(host, record);
+            }
+            view.offset.set(Some(offset + records.len() as u64));
+            // An empty answer was sent when the wait was over; it may have been read much later.
+            let waited = if records.is_empty() { READ_WAIT } else { Duration::ZERO };
+            view.note_complete(asked.after(TimeSpan(waited.as_millis() as u64)).min(clock::now()));
+            Ok(records.len())
+        }
+    }
+}
+
+fn apply_config(host: &CellBox, record: &KeyedRecord) {
+    match decode_config(record) {
+        Ok(Some(config)) if config.version > host.config.borrow().version => {
+            info!(host.log, "configuration in force";
+                "version" => config.version, "routes" => config.routes.len());
+            *host.config.borrow_mut() = Rc::new(config);
+        }
+        Ok(_) => {}
+        Err(error) => warn!(host.log, "configuration not readable"; "error" => %error),
+    }
+}
+
+fn apply_lead(host: &CellBox, record: &KeyedRecord) {
+    match LeadRecord::decode(&record.value) {
+        Ok(lead) => {
+            let changed = {
+                let watch = host.watch.borrow();
+                watch.newest().is_none_or(|newest| {
+                    newest.token != lead.token || newest.resigned != lead.resigned
+                })
+            };
+            if changed {
+                info!(host.log, "lead"; "token" => %lead.token, "holder" => %lead.holder,
+                    "resigned" => lead.resigned);
+            }
+            host.watch.borrow_mut().note_record(lead, clock::now());
+        }
+        Err(error) => warn!(host.log, "lead record not readable"; "error" => %error),
+    }
+}
+
+fn apply_cell(host: &CellBox, record: &KeyedRecord) {
+    if record.value.is_empty() {
+        return;
+    }
+    let (id, statement) = match CellRecord::decode(&record.key, &record.value) {
+        Ok(decoded) => decoded,
+        Err(error) => {
+            warn!(host.log, "cell record not readable"; "key" => &record.key, "error" => %error);
+            return;
+        }
+    };
+    let change = host.replica.borrow_mut().apply(id, statement);
+    let session = host.session.borrow().clone();
+    let Some(session) = session else { return };
+    match change {
+        ReplicaChange::Accepted(id) => session.add_job(host, id),
+        ReplicaChange::Cancelled(id) => session.cancel_job(id),
+        ReplicaChange::Other => {}
+    }
+}
--- /dev/null
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -0,0 +1,245 @@
+//! Claims the lead, renews it, and does the lead's work while the claim lasts.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
+use sedgehill_cell::authority::LeadRecord;
+use sedgehill_cell::ids::{FencingToken, JobId};
+use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
+use sedgehill_core::units::{Moment, TimeSpan};
+use slog::{info, warn};
+use tokio::sync::{Notify, mpsc};
+
+use super::peers::HelperQuestion;
+use super::state::CellBox;
+use super::{events, orders, recorder, roster};
+use crate::clock;
+
+/// Time between two looks at who leads.
+const WATCH_TURN: Duration = Duration::from_millis(40);
+/// How long a claim or a renewal may take.
+const CLAIM_LIMIT: Duration = Duration::from_millis(900);
+/// The least time between two turns of the scheduler: changes of a few milliseconds are taken
+/// together.
+const TURN_PAUSE: Duration = Duration::from_millis(4);
+/// The most time between two turns of the scheduler.
+const TURN_MOST: Duration = Duration::from_millis(40);
+/// The key under which claims stand.
+const LEAD_KEY: &str = "lead";
+/// A store that has not answered for so long is taken as not answering. Several times the answer of
+/// a sound store, several times less than the term of a lead.
+const STORE_SILENT: TimeSpan = TimeSpan(900);
+
+/// What a box does while it leads.
+pub struct LeadSession {
+    /// The token of this lead.
+    pub token: FencingToken,
+    /// The state of the cell.
+    pub scheduler: RefCell<Scheduler>,
+    /// Rung when the scheduler should take a turn.
+    pub wake: Notify,
+    /// Set when the lead is over.
+    pub ended: Cell<bool>,
+    /// The boxes that ask the advice service, with the queue of each one's questions.
+    pub helpers: RefCell<HashMap<HelperId, mpsc::UnboundedSender<HelperQuestion>>>,
+    /// When the store last acknowledged a renewal.
+    pub renewed: Cell<Moment>,
+}
+
+impl LeadSession {
+    /// Whether orders may be given now.
+    pub fn may_order(&self, host: &CellBox) -> bool {
+        let token = host.watch.borrow().authority(clock::now());
+        !self.ended.get() && token == Some(self.token)
+    }
+
+    /// Whether the store has acknowledged a renewal lately.
+    pub fn store_answers(&self) -> bool {
+        clock::now().since(self.renewed.get()) < STORE_SILENT
+    }
+
+    /// Takes in a job that was accepted.
+    pub fn add_job(&self, host: &CellBox, id: JobId) {
+        let replica = host.replica.borrow();
+        let Some(job) = replica.job(id) else { return };
+        let Some(record) = job.record.clone() else { return };
+        let age = TimeSpan(clock::unix_ms().saturating_sub(record.accepted_unix_ms));
+        let now = clock::now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.add_job(id, record, &job.progress, age, now);
+        if job.cancelled {
+            scheduler.cancel_job(id, now);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Takes in a cancellation.
+    pub fn cancel_job(&self, id: JobId) {
+        self.scheduler.borrow_mut().cancel_job(id, clock::now());
+        self.wake.notify_one();
+    }
+}
+
+/// Claims the lead when nobody holds it, and holds it.
+pub async fn run(host: Rc<CellBox>) {
+    let rank = claim_rank(&host);
+    loop {
+        tokio::time::sleep(WATCH_TURN).await;
+        if host.stopping.get() || !host.lead_view.is_fresh() || !host.cell_view.is_fresh() {
+            continue;
+        }
+        let now = clock::now();
+        let holder = host.watch.borrow().is_holder();
+        if holder || host.watch.borrow().should_claim(now, rank, &host.settings.authority) {
+            let predecessor = has_living_predecessor(&host);
+            if claim(&host).await {
+                lead(&host, predecessor).await;
+            }
+        }
+    }
+}
+
+/// Spreads the claims of several boxes over some moments.
+fn claim_rank(host: &CellBox) -> u64 {
+    const RANKS: u64 = 8;
+    host.life % RANKS
+}
+
+/// Whether an earlier lead may still give orders.
+fn has_living_predecessor(host: &CellBox) -> bool {
+    let watch = host.watch.borrow();
+    watch.newest().is_some_and(|newest| !newest.resigned && newest.holder != host.settings.name)
+}
+
+async fn claim(host: &CellBox) -> bool {
+    let Some(end) = host.lead_view.offset.get() else { return false };
+    let peers = host.settings.listen.peers.to_string();
+    let record = host.watch.borrow().next_claim(&peers);
+    append_lead(host, record, end).await
+}
+
+/// Appends a lead record if the topic still ends at `end`. Returns whether it stands.
+async fn append_lead(host: &CellBox, record: LeadRecord, end: u64) -> bool {
+    let sent = clock::now();
+    let records = [KeyedRecord { key: LEAD_KEY.to_owned(), value: record.encode().into() }];
+    let condition = AppendCondition::At(end);
+    let store = &host.clients.store;
+    match store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT).await {
+        Ok(AppendOutcome::Kept { .. }) => {
+            let timing = &host.settings.authority;
+            host.watch.borrow_mut().note_own(record, sent, timing);
+            true
+        }
+        Ok(outcome) => {
+            info!(host.log, "lead record not kept";
+                "token" => %record.token, "outcome" => ?outcome);
+            false
+        }
+        Err(error) => {
+            warn!(host.log, "lead record unsettled";
+                "token" => %record.token, "error" => %error);
+            false
+        }
+    }
+}
+
+/// Does the lead's work until the lead is over.
+async fn lead(host: &Rc<CellBox>, predecessor: bool) {
+    let Some(token) = host.watch.borrow().newest().map(|record| record.token) else { return };
+    info!(host.log, "leading"; "token" => %token, "predecessor" => predecessor);
+    let began = clock::now();
+    let Some(mut recorder) = recorder::fence(host, token).await else {
+        host.watch.borrow_mut().step_down();
+        return;
+    };
+    let scheduler = Scheduler::take_over(host.settings.cell.clone(), predecessor, began);
+    let session = Rc::new(LeadSession {
+        token,
+        scheduler: RefCell::new(scheduler),
+        wake: Notify::new(),
+        ended: Cell::new(false),
+        helpers: RefCell::default(),
+        renewed: Cell::new(clock::now()),
+    });
+    session.scheduler.borrow_mut().add_helper(OWN_BOX);
+    let known: Vec<JobId> = host.replica.borrow().jobs().map(|(id, _)| id).collect();
+    for id in known {
+        session.add_job(host, id);
+    }
+    *host.session.borrow_mut() = Some(session.clone());
+    tokio::select! {
+        () = renew(host, &session) => {}
+        () = recorder.run(host, &session) => {}
+        () = roster::follow(host, &session) => {}
+        () = take_turns(host, &session) => {}
+    }
+    session.ended.set(true);
+    *host.session.borrow_mut() = None;
+    if host.stopping.get() {
+        resign(host, token).await;
+    }
+    host.watch.borrow_mut().step_down();
+    info!(host.log, "not leading any more"; "token" => %token,
+        "open_jobs" => session.scheduler.borrow().open_jobs());
+}
+
+/// Renews the claim until it is lost or the box stops.
+async fn renew(host: &CellBox, session: &LeadSession) {
+    let every = Duration::from_millis(host.settings.authority.renew.as_millis());
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(every) => {}
+            () = wait_for_stop(host) => return,
+        }
+        if !host.watch.borrow().is_holder() || session.scheduler.borrow().is_fenced_out() {
+            return;
+        }
+        let newest = host.watch.borrow().newest().cloned();
+        let (Some(record), Some(end)) = (newest, host.lead_view.offset.get()) else { return };
+        if record.token == session.token && append_lead(host, record, end).await {
+            session.renewed.set(clock::now());
+        }
+    }
+}
+
+async fn wait_for_stop(host: &CellBox) {
+    while !host.stopping.get() {
+        host.stop.notified().await;
+    }
+}
+
+/// Tells the other boxes that this one gives no further orders.
+async fn resign(host: &CellBox, token: FencingToken) {
+    const TRIES: usize = 5;
+    for _ in 0..TRIES {
+        let newest = host.watch.borrow().newest().cloned();
+        let Some(end) = host.lead_view.offset.get() else { return };
+        let Some(record) = newest.filter(|newest| newest.token == token) else { return };
+        if append_lead(host, LeadRecord { resigned: true, ..record }, end).await {
+            return;
+        }
+        tokio::time::sleep(WATCH_TURN).await;
+    }
+}
+
+/// Lets the scheduler decide, and carries out its orders.
+async fn take_turns(host: &Rc<CellBox>, session: &Rc<LeadSession>) {
+    loop {
+        let _ = tokio::time::timeout(TURN_MOST, session.wake.notified()).await;
+        if session.may_order(host) {
+            session.scheduler.borrow_mut().schedule(clock::now());
+            let orders = session.scheduler.borrow_mut().take_orders();
+            for order in orders {
+                orders::carry_out(host, session, order);
+            }
+        }
+        let events = session.scheduler.borrow_mut().take_events();
+        for event in &events {
+            events::log(&host.log, event);
+        }
+        tokio::time::sleep(TURN_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -0,0 +1,66 @@
+//! Cell mode: jobs are accepted, placed on workers and followed on the users' platform.
+//!
+//! Every box does the same. It takes callers, keeps what must last in the platform's store, follows
+//! what the store holds, and leads the cell while it holds the claim. No box is set aside and none
+//! keeps anything on disk. All tasks run on one thread, since a box has a fraction of one core.
+
+mod accept;
+mod callers;
+mod events;
+mod lead;
+mod orders;
+mod peers;
+mod recorder;
+mod roster;
+mod settings;
+mod state;
+mod stop;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use slog::info;
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+
+pub use self::settings::CellSettings;
+use self::state::CellBox;
+use crate::{DaemonError, logging};
+
+mod follow;
+
+/// Runs a box until it is asked to stop.
+pub fn run(settings: CellSettings) -> Result<(), DaemonError> {
+    let log = logging::build_stdout_logger(&settings.name.to_string());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(DaemonError::Runtime)?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, log))
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address).await.map_err(|error| DaemonError::Listen(address, error))
+}
+
+async fn serve(settings: CellSettings, log: logging::LogSink) -> Result<(), DaemonError> {
+    let listen = settings.listen.clone();
+    let callers = bind(listen.callers).await?;
+    let ready = bind(listen.ready).await?;
+    let peers = bind(listen.peers).await?;
+    let host = Rc::new(CellBox::new(settings, log.logger.clone()));
+    info!(host.log, "started"; "version" => env!("CARGO_PKG_VERSION"), "life" => host.life);
+    let (accept, submissions) = accept::AcceptHandle::new();
+    spawn_local(follow::follow_config(host.clone()));
+    spawn_local(follow::follow_leads(host.clone()));
+    spawn_local(follow::follow_cell(host.clone()));
+    spawn_local(accept::run(host.clone(), submissions));
+    spawn_local(callers::serve(host.clone(), accept, callers));
+    spawn_local(callers::serve_ready(host.clone(), ready));
+    spawn_local(peers::listen(host.clone(), peers));
+    spawn_local(peers::help(host.clone()));
+    spawn_local(lead::run(host.clone()));
+    stop::wait(&host).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -0,0 +1,140 @@
+//! The settings of a box in cell mode, from JSON to checked types.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use sedgehill_cell::authority::AuthorityTiming;
+use sedgehill_cell::ids::BoxName;
+use sedgehill_cell::scheduler::CellTiming;
+use sedgehill_core::fields::{FieldReader, ManifestError, ManifestErrors};
+use sedgehill_core::units::TimeSpan;
+use serde_json::{Map, Value};
+
+use crate::settings::{SettingsError, optional_group, read_object, required_group};
+
+/// Where a box listens in cell mode.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CellListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the platform's question whether the box takes callers.
+    pub ready: SocketAddr,
+    /// For other boxes.
+    pub peers: SocketAddr,
+    /// For whoever reads metrics.
+    pub metrics: SocketAddr,
+}
+
+/// How a box stops in cell mode.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StopTiming {
+    /// How long callers may still come after the box said that it is not ready.
+    pub linger: Duration,
+    /// When the box ends at the latest, from the signal on.
+    pub limit: Duration,
+}
+
+/// The settings of a box in cell mode.
+#[derive(Debug, Clone)]
+pub struct CellSettings {
+    /// Its name.
+    pub name: BoxName,
+    /// Where it listens.
+    pub listen: CellListen,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The service that tells which workers may run a step, if there is one.
+    pub advice: Option<SocketAddr>,
+    /// Times of the scheduler.
+    pub cell: CellTiming,
+    /// Times of claims and renewals.
+    pub authority: AuthorityTiming,
+    /// How the box stops.
+    pub stop: StopTiming,
+}
+
+/// Time kept between the last answer and the moment at which the platform ends the process.
+const STOP_RESERVE: TimeSpan = TimeSpan(600);
+/// How long the platform's entry may still send callers: two questions a second apart, and a third
+/// of a second for the connections under way.
+const ENTRY_LAG: TimeSpan = TimeSpan(2_300);
+
+impl CellSettings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<CellSettings, SettingsError> {
+        let fields = read_object(path)?;
+        CellSettings::parse(&fields).map_err(|errors| SettingsError::Check(path.to_owned(), errors))
+    }
+
+    /// Checks settings.
+    pub fn parse(fields: &Map<String, Value>) -> Result<CellSettings, ManifestErrors> {
+        let mut errors = Vec::new();
+        let mut reader = FieldReader::new("", fields, &mut errors);
+        let settings = read_settings(&mut reader);
+        reader.finish();
+        match settings {
+            Some(settings) if errors.is_empty() && check_times(&settings, &mut errors) => {
+                Ok(settings)
+            }
+            _ => Err(ManifestErrors(errors)),
+        }
+    }
+}
+
+fn read_settings(reader: &mut FieldReader<'_>) -> Option<CellSettings> {
+    let name: Option<String> = reader.text("box");
+    let listen = required_group(reader, "listen", |group| {
+        let callers = group.text("callers");
+        let ready = group.text("ready");
+        let peers = group.text("peers");
+        let metrics = group.text("metrics");
+        let listen =
+            CellListen { callers: callers?, ready: ready?, peers: peers?, metrics: metrics? };
+        Some(listen)
+    });
+    let store = reader.text("store");
+    let advice = reader.optional_text("advice");
+    let cell = optional_group(reader, "cell", read_cell);
+    let grace = reader.text_or("stop_grace", TimeSpan(6_000));
+    let name = name?;
+    let limit = TimeSpan(grace?.0.saturating_sub(STOP_RESERVE.0));
+    let linger = ENTRY_LAG.min(limit);
+    Some(CellSettings {
+        name: BoxName::from(name.as_str()),
+        listen: listen?,
+        store: store?,
+        advice,
+        cell: cell?,
+        authority: AuthorityTiming::default(),
+        stop: StopTiming {
+            linger: Duration::from_millis(linger.0),
+            limit: Duration::from_millis(limit.0),
+        },
+    })
+}
+
+fn read_cell(group: &mut FieldReader<'_>) -> Option<CellTiming> {
+    let default = CellTiming::default();
+    let lease_most = group.text_or("lease_most", default.lease_most);
+    let lease = group.text_or("lease", default.lease);
+    let stop = group.text_or("stop", default.stop);
+    let authority_term = AuthorityTiming::default().term;
+    let lease_most = lease_most?;
+    let lease = lease?.min(lease_most);
+    Some(CellTiming { lease_most, lease, stop: stop?, authority_term, ..default })
+}
+
+/// Times that only make sense together.
+fn check_times(settings: &CellSettings, errors: &mut Vec<ManifestError>) -> bool {
+    let cell = &settings.cell;
+    let least = TimeSpan(cell.hold_wait.0 * 2);
+    if cell.lease < least {
+        errors.push(ManifestError {
+            path: "cell.lease".to_owned(),
+            message: format!("expected at least {least}, found {}", cell.lease),
+        });
+        return false;
+    }
+    true
+}
--- /dev/null
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -0,0 +1,134 @@
+//! What the tasks of a box in cell mode share. They run on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use sedgehill_adapter::advice::AdviceClient;
+use sedgehill_adapter::config::CellConfig;
+use sedgehill_adapter::http_client::HttpClient;
+use sedgehill_adapter::store::StoreClient;
+use sedgehill_adapter::worker::WorkerClient;
+use sedgehill_cell::authority::LeadWatch;
+use sedgehill_cell::replica::CellReplica;
+use sedgehill_core::units::{Moment, TimeSpan};
+use slog::Logger;
+use tokio::sync::Notify;
+
+use super::lead::LeadSession;
+use super::settings::CellSettings;
+use crate::clock;
+
+/// A view of the store that was last proved complete longer ago is not taken as fresh. Reads wait
+/// one second at the most, so a box in touch proves it more often.
+const FRESH: TimeSpan = TimeSpan(1_800);
+
+/// A following of one topic: how far it was read, and when that was last complete.
+#[derive(Debug, Default)]
+pub struct TopicView {
+    /// The offset to read next; none before the first reading.
+    pub offset: Cell<Option<u64>>,
+    fresh: Cell<Option<Moment>>,
+}
+
+impl TopicView {
+    /// Notes that all records up to a moment not before `asked` were read.
+    pub fn note_complete(&self, asked: Moment) {
+        self.fresh.set(Some(asked));
+    }
+
+    /// Whether the view is complete but for the last moments.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh.get().is_some_and(|fresh| clock::now().since(fresh) <= FRESH)
+    }
+}
+
+/// Calls to the platform.
+pub struct PlatformClients {
+    /// To the store.
+    pub store: StoreClient,
+    /// To workers.
+    pub workers: WorkerClient,
+    /// To the advice service, if there is one.
+    pub advice: Option<AdviceClient>,
+    /// The connections of all of them.
+    pub http: HttpClient,
+}
+
+/// What the tasks of a box share.
+pub struct CellBox {
+    /// The settings.
+    pub settings: CellSettings,
+    /// Where to log.
+    pub log: Logger,
+    /// Calls to the platform.
+    pub clients: PlatformClients,
+    /// The configuration in force.
+    pub config: RefCell<Rc<CellConfig>>,
+    /// How current the configuration is.
+    pub config_view: TopicView,
+    /// The jobs.
+    pub replica: RefCell<CellReplica>,
+    /// How current the jobs are.
+    pub cell_view: TopicView,
+    /// Who leads.
+    pub watch: RefCell<LeadWatch>,
+    /// How current the knowledge of who leads is.
+    pub lead_view: TopicView,
+    /// What this box does as the lead.
+    pub session: RefCell<Option<Rc<LeadSession>>>,
+    /// Whether the box is stopping.
+    pub stopping: Cell<bool>,
+    /// Rung when the box begins to stop.
+    pub stop: Notify,
+    /// Rung when connections of callers are to end after the call under way.
+    pub closing: Notify,
+    /// Open connections of callers.
+    pub connections: Cell<usize>,
+    /// Distinguishes this process from earlier ones of the box.
+    pub life: u64,
+}
+
+impl CellBox {
+    /// Shares the state of a box that knows nothing yet.
+    pub fn new(settings: CellSettings, log: Logger) -> CellBox {
+        let life = rand::random();
+        let http = HttpClient::default();
+        let clients = PlatformClients {
+            store: StoreClient::new(http.clone(), settings.store),
+            workers: WorkerClient::new(http.clone()),
+            advice: settings.advice.map(|address| AdviceClient::new(http.clone(), address)),
+            http,
+        };
+        let watch = LeadWatch::new(settings.name.clone(), life, clock::now());
+        CellBox {
+            settings,
+            log,
+            clients,
+            config: RefCell::default(),
+            config_view: TopicView::default(),
+            replica: RefCell::default(),
+            cell_view: TopicView::default(),
+            watch: RefCell::new(watch),
+            lead_view: TopicView::default(),
+            session: RefCell::default(),
+            stopping: Cell::new(false),
+            stop: Notify::new(),
+            closing: Notify::new(),
+            connections: Cell::new(0),
+            life,
+        }
+    }
+
+    /// Whether callers should come here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get()
+            && self.config_view.is_fresh()
+            && self.cell_view.is_fresh()
+            && self.config.borrow().version > 0
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Rc<CellConfig> {
+        self.config.borrow().clone()
+    }
+}
--- a/crates/sedgehilld/src/logging.rs
+++ b/crates/sedgehilld/src/logging.rs
@@ -1,4 +1,4 @@
-//! Log lines as JSON on standard error, never holding up whoever logs.
+//! Log lines as JSON, never holding up whoever logs.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -46,10 +46,19 @@
     }
 }
 
-/// Builds the logger of a box.
+/// Builds the logger of a box, which writes to standard error.
 pub fn build_logger(settings: &BoxSettings) -> LogSink {
-    // Standard error is not buffered, and a line is written in many small pieces.
-    let sink = std::io::LineWriter::with_capacity(LINE_BYTES, std::io::stderr());
+    build_sink(&settings.id.to_string(), std::io::stderr())
+}
+
+/// Builds the logger of a box in cell mode, which writes to standard output.
+pub fn build_stdout_logger(name: &str) -> LogSink {
+    build_sink(name, std::io::stdout())
+}
+
+fn build_sink(name: &str, sink: impl std::io::Write + Send + 'static) -> LogSink {
+    // A line is written in many small pieces.
+    let sink = std::io::LineWriter::with_capacity(LINE_BYTES, sink);
     // The library's own time stamp looks up the time zone for each line.
     let lines = slog_json::Json::new(sink)
         .add_key_value(o!(
@@ -62,6 +71,6 @@
     let core = slog_async::AsyncCore::custom(lines).chan_size(LINE_QUEUE).blocking(false).build();
     let dropped = Arc::new(AtomicU64::new(0));
     let drain = CountingDrain { core, dropped: dropped.clone() };
-    let logger = Logger::root(drain, o!("box" => settings.id.to_string()));
+    let logger = Logger::root(drain, o!("box" => name.to_owned()));
     LogSink { logger, dropped }
 }
--- a/crates/sedgehilld/src/main.rs
+++ b/crates/sedgehilld/src/main.rs
@@ -4,6 +4,7 @@
 //! other threads run the [`filters`], through which each request passes, and read those views.
 
 mod admin;
+mod cell;
 mod clock;
 mod controllers;
 mod filters;
@@ -32,6 +33,10 @@
 sedgehilld: the entry box daemon of the sedgehill cluster scheduler
 
 usage: sedgehilld --settings FILE [--check]
+       sedgehilld cell --settings FILE [--check]
+
+With `cell` the box accepts jobs and places them on the workers of the platform; without, it routes
+requests and places tasks by the project's own interfaces.
 
 options:
     --settings FILE    the settings of this box, in JSON
@@ -84,6 +89,7 @@
 }
 
 struct DaemonArgs {
+    cell: bool,
     settings: PathBuf,
     check: bool,
 }
@@ -119,11 +125,16 @@
         println!("sedgehilld {}", env!("CARGO_PKG_VERSION"));
         return Ok(None);
     }
+    let cell = match args.subcommand().map_err(|error| error.to_string())?.as_deref() {
+        None => false,
+        Some("cell") => true,
+        Some(other) => return Err(format!("no such mode: `{other}`")),
+    };
     let settings = args.value_from_str("--settings").map_err(|error| error.to_string())?;
     let check = args.contains("--check");
     match args.finish().first() {
         Some(extra) => Err(format!("unexpected argument `{}`", extra.to_string_lossy())),
-        None => Ok(Some(DaemonArgs { settings, check })),
+        None => Ok(Some(DaemonArgs { cell, settings, check })),
     }
 }
 
@@ -137,6 +148,23 @@
 }
 
 fn run(args: &DaemonArgs) -> Result<(), DaemonError> {
+    match args.cell {
+        true => run_cell(args),
+        false => run_box(args),
+    }
+}
+
+fn run_cell(args: &DaemonArgs) -> Result<(), DaemonError> {
+    let settings = cell::CellSettings::load(&args.settings)?;
+    if args.check {
+        eprintln!("checked {}", args.settings.display());
+        return Ok(());
+    }
+    stop_on_broken_invariant();
+    cell::run(settings)
+}
+
+fn run_box(args: &DaemonArgs) -> Result<(), DaemonError> {
     let settings = BoxSettings::load(&args.settings)?;
     let identity =
         PeerIdentity::load(&settings.tls.certificate, &settings.tls.key, &settings.tls.authority)?;
--- a/crates/sedgehilld/src/settings.rs
+++ b/crates/sedgehilld/src/settings.rs
@@ -134,17 +134,20 @@
 impl BoxSettings {
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<BoxSettings, SettingsError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| SettingsError::Read(path.to_owned(), error))?;
-        let raw: RawSettings = serde_json::from_str(&text)
-            .map_err(|error| SettingsError::Parse(path.to_owned(), error))?;
+        let raw = RawSettings(read_object(path)?);
         raw.try_into().map_err(|errors| SettingsError::Check(path.to_owned(), errors))
     }
 }
 
+/// Reads a file that holds one JSON object.
+pub(crate) fn read_object(path: &Path) -> Result<Map<String, Value>, SettingsError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| SettingsError::Read(path.to_owned(), error))?;
+    serde_json::from_str(&text).map_err(|error| SettingsError::Parse(path.to_owned(), error))
+}
+
 /// Settings as written, nothing checked.
-#[derive(Debug, serde::Deserialize)]
-#[serde(transparent)]
+#[derive(Debug)]
 pub struct RawSettings(Map<String, Value>);
 
 impl TryFrom<RawSettings> for BoxSettings {
@@ -208,7 +211,7 @@
     })
 }
 
-fn required_group<T>(
+pub(crate) fn required_group<T>(
     reader: &mut FieldReader<'_>,
     key: &'static str,
     read: impl FnOnce(&mut FieldReader<'_>) -> Option<T>,
@@ -218,7 +221,7 @@
 }
 
 /// A group that may be absent; each key in it has a default.
-fn optional_group<T>(
+pub(crate) fn optional_group<T>(
     reader: &mut FieldReader<'_>,
     key: &'static str,
     read: impl FnOnce(&mut FieldReader<'_>) -> Option<T>,
