--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -70,7 +70,6 @@
         let life = worker.entry.life.clone();
         let runs: Vec<(CellTask, RunNumber)> =
             worker.runs.iter().map(|(task, run)| (*task, run.run)).collect();
-        worker.unknown_runs = 0;
         for (task, run) in runs {
             self.lose_run(key, task, run, &life, reason, now);
         }
@@ -171,16 +170,14 @@
                 self.workers[key.0].await_record(end.number, batch);
             }
         }
-        let mut unknown = 0;
         for row in &report.running {
-            unknown += usize::from(!self.take_running(key, row, now));
+            self.take_running(key, row, now);
         }
-        self.workers[key.0].unknown_runs = unknown;
         self.drop_unlisted(key, &report, sent, now);
     }
 
-    /// Takes in a row of a run. Returns false if its need is not known.
-    fn take_running(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) -> bool {
+    /// Takes in a row of a run.
+    fn take_running(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) {
         let job = row.task.step.job;
         if let Some(entry) = self.workers[key.0].runs.get_mut(&row.task) {
             if entry.run == row.run {
@@ -191,7 +188,7 @@
                 self.note_checkpoint(&row.task, row.run, &row.checkpoint);
                 self.note_begun(job, now);
             }
-            return true;
+            return;
         }
         let Some(work) = self.jobs.get_mut(&job) else {
             return self.adopt_foreign(key, row, now);
@@ -208,7 +205,7 @@
         if wanted {
             task.phase = TaskPhase::Placed(key, row.run);
         }
-        self.adopt(key, row, need, now);
+        self.adopt(key, row, Some(need), now);
         match wanted {
             true => {
                 self.note_checkpoint(&row.task, row.run, &row.checkpoint);
@@ -216,10 +213,9 @@
             }
             false => self.stop_run(key, row.task, row.run, "not wanted", now),
         }
-        true
     }
 
-    fn adopt(&mut self, key: WorkerKey, row: &RunningRow, need: ResourceSet, now: Moment) {
+    fn adopt(&mut self, key: WorkerKey, row: &RunningRow, need: Option<ResourceSet>, now: Moment) {
         let run =
             WorkerRun { run: row.run, need, phase: RunPhase::Confirmed, listed_from: Some(now) };
         self.workers[key.0].add_run(row.task, run);
@@ -227,10 +223,9 @@
 
     /// A run of a job that is over and forgotten: it is stopped, and until it is gone the worker
     /// takes no work, since its need is not known.
-    fn adopt_foreign(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) -> bool {
-        self.adopt(key, row, ResourceSet::default(), now);
+    fn adopt_foreign(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) {
+        self.adopt(key, row, None, now);
         self.stop_run(key, row.task, row.run, "unknown job", now);
-        false
     }
 
     fn note_checkpoint(&mut self, task: &CellTask, run: RunNumber, checkpoint: &str) {
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -224,7 +224,8 @@
         assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
         let life = worker.entry.life.clone();
         let ticket = job.steps[step].advice.ticket(&life, now, TimeSpan(0));
-        let entry = WorkerRun { run, need, phase: RunPhase::Ordered, listed_from: None };
+        let entry =
+            WorkerRun { run, need: Some(need), phase: RunPhase::Ordered, listed_from: None };
         worker.add_run(task, entry);
         let lease = self.timing.lease;
         let lease_until =
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -26,8 +26,8 @@
 pub struct WorkerRun {
     /// The run.
     pub run: RunNumber,
-    /// The room it takes.
-    pub need: ResourceSet,
+    /// The room it takes; none if that is not known.
+    pub need: Option<ResourceSet>,
     /// How far it is settled.
     pub phase: RunPhase,
     /// An account asked for later than this, which lists the run neither as running nor as ended,
@@ -50,8 +50,6 @@
     pub runs: HashMap<CellTask, WorkerRun>,
     /// Room left.
     pub free: ResourceSet,
-    /// A run whose need is unknown takes unknown room.
-    pub unknown_runs: usize,
     /// When it last answered.
     pub answered: Option<Moment>,
     /// Calls in a row without an answer.
@@ -76,7 +74,6 @@
             dead: false,
             fenced: false,
             runs: HashMap::new(),
-            unknown_runs: 0,
             answered: None,
             silent_calls: 0,
             avoid_until: Moment(0),
@@ -134,7 +131,7 @@
             && self.fenced
             && fresh
             && self.silent_calls == 0
-            && self.unknown_runs == 0
+            && self.runs.values().all(|run| run.need.is_some())
             && now >= self.avoid_until
     }
 
@@ -153,8 +150,11 @@
     }
 
     fn count_room(&mut self) {
-        let used =
-            self.runs.values().fold(ResourceSet::default(), |used, run| used.plus(&run.need));
+        let used = self
+            .runs
+            .values()
+            .filter_map(|run| run.need)
+            .fold(ResourceSet::default(), |used, need| used.plus(&need));
         self.free = self.entry.capacity.saturating_minus(&used);
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/scheduler.rs
+++ b/crates/sedgehill-cell/tests/testsuite/scheduler.rs
@@ -1,5 +1,6 @@
 //! What the lead of a cell does.
 
+use sedgehill_cell::ids::JobId;
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::scheduler::{CellOrder, RunEnd};
 
@@ -191,7 +192,7 @@
     cell.submit(&mut lead, 1, job(vec![step(4, 1)]));
     cell.turns(&mut lead, 5);
     assert_eq!(cell.starts.len(), 2);
-    lead.cancel_job(sedgehill_cell::ids::JobId(1), cell.now);
+    lead.cancel_job(JobId(1), cell.now);
     let orders = cell.turn(&mut lead);
     let stops = orders.iter().filter(|order| matches!(order, CellOrder::Stop(_))).count();
     assert_eq!(stops, 2);
@@ -229,3 +230,27 @@
     cell.record(&mut next);
     assert_eq!(cell.progress(1).tasks[0].failed_runs.len(), 2);
 }
+
+#[test]
+fn a_worker_that_runs_something_unknown_gets_no_work_until_that_is_gone() {
+    let mut cell = FakeCell::new(1, 4);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 4)]));
+    cell.turns(&mut lead, 3);
+    // The job is over by what is kept, so the next lead does not know what its run takes.
+    cell.store.get_mut(&JobId(1)).unwrap().1.state = JobState::Failed;
+    let mut next = cell.lead(false);
+    cell.submit(&mut next, 2, job(vec![step(1, 4)]));
+    for _ in 0..5 {
+        cell.now.0 += 20;
+        cell.look(&mut next);
+        cell.record(&mut next);
+        next.schedule(cell.now);
+        let starts =
+            next.take_orders().into_iter().filter(|order| matches!(order, CellOrder::Start(_)));
+        assert_eq!(starts.count(), 0, "the worker is full");
+    }
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Stopped);
+    cell.turns(&mut next, 5);
+    assert!(cell.place(task(2, 0, 0)).is_some());
+}
--- a/crates/sedgehilld/src/cell/accept.rs
+++ b/crates/sedgehilld/src/cell/accept.rs
@@ -17,14 +17,16 @@
 use super::state::CellBox;
 use crate::clock;
 
-/// Appends under way at once.
-const APPENDS_AT_ONCE: usize = 3;
+/// Appends under way at once. The store takes the appends of a topic in turn: when it is slow, more
+/// appends would only make a longer queue there, while records that wait here go together.
+const APPENDS_AT_ONCE: usize = 1;
 /// Records in one append.
-const BATCH_RECORDS: usize = 64;
+const BATCH_RECORDS: usize = 128;
 /// Submissions that wait for an append before further ones are refused.
 const QUEUE_LENGTH: usize = 512;
-/// How long one try of an append may take.
-const TRY_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long one try of an append may take. A slow store lets appends wait for up to two seconds, and
+/// a try that is given up too early waits there all the same.
+const TRY_LIMIT: Duration = Duration::from_millis(2_500);
 /// How long an append whose answer was lost is tried again.
 const SETTLE_LIMIT: TimeSpan = TimeSpan(6_000);
 /// Pause before the next try.
@@ -120,7 +122,7 @@
     let mut doubtful = false;
     loop {
         let store = &host.clients.store;
-        match store.append(StoreTopic::Cell, records, &AppendCondition::None, TRY_LIMIT).await {
+        match store.append(StoreTopic::Jobs, records, &AppendCondition::None, TRY_LIMIT).await {
             Ok(AppendOutcome::Kept { .. }) => return AcceptOutcome::Kept,
             Ok(outcome) => {
                 // No condition was set, so none can have failed.
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -33,7 +33,10 @@
 /// How long a caller waits that names no time.
 const DEFAULT_PATIENCE: Duration = Duration::from_millis(3_000);
 /// Kept of a caller's time for the way back.
-const ANSWER_RESERVE: Duration = Duration::from_millis(400);
+const ANSWER_RESERVE: Duration = Duration::from_millis(120);
+/// An append that takes longer is left to itself, so that the caller can ask another box. A sound
+/// store answers within 10 ms, a slow one within a second.
+const ACCEPT_LIMIT: Duration = Duration::from_millis(1_500);
 /// When a refused caller should come again.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// How long to wait after the machine could not take a connection.
@@ -98,7 +101,7 @@
         };
     };
     let patience = decode_patience(&parts.headers).unwrap_or(DEFAULT_PATIENCE);
-    let patience = patience.saturating_sub(ANSWER_RESERVE);
+    let patience = patience.saturating_sub(ANSWER_RESERVE).min(ACCEPT_LIMIT);
     match call {
         Err(answer) => answer,
         Ok(CallerRequest::Waiting) => count_waiting(host, route),
@@ -114,7 +117,7 @@
 }
 
 fn count_waiting(host: &CellBox, route: &QueueRoute) -> CallerAnswer {
-    match host.cell_view.is_fresh() {
+    match host.knows_jobs() {
         true => CallerAnswer::Waiting(host.replica.borrow().waiting(&route.queue)),
         false => CallerAnswer::NotDone(RETRY_AFTER),
     }
@@ -123,7 +126,7 @@
 fn tell_state(host: &CellBox, id: JobId) -> CallerAnswer {
     match host.replica.borrow().job(id) {
         Some(job) => CallerAnswer::State(job.state()),
-        None if host.cell_view.is_fresh() => CallerAnswer::NoJob,
+        None if host.knows_jobs() => CallerAnswer::NoJob,
         None => CallerAnswer::NotDone(RETRY_AFTER),
     }
 }
@@ -133,7 +136,7 @@
     let known = host.replica.borrow().job(id).map(|job| job.cancelled);
     let answer = match known {
         Some(true) => CallerAnswer::Cancelled,
-        None if host.cell_view.is_fresh() => CallerAnswer::NoJob,
+        None if host.knows_jobs() => CallerAnswer::NoJob,
         None => CallerAnswer::NotDone(RETRY_AFTER),
         Some(false) => match desk.accept.submit(id, &CellRecord::Cancel, patience).await {
             AcceptOutcome::Kept => CallerAnswer::Cancelled,
@@ -168,7 +171,7 @@
     if host.replica.borrow().job(id).is_some() {
         return CallerAnswer::Accepted;
     }
-    if !host.cell_view.is_fresh() {
+    if !host.knows_jobs() || host.store_contact.is_silent() {
         // The store does not answer this box, and nothing was sent there.
         return CallerAnswer::NotDone(RETRY_AFTER);
     }
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -20,11 +20,14 @@
 const NEWEST_LIMIT: Duration = Duration::from_millis(2_500);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
-/// Pause between two reads of the cell's topic by a box that does not lead: each read is paid for,
-/// and a state may be shown this much later.
-const CELL_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two reads of progress: each read is paid for, and a job may be shown as completed
+/// this much later.
+const PROGRESS_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two reads of jobs by a box that does not lead. It needs them to answer for a state,
+/// for which callers allow seconds.
+const JOBS_PAUSE: Duration = Duration::from_millis(200);
 /// The same for the lead, which waits for jobs to place.
-const CELL_PAUSE_LEAD: Duration = Duration::from_millis(14);
+const JOBS_PAUSE_LEAD: Duration = Duration::from_millis(14);
 
 /// Follows the configuration.
 pub async fn follow_config(host: Rc<CellBox>) {
@@ -38,14 +41,21 @@
     follow(&host, StoreTopic::Leads, &host.lead_view, apply, |_| Duration::ZERO).await;
 }
 
-/// Follows the jobs of the cell.
-pub async fn follow_cell(host: Rc<CellBox>) {
+/// Follows jobs and cancellations.
+pub async fn follow_jobs(host: Rc<CellBox>) {
     let apply = |host: &CellBox, record: &KeyedRecord| apply_cell(host, record);
     let pause = |host: &CellBox| match host.session.borrow().is_some() {
-        true => CELL_PAUSE_LEAD,
-        false => CELL_PAUSE,
+        true => JOBS_PAUSE_LEAD,
+        false => JOBS_PAUSE,
     };
-    follow(&host, StoreTopic::Cell, &host.cell_view, apply, pause).await;
+    follow(&host, StoreTopic::Jobs, &host.jobs_view, apply, pause).await;
+}
+
+/// Follows the progress of jobs.
+pub async fn follow_progress(host: Rc<CellBox>) {
+    let apply = |host: &CellBox, record: &KeyedRecord| apply_cell(host, record);
+    let pause = |_: &CellBox| PROGRESS_PAUSE;
+    follow(&host, StoreTopic::Progress, &host.progress_view, apply, pause).await;
 }
 
 async fn follow(
@@ -61,6 +71,9 @@
             None => read_newest(host, topic, view, &apply).await,
             Some(offset) => read_on(host, topic, view, offset, &apply).await,
         };
+        if result.is_ok() {
+            host.store_contact.note_answer();
+        }
         match result {
             Ok(0) => {}
             Ok(_) => tokio::time::sleep(pause(host)).await,
@@ -112,14 +125,18 @@
             view.offset.set(None);
             Ok(0)
         }
-        ReadOutcome::Records(records) => {
+        ReadOutcome::Records { records, end } => {
             for record in &records {
                 apply(host, record);
             }
-            view.offset.set(Some(offset + records.len() as u64));
+            let read = offset + records.len() as u64;
+            view.offset.set(Some(read));
             // An empty answer was sent when the wait was over; it may have been read much later.
             let waited = if records.is_empty() { READ_WAIT } else { Duration::ZERO };
-            view.note_complete(asked.after(TimeSpan(waited.as_millis() as u64)).min(clock::now()));
+            if read >= end {
+                let complete = asked.after(TimeSpan(waited.as_millis() as u64));
+                view.note_complete(complete.min(clock::now()));
+            }
             Ok(records.len())
         }
     }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -88,7 +88,7 @@
     let rank = claim_rank(&host);
     loop {
         tokio::time::sleep(WATCH_TURN).await;
-        if host.stopping.get() || !host.lead_view.is_fresh() || !host.cell_view.is_fresh() {
+        if host.stopping.get() || !host.lead_view.is_fresh() || !host.knows_jobs() {
             continue;
         }
         let now = clock::now();
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -54,7 +54,8 @@
     let (accept, submissions) = accept::AcceptHandle::new();
     spawn_local(follow::follow_config(host.clone()));
     spawn_local(follow::follow_leads(host.clone()));
-    spawn_local(follow::follow_cell(host.clone()));
+    spawn_local(follow::follow_jobs(host.clone()));
+    spawn_local(follow::follow_progress(host.clone()));
     spawn_local(accept::run(host.clone(), submissions));
     spawn_local(callers::serve(host.clone(), accept, callers));
     spawn_local(callers::serve_ready(host.clone(), ready));
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -56,7 +56,11 @@
     /// The first frame of a box that offers to help.
     Hello(BoxName),
     /// The lead lives.
-    Ping,
+    Ping {
+        /// Whether the store answers it. If not, the boxes that the store answers need not wait as
+        /// long before one of them follows.
+        store_answers: bool,
+    },
     /// The lead asks.
     Ask(HelperQuestion),
     /// The helper answers.
@@ -124,7 +128,7 @@
             let frame = match tokio::time::timeout(PING_EVERY, questions.recv()).await {
                 Ok(Some(question)) => PeerFrame::Ask(question),
                 Ok(None) => return,
-                Err(_) => PeerFrame::Ping,
+                Err(_) => PeerFrame::Ping { store_answers: session.store_answers() },
             };
             if write_frame(&mut writer, &frame).await.is_err() {
                 return;
@@ -187,7 +191,8 @@
         tokio::select! {
             frame = tokio::time::timeout(SILENCE, read_frame(&mut reader)) => {
                 let frame = frame.map_err(|_| std::io::Error::other("the lead is silent"))??;
-                host.watch.borrow_mut().note_reachable(true);
+                let store_answers = !matches!(frame, PeerFrame::Ping { store_answers: false });
+                host.watch.borrow_mut().note_reachable(store_answers);
                 if let PeerFrame::Ask(question) = frame {
                     let (host, answers) = (host.clone(), answers.clone());
                     tokio::task::spawn_local(async move {
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
+use sedgehill_adapter::store::{
+    AppendCondition, AppendOutcome, KeyedRecord, ReadOutcome, StoreTopic,
+};
 use sedgehill_cell::ids::FencingToken;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::ProgressBatch;
@@ -10,13 +12,13 @@
 use slog::{info, warn};
 
 use super::lead::LeadSession;
-use super::state::CellBox;
+use super::state::{CellBox, TopicView};
 use crate::clock;
 
 /// The sender of progress: each lead has its token as the epoch, so the store refuses earlier ones.
 const PRODUCER: &str = "lead";
-/// How long one try may take.
-const TRY_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long one try may take; a slow store lets appends wait for up to two seconds.
+const TRY_LIMIT: Duration = Duration::from_millis(2_500);
 /// Pause before the next try.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Progress is gathered for so long before it is put into the store: each call is paid for.
@@ -46,7 +48,10 @@
             None => tokio::time::sleep(RETRY_PAUSE).await,
         }
     };
-    while host.cell_view.offset.get().is_none_or(|offset| offset < end) {
+    // Jobs that an earlier lead has seen must be known, or their runs would be taken as foreign.
+    let jobs_end = end_of_jobs(host).await?;
+    let behind = |view: &TopicView, end| view.offset.get().is_none_or(|offset| offset < end);
+    while behind(&host.progress_view, end) || behind(&host.jobs_view, jobs_end) {
         if clock::now().since(begun) > FENCE_LIMIT {
             return None;
         }
@@ -57,6 +62,19 @@
     Some(recorder)
 }
 
+/// Where the jobs end now; none if the store does not tell.
+async fn end_of_jobs(host: &CellBox) -> Option<u64> {
+    let offset = host.jobs_view.offset.get()?;
+    match host.clients.store.read(StoreTopic::Jobs, offset, Duration::ZERO).await {
+        Ok(ReadOutcome::Records { end, .. }) => Some(end),
+        Ok(ReadOutcome::Gone) => None,
+        Err(error) => {
+            warn!(host.log, "end of jobs not read"; "error" => %error);
+            None
+        }
+    }
+}
+
 impl ProgressRecorder {
     /// Records batches as the scheduler makes them, until a later lead exists.
     pub async fn run(&mut self, host: &CellBox, session: &LeadSession) {
@@ -104,7 +122,8 @@
             epoch: self.token.0,
             sequence: self.sequence,
         };
-        match host.clients.store.append(StoreTopic::Cell, records, &condition, TRY_LIMIT).await {
+        match host.clients.store.append(StoreTopic::Progress, records, &condition, TRY_LIMIT).await
+        {
             Ok(outcome) => {
                 self.sequence += u64::from(matches!(outcome, AppendOutcome::Kept { .. }));
                 Some(outcome)
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -42,6 +42,33 @@
     }
 }
 
+/// A box that has heard nothing from the store for longer is cut from it: renewals of the lead alone
+/// are read every 400 ms.
+const CONTACT_LOST: TimeSpan = TimeSpan(900);
+
+/// When the store last answered this box.
+#[derive(Debug)]
+pub struct StoreContact {
+    heard: Cell<Moment>,
+}
+
+impl StoreContact {
+    /// The contact of a box that has just started.
+    pub fn new() -> StoreContact {
+        StoreContact { heard: Cell::new(clock::now()) }
+    }
+
+    /// Notes an answer.
+    pub fn note_answer(&self) {
+        self.heard.set(clock::now());
+    }
+
+    /// Whether the store has not answered for too long.
+    pub fn is_silent(&self) -> bool {
+        clock::now().since(self.heard.get()) > CONTACT_LOST
+    }
+}
+
 /// Calls to the platform.
 pub struct PlatformClients {
     /// To the store.
@@ -68,8 +95,12 @@
     pub config_view: TopicView,
     /// The jobs.
     pub replica: RefCell<CellReplica>,
-    /// How current the jobs are.
-    pub cell_view: TopicView,
+    /// How current the knowledge of jobs is.
+    pub jobs_view: TopicView,
+    /// How current the knowledge of their progress is.
+    pub progress_view: TopicView,
+    /// Whether the store answers.
+    pub store_contact: StoreContact,
     /// Who leads.
     pub watch: RefCell<LeadWatch>,
     /// How current the knowledge of who leads is.
@@ -107,7 +138,9 @@
             config: RefCell::default(),
             config_view: TopicView::default(),
             replica: RefCell::default(),
-            cell_view: TopicView::default(),
+            jobs_view: TopicView::default(),
+            progress_view: TopicView::default(),
+            store_contact: StoreContact::new(),
             watch: RefCell::new(watch),
             lead_view: TopicView::default(),
             session: RefCell::default(),
@@ -123,10 +156,15 @@
     pub fn is_ready(&self) -> bool {
         !self.stopping.get()
             && self.config_view.is_fresh()
-            && self.cell_view.is_fresh()
+            && self.knows_jobs()
             && self.config.borrow().version > 0
     }
 
+    /// Whether the jobs and their progress are known but for the last moments.
+    pub fn knows_jobs(&self) -> bool {
+        self.jobs_view.is_fresh() && self.progress_view.is_fresh()
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Rc<CellConfig> {
         self.config.borrow().clone()
