--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -20,9 +20,12 @@
 const NEWEST_LIMIT: Duration = Duration::from_millis(2_500);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// Pause between two reads of who leads by a box that does not lead: renewals are of no use to it
+/// more often. A lead itself hears of a later claim at once.
+const LEADS_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two reads of progress: each read is paid for, and a job may be shown as completed
 /// this much later.
-const PROGRESS_PAUSE: Duration = Duration::from_millis(50);
+const PROGRESS_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two reads of jobs by a box that does not lead. It needs them to answer for a state,
 /// for which callers allow seconds.
 const JOBS_PAUSE: Duration = Duration::from_millis(200);
@@ -38,7 +41,11 @@
 /// Follows who leads.
 pub async fn follow_leads(host: Rc<CellBox>) {
     let apply = |host: &CellBox, record: &KeyedRecord| apply_lead(host, record);
-    follow(&host, StoreTopic::Leads, &host.lead_view, apply, |_| Duration::ZERO).await;
+    let pause = |host: &CellBox| match host.session.borrow().is_some() {
+        true => Duration::ZERO,
+        false => LEADS_PAUSE,
+    };
+    follow(&host, StoreTopic::Leads, &host.lead_view, apply, pause).await;
 }
 
 /// Follows jobs and cancellations.
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -22,7 +22,7 @@
 /// Pause before the next try.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Progress is gathered for so long before it is put into the store: each call is paid for.
-const GATHER: Duration = Duration::from_millis(12);
+const GATHER: Duration = Duration::from_millis(20);
 /// How long a new lead tries to fence and to catch up before it gives up.
 const FENCE_LIMIT: TimeSpan = TimeSpan(3_000);
 
--- a/crates/sedgehilld/src/main.rs
+++ b/crates/sedgehilld/src/main.rs
@@ -26,6 +26,9 @@
 use crate::settings::{BoxSettings, SettingsError};
 use crate::shared::SharedState;
 
+// Faster on many threads. A box in cell mode is built without it: on one thread the C library's
+// allocator takes half the memory.
+#[cfg(feature = "mimalloc")]
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
