cell: workers are ranked by learned pace, and shunned when they fail or crawl

Cause: tight jobs ran on slow workers as often as on fast ones, and a worker that had turned slow or stood still kept its share of new work. Change: the logarithm of taken over estimated time is averaged for each queue and worker; tight jobs go to the fastest, others to the slowest bearable. Three bad signs in a row (failed ends, overdue runs) shun a worker for 2.5 s, then one run tries it; runs that hardly get on there are moved.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -216,8 +216,15 @@
     }
 
     fn adopt(&mut self, key: WorkerKey, row: &RunningRow, need: Option<ResourceSet>, now: Moment) {
-        let run =
-            WorkerRun { run: row.run, need, phase: RunPhase::Confirmed, listed_from: Some(now) };
+        let run = WorkerRun {
+            run: row.run,
+            need,
+            phase: RunPhase::Confirmed,
+            listed_from: Some(now),
+            since: now,
+            expected: None,
+            overdue: false,
+        };
         self.workers[key.0].add_run(row.task, run);
     }
 
@@ -261,7 +268,10 @@
         let worker = &mut self.workers[key.0];
         let life = worker.entry.life.clone();
         if worker.runs.get(&row.task).is_some_and(|run| run.run == row.run) {
-            worker.remove_run(&row.task);
+            let run = worker.remove_run(&row.task);
+            if let (Some(run), RunEnd::Done) = (run, row.end) {
+                self.learn_pace(key, &row.task, &run, now);
+            }
         }
         self.events.push(CellEvent::Ended {
             task: row.task,
@@ -275,7 +285,7 @@
             return false;
         }
         match row.end {
-            RunEnd::Done => self.take_done(key, &row.task, now),
+            RunEnd::Done => self.take_done(&row.task, now),
             RunEnd::Failed => self.take_failed(key, row, now),
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
                 self.release_task(&row.task, row.run, now, Some(&row.checkpoint));
@@ -286,8 +296,7 @@
         true
     }
 
-    fn take_done(&mut self, key: WorkerKey, task: &CellTask, now: Moment) {
-        self.workers[key.0].failures_in_row = 0;
+    fn take_done(&mut self, task: &CellTask, now: Moment) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
         let spec = job.step_spec(step);
@@ -328,7 +337,7 @@
     }
 
     fn take_failed(&mut self, key: WorkerKey, row: &EndRow, now: Moment) {
-        self.note_failure(key, now);
+        self.note_bad_sign(key, "fails what it runs", now);
         let Some(job) = self.jobs.get_mut(&row.task.step.job) else { return };
         let (Some(step), Some(index)) = (job.step_index(&row.task.step), job.task_index(&row.task))
         else {
@@ -358,14 +367,11 @@
         self.release_task(&row.task, row.run, now, Some(&row.checkpoint));
     }
 
-    fn note_failure(&mut self, key: WorkerKey, now: Moment) {
+    pub(super) fn note_bad_sign(&mut self, key: WorkerKey, change: &'static str, now: Moment) {
         let worker = &mut self.workers[key.0];
-        worker.failures_in_row += 1;
-        if worker.failures_in_row >= self.timing.failures_allowed {
-            worker.avoid_until = now.after(self.timing.failing_backoff);
-            worker.failures_in_row = self.timing.failures_allowed - 1;
+        if worker.note_bad_sign(now, &self.timing) {
             let life = worker.entry.life.clone();
-            self.note_worker(&life, "fails what it runs");
+            self.note_worker(&life, change);
         }
     }
 
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -9,8 +9,10 @@
 mod accounts;
 mod advice;
 mod message;
+mod pace;
 mod placement;
 mod rank;
+mod stragglers;
 mod timing;
 mod work;
 mod worker;
@@ -22,9 +24,10 @@
 
 pub use self::advice::{AdviceDesk, GoodShare};
 pub use self::message::*;
+use self::pace::FactorAverage;
 pub use self::timing::CellTiming;
 use self::work::{JobWork, OrderedMark, TaskPhase};
-use self::worker::{RunPhase, WorkerState};
+use self::worker::{RunPhase, WorkerState, WorkerTrust};
 use crate::ids::{CellTask, JobId, QueueName, RunNumber, WorkerLife};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
@@ -49,6 +52,7 @@
     jobs: BTreeMap<JobId, JobWork>,
     desk: AdviceDesk,
     shares: HashMap<QueueName, GoodShare>,
+    estimates: HashMap<QueueName, FactorAverage>,
     take_over: TakeOver,
     surveyed: bool,
     orders: Vec<CellOrder>,
@@ -72,6 +76,7 @@
             jobs: BTreeMap::new(),
             desk: AdviceDesk::default(),
             shares: HashMap::new(),
+            estimates: HashMap::new(),
             take_over: TakeOver { since: now, predecessor, settled: false },
             surveyed: false,
             orders: Vec::new(),
@@ -240,6 +245,7 @@
         }
         self.expire_leases(now);
         self.repeat_stops(now);
+        self.find_stragglers(now);
         self.settle_take_over(now);
         if self.surveyed {
             self.place_all(now);
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/pace.rs
@@ -0,0 +1,48 @@
+//! How fast workers are, learned from how long runs take.
+//!
+//! Callers' estimates are rough, and rough in another way for each queue. The logarithm of taken over
+//! estimated time is therefore averaged for each queue first, and what a worker differs from its
+//! queues is averaged for the worker.
+
+use sedgehill_core::units::TimeSpan;
+
+/// The least weight of a new observation, so that a change shows within some ten runs.
+const LEAST_WEIGHT: f64 = 0.12;
+/// Runs shorter than this say more about calls than about the worker.
+const SHORTEST: TimeSpan = TimeSpan(50);
+/// Observations before an average is used.
+const LEAST_COUNT: u32 = 4;
+/// One observation counts for at most this factor, in either direction: a single estimate may be off
+/// by far more.
+const FACTOR_MOST: f64 = 8.0;
+
+/// A running average of logarithms of factors.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct FactorAverage {
+    mean: f64,
+    count: u32,
+}
+
+impl FactorAverage {
+    /// The average as a factor; 1 until enough was observed.
+    pub fn factor(&self) -> f64 {
+        match self.count >= LEAST_COUNT {
+            true => self.mean.exp(),
+            false => 1.0,
+        }
+    }
+
+    /// Takes in an observed factor.
+    pub fn observe(&mut self, factor: f64) {
+        self.count = self.count.saturating_add(1);
+        let weight = LEAST_WEIGHT.max(1.0 / f64::from(self.count));
+        let value = factor.clamp(1.0 / FACTOR_MOST, FACTOR_MOST).ln();
+        self.mean += weight * (value - self.mean);
+    }
+}
+
+/// What a finished run took compared with its estimate; none if it was too short to tell.
+pub fn run_factor(taken: TimeSpan, estimate: TimeSpan) -> Option<f64> {
+    let tells = taken >= SHORTEST && estimate >= SHORTEST;
+    tells.then(|| taken.0 as f64 / estimate.0 as f64)
+}
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -5,7 +5,7 @@
 use sedgehill_core::units::{Moment, ResourceSet};
 
 use super::rank::rank_job;
-use super::worker::WorkerRun;
+use super::worker::{WorkerRun, WorkerTrust};
 use super::*;
 use crate::ids::StepId;
 use crate::job::StepSpec;
@@ -17,6 +17,13 @@
 /// How long a question that failed is not repeated.
 const ASK_BACKOFF: TimeSpan = TimeSpan(60);
 
+/// Time that a tight job has left beside twice its work.
+const TIGHT_SLACK: TimeSpan = TimeSpan(500);
+/// Workers whose paces differ by less than one part in this many are taken as alike.
+const PACE_STEPS: f64 = 8.0;
+/// A worker that takes longer than this factor is the last choice for every job.
+const PACE_BEARABLE: f64 = 1.6;
+
 /// A step that could use room now.
 struct Candidate {
     job: JobId,
@@ -93,6 +100,7 @@
             return 0;
         }
         let fits = worker.free.capacity_for(&spec.need) as usize;
+        let fits = fits.min(worker.runs_allowed(now));
         let Some(most) = spec.max_per_worker else { return fits };
         let probe = CellTask { step: job.steps[step].id, index: 0 };
         fits.min(usize::from(most).saturating_sub(worker.runs_of_step(&probe)))
@@ -107,6 +115,7 @@
     ) -> Vec<(WorkerKey, usize)> {
         let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
         let needs_ticket = job.record.policy.advice.is_some();
+        let tight = is_tight(job);
         let advice = &job.steps[candidate.step].advice;
         if needs_ticket && advice.known.is_empty() {
             return Vec::new();
@@ -121,11 +130,12 @@
             if room > 0 {
                 let near =
                     spec.near_rack.as_ref().is_some_and(|rack| worker.entry.labels.contains(rack));
-                rooms.push((!near, worker.free.cores, number, room));
+                let pace = pace_step(worker.pace.factor(), tight);
+                rooms.push((!near, pace, worker.free.cores, number, room));
             }
         }
         rooms.sort();
-        rooms.into_iter().map(|(_, _, number, room)| (WorkerKey(number), room)).collect()
+        rooms.into_iter().map(|(_, _, _, number, room)| (WorkerKey(number), room)).collect()
     }
 
     fn assign_each(
@@ -224,8 +234,20 @@
         assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
         let life = worker.entry.life.clone();
         let ticket = job.steps[step].advice.ticket(&life, now, TimeSpan(0));
-        let entry =
-            WorkerRun { run, need: Some(need), phase: RunPhase::Ordered, listed_from: None };
+        let estimate = job.step_spec(step).estimate.0 as f64;
+        let factor = self.estimates.get(&job.record.queue).map_or(1.0, FactorAverage::factor);
+        let entry = WorkerRun {
+            run,
+            need: Some(need),
+            phase: RunPhase::Ordered,
+            listed_from: None,
+            since: now,
+            expected: Some(TimeSpan((estimate * factor) as u64)),
+            overdue: false,
+        };
+        if matches!(worker.trust, WorkerTrust::Shunned(_)) {
+            worker.trust = WorkerTrust::Probed;
+        }
         worker.add_run(task, entry);
         let lease = self.timing.lease;
         let lease_until =
@@ -357,6 +379,23 @@
     }
 }
 
+/// Whether a job leaves little time beside its work, so that it should run on the fastest workers.
+fn is_tight(job: &JobWork) -> bool {
+    let chain = job.record.spec.longest_chain().as_millis();
+    job.record.objective().as_millis() <= 2 * chain + TIGHT_SLACK.as_millis()
+}
+
+/// The place of a worker by its pace, in steps of an eighth. Tight jobs go to the fastest; others to
+/// the slowest that are not much slower than usual, so that fast ones stay free.
+fn pace_step(factor: f64, tight: bool) -> i64 {
+    let step = (factor * PACE_STEPS).round() as i64;
+    match tight {
+        true => step,
+        false if factor > PACE_BEARABLE => step,
+        false => -step,
+    }
+}
+
 fn wants_room(job: &JobWork, step: usize, now: Moment) -> bool {
     let ready = |phase: TaskPhase| matches!(phase, TaskPhase::Waiting(from) if now >= from);
     job.step_tasks(step).iter().any(|task| !task.kept.done && ready(task.phase))
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/stragglers.rs
@@ -0,0 +1,84 @@
+//! Runs that take far too long, and what they say about their workers.
+
+use sedgehill_core::units::Moment;
+
+use super::pace::run_factor;
+use super::worker::WorkerRun;
+use super::*;
+
+/// A run is moved when it has taken this many times the time after which it counts as overdue, and
+/// its worker is shunned: the work done so far is lost or goes on from its last saved state.
+const MOVE_FACTOR: u64 = 2;
+
+impl Scheduler {
+    /// Learns from a run that ended well.
+    pub(super) fn learn_pace(
+        &mut self,
+        key: WorkerKey,
+        task: &CellTask,
+        run: &WorkerRun,
+        now: Moment,
+    ) {
+        if !run.overdue {
+            self.workers[key.0].note_good_sign();
+        }
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let Some(step) = job.step_index(&task.step) else { return };
+        let spec = job.step_spec(step);
+        // A run that goes on from a saved state, or was adopted, tells nothing.
+        let whole = run.expected.is_some() && run.run.0 == 1 && !spec.long_running;
+        let Some(factor) = run_factor(now.since(run.since), spec.estimate).filter(|_| whole) else {
+            return;
+        };
+        let estimate = self.estimates.entry(job.record.queue.clone()).or_default();
+        let usual = estimate.factor();
+        estimate.observe(factor);
+        self.workers[key.0].pace.observe(factor / usual);
+    }
+
+    /// Counts overdue runs against their workers, and moves those that hardly get on.
+    pub(super) fn find_stragglers(&mut self, now: Moment) {
+        let (percent, slack) = (self.timing.overdue_percent, self.timing.overdue_slack);
+        let mut overdue = Vec::new();
+        let mut moved = Vec::new();
+        for (number, worker) in self.workers.iter_mut().enumerate() {
+            let key = WorkerKey(number);
+            for (task, run) in &mut worker.runs {
+                let Some(expected) = run.expected.filter(|_| run.phase == RunPhase::Confirmed)
+                else {
+                    continue;
+                };
+                let limit = TimeSpan(expected.0 * percent / 100 + slack.0);
+                if now < run.since.after(limit) {
+                    continue;
+                }
+                if !run.overdue {
+                    run.overdue = true;
+                    overdue.push(key);
+                }
+                let distrusted = worker.trust != WorkerTrust::Sound;
+                if distrusted && now >= run.since.after(TimeSpan(limit.0 * MOVE_FACTOR)) {
+                    moved.push((key, *task, run.run));
+                }
+            }
+        }
+        for key in overdue {
+            self.note_bad_sign(key, "is slow", now);
+        }
+        for (key, task, run) in moved {
+            self.move_run(key, task, run, now);
+        }
+    }
+
+    fn move_run(&mut self, key: WorkerKey, task: CellTask, run: RunNumber, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let (Some(step), Some(index)) = (job.step_index(&task.step), job.task_index(&task)) else {
+            return;
+        };
+        if job.step_spec(step).long_running {
+            return;
+        }
+        job.tasks[index].failed_at = Some(key);
+        self.stop_run(key, task, run, "hardly gets on", now);
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/timing.rs
+++ b/crates/sedgehill-cell/src/scheduler/timing.rs
@@ -28,10 +28,15 @@
     pub start_backoff: TimeSpan,
     /// How long a worker that refused for no known reason, or did not answer, gets no new work.
     pub worker_backoff: TimeSpan,
-    /// Failed ends of different jobs in a row after which a worker gets no new work for a time.
-    pub failures_allowed: u32,
-    /// How long such a worker gets no new work.
-    pub failing_backoff: TimeSpan,
+    /// Bad signs in a row after which a worker gets no new work for a time: failed ends, and runs that
+    /// take far too long. Of the tasks themselves one in twenty fails by its own fault.
+    pub bad_signs_allowed: u32,
+    /// How long such a worker gets no new work before one run tries it.
+    pub shun: TimeSpan,
+    /// A run is overdue after this many hundredths of its expected time ...
+    pub overdue_percent: u64,
+    /// ... and this time.
+    pub overdue_slack: TimeSpan,
     /// A ticket is not used when it has less time left: the start has to arrive.
     pub ticket_margin: TimeSpan,
     /// How long progress that nobody waits for may wait for a batch.
@@ -52,8 +57,10 @@
             stop_again: TimeSpan(400),
             start_backoff: TimeSpan(30),
             worker_backoff: TimeSpan(300),
-            failures_allowed: 3,
-            failing_backoff: TimeSpan(2_500),
+            bad_signs_allowed: 3,
+            shun: TimeSpan(2_500),
+            overdue_percent: 250,
+            overdue_slack: TimeSpan(600),
             ticket_margin: TimeSpan(120),
             lazy_record: TimeSpan(300),
         }
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -5,6 +5,7 @@
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
 use super::message::{WorkerEntry, WorkerTime};
+use super::pace::FactorAverage;
 use super::timing::CellTiming;
 use crate::ids::{CellTask, RunNumber};
 
@@ -33,6 +34,23 @@
     /// An account asked for later than this, which lists the run neither as running nor as ended,
     /// proves that there is no such run.
     pub listed_from: Option<Moment>,
+    /// When it was ordered, or first seen.
+    pub since: Moment,
+    /// How long it should take on a sound worker; none if it was first seen when it ran already.
+    pub expected: Option<TimeSpan>,
+    /// It has taken so much longer that it counted against the worker.
+    pub overdue: bool,
+}
+
+/// Whether a worker gets work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkerTrust {
+    /// As much as fits.
+    Sound,
+    /// None before the given moment, and then one run to try it.
+    Shunned(Moment),
+    /// One run at a time, until one ends well.
+    Probed,
 }
 
 /// One life of a worker.
@@ -56,8 +74,12 @@
     pub silent_calls: u32,
     /// No new work before then.
     pub avoid_until: Moment,
-    /// Ends `failed` of different jobs in a row.
-    pub failures_in_row: u32,
+    /// Bad signs in a row: failed ends, and runs that take far too long.
+    pub bad_signs: u32,
+    /// Whether it gets work.
+    pub trust: WorkerTrust,
+    /// How much longer runs take there than elsewhere.
+    pub pace: FactorAverage,
     clock: Option<(WorkerTime, Moment)>,
     lease_until: WorkerTime,
     processed: u64,
@@ -77,7 +99,9 @@
             answered: None,
             silent_calls: 0,
             avoid_until: Moment(0),
-            failures_in_row: 0,
+            bad_signs: 0,
+            trust: WorkerTrust::Sound,
+            pace: FactorAverage::default(),
             clock: None,
             lease_until: WorkerTime(0),
             processed: 0,
@@ -135,6 +159,34 @@
             && now >= self.avoid_until
     }
 
+    /// The most runs that may be added at once, as far as the worker is trusted.
+    pub fn runs_allowed(&self, now: Moment) -> usize {
+        match self.trust {
+            WorkerTrust::Sound => usize::MAX,
+            WorkerTrust::Shunned(until) if now < until => 0,
+            WorkerTrust::Shunned(_) => 1,
+            WorkerTrust::Probed => usize::from(self.runs.is_empty()),
+        }
+    }
+
+    /// Notes a bad sign. Returns whether the worker is shunned for it.
+    pub fn note_bad_sign(&mut self, now: Moment, timing: &CellTiming) -> bool {
+        self.bad_signs += 1;
+        let on_trial = self.trust != WorkerTrust::Sound;
+        let shunned = on_trial || self.bad_signs >= timing.bad_signs_allowed;
+        if shunned {
+            self.trust = WorkerTrust::Shunned(now.after(timing.shun));
+            self.bad_signs = 0;
+        }
+        shunned
+    }
+
+    /// Notes that a run ended well.
+    pub fn note_good_sign(&mut self) {
+        self.bad_signs = 0;
+        self.trust = WorkerTrust::Sound;
+    }
+
     /// Takes room for a run.
     pub fn add_run(&mut self, task: CellTask, run: WorkerRun) {
         let previous = self.runs.insert(task, run);
--- a/crates/sedgehill-cell/tests/testsuite/scheduler.rs
+++ b/crates/sedgehill-cell/tests/testsuite/scheduler.rs
@@ -254,3 +254,39 @@
     cell.turns(&mut next, 5);
     assert!(cell.place(task(2, 0, 0)).is_some());
 }
+
+#[test]
+fn a_worker_that_fails_what_it_runs_is_shunned_and_then_tried_with_one_run() {
+    let mut cell = FakeCell::new(1, 16);
+    let mut lead = cell.lead(false);
+    for id in 1..=3 {
+        cell.submit(&mut lead, id, job(vec![step(1, 1)]));
+    }
+    cell.turns(&mut lead, 3);
+    for id in 1..=3 {
+        cell.end_anywhere(task(id, 0, 0), RunEnd::Failed);
+    }
+    cell.turns(&mut lead, 50);
+    assert_eq!(cell.starts.len(), 3, "nothing more is started there for a time");
+    cell.turns(&mut lead, 100);
+    assert_eq!(cell.starts.len(), 4, "one run tries it");
+    let tried = cell.starts[3].0;
+    cell.end_anywhere(tried, RunEnd::Done);
+    cell.turns(&mut lead, 5);
+    assert_eq!(cell.starts.len(), 6, "it gets work again");
+}
+
+#[test]
+fn a_run_that_hardly_gets_on_is_moved_off_a_worker_that_is_slow_in_general() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(3, 1)]));
+    cell.turns(&mut lead, 3);
+    let slow = cell.place(task(1, 0, 0)).unwrap();
+    assert!((0..3).all(|index| cell.place(task(1, 0, index)) == Some(slow)));
+    // Each was guessed at 1 s and stands still.
+    cell.turns(&mut lead, 400);
+    for index in 0..3 {
+        assert_eq!(cell.place(task(1, 0, index)), Some(1 - slow), "task {index} was moved");
+    }
+}
