cell: random courses against an oracle, rosters that shrink, metrics, times of repetition

Change: the roster drops workers that left; only marked jobs wait. Repetitions wait for their time. Counters and histograms are served. The random courses drive leads that are lost, workers that are cut, mute or not listed, orders carried out late and accounts that are overtaken, against fakes that panic on a task in two places, after its noted end, or over a worker's size. Ruled out: slow readings of the list.

--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -22,6 +22,17 @@
 }
 
 impl JobState {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            JobState::Pending => "pending",
+            JobState::Running => "running",
+            JobState::Completed => "completed",
+            JobState::Failed => "failed",
+            JobState::Cancelled => "cancelled",
+        }
+    }
+
     /// Whether the job is over.
     pub fn is_final(self) -> bool {
         matches!(self, JobState::Completed | JobState::Failed | JobState::Cancelled)
--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -24,6 +24,12 @@
             worker.listed = is_listed;
         }
         self.surveyed = true;
+        // A later lead should not have to wait for workers that have left.
+        let left = |worker: &WorkerState| worker.rostered && !self.belongs_to_roster(worker, now);
+        let missing = |worker: &WorkerState| !worker.rostered && worker.listed && !worker.dead;
+        if self.workers.iter().any(|worker| left(worker) || missing(worker)) {
+            self.roster_changed = true;
+        }
         self.unwatched()
     }
 
@@ -46,7 +52,6 @@
         self.lives.insert(entry.life.clone(), key);
         self.note_worker(&entry.life, "listed");
         self.workers.push(WorkerState::new(entry, now));
-        self.roster_grown = true;
         key
     }
 
@@ -65,12 +70,23 @@
         self.workers[key.0].watched = false;
     }
 
-    /// The workers that are to stand in the roster.
-    pub(super) fn roster(&self) -> WorkerRoster {
-        let kept = |worker: &&WorkerState| {
-            !worker.dead && (worker.listed || !worker.runs.is_empty() || !worker.fenced)
-        };
-        WorkerRoster(self.workers.iter().filter(kept).map(|worker| worker.entry.clone()).collect())
+    /// Whether a worker may be given work, or may run something.
+    fn belongs_to_roster(&self, worker: &WorkerState, now: Moment) -> bool {
+        let unsettled = !worker.fenced && !self.take_over.settled;
+        let listed = worker.is_listed(now, &self.timing);
+        !worker.dead && (listed || unsettled || !worker.runs.is_empty())
+    }
+
+    /// The workers that are to stand in the roster. The others get no work from now on.
+    pub(super) fn next_roster(&mut self, now: Moment) -> WorkerRoster {
+        let mut entries = Vec::new();
+        for number in 0..self.workers.len() {
+            match self.belongs_to_roster(&self.workers[number], now) {
+                true => entries.push(self.workers[number].entry.clone()),
+                false => self.workers[number].rostered = false,
+            }
+        }
+        WorkerRoster(entries)
     }
 
     /// A new life at an address means that the life before it has ended.
@@ -567,18 +583,6 @@
         }
     }
 
-    /// Whether a new lead may start tasks of jobs that no earlier lead has ordered anything of.
-    pub(super) fn may_start_new(&self, now: Moment) -> bool {
-        if self.take_over.settled {
-            return true;
-        }
-        let term = match self.take_over.predecessor {
-            true => self.timing.authority_term,
-            false => TimeSpan(0),
-        };
-        now >= self.take_over.since.after(term)
-    }
-
     /// An earlier lead may have been lost while it started a gang.
     fn stop_broken_gangs(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get(&id) else { return };
--- a/crates/sedgehill-cell/src/scheduler/message.rs
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -130,6 +130,20 @@
     Alone,
 }
 
+impl RunEnd {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RunEnd::Done => "done",
+            RunEnd::Failed => "failed",
+            RunEnd::Stopped => "stopped",
+            RunEnd::Lapsed => "lapsed",
+            RunEnd::Broken => "broken",
+            RunEnd::Alone => "alone",
+        }
+    }
+}
+
 /// A run that a worker lists as running.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RunningRow {
@@ -192,6 +206,24 @@
     Withheld,
 }
 
+impl WorkerRefusal {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            WorkerRefusal::Fenced => "fenced",
+            WorkerRefusal::OldRun => "old_run",
+            WorkerRefusal::Late => "late",
+            WorkerRefusal::NoRoom => "no_room",
+            WorkerRefusal::Ticket => "ticket",
+            WorkerRefusal::Unhealthy => "unhealthy",
+            WorkerRefusal::OtherLife => "other_life",
+            WorkerRefusal::Malformed => "malformed",
+            WorkerRefusal::Unreached => "unreached",
+            WorkerRefusal::Withheld => "withheld",
+        }
+    }
+}
+
 /// What came of a call to a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WorkerAnswer<T> {
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -60,10 +60,11 @@
     dirty: BTreeSet<JobId>,
     lazy: BTreeSet<JobId>,
     lazy_since: Option<Moment>,
-    roster_grown: bool,
+    roster_changed: bool,
     next_batch: u64,
     recorded: u64,
     fenced_out: bool,
+    wall_clock: (u64, Moment),
 }
 
 impl Scheduler {
@@ -85,13 +86,24 @@
             dirty: BTreeSet::new(),
             lazy: BTreeSet::new(),
             lazy_since: None,
-            roster_grown: false,
+            roster_changed: false,
             next_batch: 1,
             recorded: 0,
             fenced_out: false,
+            wall_clock: (0, now),
         }
     }
 
+    /// Tells the time of day, in milliseconds since 1970. Jobs with times need it; it may jump.
+    pub fn set_wall_clock(&mut self, unix_ms: u64, now: Moment) {
+        self.wall_clock = (unix_ms, now);
+    }
+
+    fn unix_ms_at(&self, now: Moment) -> u64 {
+        let (unix_ms, at) = self.wall_clock;
+        unix_ms + now.since(at).as_millis()
+    }
+
     /// Whether a worker said that a later lead exists.
     pub fn is_fenced_out(&self) -> bool {
         self.fenced_out
@@ -201,7 +213,7 @@
         }
         let lazy_due =
             self.lazy_since.is_some_and(|since| now >= since.after(self.timing.lazy_record));
-        if self.dirty.is_empty() && !lazy_due && !self.roster_grown {
+        if self.dirty.is_empty() && !lazy_due && !self.roster_changed {
             return None;
         }
         let mut ids = std::mem::take(&mut self.dirty);
@@ -211,7 +223,7 @@
             .into_iter()
             .filter_map(|id| self.jobs.get(&id).map(|job| (id, job.progress())))
             .collect();
-        let roster = std::mem::take(&mut self.roster_grown).then(|| self.roster());
+        let roster = std::mem::take(&mut self.roster_changed).then(|| self.next_roster(now));
         let batch = ProgressBatch { number: self.next_batch, jobs, roster };
         self.next_batch += 1;
         Some(batch)
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -36,9 +36,6 @@
 impl Scheduler {
     /// Starts what can be started, and asks for the advice that is missing, best ranked first.
     pub(super) fn place_all(&mut self, now: Moment) {
-        if !self.may_start_new(now) {
-            return;
-        }
         for candidate in self.candidates(now) {
             self.place_step(&candidate, now);
         }
@@ -46,16 +43,21 @@
 
     fn candidates(&self, now: Moment) -> Vec<Candidate> {
         let settled = self.take_over.settled;
+        let unix_ms = self.unix_ms_at(now);
         let mut ranked = Vec::new();
         for job in self.jobs.values() {
-            // An order of an earlier lead may still run unseen.
+            // A task of a job that an earlier lead marked as ordered may run unseen. It cannot have
+            // begun one of another job: since this lead fenced the store, no mark of it is kept.
             let may_start = settled || !job.foreign_orders;
             if job.is_over() || !may_start {
                 continue;
             }
             let rank = rank_job(job, now);
             for step in 0..job.steps.len() {
-                if job.steps[step].left > 0 && job.is_due(step) && wants_room(job, step, now) {
+                if job.steps[step].left > 0
+                    && job.is_due(step, unix_ms)
+                    && wants_room(job, step, now)
+                {
                     ranked.push((rank, Candidate { job: job.id, step }));
                 }
             }
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -7,7 +7,7 @@
 use super::advice::StepAdvice;
 use super::message::WorkerKey;
 use crate::ids::{CellTask, JobId, RunNumber, StepId};
-use crate::job::{JobRecord, StepSpec};
+use crate::job::{JobRecord, RepeatSpec, StepSpec};
 use crate::progress::{JobProgress, JobState, TaskProgress};
 
 /// An earlier lead may have ordered so many runs of a task after the last that it recorded.
@@ -150,8 +150,13 @@
         &self.tasks[first..first + usize::from(self.step_spec(step).count)]
     }
 
-    /// Whether the steps before this one are done.
-    pub fn is_due(&self, step: usize) -> bool {
+    /// Whether the time of the step has come, and the steps before it are done.
+    pub fn is_due(&self, step: usize, unix_ms: u64) -> bool {
+        let repetition = u64::from(self.steps[step].id.repetition);
+        let due = |repeat: RepeatSpec| repeat.start_at_ms + repetition * repeat.interval.0;
+        if self.record.spec.repeat.is_some_and(|repeat| unix_ms < due(repeat)) {
+            return false;
+        }
         let each = self.record.spec.steps.len();
         let base = step - step % each;
         let after = &self.step_spec(step).after;
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -153,13 +153,17 @@
         least > self.lease_until.0 + timing.lapse_margin.as_millis()
     }
 
+    /// Whether the store lists it, or may do so again in a moment.
+    pub fn is_listed(&self, now: Moment, timing: &CellTiming) -> bool {
+        self.listed || now < self.unlisted_since.after(timing.relist)
+    }
+
     /// Whether new work may be sent there.
     pub fn takes_work(&self, now: Moment, timing: &CellTiming) -> bool {
         let fresh = self
             .answered
             .is_some_and(|answered| now.since(answered).as_millis() <= timing.fresh.as_millis());
-        let listed = self.listed || now < self.unlisted_since.after(timing.relist);
-        listed
+        self.is_listed(now, timing)
             && self.rostered
             && !self.dead
             && !self.entry.draining
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod authority;
 mod fake;
+mod random;
 mod replica;
 mod scheduler;
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -0,0 +1,122 @@
+//! Random courses of a cell: leads that are lost, workers that are cut or mute or not listed, runs
+//! that end in any way, orders that are carried out late. The fakes panic when a task runs twice,
+//! after its end, or beyond a worker's size.
+
+use proptest::prelude::*;
+use sedgehill_cell::ids::JobId;
+use sedgehill_cell::progress::JobState;
+use sedgehill_cell::scheduler::{RunEnd, Scheduler};
+
+use crate::fake::{FakeCell, job, step};
+
+const WORKERS: u16 = 4;
+const CORES: u64 = 4;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Submit {
+        count: u16,
+        need: u64,
+        gang: bool,
+        chained: bool,
+    },
+    Cancel(u64),
+    Cut(usize, bool),
+    Mute(usize, bool),
+    Unlist(usize, bool),
+    End {
+        pick: usize,
+        end: RunEnd,
+    },
+    /// Turns of the lead, of 20 ms each.
+    Turns(usize),
+    /// The lead decides and gives orders, but records nothing.
+    Unrecorded,
+    /// Accounts are heard after orders that were carried out later.
+    StaleAccounts,
+    /// Orders that were lost are carried out now.
+    CarryOutLate,
+    /// The lead is lost with all that it has not recorded.
+    NewLead,
+}
+
+fn steps() -> impl Strategy<Value = Step> {
+    let worker = 0..usize::from(WORKERS);
+    let end = prop_oneof![
+        6 => Just(RunEnd::Done),
+        2 => Just(RunEnd::Failed),
+        1 => Just(RunEnd::Stopped),
+    ];
+    prop_oneof![
+        4 => (1u16..5, 1u64..4, any::<bool>(), any::<bool>())
+            .prop_map(|(count, need, gang, chained)| Step::Submit { count, need, gang, chained }),
+        1 => (0u64..12).prop_map(Step::Cancel),
+        2 => (worker.clone(), any::<bool>()).prop_map(|(number, cut)| Step::Cut(number, cut)),
+        2 => (worker.clone(), any::<bool>()).prop_map(|(number, mute)| Step::Mute(number, mute)),
+        2 => (worker, any::<bool>()).prop_map(|(number, gone)| Step::Unlist(number, gone)),
+        6 => (0usize..16, end).prop_map(|(pick, end)| Step::End { pick, end }),
+        8 => (1usize..40).prop_map(Step::Turns),
+        1 => (200usize..500).prop_map(Step::Turns),
+        2 => Just(Step::Unrecorded),
+        2 => Just(Step::StaleAccounts),
+        2 => Just(Step::CarryOutLate),
+        1 => Just(Step::NewLead),
+    ]
+}
+
+fn take(cell: &mut FakeCell, lead: &mut Scheduler, jobs: &mut u64, taken: Step) {
+    match taken {
+        Step::Submit { count, need, gang, chained } => {
+            let mut first = step(count, need);
+            first.gang = gang;
+            let mut all = vec![first];
+            if chained {
+                let mut second = step(2, 1);
+                second.after = vec![0];
+                all.push(second);
+            }
+            cell.submit(lead, *jobs, job(all));
+            *jobs += 1;
+        }
+        Step::Cancel(id) => cell.cancel(lead, id),
+        Step::Cut(number, cut) => cell.workers[number].cut = cut,
+        Step::Mute(number, mute) => cell.workers[number].mute = mute,
+        Step::Unlist(number, gone) => cell.workers[number].unlisted = gone,
+        Step::End { pick, end } => cell.end_some(pick, end),
+        Step::Turns(count) => {
+            cell.list(lead);
+            cell.turns(lead, count);
+        }
+        Step::Unrecorded => cell.turn_unrecorded(lead),
+        Step::StaleAccounts => cell.turn_with_stale_accounts(lead),
+        Step::CarryOutLate => cell.carry_out_late(),
+        Step::NewLead => *lead = cell.lead(true),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_course_breaks_a_rule_and_every_job_ends(course in prop::collection::vec(steps(), 1..120)) {
+        let mut cell = FakeCell::new(WORKERS, CORES);
+        let mut lead = cell.lead(false);
+        let mut jobs = 0;
+        for taken in course {
+            take(&mut cell, &mut lead, &mut jobs, taken);
+        }
+        for worker in &mut cell.workers {
+            (worker.cut, worker.mute, worker.unlisted) = (false, false, false);
+        }
+        for _ in 0..60 {
+            cell.list(&mut lead);
+            cell.turns(&mut lead, 40);
+            cell.end_all();
+        }
+        for id in 0..jobs {
+            let state = cell.progress(id).state;
+            prop_assert!(state.is_final(), "job {} is {:?}", JobId(id), state);
+            prop_assert!(state != JobState::Cancelled || cell.was_cancelled(id));
+        }
+    }
+}
--- a/crates/sedgehilld/src/cell/accept.rs
+++ b/crates/sedgehilld/src/cell/accept.rs
@@ -5,7 +5,7 @@
 //! holds the record can have arrived, otherwise unknown.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::ids::JobId;
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::state::CellBox;
-use crate::clock;
+use crate::{clock, telemetry};
 
 /// Appends under way at once. The store takes the appends of a topic in turn: when it is slow, more
 /// appends would only make a longer queue there, while records that wait here go together.
@@ -122,7 +122,12 @@
     let mut doubtful = false;
     loop {
         let store = &host.clients.store;
-        match store.append(StoreTopic::Jobs, records, &AppendCondition::None, TRY_LIMIT).await {
+        let sent = Instant::now();
+        let result =
+            store.append(StoreTopic::Jobs, records, &AppendCondition::None, TRY_LIMIT).await;
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        telemetry::note_store_append("jobs", outcome, sent.elapsed().as_secs_f64());
+        match result {
             Ok(AppendOutcome::Kept { .. }) => return AcceptOutcome::Kept,
             Ok(outcome) => {
                 // No condition was set, so none can have failed.
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::PrometheusHandle;
 use sedgehill_adapter::caller::{
     CallerAnswer, CallerRequest, decode_patience, decode_request, decode_submission, encode_answer,
     encode_ready,
@@ -24,7 +25,7 @@
 
 use super::accept::{AcceptHandle, AcceptOutcome};
 use super::state::CellBox;
-use crate::clock;
+use crate::{clock, telemetry};
 
 /// The most header bytes of a call. A connection's buffer begins small and grows up to it.
 const HEADER_BYTES: usize = 16 << 10;
@@ -102,17 +103,40 @@
     };
     let patience = decode_patience(&parts.headers).unwrap_or(DEFAULT_PATIENCE);
     let patience = patience.saturating_sub(ANSWER_RESERVE).min(ACCEPT_LIMIT);
-    match call {
-        Err(answer) => answer,
-        Ok(CallerRequest::Waiting) => count_waiting(host, route),
-        Ok(CallerRequest::State(id)) => tell_state(host, id),
-        Ok(CallerRequest::Cancel(id)) => cancel_job(desk, id, patience).await,
+    let (name, answer) = match call {
+        Err(answer) => ("wrong", answer),
+        Ok(CallerRequest::Waiting) => ("waiting", count_waiting(host, route)),
+        Ok(CallerRequest::State(id)) => ("state", tell_state(host, id)),
+        Ok(CallerRequest::Cancel(id)) => ("cancel", cancel_job(desk, id, patience).await),
         Ok(CallerRequest::Submit(id)) => {
             let answer = submit_job(desk, route, id, body, config.body_bytes, patience).await;
             info!(host.log, "submission"; "job" => %id, "queue" => %route.queue,
-                "config" => config.version, "answer" => ?answer);
-            answer
+                "config" => config.version, "answer" => ?answer,
+                "store_silent" => host.store_contact.is_silent());
+            ("submit", answer)
         }
+    };
+    telemetry::count_caller_answer(name, answer.name());
+    answer
+}
+
+/// Serves metrics in the text form of Prometheus.
+pub async fn serve_metrics(metrics: PrometheusHandle, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let metrics = metrics.clone();
+        let service = service_fn(move |_: Request<Incoming>| {
+            let text = Full::new(Bytes::from(metrics.render()));
+            async move { Ok::<Response<Full<Bytes>>, Infallible>(Response::new(text)) }
+        });
+        tokio::task::spawn_local(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // Who asks sees for itself that the connection ended.
+            let _ = connection.await;
+        });
     }
 }
 
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -1,10 +1,46 @@
-//! A log line for each decision of the scheduler.
+//! A log line and a count for each decision of the scheduler.
 
 use sedgehill_cell::scheduler::CellEvent;
 use slog::{Logger, info};
 
-/// Logs a decision.
-pub fn log(log: &Logger, event: &CellEvent) {
+use crate::telemetry;
+
+const MILLIS: f64 = 1000.0;
+
+/// Logs and counts a decision.
+pub fn note(log: &Logger, event: &CellEvent) {
+    count(event);
+    write(log, event);
+}
+
+fn count(event: &CellEvent) {
+    match event {
+        CellEvent::Placed { waited, .. } => {
+            telemetry::count_cell_event("placed", "");
+            telemetry::note_cell_time("sedgehill_cell_wait_seconds", waited.0 as f64 / MILLIS);
+        }
+        CellEvent::StartFailed { refusal, .. } => {
+            let detail = refusal.map_or("no_answer", |refusal| refusal.name());
+            telemetry::count_cell_event("start_failed", detail);
+        }
+        CellEvent::Ended { end, .. } => telemetry::count_cell_event("run_ended", end.name()),
+        CellEvent::Stopping { reason, .. } => telemetry::count_cell_event("stopping", reason),
+        CellEvent::RunLost { reason, .. } => telemetry::count_cell_event("run_lost", reason),
+        CellEvent::Asked { .. } => telemetry::count_cell_event("asked", ""),
+        CellEvent::Advised { good, took, .. } => {
+            let detail = if good.is_some() { "answered" } else { "failed" };
+            telemetry::count_cell_event("advised", detail);
+            telemetry::note_cell_time("sedgehill_cell_advice_seconds", took.0 as f64 / MILLIS);
+        }
+        CellEvent::JobEnded { state, after, .. } => {
+            telemetry::count_cell_event("job_ended", state.name());
+            telemetry::note_cell_time("sedgehill_cell_job_seconds", after.0 as f64 / MILLIS);
+        }
+        CellEvent::Worker { change, .. } => telemetry::count_cell_event("worker", change),
+    }
+}
+
+fn write(log: &Logger, event: &CellEvent) {
     match event {
         CellEvent::Placed { task, run, worker, waited, ticket_left } => {
             info!(log, "placed"; "task" => %task, "run" => run.0, "worker" => %worker,
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -16,7 +16,7 @@
 use super::peers::HelperQuestion;
 use super::state::CellBox;
 use super::{events, orders, recorder, roster};
-use crate::clock;
+use crate::{clock, telemetry};
 
 /// Time between two looks at who leads.
 const WATCH_TURN: Duration = Duration::from_millis(40);
@@ -149,6 +149,7 @@
 /// Does the lead's work until the lead is over.
 async fn lead(host: &Rc<CellBox>, predecessor: bool) {
     let Some(token) = host.watch.borrow().newest().map(|record| record.token) else { return };
+    telemetry::count_cell_event("lead", "claimed");
     info!(host.log, "leading"; "token" => %token, "predecessor" => predecessor);
     let began = clock::now();
     let Some(mut recorder) = recorder::fence(host, token).await else {
@@ -182,6 +183,7 @@
         resign(host, token).await;
     }
     host.watch.borrow_mut().step_down();
+    telemetry::count_cell_event("lead", "ended");
     info!(host.log, "not leading any more"; "token" => %token,
         "open_jobs" => session.scheduler.borrow().open_jobs());
 }
@@ -230,7 +232,9 @@
     loop {
         let _ = tokio::time::timeout(TURN_MOST, session.wake.notified()).await;
         if session.may_order(host) {
-            session.scheduler.borrow_mut().schedule(clock::now());
+            let now = clock::now();
+            session.scheduler.borrow_mut().set_wall_clock(clock::unix_ms(), now);
+            session.scheduler.borrow_mut().schedule(now);
             let orders = session.scheduler.borrow_mut().take_orders();
             for order in orders {
                 orders::carry_out(host, session, order);
@@ -238,7 +242,7 @@
         }
         let events = session.scheduler.borrow_mut().take_events();
         for event in &events {
-            events::log(&host.log, event);
+            events::note(&host.log, event);
         }
         tokio::time::sleep(TURN_PAUSE).await;
     }
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -25,7 +25,7 @@
 
 pub use self::settings::CellSettings;
 use self::state::CellBox;
-use crate::{DaemonError, logging};
+use crate::{DaemonError, logging, telemetry};
 
 mod follow;
 
@@ -49,6 +49,7 @@
     let callers = bind(listen.callers).await?;
     let ready = bind(listen.ready).await?;
     let peers = bind(listen.peers).await?;
+    let metrics = bind(listen.metrics).await?;
     let host = Rc::new(CellBox::new(settings, log.logger.clone()));
     info!(host.log, "started"; "version" => env!("CARGO_PKG_VERSION"), "life" => host.life);
     let (accept, submissions) = accept::AcceptHandle::new();
@@ -59,6 +60,9 @@
     spawn_local(accept::run(host.clone(), submissions));
     spawn_local(callers::serve(host.clone(), accept, callers));
     spawn_local(callers::serve_ready(host.clone(), ready));
+    let recorder = telemetry::install();
+    spawn_local(telemetry::run_upkeep(recorder.clone()));
+    spawn_local(callers::serve_metrics(recorder, metrics));
     spawn_local(peers::listen(host.clone(), peers));
     spawn_local(peers::help(host.clone()));
     spawn_local(lead::run(host.clone()));
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -1,6 +1,6 @@
 //! Puts the progress of jobs into the store, in order and only as long as no later lead exists.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sedgehill_adapter::store::{
     AppendCondition, AppendOutcome, KeyedRecord, ReadOutcome, StoreTopic,
@@ -13,7 +13,7 @@
 
 use super::lead::LeadSession;
 use super::state::{CellBox, TopicView};
-use crate::clock;
+use crate::{clock, telemetry};
 
 /// The sender of progress: each lead has its token as the epoch, so the store refuses earlier ones.
 const PRODUCER: &str = "lead";
@@ -126,8 +126,12 @@
             epoch: self.token.0,
             sequence: self.sequence,
         };
-        match host.clients.store.append(StoreTopic::Progress, records, &condition, TRY_LIMIT).await
-        {
+        let sent = Instant::now();
+        let store = &host.clients.store;
+        let result = store.append(StoreTopic::Progress, records, &condition, TRY_LIMIT).await;
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        telemetry::note_store_append("progress", outcome, sent.elapsed().as_secs_f64());
+        match result {
             Ok(outcome) => {
                 self.sequence += u64::from(matches!(outcome, AppendOutcome::Kept { .. }));
                 Some(outcome)
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -78,3 +78,24 @@
 pub fn set_gauge(name: &'static str, value: f64) {
     gauge!(name).set(value);
 }
+
+/// Counts an answer to a caller of a box in cell mode.
+pub fn count_caller_answer(call: &'static str, answer: &'static str) {
+    counter!("sedgehill_cell_calls_total", "call" => call, "answer" => answer).increment(1);
+}
+
+/// Notes how long the store took to acknowledge an append, and what came of it.
+pub fn note_store_append(topic: &'static str, outcome: &'static str, seconds: f64) {
+    counter!("sedgehill_cell_appends_total", "topic" => topic, "outcome" => outcome).increment(1);
+    histogram!("sedgehill_cell_append_seconds", "topic" => topic).record(seconds);
+}
+
+/// Counts a decision of the scheduler.
+pub fn count_cell_event(event: &'static str, detail: &'static str) {
+    counter!("sedgehill_cell_events_total", "event" => event, "detail" => detail).increment(1);
+}
+
+/// Notes a time of a job or a question: `sedgehill_cell_wait_seconds` until its first start and the like.
+pub fn note_cell_time(name: &'static str, seconds: f64) {
+    histogram!(name).record(seconds);
+}
