cell: calls to the store are repeated as soon as one of them is answered after an outage

Change: while the store is silent reads do not wait there and are given up after 0.5 s; the first answer repeats the others; a failed renewal is tried again after 0.1 s. Ruled out: leases (none lapsed over the outage).

--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -17,6 +17,10 @@
 
 /// How long a read waits for a record. An empty answer proves that nothing is missing.
 const READ_WAIT: Duration = Duration::from_millis(1_000);
+/// How long an answer may take on top of that. A slow store takes some 300 ms.
+const READ_LIMIT: Duration = Duration::from_millis(1_200);
+/// The same while the store does not answer at all: short tries find out soon when it is back.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
 /// How long reading the newest records may take, a page.
 const NEWEST_LIMIT: Duration = Duration::from_millis(2_500);
 /// Pause after a call that failed.
@@ -89,7 +93,11 @@
                 if !failing {
                     warn!(host.log, "store lost"; "topic" => ?topic, "error" => %error);
                 }
-                tokio::time::sleep(RETRY_PAUSE).await;
+                if host.store_contact.is_silent() {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                } else {
+                    tokio::time::sleep(RETRY_PAUSE / 4).await;
+                }
                 failing = true;
                 continue;
             }
@@ -127,7 +135,18 @@
     apply: &impl Fn(&CellBox, &KeyedRecord),
 ) -> Result<usize, CallError> {
     let asked = clock::now();
-    match host.clients.store.read(topic, offset, READ_WAIT).await? {
+    let (wait, limit) = match host.store_contact.is_silent() {
+        true => (Duration::ZERO, PROBE_LIMIT),
+        false => (READ_WAIT, READ_LIMIT),
+    };
+    let reading = host.clients.store.read(topic, offset, wait, limit);
+    let outcome = tokio::select! {
+        outcome = reading => outcome?,
+        () = host.store_contact.regained() => {
+            return Err(CallError::Unknown("asked again, since the store is back".to_owned()));
+        }
+    };
+    match outcome {
         ReadOutcome::Gone => {
             info!(host.log, "topic history gone"; "topic" => ?topic, "offset" => offset);
             view.offset.set(None);
@@ -140,7 +159,7 @@
             let read = offset + records.len() as u64;
             view.offset.set(Some(read));
             // An empty answer was sent when the wait was over; it may have been read much later.
-            let waited = if records.is_empty() { READ_WAIT } else { Duration::ZERO };
+            let waited = if records.is_empty() { wait } else { Duration::ZERO };
             if read >= end {
                 let complete = asked.after(TimeSpan(waited.as_millis() as u64));
                 view.note_complete(complete.min(clock::now()));
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::LeadRecord;
 use sedgehill_cell::ids::{FencingToken, JobId};
@@ -27,6 +28,8 @@
 const TURN_PAUSE: Duration = Duration::from_millis(4);
 /// The most time between two turns of the scheduler.
 const TURN_MOST: Duration = Duration::from_millis(40);
+/// Pause before a renewal that failed is tried again.
+const RENEW_RETRY: Duration = Duration::from_millis(100);
 /// The key under which claims stand.
 const LEAD_KEY: &str = "lead";
 /// A store that has not answered for so long is taken as not answering. Several times the answer of
@@ -127,7 +130,13 @@
     let records = [KeyedRecord { key: LEAD_KEY.to_owned(), value: record.encode().into() }];
     let condition = AppendCondition::At(end);
     let store = &host.clients.store;
-    match store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT).await {
+    let result = tokio::select! {
+        result = store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT) => result,
+        () = host.store_contact.regained() => {
+            Err(CallError::Unknown("sent again, since the store is back".to_owned()))
+        }
+    };
+    match result {
         Ok(AppendOutcome::Kept { .. }) => {
             let timing = &host.settings.authority;
             host.watch.borrow_mut().note_own(record, sent, timing);
@@ -191,9 +200,10 @@
 /// Renews the claim until it is lost or the box stops.
 async fn renew(host: &CellBox, session: &LeadSession) {
     let every = Duration::from_millis(host.settings.authority.renew.as_millis());
+    let mut pause = every;
     loop {
         tokio::select! {
-            () = tokio::time::sleep(every) => {}
+            () = tokio::time::sleep(pause) => {}
             () = wait_for_stop(host) => return,
         }
         if !host.watch.borrow().is_holder() || session.scheduler.borrow().is_fenced_out() {
@@ -201,8 +211,10 @@
         }
         let newest = host.watch.borrow().newest().cloned();
         let (Some(record), Some(end)) = (newest, host.lead_view.offset.get()) else { return };
+        pause = RENEW_RETRY;
         if record.token == session.token && append_lead(host, record, end).await {
             session.renewed.set(clock::now());
+            pause = every;
         }
     }
 }
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::store::{
     AppendCondition, AppendOutcome, KeyedRecord, ReadOutcome, StoreTopic,
 };
@@ -65,7 +66,7 @@
 /// Where the jobs end now; none if the store does not tell.
 async fn end_of_jobs(host: &CellBox) -> Option<u64> {
     let offset = host.jobs_view.offset.get()?;
-    match host.clients.store.read(StoreTopic::Jobs, offset, Duration::ZERO).await {
+    match host.clients.store.read(StoreTopic::Jobs, offset, Duration::ZERO, TRY_LIMIT).await {
         Ok(ReadOutcome::Records { end, .. }) => Some(end),
         Ok(ReadOutcome::Gone) => None,
         Err(error) => {
@@ -128,7 +129,14 @@
         };
         let sent = Instant::now();
         let store = &host.clients.store;
-        let result = store.append(StoreTopic::Progress, records, &condition, TRY_LIMIT).await;
+        let appending = store.append(StoreTopic::Progress, records, &condition, TRY_LIMIT);
+        let result = tokio::select! {
+            result = appending => result,
+            // The same sequence number settles whether the first try was carried out.
+            () = host.store_contact.regained() => {
+                Err(CallError::Unknown("sent again, since the store is back".to_owned()))
+            }
+        };
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         telemetry::note_store_append("progress", outcome, sent.elapsed().as_secs_f64());
         match result {
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -50,17 +50,28 @@
 #[derive(Debug)]
 pub struct StoreContact {
     heard: Cell<Moment>,
+    back: Notify,
 }
 
 impl StoreContact {
     /// The contact of a box that has just started.
     pub fn new() -> StoreContact {
-        StoreContact { heard: Cell::new(clock::now()) }
+        StoreContact { heard: Cell::new(clock::now()), back: Notify::new() }
     }
 
     /// Notes an answer.
     pub fn note_answer(&self) {
+        let was_silent = self.is_silent();
         self.heard.set(clock::now());
+        if was_silent {
+            self.back.notify_waiters();
+        }
+    }
+
+    /// Waits until the store answers again after a silence. Calls that were sent before will hardly
+    /// be answered: they are worth repeating.
+    pub async fn regained(&self) {
+        self.back.notified().await;
     }
 
     /// Whether the store has not answered for too long.
