cell: each lead counts its runs from its token

Change: runs of jobs that an earlier lead marked begin at 64 times the token. Test: run 9 began twice before; the fakes now panic on it in every course. Ruled out: ends heard out of order (mended before).

--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -28,7 +28,7 @@
 pub use self::timing::CellTiming;
 use self::work::{JobWork, OrderedMark, TaskPhase};
 use self::worker::{RunPhase, WorkerState, WorkerTrust};
-use crate::ids::{CellTask, JobId, QueueName, RunNumber, WorkerLife};
+use crate::ids::{CellTask, FencingToken, JobId, QueueName, RunNumber, WorkerLife};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
 
@@ -47,6 +47,7 @@
 #[derive(Debug)]
 pub struct Scheduler {
     timing: CellTiming,
+    token: FencingToken,
     workers: Vec<WorkerState>,
     lives: HashMap<WorkerLife, WorkerKey>,
     jobs: BTreeMap<JobId, JobWork>,
@@ -70,9 +71,15 @@
 impl Scheduler {
     /// The state of a box that has just claimed the lead. `predecessor` says whether an earlier lead
     /// may go on giving orders until its term ends.
-    pub fn take_over(timing: CellTiming, predecessor: bool, now: Moment) -> Scheduler {
+    pub fn take_over(
+        timing: CellTiming,
+        token: FencingToken,
+        predecessor: bool,
+        now: Moment,
+    ) -> Scheduler {
         Scheduler {
             timing,
+            token,
             workers: Vec::new(),
             lives: HashMap::new(),
             jobs: BTreeMap::new(),
@@ -159,7 +166,7 @@
             return;
         }
         let accepted = Moment(now.0.saturating_sub(age.as_millis()));
-        let job = JobWork::new(id, record, accepted, kept);
+        let job = JobWork::new(id, record, accepted, kept, self.token);
         let needs_mark = job.ordered == OrderedMark::Missing;
         self.jobs.insert(id, job);
         if needs_mark {
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -6,12 +6,13 @@
 
 use super::advice::StepAdvice;
 use super::message::WorkerKey;
-use crate::ids::{CellTask, JobId, RunNumber, StepId};
+use crate::ids::{CellTask, FencingToken, JobId, RunNumber, StepId};
 use crate::job::{JobRecord, RepeatSpec, StepSpec};
 use crate::progress::{JobProgress, JobState, TaskProgress};
 
-/// An earlier lead may have ordered so many runs of a task after the last that it recorded.
-const RUN_GAP: u32 = 8;
+/// Runs of a task that one lead may order without recording any of them. Each lead counts from its
+/// token times this number, so that no two use the same number for different runs.
+const RUNS_PER_LEAD: u64 = 64;
 
 /// Where a task is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,16 +82,23 @@
 }
 
 impl JobWork {
-    /// A job with what was kept of its course.
-    pub fn new(id: JobId, record: Rc<JobRecord>, accepted: Moment, kept: &JobProgress) -> JobWork {
+    /// A job with what was kept of its course, for the lead that holds `token`.
+    pub fn new(
+        id: JobId,
+        record: Rc<JobRecord>,
+        accepted: Moment,
+        kept: &JobProgress,
+        token: FencingToken,
+    ) -> JobWork {
         let mut tasks: Vec<TaskWork> = kept
             .tasks_of(&record.spec)
             .into_iter()
             .map(|kept| TaskWork { phase: TaskPhase::Waiting(Moment(0)), kept, failed_at: None })
             .collect();
         if kept.ordered {
+            let first = u32::try_from(token.0 * RUNS_PER_LEAD).unwrap_or(u32::MAX - 1);
             for task in &mut tasks {
-                task.kept.run.0 += RUN_GAP;
+                task.kept.run.0 = task.kept.run.0.max(first);
             }
         }
         let mut steps = Vec::new();
--- a/crates/sedgehill-cell/tests/testsuite/fake.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake.rs
@@ -154,7 +154,8 @@
     /// A new lead that has read the store.
     pub fn lead(&mut self, predecessor: bool) -> Scheduler {
         self.token.0 += 1;
-        let mut scheduler = Scheduler::take_over(CellTiming::default(), predecessor, self.now);
+        let mut scheduler =
+            Scheduler::take_over(CellTiming::default(), self.token, predecessor, self.now);
         scheduler.add_helper(OWN_BOX);
         for (id, (record, progress)) in &self.store {
             scheduler.add_job(*id, record.clone(), progress, TimeSpan(0), self.now);
@@ -443,6 +444,9 @@
         }
         let places = self.workers.iter().filter(|worker| worker.runs.contains_key(&order.task));
         assert_eq!(places.count(), 1, "{} runs twice", order.task);
+        let again =
+            self.starts.iter().any(|(task, run, _)| (*task, *run) == (order.task, order.run));
+        assert!(!again, "run {} of {} begins twice", order.run, order.task);
         self.starts.push((order.task, order.run, life));
         WorkerAnswer::Done(clock)
     }
--- a/crates/sedgehill-cell/tests/testsuite/scheduler.rs
+++ b/crates/sedgehill-cell/tests/testsuite/scheduler.rs
@@ -406,3 +406,24 @@
     cell.turns(&mut lead, 2);
     assert_eq!(cell.starts.len(), 1);
 }
+
+#[test]
+fn leads_that_begin_from_the_same_records_use_different_runs() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    for _ in 0..2 {
+        cell.end_anywhere(task(1, 0, 0), RunEnd::Failed);
+        let mut next = cell.lead(false);
+        for _ in 0..5 {
+            cell.turn_unrecorded(&mut next);
+        }
+    }
+    // The fake panics when a run begins a second time.
+    assert_eq!(cell.starts.len(), 3);
+    let mut last = cell.lead(false);
+    cell.look(&mut last);
+    cell.record(&mut last);
+    assert_eq!(cell.progress(1).tasks[0].failed_runs.len(), 2);
+}
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -165,7 +165,7 @@
         host.watch.borrow_mut().step_down();
         return;
     };
-    let scheduler = Scheduler::take_over(host.settings.cell.clone(), predecessor, began);
+    let scheduler = Scheduler::take_over(host.settings.cell.clone(), token, predecessor, began);
     let session = Rc::new(LeadSession {
         token,
         scheduler: RefCell::new(scheduler),
