daemon: a planned stop tells callers that their connection ends before it closes idle ones

Change: for 250 ms after traffic is asked to stop, answers carry that the connection ends; only what stays idle that long is closed without one.

--- a/crates/sedgehilld/src/controllers/shutdown.rs
+++ b/crates/sedgehilld/src/controllers/shutdown.rs
@@ -9,6 +9,7 @@
 
 use super::{ControlContext, publish};
 use crate::clock;
+use crate::traffic::CLOSING_NOTICE;
 
 const TURN: Duration = Duration::from_millis(50);
 /// How long handing over the leads may take.
@@ -41,6 +42,7 @@
     let lag = Duration::from_millis(drain.balancer_lag.as_millis());
     tokio::time::sleep(lag).await;
     context.shared.stop_traffic();
+    tokio::time::sleep(CLOSING_NOTICE + TURN).await;
     let end = clock::now().after(drain.limit);
     wait_while(end, || context.shared.in_flight() > 0).await;
     info!(context.shared.log.logger, "stopped"; "cut_off" => context.shared.in_flight());
--- a/crates/sedgehilld/src/traffic.rs
+++ b/crates/sedgehilld/src/traffic.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
+use http::header::CONNECTION;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -24,6 +26,11 @@
 /// How long to wait after the machine could not take a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// After traffic was asked to stop, answers tell callers for so long that their connection ends with
+/// the answer. Only what stays idle all that time is closed without one: a call that was sent into the
+/// closing would be lost.
+pub const CLOSING_NOTICE: Duration = Duration::from_millis(250);
+
 /// Serves callers until traffic is asked to stop.
 pub async fn serve(listener: TcpListener, shared: Arc<SharedState>, handle: ControlHandle) {
     let chain = Arc::new(FilterChain::new(shared.clone(), handle));
@@ -43,9 +50,16 @@
 
 async fn serve_connection(stream: TcpStream, chain: Arc<FilterChain>, shared: Arc<SharedState>) {
     let _ = stream.set_nodelay(true);
+    let closing = shared.stopped();
     let service = service_fn(move |request: Request<Incoming>| {
-        let chain = chain.clone();
-        async move { Ok::<Response<Full<Bytes>>, Infallible>(run_chain(&chain, request).await) }
+        let (chain, closing) = (chain.clone(), closing.clone());
+        async move {
+            let mut response = run_chain(&chain, request).await;
+            if *closing.borrow() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<Response<Full<Bytes>>, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -57,8 +71,12 @@
     let mut stopped = shared.stopped();
     tokio::select! {
         _ = connection.as_mut() => return,
-        () = wait_for_stop(&mut stopped) => connection.as_mut().graceful_shutdown(),
+        () = wait_for_stop(&mut stopped) => {}
+    }
+    if tokio::time::timeout(CLOSING_NOTICE, connection.as_mut()).await.is_ok() {
+        return;
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
