--- a/crates/sedgehill-cell/src/job.rs
+++ b/crates/sedgehill-cell/src/job.rs
@@ -124,6 +124,11 @@
 }
 
 impl JobRecord {
+    /// What the caller said of a step, by its place among the steps of all repetitions.
+    pub fn step_spec(&self, step: usize) -> &StepSpec {
+        &self.spec.steps[step % self.spec.steps.len()]
+    }
+
     /// The time from acceptance within which the job earns its whole worth, by its estimates.
     pub fn objective(&self) -> TimeSpan {
         let chain = self.spec.longest_chain().as_millis();
--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -17,7 +17,7 @@
         }
     }
 
-    pub(super) fn lose_run(
+    fn lose_run(
         &mut self,
         key: WorkerKey,
         task: CellTask,
@@ -29,7 +29,7 @@
         self.workers[key.0].remove_run(&task);
         self.events.push(CellEvent::RunLost { task, run, worker: life.clone(), reason });
         self.release_task(&task, run, now, None);
-        self.after_run(&task, now);
+        self.finish_if_over(task.step.job, now);
     }
 
     /// What to ask of a worker now.
@@ -68,13 +68,7 @@
         }
     }
 
-    pub(super) fn take_account(
-        &mut self,
-        key: WorkerKey,
-        report: HoldReport,
-        sent: Moment,
-        now: Moment,
-    ) {
+    fn take_account(&mut self, key: WorkerKey, report: HoldReport, sent: Moment, now: Moment) {
         let worker = &mut self.workers[key.0];
         if worker.dead {
             return;
@@ -84,7 +78,7 @@
             self.events.push(CellEvent::Worker { worker: life, change: "answers" });
         }
         let worker = &mut self.workers[key.0];
-        worker.note_answer(Some(report.clock), now, &self.timing);
+        worker.note_answer(report.clock, now, &self.timing);
         for end in &report.ended {
             if self.workers[key.0].is_new_end(end.number) {
                 let needs_record = self.take_end(key, end, now);
@@ -99,14 +93,11 @@
     }
 
     /// Takes in a row of a run.
-    pub(super) fn take_running(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) {
+    fn take_running(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) {
         let job = row.task.step.job;
         if let Some(entry) = self.workers[key.0].runs.get_mut(&row.task) {
             if entry.run == row.run {
-                if entry.phase == RunPhase::Ordered {
-                    entry.phase = RunPhase::Confirmed;
-                    entry.listed_from = Some(now);
-                }
+                entry.confirm(now);
                 self.note_checkpoint(&row.task, row.run, &row.checkpoint);
                 self.note_begun(job, now);
             }
@@ -137,13 +128,7 @@
         }
     }
 
-    pub(super) fn adopt(
-        &mut self,
-        key: WorkerKey,
-        row: &RunningRow,
-        need: Option<ResourceSet>,
-        now: Moment,
-    ) {
+    fn adopt(&mut self, key: WorkerKey, row: &RunningRow, need: Option<ResourceSet>, now: Moment) {
         let run = WorkerRun {
             run: row.run,
             need,
@@ -158,12 +143,12 @@
 
     /// A run of a job that is over and forgotten: it is stopped, and until it is gone the worker
     /// takes no work, since its need is not known.
-    pub(super) fn adopt_foreign(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) {
+    fn adopt_foreign(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) {
         self.adopt(key, row, None, now);
         self.stop_run(key, row.task, row.run, "unknown job", now);
     }
 
-    pub(super) fn note_checkpoint(&mut self, task: &CellTask, run: RunNumber, checkpoint: &str) {
+    fn note_checkpoint(&mut self, task: &CellTask, run: RunNumber, checkpoint: &str) {
         if checkpoint.is_empty() {
             return;
         }
@@ -176,13 +161,7 @@
     }
 
     /// Runs that an account, asked for late enough, does not list are gone.
-    pub(super) fn drop_unlisted(
-        &mut self,
-        key: WorkerKey,
-        report: &HoldReport,
-        sent: Moment,
-        now: Moment,
-    ) {
+    fn drop_unlisted(&mut self, key: WorkerKey, report: &HoldReport, sent: Moment, now: Moment) {
         let worker = &self.workers[key.0];
         let listed = |task: &CellTask| report.running.iter().any(|row| row.task == *task);
         let gone: Vec<(CellTask, RunNumber)> = worker
--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Takes in what came of a start that was sent at `sent`.
+    /// Takes in what came of a start.
     pub fn start_answered(
         &mut self,
         order: &StartOrder,
@@ -47,9 +47,8 @@
         now: Moment,
     ) {
         let (key, task, run) = (order.worker, order.task, order.run);
-        let timing = self.timing.clone();
         if let WorkerAnswer::Done(clock) = answer {
-            self.workers[key.0].note_answer(Some(clock), now, &timing);
+            self.workers[key.0].note_answer(clock, now, &self.timing);
             self.confirm_start(key, &task, run, now);
             return;
         }
@@ -72,26 +71,17 @@
         self.abort_gang(&task, run, now);
     }
 
-    pub(super) fn confirm_start(
-        &mut self,
-        key: WorkerKey,
-        task: &CellTask,
-        run: RunNumber,
-        now: Moment,
-    ) {
+    fn confirm_start(&mut self, key: WorkerKey, task: &CellTask, run: RunNumber, now: Moment) {
         let Some(entry) = self.workers[key.0].runs.get_mut(task).filter(|entry| entry.run == run)
         else {
             return;
         };
-        if entry.phase == RunPhase::Ordered {
-            entry.phase = RunPhase::Confirmed;
-            entry.listed_from = Some(now);
-        }
+        entry.confirm(now);
         self.note_begun(task.step.job, now);
     }
 
     /// A start was surely not done: the task is free again.
-    pub(super) fn withdraw_start(
+    fn withdraw_start(
         &mut self,
         key: WorkerKey,
         task: &CellTask,
@@ -115,7 +105,7 @@
     }
 
     /// A gang that cannot become whole is stopped, so that it holds no room in vain.
-    pub(super) fn abort_gang(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
+    fn abort_gang(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
         if !job.step_spec(step).gang {
@@ -138,17 +128,17 @@
         answer: WorkerAnswer<WorkerTime>,
         now: Moment,
     ) {
-        let timing = self.timing.clone();
         let key = order.worker;
         match answer {
             WorkerAnswer::Done(clock) => {
-                self.workers[key.0].note_answer(Some(clock), now, &timing);
+                self.workers[key.0].note_answer(clock, now, &self.timing);
                 let runs = &mut self.workers[key.0].runs;
                 if let Some(entry) =
                     runs.get_mut(&order.task).filter(|entry| entry.run == order.run)
                 {
                     entry.phase = RunPhase::Stopped;
-                    entry.listed_from = Some(now.after(timing.stop).after(timing.lapse_margin));
+                    entry.listed_from =
+                        Some(now.after(self.timing.stop).after(self.timing.lapse_margin));
                 }
             }
             WorkerAnswer::NotDone(refusal) => self.note_refusal(key, refusal, now),
--- a/crates/sedgehill-cell/src/scheduler/ends.rs
+++ b/crates/sedgehill-cell/src/scheduler/ends.rs
@@ -34,11 +34,11 @@
             }
         }
         self.dirty.insert(id);
-        self.after_run(&row.task, now);
+        self.finish_if_over(id, now);
         true
     }
 
-    pub(super) fn take_done(&mut self, task: &CellTask, now: Moment) {
+    fn take_done(&mut self, task: &CellTask, now: Moment) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
         let spec = job.step_spec(step);
@@ -56,7 +56,7 @@
         }
     }
 
-    pub(super) fn finish_task(&mut self, task: &CellTask, now: Moment) {
+    fn finish_task(&mut self, task: &CellTask, now: Moment) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let (Some(step), Some(index)) = (job.step_index(&task.step), job.task_index(task)) else {
             return;
@@ -78,7 +78,7 @@
         }
     }
 
-    pub(super) fn take_failed(&mut self, key: WorkerKey, row: &EndRow, now: Moment) {
+    fn take_failed(&mut self, key: WorkerKey, row: &EndRow, now: Moment) {
         self.note_bad_sign(key, "fails what it runs", now);
         let Some(job) = self.jobs.get_mut(&row.task.step.job) else { return };
         let (Some(step), Some(index)) = (job.step_index(&row.task.step), job.task_index(&row.task))
@@ -108,9 +108,4 @@
         }
         self.release_task(&row.task, row.run, now, Some(&row.checkpoint));
     }
-
-    /// Looks at a job after one of its runs ended.
-    pub(super) fn after_run(&mut self, task: &CellTask, now: Moment) {
-        self.finish_if_over(task.step.job, now);
-    }
 }
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -207,9 +207,7 @@
         if !job.state.is_final() {
             return;
         }
-        if !self.dirty.contains(&id) || job.state != JobState::Running {
-            self.dirty.insert(id);
-        }
+        self.dirty.insert(id);
         let after = now.since(job.accepted);
         let state = job.state;
         if job.placed().is_empty() {
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -68,20 +68,21 @@
 
     fn place_step(&mut self, candidate: &Candidate, now: Moment) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
-        let spec = job.step_spec(candidate.step).clone();
+        let record = job.record.clone();
+        let spec = record.step_spec(candidate.step);
         let waiting = waiting_tasks(job, candidate.step, now);
         if job.ordered == OrderedMark::Recorded {
             let assignment = match spec.gang {
-                true => self.assign_gang(candidate, &spec, &waiting, now),
-                false => self.assign_each(candidate, &spec, &waiting, now),
+                true => self.assign_gang(candidate, spec, &waiting, now),
+                false => self.assign_each(candidate, spec, &waiting, now),
             };
             let placed = assignment.len();
-            self.start_all(candidate, &spec, assignment, now);
+            self.start_all(candidate, spec, assignment, now);
             if placed == waiting.len() {
                 return;
             }
         }
-        self.ask_advice(candidate, &spec, now);
+        self.ask_advice(candidate, spec, now);
     }
 
     /// How many tasks of a step a worker can take now, apart from advice.
@@ -179,8 +180,8 @@
             return Vec::new();
         }
         let rooms = self.usable_rooms(candidate, spec, now);
-        let mut slots = rooms.iter().flat_map(|(key, room)| std::iter::repeat_n(*key, *room));
-        let assignment: Assignment = waiting.iter().copied().zip(slots.by_ref()).collect();
+        let slots = rooms.iter().flat_map(|(key, room)| std::iter::repeat_n(*key, *room));
+        let assignment: Assignment = waiting.iter().copied().zip(slots).collect();
         match assignment.len() == waiting.len() {
             true => assignment,
             false => Vec::new(),
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -41,7 +41,7 @@
         self.unwatched()
     }
 
-    pub(super) fn know_worker(&mut self, entry: WorkerEntry, now: Moment) -> WorkerKey {
+    fn know_worker(&mut self, entry: WorkerEntry, now: Moment) -> WorkerKey {
         if let Some(key) = self.lives.get(&entry.life) {
             return *key;
         }
@@ -53,7 +53,7 @@
         key
     }
 
-    pub(super) fn unwatched(&mut self) -> Vec<WorkerKey> {
+    fn unwatched(&mut self) -> Vec<WorkerKey> {
         let keys = (0..self.workers.len()).map(WorkerKey);
         let keys: Vec<WorkerKey> =
             keys.filter(|key| !self.workers[key.0].watched && self.is_watched(*key)).collect();
@@ -69,7 +69,7 @@
     }
 
     /// Whether a worker may be given work, or may run something.
-    pub(super) fn belongs_to_roster(&self, worker: &WorkerState, now: Moment) -> bool {
+    fn belongs_to_roster(&self, worker: &WorkerState, now: Moment) -> bool {
         let unsettled = !worker.fenced && !self.take_over.settled;
         let listed = worker.is_listed(now, &self.timing);
         !worker.dead && (listed || unsettled || !worker.runs.is_empty())
@@ -88,7 +88,7 @@
     }
 
     /// A new life at an address means that the life before it has ended.
-    pub(super) fn bury_predecessors(&mut self, entry: &WorkerEntry, now: Moment) {
+    fn bury_predecessors(&mut self, entry: &WorkerEntry, now: Moment) {
         for number in 0..self.workers.len() {
             let worker = &self.workers[number];
             if !worker.dead && worker.entry.address == entry.address {
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -5,6 +5,9 @@
 use super::work::TaskWork;
 use super::*;
 
+/// A worker's clock may be slow, and so may this box's against it: the drift counts for both.
+const DRIFT_TIMES: u64 = 2;
+
 impl Scheduler {
     /// Lifts what a new lead has to wait for, once it is settled.
     pub(super) fn settle_take_over(&mut self, now: Moment) {
@@ -18,7 +21,7 @@
             false => TimeSpan(0),
         };
         let lease = self.timing.lease_most;
-        let drift = TimeSpan(lease.0 * self.timing.clock_drift_permille / 1000 + lease.0 / 50);
+        let drift = TimeSpan(DRIFT_TIMES * lease.0 * self.timing.clock_drift_permille / 1000);
         let orders_end = since.after(term);
         let runs_end = orders_end.after(lease).after(drift).after(self.timing.lapse_margin);
         if !unheard || now >= runs_end {
@@ -34,7 +37,7 @@
     }
 
     /// An earlier lead may have been lost while it started a gang.
-    pub(super) fn stop_broken_gangs(&mut self, id: JobId, now: Moment) {
+    fn stop_broken_gangs(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get(&id) else { return };
         let mut broken = Vec::new();
         for (number, step) in job.steps.iter().enumerate() {
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -149,7 +149,7 @@
 
     /// What the caller said of a step.
     pub fn step_spec(&self, step: usize) -> &StepSpec {
-        &self.record.spec.steps[step % self.record.spec.steps.len()]
+        self.record.step_spec(step)
     }
 
     /// The tasks of a step.
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -42,6 +42,16 @@
     pub overdue: bool,
 }
 
+impl WorkerRun {
+    /// The worker said that it runs.
+    pub fn confirm(&mut self, now: Moment) {
+        if self.phase == RunPhase::Ordered {
+            self.phase = RunPhase::Confirmed;
+            self.listed_from = Some(now);
+        }
+    }
+}
+
 /// Whether a worker gets work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkerTrust {
@@ -124,10 +134,9 @@
     }
 
     /// Takes in the clock of an answer that was received at `now`.
-    pub fn note_answer(&mut self, clock: Option<WorkerTime>, now: Moment, timing: &CellTiming) {
+    pub fn note_answer(&mut self, clock: WorkerTime, now: Moment, timing: &CellTiming) {
         self.answered = Some(now);
         self.silent_calls = 0;
-        let Some(clock) = clock else { return };
         if !self.fenced {
             // An earlier lead may have renewed the lease as far as workers allow.
             self.lease_until = self.lease_until.max(clock.after(timing.lease_most));
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -140,13 +140,7 @@
         false => (READ_WAIT, READ_LIMIT),
     };
     let reading = host.clients.store.read(topic, offset, wait, limit);
-    let outcome = tokio::select! {
-        outcome = reading => outcome?,
-        () = host.store_contact.regained() => {
-            return Err(CallError::Unknown("asked again, since the store is back".to_owned()));
-        }
-    };
-    match outcome {
+    match host.store_contact.unless_regained(reading).await? {
         ReadOutcome::Gone => {
             info!(host.log, "topic history gone"; "topic" => ?topic, "offset" => offset);
             view.offset.set(None);
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::LeadRecord;
 use sedgehill_cell::ids::{FencingToken, JobId};
@@ -130,13 +129,8 @@
     let records = [KeyedRecord { key: LEAD_KEY.to_owned(), value: record.encode().into() }];
     let condition = AppendCondition::At(end);
     let store = &host.clients.store;
-    let result = tokio::select! {
-        result = store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT) => result,
-        () = host.store_contact.regained() => {
-            Err(CallError::Unknown("sent again, since the store is back".to_owned()))
-        }
-    };
-    match result {
+    let appending = store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT);
+    match host.store_contact.unless_regained(appending).await {
         Ok(AppendOutcome::Kept { .. }) => {
             let timing = &host.settings.authority;
             host.watch.borrow_mut().note_own(record, sent, timing);
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::store::{
     AppendCondition, AppendOutcome, KeyedRecord, ReadOutcome, StoreTopic,
 };
@@ -130,13 +129,8 @@
         let sent = Instant::now();
         let store = &host.clients.store;
         let appending = store.append(StoreTopic::Progress, records, &condition, TRY_LIMIT);
-        let result = tokio::select! {
-            result = appending => result,
-            // The same sequence number settles whether the first try was carried out.
-            () = host.store_contact.regained() => {
-                Err(CallError::Unknown("sent again, since the store is back".to_owned()))
-            }
-        };
+        // The same sequence number settles whether the first try was carried out.
+        let result = host.store_contact.unless_regained(appending).await;
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         telemetry::note_store_append("progress", outcome, sent.elapsed().as_secs_f64());
         match result {
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -5,6 +5,7 @@
 
 use sedgehill_adapter::advice::AdviceClient;
 use sedgehill_adapter::config::CellConfig;
+use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::http_client::HttpClient;
 use sedgehill_adapter::store::StoreClient;
 use sedgehill_adapter::worker::WorkerClient;
@@ -69,10 +70,18 @@
         }
     }
 
-    /// Waits until the store answers again after a silence. Calls that were sent before will hardly
-    /// be answered: they are worth repeating.
-    pub async fn regained(&self) {
-        self.back.notified().await;
+    /// Waits for a call, but no longer than until the store answers others again after a silence: a
+    /// call that was sent before will hardly be answered, and is worth repeating.
+    pub async fn unless_regained<T>(
+        &self,
+        call: impl Future<Output = Result<T, CallError>>,
+    ) -> Result<T, CallError> {
+        tokio::select! {
+            result = call => result,
+            () = self.back.notified() => {
+                Err(CallError::Unknown("to be repeated, since the store is back".to_owned()))
+            }
+        }
     }
 
     /// Whether the store has not answered for too long.
