daemon: a planned stop and kept connections no longer cut or doubt a call on a busy machine

A kept connection whose endpoint had closed was still ready in the library's eyes, since the task that would have heard of it had not run; the call written to it could not be told from one that ran. At a planned stop, connections idle for 250 ms were closed, which a starved caller exceeds between two calls, and connections that waited in the listener were reset. Ruled out: the forwarding itself (the library gives unsent requests back, which is used). Change: the kernel is asked about a kept connection before it is used again; notice of closing lasts 1.5 s; waiting connections are taken before the listener closes. The stand-in endpoint's stop waits until its sockets are closed, so the test asks what it means to ask.

--- a/crates/sedgehill-standin/src/cluster.rs
+++ b/crates/sedgehill-standin/src/cluster.rs
@@ -286,8 +286,11 @@
     }
 
     /// Takes an endpoint's server away, cutting every connection to it.
-    pub fn stop_endpoint(&mut self, index: usize) {
-        self.endpoint_servers.remove(self.endpoints[index].id().as_str());
+    pub async fn stop_endpoint(&mut self, index: usize) {
+        let server = self.endpoint_servers.remove(self.endpoints[index].id().as_str());
+        if let Some(server) = server {
+            server.stop().await;
+        }
     }
 
     /// Panics with what broke, if anything did.
--- a/crates/sedgehill-standin/src/endpoint.rs
+++ b/crates/sedgehill-standin/src/endpoint.rs
@@ -84,17 +84,24 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let endpoint = self.clone();
+        let open = Arc::new(());
+        let sockets = Arc::downgrade(&open);
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             loop {
                 let Ok((stream, _)) = listener.accept().await else { continue };
                 let _ = stream.set_nodelay(true);
+                let open = open.clone();
                 if *endpoint.fault.lock() == EndpointFault::Garbage {
-                    connections.spawn(answer_garbage(stream));
+                    connections.spawn(async move {
+                        let _open = open;
+                        answer_garbage(stream).await;
+                    });
                     continue;
                 }
                 let endpoint = endpoint.clone();
                 connections.spawn(async move {
+                    let _open = open;
                     let service = service_fn(move |request| {
                         let endpoint = endpoint.clone();
                         async move { endpoint.answer(request).await }
@@ -105,7 +112,7 @@
                 while connections.try_join_next().is_some() {}
             }
         });
-        Ok(ServerGuard::new(address, task))
+        Ok(ServerGuard::new(address, task).with_sockets(sockets))
     }
 
     async fn answer(
--- a/crates/sedgehill-standin/src/http_server.rs
+++ b/crates/sedgehill-standin/src/http_server.rs
@@ -2,7 +2,8 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -25,12 +26,33 @@
     /// Where it listens.
     pub address: SocketAddr,
     task: JoinHandle<()>,
+    /// Held by each open connection of a server that was made to tell.
+    sockets: Weak<()>,
 }
 
+/// Time between two looks at what is still open.
+const STOP_TURN: Duration = Duration::from_millis(2);
+
 impl ServerGuard {
     /// Wraps the task of a server.
     pub fn new(address: SocketAddr, task: JoinHandle<()>) -> ServerGuard {
-        ServerGuard { address, task }
+        ServerGuard { address, task, sockets: Weak::new() }
+    }
+
+    /// The same, with what each open connection holds.
+    pub fn with_sockets(mut self, sockets: Weak<()>) -> ServerGuard {
+        self.sockets = sockets;
+        self
+    }
+
+    /// Stops the server and waits until all its sockets are closed.
+    pub async fn stop(mut self) {
+        self.task.abort();
+        // The task was cancelled, which is what was wanted.
+        let _ = (&mut self.task).await;
+        while self.sockets.strong_count() > 0 {
+            tokio::time::sleep(STOP_TURN).await;
+        }
     }
 
     /// Waits until the server ends, which it does not by itself.
@@ -70,7 +92,7 @@
             while connections.try_join_next().is_some() {}
         }
     });
-    Ok(ServerGuard { address, task })
+    Ok(ServerGuard::new(address, task))
 }
 
 /// Reads the body of a request as JSON.
--- a/crates/sedgehill-standin/tests/testsuite/endpoints.rs
+++ b/crates/sedgehill-standin/tests/testsuite/endpoints.rs
@@ -69,7 +69,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_endpoint_that_is_gone_is_met_without_loss() {
     let mut cluster = start_published(&small_plan()).await;
-    cluster.stop_endpoint(0);
+    cluster.stop_endpoint(0).await;
     let reports = call_many(&cluster, CHECK, 100, Duration::from_millis(5)).await;
     assert_eq!(count(&reports, ToldOutcome::Answered), reports.len(), "{reports:?}");
     cluster.assert_no_violation();
@@ -109,7 +109,7 @@
     let report = held.await.expect("the call ends");
     assert_eq!(report.outcome, ToldOutcome::Answered, "{report:?}");
     for index in 0..endpoints.len() {
-        cluster.stop_endpoint(index);
+        cluster.stop_endpoint(index).await;
     }
     let plan = CallPlan::new(CHECK, Duration::from_millis(5));
     let report = cluster.caller().call(address, &plan, false).await;
--- a/crates/sedgehilld/src/filters/forward.rs
+++ b/crates/sedgehilld/src/filters/forward.rs
@@ -104,10 +104,10 @@
     request: Request<Full<Bytes>>,
     max_answer: usize,
 ) -> Result<Response<Bytes>, AttemptFailure> {
-    if connection.ready().await.is_err() {
+    if connection.sender.ready().await.is_err() {
         return Err(AttemptFailure::NotBegun);
     }
-    let response = connection.try_send_request(request).await.map_err(|mut error| {
+    let response = connection.sender.try_send_request(request).await.map_err(|mut error| {
         // The library gives the request back only if none of it was written.
         match error.take_message() {
             Some(_) => AttemptFailure::NotBegun,
--- a/crates/sedgehilld/src/filters/pool.rs
+++ b/crates/sedgehilld/src/filters/pool.rs
@@ -15,7 +15,28 @@
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// One connection to an endpoint, with no request on it.
-pub type EndpointConnection = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub struct EndpointConnection {
+    /// Sends requests.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// The same socket once more, to ask the kernel about it.
+    probe: std::net::TcpStream,
+}
+
+impl EndpointConnection {
+    /// Whether a request may be sent. The kernel is asked, since on a busy box the library may not
+    /// have heard yet that the endpoint has closed: a request written then could not be told from one
+    /// that ran.
+    fn is_open(&self) -> bool {
+        let mut byte = [0];
+        let silent = match self.probe.peek(&mut byte) {
+            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+            // The end of the stream, or bytes that belong to no request.
+            Ok(_) => false,
+        };
+        silent && self.sender.is_ready()
+    }
+}
 
 /// Idle connections by endpoint. A connection comes back only after a whole answer was read from
 /// it, so that a late answer can never meet another request. How many there are is bounded by the
@@ -32,7 +53,7 @@
         address: SocketAddr,
     ) -> Result<EndpointConnection, std::io::Error> {
         while let Some(connection) = self.pop(address) {
-            if connection.is_ready() {
+            if connection.is_open() {
                 return Ok(connection);
             }
         }
@@ -45,7 +66,7 @@
 
     /// Takes back a connection on which nothing is under way.
     pub fn checkin(&self, address: SocketAddr, connection: EndpointConnection) {
-        if !connection.is_closed() {
+        if !connection.sender.is_closed() {
             self.idle.lock().entry(address).or_default().push(connection);
         }
     }
@@ -54,8 +75,11 @@
 async fn connect(address: SocketAddr) -> Result<EndpointConnection, std::io::Error> {
     let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
+    let stream = stream.into_std()?;
+    let probe = stream.try_clone()?;
+    let stream = TcpStream::from_std(stream)?;
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
     tokio::spawn(connection);
-    Ok(sender)
+    Ok(EndpointConnection { sender, probe })
 }
--- a/crates/sedgehilld/src/traffic.rs
+++ b/crates/sedgehilld/src/traffic.rs
@@ -28,8 +28,9 @@
 
 /// After traffic was asked to stop, answers tell callers for so long that their connection ends with
 /// the answer. Only what stays idle all that time is closed without one: a call that was sent into the
-/// closing would be lost.
-pub const CLOSING_NOTICE: Duration = Duration::from_millis(250);
+/// closing would be lost. Callers that pause for longer between two calls on one connection are rare;
+/// a caller on a busy machine needed more than 250 ms.
+pub const CLOSING_NOTICE: Duration = Duration::from_millis(1_500);
 
 /// Serves callers until traffic is asked to stop.
 pub async fn serve(listener: TcpListener, shared: Arc<SharedState>, handle: ControlHandle) {
@@ -43,9 +44,14 @@
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
-            () = wait_for_stop(&mut stopped) => return,
+            () = wait_for_stop(&mut stopped) => break,
         }
     }
+    // Closing the listener resets the connections that wait in it, so they are taken first.
+    let waiting = listener.into_std().map(|listener| take_waiting(&listener));
+    for stream in waiting.into_iter().flatten() {
+        tokio::spawn(serve_connection(stream, chain.clone(), shared.clone()));
+    }
 }
 
 async fn serve_connection(stream: TcpStream, chain: Arc<FilterChain>, shared: Arc<SharedState>) {
@@ -80,6 +86,17 @@
     let _ = connection.await;
 }
 
+/// Takes all connections that wait in a listener.
+fn take_waiting(listener: &std::net::TcpListener) -> Vec<TcpStream> {
+    // An error means that none waits, or that none can be taken.
+    std::iter::from_fn(|| listener.accept().ok())
+        .filter_map(|(stream, _)| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
+}
+
 async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
     // An error means that the box is gone, which is a stop as well.
     let _ = stopped.wait_for(|stop| *stop).await;
