cell: strong boxes lead, wide gangs get advice, and a backlog no longer saturates the lead

Change: boxes tell their strength on the links, weak ones leave the claim and yield the lead to much stronger ones; a turn finds the workers with room once, steps look only at these, and a turn is followed by a rest of twice its time; a question names up to 100 workers and a gang asks whenever all rooms together could hold it; a renewal follows the last own record.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -6,6 +6,10 @@
 //! Workers refuse a token lower than one they have seen, so a claim may come early: what a new lead
 //! must wait for is stated in [`crate::scheduler`].
 
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -63,21 +67,96 @@
     }
 }
 
+/// What a box can bear, in thousandths of a core.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct BoxStrength(pub u32);
+
+quick_error! {
+    /// Why a text is no strength.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum StrengthError {
+        /// The text is no number of cores.
+        Malformed(found: String) {
+            display("expected a number of cores such as `0.25`, found `{found}`")
+        }
+    }
+}
+
+impl FromStr for BoxStrength {
+    type Err = StrengthError;
+
+    fn from_str(text: &str) -> Result<BoxStrength, StrengthError> {
+        let malformed = || StrengthError::Malformed(text.to_owned());
+        let cores: f64 = text.parse().map_err(|_| malformed())?;
+        match cores.is_finite() && (0.0..=MOST_CORES).contains(&cores) {
+            true => Ok(BoxStrength((cores * 1000.0).round() as u32)),
+            false => Err(malformed()),
+        }
+    }
+}
+
+impl fmt::Display for BoxStrength {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}m", self.0)
+    }
+}
+
+impl BoxStrength {
+    /// Whether a box of this strength should give the lead to one of strength `other`. Handing over
+    /// costs some tens of milliseconds of placing, so it must be worth it.
+    pub fn yields_to(self, other: BoxStrength) -> bool {
+        u64::from(other.0) * 1000 > u64::from(self.0) * YIELD_PERMILLE
+    }
+}
+
+/// More cores than any box has.
+const MOST_CORES: f64 = 1_000_000.0;
+/// A lead yields to a box that is at least so much stronger, in thousandths of its own strength.
+const YIELD_PERMILLE: u64 = 1_500;
+
 /// What a box knows of who leads.
 #[derive(Debug, Clone)]
 pub struct LeadWatch {
     name: BoxName,
     life: u64,
+    strength: BoxStrength,
+    strongest: BoxStrength,
     newest: Option<LeadRecord>,
     heard: Moment,
     reachable: bool,
     authority_until: Option<Moment>,
+    own_end: u64,
 }
 
 impl LeadWatch {
     /// The watch of a box that has read nothing yet. `life` is drawn anew by each process.
-    pub fn new(name: BoxName, life: u64, now: Moment) -> LeadWatch {
-        LeadWatch { name, life, newest: None, heard: now, reachable: false, authority_until: None }
+    pub fn new(name: BoxName, life: u64, strength: BoxStrength, now: Moment) -> LeadWatch {
+        LeadWatch {
+            name,
+            life,
+            strength,
+            strongest: strength,
+            newest: None,
+            heard: now,
+            reachable: false,
+            authority_until: None,
+            own_end: 0,
+        }
+    }
+
+    /// Notes that there is a box of this strength.
+    pub fn note_strength(&mut self, strength: BoxStrength) {
+        self.strongest = self.strongest.max(strength);
+    }
+
+    /// The strength of the strongest box that was heard of.
+    pub fn strongest(&self) -> BoxStrength {
+        self.strongest
+    }
+
+    /// The strength of this box.
+    pub fn strength(&self) -> BoxStrength {
+        self.strength
     }
 
     /// The newest record.
@@ -98,13 +177,25 @@
         self.heard = now;
     }
 
-    /// Notes that an own record, sent at `sent`, stands in the store.
-    pub fn note_own(&mut self, record: LeadRecord, sent: Moment, timing: &AuthorityTiming) {
+    /// Notes that an own record, sent at `sent`, stands in the store as the last one before `end`.
+    pub fn note_own(
+        &mut self,
+        record: LeadRecord,
+        sent: Moment,
+        end: u64,
+        timing: &AuthorityTiming,
+    ) {
+        self.own_end = end;
         self.heard = sent;
         self.authority_until = (!record.resigned).then(|| sent.after(timing.term));
         self.newest = Some(record);
     }
 
+    /// Where the topic ended after the last own record; 0 before the first.
+    pub fn own_end(&self) -> u64 {
+        self.own_end
+    }
+
     /// Notes whether the lead answers on the link between boxes.
     pub fn note_reachable(&mut self, reachable: bool) {
         self.reachable = reachable;
@@ -142,7 +233,11 @@
             (false, true) => timing.silence,
             (false, false) => timing.suspect,
         };
-        silent >= patience.as_millis() + rank * RANK_DELAY.as_millis()
+        let courtesy = match self.strength.yields_to(self.strongest) {
+            true => WEAK_DELAY,
+            false => TimeSpan(0),
+        };
+        silent >= patience.as_millis() + courtesy.as_millis() + rank * RANK_DELAY.as_millis()
     }
 
     /// The claim that would follow the newest record.
@@ -160,3 +255,6 @@
 
 /// Time between the claims of two boxes that both find the lead gone, so that they seldom race.
 const RANK_DELAY: TimeSpan = TimeSpan(40);
+/// How much longer a box waits with its claim that knows of a much stronger one: longer than the
+/// claims of all strong boxes take, and short beside what a lead that is too weak would cost.
+const WEAK_DELAY: TimeSpan = TimeSpan(600);
--- a/crates/sedgehill-cell/src/scheduler/advice.rs
+++ b/crates/sedgehill-cell/src/scheduler/advice.rs
@@ -9,8 +9,8 @@
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
-use super::message::HelperId;
-use crate::ids::{StepId, WorkerLife};
+use super::message::{HelperId, WorkerKey};
+use crate::ids::StepId;
 
 /// Questions that take at least this long go only to some boxes. Between the middle and the heavy
 /// queues of the users' sites, of 60 and 700 ms.
@@ -37,7 +37,7 @@
 #[derive(Debug, Default)]
 pub struct StepAdvice {
     /// Workers that were asked about, with the ticket of those that may run the step.
-    pub known: HashMap<WorkerLife, Option<StepTicket>>,
+    pub known: HashMap<WorkerKey, Option<StepTicket>>,
     /// A question is under way since then.
     pub asking: Option<Moment>,
     /// No question before then.
@@ -46,10 +46,20 @@
 
 impl StepAdvice {
     /// The ticket for a worker, if it is valid for at least `margin`.
-    pub fn ticket(&self, life: &WorkerLife, now: Moment, margin: TimeSpan) -> Option<&StepTicket> {
-        let ticket = self.known.get(life)?.as_ref()?;
+    pub fn ticket(&self, key: WorkerKey, now: Moment, margin: TimeSpan) -> Option<&StepTicket> {
+        let ticket = self.known.get(&key)?.as_ref()?;
         (ticket.until > now.after(margin)).then_some(ticket)
     }
+
+    /// The workers with a ticket that is valid for at least `margin`.
+    pub fn ticketed(&self, now: Moment, margin: TimeSpan) -> impl Iterator<Item = WorkerKey> {
+        let least = now.after(margin);
+        let valid = move |ticket: &StepTicket| ticket.until > least;
+        self.known
+            .iter()
+            .filter(move |(_, ticket)| ticket.as_ref().is_some_and(valid))
+            .map(|(key, _)| *key)
+    }
 }
 
 #[derive(Debug)]
--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -98,8 +98,7 @@
             && let Some(job) = self.jobs.get_mut(&task.step.job)
             && let Some(step) = job.step_index(&task.step)
         {
-            let life = self.workers[key.0].entry.life.clone();
-            job.steps[step].advice.known.remove(&life);
+            job.steps[step].advice.known.remove(&key);
         }
         self.finish_if_over(task.step.job, now);
     }
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -1,5 +1,6 @@
 //! Which waiting steps get room and advice.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use sedgehill_core::units::{Moment, ResourceSet};
@@ -10,8 +11,9 @@
 use crate::ids::StepId;
 use crate::job::StepSpec;
 
-/// Workers named in one question, at the most: the users' objective counts one question on 30.
-const NAMED_MOST: usize = 30;
+/// Workers named in one question, at the most, as the advice service allows. The widest gangs of the
+/// users need some 30 good workers at once, of which one in three is good.
+const NAMED_MOST: usize = 100;
 /// Room to ask for, as a multiple of what the step needs: others take some of it meanwhile.
 const ROOM_FACTOR: f64 = 1.6;
 /// How long a question that failed is not repeated.
@@ -33,12 +35,46 @@
 /// Where the tasks of a step go.
 type Assignment = Vec<(u16, WorkerKey)>;
 
+/// The workers that may be given work in this turn. Found once a turn, since most workers of a busy
+/// cell are full, and each step that waits looks at all others.
+struct OpenWorkers {
+    list: Vec<WorkerKey>,
+    /// By worker.
+    is_open: Vec<bool>,
+    /// The most that is free in each dimension, on whichever worker.
+    most: ResourceSet,
+}
+
 impl Scheduler {
     /// Starts what can be started, and asks for the advice that is missing, best ranked first.
     pub(super) fn place_all(&mut self, now: Moment) {
+        let open = self.open_workers(now);
+        if open.list.is_empty() {
+            return;
+        }
         for candidate in self.candidates(now) {
-            self.place_step(&candidate, now);
+            self.place_step(&candidate, &open, now);
+        }
+    }
+
+    fn open_workers(&self, now: Moment) -> OpenWorkers {
+        let mut is_open = vec![false; self.workers.len()];
+        let mut list = Vec::new();
+        let mut most = ResourceSet::default();
+        for (number, worker) in self.workers.iter().enumerate() {
+            let free = &worker.free;
+            if free.is_empty() || worker.runs_allowed(now) == 0 {
+                continue;
+            }
+            if worker.takes_work(now, &self.timing) {
+                is_open[number] = true;
+                list.push(WorkerKey(number));
+                most.cores = most.cores.max(free.cores);
+                most.memory = most.memory.max(free.memory);
+                most.accelerators = most.accelerators.max(free.accelerators);
+            }
         }
+        OpenWorkers { list, is_open, most }
     }
 
     fn candidates(&self, now: Moment) -> Vec<Candidate> {
@@ -52,12 +88,13 @@
             if job.is_over() || !may_start {
                 continue;
             }
-            let rank = rank_job(job, now);
+            let mut rank = None;
             for step in 0..job.steps.len() {
                 if job.steps[step].left > 0
                     && job.is_due(step, unix_ms)
                     && wants_room(job, step, now)
                 {
+                    let rank = *rank.get_or_insert_with(|| rank_job(job, now));
                     ranked.push((rank, Candidate { job: job.id, step }));
                 }
             }
@@ -66,15 +103,18 @@
         ranked.into_iter().map(|(_, candidate)| candidate).collect()
     }
 
-    fn place_step(&mut self, candidate: &Candidate, now: Moment) {
+    fn place_step(&mut self, candidate: &Candidate, open: &OpenWorkers, now: Moment) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let record = job.record.clone();
         let spec = record.step_spec(candidate.step);
+        if !open.most.fits(&spec.need) {
+            return;
+        }
         let waiting = waiting_tasks(job, candidate.step, now);
         if job.ordered == OrderedMark::Recorded {
             let assignment = match spec.gang {
-                true => self.assign_gang(candidate, spec, &waiting, now),
-                false => self.assign_each(candidate, spec, &waiting, now),
+                true => self.assign_gang(candidate, spec, open, &waiting, now),
+                false => self.assign_each(candidate, spec, open, &waiting, now),
             };
             let placed = assignment.len();
             self.start_all(candidate, spec, assignment, now);
@@ -82,27 +122,27 @@
                 return;
             }
         }
-        self.ask_advice(candidate, spec, now);
+        self.ask_advice(candidate, spec, open, now);
     }
 
-    /// How many tasks of a step a worker can take now, apart from advice.
+    /// How many tasks of a step an open worker can take now, apart from advice.
     fn room_on(
         &self,
-        key: usize,
+        key: WorkerKey,
         job: &JobWork,
         step: usize,
         spec: &StepSpec,
         now: Moment,
     ) -> usize {
-        let worker = &self.workers[key];
-        if worker.entry.pool != job.record.policy.pool || !worker.takes_work(now, &self.timing) {
+        let worker = &self.workers[key.0];
+        let fits = worker.free.capacity_for(&spec.need) as usize;
+        if fits == 0 || worker.entry.pool != job.record.policy.pool {
             return 0;
         }
         let labels = &worker.entry.labels;
         if spec.label.as_ref().is_some_and(|label| !labels.contains(label)) {
             return 0;
         }
-        let fits = worker.free.capacity_for(&spec.need) as usize;
         let fits = fits.min(worker.runs_allowed(now));
         let Some(most) = spec.max_per_worker else { return fits };
         let probe = CellTask { step: job.steps[step].id, index: 0 };
@@ -114,41 +154,43 @@
         &self,
         candidate: &Candidate,
         spec: &StepSpec,
+        open: &OpenWorkers,
         now: Moment,
     ) -> Vec<(WorkerKey, usize)> {
         let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
-        let needs_ticket = job.record.policy.advice.is_some();
         let tight = is_tight(job);
-        let advice = &job.steps[candidate.step].advice;
-        if needs_ticket && advice.known.is_empty() {
-            return Vec::new();
-        }
         let mut rooms = Vec::new();
-        for (number, worker) in self.workers.iter().enumerate() {
-            let margin = self.timing.ticket_margin;
-            if needs_ticket && advice.ticket(&worker.entry.life, now, margin).is_none() {
-                continue;
-            }
-            let room = self.room_on(number, job, candidate.step, spec, now);
+        let mut look_at = |key: WorkerKey| {
+            let room = self.room_on(key, job, candidate.step, spec, now);
             if room > 0 {
+                let worker = &self.workers[key.0];
                 let near =
                     spec.near_rack.as_ref().is_some_and(|rack| worker.entry.labels.contains(rack));
                 let pace = pace_step(worker.pace.factor(), tight);
-                rooms.push((!near, pace, worker.free.cores, number, room));
+                rooms.push((!near, pace, worker.free.cores, key, room));
             }
+        };
+        match job.record.policy.advice {
+            Some(_) => job.steps[candidate.step]
+                .advice
+                .ticketed(now, self.timing.ticket_margin)
+                .filter(|key| open.is_open[key.0])
+                .for_each(&mut look_at),
+            None => open.list.iter().copied().for_each(&mut look_at),
         }
         rooms.sort();
-        rooms.into_iter().map(|(_, _, _, number, room)| (WorkerKey(number), room)).collect()
+        rooms.into_iter().map(|(_, _, _, key, room)| (key, room)).collect()
     }
 
     fn assign_each(
         &self,
         candidate: &Candidate,
         spec: &StepSpec,
+        open: &OpenWorkers,
         waiting: &[u16],
         now: Moment,
     ) -> Assignment {
-        let mut rooms = self.usable_rooms(candidate, spec, now);
+        let mut rooms = self.usable_rooms(candidate, spec, open, now);
         let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
         let mut assignment = Vec::new();
         for index in waiting {
@@ -171,6 +213,7 @@
         &self,
         candidate: &Candidate,
         spec: &StepSpec,
+        open: &OpenWorkers,
         waiting: &[u16],
         now: Moment,
     ) -> Assignment {
@@ -179,7 +222,7 @@
         if waiting.len() < left {
             return Vec::new();
         }
-        let rooms = self.usable_rooms(candidate, spec, now);
+        let rooms = self.usable_rooms(candidate, spec, open, now);
         let slots = rooms.iter().flat_map(|(key, room)| std::iter::repeat_n(*key, *room));
         let assignment: Assignment = waiting.iter().copied().zip(slots).collect();
         match assignment.len() == waiting.len() {
@@ -238,7 +281,7 @@
         let worker = &mut self.workers[key.0];
         assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
         let life = worker.entry.life.clone();
-        let ticket = job.steps[step].advice.ticket(&life, now, TimeSpan(0));
+        let ticket = job.steps[step].advice.ticket(key, now, TimeSpan(0));
         let estimate = job.step_spec(step).estimate.0 as f64;
         let factor = self.estimates.get(&job.record.queue).map_or(1.0, FactorAverage::factor);
         let entry = WorkerRun {
@@ -276,14 +319,24 @@
     }
 
     /// Asks which workers may run a step, if there is room that an answer could open.
-    fn ask_advice(&mut self, candidate: &Candidate, spec: &StepSpec, now: Moment) {
+    fn ask_advice(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        open: &OpenWorkers,
+        now: Moment,
+    ) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let Some(policy) = job.record.policy.advice else { return };
         let advice = &job.steps[candidate.step].advice;
         if advice.asking.is_some() || now < advice.not_before {
             return;
         }
-        let named = self.workers_to_name(candidate, job, spec, now);
+        // Which workers to name takes far longer to find than whether anybody could ask.
+        if self.desk.free_helper(policy.cost(1)).is_none() {
+            return;
+        }
+        let named = self.workers_to_name(candidate, job, spec, open, now);
         if named.is_empty() {
             return;
         }
@@ -299,49 +352,61 @@
     }
 
     /// The workers whose tickets could give the step enough room: those known as good first, then
-    /// those with the most room. Empty if too little room is free.
+    /// those with the most room. Empty if too little room is free for a gang to become whole.
     fn workers_to_name(
         &self,
         candidate: &Candidate,
         job: &JobWork,
         spec: &StepSpec,
+        open: &OpenWorkers,
         now: Moment,
     ) -> Vec<WorkerLife> {
         let share = self.shares.get(&job.record.queue).copied().unwrap_or_default().share();
         let advice = &job.steps[candidate.step].advice;
-        let mut rooms: Vec<(bool, usize, &WorkerLife)> = Vec::new();
+        // Steps that ask at the same moment should not all name the same of many like workers.
+        let turn = (job.id.0 % self.workers.len() as u64) as usize;
+        let mut rooms: Vec<(bool, Reverse<usize>, usize, WorkerKey)> = Vec::new();
         let mut usable = 0;
-        for (number, worker) in self.workers.iter().enumerate() {
-            let room = self.room_on(number, job, candidate.step, spec, now);
-            let life = &worker.entry.life;
-            match advice.known.get(life) {
-                _ if room == 0 => {}
-                Some(None) => {}
+        for key in open.list.iter().copied() {
+            let known = advice.known.get(&key);
+            if matches!(known, Some(None)) {
+                continue;
+            }
+            let room = self.room_on(key, job, candidate.step, spec, now);
+            if room == 0 {
+                continue;
+            }
+            match known {
                 Some(Some(ticket)) if ticket.until > now.after(self.timing.ticket_margin) => {
-                    usable += room
+                    usable += room;
+                }
+                _ => {
+                    let place = (key.0 + turn) % self.workers.len();
+                    rooms.push((known.is_none(), Reverse(room), place, key));
                 }
-                Some(Some(_)) => rooms.push((true, room, life)),
-                None => rooms.push((false, room, life)),
             }
         }
         let left = job.steps[candidate.step].left;
         let needed = waiting_tasks(job, candidate.step, now).len().saturating_sub(usable);
-        rooms.sort_by_key(|(good, room, life)| (!good, std::cmp::Reverse(*room), (*life).clone()));
+        let expected =
+            |unknown: bool, room: usize| room.min(left) as f64 * if unknown { share } else { 1.0 };
+        let whole: f64 =
+            rooms.iter().map(|(unknown, Reverse(room), ..)| expected(*unknown, *room)).sum();
+        if spec.gang && whole < needed as f64 {
+            return Vec::new();
+        }
+        rooms.sort_unstable();
         let wanted = needed as f64 * ROOM_FACTOR;
-        let mut expected = 0.0;
+        let mut sum = 0.0;
         let mut named = Vec::new();
-        for (good, room, life) in rooms.into_iter().take(NAMED_MOST) {
-            if expected >= wanted {
+        for (unknown, Reverse(room), _, key) in rooms.into_iter().take(NAMED_MOST) {
+            if sum >= wanted {
                 break;
             }
-            expected += room.min(left) as f64 * if good { 1.0 } else { share };
-            named.push(life.clone());
-        }
-        let least = if spec.gang { needed as f64 } else { 0.0 };
-        match expected > 0.0 && expected >= least {
-            true => named,
-            false => Vec::new(),
+            sum += expected(unknown, room);
+            named.push(self.workers[key.0].entry.life.clone());
         }
+        named
     }
 
     /// Takes in an answer of the advice service, or that there is none.
@@ -364,12 +429,13 @@
         let Some(step) = job.step_index(&question.step) else { return };
         let advice = &mut job.steps[step].advice;
         advice.asking = None;
-        for life in &question.workers {
-            advice.known.insert(life.clone(), None);
-        }
+        let keys = question.workers.iter().filter_map(|life| self.lives.get(life));
+        advice.known.extend(keys.map(|key| (*key, None)));
         let until = now.after(valid);
         for (life, text) in answer {
-            advice.known.insert(life, Some(advice::StepTicket { text, until }));
+            if let Some(key) = self.lives.get(&life) {
+                advice.known.insert(*key, Some(advice::StepTicket { text, until }));
+            }
         }
         let share = self.shares.entry(job.record.queue.clone()).or_default();
         share.learn(good.unwrap_or(0), question.workers.len());
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/advice.rs
@@ -0,0 +1,57 @@
+//! Which workers the advice service is asked about.
+
+use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
+use sedgehill_cell::scheduler::CellOrder;
+use sedgehill_core::units::TimeSpan;
+
+use crate::fake::{FakeCell, job, step};
+
+fn advised(steps: Vec<StepSpec>) -> JobRecord {
+    let mut record = job(steps);
+    record.policy.advice =
+        Some(AdvicePolicy { decide_us: 5_000, each_us: 100, valid: TimeSpan(2_000) });
+    record
+}
+
+fn gang(count: u16, need: u64) -> StepSpec {
+    StepSpec { gang: true, ..step(count, need) }
+}
+
+/// How many workers the questions of some turns name.
+fn named(cell: &mut FakeCell, record: JobRecord) -> Vec<usize> {
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, record);
+    let mut named = Vec::new();
+    for _ in 0..4 {
+        for order in cell.turn(&mut lead) {
+            if let CellOrder::Ask(question) = order {
+                named.push(question.workers.len());
+            }
+        }
+    }
+    named
+}
+
+#[test]
+fn a_wide_gang_names_as_many_workers_as_it_needs() {
+    // 70 members of 4 cores need 18 workers, of which half are taken as good before any answer.
+    let mut cell = FakeCell::new(60, 16);
+    let named = named(&mut cell, advised(vec![gang(70, 4)]));
+    assert!(named.first().is_some_and(|first| *first >= 36), "{named:?}");
+    assert_eq!(cell.starts.len(), 70);
+}
+
+#[test]
+fn a_gang_for_which_too_little_room_is_free_asks_nobody() {
+    let mut cell = FakeCell::new(6, 16);
+    assert_eq!(named(&mut cell, advised(vec![gang(40, 4)])), Vec::<usize>::new());
+    assert!(cell.starts.is_empty());
+}
+
+#[test]
+fn a_narrow_step_names_few_workers() {
+    let mut cell = FakeCell::new(60, 16);
+    let named = named(&mut cell, advised(vec![step(2, 4)]));
+    assert!(named.first().is_some_and(|first| *first <= 4), "{named:?}");
+    assert_eq!(cell.starts.len(), 2);
+}
--- a/crates/sedgehill-cell/tests/testsuite/authority.rs
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -1,13 +1,13 @@
 //! Who leads, and until when.
 
-use sedgehill_cell::authority::{AuthorityTiming, LeadRecord, LeadWatch};
+use sedgehill_cell::authority::{AuthorityTiming, BoxStrength, LeadRecord, LeadWatch};
 use sedgehill_cell::ids::BoxName;
 use sedgehill_core::units::{Moment, TimeSpan};
 
 const START: Moment = Moment(50_000);
 
 fn watch(name: &str, life: u64) -> LeadWatch {
-    LeadWatch::new(BoxName::from(name), life, START)
+    LeadWatch::new(BoxName::from(name), life, BoxStrength(250), START)
 }
 
 fn at(span: u64) -> Moment {
@@ -19,7 +19,7 @@
     let timing = AuthorityTiming::default();
     let mut own = watch("a", 1);
     let claim = own.next_claim("127.0.0.1:1");
-    own.note_own(claim.clone(), START, &timing);
+    own.note_own(claim.clone(), START, 1, &timing);
     assert_eq!(own.authority(at(timing.term.0 - 1)), Some(claim.token));
     assert_eq!(own.authority(at(timing.term.0)), None);
     assert!(own.is_holder());
@@ -30,7 +30,7 @@
     let timing = AuthorityTiming::default();
     let mut own = watch("a", 1);
     let claim = own.next_claim("127.0.0.1:1");
-    own.note_own(claim, START, &timing);
+    own.note_own(claim, START, 1, &timing);
     let mut other = watch("b", 2);
     other.note_record(own.newest().unwrap().clone(), START);
     let later = other.next_claim("127.0.0.1:2");
@@ -81,3 +81,41 @@
     assert!(again.should_claim(START, 0, &timing));
     assert!(again.next_claim("127.0.0.1:1").token > lead.token);
 }
+
+#[test]
+fn a_weak_box_leaves_the_claim_to_a_stronger_one_for_a_moment() {
+    let timing = AuthorityTiming::default();
+    let resigned = LeadRecord { resigned: true, ..watch("c", 3).next_claim("127.0.0.1:3") };
+    let mut weak = watch("a", 1);
+    weak.note_record(resigned.clone(), START);
+    assert!(weak.should_claim(at(0), 0, &timing));
+    weak.note_strength(BoxStrength(500));
+    assert!(!weak.should_claim(at(500), 0, &timing));
+    assert!(weak.should_claim(at(700), 0, &timing));
+    let mut strong = LeadWatch::new(BoxName::from("b"), 2, BoxStrength(500), START);
+    strong.note_strength(BoxStrength(600));
+    strong.note_record(resigned, START);
+    assert!(strong.should_claim(at(0), 0, &timing));
+}
+
+#[test]
+fn a_strength_is_a_number_of_cores() {
+    assert_eq!("0.25".parse(), Ok(BoxStrength(250)));
+    assert_eq!("2".parse(), Ok(BoxStrength(2_000)));
+    for wrong in ["", "-1", "NaN", "one", "1e300"] {
+        assert!(wrong.parse::<BoxStrength>().is_err(), "{wrong}");
+    }
+}
+
+#[test]
+fn a_renewal_follows_the_last_own_record_though_reads_are_behind() {
+    let timing = AuthorityTiming::default();
+    let mut own = watch("a", 1);
+    assert_eq!(own.own_end(), 0);
+    let claim = own.next_claim("127.0.0.1:1");
+    own.note_own(claim.clone(), START, 7, &timing);
+    own.note_own(claim.clone(), at(400), 8, &timing);
+    // A read that is behind returns the first of them now.
+    own.note_record(claim, at(800));
+    assert_eq!(own.own_end(), 8);
+}
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -3,10 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
-use sedgehill_cell::authority::LeadRecord;
+use sedgehill_cell::authority::{BoxStrength, LeadRecord};
 use sedgehill_cell::ids::{FencingToken, JobId};
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -25,6 +25,9 @@
 /// The least time between two turns of the scheduler: changes of a few milliseconds are taken
 /// together.
 const TURN_PAUSE: Duration = Duration::from_millis(4);
+/// After a turn the box does other things for at least this many times as long as the turn took, so
+/// that answers of workers and renewals are not late when many jobs wait.
+const TURN_REST: u32 = 2;
 /// The most time between two turns of the scheduler.
 const TURN_MOST: Duration = Duration::from_millis(40);
 /// Pause before a renewal that failed is tried again.
@@ -35,6 +38,10 @@
 /// a sound store, several times less than the term of a lead.
 const STORE_SILENT: TimeSpan = TimeSpan(900);
 
+/// A much stronger box must have kept its link for so long before the lead is handed over: longer
+/// than all boxes take to find the lead at a start.
+const YIELD_AFTER: TimeSpan = TimeSpan(1_500);
+
 /// What a box does while it leads.
 pub struct LeadSession {
     /// The token of this lead.
@@ -47,6 +54,10 @@
     pub ended: Cell<bool>,
     /// The boxes that ask the advice service, with the queue of each one's questions.
     pub helpers: RefCell<HashMap<HelperId, mpsc::UnboundedSender<HelperQuestion>>>,
+    /// The strengths of those boxes.
+    pub strengths: RefCell<HashMap<HelperId, BoxStrength>>,
+    /// Since when a much stronger box has helped.
+    pub outdone: Cell<Option<Moment>>,
     /// When the store last acknowledged a renewal.
     pub renewed: Cell<Moment>,
 }
@@ -63,6 +74,24 @@
         clock::now().since(self.renewed.get()) < STORE_SILENT
     }
 
+    /// Notes the strength of a box that helps.
+    pub fn note_helper(&self, host: &CellBox, helper: HelperId, strength: BoxStrength) {
+        self.strengths.borrow_mut().insert(helper, strength);
+        if host.settings.strength.yields_to(strength) && self.outdone.get().is_none() {
+            self.outdone.set(Some(clock::now()));
+        }
+    }
+
+    /// Whether a much stronger box helps, and has for long enough to be relied on.
+    fn should_yield(&self, host: &CellBox) -> bool {
+        let own = host.settings.strength;
+        let outdone = self.strengths.borrow().values().any(|other| own.yields_to(*other));
+        if !outdone {
+            self.outdone.set(None);
+        }
+        self.outdone.get().is_some_and(|since| clock::now().since(since) >= YIELD_AFTER)
+    }
+
     /// Takes in a job that was accepted.
     pub fn add_job(&self, host: &CellBox, id: JobId) {
         let replica = host.replica.borrow();
@@ -117,12 +146,19 @@
 }
 
 async fn claim(host: &CellBox) -> bool {
-    let Some(end) = host.lead_view.offset.get() else { return false };
+    let Some(end) = lead_end(host) else { return false };
     let peers = host.settings.listen.peers.to_string();
     let record = host.watch.borrow().next_claim(&peers);
     append_lead(host, record, end).await
 }
 
+/// Where the topic of leads ends, as far as this box knows. Reads may be seconds behind its own last
+/// renewal.
+fn lead_end(host: &CellBox) -> Option<u64> {
+    let read = host.lead_view.offset.get()?;
+    Some(read.max(host.watch.borrow().own_end()))
+}
+
 /// Appends a lead record if the topic still ends at `end`. Returns whether it stands.
 async fn append_lead(host: &CellBox, record: LeadRecord, end: u64) -> bool {
     let sent = clock::now();
@@ -131,9 +167,9 @@
     let store = &host.clients.store;
     let appending = store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT);
     match host.store_contact.unless_regained(appending).await {
-        Ok(AppendOutcome::Kept { .. }) => {
+        Ok(AppendOutcome::Kept { end }) => {
             let timing = &host.settings.authority;
-            host.watch.borrow_mut().note_own(record, sent, timing);
+            host.watch.borrow_mut().note_own(record, sent, end, timing);
             true
         }
         Ok(outcome) => {
@@ -166,6 +202,8 @@
         wake: Notify::new(),
         ended: Cell::new(false),
         helpers: RefCell::default(),
+        strengths: RefCell::default(),
+        outdone: Cell::default(),
         renewed: Cell::new(clock::now()),
     });
     session.scheduler.borrow_mut().add_helper(OWN_BOX);
@@ -182,7 +220,7 @@
     }
     session.ended.set(true);
     *host.session.borrow_mut() = None;
-    if host.stopping.get() {
+    if host.stopping.get() || session.should_yield(host) {
         resign(host, token).await;
     }
     host.watch.borrow_mut().step_down();
@@ -203,8 +241,13 @@
         if !host.watch.borrow().is_holder() || session.scheduler.borrow().is_fenced_out() {
             return;
         }
+        if session.should_yield(host) {
+            info!(host.log, "yielding to a stronger box"; "token" => %session.token,
+                "own" => %host.settings.strength, "strongest" => %host.watch.borrow().strongest());
+            return;
+        }
         let newest = host.watch.borrow().newest().cloned();
-        let (Some(record), Some(end)) = (newest, host.lead_view.offset.get()) else { return };
+        let (Some(record), Some(end)) = (newest, lead_end(host)) else { return };
         pause = RENEW_RETRY;
         if record.token == session.token && append_lead(host, record, end).await {
             session.renewed.set(clock::now());
@@ -224,7 +267,7 @@
     const TRIES: usize = 5;
     for _ in 0..TRIES {
         let newest = host.watch.borrow().newest().cloned();
-        let Some(end) = host.lead_view.offset.get() else { return };
+        let Some(end) = lead_end(host) else { return };
         let Some(record) = newest.filter(|newest| newest.token == token) else { return };
         if append_lead(host, LeadRecord { resigned: true, ..record }, end).await {
             return;
@@ -237,6 +280,7 @@
 async fn take_turns(host: &Rc<CellBox>, session: &Rc<LeadSession>) {
     loop {
         let _ = tokio::time::timeout(TURN_MOST, session.wake.notified()).await;
+        let begun = Instant::now();
         if session.may_order(host) {
             let now = clock::now();
             session.scheduler.borrow_mut().set_wall_clock(clock::unix_ms(), now);
@@ -250,6 +294,6 @@
         for event in &events {
             events::note(&host.log, event);
         }
-        tokio::time::sleep(TURN_PAUSE).await;
+        tokio::time::sleep(TURN_PAUSE.max(begun.elapsed() * TURN_REST)).await;
     }
 }
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use sedgehill_adapter::advice::AdviceAnswer;
+use sedgehill_cell::authority::BoxStrength;
 use sedgehill_cell::ids::{BoxName, StepId, WorkerLife};
 use sedgehill_cell::scheduler::{AdviceQuestion, HelperId};
 use sedgehill_core::units::TimeSpan;
@@ -54,12 +55,19 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 enum PeerFrame {
     /// The first frame of a box that offers to help.
-    Hello(BoxName),
+    Hello {
+        /// Its name.
+        name: BoxName,
+        /// What it can bear.
+        strength: BoxStrength,
+    },
     /// The lead lives.
     Ping {
         /// Whether the store answers it. If not, the boxes that the store answers need not wait as
         /// long before one of them follows.
         store_answers: bool,
+        /// The strength of the strongest box that the lead has heard of.
+        strongest: BoxStrength,
     },
     /// The lead asks.
     Ask(HelperQuestion),
@@ -115,20 +123,25 @@
 ) {
     let _ = stream.set_nodelay(true);
     let (mut reader, mut writer) = stream.into_split();
-    let name = match read_frame(&mut reader).await {
-        Ok(PeerFrame::Hello(name)) => name,
+    let (name, strength) = match read_frame(&mut reader).await {
+        Ok(PeerFrame::Hello { name, strength }) => (name, strength),
         Ok(_) | Err(_) => return,
     };
+    host.watch.borrow_mut().note_strength(strength);
     let (queue, mut questions) = mpsc::unbounded_channel();
     session.helpers.borrow_mut().insert(helper, queue);
     session.scheduler.borrow_mut().add_helper(helper);
+    session.note_helper(&host, helper, strength);
     info!(host.log, "helper joined"; "box" => %name, "helper" => helper.0);
     let send = async {
         while !session.ended.get() {
             let frame = match tokio::time::timeout(PING_EVERY, questions.recv()).await {
                 Ok(Some(question)) => PeerFrame::Ask(question),
                 Ok(None) => return,
-                Err(_) => PeerFrame::Ping { store_answers: session.store_answers() },
+                Err(_) => PeerFrame::Ping {
+                    store_answers: session.store_answers(),
+                    strongest: host.watch.borrow().strongest(),
+                },
             };
             if write_frame(&mut writer, &frame).await.is_err() {
                 return;
@@ -150,6 +163,7 @@
         () = receive => {}
     }
     session.helpers.borrow_mut().remove(&helper);
+    session.strengths.borrow_mut().remove(&helper);
     session.scheduler.borrow_mut().remove_helper(helper, clock::now());
     info!(host.log, "helper left"; "box" => %name, "helper" => helper.0);
 }
@@ -185,13 +199,19 @@
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) = stream.into_split();
-    write_frame(&mut writer, &PeerFrame::Hello(host.settings.name.clone())).await?;
+    let hello =
+        PeerFrame::Hello { name: host.settings.name.clone(), strength: host.settings.strength };
+    write_frame(&mut writer, &hello).await?;
     let (answers, mut outbox) = mpsc::unbounded_channel::<PeerFrame>();
     loop {
         tokio::select! {
             frame = tokio::time::timeout(SILENCE, read_frame(&mut reader)) => {
                 let frame = frame.map_err(|_| std::io::Error::other("the lead is silent"))??;
-                let store_answers = !matches!(frame, PeerFrame::Ping { store_answers: false });
+                let store_answers =
+                    !matches!(frame, PeerFrame::Ping { store_answers: false, .. });
+                if let PeerFrame::Ping { strongest, .. } = &frame {
+                    host.watch.borrow_mut().note_strength(*strongest);
+                }
                 host.watch.borrow_mut().note_reachable(store_answers);
                 if let PeerFrame::Ask(question) = frame {
                     let (host, answers) = (host.clone(), answers.clone());
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use sedgehill_cell::authority::AuthorityTiming;
+use sedgehill_cell::authority::{AuthorityTiming, BoxStrength};
 use sedgehill_cell::ids::BoxName;
 use sedgehill_cell::scheduler::CellTiming;
 use sedgehill_core::fields::{FieldReader, ManifestError, ManifestErrors};
@@ -46,6 +46,8 @@
     pub store: SocketAddr,
     /// The service that tells which workers may run a step, if there is one.
     pub advice: Option<SocketAddr>,
+    /// What the box can bear: stronger boxes lead.
+    pub strength: BoxStrength,
     /// Times of the scheduler.
     pub cell: CellTiming,
     /// Times of claims and renewals.
@@ -60,6 +62,9 @@
 /// of a second for the connections under way.
 const ENTRY_LAG: TimeSpan = TimeSpan(2_300);
 
+/// The strength of a box whose settings tell none: that of the platform's usual boxes.
+const DEFAULT_STRENGTH: BoxStrength = BoxStrength(250);
+
 impl CellSettings {
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<CellSettings, SettingsError> {
@@ -95,6 +100,7 @@
     });
     let store = reader.text("store");
     let advice = reader.optional_text("advice");
+    let strength = reader.text_or("cores", DEFAULT_STRENGTH);
     let cell = optional_group(reader, "cell", read_cell);
     let grace = reader.text_or("stop_grace", TimeSpan(6_000));
     let name = name?;
@@ -105,6 +111,7 @@
         listen: listen?,
         store: store?,
         advice,
+        strength: strength?,
         cell: cell?,
         authority: AuthorityTiming::default(),
         stop: StopTiming {
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -151,7 +151,7 @@
             advice: settings.advice.map(|address| AdviceClient::new(http.clone(), address)),
             http,
         };
-        let watch = LeadWatch::new(settings.name.clone(), life, clock::now());
+        let watch = LeadWatch::new(settings.name.clone(), life, settings.strength, clock::now());
         CellBox {
             settings,
             log,
