--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -8,11 +8,13 @@
 //! - [`progress`] is what must survive of a job's course.
 //! - [`replica`] folds the cell's records into the jobs that every box knows.
 //! - [`authority`] decides which box leads the cell.
+//! - [`patience`] decides how long to wait for the store.
 //! - [`scheduler`] is the lead's own state: workers, runs, waiting tasks and orders.
 
 pub mod authority;
 pub mod ids;
 pub mod job;
+pub mod patience;
 pub mod progress;
 pub mod replica;
 pub mod scheduler;
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -23,6 +23,9 @@
     Cancel,
     /// The lead notes how far the job is.
     Progress(JobProgress),
+    /// The lead accepted the job. It may start tasks of it as soon as this is recorded, so a later
+    /// lead has to take it as ordered.
+    Led(JobRecord),
 }
 
 quick_error! {
@@ -55,6 +58,7 @@
             CellRecord::Job(_) => 'j',
             CellRecord::Cancel => 'c',
             CellRecord::Progress(_) => 'p',
+            CellRecord::Led(_) => 'l',
         };
         format!("{kind}{job}")
     }
@@ -80,6 +84,8 @@
     pub cancelled: bool,
     /// How far it is.
     pub progress: JobProgress,
+    /// Whether a lead accepted it.
+    pub led: bool,
 }
 
 impl KnownJob {
@@ -92,6 +98,11 @@
         }
     }
 
+    /// What a new lead has to go by.
+    pub fn kept(&self) -> JobProgress {
+        JobProgress { ordered: self.led || self.progress.ordered, ..self.progress.clone() }
+    }
+
     fn is_waiting(&self) -> bool {
         self.record.is_some() && self.state() == JobState::Pending
     }
@@ -156,9 +167,10 @@
     pub fn apply(&mut self, id: JobId, record: CellRecord) -> ReplicaChange {
         let job = self.jobs.entry(id).or_default();
         let was_waiting = job.is_waiting();
+        job.led |= matches!(record, CellRecord::Led(_));
         let change = match record {
-            CellRecord::Job(_) if job.record.is_some() => ReplicaChange::Other,
-            CellRecord::Job(record) => {
+            CellRecord::Job(_) | CellRecord::Led(_) if job.record.is_some() => ReplicaChange::Other,
+            CellRecord::Job(record) | CellRecord::Led(record) => {
                 job.record = Some(Rc::new(record));
                 ReplicaChange::Accepted(id)
             }
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -179,6 +179,22 @@
         self.finish_if_over(id, now);
     }
 
+    /// Whether a job is being worked on.
+    pub fn has_job(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
+    /// Takes in a job that this lead accepted, and that is recorded as such: no other lead can have
+    /// started anything of it, and its tasks may start at once.
+    pub fn add_led_job(&mut self, id: JobId, record: Rc<JobRecord>, now: Moment) {
+        let job = self
+            .jobs
+            .entry(id)
+            .or_insert_with(|| JobWork::new(id, record, now, &JobProgress::default(), self.token));
+        job.ordered = OrderedMark::Recorded;
+        job.foreign_orders = false;
+    }
+
     fn mark_ordered(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.ordered = OrderedMark::Asked;
--- a/crates/sedgehill-cell/tests/testsuite/fake.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake.rs
@@ -184,6 +184,14 @@
         scheduler.add_job(JobId(id), record, &none, TimeSpan(0), self.now);
     }
 
+    /// Accepts a job through the lead.
+    pub fn submit_led(&mut self, scheduler: &mut Scheduler, id: u64, record: JobRecord) {
+        let record = Rc::new(record);
+        let kept = JobProgress { ordered: true, ..JobProgress::default() };
+        self.store.entry(JobId(id)).or_insert((record.clone(), kept));
+        scheduler.add_led_job(JobId(id), record, self.now);
+    }
+
     pub fn progress(&self, id: u64) -> &JobProgress {
         &self.store[&JobId(id)].1
     }
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -3,6 +3,8 @@
 mod advice;
 mod authority;
 mod fake;
+mod led;
+mod patience;
 mod random;
 mod replica;
 mod scheduler;
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/patience.rs
@@ -0,0 +1,38 @@
+//! How long calls to the store may take.
+
+use std::time::Duration;
+
+use sedgehill_cell::patience::CallPatience;
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+#[test]
+fn a_lost_answer_of_a_quick_store_is_noticed_soon() {
+    let mut patience = CallPatience::default();
+    for _ in 0..20 {
+        patience.note_answer(millis(8));
+    }
+    assert!(patience.limit() <= millis(200), "{:?}", patience.limit());
+    patience.note_failure();
+    assert!(patience.limit() >= millis(300), "{:?}", patience.limit());
+}
+
+#[test]
+fn a_slow_store_is_given_time() {
+    let mut patience = CallPatience::default();
+    for _ in 0..20 {
+        patience.note_answer(millis(420));
+    }
+    assert!(patience.limit() >= millis(1_500), "{:?}", patience.limit());
+}
+
+#[test]
+fn waiting_is_bounded_however_often_calls_fail() {
+    let mut patience = CallPatience::default();
+    for _ in 0..100 {
+        patience.note_failure();
+    }
+    assert!(patience.limit() <= millis(2_500), "{:?}", patience.limit());
+}
--- a/crates/sedgehill-cell/tests/testsuite/replica.rs
+++ b/crates/sedgehill-cell/tests/testsuite/replica.rs
@@ -12,6 +12,7 @@
 fn records_are_read_back_as_written() {
     let records = [
         CellRecord::Job(job(vec![step(2, 1)])),
+        CellRecord::Led(job(vec![step(2, 1)])),
         CellRecord::Cancel,
         CellRecord::Progress(JobProgress { state: JobState::Running, ..JobProgress::default() }),
     ];
@@ -54,3 +55,20 @@
     replica.apply(ID, CellRecord::Cancel);
     assert_eq!(replica.job(ID).unwrap().state(), JobState::Completed);
 }
+
+#[test]
+fn a_job_that_a_lead_accepted_counts_as_ordered_whichever_copy_is_heard_first() {
+    let record = job(vec![step(1, 1)]);
+    let copies = [CellRecord::Job(record.clone()), CellRecord::Led(record.clone())];
+    assert_ne!(copies[0].key(ID), copies[1].key(ID));
+    for order in [[0, 1], [1, 0]] {
+        let mut replica = CellReplica::default();
+        for copy in order {
+            replica.apply(ID, copies[copy].clone());
+        }
+        assert!(replica.job(ID).unwrap().kept().ordered);
+    }
+    let mut replica = CellReplica::default();
+    replica.apply(ID, copies[0].clone());
+    assert!(!replica.job(ID).unwrap().kept().ordered);
+}
--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -36,13 +36,25 @@
 }
 
 fn start_box(directory: &Path, name: &str, platform: &CellPlatform) -> CellProcess {
+    start_box_at(directory, name, platform, platform.store_address, "0.25")
+}
+
+/// Starts a box that reaches the store at `store`.
+fn start_box_at(
+    directory: &Path,
+    name: &str,
+    platform: &CellPlatform,
+    store: SocketAddr,
+    cores: &str,
+) -> CellProcess {
     let (callers, ready) = (free_address(), free_address());
     let settings = json!({
+        "cores": cores,
         "box": name,
         "listen": {
             "callers": callers, "ready": ready, "peers": free_address(), "metrics": free_address()
         },
-        "store": platform.store_address,
+        "store": store,
         "advice": platform.advice_address,
     });
     let path = directory.join(format!("{name}.json"));
@@ -58,6 +70,34 @@
     CellProcess { child, callers, ready }
 }
 
+/// One box's path to the store, which can be cut.
+struct StorePath {
+    address: SocketAddr,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl StorePath {
+    async fn open(store: SocketAddr) -> StorePath {
+        let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let task = tokio::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            while let Ok((mut inner, _)) = listener.accept().await {
+                connections.spawn(async move {
+                    let Ok(mut outer) = TcpStream::connect(store).await else { return };
+                    let _ = tokio::io::copy_bidirectional(&mut inner, &mut outer).await;
+                });
+            }
+        });
+        StorePath { address, task }
+    }
+
+    /// Breaks all connections and takes no more.
+    fn cut(&self) {
+        self.task.abort();
+    }
+}
+
 /// One call on a connection of its own: the status and the body.
 async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
     let exchange = async {
@@ -234,6 +274,60 @@
     assert_kept(&platform);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_box_that_is_cut_from_the_store_serves_through_the_lead() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(2).await.unwrap();
+    platform.configure(1);
+    let lead = start_box_at(directory.path(), "lead", &platform, platform.store_address, "0.5");
+    wait_ready(&lead).await;
+    let path = StorePath::open(platform.store_address).await;
+    let other = start_box_at(directory.path(), "other", &platform, path.address, "0.25");
+    wait_ready(&other).await;
+    submit(&[&other], 1).await;
+    path.cut();
+    // Longer than a view is taken as fresh without proof.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let ready = call(other.ready, "GET", "/sedgehill/readyz", "").await;
+    let log = std::fs::read_to_string(directory.path().join("other.log")).unwrap();
+    assert_eq!(ready.map(|(status, _)| status), Some(200), "{log}");
+    submit(&[&other], 2).await;
+    for id in [1, 2] {
+        wait_completed(&other, id).await;
+    }
+    platform.configure(2);
+    wait_for("the new configuration", async || {
+        let log = std::fs::read_to_string(directory.path().join("other.log")).unwrap();
+        log.lines().any(|line| line.contains("configuration in force") && line.contains(":2"))
+    })
+    .await;
+    assert_kept(&platform);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_weak_lead_yields_to_a_stronger_box() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(2).await.unwrap();
+    platform.configure(1);
+    let start = |name, cores| {
+        start_box_at(directory.path(), name, &platform, platform.store_address, cores)
+    };
+    let weak = start("weak", "0.12");
+    wait_ready(&weak).await;
+    submit(&[&weak], 1).await;
+    let strong = start("strong", "0.5");
+    wait_for("the stronger lead", async || {
+        let log = std::fs::read_to_string(directory.path().join("strong.log")).unwrap();
+        log.contains("\"leading\"")
+    })
+    .await;
+    submit(&[&weak], 2).await;
+    for id in [1, 2] {
+        wait_completed(&strong, id).await;
+    }
+    assert_kept(&platform);
+}
+
 #[test]
 fn wrong_settings_name_the_file_and_the_key() {
     let directory = tempfile::tempdir().unwrap();
@@ -279,6 +373,7 @@
         ("{{ip}}", "127.0.0.1"),
         ("{{port_range.0}}", "3"),
         ("{{platform.address}}", "127.0.0.1:5"),
+        ("{{limits.cpu_share}}", "0.25"),
         ("{{bounds.max_hold_ms}}", "6000"),
         ("{{bounds.stop_ms}}", "400"),
         ("{{bounds.grace_s}}", "6"),
--- a/crates/sedgehilld/src/cell/accept.rs
+++ b/crates/sedgehilld/src/cell/accept.rs
@@ -11,6 +11,7 @@
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_core::units::{Moment, TimeSpan};
+use serde::{Deserialize, Serialize};
 use slog::warn;
 use tokio::sync::{mpsc, oneshot};
 
@@ -29,11 +30,14 @@
 const TRY_LIMIT: Duration = Duration::from_millis(2_500);
 /// How long an append whose answer was lost is tried again.
 const SETTLE_LIMIT: TimeSpan = TimeSpan(6_000);
+/// How long the lead may take before a box puts a record into the store itself. A slow store takes
+/// some 400 ms for an append, and a batch may wait for the one before it.
+const LEAD_LIMIT: Duration = Duration::from_millis(1_100);
 /// Pause before the next try.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
 /// What came of a record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AcceptOutcome {
     /// It is in the store.
     Kept,
@@ -62,14 +66,42 @@
         (AcceptHandle { queue }, inbox)
     }
 
-    /// Puts a record into the store. Waits for at most `patience`.
+    /// Puts a record into the store, if possible through the lead, which gathers the records of all
+    /// boxes. Waits for at most `patience`.
     pub async fn submit(
         &self,
+        host: &CellBox,
         job: JobId,
-        record: &CellRecord,
+        statement: &CellRecord,
         patience: Duration,
     ) -> AcceptOutcome {
-        let record = KeyedRecord { key: record.key(job), value: record.encode().into() };
+        let begun = Instant::now();
+        let by_lead = submit_to_lead(host, job, statement);
+        let led = tokio::time::timeout(patience.min(LEAD_LIMIT), by_lead).await;
+        let led = match led {
+            Ok(LedOutcome::Told(AcceptOutcome::Kept)) => return AcceptOutcome::Kept,
+            Ok(led) => led,
+            Err(_) => LedOutcome::Told(AcceptOutcome::Unknown),
+        };
+        let left = patience.saturating_sub(begun.elapsed());
+        let own = self.append(job, statement, left).await;
+        match (led, own) {
+            // What the lead may have recorded cannot be called not done.
+            (LedOutcome::Told(AcceptOutcome::Unknown), AcceptOutcome::NotDone) => {
+                AcceptOutcome::Unknown
+            }
+            (_, own) => own,
+        }
+    }
+
+    /// Puts a record into the store from this box.
+    async fn append(
+        &self,
+        job: JobId,
+        statement: &CellRecord,
+        patience: Duration,
+    ) -> AcceptOutcome {
+        let record = KeyedRecord { key: statement.key(job), value: statement.encode().into() };
         let (reply, answer) = oneshot::channel();
         if self.queue.try_send(Submission { record, reply }).is_err() {
             return AcceptOutcome::NotDone;
@@ -81,6 +113,25 @@
     }
 }
 
+/// What came of handing a record to the lead.
+enum LedOutcome {
+    /// There is no lead within reach that could take it.
+    NoLead,
+    /// What the lead told, or that it told nothing.
+    Told(AcceptOutcome),
+}
+
+async fn submit_to_lead(host: &CellBox, job: JobId, statement: &CellRecord) -> LedOutcome {
+    let session = host.session.borrow().clone();
+    let link = host.link.borrow().clone();
+    let outcome = match (session, link) {
+        (Some(session), _) if session.store_answers() => session.submit(host, job, statement).await,
+        (None, Some(link)) if link.takes_submissions() => link.submit(job, statement).await,
+        _ => return LedOutcome::NoLead,
+    };
+    LedOutcome::Told(outcome.unwrap_or(AcceptOutcome::Unknown))
+}
+
 /// Works off the queue.
 pub async fn run(host: Rc<CellBox>, mut inbox: mpsc::Receiver<Submission>) {
     let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(APPENDS_AT_ONCE));
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -162,7 +162,7 @@
         Some(true) => CallerAnswer::Cancelled,
         None if host.knows_jobs() => CallerAnswer::NoJob,
         None => CallerAnswer::NotDone(RETRY_AFTER),
-        Some(false) => match desk.accept.submit(id, &CellRecord::Cancel, patience).await {
+        Some(false) => match desk.accept.submit(host, id, &CellRecord::Cancel, patience).await {
             AcceptOutcome::Kept => CallerAnswer::Cancelled,
             AcceptOutcome::NotDone => CallerAnswer::NotDone(RETRY_AFTER),
             AcceptOutcome::Unknown => CallerAnswer::Unknown,
@@ -195,8 +195,8 @@
     if host.replica.borrow().job(id).is_some() {
         return CallerAnswer::Accepted;
     }
-    if !host.knows_jobs() || host.store_contact.is_silent() {
-        // The store does not answer this box, and nothing was sent there.
+    if !host.knows_jobs() || !host.reaches_store() {
+        // The store answers neither this box nor the lead, and nothing was sent there.
         return CallerAnswer::NotDone(RETRY_AFTER);
     }
     let record = JobRecord {
@@ -205,7 +205,7 @@
         spec,
         accepted_unix_ms: clock::unix_ms(),
     };
-    match desk.accept.submit(id, &CellRecord::Job(record), patience).await {
+    match desk.accept.submit(host, id, &CellRecord::Job(record), patience).await {
         AcceptOutcome::Kept => CallerAnswer::Accepted,
         AcceptOutcome::NotDone => CallerAnswer::NotDone(RETRY_AFTER),
         AcceptOutcome::Unknown => CallerAnswer::Unknown,
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -37,51 +37,53 @@
 /// The same for the lead, which waits for jobs to place.
 const JOBS_PAUSE_LEAD: Duration = Duration::from_millis(14);
 
+/// Time between two looks whether a topic is still proved to be known.
+const FED_PAUSE: Duration = Duration::from_millis(50);
+
 /// Follows the configuration.
 pub async fn follow_config(host: Rc<CellBox>) {
-    let apply = |host: &CellBox, record: &KeyedRecord| apply_config(host, record);
-    follow(&host, StoreTopic::Operators, &host.config_view, apply, |_| Duration::ZERO).await;
+    follow(&host, StoreTopic::Operators, &host.config_view, |_| Duration::ZERO).await;
 }
 
 /// Follows who leads.
 pub async fn follow_leads(host: Rc<CellBox>) {
-    let apply = |host: &CellBox, record: &KeyedRecord| apply_lead(host, record);
     let pause = |host: &CellBox| match host.session.borrow().is_some() {
         true => Duration::ZERO,
         false => LEADS_PAUSE,
     };
-    follow(&host, StoreTopic::Leads, &host.lead_view, apply, pause).await;
+    follow(&host, StoreTopic::Leads, &host.lead_view, pause).await;
 }
 
 /// Follows jobs and cancellations.
 pub async fn follow_jobs(host: Rc<CellBox>) {
-    let apply = |host: &CellBox, record: &KeyedRecord| apply_cell(host, record);
     let pause = |host: &CellBox| match host.session.borrow().is_some() {
         true => JOBS_PAUSE_LEAD,
         false => JOBS_PAUSE,
     };
-    follow(&host, StoreTopic::Jobs, &host.jobs_view, apply, pause).await;
+    follow(&host, StoreTopic::Jobs, &host.jobs_view, pause).await;
 }
 
 /// Follows the progress of jobs.
 pub async fn follow_progress(host: Rc<CellBox>) {
-    let apply = |host: &CellBox, record: &KeyedRecord| apply_cell(host, record);
     let pause = |_: &CellBox| PROGRESS_PAUSE;
-    follow(&host, StoreTopic::Progress, &host.progress_view, apply, pause).await;
+    follow(&host, StoreTopic::Progress, &host.progress_view, pause).await;
 }
 
 async fn follow(
     host: &CellBox,
     topic: StoreTopic,
     view: &TopicView,
-    apply: impl Fn(&CellBox, &KeyedRecord),
     pause: impl Fn(&CellBox) -> Duration,
 ) {
     let mut failing = false;
     loop {
+        if !reads_for_itself(host, topic, view) {
+            tokio::time::sleep(FED_PAUSE).await;
+            continue;
+        }
         let result = match view.offset.get() {
-            None => read_newest(host, topic, view, &apply).await,
-            Some(offset) => read_on(host, topic, view, offset, &apply).await,
+            None => read_newest(host, topic, view).await,
+            Some(offset) => read_on(host, topic, view, offset).await,
         };
         if result.is_ok() {
             host.store_contact.note_answer();
@@ -109,16 +111,44 @@
     }
 }
 
+/// Whether a box has to read a topic itself. What the lead proves to be known needs no reading.
+fn reads_for_itself(host: &CellBox, topic: StoreTopic, view: &TopicView) -> bool {
+    let fed = match topic {
+        StoreTopic::Jobs => host.session.borrow().is_none(),
+        StoreTopic::Progress => true,
+        StoreTopic::Operators | StoreTopic::Leads | StoreTopic::Workers => false,
+    };
+    !(fed && view.is_fed() && view.offset.get().is_some())
+}
+
+/// The lead passes on what it reads.
+fn pass_on(host: &CellBox, topic: StoreTopic, from: u64, records: &[KeyedRecord]) {
+    if let Some(session) = &*host.session.borrow()
+        && topic != StoreTopic::Leads
+    {
+        session.feed(topic, from, records);
+    }
+}
+
+/// Takes in a record of a topic.
+pub fn apply(host: &CellBox, topic: StoreTopic, record: &KeyedRecord) {
+    match topic {
+        StoreTopic::Operators => apply_config(host, record),
+        StoreTopic::Leads => apply_lead(host, record),
+        StoreTopic::Jobs | StoreTopic::Progress => apply_cell(host, record),
+        StoreTopic::Workers => {}
+    }
+}
+
 async fn read_newest(
     host: &CellBox,
     topic: StoreTopic,
     view: &TopicView,
-    apply: &impl Fn(&CellBox, &KeyedRecord),
 ) -> Result<usize, CallError> {
     let asked = clock::now();
     let newest = host.clients.store.newest(topic, NEWEST_LIMIT).await?;
     for record in &newest.records {
-        apply(host, record);
+        apply(host, topic, record);
     }
     view.offset.set(Some(newest.end));
     view.note_complete(asked);
@@ -132,7 +162,6 @@
     topic: StoreTopic,
     view: &TopicView,
     offset: u64,
-    apply: &impl Fn(&CellBox, &KeyedRecord),
 ) -> Result<usize, CallError> {
     let asked = clock::now();
     let (wait, limit) = match host.store_contact.is_silent() {
@@ -147,14 +176,20 @@
             Ok(0)
         }
         ReadOutcome::Records { records, end } => {
-            for record in &records {
-                apply(host, record);
-            }
             let read = offset + records.len() as u64;
-            view.offset.set(Some(read));
+            // Meanwhile the records may have come over the link, or have been written by this box.
+            let known = view.offset.get().unwrap_or(offset).max(offset);
+            let new = records.get((known - offset) as usize..).unwrap_or_default();
+            for record in new {
+                apply(host, topic, record);
+            }
+            if read > known {
+                pass_on(host, topic, known, new);
+                view.offset.set(Some(read));
+            }
             // An empty answer was sent when the wait was over; it may have been read much later.
             let waited = if records.is_empty() { wait } else { Duration::ZERO };
-            if read >= end {
+            if read.max(known) >= end {
                 let complete = asked.after(TimeSpan(waited.as_millis() as u64));
                 view.note_complete(complete.min(clock::now()));
             }
--- /dev/null
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -0,0 +1,176 @@
+//! What boxes say to each other on their links to the lead.
+
+use std::rc::Rc;
+
+use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
+use sedgehill_cell::authority::BoxStrength;
+use sedgehill_cell::ids::{BoxName, JobId, StepId, WorkerLife};
+use sedgehill_cell::replica::CellRecord;
+use sedgehill_cell::scheduler::AdviceQuestion;
+use sedgehill_core::units::TimeSpan;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use super::accept::AcceptOutcome;
+
+/// The longest frame, in bytes. One job takes some 5 KB at the most, a question on a hundred workers
+/// some 4 KB; records are packed into frames of [`RECORD_BYTES`].
+const FRAME_BYTES: u32 = 1 << 20;
+/// Records are gathered into one frame up to this many bytes.
+pub const RECORD_BYTES: usize = 128 << 10;
+
+/// A question that a box asks on the lead's behalf.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HelperQuestion {
+    /// The step.
+    pub step: StepId,
+    /// The workers in question.
+    pub workers: Vec<WorkerLife>,
+}
+
+impl From<&AdviceQuestion> for HelperQuestion {
+    fn from(question: &AdviceQuestion) -> HelperQuestion {
+        HelperQuestion { step: question.step, workers: question.workers.clone() }
+    }
+}
+
+/// Records of a topic as the store holds them, one after the other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FedRecords {
+    /// The topic.
+    pub topic: StoreTopic,
+    /// The offset of the first record.
+    pub from: u64,
+    /// Keys and values.
+    pub records: Vec<(String, Vec<u8>)>,
+}
+
+impl FedRecords {
+    /// Packs records that begin at offset `from` into parts that fit into frames.
+    pub fn pack(topic: StoreTopic, from: u64, records: &[KeyedRecord]) -> Vec<FedRecords> {
+        let mut parts: Vec<FedRecords> = Vec::new();
+        let mut bytes = RECORD_BYTES;
+        for (record, offset) in records.iter().zip(from..) {
+            if bytes >= RECORD_BYTES {
+                parts.push(FedRecords { topic, from: offset, records: Vec::new() });
+                bytes = 0;
+            }
+            bytes += record.key.len() + record.value.len();
+            let part = parts.last_mut().expect("a part was just begun");
+            part.records.push((record.key.clone(), record.value.to_vec()));
+        }
+        parts
+    }
+}
+
+/// How far the lead's own views reach.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ViewProof {
+    /// The version of the configuration in force.
+    pub config: u64,
+    /// How long ago that was surely the newest version.
+    pub config_age: TimeSpan,
+    /// Where the lead has read the jobs to.
+    pub jobs_end: u64,
+    /// Where the lead has read the progress to.
+    pub progress_end: u64,
+    /// How long ago jobs and progress surely ended there.
+    pub cell_age: TimeSpan,
+}
+
+/// What goes over a link.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerFrame {
+    /// The first frame of a box that offers to help.
+    Hello {
+        /// Its name.
+        name: BoxName,
+        /// What it can bear.
+        strength: BoxStrength,
+    },
+    /// The lead lives.
+    Ping {
+        /// Whether the store answers it. If not, the boxes that the store answers need not wait as
+        /// long before one of them follows.
+        store_answers: bool,
+        /// The strength of the strongest box that the lead has heard of.
+        strongest: BoxStrength,
+    },
+    /// The lead asks for advice.
+    Ask(HelperQuestion),
+    /// The helper has an answer of the advice service, or none.
+    Answer {
+        /// What was asked.
+        question: HelperQuestion,
+        /// The workers that may run the step, with their tickets.
+        good: Option<Vec<(WorkerLife, std::sync::Arc<str>)>>,
+        /// How long the tickets are valid.
+        valid: TimeSpan,
+    },
+    /// A box hands in what a caller said.
+    Submit {
+        /// Told again in the answer.
+        number: u64,
+        /// The job.
+        job: JobId,
+        /// The job itself, or its cancellation.
+        statement: CellRecord,
+    },
+    /// What came of a submission.
+    Submitted {
+        /// The number of the submission.
+        number: u64,
+        /// What came of it.
+        outcome: AcceptOutcome,
+    },
+    /// What the lead has read or written.
+    Records(FedRecords),
+    /// A box asks how far the lead's views reach.
+    Probe {
+        /// Told again in the answer.
+        number: u64,
+    },
+    /// A box that the store does not answer asks for records that it missed.
+    Fetch {
+        /// The topic.
+        topic: StoreTopic,
+        /// The first offset that is missing.
+        from: u64,
+    },
+    /// How far they reach; none if the lead cannot tell.
+    Proof {
+        /// The number of the question.
+        number: u64,
+        /// How far they reach.
+        proof: Option<ViewProof>,
+    },
+}
+
+impl PeerFrame {
+    /// The frame with its length before it.
+    pub fn encode(&self) -> Rc<[u8]> {
+        let body = postcard::to_stdvec(self).expect("frames have no types that cannot be encoded");
+        let length = u32::try_from(body.len()).expect("frames are shorter than 4 GiB");
+        let mut bytes = Vec::with_capacity(body.len() + 4);
+        bytes.extend_from_slice(&length.to_be_bytes());
+        bytes.extend_from_slice(&body);
+        bytes.into()
+    }
+}
+
+/// Sends a frame.
+pub async fn write_frame(stream: &mut OwnedWriteHalf, frame: &PeerFrame) -> std::io::Result<()> {
+    stream.write_all(&frame.encode()).await
+}
+
+/// Receives a frame. Not to be given up midway: the rest would be taken as another frame.
+pub async fn read_frame(stream: &mut OwnedReadHalf) -> std::io::Result<PeerFrame> {
+    let length = stream.read_u32().await?;
+    if length > FRAME_BYTES {
+        return Err(std::io::Error::other("the frame is too long"));
+    }
+    let mut body = vec![0; length as usize];
+    stream.read_exact(&mut body).await?;
+    postcard::from_bytes(&body).map_err(std::io::Error::other)
+}
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -11,11 +11,13 @@
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 
-use super::peers::HelperQuestion;
+use super::frames::FedRecords;
+use super::peers::FrameQueue;
+use super::recorder::LedSubmission;
 use super::state::CellBox;
-use super::{events, orders, recorder, roster};
+use super::{events, orders, peers, recorder, roster};
 use crate::{clock, telemetry};
 
 /// Time between two looks at who leads.
@@ -52,8 +54,12 @@
     pub wake: Notify,
     /// Set when the lead is over.
     pub ended: Cell<bool>,
-    /// The boxes that ask the advice service, with the queue of each one's questions.
-    pub helpers: RefCell<HashMap<HelperId, mpsc::UnboundedSender<HelperQuestion>>>,
+    /// The boxes that keep a link, with the queue of frames for each.
+    pub helpers: RefCell<HashMap<HelperId, FrameQueue>>,
+    /// Records that are to be passed on to them.
+    pub fed: RefCell<Vec<FedRecords>>,
+    /// What callers said, on its way into the store.
+    pub submissions: RefCell<Vec<LedSubmission>>,
     /// The strengths of those boxes.
     pub strengths: RefCell<HashMap<HelperId, BoxStrength>>,
     /// Since when a much stronger box has helped.
@@ -100,7 +106,7 @@
         let age = TimeSpan(clock::unix_ms().saturating_sub(record.accepted_unix_ms));
         let now = clock::now();
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.add_job(id, record, &job.progress, age, now);
+        scheduler.add_job(id, record, &job.kept(), age, now);
         if job.cancelled {
             scheduler.cancel_job(id, now);
         }
@@ -202,6 +208,8 @@
         wake: Notify::new(),
         ended: Cell::new(false),
         helpers: RefCell::default(),
+        fed: RefCell::default(),
+        submissions: RefCell::default(),
         strengths: RefCell::default(),
         outdone: Cell::default(),
         renewed: Cell::new(clock::now()),
@@ -216,9 +224,12 @@
         () = renew(host, &session) => {}
         () = recorder.run(host, &session) => {}
         () = roster::follow(host, &session) => {}
+        () = peers::feed(&session) => {}
         () = take_turns(host, &session) => {}
     }
     session.ended.set(true);
+    // Whoever waits for one of them puts it into the store by itself.
+    session.submissions.borrow_mut().clear();
     *host.session.borrow_mut() = None;
     if host.stopping.get() || session.should_yield(host) {
         resign(host, token).await;
--- /dev/null
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -0,0 +1,254 @@
+//! The link of a box to the lead.
+//!
+//! Over it the box hands callers' jobs to the lead, is fed with the records that the lead reads or
+//! writes, and asks the advice service on the lead's behalf. It also learns at once when the lead's
+//! process is gone. Losing a link costs time and calls to the store only: all that must last or be
+//! agreed on goes through the store.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
+use sedgehill_cell::ids::JobId;
+use sedgehill_cell::replica::CellRecord;
+use sedgehill_core::units::{Moment, TimeSpan};
+use slog::warn;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{mpsc, oneshot};
+
+use super::accept::AcceptOutcome;
+use super::frames::{FedRecords, PeerFrame, ViewProof, read_frame, write_frame};
+use super::state::CellBox;
+use super::{follow, orders};
+use crate::clock;
+
+/// A link on which the lead was silent for longer is taken as lost. It speaks every 300 ms.
+const SILENCE: Duration = Duration::from_millis(900);
+/// Pause before the lead is connected to again.
+const CONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// How long a connection may take to be made.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+/// Time between two questions how far the lead's views reach.
+const PROBE_EVERY: Duration = Duration::from_millis(300);
+/// Frames that may wait to be sent. A link that is so far behind is of no use.
+const OUTBOX_LENGTH: usize = 1_024;
+
+/// A link to the lead.
+pub struct LeadLink {
+    outbox: mpsc::Sender<PeerFrame>,
+    /// Whether the store answers the lead, as it says.
+    store_answers: Cell<bool>,
+    next_number: Cell<u64>,
+    submissions: RefCell<HashMap<u64, oneshot::Sender<AcceptOutcome>>>,
+    probe: Cell<Option<(u64, Moment)>>,
+}
+
+impl LeadLink {
+    fn new(outbox: mpsc::Sender<PeerFrame>) -> LeadLink {
+        LeadLink {
+            outbox,
+            store_answers: Cell::new(false),
+            next_number: Cell::new(0),
+            submissions: RefCell::default(),
+            probe: Cell::default(),
+        }
+    }
+
+    /// Whether the lead can put things into the store.
+    pub fn takes_submissions(&self) -> bool {
+        self.store_answers.get()
+    }
+
+    /// Hands in what a caller said. None if the link was lost before an answer, or is overfull.
+    pub async fn submit(&self, job: JobId, statement: &CellRecord) -> Option<AcceptOutcome> {
+        let number = self.take_number();
+        let (reply, answer) = oneshot::channel();
+        self.submissions.borrow_mut().insert(number, reply);
+        let frame = PeerFrame::Submit { number, job, statement: statement.clone() };
+        if self.outbox.try_send(frame).is_err() {
+            self.submissions.borrow_mut().remove(&number);
+            return Some(AcceptOutcome::NotDone);
+        }
+        answer.await.ok()
+    }
+
+    /// Asks the lead for what this box cannot read itself.
+    fn fetch_missed(&self, host: &CellBox, proof: &ViewProof) {
+        if !host.store_contact.is_silent() {
+            return;
+        }
+        let ends = [(StoreTopic::Jobs, proof.jobs_end), (StoreTopic::Progress, proof.progress_end)];
+        for (topic, end) in ends {
+            let read = host.view(topic).and_then(|view| view.offset.get());
+            if let Some(from) = read.filter(|read| *read < end) {
+                // A link that is overfull is of no use, and the next proof asks again.
+                let _ = self.outbox.try_send(PeerFrame::Fetch { topic, from });
+            }
+        }
+    }
+
+    fn take_number(&self) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
+    }
+
+    fn take_outcome(&self, number: u64, outcome: AcceptOutcome) {
+        if let Some(reply) = self.submissions.borrow_mut().remove(&number) {
+            // A caller that does not wait any more asks again.
+            let _ = reply.send(outcome);
+        }
+    }
+
+    /// Forgets submissions for whose answer nobody waits any more.
+    fn forget_abandoned(&self) {
+        self.submissions.borrow_mut().retain(|_, reply| !reply.is_closed());
+    }
+}
+
+/// Keeps a link to whoever leads.
+pub async fn keep(host: Rc<CellBox>) {
+    loop {
+        tokio::time::sleep(CONNECT_PAUSE).await;
+        let Some(address) = lead_address(&host) else { continue };
+        let connecting = TcpStream::connect(address);
+        if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_LIMIT, connecting).await
+            && let Err(error) = hold(&host, stream, address).await
+        {
+            warn!(host.log, "link to the lead lost"; "error" => %error);
+        }
+        *host.link.borrow_mut() = None;
+        host.watch.borrow_mut().note_reachable(false);
+    }
+}
+
+fn lead_address(host: &CellBox) -> Option<SocketAddr> {
+    let watch = host.watch.borrow();
+    let newest = watch.newest().filter(|newest| !newest.resigned)?;
+    if watch.is_holder() {
+        return None;
+    }
+    newest.peer_address.parse().ok()
+}
+
+async fn hold(host: &Rc<CellBox>, stream: TcpStream, address: SocketAddr) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let (reader, mut writer) = stream.into_split();
+    let hello =
+        PeerFrame::Hello { name: host.settings.name.clone(), strength: host.settings.strength };
+    write_frame(&mut writer, &hello).await?;
+    let (outbox, queue) = mpsc::channel(OUTBOX_LENGTH);
+    let link = Rc::new(LeadLink::new(outbox));
+    *host.link.borrow_mut() = Some(link.clone());
+    tokio::select! {
+        result = send(&link, writer, queue) => result,
+        result = receive(host, &link, reader, address) => result,
+    }
+}
+
+async fn send(
+    link: &LeadLink,
+    mut writer: OwnedWriteHalf,
+    mut queue: mpsc::Receiver<PeerFrame>,
+) -> std::io::Result<()> {
+    let mut probes = tokio::time::interval(PROBE_EVERY);
+    probes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let frame = tokio::select! {
+            Some(frame) = queue.recv() => frame,
+            _ = probes.tick() => {
+                link.forget_abandoned();
+                let number = link.take_number();
+                link.probe.set(Some((number, clock::now())));
+                PeerFrame::Probe { number }
+            }
+        };
+        write_frame(&mut writer, &frame).await?;
+    }
+}
+
+async fn receive(
+    host: &Rc<CellBox>,
+    link: &LeadLink,
+    mut reader: OwnedReadHalf,
+    address: SocketAddr,
+) -> std::io::Result<()> {
+    loop {
+        let frame = tokio::time::timeout(SILENCE, read_frame(&mut reader)).await;
+        let frame = frame.map_err(|_| std::io::Error::other("the lead is silent"))??;
+        match frame {
+            PeerFrame::Ping { store_answers, strongest } => {
+                link.store_answers.set(store_answers);
+                let mut watch = host.watch.borrow_mut();
+                watch.note_reachable(store_answers);
+                watch.note_strength(strongest);
+            }
+            PeerFrame::Ask(question) => {
+                let (host, outbox) = (host.clone(), link.outbox.clone());
+                tokio::task::spawn_local(async move {
+                    let answer = orders::ask_service(&host, &question).await;
+                    let valid = answer.as_ref().map_or(TimeSpan(0), |answer| answer.valid);
+                    let good = answer.map(|answer| answer.good);
+                    // Without a link nobody waits for the answer.
+                    let _ = outbox.send(PeerFrame::Answer { question, good, valid }).await;
+                });
+            }
+            PeerFrame::Submitted { number, outcome } => link.take_outcome(number, outcome),
+            PeerFrame::Records(fed) => take_records(host, fed),
+            PeerFrame::Proof { number, proof: Some(proof) } => {
+                if let Some((asked, sent)) = link.probe.get()
+                    && asked == number
+                {
+                    take_proof(host, &proof, sent);
+                    link.fetch_missed(host, &proof);
+                }
+            }
+            PeerFrame::Proof { proof: None, .. }
+            | PeerFrame::Hello { .. }
+            | PeerFrame::Answer { .. }
+            | PeerFrame::Submit { .. }
+            | PeerFrame::Fetch { .. }
+            | PeerFrame::Probe { .. } => {}
+        }
+        if lead_address(host) != Some(address) {
+            return Ok(());
+        }
+    }
+}
+
+/// Takes in records that follow those already known. Others are read from the store.
+fn take_records(host: &CellBox, fed: FedRecords) {
+    let view = host.view(fed.topic);
+    let follows = view.is_some_and(|view| view.offset.get() == Some(fed.from));
+    // Of the configuration the version decides, so a gap does no harm.
+    let applies = follows || fed.topic == StoreTopic::Operators;
+    if !applies {
+        return;
+    }
+    let end = fed.from + fed.records.len() as u64;
+    for (key, value) in fed.records {
+        follow::apply(host, fed.topic, &KeyedRecord { key, value: value.into() });
+    }
+    if let (true, Some(view)) = (follows, view) {
+        view.offset.set(Some(end));
+    }
+}
+
+/// Takes in how far the lead's views reached after `sent`.
+fn take_proof(host: &CellBox, proof: &ViewProof, sent: Moment) {
+    let before = |age: TimeSpan| Moment(sent.0.saturating_sub(age.0));
+    if host.config.borrow().version >= proof.config {
+        host.config_view.note_fed(before(proof.config_age));
+    }
+    let reaches = |offset: Option<u64>, end: u64| offset.is_some_and(|offset| offset >= end);
+    if reaches(host.jobs_view.offset.get(), proof.jobs_end) {
+        host.jobs_view.note_fed(before(proof.cell_age));
+    }
+    if reaches(host.progress_view.offset.get(), proof.progress_end) {
+        host.progress_view.note_fed(before(proof.cell_age));
+    }
+}
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -7,7 +7,10 @@
 mod accept;
 mod callers;
 mod events;
+mod follow;
+mod frames;
 mod lead;
+mod link;
 mod orders;
 mod peers;
 mod recorder;
@@ -27,8 +30,6 @@
 use self::state::CellBox;
 use crate::{DaemonError, logging, telemetry};
 
-mod follow;
-
 /// Runs a box until it is asked to stop.
 pub fn run(settings: CellSettings) -> Result<(), DaemonError> {
     let log = logging::build_stdout_logger(&settings.name.to_string());
@@ -64,7 +65,7 @@
     spawn_local(telemetry::run_upkeep(recorder.clone()));
     spawn_local(callers::serve_metrics(recorder, metrics));
     spawn_local(peers::listen(host.clone(), peers));
-    spawn_local(peers::help(host.clone()));
+    spawn_local(link::keep(host.clone()));
     spawn_local(lead::run(host.clone()));
     stop::wait(&host).await;
     Ok(())
--- a/crates/sedgehilld/src/cell/orders.rs
+++ b/crates/sedgehilld/src/cell/orders.rs
@@ -10,8 +10,8 @@
 use sedgehill_core::units::TimeSpan;
 use slog::warn;
 
+use super::frames::{HelperQuestion, PeerFrame};
 use super::lead::LeadSession;
-use super::peers::HelperQuestion;
 use super::roster::target_of;
 use super::state::CellBox;
 use crate::clock;
@@ -86,11 +86,12 @@
 }
 
 fn delegate(session: &LeadSession, question: AdviceQuestion) {
+    let frame = PeerFrame::Ask(HelperQuestion::from(&question)).encode();
     let sent = session
         .helpers
         .borrow()
         .get(&question.helper)
-        .is_some_and(|queue| queue.send(HelperQuestion::from(&question)).is_ok());
+        .is_some_and(|queue| queue.try_send(frame).is_ok());
     if !sent {
         take_advice(session, &question, None);
     }
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -1,109 +1,49 @@
-//! Links between boxes: each box keeps one to the lead.
-//!
-//! Over it the lead has other boxes ask the advice service, which serves each box by itself, and the
-//! others learn at once when the lead's process is gone. Losing a link costs time only: all that
-//! must last or be agreed on goes through the store.
+//! The lead's side of the links between boxes: each box keeps one to the lead (see [`super::link`]).
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use sedgehill_adapter::advice::AdviceAnswer;
+use sedgehill_adapter::store::{KeyedRecord, ReadOutcome, StoreTopic};
 use sedgehill_cell::authority::BoxStrength;
-use sedgehill_cell::ids::{BoxName, StepId, WorkerLife};
+use sedgehill_cell::ids::{BoxName, JobId};
+use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{AdviceQuestion, HelperId};
-use sedgehill_core::units::TimeSpan;
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+use super::frames::{FedRecords, PeerFrame, ViewProof, read_frame};
 use super::lead::LeadSession;
 use super::orders;
 use super::state::CellBox;
 use crate::clock;
 
-/// Time between two frames of the lead, at most.
+/// Time between two signs of life of the lead.
 const PING_EVERY: Duration = Duration::from_millis(300);
-/// A link on which the lead was silent for longer is taken as lost.
-const SILENCE: Duration = Duration::from_millis(900);
-/// Pause before the lead is connected to again.
-const CONNECT_PAUSE: Duration = Duration::from_millis(100);
-/// How long a connection may take to be made.
-const CONNECT_LIMIT: Duration = Duration::from_millis(600);
-/// The longest frame, in bytes: a question on a hundred workers takes some 4 KB.
-const FRAME_BYTES: u32 = 64 << 10;
-
-/// A question that a box asks on the lead's behalf.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct HelperQuestion {
-    /// The step.
-    pub step: StepId,
-    /// The workers in question.
-    pub workers: Vec<WorkerLife>,
-}
-
-impl From<&AdviceQuestion> for HelperQuestion {
-    fn from(question: &AdviceQuestion) -> HelperQuestion {
-        HelperQuestion { step: question.step, workers: question.workers.clone() }
-    }
-}
+/// Pause after the machine could not take a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Frames that may wait for one box. One that is so far behind, or frozen, is cut off: it reads from
+/// the store what it missed.
+const QUEUE_LENGTH: usize = 512;
+/// Records are passed on to boxes this often: callers may be told of an end so much later, and each
+/// passing on costs a write for every box.
+const FEED_EVERY: Duration = Duration::from_millis(40);
 
-/// What goes over a link.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-enum PeerFrame {
-    /// The first frame of a box that offers to help.
-    Hello {
-        /// Its name.
-        name: BoxName,
-        /// What it can bear.
-        strength: BoxStrength,
-    },
-    /// The lead lives.
-    Ping {
-        /// Whether the store answers it. If not, the boxes that the store answers need not wait as
-        /// long before one of them follows.
-        store_answers: bool,
-        /// The strength of the strongest box that the lead has heard of.
-        strongest: BoxStrength,
-    },
-    /// The lead asks.
-    Ask(HelperQuestion),
-    /// The helper answers.
-    Answer {
-        question: HelperQuestion,
-        good: Option<Vec<(WorkerLife, std::sync::Arc<str>)>>,
-        valid: TimeSpan,
-    },
-}
-
-async fn write_frame(stream: &mut OwnedWriteHalf, frame: &PeerFrame) -> std::io::Result<()> {
-    let body = postcard::to_stdvec(frame).map_err(std::io::Error::other)?;
-    let length = u32::try_from(body.len()).map_err(std::io::Error::other)?;
-    let mut bytes = Vec::with_capacity(body.len() + 4);
-    bytes.extend_from_slice(&length.to_be_bytes());
-    bytes.extend_from_slice(&body);
-    stream.write_all(&bytes).await
-}
+/// How long reading for another box may take. A slow store takes some 300 ms.
+const FETCH_LIMIT: Duration = Duration::from_millis(1_200);
 
-async fn read_frame(stream: &mut OwnedReadHalf) -> std::io::Result<PeerFrame> {
-    let length = stream.read_u32().await?;
-    if length > FRAME_BYTES {
-        return Err(std::io::Error::other("the frame is too long"));
-    }
-    let mut body = vec![0; length as usize];
-    stream.read_exact(&mut body).await?;
-    postcard::from_bytes(&body).map_err(std::io::Error::other)
-}
+/// The queue of frames for one box.
+pub type FrameQueue = mpsc::Sender<Rc<[u8]>>;
 
 /// Takes the links of other boxes.
 pub async fn listen(host: Rc<CellBox>, listener: TcpListener) {
     let mut next = 1;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(CONNECT_PAUSE).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let session = host.session.borrow().clone();
@@ -122,112 +62,168 @@
     helper: HelperId,
 ) {
     let _ = stream.set_nodelay(true);
-    let (mut reader, mut writer) = stream.into_split();
-    let (name, strength) = match read_frame(&mut reader).await {
-        Ok(PeerFrame::Hello { name, strength }) => (name, strength),
-        Ok(_) | Err(_) => return,
-    };
+    let (mut reader, writer) = stream.into_split();
+    let Ok(PeerFrame::Hello { name, strength }) = read_frame(&mut reader).await else { return };
+    let (queue, frames) = mpsc::channel(QUEUE_LENGTH);
+    join(&host, &session, helper, &name, strength, queue.clone());
+    tokio::select! {
+        () = send(&host, &session, writer, frames, helper) => {}
+        () = receive(&host, &session, reader, helper, &queue) => {}
+    }
+    session.remove_helper(helper);
+    info!(host.log, "helper left"; "box" => %name, "helper" => helper.0);
+}
+
+fn join(
+    host: &CellBox,
+    session: &LeadSession,
+    helper: HelperId,
+    name: &BoxName,
+    strength: BoxStrength,
+    queue: FrameQueue,
+) {
     host.watch.borrow_mut().note_strength(strength);
-    let (queue, mut questions) = mpsc::unbounded_channel();
     session.helpers.borrow_mut().insert(helper, queue);
     session.scheduler.borrow_mut().add_helper(helper);
-    session.note_helper(&host, helper, strength);
-    info!(host.log, "helper joined"; "box" => %name, "helper" => helper.0);
-    let send = async {
-        while !session.ended.get() {
-            let frame = match tokio::time::timeout(PING_EVERY, questions.recv()).await {
-                Ok(Some(question)) => PeerFrame::Ask(question),
-                Ok(None) => return,
-                Err(_) => PeerFrame::Ping {
-                    store_answers: session.store_answers(),
-                    strongest: host.watch.borrow().strongest(),
-                },
-            };
-            if write_frame(&mut writer, &frame).await.is_err() {
-                return;
+    session.note_helper(host, helper, strength);
+    info!(host.log, "helper joined";
+        "box" => %name, "helper" => helper.0, "strength" => %strength);
+}
+
+async fn send(
+    host: &CellBox,
+    session: &LeadSession,
+    mut writer: OwnedWriteHalf,
+    mut frames: mpsc::Receiver<Rc<[u8]>>,
+    helper: HelperId,
+) {
+    let mut pings = tokio::time::interval(PING_EVERY);
+    pings.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while !session.ended.get() && session.helpers.borrow().contains_key(&helper) {
+        let frame = tokio::select! {
+            frame = frames.recv() => match frame {
+                Some(frame) => frame,
+                None => return,
+            },
+            _ = pings.tick() => {
+                let strongest = host.watch.borrow().strongest();
+                PeerFrame::Ping { store_answers: session.store_answers(), strongest }.encode()
             }
+        };
+        if writer.write_all(&frame).await.is_err() {
+            return;
         }
-    };
-    let receive = async {
-        while let Ok(frame) = read_frame(&mut reader).await {
-            if let PeerFrame::Answer { question, good, valid } = frame {
+    }
+}
+
+async fn receive(
+    host: &Rc<CellBox>,
+    session: &Rc<LeadSession>,
+    mut reader: OwnedReadHalf,
+    helper: HelperId,
+    queue: &FrameQueue,
+) {
+    while let Ok(frame) = read_frame(&mut reader).await {
+        match frame {
+            PeerFrame::Answer { question, good, valid } => {
                 let asked =
                     AdviceQuestion { helper, step: question.step, workers: question.workers };
                 let answer = good.map(|good| AdviceAnswer { good, valid });
-                orders::take_advice(&session, &asked, answer);
+                orders::take_advice(session, &asked, answer);
             }
+            PeerFrame::Submit { number, job, statement } => {
+                tokio::task::spawn_local(answer_submission(
+                    host.clone(),
+                    session.clone(),
+                    queue.clone(),
+                    (number, job, statement),
+                ));
+            }
+            PeerFrame::Probe { number } => {
+                let proof = prove_views(host, session);
+                if queue.try_send(PeerFrame::Proof { number, proof }.encode()).is_err() {
+                    return;
+                }
+            }
+            PeerFrame::Fetch { topic, from } => {
+                tokio::task::spawn_local(fetch(host.clone(), queue.clone(), topic, from));
+            }
+            PeerFrame::Hello { .. }
+            | PeerFrame::Ping { .. }
+            | PeerFrame::Ask(_)
+            | PeerFrame::Submitted { .. }
+            | PeerFrame::Records(_)
+            | PeerFrame::Proof { .. } => return,
         }
-    };
-    tokio::select! {
-        () = send => {}
-        () = receive => {}
     }
-    session.helpers.borrow_mut().remove(&helper);
-    session.strengths.borrow_mut().remove(&helper);
-    session.scheduler.borrow_mut().remove_helper(helper, clock::now());
-    info!(host.log, "helper left"; "box" => %name, "helper" => helper.0);
 }
 
-/// Keeps a link to whoever leads.
-pub async fn help(host: Rc<CellBox>) {
-    loop {
-        tokio::time::sleep(CONNECT_PAUSE).await;
-        let Some(address) = lead_address(&host) else { continue };
-        let connecting = TcpStream::connect(address);
-        if let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_LIMIT, connecting).await
-            && let Err(error) = help_lead(&host, stream, address).await
-        {
-            warn!(host.log, "link to the lead lost"; "error" => %error);
-        }
-        host.watch.borrow_mut().note_reachable(false);
+async fn answer_submission(
+    host: Rc<CellBox>,
+    session: Rc<LeadSession>,
+    queue: FrameQueue,
+    (number, job, statement): (u64, JobId, CellRecord),
+) {
+    // Without an outcome the lead is over: the box finds out and helps itself.
+    if let Some(outcome) = session.submit(&host, job, &statement).await {
+        let _ = queue.try_send(PeerFrame::Submitted { number, outcome }.encode());
     }
 }
 
-fn lead_address(host: &CellBox) -> Option<SocketAddr> {
-    let watch = host.watch.borrow();
-    let newest = watch.newest().filter(|newest| !newest.resigned)?;
-    if watch.is_holder() {
-        return None;
+/// Reads records for a box that the store does not answer.
+async fn fetch(host: Rc<CellBox>, queue: FrameQueue, topic: StoreTopic, from: u64) {
+    match host.clients.store.read(topic, from, Duration::ZERO, FETCH_LIMIT).await {
+        Ok(ReadOutcome::Records { records, .. }) => {
+            for part in FedRecords::pack(topic, from, &records) {
+                // A box that is too far behind asks again.
+                let _ = queue.try_send(PeerFrame::Records(part).encode());
+            }
+        }
+        Ok(ReadOutcome::Gone) => {}
+        Err(error) => warn!(host.log, "records not fetched for another box";
+            "topic" => ?topic, "from" => from, "error" => %error),
     }
-    newest.peer_address.parse().ok()
 }
 
-async fn help_lead(
-    host: &Rc<CellBox>,
-    stream: TcpStream,
-    address: SocketAddr,
-) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let (mut reader, mut writer) = stream.into_split();
-    let hello =
-        PeerFrame::Hello { name: host.settings.name.clone(), strength: host.settings.strength };
-    write_frame(&mut writer, &hello).await?;
-    let (answers, mut outbox) = mpsc::unbounded_channel::<PeerFrame>();
+/// How far this box's views reach. What was passed on before this answer is ahead of it on the link.
+fn prove_views(host: &CellBox, session: &LeadSession) -> Option<ViewProof> {
+    session.pass_on_records();
+    Some(ViewProof {
+        config: host.config.borrow().version,
+        config_age: host.config_view.age()?,
+        jobs_end: host.jobs_view.offset.get()?,
+        progress_end: host.progress_view.offset.get()?,
+        cell_age: host.jobs_view.age()?.max(host.progress_view.age()?),
+    })
+}
+
+/// Passes records on to the other boxes as long as the lead lasts.
+pub async fn feed(session: &LeadSession) {
     loop {
-        tokio::select! {
-            frame = tokio::time::timeout(SILENCE, read_frame(&mut reader)) => {
-                let frame = frame.map_err(|_| std::io::Error::other("the lead is silent"))??;
-                let store_answers =
-                    !matches!(frame, PeerFrame::Ping { store_answers: false, .. });
-                if let PeerFrame::Ping { strongest, .. } = &frame {
-                    host.watch.borrow_mut().note_strength(*strongest);
-                }
-                host.watch.borrow_mut().note_reachable(store_answers);
-                if let PeerFrame::Ask(question) = frame {
-                    let (host, answers) = (host.clone(), answers.clone());
-                    tokio::task::spawn_local(async move {
-                        let answer = orders::ask_service(&host, &question).await;
-                        let valid = answer.as_ref().map_or(TimeSpan(0), |answer| answer.valid);
-                        let good = answer.map(|answer| answer.good);
-                        // Without a link nobody waits for the answer.
-                        let _ = answers.send(PeerFrame::Answer { question, good, valid });
-                    });
-                }
-            }
-            Some(answer) = outbox.recv() => write_frame(&mut writer, &answer).await?,
+        tokio::time::sleep(FEED_EVERY).await;
+        session.pass_on_records();
+    }
+}
+
+impl LeadSession {
+    /// Has records that were read or written passed on.
+    pub fn feed(&self, topic: StoreTopic, from: u64, records: &[KeyedRecord]) {
+        if !self.helpers.borrow().is_empty() {
+            self.fed.borrow_mut().extend(FedRecords::pack(topic, from, records));
         }
-        if lead_address(host) != Some(address) {
-            return Ok(());
+    }
+
+    fn pass_on_records(&self) {
+        let parts = std::mem::take(&mut *self.fed.borrow_mut());
+        for part in parts {
+            let frame = PeerFrame::Records(part).encode();
+            self.helpers.borrow_mut().retain(|_, queue| queue.try_send(frame.clone()).is_ok());
         }
     }
+
+    fn remove_helper(&self, helper: HelperId) {
+        self.helpers.borrow_mut().remove(&helper);
+        self.strengths.borrow_mut().remove(&helper);
+        self.scheduler.borrow_mut().remove_helper(helper, clock::now());
+    }
 }
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -1,28 +1,42 @@
 //! Puts the progress of jobs into the store, in order and only as long as no later lead exists.
+//!
+//! What callers hand in at any box comes the same way: one append holds the progress and the jobs of
+//! some milliseconds, and a job that the lead accepted may be started as soon as it is recorded.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sedgehill_adapter::store::{
     AppendCondition, AppendOutcome, KeyedRecord, ReadOutcome, StoreTopic,
 };
-use sedgehill_cell::ids::FencingToken;
+use sedgehill_cell::ids::{FencingToken, JobId};
+use sedgehill_cell::patience::CallPatience;
+use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{ProgressBatch, WorkerRoster};
-use sedgehill_core::units::TimeSpan;
+use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
+use tokio::sync::oneshot;
 
+use super::accept::AcceptOutcome;
+use super::follow;
 use super::lead::LeadSession;
 use super::state::{CellBox, TopicView};
 use crate::{clock, telemetry};
 
 /// The sender of progress: each lead has its token as the epoch, so the store refuses earlier ones.
 const PRODUCER: &str = "lead";
-/// How long one try may take; a slow store lets appends wait for up to two seconds.
-const TRY_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long reading the end of the jobs may take; a slow store takes some 300 ms.
+const READ_LIMIT: Duration = Duration::from_millis(2_500);
 /// Pause before the next try.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// Progress is gathered for so long before it is put into the store: each call is paid for.
-const GATHER: Duration = Duration::from_millis(20);
+/// Progress and submissions are gathered for so long before they are put into the store: each call is
+/// paid for, and each job waits half of this.
+const GATHER: Duration = Duration::from_millis(16);
+/// Submissions in one batch: with the largest jobs some 300 KB, which the store takes in one call.
+const BATCH_SUBMISSIONS: usize = 64;
+/// Submissions that may wait for a batch before further ones are refused: some seconds' worth.
+const SUBMISSIONS_MOST: usize = 1_024;
 /// How long a new lead tries to fence and to catch up before it gives up.
 const FENCE_LIMIT: TimeSpan = TimeSpan(3_000);
 
@@ -30,12 +44,13 @@
 pub struct ProgressRecorder {
     token: FencingToken,
     sequence: u64,
+    patience: CallPatience,
 }
 
 /// Makes the store refuse the progress of earlier leads, and waits until all that they recorded is
 /// known here.
 pub async fn fence(host: &CellBox, token: FencingToken) -> Option<ProgressRecorder> {
-    let mut recorder = ProgressRecorder { token, sequence: 0 };
+    let mut recorder = ProgressRecorder { token, sequence: 0, patience: CallPatience::default() };
     let begun = clock::now();
     let end = loop {
         match recorder.append(host, &[]).await {
@@ -65,7 +80,7 @@
 /// Where the jobs end now; none if the store does not tell.
 async fn end_of_jobs(host: &CellBox) -> Option<u64> {
     let offset = host.jobs_view.offset.get()?;
-    match host.clients.store.read(StoreTopic::Jobs, offset, Duration::ZERO, TRY_LIMIT).await {
+    match host.clients.store.read(StoreTopic::Jobs, offset, Duration::ZERO, READ_LIMIT).await {
         Ok(ReadOutcome::Records { end, .. }) => Some(end),
         Ok(ReadOutcome::Gone) => None,
         Err(error) => {
@@ -75,44 +90,119 @@
     }
 }
 
+/// What a caller said, on its way into the store by the lead.
+pub struct LedSubmission {
+    job: JobId,
+    statement: CellRecord,
+    reply: oneshot::Sender<AcceptOutcome>,
+}
+
+impl LeadSession {
+    /// Puts what a caller said into the store with the next batch. None if the lead ends before it is
+    /// known whether it is there.
+    pub async fn submit(
+        &self,
+        host: &CellBox,
+        job: JobId,
+        statement: &CellRecord,
+    ) -> Option<AcceptOutcome> {
+        if is_known(host, job, statement) {
+            return Some(AcceptOutcome::Kept);
+        }
+        if self.ended.get() || self.submissions.borrow().len() >= SUBMISSIONS_MOST {
+            return Some(AcceptOutcome::NotDone);
+        }
+        let statement = match statement {
+            CellRecord::Job(record) => CellRecord::Led(record.clone()),
+            other => other.clone(),
+        };
+        let (reply, answer) = oneshot::channel();
+        self.submissions.borrow_mut().push(LedSubmission { job, statement, reply });
+        answer.await.ok()
+    }
+
+    fn take_submissions(&self) -> Vec<LedSubmission> {
+        let mut waiting = self.submissions.borrow_mut();
+        // A caller that has gone is served by its next try.
+        waiting.retain(|submission| !submission.reply.is_closed());
+        let count = waiting.len().min(BATCH_SUBMISSIONS);
+        waiting.drain(..count).collect()
+    }
+}
+
+fn is_known(host: &CellBox, job: JobId, statement: &CellRecord) -> bool {
+    let replica = host.replica.borrow();
+    match (replica.job(job), statement) {
+        (Some(known), CellRecord::Cancel) => known.cancelled,
+        (known, _) => known.is_some(),
+    }
+}
+
+/// One batch: progress, and what callers said.
+struct RecorderBatch {
+    progress: Option<ProgressBatch>,
+    submissions: Vec<LedSubmission>,
+}
+
+impl RecorderBatch {
+    fn records(&self) -> Vec<KeyedRecord> {
+        let record = |id: JobId, record: &CellRecord| KeyedRecord {
+            key: record.key(id),
+            value: record.encode().into(),
+        };
+        let mut records = Vec::new();
+        if let Some(batch) = &self.progress {
+            let progress = |progress: &JobProgress| CellRecord::Progress(progress.clone());
+            records.extend(batch.jobs.iter().map(|(id, kept)| record(*id, &progress(kept))));
+            records.extend(batch.roster.iter().map(|roster| KeyedRecord {
+                key: WorkerRoster::KEY.to_owned(),
+                value: roster.encode().into(),
+            }));
+        }
+        let submissions = self.submissions.iter();
+        records.extend(submissions.map(|said| record(said.job, &said.statement)));
+        records
+    }
+}
+
 impl ProgressRecorder {
-    /// Records batches as the scheduler makes them, until a later lead exists.
+    /// Records batches as they come, until a later lead exists.
     pub async fn run(&mut self, host: &CellBox, session: &LeadSession) {
         loop {
             tokio::time::sleep(GATHER).await;
-            let batch = session.scheduler.borrow_mut().take_batch(clock::now());
-            let Some(batch) = batch else { continue };
-            if !self.record(host, &batch).await {
-                return;
+            let progress = session.scheduler.borrow_mut().take_batch(clock::now());
+            let submissions = session.take_submissions();
+            let batch = RecorderBatch { progress, submissions };
+            let records = batch.records();
+            let recorded = match records.is_empty() {
+                true => Some(None),
+                false => self.record(host, &records).await.map(Some),
+            };
+            let Some(kept) = recorded else { return };
+            if let Some(kept) = kept {
+                take_own(host, session, &batch.submissions, &records, kept);
+            }
+            if let Some(progress) = &batch.progress {
+                session.scheduler.borrow_mut().batch_recorded(progress);
             }
-            session.scheduler.borrow_mut().batch_recorded(&batch);
             session.wake.notify_one();
+            for said in batch.submissions {
+                // A caller that does not wait any more asks again.
+                let _ = said.reply.send(AcceptOutcome::Kept);
+            }
         }
     }
 
-    async fn record(&mut self, host: &CellBox, batch: &ProgressBatch) -> bool {
-        let mut records: Vec<KeyedRecord> = batch
-            .jobs
-            .iter()
-            .map(|(id, progress)| {
-                let record = CellRecord::Progress(progress.clone());
-                KeyedRecord { key: record.key(*id), value: record.encode().into() }
-            })
-            .collect();
-        if let Some(roster) = &batch.roster {
-            let key = WorkerRoster::KEY.to_owned();
-            records.push(KeyedRecord { key, value: roster.encode().into() });
-        }
-        if records.is_empty() {
-            return true;
-        }
+    /// Records one batch, however often it has to be tried. None if a later lead exists.
+    async fn record(&mut self, host: &CellBox, records: &[KeyedRecord]) -> Option<KeptBatch> {
         loop {
-            match self.append(host, &records).await {
-                Some(AppendOutcome::Kept { .. }) => return true,
+            let sent = clock::now();
+            match self.append(host, records).await {
+                Some(AppendOutcome::Kept { end }) => return Some(KeptBatch { end, sent }),
                 Some(outcome) => {
                     info!(host.log, "progress refused";
                         "token" => %self.token, "outcome" => ?outcome);
-                    return false;
+                    return None;
                 }
                 None => tokio::time::sleep(RETRY_PAUSE).await,
             }
@@ -128,21 +218,65 @@
         };
         let sent = Instant::now();
         let store = &host.clients.store;
-        let appending = store.append(StoreTopic::Progress, records, &condition, TRY_LIMIT);
+        let limit = self.patience.limit();
+        let appending = store.append(StoreTopic::Progress, records, &condition, limit);
         // The same sequence number settles whether the first try was carried out.
         let result = host.store_contact.unless_regained(appending).await;
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         telemetry::note_store_append("progress", outcome, sent.elapsed().as_secs_f64());
         match result {
             Ok(outcome) => {
+                self.patience.note_answer(sent.elapsed());
                 self.sequence += u64::from(matches!(outcome, AppendOutcome::Kept { .. }));
                 Some(outcome)
             }
             Err(error) => {
-                warn!(host.log, "progress not recorded";
-                    "token" => %self.token, "records" => records.len(), "error" => %error);
+                self.patience.note_failure();
+                warn!(host.log, "progress not recorded"; "token" => %self.token,
+                    "records" => records.len(), "limit_ms" => limit.as_millis() as u64,
+                    "error" => %error);
                 None
             }
         }
     }
 }
+
+/// A batch that is in the store.
+#[derive(Debug, Clone, Copy)]
+struct KeptBatch {
+    /// Where the topic ended after it.
+    end: u64,
+    /// When the try that was answered was sent.
+    sent: Moment,
+}
+
+/// Takes in what this lead has written, without reading it back.
+fn take_own(
+    host: &CellBox,
+    session: &LeadSession,
+    submissions: &[LedSubmission],
+    records: &[KeyedRecord],
+    kept: KeptBatch,
+) {
+    for said in submissions {
+        let CellRecord::Led(record) = &said.statement else { continue };
+        let known = host.replica.borrow().job(said.job).is_some();
+        let mut scheduler = session.scheduler.borrow_mut();
+        // A second copy of a job that has come and gone meanwhile must not begin it again.
+        if !known || scheduler.has_job(said.job) {
+            scheduler.add_led_job(said.job, Rc::new(record.clone()), clock::now());
+        }
+    }
+    let from = kept.end - records.len() as u64;
+    let view = &host.progress_view;
+    if view.offset.get() != Some(from) {
+        // Something before it is not known yet; the topic is read on from there.
+        return;
+    }
+    for record in records {
+        follow::apply(host, StoreTopic::Progress, record);
+    }
+    view.offset.set(Some(kept.end));
+    view.note_fed(kept.sent);
+    session.feed(StoreTopic::Progress, from, records);
+}
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -7,7 +7,7 @@
 use sedgehill_adapter::config::CellConfig;
 use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::http_client::HttpClient;
-use sedgehill_adapter::store::StoreClient;
+use sedgehill_adapter::store::{StoreClient, StoreTopic};
 use sedgehill_adapter::worker::WorkerClient;
 use sedgehill_cell::authority::LeadWatch;
 use sedgehill_cell::replica::CellReplica;
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 
 use super::lead::LeadSession;
+use super::link::LeadLink;
 use super::settings::CellSettings;
 use crate::clock;
 
@@ -29,12 +30,33 @@
     /// The offset to read next; none before the first reading.
     pub offset: Cell<Option<u64>>,
     fresh: Cell<Option<Moment>>,
+    fed: Cell<Option<Moment>>,
 }
 
+/// A view that the lead proved complete less long ago is not read from the store: each read is paid
+/// for. Proofs come every 300 ms.
+const FED: TimeSpan = TimeSpan(800);
+
 impl TopicView {
     /// Notes that all records up to a moment not before `asked` were read.
     pub fn note_complete(&self, asked: Moment) {
-        self.fresh.set(Some(asked));
+        self.fresh.set(self.fresh.get().max(Some(asked)));
+    }
+
+    /// Notes that the view was complete at a moment not before `asked`, without a read of its own.
+    pub fn note_fed(&self, asked: Moment) {
+        self.fed.set(self.fed.get().max(Some(asked)));
+        self.fresh.set(self.fresh.get().max(Some(asked)));
+    }
+
+    /// Whether the view was proved complete lately without a read.
+    pub fn is_fed(&self) -> bool {
+        self.fed.get().is_some_and(|fed| clock::now().since(fed) <= FED)
+    }
+
+    /// How long ago the view was complete; none if it never was.
+    pub fn age(&self) -> Option<TimeSpan> {
+        self.fresh.get().map(|fresh| clock::now().since(fresh))
     }
 
     /// Whether the view is complete but for the last moments.
@@ -128,6 +150,8 @@
     pub lead_view: TopicView,
     /// What this box does as the lead.
     pub session: RefCell<Option<Rc<LeadSession>>>,
+    /// The link to the lead, while there is one.
+    pub link: RefCell<Option<Rc<LeadLink>>>,
     /// Whether the box is stopping.
     pub stopping: Cell<bool>,
     /// Rung when the box begins to stop.
@@ -165,6 +189,7 @@
             watch: RefCell::new(watch),
             lead_view: TopicView::default(),
             session: RefCell::default(),
+            link: RefCell::default(),
             stopping: Cell::new(false),
             stop: Notify::new(),
             closing: Notify::new(),
@@ -181,11 +206,28 @@
             && self.config.borrow().version > 0
     }
 
+    /// Whether something can be put into the store, by this box or through the lead.
+    pub fn reaches_store(&self) -> bool {
+        let through_lead = |link: &Rc<LeadLink>| link.takes_submissions();
+        !self.store_contact.is_silent() || self.link.borrow().as_ref().is_some_and(through_lead)
+    }
+
     /// Whether the jobs and their progress are known but for the last moments.
     pub fn knows_jobs(&self) -> bool {
         self.jobs_view.is_fresh() && self.progress_view.is_fresh()
     }
 
+    /// The view of a topic that boxes follow.
+    pub fn view(&self, topic: StoreTopic) -> Option<&TopicView> {
+        match topic {
+            StoreTopic::Operators => Some(&self.config_view),
+            StoreTopic::Leads => Some(&self.lead_view),
+            StoreTopic::Jobs => Some(&self.jobs_view),
+            StoreTopic::Progress => Some(&self.progress_view),
+            StoreTopic::Workers => None,
+        }
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Rc<CellConfig> {
         self.config.borrow().clone()
