--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -20,7 +20,7 @@
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::job::JobRecord;
 use sedgehill_cell::replica::CellRecord;
-use slog::info;
+use slog::{debug, info};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::accept::{AcceptHandle, AcceptOutcome};
@@ -195,6 +195,10 @@
     if host.replica.borrow().job(id).is_some() {
         return CallerAnswer::Accepted;
     }
+    debug!(host.log, "job read"; "job" => %id, "steps" => spec.steps.len(),
+        "tasks" => spec.steps.iter().map(|step| u32::from(step.count)).sum::<u32>(),
+        "gangs" => spec.steps.iter().filter(|step| step.gang).count(),
+        "chain_ms" => spec.longest_chain().0);
     if !host.knows_jobs() || !host.reaches_store() {
         // The store answers neither this box nor the lead, and nothing was sent there.
         return CallerAnswer::NotDone(RETRY_AFTER);
