cell: ended jobs take no room, and a box that has just started serves through the lead

Ruled out: the lead, which placed 1,000 tasks in the second after the restart. Change: what was accepted of a job is dropped from the store and from memory when it is over, its state is kept for the callers' time and 30 s, then dropped too, unless a copy of the job would outlast it; the progress of an ended job holds its state only. A box that is linked to a lead takes jobs, tells states and cancels through it before it has read everything. A stale read can no longer undo an end.

--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -3,10 +3,11 @@
 //! Each statement stands under a key of its own, so that a copy of an old one that arrives late
 //! never undoes a newer statement of another kind.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
 use quick_error::quick_error;
+use sedgehill_core::units::Moment;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{CellIdError, JobId, QueueName};
@@ -52,13 +53,25 @@
 }
 
 impl CellRecord {
+    /// The first letter of the key of a job's progress.
+    pub const PROGRESS_KEY: char = 'p';
+    /// The first letter of the key of a job that a lead accepted.
+    pub const LED_KEY: char = 'l';
+
+    /// The kind and the job that a key stands for.
+    pub fn decode_key(key: &str) -> Result<(char, JobId), RecordError> {
+        let kind = key.chars().next().ok_or_else(|| RecordError::Key(key.to_owned()))?;
+        let id = key.get(1..).ok_or_else(|| RecordError::Key(key.to_owned()))?;
+        Ok((kind, id.parse()?))
+    }
+
     /// The key under which the record is kept.
     pub fn key(&self, job: JobId) -> String {
         let kind = match self {
             CellRecord::Job(_) => 'j',
             CellRecord::Cancel => 'c',
-            CellRecord::Progress(_) => 'p',
-            CellRecord::Led(_) => 'l',
+            CellRecord::Progress(_) => CellRecord::PROGRESS_KEY,
+            CellRecord::Led(_) => CellRecord::LED_KEY,
         };
         format!("{kind}{job}")
     }
@@ -70,15 +83,15 @@
 
     /// Reads a record back.
     pub fn decode(key: &str, value: &[u8]) -> Result<(JobId, CellRecord), RecordError> {
-        let id = key.get(1..).ok_or_else(|| RecordError::Key(key.to_owned()))?;
-        Ok((id.parse()?, postcard::from_bytes(value)?))
+        let (_, id) = CellRecord::decode_key(key)?;
+        Ok((id, postcard::from_bytes(value)?))
     }
 }
 
 /// One job as every box knows it.
 #[derive(Debug, Clone, Default)]
 pub struct KnownJob {
-    /// What was accepted; none if only later statements have been seen.
+    /// What was accepted; none if only later statements have been seen, or once the job is over.
     pub record: Option<Rc<JobRecord>>,
     /// Whether the caller cancelled it.
     pub cancelled: bool,
@@ -86,6 +99,8 @@
     pub progress: JobProgress,
     /// Whether a lead accepted it.
     pub led: bool,
+    /// Whether a box put it into the store by itself, under another key.
+    pub direct: bool,
 }
 
 impl KnownJob {
@@ -98,6 +113,10 @@
         }
     }
 
+    fn is_accepted(&self) -> bool {
+        self.record.is_some() || self.progress.state.is_final()
+    }
+
     /// What a new lead has to go by.
     pub fn kept(&self) -> JobProgress {
         JobProgress { ordered: self.led || self.progress.ordered, ..self.progress.clone() }
@@ -123,6 +142,8 @@
 #[derive(Debug, Default)]
 pub struct CellReplica {
     jobs: HashMap<JobId, KnownJob>,
+    /// Jobs that are over, with when this box heard so, the first first.
+    ended: VecDeque<(Moment, JobId)>,
     roster: WorkerRoster,
     waiting: HashMap<QueueName, usize>,
 }
@@ -130,10 +151,10 @@
 impl CellReplica {
     /// A job, if it is known and accepted.
     pub fn job(&self, id: JobId) -> Option<&KnownJob> {
-        self.jobs.get(&id).filter(|job| job.record.is_some())
+        self.jobs.get(&id).filter(|job| job.is_accepted())
     }
 
-    /// All accepted jobs.
+    /// All accepted jobs that are not over.
     pub fn jobs(&self) -> impl Iterator<Item = (JobId, &KnownJob)> {
         self.jobs.iter().map(|(id, job)| (*id, job)).filter(|(_, job)| job.record.is_some())
     }
@@ -163,13 +184,17 @@
         self.roster = roster;
     }
 
-    /// Takes in a record.
-    pub fn apply(&mut self, id: JobId, record: CellRecord) -> ReplicaChange {
+    /// Takes in a record, heard at `now`.
+    pub fn apply(&mut self, id: JobId, record: CellRecord, now: Moment) -> ReplicaChange {
         let job = self.jobs.entry(id).or_default();
         let was_waiting = job.is_waiting();
+        let was_over = job.progress.state.is_final();
         job.led |= matches!(record, CellRecord::Led(_));
+        job.direct |= matches!(record, CellRecord::Job(_));
         let change = match record {
-            CellRecord::Job(_) | CellRecord::Led(_) if job.record.is_some() => ReplicaChange::Other,
+            CellRecord::Job(_) | CellRecord::Led(_) if job.record.is_some() || was_over => {
+                ReplicaChange::Other
+            }
             CellRecord::Job(record) | CellRecord::Led(record) => {
                 job.record = Some(Rc::new(record));
                 ReplicaChange::Accepted(id)
@@ -179,6 +204,10 @@
                 job.cancelled = true;
                 ReplicaChange::Cancelled(id)
             }
+            // A read that is behind may bring back what was known before the end.
+            CellRecord::Progress(progress) if was_over && !progress.state.is_final() => {
+                ReplicaChange::Other
+            }
             CellRecord::Progress(progress) => {
                 job.progress = progress;
                 ReplicaChange::Other
@@ -194,12 +223,32 @@
                 false => *count -= 1,
             }
         }
+        if job.progress.state.is_final() {
+            // Only its state is asked for from now on.
+            job.record = None;
+            if !was_over {
+                self.ended.push_back((now, id));
+            }
+        }
         change
     }
 
+    /// Jobs that were over before `limit`, at most `most` of them. Those that a box put into the store
+    /// by itself are left out: the copy of the job would outlast its end, and begin it again.
+    pub fn ended_before(&self, limit: Moment, most: usize) -> Vec<JobId> {
+        let ended = self.ended.iter().take_while(|(at, _)| *at < limit);
+        let forgettable = |id: &JobId| self.jobs.get(id).is_some_and(|job| !job.direct);
+        ended.map(|(_, id)| *id).filter(forgettable).take(most).collect()
+    }
+
     /// Forgets a job.
     pub fn forget(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else { return };
+        if self.ended.front().is_some_and(|(_, first)| *first == id) {
+            self.ended.pop_front();
+        } else {
+            self.ended.retain(|(_, other)| *other != id);
+        }
         if job.is_waiting()
             && let Some(record) = job.record
             && let Some(count) = self.waiting.get_mut(&record.queue)
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -200,7 +200,9 @@
     /// What is kept of the job's course now.
     pub fn progress(&self) -> JobProgress {
         let untouched = TaskProgress::default();
-        let kept = match self.tasks.iter().all(|task| task.kept == untouched) {
+        // Of a job that is over only the state matters.
+        let nothing = self.state.is_final() || self.tasks.iter().all(|task| task.kept == untouched);
+        let kept = match nothing {
             true => Vec::new(),
             false => self.tasks.iter().map(|task| task.kept.clone()).collect(),
         };
--- a/crates/sedgehill-cell/tests/testsuite/replica.rs
+++ b/crates/sedgehill-cell/tests/testsuite/replica.rs
@@ -3,10 +3,12 @@
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::progress::{JobProgress, JobState};
 use sedgehill_cell::replica::{CellRecord, CellReplica, ReplicaChange};
+use sedgehill_core::units::{Moment, TimeSpan};
 
 use crate::fake::{job, step};
 
 const ID: JobId = JobId(7);
+const NOW: Moment = Moment(1_000);
 
 #[test]
 fn records_are_read_back_as_written() {
@@ -28,9 +30,9 @@
 fn a_second_copy_of_a_job_changes_nothing() {
     let mut replica = CellReplica::default();
     let record = CellRecord::Job(job(vec![step(1, 1)]));
-    assert_eq!(replica.apply(ID, record.clone()), ReplicaChange::Accepted(ID));
-    assert_eq!(replica.apply(ID, CellRecord::Cancel), ReplicaChange::Cancelled(ID));
-    assert_eq!(replica.apply(ID, record), ReplicaChange::Other);
+    assert_eq!(replica.apply(ID, record.clone(), NOW), ReplicaChange::Accepted(ID));
+    assert_eq!(replica.apply(ID, CellRecord::Cancel, NOW), ReplicaChange::Cancelled(ID));
+    assert_eq!(replica.apply(ID, record, NOW), ReplicaChange::Other);
     assert_eq!(replica.job(ID).unwrap().state(), JobState::Cancelled);
 }
 
@@ -39,20 +41,20 @@
     let mut replica = CellReplica::default();
     let record = job(vec![step(1, 1)]);
     let queue = record.queue.clone();
-    replica.apply(ID, CellRecord::Job(record));
+    replica.apply(ID, CellRecord::Job(record), NOW);
     assert_eq!(replica.waiting(&queue), 1);
     let progress = JobProgress { state: JobState::Running, ..JobProgress::default() };
-    replica.apply(ID, CellRecord::Progress(progress));
+    replica.apply(ID, CellRecord::Progress(progress), NOW);
     assert_eq!(replica.waiting(&queue), 0);
 }
 
 #[test]
 fn a_completed_job_stays_completed_when_it_is_cancelled_later() {
     let mut replica = CellReplica::default();
-    replica.apply(ID, CellRecord::Job(job(vec![step(1, 1)])));
+    replica.apply(ID, CellRecord::Job(job(vec![step(1, 1)])), NOW);
     let progress = JobProgress { state: JobState::Completed, ..JobProgress::default() };
-    replica.apply(ID, CellRecord::Progress(progress));
-    replica.apply(ID, CellRecord::Cancel);
+    replica.apply(ID, CellRecord::Progress(progress), NOW);
+    replica.apply(ID, CellRecord::Cancel, NOW);
     assert_eq!(replica.job(ID).unwrap().state(), JobState::Completed);
 }
 
@@ -64,11 +66,53 @@
     for order in [[0, 1], [1, 0]] {
         let mut replica = CellReplica::default();
         for copy in order {
-            replica.apply(ID, copies[copy].clone());
+            replica.apply(ID, copies[copy].clone(), NOW);
         }
         assert!(replica.job(ID).unwrap().kept().ordered);
     }
     let mut replica = CellReplica::default();
-    replica.apply(ID, copies[0].clone());
+    replica.apply(ID, copies[0].clone(), NOW);
     assert!(!replica.job(ID).unwrap().kept().ordered);
 }
+
+#[test]
+fn an_ended_job_is_known_by_its_state_alone_and_forgotten_after_a_time() {
+    let over =
+        CellRecord::Progress(JobProgress { state: JobState::Completed, ..JobProgress::default() });
+    let mut replica = CellReplica::default();
+    replica.apply(ID, CellRecord::Led(job(vec![step(1, 1)])), NOW);
+    replica.apply(ID, over.clone(), NOW);
+    assert!(replica.job(ID).unwrap().record.is_none());
+    assert_eq!(replica.jobs().count(), 0);
+    assert_eq!(replica.ended_before(NOW, 10), Vec::new());
+    assert_eq!(replica.ended_before(NOW.after(TimeSpan(1)), 10), [ID]);
+    // A box that starts later finds only the end.
+    let mut later = CellReplica::default();
+    later.apply(ID, over, NOW);
+    assert_eq!(later.job(ID).unwrap().state(), JobState::Completed);
+    later.forget(ID);
+    assert!(later.job(ID).is_none() && later.ended_before(Moment(u64::MAX), 10).is_empty());
+}
+
+#[test]
+fn neither_an_old_record_nor_a_late_copy_undoes_an_end() {
+    let progress = |state| CellRecord::Progress(JobProgress { state, ..JobProgress::default() });
+    let mut replica = CellReplica::default();
+    let copy = CellRecord::Job(job(vec![step(1, 1)]));
+    replica.apply(ID, copy.clone(), NOW);
+    replica.apply(ID, progress(JobState::Failed), NOW);
+    assert_eq!(replica.apply(ID, copy, NOW), ReplicaChange::Other);
+    replica.apply(ID, progress(JobState::Running), NOW);
+    assert_eq!(replica.job(ID).unwrap().state(), JobState::Failed);
+    assert_eq!(replica.jobs().count(), 0);
+}
+
+#[test]
+fn a_job_whose_own_copy_would_outlast_its_end_is_not_forgotten() {
+    let over = JobProgress { state: JobState::Completed, ..JobProgress::default() };
+    let mut replica = CellReplica::default();
+    replica.apply(ID, CellRecord::Progress(over), NOW);
+    assert_eq!(replica.ended_before(Moment(u64::MAX), 10), [ID]);
+    replica.apply(ID, CellRecord::Job(job(vec![step(1, 1)])), NOW);
+    assert_eq!(replica.ended_before(Moment(u64::MAX), 10), Vec::new());
+}
--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -133,6 +133,15 @@
     .await;
 }
 
+/// Waits until a box says in its log that it leads.
+async fn wait_for_lead(directory: &Path, name: &str) {
+    wait_for("the lead", async || {
+        let log = std::fs::read_to_string(directory.join(format!("{name}.log"))).unwrap();
+        log.contains("\"leading\"")
+    })
+    .await;
+}
+
 /// Hands a job in at any of the boxes until one takes it.
 async fn submit(boxes: &[&CellProcess], id: u64) {
     let body = json!({"spec": "work", "steps": [
@@ -281,6 +290,7 @@
     platform.configure(1);
     let lead = start_box_at(directory.path(), "lead", &platform, platform.store_address, "0.5");
     wait_ready(&lead).await;
+    wait_for_lead(directory.path(), "lead").await;
     let path = StorePath::open(platform.store_address).await;
     let other = start_box_at(directory.path(), "other", &platform, path.address, "0.25");
     wait_ready(&other).await;
@@ -314,13 +324,10 @@
     };
     let weak = start("weak", "0.12");
     wait_ready(&weak).await;
+    wait_for_lead(directory.path(), "weak").await;
     submit(&[&weak], 1).await;
     let strong = start("strong", "0.5");
-    wait_for("the stronger lead", async || {
-        let log = std::fs::read_to_string(directory.path().join("strong.log")).unwrap();
-        log.contains("\"leading\"")
-    })
-    .await;
+    wait_for_lead(directory.path(), "strong").await;
     submit(&[&weak], 2).await;
     for id in [1, 2] {
         wait_completed(&strong, id).await;
@@ -376,6 +383,7 @@
         ("{{limits.cpu_share}}", "0.25"),
         ("{{bounds.max_hold_ms}}", "6000"),
         ("{{bounds.stop_ms}}", "400"),
+        ("{{bounds.status_s}}", "120"),
         ("{{bounds.grace_s}}", "6"),
     ];
     for (gap, value) in gaps {
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -19,11 +19,13 @@
 use sedgehill_adapter::config::QueueRoute;
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::job::JobRecord;
+use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::CellRecord;
 use slog::{debug, info};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::accept::{AcceptHandle, AcceptOutcome};
+use super::frames::StateAnswer;
 use super::state::CellBox;
 use crate::{clock, telemetry};
 
@@ -106,7 +108,7 @@
     let (name, answer) = match call {
         Err(answer) => ("wrong", answer),
         Ok(CallerRequest::Waiting) => ("waiting", count_waiting(host, route)),
-        Ok(CallerRequest::State(id)) => ("state", tell_state(host, id)),
+        Ok(CallerRequest::State(id)) => ("state", tell_state(host, id).await),
         Ok(CallerRequest::Cancel(id)) => ("cancel", cancel_job(desk, id, patience).await),
         Ok(CallerRequest::Submit(id)) => {
             let answer = submit_job(desk, route, id, body, config.body_bytes, patience).await;
@@ -147,29 +149,30 @@
     }
 }
 
-fn tell_state(host: &CellBox, id: JobId) -> CallerAnswer {
-    match host.replica.borrow().job(id) {
-        Some(job) => CallerAnswer::State(job.state()),
-        None if host.knows_jobs() => CallerAnswer::NoJob,
-        None => CallerAnswer::NotDone(RETRY_AFTER),
+async fn tell_state(host: &CellBox, id: JobId) -> CallerAnswer {
+    match host.find_state(id).await {
+        StateAnswer::Known(state) => CallerAnswer::State(state),
+        StateAnswer::NoJob => CallerAnswer::NoJob,
+        StateAnswer::Untold => CallerAnswer::NotDone(RETRY_AFTER),
     }
 }
 
 async fn cancel_job(desk: &CallerDesk, id: JobId, patience: Duration) -> CallerAnswer {
     let host = &desk.host;
-    let known = host.replica.borrow().job(id).map(|job| job.cancelled);
-    let answer = match known {
-        Some(true) => CallerAnswer::Cancelled,
-        None if host.knows_jobs() => CallerAnswer::NoJob,
-        None => CallerAnswer::NotDone(RETRY_AFTER),
-        Some(false) => match desk.accept.submit(host, id, &CellRecord::Cancel, patience).await {
-            AcceptOutcome::Kept => CallerAnswer::Cancelled,
-            AcceptOutcome::NotDone => CallerAnswer::NotDone(RETRY_AFTER),
-            AcceptOutcome::Unknown => CallerAnswer::Unknown,
-        },
+    let state = host.find_state(id).await;
+    let answer = match state {
+        StateAnswer::Known(JobState::Cancelled) => CallerAnswer::Cancelled,
+        StateAnswer::NoJob => CallerAnswer::NoJob,
+        StateAnswer::Untold => CallerAnswer::NotDone(RETRY_AFTER),
+        StateAnswer::Known(_) => {
+            match desk.accept.submit(host, id, &CellRecord::Cancel, patience).await {
+                AcceptOutcome::Kept => CallerAnswer::Cancelled,
+                AcceptOutcome::NotDone => CallerAnswer::NotDone(RETRY_AFTER),
+                AcceptOutcome::Unknown => CallerAnswer::Unknown,
+            }
+        }
     };
-    info!(host.log, "cancellation"; "job" => %id, "known" => known.is_some(),
-        "answer" => ?answer);
+    info!(host.log, "cancellation"; "job" => %id, "known" => ?state, "answer" => ?answer);
     answer
 }
 
@@ -199,8 +202,8 @@
         "tasks" => spec.steps.iter().map(|step| u32::from(step.count)).sum::<u32>(),
         "gangs" => spec.steps.iter().filter(|step| step.gang).count(),
         "chain_ms" => spec.longest_chain().0);
-    if !host.knows_jobs() || !host.reaches_store() {
-        // The store answers neither this box nor the lead, and nothing was sent there.
+    if !host.can_accept() {
+        // Nothing can be put into the store at the moment, and nothing was sent there.
         return CallerAnswer::NotDone(RETRY_AFTER);
     }
     let record = JobRecord {
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -231,6 +231,7 @@
 
 fn apply_cell(host: &CellBox, record: &KeyedRecord) {
     if record.value.is_empty() {
+        forget(host, &record.key);
         return;
     }
     if record.key == WorkerRoster::KEY {
@@ -247,7 +248,7 @@
             return;
         }
     };
-    let change = host.replica.borrow_mut().apply(id, statement);
+    let change = host.replica.borrow_mut().apply(id, statement, clock::now());
     let session = host.session.borrow().clone();
     let Some(session) = session else { return };
     match change {
@@ -256,3 +257,13 @@
         ReplicaChange::Other => {}
     }
 }
+
+/// The lead dropped a key. A job is forgotten with its progress; what was accepted is dropped earlier,
+/// once the job is over.
+fn forget(host: &CellBox, key: &str) {
+    match CellRecord::decode_key(key) {
+        Ok((CellRecord::PROGRESS_KEY, id)) => host.replica.borrow_mut().forget(id),
+        Ok(_) => {}
+        Err(error) => warn!(host.log, "dropped key not readable"; "key" => key, "error" => %error),
+    }
+}
--- a/crates/sedgehilld/src/cell/frames.rs
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -5,6 +5,7 @@
 use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::BoxStrength;
 use sedgehill_cell::ids::{BoxName, JobId, StepId, WorkerLife};
+use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::AdviceQuestion;
 use sedgehill_core::units::TimeSpan;
@@ -79,6 +80,17 @@
     pub cell_age: TimeSpan,
 }
 
+/// What is known of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StateAnswer {
+    /// Its state.
+    Known(JobState),
+    /// There is no such job.
+    NoJob,
+    /// That cannot be told at the moment.
+    Untold,
+}
+
 /// What goes over a link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerFrame {
@@ -124,6 +136,20 @@
         /// What came of it.
         outcome: AcceptOutcome,
     },
+    /// A box that does not know the jobs yet asks for the state of one.
+    AskState {
+        /// Told again in the answer.
+        number: u64,
+        /// The job.
+        job: JobId,
+    },
+    /// The state of a job.
+    State {
+        /// The number of the question.
+        number: u64,
+        /// What the lead knows.
+        answer: StateAnswer,
+    },
     /// What the lead has read or written.
     Records(FedRecords),
     /// A box asks how far the lead's views reach.
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::accept::AcceptOutcome;
-use super::frames::{FedRecords, PeerFrame, ViewProof, read_frame, write_frame};
+use super::frames::{FedRecords, PeerFrame, StateAnswer, ViewProof, read_frame, write_frame};
 use super::state::CellBox;
 use super::{follow, orders};
 use crate::clock;
@@ -34,6 +34,8 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// Time between two questions how far the lead's views reach.
 const PROBE_EVERY: Duration = Duration::from_millis(300);
+/// How long the lead may take to tell a state.
+const STATE_LIMIT: Duration = Duration::from_millis(800);
 /// Frames that may wait to be sent. A link that is so far behind is of no use.
 const OUTBOX_LENGTH: usize = 1_024;
 
@@ -44,6 +46,7 @@
     store_answers: Cell<bool>,
     next_number: Cell<u64>,
     submissions: RefCell<HashMap<u64, oneshot::Sender<AcceptOutcome>>>,
+    questions: RefCell<HashMap<u64, oneshot::Sender<StateAnswer>>>,
     probe: Cell<Option<(u64, Moment)>>,
 }
 
@@ -54,6 +57,7 @@
             store_answers: Cell::new(false),
             next_number: Cell::new(0),
             submissions: RefCell::default(),
+            questions: RefCell::default(),
             probe: Cell::default(),
         }
     }
@@ -76,6 +80,21 @@
         answer.await.ok()
     }
 
+    /// Asks for the state of a job.
+    pub async fn ask_state(&self, job: JobId) -> StateAnswer {
+        let number = self.take_number();
+        let (reply, answer) = oneshot::channel();
+        self.questions.borrow_mut().insert(number, reply);
+        if self.outbox.try_send(PeerFrame::AskState { number, job }).is_err() {
+            self.questions.borrow_mut().remove(&number);
+            return StateAnswer::Untold;
+        }
+        match tokio::time::timeout(STATE_LIMIT, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => StateAnswer::Untold,
+        }
+    }
+
     /// Asks the lead for what this box cannot read itself.
     fn fetch_missed(&self, host: &CellBox, proof: &ViewProof) {
         if !host.store_contact.is_silent() {
@@ -107,6 +126,7 @@
     /// Forgets submissions for whose answer nobody waits any more.
     fn forget_abandoned(&self) {
         self.submissions.borrow_mut().retain(|_, reply| !reply.is_closed());
+        self.questions.borrow_mut().retain(|_, reply| !reply.is_closed());
     }
 }
 
@@ -198,6 +218,12 @@
                 });
             }
             PeerFrame::Submitted { number, outcome } => link.take_outcome(number, outcome),
+            PeerFrame::State { number, answer } => {
+                if let Some(reply) = link.questions.borrow_mut().remove(&number) {
+                    // A caller that does not wait any more asks again.
+                    let _ = reply.send(answer);
+                }
+            }
             PeerFrame::Records(fed) => take_records(host, fed),
             PeerFrame::Proof { number, proof: Some(proof) } => {
                 if let Some((asked, sent)) = link.probe.get()
@@ -211,6 +237,7 @@
             | PeerFrame::Hello { .. }
             | PeerFrame::Answer { .. }
             | PeerFrame::Submit { .. }
+            | PeerFrame::AskState { .. }
             | PeerFrame::Fetch { .. }
             | PeerFrame::Probe { .. } => {}
         }
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -145,6 +145,12 @@
                     return;
                 }
             }
+            PeerFrame::AskState { number, job } => {
+                let answer = host.state_of(job);
+                if queue.try_send(PeerFrame::State { number, answer }.encode()).is_err() {
+                    return;
+                }
+            }
             PeerFrame::Fetch { topic, from } => {
                 tokio::task::spawn_local(fetch(host.clone(), queue.clone(), topic, from));
             }
@@ -152,6 +158,7 @@
             | PeerFrame::Ping { .. }
             | PeerFrame::Ask(_)
             | PeerFrame::Submitted { .. }
+            | PeerFrame::State { .. }
             | PeerFrame::Records(_)
             | PeerFrame::Proof { .. } => return,
         }
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use sedgehill_adapter::store::{
     AppendCondition, AppendOutcome, KeyedRecord, ReadOutcome, StoreTopic,
 };
@@ -35,6 +36,8 @@
 const GATHER: Duration = Duration::from_millis(16);
 /// Submissions in one batch: with the largest jobs some 300 KB, which the store takes in one call.
 const BATCH_SUBMISSIONS: usize = 64;
+/// Jobs that are forgotten with one batch: more than end in the time of one.
+const DROPS_MOST: usize = 64;
 /// Submissions that may wait for a batch before further ones are refused: some seconds' worth.
 const SUBMISSIONS_MOST: usize = 1_024;
 /// How long a new lead tries to fence and to catch up before it gives up.
@@ -138,10 +141,11 @@
     }
 }
 
-/// One batch: progress, and what callers said.
+/// One batch: progress, what callers said, and keys that are not needed any more.
 struct RecorderBatch {
     progress: Option<ProgressBatch>,
     submissions: Vec<LedSubmission>,
+    dropped: Vec<String>,
 }
 
 impl RecorderBatch {
@@ -161,10 +165,29 @@
         }
         let submissions = self.submissions.iter();
         records.extend(submissions.map(|said| record(said.job, &said.statement)));
+        let dropped = self.dropped.iter();
+        records.extend(dropped.map(|key| KeyedRecord { key: key.clone(), value: Bytes::new() }));
         records
     }
 }
 
+/// Once a job is over, what was accepted is not needed any more; its state is kept for callers for a
+/// time. So a box that starts reads little more than what is open.
+fn keys_to_drop(host: &CellBox, progress: Option<&ProgressBatch>) -> Vec<String> {
+    let key = |kind: char, id: JobId| format!("{kind}{id}");
+    let replica = host.replica.borrow();
+    let jobs = progress.iter().flat_map(|batch| &batch.jobs);
+    let over = jobs.filter(|(_, kept)| kept.state.is_final()).map(|(id, _)| *id);
+    let led = over.filter(|id| replica.job(*id).is_some_and(|job| job.led));
+    let mut keys: Vec<String> = led.map(|id| key(CellRecord::LED_KEY, id)).collect();
+    let limit = Moment(clock::now().0.saturating_sub(host.settings.keep_ended.0));
+    for id in replica.ended_before(limit, DROPS_MOST) {
+        keys.push(CellRecord::Cancel.key(id));
+        keys.push(key(CellRecord::PROGRESS_KEY, id));
+    }
+    keys
+}
+
 impl ProgressRecorder {
     /// Records batches as they come, until a later lead exists.
     pub async fn run(&mut self, host: &CellBox, session: &LeadSession) {
@@ -172,7 +195,8 @@
             tokio::time::sleep(GATHER).await;
             let progress = session.scheduler.borrow_mut().take_batch(clock::now());
             let submissions = session.take_submissions();
-            let batch = RecorderBatch { progress, submissions };
+            let dropped = keys_to_drop(host, progress.as_ref());
+            let batch = RecorderBatch { progress, submissions, dropped };
             let records = batch.records();
             let recorded = match records.is_empty() {
                 true => Some(None),
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -52,6 +52,8 @@
     pub cell: CellTiming,
     /// Times of claims and renewals.
     pub authority: AuthorityTiming,
+    /// How long the state of a job that is over is kept.
+    pub keep_ended: TimeSpan,
     /// How the box stops.
     pub stop: StopTiming,
 }
@@ -62,6 +64,8 @@
 /// of a second for the connections under way.
 const ENTRY_LAG: TimeSpan = TimeSpan(2_300);
 
+/// Added to the time for which ended jobs are kept: boxes hear of an end at different times.
+const KEEP_RESERVE: TimeSpan = TimeSpan(30_000);
 /// The strength of a box whose settings tell none: that of the platform's usual boxes.
 const DEFAULT_STRENGTH: BoxStrength = BoxStrength(250);
 
@@ -103,6 +107,7 @@
     let strength = reader.text_or("cores", DEFAULT_STRENGTH);
     let cell = optional_group(reader, "cell", read_cell);
     let grace = reader.text_or("stop_grace", TimeSpan(6_000));
+    let keep_ended = reader.text_or("keep_ended", TimeSpan(120_000));
     let name = name?;
     let limit = TimeSpan(grace?.0.saturating_sub(STOP_RESERVE.0));
     let linger = ENTRY_LAG.min(limit);
@@ -114,6 +119,7 @@
         strength: strength?,
         cell: cell?,
         authority: AuthorityTiming::default(),
+        keep_ended: TimeSpan(keep_ended?.0 + KEEP_RESERVE.0),
         stop: StopTiming {
             linger: Duration::from_millis(linger.0),
             limit: Duration::from_millis(limit.0),
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -10,11 +10,13 @@
 use sedgehill_adapter::store::{StoreClient, StoreTopic};
 use sedgehill_adapter::worker::WorkerClient;
 use sedgehill_cell::authority::LeadWatch;
+use sedgehill_cell::ids::JobId;
 use sedgehill_cell::replica::CellReplica;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::Logger;
 use tokio::sync::Notify;
 
+use super::frames::StateAnswer;
 use super::lead::LeadSession;
 use super::link::LeadLink;
 use super::settings::CellSettings;
@@ -202,14 +204,37 @@
     pub fn is_ready(&self) -> bool {
         !self.stopping.get()
             && self.config_view.is_fresh()
-            && self.knows_jobs()
+            && (self.knows_jobs() || self.lead_knows_jobs())
             && self.config.borrow().version > 0
     }
 
-    /// Whether something can be put into the store, by this box or through the lead.
-    pub fn reaches_store(&self) -> bool {
-        let through_lead = |link: &Rc<LeadLink>| link.takes_submissions();
-        !self.store_contact.is_silent() || self.link.borrow().as_ref().is_some_and(through_lead)
+    /// Whether a lead that the store answers can be asked.
+    fn lead_knows_jobs(&self) -> bool {
+        self.link.borrow().as_ref().is_some_and(|link| link.takes_submissions())
+    }
+
+    /// What this box knows of a job.
+    pub fn state_of(&self, job: JobId) -> StateAnswer {
+        match self.replica.borrow().job(job) {
+            Some(known) => StateAnswer::Known(known.state()),
+            None if self.knows_jobs() => StateAnswer::NoJob,
+            None => StateAnswer::Untold,
+        }
+    }
+
+    /// What this box or the lead knows of a job.
+    pub async fn find_state(&self, job: JobId) -> StateAnswer {
+        let link = self.link.borrow().clone();
+        match (self.state_of(job), link) {
+            (StateAnswer::Untold, Some(link)) => link.ask_state(job).await,
+            (answer, _) => answer,
+        }
+    }
+
+    /// Whether a job can be taken: through a lead, which knows whether it was taken before, or by this
+    /// box, if it knows that itself and the store answers.
+    pub fn can_accept(&self) -> bool {
+        self.lead_knows_jobs() || (self.knows_jobs() && !self.store_contact.is_silent())
     }
 
     /// Whether the jobs and their progress are known but for the last moments.
