cell: a lead that the store does not answer calls by way of another box

Ruled out: claiming sooner (boxes would claim whenever the store is slow for a moment). Change: boxes say on their links whether the store answers them; after a call on its own path failed the lead has another box append, read jobs and list workers for it, the two ways in turn as long as both fail, and goes back once its own reads have been answered for a second. Conditions and tokens are checked by the store as ever. Renewals learn how long answers take. Test: a_lead_that_is_cut_from_the_store_goes_on_by_way_of_another_box (the former lead was followed).

--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -314,6 +314,34 @@
     assert_kept(&platform);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lead_that_is_cut_from_the_store_goes_on_by_way_of_another_box() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(2).await.unwrap();
+    platform.configure(1);
+    let path = StorePath::open(platform.store_address).await;
+    let lead = start_box_at(directory.path(), "lead", &platform, path.address, "0.5");
+    wait_ready(&lead).await;
+    wait_for_lead(directory.path(), "lead").await;
+    let other = start_box_at(directory.path(), "other", &platform, platform.store_address, "0.25");
+    wait_ready(&other).await;
+    // The boxes have found each other when a job handed in at one is led by the other.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    submit(&[&other], 1).await;
+    path.cut();
+    for id in 2..=6 {
+        submit(&[&lead, &other], id).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+    for id in 1..=6 {
+        wait_completed(&other, id).await;
+        wait_completed(&lead, id).await;
+    }
+    let log = std::fs::read_to_string(directory.path().join("lead.log")).unwrap();
+    assert!(!log.contains("not leading any more"), "{log}");
+    assert_kept(&platform);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_weak_lead_yields_to_a_stronger_box() {
     let directory = tempfile::tempdir().unwrap();
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -37,6 +37,8 @@
 /// The same for the lead, which waits for jobs to place.
 const JOBS_PAUSE_LEAD: Duration = Duration::from_millis(14);
 
+/// Pause after a read by way of another box, which does not wait for records.
+const RELAYED_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two looks whether a topic is still proved to be known.
 const FED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -85,9 +87,6 @@
             None => read_newest(host, topic, view).await,
             Some(offset) => read_on(host, topic, view, offset).await,
         };
-        if result.is_ok() {
-            host.store_contact.note_answer();
-        }
         match result {
             Ok(0) => {}
             Ok(_) => tokio::time::sleep(pause(host)).await,
@@ -121,6 +120,11 @@
     !(fed && view.is_fed() && view.offset.get().is_some())
 }
 
+/// Whether a topic holds what only the boxes write.
+fn is_cell(topic: StoreTopic) -> bool {
+    matches!(topic, StoreTopic::Jobs | StoreTopic::Progress)
+}
+
 /// The lead passes on what it reads.
 fn pass_on(host: &CellBox, topic: StoreTopic, from: u64, records: &[KeyedRecord]) {
     if let Some(session) = &*host.session.borrow()
@@ -147,6 +151,7 @@
 ) -> Result<usize, CallError> {
     let asked = clock::now();
     let newest = host.clients.store.newest(topic, NEWEST_LIMIT).await?;
+    host.store_contact.note_answer();
     for record in &newest.records {
         apply(host, topic, record);
     }
@@ -168,8 +173,21 @@
         true => (Duration::ZERO, PROBE_LIMIT),
         false => (READ_WAIT, READ_LIMIT),
     };
-    let reading = host.clients.store.read(topic, offset, wait, limit);
-    match host.store_contact.unless_regained(reading).await? {
+    let session = host.session.borrow().clone();
+    let relayed = session.filter(|session| session.relays() && is_cell(topic));
+    let outcome = match &relayed {
+        Some(session) => session.read_relayed(topic, offset).await?,
+        None => {
+            let reading = host.clients.store.read(topic, offset, wait, limit);
+            let outcome = host.store_contact.unless_regained(reading).await?;
+            host.store_contact.note_answer();
+            outcome
+        }
+    };
+    if relayed.is_some() {
+        tokio::time::sleep(RELAYED_PAUSE).await;
+    }
+    match outcome {
         ReadOutcome::Gone => {
             info!(host.log, "topic history gone"; "topic" => ?topic, "offset" => offset);
             view.offset.set(None);
@@ -188,7 +206,8 @@
                 view.offset.set(Some(read));
             }
             // An empty answer was sent when the wait was over; it may have been read much later.
-            let waited = if records.is_empty() { wait } else { Duration::ZERO };
+            let waits = records.is_empty() && relayed.is_none();
+            let waited = if waits { wait } else { Duration::ZERO };
             if read.max(known) >= end {
                 let complete = asked.after(TimeSpan(waited.as_millis() as u64));
                 view.note_complete(complete.min(clock::now()));
--- a/crates/sedgehilld/src/cell/frames.rs
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -14,6 +14,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 use super::accept::AcceptOutcome;
+use super::relay::{RelayAnswer, RelayCall};
 
 /// The longest frame, in bytes. One job takes some 5 KB at the most, a question on a hundred workers
 /// some 4 KB; records are packed into frames of [`RECORD_BYTES`].
@@ -152,10 +153,26 @@
     },
     /// What the lead has read or written.
     Records(FedRecords),
+    /// The lead has a box call the store for it.
+    Relay {
+        /// Told again in the answer.
+        number: u64,
+        /// The call.
+        call: RelayCall,
+    },
+    /// What came of that.
+    Relayed {
+        /// The number of the call.
+        number: u64,
+        /// What came of it.
+        answer: RelayAnswer,
+    },
     /// A box asks how far the lead's views reach.
     Probe {
         /// Told again in the answer.
         number: u64,
+        /// Whether the store answers this box.
+        store_answers: bool,
     },
     /// A box that the store does not answer asks for records that it missed.
     Fetch {
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -8,6 +8,7 @@
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::{BoxStrength, LeadRecord};
 use sedgehill_cell::ids::{FencingToken, JobId};
+use sedgehill_cell::patience::CallPatience;
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
@@ -16,6 +17,7 @@
 use super::frames::FedRecords;
 use super::peers::FrameQueue;
 use super::recorder::LedSubmission;
+use super::relay::RelayDesk;
 use super::state::CellBox;
 use super::{events, orders, peers, recorder, roster};
 use crate::{clock, telemetry};
@@ -56,6 +58,10 @@
     pub ended: Cell<bool>,
     /// The boxes that keep a link, with the queue of frames for each.
     pub helpers: RefCell<HashMap<HelperId, FrameQueue>>,
+    /// Calls to the store by way of them.
+    pub relay: RelayDesk,
+    /// How long a renewal may take.
+    pub renew_patience: RefCell<CallPatience>,
     /// Records that are to be passed on to them.
     pub fed: RefCell<Vec<FedRecords>>,
     /// What callers said, on its way into the store.
@@ -155,7 +161,7 @@
     let Some(end) = lead_end(host) else { return false };
     let peers = host.settings.listen.peers.to_string();
     let record = host.watch.borrow().next_claim(&peers);
-    append_lead(host, record, end).await
+    append_lead(host, None, record, end).await
 }
 
 /// Where the topic of leads ends, as far as this box knows. Reads may be seconds behind its own last
@@ -166,13 +172,33 @@
 }
 
 /// Appends a lead record if the topic still ends at `end`. Returns whether it stands.
-async fn append_lead(host: &CellBox, record: LeadRecord, end: u64) -> bool {
+async fn append_lead(
+    host: &CellBox,
+    session: Option<&LeadSession>,
+    record: LeadRecord,
+    end: u64,
+) -> bool {
     let sent = clock::now();
     let records = [KeyedRecord { key: LEAD_KEY.to_owned(), value: record.encode().into() }];
     let condition = AppendCondition::At(end);
-    let store = &host.clients.store;
-    let appending = store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT);
-    match host.store_contact.unless_regained(appending).await {
+    let result = match session {
+        Some(session) => {
+            let limit = session.renew_patience.borrow().limit().min(CLAIM_LIMIT);
+            let result = session.append(host, StoreTopic::Leads, &records, &condition, limit).await;
+            let took = Duration::from_millis(clock::now().since(sent).as_millis());
+            match &result {
+                Ok(_) => session.renew_patience.borrow_mut().note_answer(took),
+                Err(_) => session.renew_patience.borrow_mut().note_failure(),
+            }
+            result
+        }
+        None => {
+            let store = &host.clients.store;
+            let appending = store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT);
+            host.store_contact.unless_regained(appending).await
+        }
+    };
+    match result {
         Ok(AppendOutcome::Kept { end }) => {
             let timing = &host.settings.authority;
             host.watch.borrow_mut().note_own(record, sent, end, timing);
@@ -184,8 +210,8 @@
             false
         }
         Err(error) => {
-            warn!(host.log, "lead record unsettled";
-                "token" => %record.token, "error" => %error);
+            warn!(host.log, "lead record unsettled"; "token" => %record.token,
+                "age_ms" => clock::now().since(sent).0, "error" => %error);
             false
         }
     }
@@ -208,6 +234,8 @@
         wake: Notify::new(),
         ended: Cell::new(false),
         helpers: RefCell::default(),
+        relay: RelayDesk::default(),
+        renew_patience: RefCell::default(),
         fed: RefCell::default(),
         submissions: RefCell::default(),
         strengths: RefCell::default(),
@@ -260,7 +288,7 @@
         let newest = host.watch.borrow().newest().cloned();
         let (Some(record), Some(end)) = (newest, lead_end(host)) else { return };
         pause = RENEW_RETRY;
-        if record.token == session.token && append_lead(host, record, end).await {
+        if record.token == session.token && append_lead(host, Some(session), record, end).await {
             session.renewed.set(clock::now());
             pause = every;
         }
@@ -280,7 +308,7 @@
         let newest = host.watch.borrow().newest().cloned();
         let Some(end) = lead_end(host) else { return };
         let Some(record) = newest.filter(|newest| newest.token == token) else { return };
-        if append_lead(host, LeadRecord { resigned: true, ..record }, end).await {
+        if append_lead(host, None, LeadRecord { resigned: true, ..record }, end).await {
             return;
         }
         tokio::time::sleep(WATCH_TURN).await;
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -23,7 +23,7 @@
 use super::accept::AcceptOutcome;
 use super::frames::{FedRecords, PeerFrame, StateAnswer, ViewProof, read_frame, write_frame};
 use super::state::CellBox;
-use super::{follow, orders};
+use super::{follow, orders, relay};
 use crate::clock;
 
 /// A link on which the lead was silent for longer is taken as lost. It speaks every 300 ms.
@@ -165,12 +165,13 @@
     let link = Rc::new(LeadLink::new(outbox));
     *host.link.borrow_mut() = Some(link.clone());
     tokio::select! {
-        result = send(&link, writer, queue) => result,
+        result = send(host, &link, writer, queue) => result,
         result = receive(host, &link, reader, address) => result,
     }
 }
 
 async fn send(
+    host: &CellBox,
     link: &LeadLink,
     mut writer: OwnedWriteHalf,
     mut queue: mpsc::Receiver<PeerFrame>,
@@ -184,7 +185,7 @@
                 link.forget_abandoned();
                 let number = link.take_number();
                 link.probe.set(Some((number, clock::now())));
-                PeerFrame::Probe { number }
+                PeerFrame::Probe { number, store_answers: !host.store_contact.is_doubtful() }
             }
         };
         write_frame(&mut writer, &frame).await?;
@@ -218,6 +219,14 @@
                 });
             }
             PeerFrame::Submitted { number, outcome } => link.take_outcome(number, outcome),
+            PeerFrame::Relay { number, call } => {
+                let (host, outbox) = (host.clone(), link.outbox.clone());
+                tokio::task::spawn_local(async move {
+                    let answer = relay::carry_out(&host, call).await;
+                    // Without a link nobody waits for the answer.
+                    let _ = outbox.send(PeerFrame::Relayed { number, answer }).await;
+                });
+            }
             PeerFrame::State { number, answer } => {
                 if let Some(reply) = link.questions.borrow_mut().remove(&number) {
                     // A caller that does not wait any more asks again.
@@ -238,6 +247,7 @@
             | PeerFrame::Answer { .. }
             | PeerFrame::Submit { .. }
             | PeerFrame::AskState { .. }
+            | PeerFrame::Relayed { .. }
             | PeerFrame::Fetch { .. }
             | PeerFrame::Probe { .. } => {}
         }
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod peers;
 mod recorder;
+mod relay;
 mod roster;
 mod settings;
 mod state;
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -139,7 +139,9 @@
                     (number, job, statement),
                 ));
             }
-            PeerFrame::Probe { number } => {
+            PeerFrame::Relayed { number, answer } => session.relay.take_answer(number, answer),
+            PeerFrame::Probe { number, store_answers } => {
+                session.relay.note_path(helper, store_answers);
                 let proof = prove_views(host, session);
                 if queue.try_send(PeerFrame::Proof { number, proof }.encode()).is_err() {
                     return;
@@ -159,6 +161,7 @@
             | PeerFrame::Ask(_)
             | PeerFrame::Submitted { .. }
             | PeerFrame::State { .. }
+            | PeerFrame::Relay { .. }
             | PeerFrame::Records(_)
             | PeerFrame::Proof { .. } => return,
         }
@@ -231,6 +234,7 @@
     fn remove_helper(&self, helper: HelperId) {
         self.helpers.borrow_mut().remove(&helper);
         self.strengths.borrow_mut().remove(&helper);
+        self.relay.remove(helper);
         self.scheduler.borrow_mut().remove_helper(helper, clock::now());
     }
 }
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -56,7 +56,7 @@
     let mut recorder = ProgressRecorder { token, sequence: 0, patience: CallPatience::default() };
     let begun = clock::now();
     let end = loop {
-        match recorder.append(host, &[]).await {
+        match recorder.append(host, None, &[]).await {
             Some(AppendOutcome::Kept { end }) => break end,
             Some(outcome) => {
                 info!(host.log, "fencing refused"; "token" => %token, "outcome" => ?outcome);
@@ -200,7 +200,7 @@
             let records = batch.records();
             let recorded = match records.is_empty() {
                 true => Some(None),
-                false => self.record(host, &records).await.map(Some),
+                false => self.record(host, session, &records).await.map(Some),
             };
             let Some(kept) = recorded else { return };
             if let Some(kept) = kept {
@@ -218,34 +218,51 @@
     }
 
     /// Records one batch, however often it has to be tried. None if a later lead exists.
-    async fn record(&mut self, host: &CellBox, records: &[KeyedRecord]) -> Option<KeptBatch> {
+    async fn record(
+        &mut self,
+        host: &CellBox,
+        session: &LeadSession,
+        records: &[KeyedRecord],
+    ) -> Option<KeptBatch> {
         loop {
             let sent = clock::now();
-            match self.append(host, records).await {
+            match self.append(host, Some(session), records).await {
                 Some(AppendOutcome::Kept { end }) => return Some(KeptBatch { end, sent }),
                 Some(outcome) => {
                     info!(host.log, "progress refused";
                         "token" => %self.token, "outcome" => ?outcome);
                     return None;
                 }
+                // Another box may have a path to the store: then there is nothing to wait for.
+                None if session.relays() => {}
                 None => tokio::time::sleep(RETRY_PAUSE).await,
             }
         }
     }
 
     /// One try. The sequence number goes on only when the store has answered.
-    async fn append(&mut self, host: &CellBox, records: &[KeyedRecord]) -> Option<AppendOutcome> {
+    async fn append(
+        &mut self,
+        host: &CellBox,
+        session: Option<&LeadSession>,
+        records: &[KeyedRecord],
+    ) -> Option<AppendOutcome> {
         let condition = AppendCondition::Sequence {
             producer: PRODUCER.to_owned(),
             epoch: self.token.0,
             sequence: self.sequence,
         };
         let sent = Instant::now();
-        let store = &host.clients.store;
+        let topic = StoreTopic::Progress;
         let limit = self.patience.limit();
-        let appending = store.append(StoreTopic::Progress, records, &condition, limit);
         // The same sequence number settles whether the first try was carried out.
-        let result = host.store_contact.unless_regained(appending).await;
+        let result = match session {
+            Some(session) => session.append(host, topic, records, &condition, limit).await,
+            None => {
+                let appending = host.clients.store.append(topic, records, &condition, limit);
+                host.store_contact.unless_regained(appending).await
+            }
+        };
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         telemetry::note_store_append("progress", outcome, sent.elapsed().as_secs_f64());
         match result {
--- /dev/null
+++ b/crates/sedgehilld/src/cell/relay.rs
@@ -0,0 +1,243 @@
+//! Calls of the lead to the store by way of another box.
+//!
+//! When the store does not answer the lead but answers a box that keeps a link to it, the lead has
+//! that box make the call. A relayed call is the same call: its condition, and the token in it, are
+//! checked by the store, and one without an answer may have been done.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sedgehill_adapter::error::CallError;
+use sedgehill_adapter::store::{
+    AppendCondition, AppendOutcome, KeyedRecord, NewestRecords, ReadOutcome, StoreTopic,
+};
+use sedgehill_cell::scheduler::HelperId;
+use sedgehill_core::units::{Moment, TimeSpan};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::sync::oneshot;
+
+use super::frames::PeerFrame;
+use super::lead::LeadSession;
+use super::state::CellBox;
+use crate::clock;
+
+/// How long a box may take for a relayed read. A slow store takes some 300 ms.
+const READ_LIMIT: Duration = Duration::from_millis(800);
+/// How long a box may take for a relayed append. A slow store lets appends wait for up to two seconds.
+const APPEND_LIMIT: Duration = Duration::from_millis(2_500);
+/// What a box said of its path to the store counts for so long; it says so every 300 ms.
+const SAID: TimeSpan = TimeSpan(900);
+/// A path that failed is not used again before it has answered for so long, if there is another.
+const PATH_TRIAL: TimeSpan = TimeSpan(1_000);
+
+/// A call to the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum RelayCall {
+    /// Append records.
+    Append {
+        /// The topic.
+        topic: StoreTopic,
+        /// The records.
+        records: Vec<KeyedRecord>,
+        /// On what condition.
+        condition: AppendCondition,
+    },
+    /// Read from an offset on, without waiting.
+    Read {
+        /// The topic.
+        topic: StoreTopic,
+        /// The offset.
+        offset: u64,
+    },
+    /// Read the newest record of each key.
+    Newest(StoreTopic),
+}
+
+/// What came of a relayed call.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum RelayAnswer {
+    /// Of an append.
+    Appended(AppendOutcome),
+    /// Of a read.
+    Read(ReadOutcome),
+    /// Of a read of the newest records.
+    Newest(NewestRecords),
+    /// No answer of use; it may have been done.
+    Failed(String),
+}
+
+/// The boxes by way of which the lead can call, and the calls under way.
+#[derive(Debug, Default)]
+pub struct RelayDesk {
+    /// Boxes that the store answers, with when they last said so.
+    paths: RefCell<HashMap<HelperId, Moment>>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<RelayAnswer>>>,
+    next_number: Cell<u64>,
+    /// Since when the lead's own path is taken as cut.
+    cut: Cell<Option<Moment>>,
+}
+
+impl RelayDesk {
+    /// Notes what a box says of its own path.
+    pub fn note_path(&self, helper: HelperId, store_answers: bool) {
+        match store_answers {
+            true => self.paths.borrow_mut().insert(helper, clock::now()),
+            false => self.paths.borrow_mut().remove(&helper),
+        };
+    }
+
+    /// A box cannot be asked any more.
+    pub fn remove(&self, helper: HelperId) {
+        self.paths.borrow_mut().remove(&helper);
+    }
+
+    /// Takes in an answer.
+    pub fn take_answer(&self, number: u64, answer: RelayAnswer) {
+        if let Some(reply) = self.waiting.borrow_mut().remove(&number) {
+            // The call may have been given up.
+            let _ = reply.send(answer);
+        }
+    }
+
+    /// A box that the store answers, another one each time.
+    fn choose(&self) -> Option<HelperId> {
+        let now = clock::now();
+        let paths = self.paths.borrow();
+        let mut fit: Vec<HelperId> = paths
+            .iter()
+            .filter(|(_, said)| now.since(**said) <= SAID)
+            .map(|(helper, _)| *helper)
+            .collect();
+        fit.sort_unstable();
+        let turn = self.next_number.get() as usize;
+        (!fit.is_empty()).then(|| fit[turn % fit.len()])
+    }
+}
+
+impl LeadSession {
+    /// Whether the lead's own path to the store is cut while another box has one.
+    pub fn relays(&self) -> bool {
+        self.relay.cut.get().is_some() && self.relay.choose().is_some()
+    }
+
+    async fn relay(&self, call: RelayCall, limit: Duration) -> Result<RelayAnswer, CallError> {
+        let unreached = || CallError::NotDone("no box to relay the call".to_owned());
+        let helper = self.relay.choose().ok_or_else(unreached)?;
+        let number = self.relay.next_number.get();
+        self.relay.next_number.set(number + 1);
+        let (reply, answer) = oneshot::channel();
+        self.relay.waiting.borrow_mut().insert(number, reply);
+        let frame = PeerFrame::Relay { number, call }.encode();
+        let sent =
+            self.helpers.borrow().get(&helper).is_some_and(|queue| queue.try_send(frame).is_ok());
+        if !sent {
+            self.relay.waiting.borrow_mut().remove(&number);
+            return Err(unreached());
+        }
+        let answer = tokio::time::timeout(limit, answer).await;
+        self.relay.waiting.borrow_mut().remove(&number);
+        match answer {
+            Ok(Ok(RelayAnswer::Failed(reason))) => Err(CallError::Unknown(reason)),
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) | Err(_) => Err(CallError::Unknown("no relayed answer".to_owned())),
+        }
+    }
+
+    /// Appends by the lead's own path, or by another box while the own path is cut. After a failure
+    /// the next call takes the other way.
+    pub async fn append(
+        &self,
+        host: &CellBox,
+        topic: StoreTopic,
+        records: &[KeyedRecord],
+        condition: &AppendCondition,
+        limit: Duration,
+    ) -> Result<AppendOutcome, CallError> {
+        if !self.relays() {
+            let store = &host.clients.store;
+            let appending = store.append(topic, records, condition, limit);
+            let result = host.store_contact.unless_regained(appending).await;
+            match &result {
+                Ok(_) => self.note_own_path(host, true),
+                Err(_) => self.note_own_path(host, false),
+            }
+            return result;
+        }
+        let (records, condition) = (records.to_vec(), condition.clone());
+        let call = RelayCall::Append { topic, records, condition };
+        match self.relay(call, limit.max(RELAY_LEAST)).await {
+            Ok(RelayAnswer::Appended(outcome)) => {
+                self.try_own_path(host);
+                Ok(outcome)
+            }
+            Ok(_) => Err(CallError::Unknown("an answer of another kind".to_owned())),
+            Err(error) => {
+                // The box may be the one that is cut: the own path gets the next try.
+                self.relay.cut.set(None);
+                Err(error)
+            }
+        }
+    }
+
+    /// Reads a topic by way of another box.
+    pub async fn read_relayed(
+        &self,
+        topic: StoreTopic,
+        offset: u64,
+    ) -> Result<ReadOutcome, CallError> {
+        match self.relay(RelayCall::Read { topic, offset }, READ_LIMIT).await? {
+            RelayAnswer::Read(outcome) => Ok(outcome),
+            _ => Err(CallError::Unknown("an answer of another kind".to_owned())),
+        }
+    }
+
+    /// Reads the newest records by way of another box.
+    pub async fn newest_relayed(&self, topic: StoreTopic) -> Result<NewestRecords, CallError> {
+        match self.relay(RelayCall::Newest(topic), READ_LIMIT).await? {
+            RelayAnswer::Newest(newest) => Ok(newest),
+            _ => Err(CallError::Unknown("an answer of another kind".to_owned())),
+        }
+    }
+
+    fn note_own_path(&self, host: &CellBox, answers: bool) {
+        let was_cut = self.relay.cut.get().is_some();
+        if answers && was_cut {
+            info!(host.log, "own path to the store is back"; "token" => %self.token);
+        }
+        if !answers && !was_cut {
+            warn!(host.log, "own path to the store fails"; "token" => %self.token,
+                "other_paths" => self.relay.paths.borrow().len());
+        }
+        let since = self.relay.cut.get().unwrap_or_else(clock::now);
+        self.relay.cut.set((!answers).then_some(since));
+    }
+
+    /// Takes the own path again once reads on it have been answered for a time.
+    fn try_own_path(&self, host: &CellBox) {
+        let Some(since) = self.relay.cut.get() else { return };
+        if clock::now().since(since) >= PATH_TRIAL && host.store_contact.heard_after(since) {
+            self.note_own_path(host, true);
+        }
+    }
+}
+
+/// A relayed call takes two more ways than a direct one, and the other box may be slow.
+const RELAY_LEAST: Duration = Duration::from_millis(400);
+
+/// Makes a call for the lead.
+pub async fn carry_out(host: &Rc<CellBox>, call: RelayCall) -> RelayAnswer {
+    let store = &host.clients.store;
+    let result = match call {
+        RelayCall::Append { topic, records, condition } => {
+            store.append(topic, &records, &condition, APPEND_LIMIT).await.map(RelayAnswer::Appended)
+        }
+        RelayCall::Read { topic, offset } => {
+            store.read(topic, offset, Duration::ZERO, READ_LIMIT).await.map(RelayAnswer::Read)
+        }
+        RelayCall::Newest(topic) => store.newest(topic, READ_LIMIT).await.map(RelayAnswer::Newest),
+    };
+    result.unwrap_or_else(|error| RelayAnswer::Failed(error.to_string()))
+}
--- a/crates/sedgehilld/src/cell/roster.rs
+++ b/crates/sedgehilld/src/cell/roster.rs
@@ -30,7 +30,11 @@
     let known = session.scheduler.borrow_mut().add_roster(&roster, clock::now());
     watch_all(host, session, known);
     loop {
-        match host.clients.store.newest(StoreTopic::Workers, LIST_LIMIT).await {
+        let reading = match session.relays() {
+            true => session.newest_relayed(StoreTopic::Workers).await,
+            false => host.clients.store.newest(StoreTopic::Workers, LIST_LIMIT).await,
+        };
+        match reading {
             Ok(newest) => {
                 let mut entries = Vec::with_capacity(newest.records.len());
                 for record in &newest.records {
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -72,6 +72,9 @@
 /// count as silent, since the first answer after a silence repeats all other calls.
 const CONTACT_LOST: TimeSpan = TimeSpan(1_100);
 
+/// A box that has heard nothing for longer is not asked to call for others. Reads wait half a second.
+const CONTACT_DOUBTFUL: TimeSpan = TimeSpan(750);
+
 /// When the store last answered this box.
 #[derive(Debug)]
 pub struct StoreContact {
@@ -108,6 +111,16 @@
         }
     }
 
+    /// Whether the store has answered after a moment.
+    pub fn heard_after(&self, moment: Moment) -> bool {
+        self.heard.get() > moment
+    }
+
+    /// Whether the store has not answered for longer than reads usually wait.
+    pub fn is_doubtful(&self) -> bool {
+        clock::now().since(self.heard.get()) > CONTACT_DOUBTFUL
+    }
+
     /// Whether the store has not answered for too long.
     pub fn is_silent(&self) -> bool {
         clock::now().since(self.heard.get()) > CONTACT_LOST
@@ -234,7 +247,9 @@
     /// Whether a job can be taken: through a lead, which knows whether it was taken before, or by this
     /// box, if it knows that itself and the store answers.
     pub fn can_accept(&self) -> bool {
-        self.lead_knows_jobs() || (self.knows_jobs() && !self.store_contact.is_silent())
+        let relays = self.session.borrow().as_ref().is_some_and(|session| session.relays());
+        let reaches_store = relays || !self.store_contact.is_silent();
+        self.lead_knows_jobs() || (self.knows_jobs() && reaches_store)
     }
 
     /// Whether the jobs and their progress are known but for the last moments.
