standin: a fault soak of boxes in cell mode

Real boxes as separate processes; a loopback path to the store that is slow, silent either way, refusing or reset; boxes killed, stopped as planned, paused, all killed at once; a store that answers nobody; new configurations; callers that keep their connections and remember what they were told. Checked: no task in two places, none begun after its noted end, no worker over its size, what was accepted completes, what was refused each time never ran, no box panics.

--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -34,6 +34,8 @@
     noted: BTreeSet<String>,
     violations: Vec<String>,
     starts: usize,
+    /// Jobs of which a task was ever begun.
+    begun_jobs: BTreeSet<String>,
 }
 
 /// All workers, which share one account of what must never happen.
@@ -74,6 +76,11 @@
         self.state.lock().starts
     }
 
+    /// Jobs of which a task was ever begun.
+    pub fn begun_jobs(&self) -> BTreeSet<String> {
+        self.state.lock().begun_jobs.clone()
+    }
+
     fn clock_ms(&self) -> u64 {
         self.begun.elapsed().as_millis() as u64
     }
@@ -178,6 +185,7 @@
         state.violations.push(format!("{} begins after its end", order.task));
     }
     state.starts += 1;
+    state.begun_jobs.extend(order.task.split('.').next().map(str::to_owned));
     let worker = &mut state.workers[number];
     worker.lease_until = worker.lease_until.max(order.deadline_ms);
     worker.runs.insert(order.task.clone(), (order.run, Instant::now()));
--- /dev/null
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -0,0 +1,148 @@
+//! Boxes in cell mode as separate processes.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::binaries::build_binaries;
+use crate::cell_platform::CellPlatform;
+
+/// How long one call may take.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Where a box listens and what it meets. A box that is started again keeps all of it.
+#[derive(Debug, Clone)]
+pub struct CellSite {
+    /// Its name.
+    pub name: String,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    peers: SocketAddr,
+    metrics: SocketAddr,
+    store: SocketAddr,
+    advice: SocketAddr,
+    cores: String,
+}
+
+impl CellSite {
+    /// A site on free ports of loopback. The box reaches the store at `store`.
+    pub fn new(name: &str, platform: &CellPlatform, store: SocketAddr, cores: &str) -> CellSite {
+        let [callers, ready, peers, metrics] = free_addresses();
+        CellSite {
+            name: name.to_owned(),
+            callers,
+            ready,
+            peers,
+            metrics,
+            store,
+            advice: platform.advice_address,
+            cores: cores.to_owned(),
+        }
+    }
+
+    /// Starts the box. Its settings and its log lie in `directory`; the log is appended to.
+    pub fn start(&self, directory: &Path) -> std::io::Result<CellProcess> {
+        let settings = json!({
+            "box": self.name,
+            "cores": self.cores,
+            "listen": {
+                "callers": self.callers, "ready": self.ready,
+                "peers": self.peers, "metrics": self.metrics
+            },
+            "store": self.store,
+            "advice": self.advice,
+        });
+        let path = directory.join(format!("{}.json", self.name));
+        std::fs::write(&path, settings.to_string())?;
+        let log =
+            std::fs::OpenOptions::new().create(true).append(true).open(self.log_path(directory))?;
+        let child = Command::new(build_binaries().daemon)
+            .args(["cell", "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        Ok(CellProcess { child, callers: self.callers, ready: self.ready })
+    }
+
+    /// Where the log lies.
+    pub fn log_path(&self, directory: &Path) -> PathBuf {
+        directory.join(format!("{}.log", self.name))
+    }
+}
+
+/// A box in cell mode, killed when dropped.
+pub struct CellProcess {
+    child: Child,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+}
+
+impl CellProcess {
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        // The process may have ended meanwhile.
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+
+    /// Waits for the end; the exit code, if it ended by itself.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().ok()?.code()
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for CellProcess {
+    fn drop(&mut self) {
+        // It may have ended, which is what is wanted.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Addresses that were free a moment ago, all different.
+fn free_addresses() -> [SocketAddr; 4] {
+    let listeners =
+        [(); 4].map(|()| TcpListener::bind(("127.0.0.1", 0)).expect("loopback can be listened on"));
+    listeners.map(|listener| listener.local_addr().expect("a listener has an address"))
+}
+
+/// One call on a connection of its own: the status and the body; none without a whole answer.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Option<(u16, String)> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: cell.example\r\nConnection: close\r\n\
+             Deadline-Ms: 3000\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.ok()?;
+        let status = answer.split(' ').nth(1)?.parse().ok()?;
+        let body = answer.split_once("\r\n\r\n")?.1.to_owned();
+        Some((status, body))
+    };
+    tokio::time::timeout(CALL_LIMIT, exchange).await.ok()?
+}
--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod demo;
 mod measure;
+mod soak_command;
 
 use std::process::ExitCode;
 
@@ -19,6 +20,10 @@
     measure      path|capacity [--json FILE]
                  path: what a box adds to a request, against the direct way
                  capacity: state, messages, time and memory at growing sizes
+    soak         boxes in cell mode under random faults, their promises checked
+                 [--seed N] [--seeds COUNT] [--seconds N] [--keep DIR]
+                 --seed is drawn where it is left out; COUNT seeds from it on are run; the logs of
+                 a run that breaks a promise stay in DIR
     log          --listen ADDRESS
     list         --listen ADDRESS --file LIST.json
     worker       --listen ADDRESS --id NAME [--cores N] [--memory SIZE] [--accelerators N]
@@ -69,6 +74,7 @@
     match command {
         "demo" => demo::run(args).await,
         "measure" => measure::run(args).await,
+        "soak" => soak_command::run(args).await,
         "log" => commands::log(args).await,
         "list" => commands::list(args).await,
         "worker" => commands::worker(args).await,
--- /dev/null
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -0,0 +1,157 @@
+//! Callers of a soak, who remember what they were told.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// How often a caller tries one job before it gives up.
+const TRIES: usize = 10;
+/// Pause before the next try.
+const TRY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two jobs of one caller.
+const JOB_PAUSE: Duration = Duration::from_millis(60);
+/// How long a caller waits for an answer.
+const CALL_LIMIT: Duration = Duration::from_millis(4_000);
+/// One job in so many is cancelled soon after it was accepted.
+const CANCEL_ONE_IN: u32 = 12;
+
+/// What callers were told of their jobs.
+#[derive(Debug, Default)]
+pub struct ToldJobs {
+    /// Accepted, and not cancelled by their caller.
+    pub accepted: BTreeSet<u64>,
+    /// Accepted, and then cancelled.
+    pub cancelled: BTreeSet<u64>,
+    /// Each answer said that the job was not taken.
+    pub refused: BTreeSet<u64>,
+    /// Answers by status; 0 for none.
+    pub answers: BTreeMap<u16, u64>,
+}
+
+/// What callers share.
+pub struct CallerPool {
+    boxes: Vec<SocketAddr>,
+    told: Arc<Mutex<ToldJobs>>,
+}
+
+impl CallerPool {
+    /// Callers of these boxes.
+    pub fn new(boxes: Vec<SocketAddr>) -> CallerPool {
+        CallerPool { boxes, told: Arc::default() }
+    }
+
+    /// What they were told.
+    pub fn told(&self) -> &Mutex<ToldJobs> {
+        &self.told
+    }
+
+    /// One caller that hands in jobs until it is dropped. Its connections are kept for as long as boxes
+    /// keep them.
+    pub async fn run(&self, seed: u64, caller: u64) {
+        let client: Client<HttpConnector, Full<Bytes>> =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http();
+        let mut rng = StdRng::seed_from_u64(seed ^ (caller << 32));
+        for number in 0.. {
+            let id = (caller << 48) | number;
+            self.hand_in(&client, &mut rng, id).await;
+            tokio::time::sleep(JOB_PAUSE).await;
+        }
+    }
+
+    async fn hand_in(
+        &self,
+        client: &Client<HttpConnector, Full<Bytes>>,
+        rng: &mut StdRng,
+        id: u64,
+    ) {
+        let body = draw_job(rng);
+        let mut doubtful = false;
+        for _ in 0..TRIES {
+            let address = self.boxes[rng.random_range(0..self.boxes.len())];
+            match self.call(client, address, Method::POST, id, &body).await {
+                Some(StatusCode::OK) => {
+                    self.told.lock().accepted.insert(id);
+                    if rng.random_ratio(1, CANCEL_ONE_IN) {
+                        self.cancel(client, address, id).await;
+                    }
+                    return;
+                }
+                Some(StatusCode::SERVICE_UNAVAILABLE) => {}
+                Some(_) | None => doubtful = true,
+            }
+            tokio::time::sleep(TRY_PAUSE).await;
+        }
+        if !doubtful {
+            self.told.lock().refused.insert(id);
+        }
+    }
+
+    async fn cancel(
+        &self,
+        client: &Client<HttpConnector, Full<Bytes>>,
+        address: SocketAddr,
+        id: u64,
+    ) {
+        // It may be cancelled from now on, whatever is answered.
+        {
+            let mut told = self.told.lock();
+            told.accepted.remove(&id);
+            told.cancelled.insert(id);
+        }
+        self.call(client, address, Method::DELETE, id, "").await;
+    }
+
+    async fn call(
+        &self,
+        client: &Client<HttpConnector, Full<Bytes>>,
+        address: SocketAddr,
+        method: Method,
+        id: u64,
+        body: &str,
+    ) -> Option<StatusCode> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}/checks/{id:016x}"))
+            .header("host", "cell.example")
+            .header("deadline-ms", "3000")
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("the parts are valid");
+        let exchange = async {
+            let response = client.request(request).await.ok()?;
+            let status = response.status();
+            response.into_body().collect().await.ok()?;
+            Some(status)
+        };
+        let status = tokio::time::timeout(CALL_LIMIT, exchange).await.ok().flatten();
+        let code = status.map_or(0, |status| status.as_u16());
+        *self.told.lock().answers.entry(code).or_default() += 1;
+        status
+    }
+}
+
+fn draw_job(rng: &mut StdRng) -> String {
+    let step = |rng: &mut StdRng, after: Option<u16>| {
+        let gang = rng.random_ratio(1, 3);
+        let count = rng.random_range(1..4);
+        serde_json::json!({
+            "count": count, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150,
+            "gang_scheduled": gang, "after": after.into_iter().collect::<Vec<u16>>()
+        })
+    };
+    let mut steps = vec![step(rng, None)];
+    if rng.random_ratio(1, 3) {
+        steps.push(step(rng, Some(0)));
+    }
+    serde_json::json!({ "spec": "work", "steps": steps }).to_string()
+}
--- /dev/null
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -0,0 +1,278 @@
+//! A randomised soak: boxes as separate processes, broken from outside, their promises checked from
+//! what callers and workers see.
+
+mod callers;
+mod plan;
+mod proxy;
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+
+use self::callers::CallerPool;
+pub use self::plan::{SoakFault, SoakPlan, draw_plan};
+use self::proxy::{FaultyPath, PathState};
+use crate::cell_platform::CellPlatform;
+use crate::cell_process::{CellProcess, CellSite, call};
+
+/// Boxes of a run.
+const BOXES: usize = 3;
+/// Workers of a run.
+const WORKERS: usize = 6;
+/// Callers of a run.
+const CALLERS: u64 = 6;
+/// How long everything accepted may take to end once all is well again.
+const SETTLE_LIMIT: Duration = Duration::from_secs(45);
+/// Time between two looks.
+const TURN: Duration = Duration::from_millis(100);
+
+/// What one run found.
+#[derive(Debug, Default)]
+pub struct SoakReport {
+    /// Faults that were caused.
+    pub faults: usize,
+    /// Jobs that callers were told are kept.
+    pub accepted: usize,
+    /// Jobs that callers were told were not taken.
+    pub refused: usize,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+}
+
+/// A box, running or not.
+struct SoakBox {
+    site: CellSite,
+    path: FaultyPath,
+    process: Option<CellProcess>,
+}
+
+/// A running soak.
+struct Soak<'a> {
+    directory: &'a Path,
+    platform: CellPlatform,
+    boxes: Vec<SoakBox>,
+    version: u64,
+}
+
+/// What ends a fault again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Repair {
+    Start(usize),
+    Wake(usize),
+    Open(usize),
+    StoreSpeaks,
+}
+
+/// Runs the faults of a seed for some seconds. Settings and logs of the boxes lie in `directory`.
+pub async fn run_soak(seed: u64, seconds: u64, directory: &Path) -> std::io::Result<SoakReport> {
+    let plan = draw_plan(seed, seconds, BOXES);
+    let mut soak = Soak::start(directory).await?;
+    let callers = CallerPool::new(soak.boxes.iter().map(|one| one.site.callers).collect());
+    let mut report = SoakReport { faults: plan.len(), ..SoakReport::default() };
+    let load = futures_all((0..CALLERS).map(|caller| callers.run(seed, caller + 1)));
+    tokio::select! {
+        () = load => {}
+        result = soak.carry_out(&plan, seconds) => result?,
+    }
+    soak.heal()?;
+    soak.check(&callers, &mut report).await;
+    Ok(report)
+}
+
+/// Drives all futures, which do not end by themselves.
+async fn futures_all<F: Future<Output = ()>>(futures: impl Iterator<Item = F>) {
+    let mut pending: Vec<std::pin::Pin<Box<F>>> = futures.map(Box::pin).collect();
+    std::future::poll_fn(|context| {
+        pending.retain_mut(|future| future.as_mut().poll(context).is_pending());
+        match pending.is_empty() {
+            true => std::task::Poll::Ready(()),
+            false => std::task::Poll::Pending,
+        }
+    })
+    .await;
+}
+
+impl<'a> Soak<'a> {
+    async fn start(directory: &'a Path) -> std::io::Result<Soak<'a>> {
+        let platform = CellPlatform::start(WORKERS).await?;
+        platform.configure(1);
+        let mut boxes = Vec::new();
+        for number in 0..BOXES {
+            let path = FaultyPath::open(platform.store_address).await?;
+            let site = CellSite::new(&format!("box-{number}"), &platform, path.address, "0.25");
+            let process = Some(site.start(directory)?);
+            boxes.push(SoakBox { site, path, process });
+        }
+        let mut soak = Soak { directory, platform, boxes, version: 1 };
+        soak.wait_ready().await?;
+        Ok(soak)
+    }
+
+    async fn wait_ready(&mut self) -> std::io::Result<()> {
+        let deadline = Instant::now() + SETTLE_LIMIT;
+        for one in &self.boxes {
+            while !is_ready(one).await {
+                if Instant::now() > deadline {
+                    return Err(std::io::Error::other(format!("{} is not ready", one.site.name)));
+                }
+                tokio::time::sleep(TURN).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn carry_out(&mut self, plan: &SoakPlan, seconds: u64) -> std::io::Result<()> {
+        let begun = Instant::now();
+        let mut faults = plan.iter().peekable();
+        let mut repairs: Vec<(Instant, Repair)> = Vec::new();
+        while begun.elapsed() < Duration::from_secs(seconds) {
+            while let Some((_, fault)) = faults.next_if(|(at, _)| begun.elapsed() >= *at) {
+                self.cause(*fault, &mut repairs)?;
+            }
+            let now = Instant::now();
+            for (_, repair) in repairs.extract_if(.., |(at, _)| *at <= now) {
+                self.repair(repair)?;
+            }
+            self.restart_ended()?;
+            tokio::time::sleep(TURN / 5).await;
+        }
+        Ok(())
+    }
+
+    fn cause(
+        &mut self,
+        fault: SoakFault,
+        repairs: &mut Vec<(Instant, Repair)>,
+    ) -> std::io::Result<()> {
+        let after = |span: Duration| Instant::now() + span;
+        match fault {
+            SoakFault::Kill(number, pause) => {
+                self.boxes[number].process = None;
+                repairs.push((after(pause), Repair::Start(number)));
+            }
+            SoakFault::KillAll(pause) => {
+                for number in 0..BOXES {
+                    self.boxes[number].process = None;
+                    repairs.push((after(pause), Repair::Start(number)));
+                }
+            }
+            SoakFault::Stop(number) => self.signal(number, Signal::SIGTERM),
+            SoakFault::Pause(number, span) => {
+                self.signal(number, Signal::SIGSTOP);
+                repairs.push((after(span), Repair::Wake(number)));
+            }
+            SoakFault::Path(number, state, span) => {
+                self.boxes[number].path.set(state);
+                repairs.push((after(span), Repair::Open(number)));
+            }
+            SoakFault::Reset(number) => self.boxes[number].path.reset(),
+            SoakFault::StoreSilent(span) => {
+                self.platform.store.set_silent(true);
+                repairs.push((after(span), Repair::StoreSpeaks));
+            }
+            SoakFault::Configure => {
+                self.version += 1;
+                self.platform.configure(self.version);
+            }
+        }
+        Ok(())
+    }
+
+    fn repair(&mut self, repair: Repair) -> std::io::Result<()> {
+        match repair {
+            Repair::Start(number) => self.start_box(number)?,
+            Repair::Wake(number) => self.signal(number, Signal::SIGCONT),
+            Repair::Open(number) => self.boxes[number].path.set(PathState::Open),
+            Repair::StoreSpeaks => self.platform.store.set_silent(false),
+        }
+        Ok(())
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        if let Some(process) = &self.boxes[number].process {
+            process.signal(signal);
+        }
+    }
+
+    fn start_box(&mut self, number: usize) -> std::io::Result<()> {
+        let one = &mut self.boxes[number];
+        if one.process.is_none() {
+            one.process = Some(one.site.start(self.directory)?);
+        }
+        Ok(())
+    }
+
+    /// Boxes that ended after a planned stop start again.
+    fn restart_ended(&mut self) -> std::io::Result<()> {
+        for number in 0..BOXES {
+            let ended = self.boxes[number].process.as_mut().is_some_and(CellProcess::has_ended);
+            if ended {
+                self.boxes[number].process = None;
+                self.start_box(number)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn heal(&mut self) -> std::io::Result<()> {
+        self.platform.store.set_silent(false);
+        for number in 0..BOXES {
+            self.boxes[number].path.set(PathState::Open);
+            self.signal(number, Signal::SIGCONT);
+            self.start_box(number)?;
+        }
+        Ok(())
+    }
+
+    /// Checks what must hold once all is well again.
+    async fn check(&mut self, callers: &CallerPool, report: &mut SoakReport) {
+        let accepted = callers.told().lock().accepted.clone();
+        let refused = callers.told().lock().refused.clone();
+        report.accepted = accepted.len();
+        report.refused = refused.len();
+        let deadline = Instant::now() + SETTLE_LIMIT;
+        for id in accepted {
+            if let Some(state) = self.wait_completed(id, deadline).await {
+                report.broken.push(format!("{id:016x} was accepted and is {state}"));
+            }
+        }
+        report.broken.extend(self.platform.workers.violations());
+        let begun = self.platform.workers.begun_jobs();
+        let ran = refused.iter().map(|id| format!("{id:016x}")).filter(|id| begun.contains(id));
+        report.broken.extend(ran.map(|id| format!("{id} was refused each time and ran")));
+        for one in &self.boxes {
+            let log = std::fs::read_to_string(one.site.log_path(self.directory));
+            // A panic ends the process, which is started again: only the log tells.
+            if log.is_ok_and(|log| log.contains("panicked")) {
+                report.broken.push(format!("{} panicked", one.site.name));
+            }
+        }
+    }
+
+    /// Waits until a job is completed. Tells what it is instead.
+    async fn wait_completed(&mut self, id: u64, deadline: Instant) -> Option<String> {
+        let path = format!("/checks/{id:016x}");
+        let mut last = String::from("not known");
+        while Instant::now() < deadline {
+            if let Err(error) = self.restart_ended() {
+                return Some(format!("not to be asked for: {error}"));
+            }
+            for one in &self.boxes {
+                match call(one.site.callers, "GET", &path, "").await {
+                    Some((200, body)) if body.contains("completed") => return None,
+                    Some((410, _)) => return Some("not known any more".to_owned()),
+                    Some((status, body)) => last = format!("{status} {body}"),
+                    None => {}
+                }
+            }
+            tokio::time::sleep(TURN).await;
+        }
+        Some(last)
+    }
+}
+
+async fn is_ready(one: &SoakBox) -> bool {
+    let answer = call(one.site.ready, "GET", "/sedgehill/readyz", "").await;
+    answer.is_some_and(|(status, _)| status == 200)
+}
--- /dev/null
+++ b/crates/sedgehill-standin/src/soak/proxy.rs
@@ -0,0 +1,125 @@
+//! A path to the store that can be made worse from outside.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Bytes that are passed on at once.
+const CHUNK: usize = 16 << 10;
+/// Time between two looks whether a silent path speaks again.
+const SILENT_TURN: Duration = Duration::from_millis(20);
+
+/// What a path does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum PathState {
+    /// It passes everything on.
+    #[default]
+    Open,
+    /// It passes everything on, each chunk so much later.
+    Slow(Duration),
+    /// What is sent to the store does not arrive.
+    SilentForth,
+    /// What the store answers does not arrive.
+    SilentBack,
+    /// It takes no connections.
+    Refusing,
+}
+
+/// A path that can be made worse.
+pub struct FaultyPath {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<PathState>>,
+    resets: watch::Sender<u64>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for FaultyPath {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl FaultyPath {
+    /// Opens a path to `target`.
+    pub async fn open(target: SocketAddr) -> std::io::Result<FaultyPath> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(PathState::Open));
+        let (resets, resetting) = watch::channel(0);
+        let shared = state.clone();
+        let task = tokio::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            loop {
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                if *shared.lock() == PathState::Refusing {
+                    continue;
+                }
+                connections.spawn(pass(stream, target, shared.clone(), resetting.clone()));
+                while connections.try_join_next().is_some() {}
+            }
+        });
+        Ok(FaultyPath { address, state, resets, task })
+    }
+
+    /// Changes what the path does. Refusing also breaks the connections that are open.
+    pub fn set(&self, state: PathState) {
+        *self.state.lock() = state;
+        if state == PathState::Refusing {
+            self.reset();
+        }
+    }
+
+    /// Breaks all connections.
+    pub fn reset(&self) {
+        self.resets.send_modify(|count| *count += 1);
+    }
+}
+
+async fn pass(
+    stream: TcpStream,
+    target: SocketAddr,
+    state: Arc<Mutex<PathState>>,
+    mut resetting: watch::Receiver<u64>,
+) {
+    let Ok(onward) = TcpStream::connect(target).await else { return };
+    let (near_read, near_write) = stream.into_split();
+    let (far_read, far_write) = onward.into_split();
+    resetting.mark_unchanged();
+    tokio::select! {
+        _ = copy(near_read, far_write, &state, PathState::SilentForth) => {}
+        _ = copy(far_read, near_write, &state, PathState::SilentBack) => {}
+        // An error means that the path is gone.
+        _ = resetting.changed() => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    state: &Mutex<PathState>,
+    silent: PathState,
+) -> std::io::Result<()> {
+    let mut chunk = vec![0; CHUNK];
+    loop {
+        let length = from.read(&mut chunk).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        while *state.lock() == silent {
+            tokio::time::sleep(SILENT_TURN).await;
+        }
+        let delay = match *state.lock() {
+            PathState::Slow(delay) => delay,
+            _ => Duration::ZERO,
+        };
+        tokio::time::sleep(delay).await;
+        to.write_all(&chunk[..length]).await?;
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-standin/src/soak_command.rs
@@ -0,0 +1,72 @@
+//! `soak`: random faults, one seed after the other.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+use sedgehill_standin::soak::run_soak;
+
+use crate::commands::{CommandResult, finish};
+
+/// Seconds of load of one seed where none are named.
+const SECONDS: u64 = 10;
+
+/// Runs the command.
+pub async fn run(mut args: Arguments) -> CommandResult {
+    let text = |error: pico_args::Error| error.to_string();
+    let first: Option<u64> = args.opt_value_from_str("--seed").map_err(text)?;
+    let count: u64 = args.opt_value_from_str("--seeds").map_err(text)?.unwrap_or(1);
+    let seconds: u64 = args.opt_value_from_str("--seconds").map_err(text)?.unwrap_or(SECONDS);
+    let keep: Option<PathBuf> = args.opt_value_from_str("--keep").map_err(text)?;
+    finish(args)?;
+    // Seeds are short, so that they can be typed again.
+    let first = first.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let mut failed = 0;
+    for seed in first..first + count {
+        failed += u64::from(!run_seed(seed, seconds, keep.as_deref()).await?);
+    }
+    println!("{count} seeds from {first}, {failed} with a broken promise");
+    Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+async fn run_seed(seed: u64, seconds: u64, keep: Option<&std::path::Path>) -> Result<bool, String> {
+    let directory = tempfile::tempdir().map_err(|error| error.to_string())?;
+    let report = match run_soak(seed, seconds, directory.path()).await {
+        Ok(report) => report,
+        Err(error) => {
+            keep_logs(seed, directory.path(), keep)?;
+            return Err(format!("seed {seed}: {error}"));
+        }
+    };
+    println!(
+        "seed {seed}: {} faults, {} accepted, {} refused, {} broken",
+        report.faults,
+        report.accepted,
+        report.refused,
+        report.broken.len()
+    );
+    for broken in &report.broken {
+        println!("    {broken}");
+    }
+    if report.broken.is_empty() {
+        return Ok(true);
+    }
+    keep_logs(seed, directory.path(), keep)?;
+    Ok(false)
+}
+
+fn keep_logs(seed: u64, directory: &Path, keep: Option<&Path>) -> Result<(), String> {
+    let Some(keep) = keep else { return Ok(()) };
+    let kept = keep.join(format!("seed-{seed}"));
+    let copy = || {
+        std::fs::create_dir_all(&kept)?;
+        for entry in std::fs::read_dir(directory)? {
+            let entry = entry?;
+            std::fs::copy(entry.path(), kept.join(entry.file_name()))?;
+        }
+        Ok::<(), std::io::Error>(())
+    };
+    copy().map_err(|error| format!("{}: {error}", kept.display()))?;
+    eprintln!("{:>12} the logs in {}", "Kept", kept.display());
+    Ok(())
+}
--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -1,40 +1,20 @@
 //! Boxes in cell mode as separate processes, against stand-ins of the users' platform.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use sedgehill_standin::binaries::{build_binaries, workspace_root};
 use sedgehill_standin::cell_platform::CellPlatform;
+use sedgehill_standin::cell_process::{CellProcess, CellSite, call};
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// How long a job of the tests may take, take-overs and outages included.
 const PATIENCE: Duration = Duration::from_secs(40);
 
-/// A box in cell mode, killed when dropped.
-struct CellProcess {
-    child: Child,
-    callers: SocketAddr,
-    ready: SocketAddr,
-}
-
-impl Drop for CellProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback can be listened on");
-    listener.local_addr().expect("a listener has an address")
-}
-
 fn start_box(directory: &Path, name: &str, platform: &CellPlatform) -> CellProcess {
     start_box_at(directory, name, platform, platform.store_address, "0.25")
 }
@@ -47,27 +27,7 @@
     store: SocketAddr,
     cores: &str,
 ) -> CellProcess {
-    let (callers, ready) = (free_address(), free_address());
-    let settings = json!({
-        "cores": cores,
-        "box": name,
-        "listen": {
-            "callers": callers, "ready": ready, "peers": free_address(), "metrics": free_address()
-        },
-        "store": store,
-        "advice": platform.advice_address,
-    });
-    let path = directory.join(format!("{name}.json"));
-    std::fs::write(&path, settings.to_string()).expect("settings can be written");
-    let log = std::fs::File::create(directory.join(format!("{name}.log"))).expect("a log file");
-    let child = Command::new(build_binaries().daemon)
-        .args(["cell", "--settings"])
-        .arg(&path)
-        .stdin(Stdio::null())
-        .stdout(log)
-        .spawn()
-        .expect("the daemon can be started");
-    CellProcess { child, callers, ready }
+    CellSite::new(name, platform, store, cores).start(directory).expect("a box can be started")
 }
 
 /// One box's path to the store, which can be cut.
@@ -98,25 +58,6 @@
     }
 }
 
-/// One call on a connection of its own: the status and the body.
-async fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await.ok()?;
-        let request = format!(
-            "{method} {path} HTTP/1.1\r\nHost: cell.example\r\nConnection: close\r\n\
-             Deadline-Ms: 3000\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        stream.write_all(request.as_bytes()).await.ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.ok()?;
-        let status = answer.split(' ').nth(1)?.parse().ok()?;
-        let body = answer.split_once("\r\n\r\n")?.1.to_owned();
-        Some((status, body))
-    };
-    tokio::time::timeout(Duration::from_secs(5), exchange).await.ok()?
-}
-
 async fn wait_for(what: &str, mut check: impl AsyncFnMut() -> bool) {
     let deadline = Instant::now() + PATIENCE;
     while !check().await {
@@ -265,7 +206,7 @@
     let second = start_box(directory.path(), "second", &platform);
     wait_ready(&second).await;
     submit(&[&first], 1).await;
-    kill(Pid::from_raw(first.child.id() as i32), Signal::SIGTERM).unwrap();
+    first.signal(Signal::SIGTERM);
     let signalled = Instant::now();
     wait_for("unreadiness", async || {
         let ready = call(first.ready, "GET", "/sedgehill/readyz", "").await;
@@ -278,8 +219,7 @@
     for id in [1, 2] {
         wait_completed(&second, id).await;
     }
-    let status = first.child.wait().unwrap();
-    assert_eq!(status.code(), Some(0));
+    assert_eq!(first.wait(), Some(0));
     assert_kept(&platform);
 }
 
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod once_only;
 mod peers;
 mod placement;
+mod soak;
 mod stops;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/sedgehill-standin/tests/testsuite/soak.rs
@@ -0,0 +1,34 @@
+//! Short soaks: one fixed seed, and each seed that ever broke a promise, with its cause.
+
+use sedgehill_standin::soak::{draw_plan, run_soak};
+
+/// Seeds that broke a promise once, each with its cause.
+const REGRESSIONS: &[(u64, &str)] = &[];
+
+/// Seconds of load of one seed.
+const SECONDS: u64 = 8;
+
+async fn assert_kept(seed: u64) {
+    let directory = tempfile::tempdir().unwrap();
+    let report = run_soak(seed, SECONDS, directory.path()).await.unwrap();
+    assert!(report.accepted > 20, "{report:?}");
+    assert!(report.broken.is_empty(), "seed {seed}: {report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_soak_keeps_every_promise() {
+    assert_kept(20_261_202).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeds_that_once_failed_keep_every_promise() {
+    for (seed, _) in REGRESSIONS {
+        assert_kept(*seed).await;
+    }
+}
+
+#[test]
+fn a_seed_gives_the_same_faults_each_time() {
+    assert_eq!(draw_plan(7, 20, 3), draw_plan(7, 20, 3));
+    assert_ne!(draw_plan(7, 20, 3), draw_plan(8, 20, 3));
+}
