--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod endpoints;
 mod ledger;
 mod logging;
+mod messages;
 mod once_only;
 mod peers;
 mod placement;
