cell: a submission does not wait for a lead that was lost

Cause: read of the change: who waits for an answer on a link kept the link itself alive, so the answer's sender was never dropped, and after the loss of a lead each submission under way waited for its caller's whole patience and ended as unknown. Change: a link that ends gives up its questions; the box then appends by itself. Test: a_submission_does_not_wait_for_a_lead_that_was_lost, 504 before, 200 after.

--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -282,6 +282,28 @@
     assert_kept(&platform);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_does_not_wait_for_a_lead_that_was_lost() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(2).await.unwrap();
+    platform.configure(1);
+    let store = platform.store_address;
+    let lead = start_box_at(directory.path(), "lead", &platform, store, "0.5");
+    wait_ready(&lead).await;
+    wait_for_lead(directory.path(), "lead").await;
+    let other = start_box_at(directory.path(), "other", &platform, store, "0.25");
+    wait_ready(&other).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    lead.signal(Signal::SIGSTOP);
+    let body = r#"{"spec":"work","steps":[{"count":1,"cpu":1000,"mem_mb":16,"estimate_ms":150}]}"#;
+    let answer = call(other.callers, "POST", "/checks/0000000000000001", body).await;
+    // The box hears nothing on its link for 0.9 s, and puts the job into the store itself.
+    assert_eq!(answer.map(|(status, _)| status), Some(200));
+    wait_completed(&other, 1).await;
+    lead.signal(Signal::SIGCONT);
+    assert_kept(&platform);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_weak_lead_yields_to_a_stronger_box() {
     let directory = tempfile::tempdir().unwrap();
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -123,6 +123,13 @@
         }
     }
 
+    /// The link is lost: whoever waits for an answer on it waits no longer.
+    fn give_up(&self) {
+        self.store_answers.set(false);
+        self.submissions.borrow_mut().clear();
+        self.questions.borrow_mut().clear();
+    }
+
     /// Forgets submissions for whose answer nobody waits any more.
     fn forget_abandoned(&self) {
         self.submissions.borrow_mut().retain(|_, reply| !reply.is_closed());
@@ -146,7 +153,9 @@
             // Silence says nothing of the lead's process.
             Ok(Err(_)) | Err(_) => {}
         }
-        *host.link.borrow_mut() = None;
+        if let Some(link) = host.link.take() {
+            link.give_up();
+        }
         host.watch.borrow_mut().note_reachable(false);
     }
 }
