cell: one patience for the store, hedged appends, renewals while fencing, authority by fenced appends

Cause: a store sixty times slower answered within 0.37 s, but each new lead and each kind of call began with a limit of 0.15 s, gave up the first copies, took its own path as cut, and three leads followed each other in 3 s, since none renewed while it fenced. A store of which the lead topic alone was down (resets) ended the lead's term after 2.4 s though its fenced appends were kept. Ruled out: that unknown answers come from the callers' own time (most waited less than 2 s of 3). Change: one observed patience a box, learned from reads too; an append without an answer in the usual time goes a second way while the first is still waited for, and who answers first tells whether the path is cut; renewals go on while a lead fences; followers allow for the store's lag; catching up reads at once and up to a fixed end; a fenced append that is kept extends the term, which a new lead counts from its fence; a restarted holder claims without waiting for its turn; a box's own append has the caller's whole patience; a submission whose time is shorter than the store's usual answer is refused before anything is sent.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -124,6 +124,7 @@
     newest: Option<LeadRecord>,
     heard: Moment,
     reachable: bool,
+    store_lag: TimeSpan,
     authority_until: Option<Moment>,
     own_end: u64,
     /// The life of a holder at whose address nothing listens.
@@ -142,6 +143,7 @@
             newest: None,
             heard: now,
             reachable: false,
+            store_lag: TimeSpan(0),
             authority_until: None,
             own_end: 0,
             gone: None,
@@ -199,6 +201,29 @@
         self.newest = Some(record);
     }
 
+    /// Notes that the store kept something under this box's token, sent at `sent`, which it does only as
+    /// long as no later lead has fenced it. That extends the authority like a renewal: a later lead gives
+    /// no orders before it has fenced, and counts the term of this one from then on. So a lead goes on
+    /// though the topic of leads cannot be written.
+    pub fn note_fenced_append(
+        &mut self,
+        token: FencingToken,
+        sent: Moment,
+        timing: &AuthorityTiming,
+    ) {
+        let current =
+            self.is_holder() && self.newest.as_ref().is_some_and(|own| own.token == token);
+        if current {
+            self.authority_until = self.authority_until.max(Some(sent.after(timing.term)));
+        }
+    }
+
+    /// Notes that the lead said on the link that the store answers it.
+    pub fn note_lead_served(&mut self, now: Moment) {
+        self.reachable = true;
+        self.heard = now;
+    }
+
     /// Where the topic ended after the last own record; 0 before the first.
     pub fn own_end(&self) -> u64 {
         self.own_end
@@ -209,6 +234,11 @@
         self.reachable = reachable;
     }
 
+    /// Notes how much later than usual renewals arrive by way of the store.
+    pub fn note_store_lag(&mut self, lag: TimeSpan) {
+        self.store_lag = lag;
+    }
+
     /// Notes that nothing listens at the address of the newest holder: its process is gone, or a path
     /// is broken in a way that refuses connections.
     pub fn note_gone(&mut self) {
@@ -247,12 +277,16 @@
             return false;
         }
         let silent = now.since(self.heard).as_millis();
-        // A box runs one process, so a record of an earlier life of this box has no living holder.
-        let vacant = newest.resigned || newest.holder == self.name || self.is_gone(now);
+        // A box runs one process, so a record of an earlier life of this box has no living holder. The
+        // others still wait for that life, so this box does not race them.
+        let own_earlier = newest.holder == self.name;
+        let vacant = newest.resigned || own_earlier || self.is_gone(now);
+        let rank = if own_earlier { 0 } else { rank };
         let patience = match (vacant, self.reachable) {
             (true, _) => TimeSpan(0),
-            (false, true) => timing.silence,
-            (false, false) => timing.suspect,
+            // A lead whose renewals take their time in a slow store is not a silent one.
+            (false, true) => TimeSpan(timing.silence.0 + self.store_lag.0),
+            (false, false) => TimeSpan(timing.suspect.0 + self.store_lag.0),
         };
         let courtesy = match self.strength.yields_to(self.strongest) {
             true => WEAK_DELAY,
--- a/crates/sedgehill-cell/src/patience.rs
+++ b/crates/sedgehill-cell/src/patience.rs
@@ -50,6 +50,11 @@
         CallPatience { bounds, usual: Duration::ZERO, failures: 0 }
     }
 
+    /// How long answers usually take; nothing before the first.
+    pub fn usual(&self) -> Duration {
+        self.usual
+    }
+
     /// How long the next call may take.
     pub fn limit(&self) -> Duration {
         let PatienceBounds { least, most, doubles } = self.bounds;
@@ -62,7 +67,10 @@
 
     /// Notes an answer.
     pub fn note_answer(&mut self, took: Duration) {
-        self.usual = (self.usual * (AVERAGED - 1) + took) / AVERAGED;
+        self.usual = match self.usual {
+            Duration::ZERO => took,
+            usual => (usual * (AVERAGED - 1) + took) / AVERAGED,
+        };
         self.failures = 0;
     }
 
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -9,6 +9,12 @@
 const DRIFT_TIMES: u64 = 2;
 
 impl Scheduler {
+    /// The store refuses earlier leads from now on. Until now one of them may have been told that it
+    /// was not refused, so its term is counted from here.
+    pub fn note_fenced(&mut self, now: Moment) {
+        self.take_over.since = now;
+    }
+
     /// Lifts what a new lead has to wait for, once it is settled.
     pub(super) fn settle_take_over(&mut self, now: Moment) {
         if self.take_over.settled || !self.surveyed {
--- a/crates/sedgehill-cell/tests/testsuite/authority.rs
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -137,3 +137,62 @@
     assert!(!own.should_claim(at(300), 0, &timing));
     assert!(own.should_claim(at(200 + timing.suspect.0), 0, &timing));
 }
+
+#[test]
+fn a_lead_goes_on_while_only_its_fenced_appends_are_kept() {
+    let timing = AuthorityTiming::default();
+    let mut own = watch("a", 1);
+    let claim = own.next_claim("127.0.0.1:1");
+    own.note_own(claim.clone(), START, 1, &timing);
+    own.note_fenced_append(claim.token, at(2_000), &timing);
+    assert_eq!(own.authority(at(2_000 + timing.term.0 - 1)), Some(claim.token));
+    assert_eq!(own.authority(at(2_000 + timing.term.0)), None);
+    // One that was sent earlier and answered late takes nothing away.
+    own.note_fenced_append(claim.token, at(1_000), &timing);
+    assert_eq!(own.authority(at(2_000 + timing.term.0 - 1)), Some(claim.token));
+}
+
+#[test]
+fn a_fenced_append_gives_nothing_once_another_box_has_claimed() {
+    let timing = AuthorityTiming::default();
+    let mut own = watch("a", 1);
+    let claim = own.next_claim("127.0.0.1:1");
+    own.note_own(claim.clone(), START, 1, &timing);
+    let mut other = watch("b", 2);
+    other.note_record(claim.clone(), START);
+    own.note_record(other.next_claim("127.0.0.1:2"), at(100));
+    own.note_fenced_append(claim.token, at(200), &timing);
+    assert_eq!(own.authority(at(201)), None);
+}
+
+#[test]
+fn a_lead_that_says_that_it_is_served_is_not_followed_though_no_renewal_comes() {
+    let timing = AuthorityTiming::default();
+    let lead = watch("a", 1).next_claim("127.0.0.1:1");
+    let mut follower = watch("b", 2);
+    follower.note_record(lead, START);
+    follower.note_lead_served(at(5_000));
+    assert!(!follower.should_claim(at(5_000 + timing.suspect.0), 0, &timing));
+    follower.note_reachable(false);
+    assert!(follower.should_claim(at(5_000 + timing.suspect.0), 0, &timing));
+}
+
+#[test]
+fn a_slow_store_makes_followers_wait_longer_for_renewals() {
+    let timing = AuthorityTiming::default();
+    let lead = watch("a", 1).next_claim("127.0.0.1:1");
+    let mut follower = watch("b", 2);
+    follower.note_record(lead, START);
+    follower.note_store_lag(TimeSpan(1_200));
+    assert!(!follower.should_claim(at(timing.suspect.0 + 1_199), 0, &timing));
+    assert!(follower.should_claim(at(timing.suspect.0 + 1_200), 0, &timing));
+}
+
+#[test]
+fn a_restarted_box_does_not_wait_for_its_turn_among_the_others() {
+    let timing = AuthorityTiming::default();
+    let lead = watch("a", 1).next_claim("127.0.0.1:1");
+    let mut again = watch("a", 3);
+    again.note_record(lead, START);
+    assert!(again.should_claim(START, 7, &timing));
+}
--- a/crates/sedgehilld/src/cell/accept.rs
+++ b/crates/sedgehilld/src/cell/accept.rs
@@ -15,6 +15,7 @@
 use slog::warn;
 use tokio::sync::{mpsc, oneshot};
 
+use super::hedge::{self, AppendCall};
 use super::state::CellBox;
 use crate::{clock, telemetry};
 
@@ -25,14 +26,8 @@
 const BATCH_RECORDS: usize = 128;
 /// Submissions that wait for an append before further ones are refused.
 const QUEUE_LENGTH: usize = 512;
-/// How long one try of an append may take. A slow store lets appends wait for up to two seconds, and
-/// a try that is given up too early waits there all the same.
-const TRY_LIMIT: Duration = Duration::from_millis(2_500);
 /// How long an append whose answer was lost is tried again.
 const SETTLE_LIMIT: TimeSpan = TimeSpan(6_000);
-/// How long a box may take to put a record into the store itself. A sound store answers within 10 ms, a
-/// slow one within a second; after that the caller can ask another box.
-const OWN_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause before the next try.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -83,7 +78,7 @@
             // The lead lives, or the link to it would be lost: no other box has a better way.
             Err(_) => return AcceptOutcome::Unknown,
         };
-        let left = patience.saturating_sub(begun.elapsed()).min(OWN_LIMIT);
+        let left = patience.saturating_sub(begun.elapsed());
         let own = self.append(job, statement, left).await;
         match (led, own) {
             // What the lead may have recorded cannot be called not done.
@@ -125,7 +120,9 @@
     let session = host.session.borrow().clone();
     let link = host.link.borrow().clone();
     let outcome = match (session, link) {
-        (Some(session), _) if session.store_answers() => session.submit(host, job, statement).await,
+        (Some(session), _) if session.store_answers(host) => {
+            session.submit(host, job, statement).await
+        }
         (None, Some(link)) if link.takes_submissions() => link.submit(job, statement).await,
         _ => return LedOutcome::NoLead,
     };
@@ -172,10 +169,10 @@
 async fn settle_append(host: &CellBox, records: &[KeyedRecord], begun: Moment) -> AcceptOutcome {
     let mut doubtful = false;
     loop {
-        let store = &host.clients.store;
         let sent = Instant::now();
-        let result =
-            store.append(StoreTopic::Jobs, records, &AppendCondition::None, TRY_LIMIT).await;
+        let condition = &AppendCondition::None;
+        let call = AppendCall { topic: StoreTopic::Jobs, records, condition };
+        let result = hedge::append_twice(host, call).await;
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         telemetry::note_store_append("jobs", outcome, sent.elapsed().as_secs_f64());
         match result {
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -202,8 +202,8 @@
         "tasks" => spec.steps.iter().map(|step| u32::from(step.count)).sum::<u32>(),
         "gangs" => spec.steps.iter().filter(|step| step.gang).count(),
         "chain_ms" => spec.longest_chain().0);
-    if !host.can_accept() {
-        // Nothing can be put into the store at the moment, and nothing was sent there.
+    if !host.can_accept() || patience < host.store_patience.borrow().usual() {
+        // Nothing can be put into the store in time, and nothing was sent there.
         return CallerAnswer::NotDone(RETRY_AFTER);
     }
     let record = JobRecord {
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -85,11 +85,13 @@
         }
         let result = match view.offset.get() {
             None => read_newest(host, topic, view).await,
-            Some(offset) => read_on(host, topic, view, offset).await,
+            Some(offset) => {
+                read_on(host, topic, view, offset, READ_WAIT).await.map(|read| read.records)
+            }
         };
         match result {
             Ok(0) => {}
-            Ok(_) => tokio::time::sleep(pause(host)).await,
+            Ok(_) => pause_reading(host, topic, pause(host)).await,
             Err(error) => {
                 if !failing {
                     warn!(host.log, "store lost"; "topic" => ?topic, "error" => %error);
@@ -110,6 +112,33 @@
     }
 }
 
+/// Waits before the next read. Who leads is read at once when that is in doubt.
+async fn pause_reading(host: &CellBox, topic: StoreTopic, pause: Duration) {
+    tokio::select! {
+        () = tokio::time::sleep(pause) => {}
+        () = host.lead_doubted.notified(), if topic == StoreTopic::Leads => {}
+    }
+}
+
+/// Reads a topic up to an offset at once, whatever else follows it.
+pub async fn catch_up(host: &CellBox, topic: StoreTopic, end: u64) -> Result<(), CallError> {
+    let Some(view) = host.view(topic) else { return Ok(()) };
+    while let Some(offset) = view.offset.get().filter(|offset| *offset < end) {
+        read_on(host, topic, view, offset, Duration::ZERO).await?;
+    }
+    Ok(())
+}
+
+/// Reads a topic at once up to where it ends now. What is appended meanwhile is not waited for.
+pub async fn catch_up_now(host: &CellBox, topic: StoreTopic) -> Result<(), CallError> {
+    let Some(view) = host.view(topic) else { return Ok(()) };
+    let end = match view.offset.get() {
+        Some(offset) => read_on(host, topic, view, offset, Duration::ZERO).await?.end,
+        None => return read_newest(host, topic, view).await.map(|_| ()),
+    };
+    catch_up(host, topic, end).await
+}
+
 /// Whether a box has to read a topic itself. What the lead proves to be known needs no reading.
 fn reads_for_itself(host: &CellBox, topic: StoreTopic, view: &TopicView) -> bool {
     let fed = match topic {
@@ -162,16 +191,25 @@
     Ok(newest.records.len())
 }
 
+/// What one read brought.
+struct ReadStretch {
+    /// How many records.
+    records: usize,
+    /// Where the topic ended.
+    end: u64,
+}
+
 async fn read_on(
     host: &CellBox,
     topic: StoreTopic,
     view: &TopicView,
     offset: u64,
-) -> Result<usize, CallError> {
+    wait: Duration,
+) -> Result<ReadStretch, CallError> {
     let asked = clock::now();
     let (wait, limit) = match host.store_contact.is_silent() {
         true => (Duration::ZERO, PROBE_LIMIT),
-        false => (READ_WAIT, READ_LIMIT),
+        false => (wait, READ_LIMIT),
     };
     let session = host.session.borrow().clone();
     let relayed = session.filter(|session| session.relays() && is_cell(topic));
@@ -191,7 +229,7 @@
         ReadOutcome::Gone => {
             info!(host.log, "topic history gone"; "topic" => ?topic, "offset" => offset);
             view.offset.set(None);
-            Ok(0)
+            Ok(ReadStretch { records: 0, end: offset })
         }
         ReadOutcome::Records { records, end } => {
             let read = offset + records.len() as u64;
@@ -208,11 +246,15 @@
             // An empty answer was sent when the wait was over; it may have been read much later.
             let waits = records.is_empty() && relayed.is_none();
             let waited = if waits { wait } else { Duration::ZERO };
+            if waits {
+                let took = Duration::from_millis(clock::now().since(asked).0);
+                host.store_patience.borrow_mut().note_answer(took.saturating_sub(wait));
+            }
             if read.max(known) >= end {
                 let complete = asked.after(TimeSpan(waited.as_millis() as u64));
                 view.note_complete(complete.min(clock::now()));
             }
-            Ok(records.len())
+            Ok(ReadStretch { records: records.len(), end })
         }
     }
 }
--- /dev/null
+++ b/crates/sedgehilld/src/cell/hedge.rs
@@ -0,0 +1,87 @@
+//! Appends of which a second copy is sent while the first is still waited for.
+//!
+//! An answer that does not come is either lost, or the store is slow, or the path is cut, and only time
+//! tells which. Giving the first copy up would cost a slow store's answer; waiting for it alone would
+//! cost as much when it is lost. A second copy does no harm: every append here carries a condition that
+//! the store checks, or records that may stand twice.
+
+use std::time::{Duration, Instant};
+
+use sedgehill_adapter::error::CallError;
+use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
+
+use super::state::CellBox;
+
+/// How long the answer to either copy is waited for. A slow store lets appends wait for two seconds.
+const ANSWER_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// An append that is to be carried out.
+#[derive(Debug, Clone, Copy)]
+pub struct AppendCall<'a> {
+    /// Where.
+    pub topic: StoreTopic,
+    /// What.
+    pub records: &'a [KeyedRecord],
+    /// On what condition.
+    pub condition: &'a AppendCondition,
+}
+
+/// Which copy was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnsweredCopy {
+    /// The first, which this box sent.
+    First,
+    /// The second.
+    Second,
+}
+
+/// What came of an append, and which copy told it.
+pub type HedgedResult = (AnsweredCopy, Result<AppendOutcome, CallError>);
+
+/// Sends one copy from this box, without a second.
+pub async fn append_once(host: &CellBox, call: AppendCall<'_>) -> Result<AppendOutcome, CallError> {
+    let sent = Instant::now();
+    let store = &host.clients.store;
+    let appending = store.append(call.topic, call.records, call.condition, ANSWER_LIMIT);
+    let result = host.store_contact.unless_regained(appending).await;
+    if result.is_ok() {
+        host.store_patience.borrow_mut().note_answer(sent.elapsed());
+    }
+    result
+}
+
+/// Sends an append from this box, and `second` as well if there is no answer within the usual time.
+pub async fn append_hedged<F>(
+    host: &CellBox,
+    call: AppendCall<'_>,
+    second: impl FnOnce() -> F,
+) -> HedgedResult
+where
+    F: Future<Output = Result<AppendOutcome, CallError>>,
+{
+    let limit = host.store_patience.borrow().limit();
+    let mut first = std::pin::pin!(append_once(host, call));
+    if let Ok(result) = tokio::time::timeout(limit, first.as_mut()).await {
+        return (AnsweredCopy::First, result);
+    }
+    let mut second = std::pin::pin!(second());
+    tokio::select! {
+        result = first.as_mut() => match result {
+            Ok(outcome) => (AnsweredCopy::First, Ok(outcome)),
+            Err(_) => (AnsweredCopy::Second, second.await),
+        },
+        result = second.as_mut() => match result {
+            // The topic may have been moved by the first copy: only its own answer tells.
+            Err(_) | Ok(AppendOutcome::Moved { .. }) => (AnsweredCopy::First, first.await),
+            Ok(outcome) => (AnsweredCopy::Second, Ok(outcome)),
+        },
+    }
+}
+
+/// Sends an append from this box, twice if need be.
+pub async fn append_twice(
+    host: &CellBox,
+    call: AppendCall<'_>,
+) -> Result<AppendOutcome, CallError> {
+    append_hedged(host, call, || append_once(host, call)).await.1
+}
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -8,13 +8,14 @@
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::{BoxStrength, LeadRecord};
 use sedgehill_cell::ids::{FencingToken, JobId};
-use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE, STORE_PATIENCE};
+use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE};
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
 use tokio::sync::Notify;
 
 use super::frames::FedRecords;
+use super::hedge::{self, AppendCall};
 use super::peers::FrameQueue;
 use super::recorder::LedSubmission;
 use super::relay::RelayDesk;
@@ -24,8 +25,6 @@
 
 /// Time between two looks at who leads.
 const WATCH_TURN: Duration = Duration::from_millis(40);
-/// How long a claim or a renewal may take.
-const CLAIM_LIMIT: Duration = Duration::from_millis(900);
 /// The least time between two turns of the scheduler: changes of a few milliseconds are taken
 /// together.
 const TURN_PAUSE: Duration = Duration::from_millis(4);
@@ -60,8 +59,6 @@
     pub helpers: RefCell<HashMap<HelperId, FrameQueue>>,
     /// Calls to the store by way of them.
     pub relay: RelayDesk,
-    /// How long a renewal may take.
-    pub renew_patience: RefCell<CallPatience>,
     /// How long a start or a stop may take.
     pub order_patience: RefCell<CallPatience>,
     /// Records that are to be passed on to them.
@@ -72,8 +69,8 @@
     pub strengths: RefCell<HashMap<HelperId, BoxStrength>>,
     /// Since when a much stronger box has helped.
     pub outdone: Cell<Option<Moment>>,
-    /// When the store last acknowledged a renewal.
-    pub renewed: Cell<Moment>,
+    /// When the store last answered an append.
+    pub answered: Cell<Moment>,
 }
 
 impl LeadSession {
@@ -83,9 +80,10 @@
         !self.ended.get() && token == Some(self.token)
     }
 
-    /// Whether the store has acknowledged a renewal lately.
-    pub fn store_answers(&self) -> bool {
-        clock::now().since(self.renewed.get()) < STORE_SILENT
+    /// Whether the store has answered an append lately.
+    pub fn store_answers(&self, host: &CellBox) -> bool {
+        let silence = clock::now().since(self.answered.get());
+        silence.0 < STORE_SILENT.0 + host.store_lag().0
     }
 
     /// Notes the strength of a box that helps.
@@ -137,6 +135,7 @@
             continue;
         }
         let now = clock::now();
+        host.watch.borrow_mut().note_store_lag(host.store_lag());
         let holder = host.watch.borrow().is_holder();
         if holder || host.watch.borrow().should_claim(now, rank, &host.settings.authority) {
             let predecessor = has_living_predecessor(&host);
@@ -183,22 +182,10 @@
     let sent = clock::now();
     let records = [KeyedRecord { key: LEAD_KEY.to_owned(), value: record.encode().into() }];
     let condition = AppendCondition::At(end);
+    let call = AppendCall { topic: StoreTopic::Leads, records: &records, condition: &condition };
     let result = match session {
-        Some(session) => {
-            let limit = session.renew_patience.borrow().limit().min(CLAIM_LIMIT);
-            let result = session.append(host, StoreTopic::Leads, &records, &condition, limit).await;
-            let took = Duration::from_millis(clock::now().since(sent).as_millis());
-            match &result {
-                Ok(_) => session.renew_patience.borrow_mut().note_answer(took),
-                Err(_) => session.renew_patience.borrow_mut().note_failure(),
-            }
-            result
-        }
-        None => {
-            let store = &host.clients.store;
-            let appending = store.append(StoreTopic::Leads, &records, &condition, CLAIM_LIMIT);
-            host.store_contact.unless_regained(appending).await
-        }
+        Some(session) => session.append(host, call).await,
+        None => hedge::append_twice(host, call).await,
     };
     match result {
         Ok(AppendOutcome::Kept { end }) => {
@@ -209,6 +196,7 @@
         Ok(outcome) => {
             info!(host.log, "lead record not kept";
                 "token" => %record.token, "outcome" => ?outcome);
+            host.lead_doubted.notify_waiters();
             false
         }
         Err(error) => {
@@ -225,10 +213,6 @@
     telemetry::count_cell_event("lead", "claimed");
     info!(host.log, "leading"; "token" => %token, "predecessor" => predecessor);
     let began = clock::now();
-    let Some(mut recorder) = recorder::fence(host, token).await else {
-        host.watch.borrow_mut().step_down();
-        return;
-    };
     let scheduler = Scheduler::take_over(host.settings.cell.clone(), token, predecessor, began);
     let session = Rc::new(LeadSession {
         token,
@@ -237,14 +221,24 @@
         ended: Cell::new(false),
         helpers: RefCell::default(),
         relay: RelayDesk::default(),
-        renew_patience: RefCell::new(CallPatience::new(STORE_PATIENCE)),
         order_patience: RefCell::new(CallPatience::new(ORDER_PATIENCE)),
         fed: RefCell::default(),
         submissions: RefCell::default(),
         strengths: RefCell::default(),
         outdone: Cell::default(),
-        renewed: Cell::new(clock::now()),
+        answered: Cell::new(clock::now()),
     });
+    // Renewals go on while the store is slow to fence, or another box would claim meanwhile.
+    let mut renewing = std::pin::pin!(renew(host, &session));
+    let fenced = tokio::select! {
+        fenced = recorder::fence(host, token) => fenced,
+        () = renewing.as_mut() => None,
+    };
+    let Some(mut recorder) = fenced else {
+        give_up(host, &session).await;
+        return;
+    };
+    session.scheduler.borrow_mut().note_fenced(clock::now());
     session.scheduler.borrow_mut().add_helper(OWN_BOX);
     let known: Vec<JobId> = host.replica.borrow().jobs().map(|(id, _)| id).collect();
     for id in known {
@@ -252,7 +246,7 @@
     }
     *host.session.borrow_mut() = Some(session.clone());
     tokio::select! {
-        () = renew(host, &session) => {}
+        () = renewing.as_mut() => {}
         () = recorder.run(host, &session) => {}
         () = roster::follow(host, &session) => {}
         () = peers::feed(&session) => {}
@@ -262,15 +256,20 @@
     // Whoever waits for one of them puts it into the store by itself.
     session.submissions.borrow_mut().clear();
     *host.session.borrow_mut() = None;
-    if host.stopping.get() || session.should_yield(host) {
-        resign(host, token).await;
-    }
-    host.watch.borrow_mut().step_down();
+    give_up(host, &session).await;
     telemetry::count_cell_event("lead", "ended");
     info!(host.log, "not leading any more"; "token" => %token,
         "open_jobs" => session.scheduler.borrow().open_jobs());
 }
 
+/// Gives up the lead, and says so if this box stops or knows of a better one.
+async fn give_up(host: &CellBox, session: &LeadSession) {
+    if host.stopping.get() || session.should_yield(host) {
+        resign(host, session.token).await;
+    }
+    host.watch.borrow_mut().step_down();
+}
+
 /// Renews the claim until it is lost or the box stops.
 async fn renew(host: &CellBox, session: &LeadSession) {
     let every = Duration::from_millis(host.settings.authority.renew.as_millis());
@@ -292,7 +291,6 @@
         let (Some(record), Some(end)) = (newest, lead_end(host)) else { return };
         pause = RENEW_RETRY;
         if record.token == session.token && append_lead(host, Some(session), record, end).await {
-            session.renewed.set(clock::now());
             pause = every;
         }
     }
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -157,6 +157,7 @@
             link.give_up();
         }
         host.watch.borrow_mut().note_reachable(false);
+        host.lead_doubted.notify_waiters();
     }
 }
 
@@ -225,7 +226,10 @@
             PeerFrame::Ping { store_answers, strongest } => {
                 link.store_answers.set(store_answers);
                 let mut watch = host.watch.borrow_mut();
-                watch.note_reachable(store_answers);
+                match store_answers {
+                    true => watch.note_lead_served(clock::now()),
+                    false => watch.note_reachable(false),
+                }
                 watch.note_strength(strongest);
             }
             PeerFrame::Ask(question) => {
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod follow;
 mod frames;
+mod hedge;
 mod lead;
 mod link;
 mod orders;
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -107,7 +107,7 @@
             },
             _ = pings.tick() => {
                 let strongest = host.watch.borrow().strongest();
-                PeerFrame::Ping { store_answers: session.store_answers(), strongest }.encode()
+                PeerFrame::Ping { store_answers: session.store_answers(host), strongest }.encode()
             }
         };
         if writer.write_all(&frame).await.is_err() {
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -7,11 +7,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use sedgehill_adapter::store::{
-    AppendCondition, AppendOutcome, KeyedRecord, ReadOutcome, StoreTopic,
-};
+use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::ids::{FencingToken, JobId};
-use sedgehill_cell::patience::{CallPatience, STORE_PATIENCE};
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{ProgressBatch, WorkerRoster};
@@ -21,14 +18,13 @@
 
 use super::accept::AcceptOutcome;
 use super::follow;
+use super::hedge::{self, AppendCall};
 use super::lead::LeadSession;
-use super::state::{CellBox, TopicView};
+use super::state::CellBox;
 use crate::{clock, telemetry};
 
 /// The sender of progress: each lead has its token as the epoch, so the store refuses earlier ones.
 const PRODUCER: &str = "lead";
-/// How long reading the end of the jobs may take; a slow store takes some 300 ms.
-const READ_LIMIT: Duration = Duration::from_millis(2_500);
 /// Pause before the next try.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Progress and submissions are gathered for so long before they are put into the store: each call is
@@ -48,14 +44,14 @@
 pub struct ProgressRecorder {
     token: FencingToken,
     sequence: u64,
-    patience: CallPatience,
+    /// When the append under way was first sent. The answer to a repeated one may be as old as that.
+    first_sent: Option<Moment>,
 }
 
 /// Makes the store refuse the progress of earlier leads, and waits until all that they recorded is
 /// known here.
 pub async fn fence(host: &CellBox, token: FencingToken) -> Option<ProgressRecorder> {
-    let mut recorder =
-        ProgressRecorder { token, sequence: 0, patience: CallPatience::new(STORE_PATIENCE) };
+    let mut recorder = ProgressRecorder { token, sequence: 0, first_sent: None };
     let begun = clock::now();
     let end = loop {
         match recorder.append(host, None, &[]).await {
@@ -69,32 +65,26 @@
         }
     };
     // Jobs that an earlier lead has seen must be known, or their runs would be taken as foreign.
-    let jobs_end = end_of_jobs(host).await?;
-    let behind = |view: &TopicView, end| view.offset.get().is_none_or(|offset| offset < end);
-    while behind(&host.progress_view, end) || behind(&host.jobs_view, jobs_end) {
-        if clock::now().since(begun) > FENCE_LIMIT {
+    let limit = Duration::from_millis(FENCE_LIMIT.0.saturating_sub(clock::now().since(begun).0));
+    let reading = async {
+        tokio::try_join!(
+            follow::catch_up(host, StoreTopic::Progress, end),
+            follow::catch_up_now(host, StoreTopic::Jobs)
+        )
+    };
+    match tokio::time::timeout(limit, reading).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) => {
+            warn!(host.log, "records of earlier leads not read"; "error" => %error);
             return None;
         }
-        tokio::time::sleep(RETRY_PAUSE / 10).await;
+        Err(_) => return None,
     }
     info!(host.log, "fenced"; "token" => %token, "end" => end,
         "took_ms" => clock::now().since(begun).as_millis());
     Some(recorder)
 }
 
-/// Where the jobs end now; none if the store does not tell.
-async fn end_of_jobs(host: &CellBox) -> Option<u64> {
-    let offset = host.jobs_view.offset.get()?;
-    match host.clients.store.read(StoreTopic::Jobs, offset, Duration::ZERO, READ_LIMIT).await {
-        Ok(ReadOutcome::Records { end, .. }) => Some(end),
-        Ok(ReadOutcome::Gone) => None,
-        Err(error) => {
-            warn!(host.log, "end of jobs not read"; "error" => %error);
-            None
-        }
-    }
-}
-
 /// What a caller said, on its way into the store by the lead.
 pub struct LedSubmission {
     job: JobId,
@@ -255,28 +245,27 @@
             sequence: self.sequence,
         };
         let sent = Instant::now();
-        let topic = StoreTopic::Progress;
-        let limit = self.patience.limit();
-        // The same sequence number settles whether the first try was carried out.
+        let first_sent = *self.first_sent.get_or_insert_with(clock::now);
+        let call = AppendCall { topic: StoreTopic::Progress, records, condition: &condition };
         let result = match session {
-            Some(session) => session.append(host, topic, records, &condition, limit).await,
-            None => {
-                let appending = host.clients.store.append(topic, records, &condition, limit);
-                host.store_contact.unless_regained(appending).await
-            }
+            Some(session) => session.append(host, call).await,
+            None => hedge::append_twice(host, call).await,
         };
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         telemetry::note_store_append("progress", outcome, sent.elapsed().as_secs_f64());
         match result {
             Ok(outcome) => {
-                self.patience.note_answer(sent.elapsed());
-                self.sequence += u64::from(matches!(outcome, AppendOutcome::Kept { .. }));
+                if let AppendOutcome::Kept { .. } = outcome {
+                    self.sequence += 1;
+                    let timing = &host.settings.authority;
+                    host.watch.borrow_mut().note_fenced_append(self.token, first_sent, timing);
+                    self.first_sent = None;
+                }
                 Some(outcome)
             }
             Err(error) => {
-                self.patience.note_failure();
                 warn!(host.log, "progress not recorded"; "token" => %self.token,
-                    "records" => records.len(), "limit_ms" => limit.as_millis() as u64,
+                    "records" => records.len(), "took_ms" => sent.elapsed().as_millis() as u64,
                     "error" => %error);
                 None
             }
--- a/crates/sedgehilld/src/cell/relay.rs
+++ b/crates/sedgehilld/src/cell/relay.rs
@@ -20,6 +20,7 @@
 use tokio::sync::oneshot;
 
 use super::frames::PeerFrame;
+use super::hedge::{self, AnsweredCopy, AppendCall};
 use super::lead::LeadSession;
 use super::state::CellBox;
 use crate::clock;
@@ -146,39 +147,68 @@
         }
     }
 
-    /// Appends by the lead's own path, or by another box while the own path is cut. After a failure
-    /// the next call takes the other way.
+    /// Appends by the lead's own path, or by another box while the own path is cut. An append that is
+    /// not answered in the usual time goes the other way as well: if that is answered first, the own
+    /// path is cut, and otherwise the store is slow.
     pub async fn append(
         &self,
         host: &CellBox,
-        topic: StoreTopic,
-        records: &[KeyedRecord],
-        condition: &AppendCondition,
-        limit: Duration,
+        call: AppendCall<'_>,
     ) -> Result<AppendOutcome, CallError> {
-        if !self.relays() {
-            let store = &host.clients.store;
-            let appending = store.append(topic, records, condition, limit);
-            let result = host.store_contact.unless_regained(appending).await;
-            match &result {
-                Ok(_) => self.note_own_path(host, true),
-                Err(_) => self.note_own_path(host, false),
+        let result = match self.relays() {
+            true => self.append_relayed(host, call).await,
+            false => self.append_own(host, call).await,
+        };
+        if result.is_ok() {
+            self.answered.set(clock::now());
+        }
+        result
+    }
+
+    async fn append_own(
+        &self,
+        host: &CellBox,
+        call: AppendCall<'_>,
+    ) -> Result<AppendOutcome, CallError> {
+        let relay = self.relay.choose().is_some();
+        let second = || async {
+            match relay {
+                true => self.relay_append(host, call).await,
+                false => hedge::append_once(host, call).await,
             }
-            return result;
+        };
+        let (copy, result) = hedge::append_hedged(host, call, second).await;
+        let by_relay = relay && copy == AnsweredCopy::Second;
+        self.note_own_path(host, result.is_ok() && !by_relay);
+        result
+    }
+
+    async fn append_relayed(
+        &self,
+        host: &CellBox,
+        call: AppendCall<'_>,
+    ) -> Result<AppendOutcome, CallError> {
+        let result = self.relay_append(host, call).await;
+        match &result {
+            Ok(_) => self.try_own_path(host),
+            // The box may be the one that is cut: the own path gets the next try.
+            Err(_) => self.relay.cut.set(None),
         }
+        result
+    }
+
+    async fn relay_append(
+        &self,
+        host: &CellBox,
+        call: AppendCall<'_>,
+    ) -> Result<AppendOutcome, CallError> {
+        let limit = host.store_patience.borrow().limit().max(RELAY_LEAST);
+        let AppendCall { topic, records, condition } = call;
         let (records, condition) = (records.to_vec(), condition.clone());
         let call = RelayCall::Append { topic, records, condition };
-        match self.relay(call, limit.max(RELAY_LEAST)).await {
-            Ok(RelayAnswer::Appended(outcome)) => {
-                self.try_own_path(host);
-                Ok(outcome)
-            }
-            Ok(_) => Err(CallError::Unknown("an answer of another kind".to_owned())),
-            Err(error) => {
-                // The box may be the one that is cut: the own path gets the next try.
-                self.relay.cut.set(None);
-                Err(error)
-            }
+        match self.relay(call, limit).await? {
+            RelayAnswer::Appended(outcome) => Ok(outcome),
+            _ => Err(CallError::Unknown("an answer of another kind".to_owned())),
         }
     }
 
--- a/crates/sedgehilld/src/cell/roster.rs
+++ b/crates/sedgehilld/src/cell/roster.rs
@@ -72,7 +72,7 @@
             continue;
         }
         let sent = clock::now();
-        let store_answers = session.store_answers();
+        let store_answers = session.store_answers(&host);
         let order = session.scheduler.borrow_mut().hold_order(key, store_answers, sent);
         let limit = session.order_patience.borrow().limit();
         let answer = host.clients.workers.hold(&target, &order, session.token, limit).await;
@@ -93,7 +93,7 @@
         return;
     }
     let sent = clock::now();
-    let store_answers = session.store_answers();
+    let store_answers = session.store_answers(host);
     let order = session.scheduler.borrow_mut().hold_order(key, store_answers, sent);
     let order = HoldOrder { wait: TimeSpan(0), ..order };
     let limit = session.order_patience.borrow().limit();
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -11,6 +11,7 @@
 use sedgehill_adapter::worker::WorkerClient;
 use sedgehill_cell::authority::LeadWatch;
 use sedgehill_cell::ids::JobId;
+use sedgehill_cell::patience::{CallPatience, STORE_PATIENCE};
 use sedgehill_cell::replica::CellReplica;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::Logger;
@@ -159,10 +160,14 @@
     pub progress_view: TopicView,
     /// Whether the store answers.
     pub store_contact: StoreContact,
+    /// How long answers of the store usually take.
+    pub store_patience: RefCell<CallPatience>,
     /// Who leads.
     pub watch: RefCell<LeadWatch>,
     /// How current the knowledge of who leads is.
     pub lead_view: TopicView,
+    /// Rung when the newest record of who leads may be out of date.
+    pub lead_doubted: Notify,
     /// What this box does as the lead.
     pub session: RefCell<Option<Rc<LeadSession>>>,
     /// The link to the lead, while there is one.
@@ -201,8 +206,10 @@
             jobs_view: TopicView::default(),
             progress_view: TopicView::default(),
             store_contact: StoreContact::new(),
+            store_patience: RefCell::new(CallPatience::new(STORE_PATIENCE)),
             watch: RefCell::new(watch),
             lead_view: TopicView::default(),
+            lead_doubted: Notify::new(),
             session: RefCell::default(),
             link: RefCell::default(),
             stopping: Cell::new(false),
@@ -213,6 +220,13 @@
         }
     }
 
+    /// How much later than usual news arrive by way of the store: an append and a read, and a read
+    /// that had just begun.
+    pub fn store_lag(&self) -> TimeSpan {
+        const CALLS: u64 = 3;
+        TimeSpan(CALLS * self.store_patience.borrow().usual().as_millis() as u64)
+    }
+
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get()
