cell: urgent work displaces saved work; relays by any box; workers that left hold up no later lead

Cause: demand-forecast tasks need half or all of an accelerator worker, of which some four may run a step, and found them full of single-accelerator tasks with four times their work to spare; no question was asked while no worker was free. A worker that had drained or crashed stayed in the recorded roster as long as the store listed it, and a new lead waited 12 s for it before it placed anything begun earlier. Change: a step that can still end in time stops less urgent runs that save their state and have 3 s to spare, on the worker where the least is stopped, claims the room, and asks about such workers; a second copy goes by any box, again until one is answered; the roster drops workers that drain empty or are out of touch with nothing running, and a new lead waits for workers of the roster alone.

--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -0,0 +1,178 @@
+//! Makes room for urgent work by stopping less urgent work that saves its state.
+//!
+//! A step that only few workers may run finds all of them full most of the time, while less urgent work
+//! there could run later, or elsewhere, and still end in time. What is stopped goes on from its saved
+//! state. The room that comes free is claimed for the step, since others would take it.
+
+use std::cmp::Reverse;
+
+use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
+
+use super::placement::Candidate;
+use super::rank::{latest_start, rank_job};
+use super::worker::WorkerRun;
+use super::*;
+use crate::ids::StepId;
+use crate::job::StepSpec;
+
+/// A job is displaced only if it could begin again so much later and still meet its objective: it needs a
+/// new ticket and room, and takes up its saved state.
+const DISPLACED_SLACK: TimeSpan = TimeSpan(3_000);
+/// How long room is kept free beyond the time that a stop may take: an end is heard some 20 ms after it,
+/// and up to 100 ms later where calls are lost.
+const CLAIM_MARGIN: TimeSpan = TimeSpan(300);
+
+/// Room on a worker that is kept for a step.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkerClaim {
+    /// The step.
+    pub step: StepId,
+    /// How much.
+    pub need: ResourceSet,
+    /// Until when.
+    pub until: Moment,
+}
+
+/// Runs whose end makes room for a task.
+struct Displacement {
+    worker: WorkerKey,
+    runs: Vec<(CellTask, RunNumber)>,
+    /// What they use, as a measure of what is disturbed.
+    weight: u64,
+}
+
+impl Scheduler {
+    /// Stops less urgent runs for the tasks of a step that found no room though workers with tickets
+    /// could run them. `left` tasks still wait.
+    pub(super) fn displace_for(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        left: usize,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        if spec.gang || spec.long_running || !rank_job(job, now).is_on_time() {
+            return;
+        }
+        let step = job.steps[candidate.step].id;
+        let claims =
+            |worker: &&WorkerState| worker.claim_of(now).is_some_and(|own| own.step == step);
+        let claimed = self.workers.iter().filter(claims).count();
+        for _ in claimed..left {
+            let Some(displacement) = self.find_displacement(candidate, spec, now) else { return };
+            let key = displacement.worker;
+            let until = now.after(self.timing.stop).after(CLAIM_MARGIN);
+            self.workers[key.0].claim = Some(WorkerClaim { step, need: spec.need, until });
+            for (task, run) in displacement.runs {
+                self.stop_run(key, task, run, "displaced", now);
+            }
+        }
+    }
+
+    /// The worker on which the least has to be stopped for one task of a step.
+    fn find_displacement(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> Option<Displacement> {
+        let job = self.jobs.get(&candidate.job)?;
+        let margin = TimeSpan(self.timing.stop.0 + self.timing.ticket_margin.0);
+        let ticketed: Vec<WorkerKey> = match job.record.policy.advice {
+            Some(_) => job.steps[candidate.step].advice.ticketed(now, margin).collect(),
+            None => (0..self.workers.len()).map(WorkerKey).collect(),
+        };
+        ticketed
+            .into_iter()
+            .filter_map(|key| self.displacement_on(key, job, candidate.step, spec, now))
+            .min_by_key(|found| (found.weight, found.worker))
+    }
+
+    /// Whether a task of the step would find room on a worker if less urgent work was stopped there.
+    pub(super) fn could_displace_on(
+        &self,
+        key: WorkerKey,
+        job: &JobWork,
+        step: usize,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> bool {
+        self.displacement_on(key, job, step, spec, now).is_some()
+    }
+
+    fn displacement_on(
+        &self,
+        key: WorkerKey,
+        job: &JobWork,
+        step: usize,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> Option<Displacement> {
+        let worker = &self.workers[key.0];
+        let sound = worker.trust == WorkerTrust::Sound && worker.takes_work(now, &self.timing);
+        let fits = sound
+            && worker.claim_of(now).is_none()
+            && worker.entry.capacity.fits(&spec.need)
+            && self.admits(key, job, step, spec);
+        if !fits {
+            return None;
+        }
+        let mut runs: Vec<(CellTask, RunNumber, ResourceSet)> = worker
+            .runs
+            .iter()
+            .filter(|(task, run)| self.is_displaceable(task, run, job, now))
+            .filter_map(|(task, run)| Some((*task, run.run, run.need?)))
+            .collect();
+        // The largest first: few stops disturb less than many.
+        runs.sort_by_key(|(task, _, need)| (Reverse((need.accelerators, need.cores)), *task));
+        let mut free = worker.free;
+        let mut chosen = Vec::new();
+        for (task, run, need) in runs {
+            if free.fits(&spec.need) {
+                break;
+            }
+            free = free.plus(&need);
+            chosen.push((task, run, need));
+        }
+        if !free.fits(&spec.need) {
+            return None;
+        }
+        // What turned out not to be needed goes on.
+        chosen.retain(|(_, _, need)| match free.minus(need) {
+            Some(rest) if rest.fits(&spec.need) => {
+                free = rest;
+                false
+            }
+            _ => true,
+        });
+        let weight = chosen.iter().map(|(_, _, need)| weight_of(need)).sum();
+        let runs = chosen.into_iter().map(|(task, run, _)| (task, run)).collect();
+        Some(Displacement { worker: key, runs, weight })
+    }
+
+    fn is_displaceable(
+        &self,
+        task: &CellTask,
+        run: &WorkerRun,
+        urgent: &JobWork,
+        now: Moment,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else { return false };
+        let Some(step) = job.step_index(&task.step) else { return false };
+        let spec = job.step_spec(step);
+        run.phase == RunPhase::Confirmed
+            && job.record.policy.priority > urgent.record.policy.priority
+            && spec.checkpointing
+            && !spec.gang
+            && !spec.long_running
+            && latest_start(job) > now.after(DISPLACED_SLACK).0
+    }
+}
+
+/// An accelerator counts as much as eight cores, by which the users price them.
+const ACCELERATOR_CORES: u64 = 8;
+
+fn weight_of(need: &ResourceSet) -> u64 {
+    need.cores.0 + u64::from(need.accelerators) * ACCELERATOR_CORES * 1_000
+}
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod accounts;
 mod advice;
 mod answers;
+mod displacement;
 mod ends;
 mod loss;
 mod message;
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -10,6 +10,7 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::placement::{Candidate, OpenWorkers, waiting_tasks};
+use super::rank::rank_job;
 use super::*;
 use crate::ids::StepId;
 use crate::job::StepSpec;
@@ -73,6 +74,9 @@
     ) -> Vec<WorkerLife> {
         let share = self.shares.get(&job.record.queue).copied().unwrap_or_default().share();
         let advice = &job.steps[candidate.step].advice;
+        let displaces = job.record.policy.priority < open.least_urgent
+            && !spec.gang
+            && rank_job(job, now).is_on_time();
         // Steps that ask at the same moment should not all name the same of many like workers.
         let turn = (job.id.0 % self.workers.len() as u64) as usize;
         let mut rooms: Vec<(bool, Reverse<usize>, usize, WorkerKey)> = Vec::new();
@@ -82,7 +86,10 @@
             if matches!(known, Some(None)) {
                 continue;
             }
-            let room = self.room_on(key, job, candidate.step, spec, now);
+            let room = match self.room_on(key, job, candidate.step, spec, now) {
+                0 if displaces && self.could_displace_on(key, job, candidate.step, spec, now) => 1,
+                room => room,
+            };
             if room == 0 {
                 continue;
             }
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -31,13 +31,15 @@
     is_open: Vec<bool>,
     /// The most that is free in each dimension, on whichever worker.
     most: ResourceSet,
+    /// The priority of the least urgent work that runs and could be displaced; 0 if there is none.
+    pub(super) least_urgent: u32,
 }
 
 impl Scheduler {
     /// Starts what can be started, and asks for the advice that is missing, best ranked first.
     pub(super) fn place_all(&mut self, now: Moment) {
         let open = self.open_workers(now);
-        if open.list.is_empty() {
+        if open.list.is_empty() && open.least_urgent == 0 {
             return;
         }
         for candidate in self.candidates(now) {
@@ -62,7 +64,17 @@
                 most.accelerators = most.accelerators.max(free.accelerators);
             }
         }
-        OpenWorkers { list, is_open, most }
+        let least_urgent = match self.timing.policy.displacement {
+            true => self.least_urgent(),
+            false => 0,
+        };
+        OpenWorkers { list, is_open, most, least_urgent }
+    }
+
+    /// The priority of the least urgent jobs that run.
+    fn least_urgent(&self) -> u32 {
+        let running = self.jobs.values().filter(|job| job.state == JobState::Running);
+        running.map(|job| job.record.policy.priority).max().unwrap_or(0)
     }
 
     fn candidates(&self, now: Moment) -> Vec<Candidate> {
@@ -95,7 +107,8 @@
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let record = job.record.clone();
         let spec = record.step_spec(candidate.step);
-        if !open.most.fits(&spec.need) {
+        let displaces = record.policy.priority < open.least_urgent;
+        if !open.most.fits(&spec.need) && !displaces {
             return;
         }
         let waiting = waiting_tasks(job, candidate.step, now);
@@ -109,6 +122,9 @@
             if placed == waiting.len() {
                 return;
             }
+            if displaces {
+                self.displace_for(candidate, spec, waiting.len() - placed, now);
+            }
         }
         self.ask_advice(candidate, spec, open, now);
     }
@@ -123,20 +139,34 @@
         now: Moment,
     ) -> usize {
         let worker = &self.workers[key.0];
-        let fits = worker.free.capacity_for(&spec.need) as usize;
-        if fits == 0 || worker.entry.pool != job.record.policy.pool {
-            return 0;
-        }
-        let labels = &worker.entry.labels;
-        if spec.label.as_ref().is_some_and(|label| !labels.contains(label)) {
+        let step_id = job.steps[step].id;
+        let fits = worker.free_for(&step_id, now).capacity_for(&spec.need) as usize;
+        if fits == 0 || !self.admits(key, job, step, spec) {
             return 0;
         }
         let fits = fits.min(worker.runs_allowed(now));
         let Some(most) = spec.max_per_worker else { return fits };
-        let probe = CellTask { step: job.steps[step].id, index: 0 };
+        let probe = CellTask { step: step_id, index: 0 };
         fits.min(usize::from(most).saturating_sub(worker.runs_of_step(&probe)))
     }
 
+    /// Whether a worker is of a kind that may run the step, and holds fewer of its tasks than it may.
+    pub(super) fn admits(
+        &self,
+        key: WorkerKey,
+        job: &JobWork,
+        step: usize,
+        spec: &StepSpec,
+    ) -> bool {
+        let worker = &self.workers[key.0];
+        let labels = &worker.entry.labels;
+        let probe = CellTask { step: job.steps[step].id, index: 0 };
+        let full = |most: u16| worker.runs_of_step(&probe) >= usize::from(most);
+        worker.entry.pool == job.record.policy.pool
+            && spec.label.as_ref().is_none_or(|label| labels.contains(label))
+            && !spec.max_per_worker.is_some_and(full)
+    }
+
     /// Workers that may run the step now, with the tasks they can take; the fullest first.
     fn usable_rooms(
         &self,
@@ -158,7 +188,12 @@
                     true => pace_step(worker.pace.factor(), tight),
                     false => 0,
                 };
-                rooms.push((!near, pace, worker.free.cores, key, room));
+                let scarce = match spec.need.accelerators {
+                    0 => worker.free.cores.0,
+                    _ if !self.timing.policy.packing => worker.free.cores.0,
+                    _ => u64::from(worker.free.accelerators),
+                };
+                rooms.push((!near, pace, scarce, key, room));
             }
         };
         match job.record.policy.advice {
@@ -284,6 +319,9 @@
             expected: Some(TimeSpan((estimate * factor) as u64)),
             overdue: false,
         };
+        if worker.claim.is_some_and(|claim| claim.step == task.step) {
+            worker.claim = None;
+        }
         if matches!(worker.trust, WorkerTrust::Shunned(_)) {
             worker.trust = WorkerTrust::Probed;
         }
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -5,6 +5,10 @@
 pub struct CellPolicy {
     /// Questions to the advice service also name workers without room, while that costs little more.
     pub fill_questions: bool,
+    /// Less urgent work that saves its state makes room for urgent work.
+    pub displacement: bool,
+    /// Tasks that need accelerators go where the fewest are free.
+    pub packing: bool,
     /// Workers are chosen by how fast they were seen to be.
     pub pace: bool,
     /// Workers that fail or crawl get no work for a time.
@@ -19,6 +23,8 @@
     fn default() -> CellPolicy {
         CellPolicy {
             fill_questions: true,
+            displacement: true,
+            packing: true,
             pace: true,
             shunning: true,
             stragglers: true,
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -26,6 +26,19 @@
     latest_start: u64,
 }
 
+impl JobRank {
+    /// Whether the job can end within its objective.
+    pub fn is_on_time(&self) -> bool {
+        self.prospect == Prospect::OnTime
+    }
+}
+
+/// The latest moment at which what is left of a job can begin and meet the objective, by its estimates.
+pub fn latest_start(job: &JobWork) -> u64 {
+    let objective = job.record.objective().as_millis();
+    (job.accepted.0 + objective).saturating_sub(job.remaining_chain().as_millis())
+}
+
 /// Ranks a job: what can still earn first, then by priority, then by the latest start that would
 /// meet the objective.
 pub fn rank_job(job: &JobWork, now: Moment) -> JobRank {
@@ -40,6 +53,5 @@
     } else {
         Prospect::Lost
     };
-    let latest_start = (accepted + objective).saturating_sub(chain);
-    JobRank { prospect, priority: job.record.policy.priority, latest_start }
+    JobRank { prospect, priority: job.record.policy.priority, latest_start: latest_start(job) }
 }
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -1,9 +1,12 @@
 //! Which workers there are: what the store lists, and the roster for later leads.
 
-use sedgehill_core::units::Moment;
+use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::*;
 
+/// A worker that has not answered for so long is out of touch: twice the longest wait for an account.
+const OUT_OF_TOUCH: TimeSpan = TimeSpan(1_500);
+
 impl Scheduler {
     /// Takes in what the store lists. Returns the workers that nobody asks for accounts yet.
     pub fn update_workers(&mut self, entries: Vec<WorkerEntry>, now: Moment) -> Vec<WorkerKey> {
@@ -23,9 +26,8 @@
         }
         self.surveyed = true;
         // A later lead should not have to wait for workers that have left.
-        let left = |worker: &WorkerState| worker.rostered && !self.belongs_to_roster(worker, now);
-        let missing = |worker: &WorkerState| !worker.rostered && worker.listed && !worker.dead;
-        if self.workers.iter().any(|worker| left(worker) || missing(worker)) {
+        let changed = |worker: &WorkerState| worker.rostered != self.belongs_to_roster(worker, now);
+        if self.workers.iter().any(changed) {
             self.roster_changed = true;
         }
         self.unwatched()
@@ -37,6 +39,7 @@
         for entry in &roster.0 {
             let key = self.know_worker(entry.clone(), now);
             self.workers[key.0].rostered = true;
+            self.workers[key.0].inherited = true;
         }
         self.unwatched()
     }
@@ -68,11 +71,18 @@
         self.workers[key.0].watched = false;
     }
 
-    /// Whether a worker may be given work, or may run something.
+    /// Whether a worker may be given work, or may run something. One that leaves or is out of touch, and
+    /// runs nothing, would only hold up a later lead, which has to hear from the whole roster.
     fn belongs_to_roster(&self, worker: &WorkerState, now: Moment) -> bool {
-        let unsettled = !worker.fenced && !self.take_over.settled;
-        let listed = worker.is_listed(now, &self.timing);
-        !worker.dead && (listed || unsettled || !worker.runs.is_empty())
+        if worker.dead {
+            return false;
+        }
+        let unsettled = worker.inherited && !worker.fenced && !self.take_over.settled;
+        if unsettled || !worker.runs.is_empty() {
+            return true;
+        }
+        let out_of_touch = worker.answered.is_some_and(|at| now >= at.after(OUT_OF_TOUCH));
+        worker.is_listed(now, &self.timing) && !worker.entry.draining && !out_of_touch
     }
 
     /// The workers that are to stand in the roster. The others get no work from now on.
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -21,7 +21,9 @@
             return;
         }
         let since = self.take_over.since;
-        let unheard = self.workers.iter().any(|worker| !worker.dead && !worker.fenced);
+        // On workers that stood in no roster nothing was started.
+        let unheard = |worker: &WorkerState| worker.inherited && !worker.dead && !worker.fenced;
+        let unheard = self.workers.iter().any(unheard);
         let term = match self.take_over.predecessor {
             true => self.timing.authority_term,
             false => TimeSpan(0),
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -4,10 +4,11 @@
 
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
+use super::displacement::WorkerClaim;
 use super::message::{WorkerEntry, WorkerTime};
 use super::pace::FactorAverage;
 use super::timing::CellTiming;
-use crate::ids::{CellTask, RunNumber};
+use crate::ids::{CellTask, RunNumber, StepId};
 
 /// How far an order to run is settled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,6 +75,8 @@
     pub unlisted_since: Moment,
     /// Whether the roster that holds it is recorded.
     pub rostered: bool,
+    /// An earlier lead had it in its roster, and so may have started something there.
+    pub inherited: bool,
     /// Whether somebody asks it for accounts.
     pub watched: bool,
     /// It is known to have ended: nothing runs there.
@@ -96,6 +99,8 @@
     pub trust: WorkerTrust,
     /// How much longer runs take there than elsewhere.
     pub pace: FactorAverage,
+    /// Room that is kept for a step.
+    pub claim: Option<WorkerClaim>,
     clock: Option<(WorkerTime, Moment)>,
     lease_until: WorkerTime,
     processed: u64,
@@ -111,6 +116,7 @@
             listed: true,
             unlisted_since: now,
             rostered: false,
+            inherited: false,
             watched: false,
             dead: false,
             fenced: false,
@@ -121,6 +127,7 @@
             bad_signs: 0,
             trust: WorkerTrust::Sound,
             pace: FactorAverage::default(),
+            claim: None,
             clock: None,
             lease_until: WorkerTime(0),
             processed: 0,
@@ -183,6 +190,19 @@
             && now >= self.avoid_until
     }
 
+    /// The claim on it, if one is in force.
+    pub fn claim_of(&self, now: Moment) -> Option<&WorkerClaim> {
+        self.claim.as_ref().filter(|claim| now < claim.until)
+    }
+
+    /// Room that a step may use: what is claimed for another one is left.
+    pub fn free_for(&self, step: &StepId, now: Moment) -> ResourceSet {
+        match self.claim_of(now) {
+            Some(claim) if claim.step != *step => self.free.saturating_minus(&claim.need),
+            _ => self.free,
+        }
+    }
+
     /// The most runs that may be added at once, as far as the worker is trusted.
     pub fn runs_allowed(&self, now: Moment) -> usize {
         match self.trust {
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod authority;
+mod displacement;
 mod fake;
 mod led;
 mod patience;
--- a/crates/sedgehilld/src/cell/hedge.rs
+++ b/crates/sedgehilld/src/cell/hedge.rs
@@ -15,6 +15,9 @@
 /// How long the answer to either copy is waited for. A slow store lets appends wait for two seconds.
 const ANSWER_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// Pause before a second copy that failed is sent again, perhaps by way of another box.
+const SECOND_PAUSE: Duration = Duration::from_millis(100);
+
 /// An append that is to be carried out.
 #[derive(Debug, Clone, Copy)]
 pub struct AppendCall<'a> {
@@ -50,11 +53,12 @@
     result
 }
 
-/// Sends an append from this box, and `second` as well if there is no answer within the usual time.
+/// Sends an append from this box, and `second` as well if there is no answer within the usual time. A
+/// second copy that fails is sent again for as long as the first is waited for.
 pub async fn append_hedged<F>(
     host: &CellBox,
     call: AppendCall<'_>,
-    second: impl FnOnce() -> F,
+    second: impl Fn() -> F,
 ) -> HedgedResult
 where
     F: Future<Output = Result<AppendOutcome, CallError>>,
@@ -64,20 +68,29 @@
     if let Ok(result) = tokio::time::timeout(limit, first.as_mut()).await {
         return (AnsweredCopy::First, result);
     }
-    let mut second = std::pin::pin!(second());
+    let mut second = std::pin::pin!(until_answered(second));
     tokio::select! {
-        result = first.as_mut() => match result {
-            Ok(outcome) => (AnsweredCopy::First, Ok(outcome)),
-            Err(_) => (AnsweredCopy::Second, second.await),
-        },
-        result = second.as_mut() => match result {
+        result = first.as_mut() => (AnsweredCopy::First, result),
+        outcome = second.as_mut() => match outcome {
             // The topic may have been moved by the first copy: only its own answer tells.
-            Err(_) | Ok(AppendOutcome::Moved { .. }) => (AnsweredCopy::First, first.await),
-            Ok(outcome) => (AnsweredCopy::Second, Ok(outcome)),
+            AppendOutcome::Moved { .. } => (AnsweredCopy::First, first.await),
+            outcome => (AnsweredCopy::Second, Ok(outcome)),
         },
     }
 }
 
+async fn until_answered<F>(send: impl Fn() -> F) -> AppendOutcome
+where
+    F: Future<Output = Result<AppendOutcome, CallError>>,
+{
+    loop {
+        match send().await {
+            Ok(outcome) => return outcome,
+            Err(_) => tokio::time::sleep(SECOND_PAUSE).await,
+        }
+    }
+}
+
 /// Sends an append from this box, twice if need be.
 pub async fn append_twice(
     host: &CellBox,
--- a/crates/sedgehilld/src/cell/relay.rs
+++ b/crates/sedgehilld/src/cell/relay.rs
@@ -118,15 +118,22 @@
     }
 }
 
+fn no_relay() -> CallError {
+    CallError::NotDone("no box to relay the call".to_owned())
+}
+
 impl LeadSession {
     /// Whether the lead's own path to the store is cut while another box has one.
     pub fn relays(&self) -> bool {
         self.relay.cut.get().is_some() && self.relay.choose().is_some()
     }
 
-    async fn relay(&self, call: RelayCall, limit: Duration) -> Result<RelayAnswer, CallError> {
-        let unreached = || CallError::NotDone("no box to relay the call".to_owned());
-        let helper = self.relay.choose().ok_or_else(unreached)?;
+    async fn relay(
+        &self,
+        helper: HelperId,
+        call: RelayCall,
+        limit: Duration,
+    ) -> Result<RelayAnswer, CallError> {
         let number = self.relay.next_number.get();
         self.relay.next_number.set(number + 1);
         let (reply, answer) = oneshot::channel();
@@ -136,7 +143,7 @@
             self.helpers.borrow().get(&helper).is_some_and(|queue| queue.try_send(frame).is_ok());
         if !sent {
             self.relay.waiting.borrow_mut().remove(&number);
-            return Err(unreached());
+            return Err(no_relay());
         }
         let answer = tokio::time::timeout(limit, answer).await;
         self.relay.waiting.borrow_mut().remove(&number);
@@ -170,15 +177,17 @@
         host: &CellBox,
         call: AppendCall<'_>,
     ) -> Result<AppendOutcome, CallError> {
-        let relay = self.relay.choose().is_some();
+        let relayed = Cell::new(false);
         let second = || async {
-            match relay {
-                true => self.relay_append(host, call).await,
-                false => hedge::append_once(host, call).await,
+            let helper = self.choose_any();
+            relayed.set(helper.is_some());
+            match helper {
+                Some(helper) => self.relay_append(host, helper, call).await,
+                None => hedge::append_once(host, call).await,
             }
         };
         let (copy, result) = hedge::append_hedged(host, call, second).await;
-        let by_relay = relay && copy == AnsweredCopy::Second;
+        let by_relay = relayed.get() && copy == AnsweredCopy::Second;
         self.note_own_path(host, result.is_ok() && !by_relay);
         result
     }
@@ -188,7 +197,8 @@
         host: &CellBox,
         call: AppendCall<'_>,
     ) -> Result<AppendOutcome, CallError> {
-        let result = self.relay_append(host, call).await;
+        let helper = self.relay.choose().ok_or_else(no_relay)?;
+        let result = self.relay_append(host, helper, call).await;
         match &result {
             Ok(_) => self.try_own_path(host),
             // The box may be the one that is cut: the own path gets the next try.
@@ -197,16 +207,24 @@
         result
     }
 
+    /// A box to try when the own path does not answer: one that the store answers as it says, or else
+    /// any. A store that is silent to reads for a moment may answer its appends.
+    fn choose_any(&self) -> Option<HelperId> {
+        let any = || self.helpers.borrow().keys().max().copied();
+        self.relay.choose().or_else(any)
+    }
+
     async fn relay_append(
         &self,
         host: &CellBox,
+        helper: HelperId,
         call: AppendCall<'_>,
     ) -> Result<AppendOutcome, CallError> {
         let limit = host.store_patience.borrow().limit().max(RELAY_LEAST);
         let AppendCall { topic, records, condition } = call;
         let (records, condition) = (records.to_vec(), condition.clone());
         let call = RelayCall::Append { topic, records, condition };
-        match self.relay(call, limit).await? {
+        match self.relay(helper, call, limit).await? {
             RelayAnswer::Appended(outcome) => Ok(outcome),
             _ => Err(CallError::Unknown("an answer of another kind".to_owned())),
         }
@@ -218,7 +236,8 @@
         topic: StoreTopic,
         offset: u64,
     ) -> Result<ReadOutcome, CallError> {
-        match self.relay(RelayCall::Read { topic, offset }, READ_LIMIT).await? {
+        let helper = self.relay.choose().ok_or_else(no_relay)?;
+        match self.relay(helper, RelayCall::Read { topic, offset }, READ_LIMIT).await? {
             RelayAnswer::Read(outcome) => Ok(outcome),
             _ => Err(CallError::Unknown("an answer of another kind".to_owned())),
         }
@@ -226,7 +245,8 @@
 
     /// Reads the newest records by way of another box.
     pub async fn newest_relayed(&self, topic: StoreTopic) -> Result<NewestRecords, CallError> {
-        match self.relay(RelayCall::Newest(topic), READ_LIMIT).await? {
+        let helper = self.relay.choose().ok_or_else(no_relay)?;
+        match self.relay(helper, RelayCall::Newest(topic), READ_LIMIT).await? {
             RelayAnswer::Newest(newest) => Ok(newest),
             _ => Err(CallError::Unknown("an answer of another kind".to_owned())),
         }
