cell: late work that still earns goes before work that has time

Change: jobs that can begin 6 s later and still meet their objective rank behind late ones that still earn, and late ones may displace them. Test: late_work_that_still_earns_goes_before_work_that_has_time.

--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -76,7 +76,7 @@
         let advice = &job.steps[candidate.step].advice;
         let displaces = job.record.policy.priority < open.least_urgent
             && !spec.gang
-            && rank_job(job, now).is_on_time();
+            && rank_job(job, now).earns();
         // Steps that ask at the same moment should not all name the same of many like workers.
         let turn = (job.id.0 % self.workers.len() as u64) as usize;
         let mut rooms: Vec<(bool, Reverse<usize>, usize, WorkerKey)> = Vec::new();
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -1,19 +1,25 @@
 //! The order in which steps get room and advice.
 
-use sedgehill_core::units::Moment;
+use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::work::JobWork;
 
 /// A late job still earns a part of its worth until this many times its objective.
 const LATE_FACTOR: u64 = 3;
 
+/// A job that can begin so much later and still meet its objective leaves room to those that cannot:
+/// more than a task of the users' longer queues takes.
+const PATIENT_SLACK: TimeSpan = TimeSpan(6_000);
+
 /// What a job can still earn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Prospect {
-    /// It can end within its objective.
+    /// It can end within its objective if it begins soon.
     OnTime,
     /// It can end while it still earns a part.
     Late,
+    /// It can end within its objective though it begins later.
+    Patient,
     /// It earns nothing any more, but has to end.
     Lost,
 }
@@ -27,9 +33,9 @@
 }
 
 impl JobRank {
-    /// Whether the job can end within its objective.
-    pub fn is_on_time(&self) -> bool {
-        self.prospect == Prospect::OnTime
+    /// Whether the job still earns something.
+    pub fn earns(&self) -> bool {
+        self.prospect != Prospect::Lost
     }
 }
 
@@ -46,12 +52,15 @@
     let chain = job.remaining_chain().as_millis();
     let end = now.0 + chain;
     let accepted = job.accepted.0;
-    let prospect = if end <= accepted + objective {
+    let latest_start = latest_start(job);
+    let prospect = if latest_start > now.0 + PATIENT_SLACK.0 {
+        Prospect::Patient
+    } else if end <= accepted + objective {
         Prospect::OnTime
     } else if end <= accepted + LATE_FACTOR * objective {
         Prospect::Late
     } else {
         Prospect::Lost
     };
-    JobRank { prospect, priority: job.record.policy.priority, latest_start: latest_start(job) }
+    JobRank { prospect, priority: job.record.policy.priority, latest_start }
 }
--- a/crates/sedgehill-cell/tests/testsuite/displacement.rs
+++ b/crates/sedgehill-cell/tests/testsuite/displacement.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
-use sedgehill_cell::scheduler::{CellOrder, Scheduler};
+use sedgehill_cell::scheduler::{CellOrder, RunEnd, Scheduler};
 use sedgehill_core::units::{CoreCount, MemorySize, ResourceSet, TimeSpan};
 
 use crate::fake::{FakeCell, job, step, task};
@@ -39,7 +39,7 @@
     assert!(cell.place(task(2, 0, 0)).is_some(), "it runs");
     let waiting = (0..8).filter(|index| cell.place(task(1, 0, *index)).is_none());
     assert_eq!(waiting.count(), 4, "no more was stopped than had to be");
-    cell.end_anywhere(task(2, 0, 0), sedgehill_cell::scheduler::RunEnd::Done);
+    cell.end_anywhere(task(2, 0, 0), RunEnd::Done);
     cell.turns(&mut lead, 10);
     assert!((0..8).all(|index| cell.place(task(1, 0, index)).is_some()), "all go on");
 }
@@ -96,6 +96,23 @@
     assert!(cell.place(task(2, 0, 0)).is_some());
 }
 
+#[test]
+fn late_work_that_still_earns_goes_before_work_that_has_time() {
+    let mut cell = FakeCell::new(1, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, urgent(1, 16));
+    cell.turns(&mut lead, 3);
+    // Its objective passes while the worker is taken; a patient job comes later.
+    cell.submit(&mut lead, 2, urgent(1, 16));
+    cell.turns(&mut lead, 300);
+    cell.submit(&mut lead, 3, patient(1, 16));
+    cell.turns(&mut lead, 2);
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Done);
+    cell.turns(&mut lead, 3);
+    assert!(cell.place(task(2, 0, 0)).is_some(), "the late job runs");
+    assert_eq!(cell.place(task(3, 0, 0)), None);
+}
+
 fn need(cores: u64, accelerators: u32) -> ResourceSet {
     ResourceSet { cores: CoreCount(cores * 1_000), memory: MemorySize(1 << 30), accelerators }
 }
