cell: room claimed for urgent tasks (a try), switches of the policy in the settings

Hypothesis: a task that needs a whole worker, of which few may run it, is passed by smaller ones for ever; a claim on the worker where enough comes free first, with the ticket renewed in time, and a first question before any room is free, would serve it. The switches stay: the settings' policy group turns each mechanism off.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -47,8 +47,9 @@
             _ => None,
         };
         // An account that gets lost hides every end until it is given up.
+        let lossy = self.timing.policy.short_accounts && self.losses.is_high();
         let wait = match lease_until {
-            Some(_) if self.losses.is_high() => self.timing.hold_wait_lossy,
+            Some(_) if lossy => self.timing.hold_wait_lossy,
             Some(_) => self.timing.hold_wait,
             None => TimeSpan(0),
         };
--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -52,7 +52,7 @@
         now: Moment,
     ) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
-        if spec.gang || spec.long_running || !rank_job(job, now).earns() {
+        if spec.gang || spec.long_running || !rank_job(job, &self.timing.policy, now).earns() {
             return;
         }
         let step = job.steps[candidate.step].id;
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod accounts;
 mod advice;
 mod answers;
+mod claims;
 mod displacement;
 mod ends;
 mod loss;
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -1,7 +1,9 @@
 //! Which waiting steps get room and advice.
 
 use sedgehill_core::units::{Moment, ResourceSet};
+use std::cell::Cell;
 
+use super::claims::CLAIM_TRIES;
 use super::rank::rank_job;
 use super::worker::{WorkerRun, WorkerTrust};
 use super::*;
@@ -33,13 +35,15 @@
     most: ResourceSet,
     /// The priority of the least urgent work that runs and could be displaced; 0 if there is none.
     pub(super) least_urgent: u32,
+    /// Steps that may still be looked at for a claim in this turn.
+    pub(super) claim_tries: Cell<usize>,
 }
 
 impl Scheduler {
     /// Starts what can be started, and asks for the advice that is missing, best ranked first.
     pub(super) fn place_all(&mut self, now: Moment) {
         let open = self.open_workers(now);
-        if open.list.is_empty() && open.least_urgent == 0 {
+        if open.list.is_empty() && open.least_urgent == 0 && !self.timing.policy.claims {
             return;
         }
         for candidate in self.candidates(now) {
@@ -68,7 +72,7 @@
             true => self.least_urgent(),
             false => 0,
         };
-        OpenWorkers { list, is_open, most, least_urgent }
+        OpenWorkers { list, is_open, most, least_urgent, claim_tries: Cell::new(CLAIM_TRIES) }
     }
 
     /// The priority of the least urgent jobs that run.
@@ -94,7 +98,7 @@
                     && job.is_due(step, unix_ms)
                     && wants_room(job, step, now)
                 {
-                    let rank = *rank.get_or_insert_with(|| rank_job(job, now));
+                    let rank = *rank.get_or_insert_with(|| rank_job(job, &self.timing.policy, now));
                     ranked.push((rank, Candidate { job: job.id, step }));
                 }
             }
@@ -108,7 +112,8 @@
         let record = job.record.clone();
         let spec = record.step_spec(candidate.step);
         let displaces = record.policy.priority < open.least_urgent;
-        if !open.most.fits(&spec.need) && !displaces {
+        let claims = self.timing.policy.claims && record.policy.advice.is_some();
+        if !open.most.fits(&spec.need) && !displaces && !claims {
             return;
         }
         let waiting = waiting_tasks(job, candidate.step, now);
@@ -125,6 +130,9 @@
             if displaces {
                 self.displace_for(candidate, spec, waiting.len() - placed, now);
             }
+            if claims {
+                self.claim_for(candidate, spec, open, now);
+            }
         }
         self.ask_advice(candidate, spec, open, now);
     }
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -7,8 +7,12 @@
     pub fill_questions: bool,
     /// Less urgent work that saves its state makes room for urgent work.
     pub displacement: bool,
+    /// Urgent tasks that find no room have it kept for them on a worker where it comes free soon.
+    pub claims: bool,
     /// Tasks that need accelerators go where the fewest are free.
     pub packing: bool,
+    /// Jobs that have much time leave room to late ones that still earn.
+    pub patience: bool,
     /// Workers are chosen by how fast they were seen to be.
     pub pace: bool,
     /// Workers that fail or crawl get no work for a time.
@@ -17,6 +21,8 @@
     pub stragglers: bool,
     /// Some boxes are kept free of long questions.
     pub short_only: bool,
+    /// Accounts wait less while calls to workers get lost.
+    pub short_accounts: bool,
 }
 
 impl Default for CellPolicy {
@@ -24,11 +30,14 @@
         CellPolicy {
             fill_questions: true,
             displacement: true,
+            claims: true,
             packing: true,
+            patience: true,
             pace: true,
             shunning: true,
             stragglers: true,
             short_only: true,
+            short_accounts: true,
         }
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -2,6 +2,7 @@
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
+use super::policy::CellPolicy;
 use super::work::JobWork;
 
 /// A late job still earns a part of its worth until this many times its objective.
@@ -33,6 +34,11 @@
 }
 
 impl JobRank {
+    /// Whether the job meets its objective if it begins soon.
+    pub fn is_on_time(&self) -> bool {
+        self.prospect == Prospect::OnTime
+    }
+
     /// Whether the job still earns something.
     pub fn earns(&self) -> bool {
         self.prospect != Prospect::Lost
@@ -47,13 +53,13 @@
 
 /// Ranks a job: what can still earn first, then by priority, then by the latest start that would
 /// meet the objective.
-pub fn rank_job(job: &JobWork, now: Moment) -> JobRank {
+pub fn rank_job(job: &JobWork, policy: &CellPolicy, now: Moment) -> JobRank {
     let objective = job.record.objective().as_millis();
     let chain = job.remaining_chain().as_millis();
     let end = now.0 + chain;
     let accepted = job.accepted.0;
     let latest_start = latest_start(job);
-    let prospect = if latest_start > now.0 + PATIENT_SLACK.0 {
+    let prospect = if policy.patience && latest_start > now.0 + PATIENT_SLACK.0 {
         Prospect::Patient
     } else if end <= accepted + objective {
         Prospect::OnTime
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod authority;
+mod claims;
 mod displacement;
 mod fake;
 mod led;
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -6,7 +6,7 @@
 
 use sedgehill_cell::authority::{AuthorityTiming, BoxStrength};
 use sedgehill_cell::ids::BoxName;
-use sedgehill_cell::scheduler::CellTiming;
+use sedgehill_cell::scheduler::{CellPolicy, CellTiming};
 use sedgehill_core::fields::{FieldReader, ManifestError, ManifestErrors};
 use sedgehill_core::units::TimeSpan;
 use serde_json::{Map, Value};
@@ -106,6 +106,7 @@
     let advice = reader.optional_text("advice");
     let strength = reader.text_or("cores", DEFAULT_STRENGTH);
     let cell = optional_group(reader, "cell", read_cell);
+    let policy = optional_group(reader, "policy", read_policy);
     let grace = reader.text_or("stop_grace", TimeSpan(6_000));
     let keep_ended = reader.text_or("keep_ended", TimeSpan(120_000));
     let name = name?;
@@ -117,7 +118,7 @@
         store: store?,
         advice,
         strength: strength?,
-        cell: cell?,
+        cell: CellTiming { policy: policy?, ..cell? },
         authority: AuthorityTiming::default(),
         keep_ended: TimeSpan(keep_ended?.0 + KEEP_RESERVE.0),
         stop: StopTiming {
@@ -138,6 +139,32 @@
     Some(CellTiming { lease_most, lease, stop: stop?, authority_term, ..default })
 }
 
+fn read_policy(group: &mut FieldReader<'_>) -> Option<CellPolicy> {
+    let default = CellPolicy::default();
+    let fill_questions = group.flag_or("fill_questions", default.fill_questions);
+    let displacement = group.flag_or("displacement", default.displacement);
+    let claims = group.flag_or("claims", default.claims);
+    let packing = group.flag_or("packing", default.packing);
+    let patience = group.flag_or("patience", default.patience);
+    let pace = group.flag_or("pace", default.pace);
+    let shunning = group.flag_or("shunning", default.shunning);
+    let stragglers = group.flag_or("stragglers", default.stragglers);
+    let short_only = group.flag_or("short_only", default.short_only);
+    let short_accounts = group.flag_or("short_accounts", default.short_accounts);
+    Some(CellPolicy {
+        fill_questions: fill_questions?,
+        displacement: displacement?,
+        claims: claims?,
+        packing: packing?,
+        patience: patience?,
+        pace: pace?,
+        shunning: shunning?,
+        stragglers: stragglers?,
+        short_only: short_only?,
+        short_accounts: short_accounts?,
+    })
+}
+
 /// Times that only make sense together.
 fn check_times(settings: &CellSettings, errors: &mut Vec<ManifestError>) -> bool {
     let cell = &settings.cell;
