--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -9,7 +9,6 @@
 mod accounts;
 mod advice;
 mod answers;
-mod claims;
 mod displacement;
 mod ends;
 mod loss;
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -74,7 +74,6 @@
     ) -> Vec<WorkerLife> {
         let share = self.shares.get(&job.record.queue).copied().unwrap_or_default().share();
         let advice = &job.steps[candidate.step].advice;
-        let step_id = job.steps[candidate.step].id;
         let displaces = job.record.policy.priority < open.least_urgent
             && !spec.gang
             && rank_job(job, &self.timing.policy, now).earns();
@@ -87,21 +86,15 @@
             if matches!(known, Some(None)) {
                 continue;
             }
-            let until = known.and_then(|ticket| ticket.as_ref()).map(|ticket| ticket.until);
-            let renews = until.is_some_and(|until| {
-                let cost = job.record.policy.advice.map_or(TimeSpan(0), |policy| policy.cost(1));
-                self.needs_renewal(key, &step_id, until, spec, cost, now)
-            });
             let room = match self.room_on(key, job, candidate.step, spec, now) {
-                0 if renews => 1,
                 0 if displaces && self.could_displace_on(key, job, candidate.step, spec, now) => 1,
                 room => room,
             };
             if room == 0 {
                 continue;
             }
-            match until {
-                Some(until) if until > now.after(self.timing.ticket_margin) && !renews => {
+            match known {
+                Some(Some(ticket)) if ticket.until > now.after(self.timing.ticket_margin) => {
                     usable += room;
                 }
                 _ => {
@@ -131,9 +124,7 @@
             sum += expected(unknown, room);
             named.push(key);
         }
-        // To claim room, a step has to know who may run it before any is free.
-        let early = self.timing.policy.claims && advice.known.is_empty() && !spec.gang;
-        if self.timing.policy.fill_questions && (early || !named.is_empty()) {
+        if self.timing.policy.fill_questions && !named.is_empty() {
             self.fill_question(candidate, job, spec, &mut named, now);
         }
         named.into_iter().map(|key| self.workers[key.0].entry.life.clone()).collect()
@@ -150,7 +141,7 @@
         now: Moment,
     ) {
         let Some(policy) = job.record.policy.advice else { return };
-        let most = policy.cost(named.len().max(1)).0 * FILL_COST_PERCENT / 100;
+        let most = policy.cost(named.len()).0 * FILL_COST_PERCENT / 100;
         let known = &job.steps[candidate.step].advice.known;
         let turn = (job.id.0 % self.workers.len() as u64) as usize;
         for number in 0..self.workers.len() {
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -1,13 +1,10 @@
 //! Which waiting steps get room and advice.
 
-use sedgehill_core::units::{Moment, ResourceSet};
-use std::cell::Cell;
-
-use super::claims::CLAIM_TRIES;
 use super::rank::rank_job;
 use super::worker::{WorkerRun, WorkerTrust};
 use super::*;
 use crate::job::StepSpec;
+use sedgehill_core::units::{Moment, ResourceSet};
 
 /// Time that a tight job has left beside twice its work.
 const TIGHT_SLACK: TimeSpan = TimeSpan(500);
@@ -35,15 +32,13 @@
     most: ResourceSet,
     /// The priority of the least urgent work that runs and could be displaced; 0 if there is none.
     pub(super) least_urgent: u32,
-    /// Steps that may still be looked at for a claim in this turn.
-    pub(super) claim_tries: Cell<usize>,
 }
 
 impl Scheduler {
     /// Starts what can be started, and asks for the advice that is missing, best ranked first.
     pub(super) fn place_all(&mut self, now: Moment) {
         let open = self.open_workers(now);
-        if open.list.is_empty() && open.least_urgent == 0 && !self.timing.policy.claims {
+        if open.list.is_empty() && open.least_urgent == 0 {
             return;
         }
         for candidate in self.candidates(now) {
@@ -72,7 +67,7 @@
             true => self.least_urgent(),
             false => 0,
         };
-        OpenWorkers { list, is_open, most, least_urgent, claim_tries: Cell::new(CLAIM_TRIES) }
+        OpenWorkers { list, is_open, most, least_urgent }
     }
 
     /// The priority of the least urgent jobs that run.
@@ -112,8 +107,7 @@
         let record = job.record.clone();
         let spec = record.step_spec(candidate.step);
         let displaces = record.policy.priority < open.least_urgent;
-        let claims = self.timing.policy.claims && record.policy.advice.is_some();
-        if !open.most.fits(&spec.need) && !displaces && !claims {
+        if !open.most.fits(&spec.need) && !displaces {
             return;
         }
         let waiting = waiting_tasks(job, candidate.step, now);
@@ -130,9 +124,6 @@
             if displaces {
                 self.displace_for(candidate, spec, waiting.len() - placed, now);
             }
-            if claims {
-                self.claim_for(candidate, spec, open, now);
-            }
         }
         self.ask_advice(candidate, spec, open, now);
     }
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -7,8 +7,6 @@
     pub fill_questions: bool,
     /// Less urgent work that saves its state makes room for urgent work.
     pub displacement: bool,
-    /// Urgent tasks that find no room have it kept for them on a worker where it comes free soon.
-    pub claims: bool,
     /// Tasks that need accelerators go where the fewest are free.
     pub packing: bool,
     /// Jobs that have much time leave room to late ones that still earn.
@@ -30,7 +28,6 @@
         CellPolicy {
             fill_questions: true,
             displacement: true,
-            claims: true,
             packing: true,
             patience: true,
             pace: true,
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -34,11 +34,6 @@
 }
 
 impl JobRank {
-    /// Whether the job meets its objective if it begins soon.
-    pub fn is_on_time(&self) -> bool {
-        self.prospect == Prospect::OnTime
-    }
-
     /// Whether the job still earns something.
     pub fn earns(&self) -> bool {
         self.prospect != Prospect::Lost
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -2,7 +2,6 @@
 
 mod advice;
 mod authority;
-mod claims;
 mod displacement;
 mod fake;
 mod led;
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -143,7 +143,6 @@
     let default = CellPolicy::default();
     let fill_questions = group.flag_or("fill_questions", default.fill_questions);
     let displacement = group.flag_or("displacement", default.displacement);
-    let claims = group.flag_or("claims", default.claims);
     let packing = group.flag_or("packing", default.packing);
     let patience = group.flag_or("patience", default.patience);
     let pace = group.flag_or("pace", default.pace);
@@ -154,7 +153,6 @@
     Some(CellPolicy {
         fill_questions: fill_questions?,
         displacement: displacement?,
-        claims: claims?,
         packing: packing?,
         patience: patience?,
         pace: pace?,
