cell: boxes are told at once that the store is back, and a silence is not taken as latency

Cause: after a silent store had returned, boxes refused callers for up to 0.6 s more: the lead told them with its next ping, and an append that ended the silence raised the learned latency to seconds, so that submissions with less time left were refused. Change: the lead pings as soon as an append is answered again; an answer that ends a silence is not learned from, and appends count as contact with the store. The submission's log line names the learned latency and the caller's time.

--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -114,7 +114,9 @@
             let answer = submit_job(desk, route, id, body, config.body_bytes, patience).await;
             info!(host.log, "submission"; "job" => %id, "queue" => %route.queue,
                 "config" => config.version, "answer" => ?answer,
-                "store_silent" => host.store_contact.is_silent());
+                "store_silent" => host.store_contact.is_silent(),
+                "store_usual_ms" => host.store_patience.borrow().usual().as_millis() as u64,
+                "patience_ms" => patience.as_millis() as u64);
             ("submit", answer)
         }
     };
--- a/crates/sedgehilld/src/cell/hedge.rs
+++ b/crates/sedgehilld/src/cell/hedge.rs
@@ -48,7 +48,11 @@
     let appending = store.append(call.topic, call.records, call.condition, ANSWER_LIMIT);
     let result = host.store_contact.unless_regained(appending).await;
     if result.is_ok() {
-        host.store_patience.borrow_mut().note_answer(sent.elapsed());
+        // An answer that ends a silence tells how long that was, not how long answers take.
+        if !host.store_contact.is_silent() {
+            host.store_patience.borrow_mut().note_answer(sent.elapsed());
+        }
+        host.store_contact.note_answer();
     }
     result
 }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -71,6 +71,8 @@
     pub outdone: Cell<Option<Moment>>,
     /// When the store last answered an append.
     pub answered: Cell<Moment>,
+    /// Rung when the store answers appends again: boxes that refuse callers are told at once.
+    pub store_back: Notify,
 }
 
 impl LeadSession {
@@ -227,6 +229,7 @@
         strengths: RefCell::default(),
         outdone: Cell::default(),
         answered: Cell::new(clock::now()),
+        store_back: Notify::new(),
     });
     // Renewals go on while the store is slow to fence, or another box would claim meanwhile.
     let mut renewing = std::pin::pin!(renew(host, &session));
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -90,6 +90,11 @@
         "box" => %name, "helper" => helper.0, "strength" => %strength);
 }
 
+fn ping(host: &CellBox, session: &LeadSession) -> Rc<[u8]> {
+    let strongest = host.watch.borrow().strongest();
+    PeerFrame::Ping { store_answers: session.store_answers(host), strongest }.encode()
+}
+
 async fn send(
     host: &CellBox,
     session: &LeadSession,
@@ -105,10 +110,8 @@
                 Some(frame) => frame,
                 None => return,
             },
-            _ = pings.tick() => {
-                let strongest = host.watch.borrow().strongest();
-                PeerFrame::Ping { store_answers: session.store_answers(host), strongest }.encode()
-            }
+            _ = pings.tick() => ping(host, session),
+            () = session.store_back.notified() => ping(host, session),
         };
         if writer.write_all(&frame).await.is_err() {
             return;
--- a/crates/sedgehilld/src/cell/relay.rs
+++ b/crates/sedgehilld/src/cell/relay.rs
@@ -167,7 +167,11 @@
             false => self.append_own(host, call).await,
         };
         if result.is_ok() {
+            let was_silent = !self.store_answers(host);
             self.answered.set(clock::now());
+            if was_silent {
+                self.store_back.notify_waiters();
+            }
         }
         result
     }
