cell: what waits behind a stuck append is refused at once; packing by accelerators taken out

Cause: while the store answered no appends, all that came in the first 1.1 s waited behind the append under way for their callers' whole time and ended as unknown, which callers of unsafe requests may not repeat, though most of it had been sent nowhere. Change: an append without an answer for 0.6 s, or twice the learned time, has all that waits for the next one refused as not done; what the stuck append holds stays unknown. Second copies that are not answered give way to further ones.

--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -187,12 +187,7 @@
                     true => pace_step(worker.pace.factor(), tight),
                     false => 0,
                 };
-                let scarce = match spec.need.accelerators {
-                    0 => worker.free.cores.0,
-                    _ if !self.timing.policy.packing => worker.free.cores.0,
-                    _ => u64::from(worker.free.accelerators),
-                };
-                rooms.push((!near, pace, scarce, key, room));
+                rooms.push((!near, pace, worker.free.cores, key, room));
             }
         };
         match job.record.policy.advice {
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -7,8 +7,6 @@
     pub fill_questions: bool,
     /// Less urgent work that saves its state makes room for urgent work.
     pub displacement: bool,
-    /// Tasks that need accelerators go where the fewest are free.
-    pub packing: bool,
     /// Jobs that have much time leave room to late ones that still earn.
     pub patience: bool,
     /// Workers are chosen by how fast they were seen to be.
@@ -28,7 +26,6 @@
         CellPolicy {
             fill_questions: true,
             displacement: true,
-            packing: true,
             patience: true,
             pace: true,
             shunning: true,
--- a/crates/sedgehilld/src/cell/accept.rs
+++ b/crates/sedgehilld/src/cell/accept.rs
@@ -4,6 +4,8 @@
 //! Only what is sure is told: accepted after the store acknowledged, not done if no append that
 //! holds the record can have arrived, otherwise unknown.
 
+use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,15 +15,12 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 use serde::{Deserialize, Serialize};
 use slog::warn;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use super::hedge::{self, AppendCall};
 use super::state::CellBox;
 use crate::{clock, telemetry};
 
-/// Appends under way at once. The store takes the appends of a topic in turn: when it is slow, more
-/// appends would only make a longer queue there, while records that wait here go together.
-const APPENDS_AT_ONCE: usize = 1;
 /// Records in one append.
 const BATCH_RECORDS: usize = 128;
 /// Submissions that wait for an append before further ones are refused.
@@ -40,6 +39,9 @@
     NotDone,
     /// It may be in the store, now or later.
     Unknown,
+    /// It is not in the store and will not be, since the store answers no appends: another way would
+    /// end the same.
+    StoreAway,
 }
 
 /// A record on its way into the store.
@@ -73,7 +75,9 @@
         let begun = Instant::now();
         let by_lead = submit_to_lead(host, job, statement);
         let led = match tokio::time::timeout(patience, by_lead).await {
-            Ok(LedOutcome::Told(AcceptOutcome::Kept)) => return AcceptOutcome::Kept,
+            Ok(LedOutcome::Told(done @ (AcceptOutcome::Kept | AcceptOutcome::StoreAway))) => {
+                return done;
+            }
             Ok(led) => led,
             // The lead lives, or the link to it would be lost: no other box has a better way.
             Err(_) => return AcceptOutcome::Unknown,
@@ -82,7 +86,7 @@
         let own = self.append(job, statement, left).await;
         match (led, own) {
             // What the lead may have recorded cannot be called not done.
-            (LedOutcome::Told(AcceptOutcome::Unknown), AcceptOutcome::NotDone) => {
+            (LedOutcome::Told(AcceptOutcome::Unknown), own) if own != AcceptOutcome::Kept => {
                 AcceptOutcome::Unknown
             }
             (_, own) => own,
@@ -129,28 +133,41 @@
     LedOutcome::Told(outcome.unwrap_or(AcceptOutcome::Unknown))
 }
 
-/// Works off the queue.
+/// Works off the queue, one append at a time: the store takes the appends of a topic in turn, so when it
+/// is slow more of them would only make a longer queue there, while records that wait here go together.
 pub async fn run(host: Rc<CellBox>, mut inbox: mpsc::Receiver<Submission>) {
-    let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(APPENDS_AT_ONCE));
     let mut batch = Vec::new();
-    loop {
-        if inbox.recv_many(&mut batch, BATCH_RECORDS).await == 0 {
-            return;
-        }
-        let Ok(slot) = slots.clone().acquire_owned().await else { return };
-        while batch.len() < BATCH_RECORDS {
-            let Ok(submission) = inbox.try_recv() else { break };
-            batch.push(submission);
-        }
+    while inbox.recv_many(&mut batch, BATCH_RECORDS).await > 0 {
         let batch = std::mem::take(&mut batch);
-        let host = host.clone();
-        tokio::task::spawn_local(async move {
-            append_batch(&host, batch).await;
-            drop(slot);
+        let keys: HashSet<String> =
+            batch.iter().map(|submission| submission.record.key.clone()).collect();
+        let is_stuck = Cell::new(false);
+        let stuck = Notify::new();
+        let appending = hedge::unless_stuck(&host, append_batch(&host, batch), || {
+            is_stuck.set(true);
+            stuck.notify_one();
         });
+        let mut appending = std::pin::pin!(appending);
+        loop {
+            tokio::select! {
+                () = appending.as_mut() => break,
+                () = stuck.notified() => {}
+                Some(submission) = inbox.recv(), if is_stuck.get() => refuse(submission, &keys),
+            }
+        }
     }
 }
 
+/// Refuses a submission while an append is stuck. One that the stuck append holds may still be kept.
+fn refuse(submission: Submission, stuck: &HashSet<String>) {
+    let outcome = match stuck.contains(&submission.record.key) {
+        true => AcceptOutcome::Unknown,
+        false => AcceptOutcome::StoreAway,
+    };
+    // A caller that does not wait any more asks again.
+    let _ = submission.reply.send(outcome);
+}
+
 async fn append_batch(host: &CellBox, mut batch: Vec<Submission>) {
     // A caller that has gone is served by its next try.
     batch.retain(|submission| !submission.reply.is_closed());
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -169,7 +169,9 @@
         StateAnswer::Known(_) => {
             match desk.accept.submit(host, id, &CellRecord::Cancel, patience).await {
                 AcceptOutcome::Kept => CallerAnswer::Cancelled,
-                AcceptOutcome::NotDone => CallerAnswer::NotDone(RETRY_AFTER),
+                AcceptOutcome::NotDone | AcceptOutcome::StoreAway => {
+                    CallerAnswer::NotDone(RETRY_AFTER)
+                }
                 AcceptOutcome::Unknown => CallerAnswer::Unknown,
             }
         }
@@ -216,7 +218,7 @@
     };
     match desk.accept.submit(host, id, &CellRecord::Job(record), patience).await {
         AcceptOutcome::Kept => CallerAnswer::Accepted,
-        AcceptOutcome::NotDone => CallerAnswer::NotDone(RETRY_AFTER),
+        AcceptOutcome::NotDone | AcceptOutcome::StoreAway => CallerAnswer::NotDone(RETRY_AFTER),
         AcceptOutcome::Unknown => CallerAnswer::Unknown,
     }
 }
--- a/crates/sedgehilld/src/cell/hedge.rs
+++ b/crates/sedgehilld/src/cell/hedge.rs
@@ -9,6 +9,7 @@
 
 use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
+use slog::warn;
 
 use super::state::CellBox;
 
@@ -18,6 +19,12 @@
 /// Pause before a second copy that failed is sent again, perhaps by way of another box.
 const SECOND_PAUSE: Duration = Duration::from_millis(100);
 
+/// The least time after which an append without an answer means that the store does not answer: an
+/// answer of a store that turns slow takes some 400 ms.
+const STUCK_LEAST: Duration = Duration::from_millis(600);
+/// The same as a multiple of the time after which a second copy is sent.
+const STUCK_TIMES: u32 = 2;
+
 /// An append that is to be carried out.
 #[derive(Debug, Clone, Copy)]
 pub struct AppendCall<'a> {
@@ -72,7 +79,7 @@
     if let Ok(result) = tokio::time::timeout(limit, first.as_mut()).await {
         return (AnsweredCopy::First, result);
     }
-    let mut second = std::pin::pin!(until_answered(second));
+    let mut second = std::pin::pin!(until_answered(second, limit));
     tokio::select! {
         result = first.as_mut() => (AnsweredCopy::First, result),
         outcome = second.as_mut() => match outcome {
@@ -83,14 +90,37 @@
     }
 }
 
-async fn until_answered<F>(send: impl Fn() -> F) -> AppendOutcome
+/// Sends copies until one is answered. One that is not answered gives way to the next after a time that
+/// doubles, since its answer may be lost as well.
+async fn until_answered<F>(send: impl Fn() -> F, limit: Duration) -> AppendOutcome
 where
     F: Future<Output = Result<AppendOutcome, CallError>>,
 {
+    let mut limit = limit * 2;
     loop {
-        match send().await {
-            Ok(outcome) => return outcome,
-            Err(_) => tokio::time::sleep(SECOND_PAUSE).await,
+        match tokio::time::timeout(limit, send()).await {
+            Ok(Ok(outcome)) => return outcome,
+            Ok(Err(_)) => tokio::time::sleep(SECOND_PAUSE).await,
+            Err(_) => limit *= 2,
+        }
+    }
+}
+
+/// Waits for an append, and calls `refuse` if that takes so long that the store must be taken as not
+/// answering appends.
+pub async fn unless_stuck<T>(
+    host: &CellBox,
+    appending: impl Future<Output = T>,
+    refuse: impl FnOnce(),
+) -> T {
+    let mut appending = std::pin::pin!(appending);
+    let limit = STUCK_LEAST.max(host.store_patience.borrow().limit() * STUCK_TIMES);
+    match tokio::time::timeout(limit, appending.as_mut()).await {
+        Ok(done) => done,
+        Err(_) => {
+            warn!(host.log, "store does not answer appends"; "limit_ms" => limit.as_millis() as u64);
+            refuse();
+            appending.await
         }
     }
 }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -1,7 +1,7 @@
 //! Claims the lead, renews it, and does the lead's work while the claim lasts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -65,6 +65,10 @@
     pub fed: RefCell<Vec<FedRecords>>,
     /// What callers said, on its way into the store.
     pub submissions: RefCell<Vec<LedSubmission>>,
+    /// The jobs in the append under way.
+    pub in_flight: RefCell<HashSet<JobId>>,
+    /// The append under way takes so long that the store is taken as not answering.
+    pub stuck: Cell<bool>,
     /// The strengths of those boxes.
     pub strengths: RefCell<HashMap<HelperId, BoxStrength>>,
     /// Since when a much stronger box has helped.
@@ -226,6 +230,8 @@
         order_patience: RefCell::new(CallPatience::new(ORDER_PATIENCE)),
         fed: RefCell::default(),
         submissions: RefCell::default(),
+        in_flight: RefCell::default(),
+        stuck: Cell::default(),
         strengths: RefCell::default(),
         outdone: Cell::default(),
         answered: Cell::new(clock::now()),
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -107,6 +107,9 @@
         if self.ended.get() || self.submissions.borrow().len() >= SUBMISSIONS_MOST {
             return Some(AcceptOutcome::NotDone);
         }
+        if self.stuck.get() {
+            return Some(self.refusal_of(job));
+        }
         let statement = match statement {
             CellRecord::Job(record) => CellRecord::Led(record.clone()),
             other => other.clone(),
@@ -116,6 +119,24 @@
         answer.await.ok()
     }
 
+    /// What a caller is told while an append is stuck. What that append holds may still be kept.
+    fn refusal_of(&self, job: JobId) -> AcceptOutcome {
+        match self.in_flight.borrow().contains(&job) {
+            true => AcceptOutcome::Unknown,
+            false => AcceptOutcome::StoreAway,
+        }
+    }
+
+    /// The append under way is stuck: whoever waits for the next one is told at once.
+    fn refuse_waiting(&self) {
+        self.stuck.set(true);
+        for said in self.submissions.take() {
+            let outcome = self.refusal_of(said.job);
+            // A caller that does not wait any more asks again.
+            let _ = said.reply.send(outcome);
+        }
+    }
+
     fn take_submissions(&self) -> Vec<LedSubmission> {
         let mut waiting = self.submissions.borrow_mut();
         // A caller that has gone is served by its next try.
@@ -192,7 +213,15 @@
             let records = batch.records();
             let recorded = match records.is_empty() {
                 true => Some(None),
-                false => self.record(host, session, &records).await.map(Some),
+                false => {
+                    let ids = batch.submissions.iter().map(|said| said.job).collect();
+                    session.in_flight.replace(ids);
+                    let recording = self.record(host, session, &records);
+                    let refuse = || session.refuse_waiting();
+                    let kept = hedge::unless_stuck(host, recording, refuse).await;
+                    session.stuck.set(false);
+                    kept.map(Some)
+                }
             };
             let Some(kept) = recorded else { return };
             if let Some(kept) = kept {
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -143,7 +143,6 @@
     let default = CellPolicy::default();
     let fill_questions = group.flag_or("fill_questions", default.fill_questions);
     let displacement = group.flag_or("displacement", default.displacement);
-    let packing = group.flag_or("packing", default.packing);
     let patience = group.flag_or("patience", default.patience);
     let pace = group.flag_or("pace", default.pace);
     let shunning = group.flag_or("shunning", default.shunning);
@@ -153,7 +152,6 @@
     Some(CellPolicy {
         fill_questions: fill_questions?,
         displacement: displacement?,
-        packing: packing?,
         patience: patience?,
         pace: pace?,
         shunning: shunning?,
