--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -196,6 +196,37 @@
     assert_kept(&platform);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn what_waits_behind_a_stuck_append_is_refused_and_never_runs() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(2).await.unwrap();
+    platform.configure(1);
+    let only = start_box(directory.path(), "only", &platform);
+    wait_ready(&only).await;
+    submit(&[&only], 1).await;
+    platform.store.set_silent(true);
+    let body = r#"{"spec":"work","steps":[{"count":1,"cpu":1000,"mem_mb":16,"estimate_ms":150}]}"#;
+    let callers = only.callers;
+    let stuck =
+        tokio::spawn(
+            async move { call(callers, "POST", &format!("/checks/{:016x}", 2), body).await },
+        );
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let path = format!("/checks/{:016x}", 3);
+    let begun = Instant::now();
+    let refused = call(only.callers, "POST", &path, body).await;
+    assert_eq!(refused.map(|(status, _)| status), Some(503));
+    assert!(begun.elapsed() < Duration::from_millis(1_800), "after {:?}", begun.elapsed());
+    let status = stuck.await.unwrap().map(|(status, _)| status);
+    assert_ne!(status, Some(503), "what was sent to the store may still be kept");
+    platform.store.set_silent(false);
+    wait_ready(&only).await;
+    wait_completed(&only, 1).await;
+    let unknown = call(only.callers, "GET", &path, "").await;
+    assert_eq!(unknown.map(|(status, _)| status), Some(410), "what was refused never runs");
+    assert_kept(&platform);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_answers_every_call_and_hands_the_lead_over() {
     let directory = tempfile::tempdir().unwrap();
