cell: a hedged append whose second copy was sent is never told as surely not done

Cause, by reading the change: an append whose first copy met no connection returned its error, which means surely not done, though a second copy had been sent meanwhile and may be kept; a caller could have been told that a job has not run. Change: once a second copy is sent, an error is an unknown outcome. Relayed calls that were given up are forgotten. No test: the order of the two copies' failures cannot be arranged with the stand-ins yet (docs/FINDINGS.md).

--- a/crates/sedgehilld/src/cell/hedge.rs
+++ b/crates/sedgehilld/src/cell/hedge.rs
@@ -81,15 +81,21 @@
     }
     let mut second = std::pin::pin!(until_answered(second, limit));
     tokio::select! {
-        result = first.as_mut() => (AnsweredCopy::First, result),
+        result = first.as_mut() => (AnsweredCopy::First, result.map_err(doubt)),
         outcome = second.as_mut() => match outcome {
             // The topic may have been moved by the first copy: only its own answer tells.
-            AppendOutcome::Moved { .. } => (AnsweredCopy::First, first.await),
+            AppendOutcome::Moved { .. } => (AnsweredCopy::First, first.await.map_err(doubt)),
             outcome => (AnsweredCopy::Second, Ok(outcome)),
         },
     }
 }
 
+/// What became of the first copy does not tell what became of the others: that it was surely not done
+/// must not be taken for the append.
+fn doubt(error: CallError) -> CallError {
+    CallError::Unknown(format!("a second copy was sent; the first: {error}"))
+}
+
 /// Sends copies until one is answered. One that is not answered gives way to the next after a time that
 /// doubles, since its answer may be lost as well.
 async fn until_answered<F>(send: impl Fn() -> F, limit: Duration) -> AppendOutcome
--- a/crates/sedgehilld/src/cell/relay.rs
+++ b/crates/sedgehilld/src/cell/relay.rs
@@ -95,6 +95,14 @@
         self.paths.borrow_mut().remove(&helper);
     }
 
+    /// Notes a call that is about to be sent, and forgets those that were given up since another copy
+    /// was answered first.
+    fn expect_answer(&self, number: u64, reply: oneshot::Sender<RelayAnswer>) {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|_, reply| !reply.is_closed());
+        waiting.insert(number, reply);
+    }
+
     /// Takes in an answer.
     pub fn take_answer(&self, number: u64, answer: RelayAnswer) {
         if let Some(reply) = self.waiting.borrow_mut().remove(&number) {
@@ -137,7 +145,7 @@
         let number = self.relay.next_number.get();
         self.relay.next_number.set(number + 1);
         let (reply, answer) = oneshot::channel();
-        self.relay.waiting.borrow_mut().insert(number, reply);
+        self.relay.expect_answer(number, reply);
         let frame = PeerFrame::Relay { number, call }.encode();
         let sent =
             self.helpers.borrow().get(&helper).is_some_and(|queue| queue.try_send(frame).is_ok());
