standin: boxes of tests listen on ports that outgoing connections are not given

Ports were taken from the system's range for outgoing connections and released before the box listened there. Ruled out: the code of the box. wait_ready now prints its log: could not listen, address already in use. Change: ports below that range, counted up within a process, with begins that differ between processes.

--- a/crates/sedgehill-standin/src/cell_process.rs
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
@@ -72,7 +73,8 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
-        Ok(CellProcess { child, callers: self.callers, ready: self.ready })
+        let log = self.log_path(directory);
+        Ok(CellProcess { child, callers: self.callers, ready: self.ready, log })
     }
 
     /// Where the log lies.
@@ -88,9 +90,18 @@
     pub callers: SocketAddr,
     /// Where it says whether it is ready.
     pub ready: SocketAddr,
+    log: PathBuf,
 }
 
 impl CellProcess {
+    /// The last lines of its log, to tell why something did not come.
+    pub fn last_lines(&self) -> String {
+        const LINES: usize = 12;
+        let Ok(text) = std::fs::read_to_string(&self.log) else { return "no log".to_owned() };
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(LINES)..].join("\n")
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         // The process may have ended meanwhile.
@@ -116,11 +127,25 @@
     }
 }
 
-/// Addresses that were free a moment ago, all different.
+/// Ports for boxes: below those that the system gives to outgoing connections, which would take a port
+/// between the moment it is chosen and the moment the box listens there.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+/// How far apart processes begin to choose, so that they seldom meet.
+const PORT_STRIDE: u32 = 997;
+
+/// Addresses that were free a moment ago, which this process does not choose again soon.
 fn free_addresses() -> [SocketAddr; 4] {
-    let listeners =
-        [(); 4].map(|()| TcpListener::bind(("127.0.0.1", 0)).expect("loopback can be listened on"));
-    listeners.map(|listener| listener.local_addr().expect("a listener has an address"))
+    static CHOSEN: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    let begin = std::process::id().wrapping_mul(PORT_STRIDE);
+    [(); 4].map(|()| {
+        let choices = (0..count).map(|_| {
+            let place = begin.wrapping_add(CHOSEN.fetch_add(1, Ordering::Relaxed)) % count;
+            SocketAddr::from(([127, 0, 0, 1], PORTS.start + place as u16))
+        });
+        let is_free = |address: &SocketAddr| TcpListener::bind(address).is_ok();
+        choices.into_iter().find(is_free).expect("one of many ports is free")
+    })
 }
 
 /// One call on a connection of its own: the status and the body; none without a whole answer.
--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -67,11 +67,15 @@
 }
 
 async fn wait_ready(process: &CellProcess) {
-    wait_for("readiness", async || {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
         let answer = call(process.ready, "GET", "/sedgehill/readyz", "").await;
-        answer.is_some_and(|(status, _)| status == 200)
-    })
-    .await;
+        if answer.is_some_and(|(status, _)| status == 200) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "readiness did not come:\n{}", process.last_lines());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
 }
 
 /// Waits until a box says in its log that it leads.
