--- a/crates/sedgehill-cell/src/patience.rs
+++ b/crates/sedgehill-cell/src/patience.rs
@@ -19,7 +19,8 @@
 }
 
 /// Calls to the store: a sound one answers within some 10 ms, and a slow one lets appends wait for up to
-/// two seconds. Each failure doubles the limit, so that a slow store is not flooded.
+/// two seconds. A failure that is noted doubles the limit; hedged appends note none, and double the time
+/// between their copies instead.
 pub const STORE_PATIENCE: PatienceBounds = PatienceBounds {
     least: Duration::from_millis(150),
     most: Duration::from_millis(2_500),
--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -3,8 +3,8 @@
 //! A step that only few workers may run finds all of them full most of the time, while less urgent work
 //! there could run later, or elsewhere, and still end in time. What is stopped goes on from its saved
 //! state. The room that comes free is claimed for the step, since others would take it.
-//! A queue of tasks that need half a worker or all of it earned 0.89 of its worth instead of 0.84 by it, and
-//! the one that was displaced 0.978 instead of 0.985, the mean of 20 paired days.
+//! Where a queue needs half or whole workers, all queues together earned a worth of 0.844 instead of 0.822
+//! by it, the mean of 15 paired days.
 
 use std::cmp::Reverse;
 
--- a/crates/sedgehilld/src/cell/hedge.rs
+++ b/crates/sedgehilld/src/cell/hedge.rs
@@ -3,8 +3,8 @@
 //! An answer that does not come is either lost, or the store is slow, or the path is cut, and only time
 //! tells which. Giving the first copy up would cost a slow store's answer; waiting for it alone would
 //! cost as much when it is lost. A second copy does no harm: every append here carries a condition that
-//! the store checks, or records that may stand twice. On a day with a store sixty times slower, 14 of some
-//! 1,500 calls ended as unknown instead of 227.
+//! the store checks, or records that may stand twice. With the learned limit and renewals while
+//! fencing, 129 of some 1,500 calls ended as unknown instead of 227 on a day whose store turned slow.
 
 use std::time::{Duration, Instant};
 
