cell, standby: boxes that do not stand by are told states of jobs, not records

Starts went unanswered, workers were taken as silent.

Change: the strongest two to eight boxes follow records in full, the others get states and queues. Configurations are not passed on any more unless a box that the store does not answer asks. Strength counts the link as well.

Left: late answers of workers are still taken as their silence.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -15,6 +15,7 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use crate::ids::{BoxName, FencingToken};
+use crate::standby::LinkRate;
 
 /// A claim, a renewal or a resignation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -102,6 +103,13 @@
 }
 
 impl BoxStrength {
+    /// What a box can bear whose link carries `link`: work that takes a core in full takes so much of a
+    /// link too.
+    pub fn bounded_by(self, link: LinkRate) -> BoxStrength {
+        let by_link = link.bytes() / LINK_BYTES_PER_MILLICORE;
+        BoxStrength(self.0.min(u32::try_from(by_link).unwrap_or(u32::MAX)))
+    }
+
     /// Whether a box of this strength should give the lead to one of strength `other`. Handing over
     /// costs some tens of milliseconds of placing, so it must be worth it.
     pub fn yields_to(self, other: BoxStrength) -> bool {
@@ -109,6 +117,9 @@
     }
 }
 
+/// Bytes a second that a lead moves for each thousandth of a core that it takes: 25 % of a core and
+/// 5.1 MB/s, the busiest box of 97.
+const LINK_BYTES_PER_MILLICORE: u64 = 20_000;
 /// More cores than any box has.
 const MOST_CORES: f64 = 1_000_000.0;
 /// A lead yields to a box that is at least so much stronger, in thousandths of its own strength.
--- /dev/null
+++ b/crates/sedgehill-cell/src/brief.rs
@@ -0,0 +1,33 @@
+//! What a box that does not stand by to lead is told of jobs: their states, without the work.
+//!
+//! A box answers callers for the state of a job, and counts what waits; neither needs what the tasks
+//! are given, nor how far each of them is. Only boxes that may have to lead follow all of that.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{JobId, QueueName};
+use crate::progress::JobState;
+use crate::replica::CellReplica;
+
+/// What is known of one job, in short.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobBrief {
+    /// The job.
+    pub job: JobId,
+    /// Its state; none if the job is not accepted, or forgotten.
+    pub state: Option<JobState>,
+    /// The queue of a job none of whose tasks has begun.
+    pub waits_in: Option<QueueName>,
+}
+
+impl JobBrief {
+    /// What `replica` knows of a job.
+    pub fn of(replica: &CellReplica, job: JobId) -> JobBrief {
+        let known = replica.job(job);
+        JobBrief {
+            job,
+            state: known.map(|known| known.state()),
+            waits_in: known.and_then(|known| known.waits_in().cloned()),
+        }
+    }
+}
--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -7,14 +7,18 @@
 //! - [`job`] describes jobs as callers hand them in, and the policy of the queue they came through.
 //! - [`progress`] is what must survive of a job's course.
 //! - [`replica`] folds the cell's records into the jobs that every box knows.
+//! - [`brief`] is what boxes are told of jobs that do not stand by to lead.
+//! - [`standby`] decides which boxes do.
 //! - [`authority`] decides which box leads the cell.
 //! - [`patience`] decides how long to wait for the store.
 //! - [`scheduler`] is the lead's own state: workers, runs, waiting tasks and orders.
 
 pub mod authority;
+pub mod brief;
 pub mod ids;
 pub mod job;
 pub mod patience;
 pub mod progress;
 pub mod replica;
 pub mod scheduler;
+pub mod standby;
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -10,6 +10,7 @@
 use sedgehill_core::units::Moment;
 use serde::{Deserialize, Serialize};
 
+use crate::brief::JobBrief;
 use crate::ids::{CellIdError, JobId, QueueName};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
@@ -91,8 +92,13 @@
 /// One job as every box knows it.
 #[derive(Debug, Clone, Default)]
 pub struct KnownJob {
-    /// What was accepted; none if only later statements have been seen, or once the job is over.
+    /// What was accepted; none if only later statements have been seen, if only the state is followed,
+    /// or once the job is over.
     pub record: Option<Rc<JobRecord>>,
+    /// The queue of an accepted job that is not over; none if that was not told.
+    queue: Option<QueueName>,
+    /// Whether it is known to be accepted from its state alone.
+    told: bool,
     /// Whether the caller cancelled it.
     pub cancelled: bool,
     /// How far it is.
@@ -114,7 +120,7 @@
     }
 
     fn is_accepted(&self) -> bool {
-        self.record.is_some() || self.progress.state.is_final()
+        self.record.is_some() || self.told || self.progress.state.is_final()
     }
 
     /// What a new lead has to go by.
@@ -122,8 +128,9 @@
         JobProgress { ordered: self.led || self.progress.ordered, ..self.progress.clone() }
     }
 
-    fn is_waiting(&self) -> bool {
-        self.record.is_some() && self.state() == JobState::Pending
+    /// The queue in which the job waits; none if it has begun.
+    pub fn waits_in(&self) -> Option<&QueueName> {
+        self.queue.as_ref().filter(|_| self.state() == JobState::Pending)
     }
 }
 
@@ -186,8 +193,8 @@
 
     /// Takes in a record, heard at `now`.
     pub fn apply(&mut self, id: JobId, record: CellRecord, now: Moment) -> ReplicaChange {
+        let was_waiting = self.waits_in(id);
         let job = self.jobs.entry(id).or_default();
-        let was_waiting = job.is_waiting();
         let was_over = job.progress.state.is_final();
         job.led |= matches!(record, CellRecord::Led(_));
         job.direct |= matches!(record, CellRecord::Job(_));
@@ -196,6 +203,7 @@
                 ReplicaChange::Other
             }
             CellRecord::Job(record) | CellRecord::Led(record) => {
+                job.queue = Some(record.queue.clone());
                 job.record = Some(Rc::new(record));
                 ReplicaChange::Accepted(id)
             }
@@ -213,24 +221,51 @@
                 ReplicaChange::Other
             }
         };
-        let is_waiting = job.is_waiting();
-        if let Some(record) = &job.record
-            && was_waiting != is_waiting
-        {
-            let count = self.waiting.entry(record.queue.clone()).or_default();
-            match is_waiting {
-                true => *count += 1,
-                false => *count -= 1,
+        self.settle(id, was_waiting, was_over, now);
+        change
+    }
+
+    /// Takes in the state of a job, heard at `now`. The replica lacks what a lead needs from then on.
+    pub fn apply_brief(&mut self, brief: JobBrief, now: Moment) {
+        let Some(state) = brief.state else { return self.forget(brief.job) };
+        let was_waiting = self.waits_in(brief.job);
+        let job = self.jobs.entry(brief.job).or_default();
+        let was_over = job.progress.state.is_final();
+        job.told = true;
+        job.queue = job.queue.take().or(brief.waits_in);
+        match state {
+            // The job may still end otherwise, and then that is what callers are told.
+            JobState::Cancelled => job.cancelled = true,
+            _ if was_over => {}
+            state => job.progress.state = state,
+        }
+        self.settle(brief.job, was_waiting, was_over, now);
+    }
+
+    /// Brings the counts in line with a job that may have changed.
+    fn settle(&mut self, id: JobId, was_waiting: Option<QueueName>, was_over: bool, now: Moment) {
+        let waits = self.waits_in(id);
+        if was_waiting != waits {
+            if let Some(queue) = was_waiting {
+                self.waiting.entry(queue).and_modify(|count| *count -= 1);
+            }
+            if let Some(queue) = waits {
+                *self.waiting.entry(queue).or_default() += 1;
             }
         }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.progress.state.is_final() {
             // Only its state is asked for from now on.
             job.record = None;
+            job.queue = None;
             if !was_over {
                 self.ended.push_back((now, id));
             }
         }
-        change
+    }
+
+    fn waits_in(&self, id: JobId) -> Option<QueueName> {
+        self.jobs.get(&id).and_then(|job| job.waits_in().cloned())
     }
 
     /// Jobs that were over before `limit`, at most `most` of them. Those that a box put into the store
@@ -249,11 +284,8 @@
         } else {
             self.ended.retain(|(_, other)| *other != id);
         }
-        if job.is_waiting()
-            && let Some(record) = job.record
-            && let Some(count) = self.waiting.get_mut(&record.queue)
-        {
-            *count -= 1;
+        if let Some(queue) = job.waits_in() {
+            self.waiting.entry(queue.clone()).and_modify(|count| *count -= 1);
         }
     }
 }
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/brief.rs
@@ -0,0 +1,79 @@
+//! What boxes are told of jobs that do not stand by to lead.
+
+use sedgehill_cell::brief::JobBrief;
+use sedgehill_cell::ids::{JobId, QueueName};
+use sedgehill_cell::progress::{JobProgress, JobState};
+use sedgehill_cell::replica::{CellRecord, CellReplica};
+use sedgehill_core::units::Moment;
+
+use crate::fake::{job, step};
+
+const ID: JobId = JobId(7);
+const NOW: Moment = Moment(1_000);
+
+fn progress(state: JobState) -> CellRecord {
+    CellRecord::Progress(JobProgress { state, ..JobProgress::default() })
+}
+
+fn queue() -> QueueName {
+    job(vec![step(1, 1)]).queue
+}
+
+/// Applies a record to a replica of a lead, and what it means to one that is told states.
+fn tell(lead: &mut CellReplica, told: &mut CellReplica, record: CellRecord) {
+    lead.apply(ID, record, NOW);
+    told.apply_brief(JobBrief::of(lead, ID), NOW);
+}
+
+#[test]
+fn states_told_in_short_are_those_of_the_records() {
+    let (mut lead, mut told) = (CellReplica::default(), CellReplica::default());
+    tell(&mut lead, &mut told, CellRecord::Led(job(vec![step(2, 1)])));
+    assert_eq!(told.job(ID).unwrap().state(), JobState::Pending);
+    assert_eq!(told.waiting(&queue()), 1);
+    tell(&mut lead, &mut told, progress(JobState::Running));
+    assert_eq!(told.job(ID).unwrap().state(), JobState::Running);
+    assert_eq!(told.waiting(&queue()), 0);
+    tell(&mut lead, &mut told, progress(JobState::Completed));
+    assert_eq!(told.job(ID).unwrap().state(), JobState::Completed);
+    lead.forget(ID);
+    told.apply_brief(JobBrief::of(&lead, ID), NOW);
+    assert!(told.is_empty());
+}
+
+#[test]
+fn a_cancelled_job_waits_no_longer_and_may_still_be_told_as_completed() {
+    let (mut lead, mut told) = (CellReplica::default(), CellReplica::default());
+    tell(&mut lead, &mut told, CellRecord::Led(job(vec![step(1, 1)])));
+    tell(&mut lead, &mut told, CellRecord::Cancel);
+    assert_eq!(told.job(ID).unwrap().state(), JobState::Cancelled);
+    assert_eq!(told.waiting(&queue()), 0);
+    tell(&mut lead, &mut told, progress(JobState::Completed));
+    assert_eq!(told.job(ID).unwrap().state(), JobState::Completed);
+}
+
+#[test]
+fn what_is_not_accepted_is_not_told_as_a_job() {
+    let (mut lead, mut told) = (CellReplica::default(), CellReplica::default());
+    tell(&mut lead, &mut told, CellRecord::Cancel);
+    assert!(told.job(ID).is_none());
+}
+
+#[test]
+fn records_read_after_a_brief_make_the_job_whole() {
+    let (mut lead, mut told) = (CellReplica::default(), CellReplica::default());
+    tell(&mut lead, &mut told, CellRecord::Led(job(vec![step(1, 1)])));
+    assert!(told.job(ID).unwrap().record.is_none());
+    told.apply(ID, CellRecord::Led(job(vec![step(1, 1)])), NOW);
+    assert!(told.job(ID).unwrap().record.is_some());
+    assert_eq!(told.waiting(&queue()), 1);
+}
+
+#[test]
+fn a_late_brief_does_not_begin_an_ended_job_again() {
+    let mut told = CellReplica::default();
+    let brief = |state| JobBrief { job: ID, state: Some(state), waits_in: None };
+    told.apply_brief(brief(JobState::Completed), NOW);
+    told.apply_brief(brief(JobState::Running), NOW);
+    assert_eq!(told.job(ID).unwrap().state(), JobState::Completed);
+}
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod authority;
+mod brief;
 mod displacement;
 mod fake;
 mod led;
@@ -9,3 +10,4 @@
 mod random;
 mod replica;
 mod scheduler;
+mod standby;
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -154,10 +154,11 @@
     matches!(topic, StoreTopic::Jobs | StoreTopic::Progress)
 }
 
-/// The lead passes on what it reads.
+/// The lead passes on what it reads of the jobs. Each box reads the configuration by itself: passed on to
+/// 96 boxes, one of 256 KB would take a second of a link of 200 Mbit/s.
 fn pass_on(host: &CellBox, topic: StoreTopic, from: u64, records: &[KeyedRecord]) {
     if let Some(session) = &*host.session.borrow()
-        && topic != StoreTopic::Leads
+        && is_cell(topic)
     {
         session.feed(topic, from, records);
     }
@@ -185,6 +186,7 @@
         apply(host, topic, record);
     }
     view.offset.set(Some(newest.end));
+    view.whole.set(true);
     view.note_complete(asked);
     info!(host.log, "topic read";
         "topic" => ?topic, "records" => newest.records.len(), "end" => newest.end);
--- a/crates/sedgehilld/src/cell/frames.rs
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -1,12 +1,14 @@
 //! What boxes say to each other on their links to the lead.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::BoxStrength;
+use sedgehill_cell::brief::JobBrief;
 use sedgehill_cell::ids::{BoxName, JobId, StepId, WorkerLife};
 use sedgehill_cell::progress::JobState;
-use sedgehill_cell::replica::CellRecord;
+use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::AdviceQuestion;
 use sedgehill_core::units::TimeSpan;
 use serde::{Deserialize, Serialize};
@@ -49,6 +51,11 @@
 }
 
 impl FedRecords {
+    /// The offset after the last record.
+    pub fn end(&self) -> u64 {
+        self.from + self.records.len() as u64
+    }
+
     /// Packs records that begin at offset `from` into parts that fit into frames.
     pub fn pack(topic: StoreTopic, from: u64, records: &[KeyedRecord]) -> Vec<FedRecords> {
         let mut parts: Vec<FedRecords> = Vec::new();
@@ -66,6 +73,49 @@
     }
 }
 
+/// What the records of a stretch of a topic mean for the states of jobs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FedBriefs {
+    /// The topic.
+    pub topic: StoreTopic,
+    /// The offset of the first record.
+    pub from: u64,
+    /// The offset after the last.
+    pub end: u64,
+    /// The jobs that the records speak of, as they are known now.
+    pub jobs: Vec<JobBrief>,
+}
+
+impl FedBriefs {
+    /// Sums up records as `replica` knows their jobs, a stretch for each topic.
+    pub fn sum_up(parts: &[FedRecords], replica: &CellReplica) -> Vec<FedBriefs> {
+        let mut stretches: Vec<(FedBriefs, BTreeSet<JobId>)> = Vec::new();
+        for part in parts {
+            let follows = |(stretch, _): &&mut (FedBriefs, BTreeSet<JobId>)| {
+                stretch.topic == part.topic && stretch.end == part.from
+            };
+            let ids = part.records.iter().filter_map(|(key, _)| CellRecord::decode_key(key).ok());
+            let ids = ids.map(|(_, id)| id);
+            match stretches.iter_mut().find(follows) {
+                Some((stretch, jobs)) => {
+                    stretch.end = part.end();
+                    jobs.extend(ids);
+                }
+                None => {
+                    let FedRecords { topic, from, .. } = *part;
+                    let stretch = FedBriefs { topic, from, end: part.end(), jobs: Vec::new() };
+                    stretches.push((stretch, ids.collect()));
+                }
+            }
+        }
+        let tell = |(stretch, jobs): (FedBriefs, BTreeSet<JobId>)| FedBriefs {
+            jobs: jobs.into_iter().map(|job| JobBrief::of(replica, job)).collect(),
+            ..stretch
+        };
+        stretches.into_iter().map(tell).collect()
+    }
+}
+
 /// How far the lead's own views reach.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ViewProof {
@@ -151,8 +201,12 @@
         /// What the lead knows.
         answer: StateAnswer,
     },
-    /// What the lead has read or written.
+    /// What the lead has read or written, for boxes that stand by to lead.
     Records(FedRecords),
+    /// The same in short, for the others.
+    Briefs(FedBriefs),
+    /// Whether the box is to stand by.
+    StandBy(bool),
     /// The lead has a box call the store for it.
     Relay {
         /// Told again in the answer.
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -10,6 +10,7 @@
 use sedgehill_cell::ids::{FencingToken, JobId};
 use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE};
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
+use sedgehill_cell::standby::StandbySet;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
 use tokio::sync::Notify;
@@ -45,6 +46,10 @@
 /// than all boxes take to find the lead at a start.
 const YIELD_AFTER: TimeSpan = TimeSpan(1_500);
 
+/// How much longer a box waits that does not know what a lead needs: longer than all boxes take that stand
+/// by.
+const STANDBY_LEAD: TimeSpan = TimeSpan(1_200);
+
 /// What a box does while it leads.
 pub struct LeadSession {
     /// The token of this lead.
@@ -71,6 +76,8 @@
     pub stuck: Cell<bool>,
     /// The strengths of those boxes.
     pub strengths: RefCell<HashMap<HelperId, BoxStrength>>,
+    /// Which of them stand by to lead.
+    pub standbys: RefCell<StandbySet>,
     /// Since when a much stronger box has helped.
     pub outdone: Cell<Option<Moment>>,
     /// When the store last answered an append.
@@ -142,6 +149,15 @@
         }
         let now = clock::now();
         host.watch.borrow_mut().note_store_lag(host.store_lag());
+        if !host.could_lead() {
+            // Boxes that stand by go first. If none is left, this one begins to follow everything.
+            let begins = Moment(now.0.saturating_sub(STANDBY_LEAD.0));
+            if host.watch.borrow().should_claim(begins, rank, &host.settings.authority) {
+                info!(host.log, "no box that stands by leads"; "lag_ms" => host.store_lag().0);
+                host.read_anew();
+            }
+            continue;
+        }
         let holder = host.watch.borrow().is_holder();
         if holder || host.watch.borrow().should_claim(now, rank, &host.settings.authority) {
             let predecessor = has_living_predecessor(&host);
@@ -233,6 +249,7 @@
         in_flight: RefCell::default(),
         stuck: Cell::default(),
         strengths: RefCell::default(),
+        standbys: RefCell::new(StandbySet::new(host.settings.link, began)),
         outdone: Cell::default(),
         answered: Cell::new(clock::now()),
         store_back: Notify::new(),
@@ -258,7 +275,7 @@
         () = renewing.as_mut() => {}
         () = recorder.run(host, &session) => {}
         () = roster::follow(host, &session) => {}
-        () = peers::feed(&session) => {}
+        () = peers::feed(host, &session) => {}
         () = take_turns(host, &session) => {}
     }
     session.ended.set(true);
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -15,13 +15,15 @@
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_core::units::{Moment, TimeSpan};
-use slog::warn;
+use slog::{info, warn};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
 
 use super::accept::AcceptOutcome;
-use super::frames::{FedRecords, PeerFrame, StateAnswer, ViewProof, read_frame, write_frame};
+use super::frames::{
+    FedBriefs, FedRecords, PeerFrame, StateAnswer, ViewProof, read_frame, write_frame,
+};
 use super::state::CellBox;
 use super::{follow, orders, relay};
 use crate::clock;
@@ -100,8 +102,12 @@
         if !host.store_contact.is_silent() {
             return;
         }
-        let ends = [(StoreTopic::Jobs, proof.jobs_end), (StoreTopic::Progress, proof.progress_end)];
-        for (topic, end) in ends {
+        let mut missed =
+            vec![(StoreTopic::Jobs, proof.jobs_end), (StoreTopic::Progress, proof.progress_end)];
+        if host.config.borrow().version < proof.config {
+            missed.push((StoreTopic::Operators, u64::MAX));
+        }
+        for (topic, end) in missed {
             let read = host.view(topic).and_then(|view| view.offset.get());
             if let Some(from) = read.filter(|read| *read < end) {
                 // A link that is overfull is of no use, and the next proof asks again.
@@ -258,6 +264,13 @@
                 }
             }
             PeerFrame::Records(fed) => take_records(host, fed),
+            PeerFrame::Briefs(fed) => take_briefs(host, fed),
+            PeerFrame::StandBy(stands_by) => {
+                info!(host.log, "role"; "stands_by" => stands_by, "whole" => host.could_lead());
+                if stands_by {
+                    host.read_anew();
+                }
+            }
             PeerFrame::Proof { number, proof: Some(proof) } => {
                 if let Some((asked, sent)) = link.probe.get()
                     && asked == number
@@ -283,20 +296,28 @@
 
 /// Takes in records that follow those already known. Others are read from the store.
 fn take_records(host: &CellBox, fed: FedRecords) {
-    let view = host.view(fed.topic);
-    let follows = view.is_some_and(|view| view.offset.get() == Some(fed.from));
-    // Of the configuration the version decides, so a gap does no harm.
-    let applies = follows || fed.topic == StoreTopic::Operators;
-    if !applies {
-        return;
-    }
-    let end = fed.from + fed.records.len() as u64;
-    for (key, value) in fed.records {
+    let Some(view) = host.view(fed.topic) else { return };
+    let (from, end) = (fed.from, fed.end());
+    let Some(known) = view.offset.get().filter(|known| (from..end).contains(known)) else { return };
+    for (key, value) in fed.records.into_iter().skip((known - from) as usize) {
         follow::apply(host, fed.topic, &KeyedRecord { key, value: value.into() });
     }
-    if let (true, Some(view)) = (follows, view) {
-        view.offset.set(Some(end));
+    view.offset.set(Some(end));
+}
+
+/// Takes in states that follow what is known. What is missing before them is read from the store.
+fn take_briefs(host: &CellBox, fed: FedBriefs) {
+    let Some(view) = host.view(fed.topic) else { return };
+    let (from, end) = (fed.from, fed.end);
+    let follows = view.offset.get().is_some_and(|known| (from..end).contains(&known));
+    if !follows {
+        return;
+    }
+    for brief in fed.jobs {
+        host.replica.borrow_mut().apply_brief(brief, clock::now());
     }
+    view.whole.set(false);
+    view.offset.set(Some(end));
 }
 
 /// Takes in how far the lead's views reached after `sent`.
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-use super::frames::{FedRecords, PeerFrame, ViewProof, read_frame};
+use super::frames::{FedBriefs, FedRecords, PeerFrame, ViewProof, read_frame};
 use super::lead::LeadSession;
 use super::orders;
 use super::state::CellBox;
@@ -86,6 +86,8 @@
     session.helpers.borrow_mut().insert(helper, queue);
     session.scheduler.borrow_mut().add_helper(helper);
     session.note_helper(host, helper, strength);
+    session.standbys.borrow_mut().join(helper, strength);
+    session.choose_standbys();
     info!(host.log, "helper joined";
         "box" => %name, "helper" => helper.0, "strength" => %strength);
 }
@@ -166,6 +168,8 @@
             | PeerFrame::State { .. }
             | PeerFrame::Relay { .. }
             | PeerFrame::Records(_)
+            | PeerFrame::Briefs(_)
+            | PeerFrame::StandBy(_)
             | PeerFrame::Proof { .. } => return,
         }
     }
@@ -200,7 +204,7 @@
 
 /// How far this box's views reach. What was passed on before this answer is ahead of it on the link.
 fn prove_views(host: &CellBox, session: &LeadSession) -> Option<ViewProof> {
-    session.pass_on_records();
+    session.pass_on_records(host);
     Some(ViewProof {
         config: host.config.borrow().version,
         config_age: host.config_view.age()?,
@@ -211,10 +215,10 @@
 }
 
 /// Passes records on to the other boxes as long as the lead lasts.
-pub async fn feed(session: &LeadSession) {
+pub async fn feed(host: &CellBox, session: &LeadSession) {
     loop {
         tokio::time::sleep(FEED_EVERY).await;
-        session.pass_on_records();
+        session.pass_on_records(host);
     }
 }
 
@@ -226,16 +230,43 @@
         }
     }
 
-    fn pass_on_records(&self) {
+    /// Passes on what was read and written: the records to the boxes that stand by, and what they mean to
+    /// the others.
+    fn pass_on_records(&self, host: &CellBox) {
         let parts = std::mem::take(&mut *self.fed.borrow_mut());
-        for part in parts {
-            let frame = PeerFrame::Records(part).encode();
-            self.helpers.borrow_mut().retain(|_, queue| queue.try_send(frame.clone()).is_ok());
+        if parts.is_empty() {
+            return;
+        }
+        let briefs = FedBriefs::sum_up(&parts, &host.replica.borrow());
+        let briefs: Vec<Rc<[u8]>> =
+            briefs.into_iter().map(|fed| PeerFrame::Briefs(fed).encode()).collect();
+        let records: Vec<Rc<[u8]>> =
+            parts.into_iter().map(|part| PeerFrame::Records(part).encode()).collect();
+        let bytes = records.iter().map(|frame| frame.len()).sum();
+        self.standbys.borrow_mut().note_fed(bytes, clock::now());
+        self.choose_standbys();
+        let standbys = self.standbys.borrow();
+        self.helpers.borrow_mut().retain(|helper, queue| {
+            let frames = if standbys.contains(*helper) { &records } else { &briefs };
+            frames.iter().all(|frame| queue.try_send(frame.clone()).is_ok())
+        });
+    }
+
+    /// Tells boxes that are to stand by from now on, or not any more.
+    fn choose_standbys(&self) {
+        let changes = self.standbys.borrow_mut().choose(clock::now());
+        let helpers = self.helpers.borrow();
+        for (helper, stands_by) in changes {
+            let Some(queue) = helpers.get(&helper) else { continue };
+            // A box whose queue is full is cut off with the next records.
+            let _ = queue.try_send(PeerFrame::StandBy(stands_by).encode());
         }
     }
 
     fn remove_helper(&self, helper: HelperId) {
         self.helpers.borrow_mut().remove(&helper);
+        self.standbys.borrow_mut().leave(helper);
+        self.choose_standbys();
         self.strengths.borrow_mut().remove(&helper);
         self.relay.remove(helper);
         self.scheduler.borrow_mut().remove_helper(helper, clock::now());
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -7,6 +7,7 @@
 use sedgehill_cell::authority::{AuthorityTiming, BoxStrength};
 use sedgehill_cell::ids::BoxName;
 use sedgehill_cell::scheduler::{CellPolicy, CellTiming};
+use sedgehill_cell::standby::LinkRate;
 use sedgehill_core::fields::{FieldReader, ManifestError, ManifestErrors};
 use sedgehill_core::units::TimeSpan;
 use serde_json::{Map, Value};
@@ -48,6 +49,8 @@
     pub advice: Option<SocketAddr>,
     /// What the box can bear: stronger boxes lead.
     pub strength: BoxStrength,
+    /// What the box's link carries.
+    pub link: LinkRate,
     /// Times of the scheduler.
     pub cell: CellTiming,
     /// Times of claims and renewals.
@@ -68,6 +71,9 @@
 const KEEP_RESERVE: TimeSpan = TimeSpan(30_000);
 /// The strength of a box whose settings tell none: that of the platform's usual boxes.
 const DEFAULT_STRENGTH: BoxStrength = BoxStrength(250);
+/// What the link of a box carries whose settings tell nothing: 1,000 Mbit/s, as those of the platform's
+/// usual boxes.
+const DEFAULT_LINK: LinkRate = LinkRate::from_bytes(125_000_000);
 
 impl CellSettings {
     /// Reads and checks a file.
@@ -105,6 +111,7 @@
     let store = reader.text("store");
     let advice = reader.optional_text("advice");
     let strength = reader.text_or("cores", DEFAULT_STRENGTH);
+    let link = reader.text_or("link_mbps", DEFAULT_LINK);
     let cell = optional_group(reader, "cell", read_cell);
     let policy = optional_group(reader, "policy", read_policy);
     let grace = reader.text_or("stop_grace", TimeSpan(6_000));
@@ -117,7 +124,8 @@
         listen: listen?,
         store: store?,
         advice,
-        strength: strength?,
+        strength: strength?.bounded_by(link?),
+        link: link?,
         cell: CellTiming { policy: policy?, ..cell? },
         authority: AuthorityTiming::default(),
         keep_ended: TimeSpan(keep_ended?.0 + KEEP_RESERVE.0),
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -32,6 +32,8 @@
 pub struct TopicView {
     /// The offset to read next; none before the first reading.
     pub offset: Cell<Option<u64>>,
+    /// Whether every record up to there was taken in, and not only what it says of states.
+    pub whole: Cell<bool>,
     fresh: Cell<Option<Moment>>,
     fed: Cell<Option<Moment>>,
 }
@@ -266,6 +268,20 @@
         self.lead_knows_jobs() || (self.knows_jobs() && reaches_store)
     }
 
+    /// Whether this box knows of the jobs what a lead needs.
+    pub fn could_lead(&self) -> bool {
+        self.jobs_view.whole.get() && self.progress_view.whole.get()
+    }
+
+    /// Has the jobs and their progress read from the start, so that this box could lead.
+    pub fn read_anew(&self) {
+        for view in [&self.jobs_view, &self.progress_view] {
+            if !view.whole.get() {
+                view.offset.set(None);
+            }
+        }
+    }
+
     /// Whether the jobs and their progress are known but for the last moments.
     pub fn knows_jobs(&self) -> bool {
         self.jobs_view.is_fresh() && self.progress_view.is_fresh()
