cell: answers of workers that come late are taken, repeats have a budget

Cause: an account that was not answered in some 0.8 s was given up, though the worker had answered it and its answer stood in a full link. Starts and stops were repeated each 0.1 to 0.2 s and filled the link further, until nothing was served.

Change: a call goes on after its limit and its late answer counts; an account that was overtaken brings no run back; the limit follows answers that are all late; repeats of starts are bounded to a fifth of first tries; unanswered stops become rarer.

The stand-in's workers now take a repeated start as the same run, as real ones do.

--- a/crates/sedgehill-cell/src/patience.rs
+++ b/crates/sedgehill-cell/src/patience.rs
@@ -4,8 +4,6 @@
 
 /// A call is given this many times the usual answer time.
 const USUAL_TIMES: u32 = 5;
-/// The usual answer time is averaged over about this many answers.
-const AVERAGED: u32 = 4;
 
 /// Between what limits calls of one kind wait, and how they go on after a failure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,6 +14,8 @@
     pub most: Duration,
     /// Whether each failure in a row doubles the time.
     pub doubles: bool,
+    /// The usual answer time is averaged over about this many answers.
+    pub averaged: u32,
 }
 
 /// Calls to the store: a sound one answers within some 10 ms, and a slow one lets appends wait for up to
@@ -25,15 +25,18 @@
     least: Duration::from_millis(150),
     most: Duration::from_millis(2_500),
     doubles: true,
+    averaged: 4,
 };
 
 /// Orders to workers, which answer within some 5 ms. An order may be sent again at no harm, and one
 /// worker that leaves orders unanswered says nothing about the others, so failures do not double the
-/// limit.
+/// limit. Answers of hundreds of workers that are all late, on the other hand, tell of this box's own link:
+/// the limit follows them, or each of them would be asked again and fill the link further.
 pub const ORDER_PATIENCE: PatienceBounds = PatienceBounds {
     least: Duration::from_millis(100),
-    most: Duration::from_millis(400),
+    most: Duration::from_millis(2_000),
     doubles: false,
+    averaged: 32,
 };
 
 /// Learns how long answers usually take. A lost answer is noticed soon while the other side is quick,
@@ -58,7 +61,7 @@
 
     /// How long the next call may take.
     pub fn limit(&self) -> Duration {
-        let PatienceBounds { least, most, doubles } = self.bounds;
+        let PatienceBounds { least, most, doubles, .. } = self.bounds;
         let limit = (self.usual * USUAL_TIMES).clamp(least, most);
         match doubles {
             true => limit.saturating_mul(1 << self.failures.min(5)).min(most),
@@ -70,7 +73,7 @@
     pub fn note_answer(&mut self, took: Duration) {
         self.usual = match self.usual {
             Duration::ZERO => took,
-            usual => (usual * (AVERAGED - 1) + took) / AVERAGED,
+            usual => (usual * (self.bounds.averaged - 1) + took) / self.bounds.averaged,
         };
         self.failures = 0;
     }
@@ -80,3 +83,38 @@
         self.failures += 1;
     }
 }
+
+/// Repeats allowed for each hundred first calls. On a lossy path up to a seventh of the calls get lost.
+const REPEATS_PERCENT: u32 = 20;
+/// Repeats allowed at once when there were none for long.
+const REPEATS_MOST: u32 = 50;
+
+/// Bounds repeated calls to a share of first ones: where most calls go unanswered because a link is full,
+/// repeating them all would keep it full.
+#[derive(Debug, Clone, Copy)]
+pub struct RepeatBudget {
+    /// In hundredths of a call.
+    left: u32,
+}
+
+impl Default for RepeatBudget {
+    fn default() -> RepeatBudget {
+        RepeatBudget { left: REPEATS_MOST * 100 }
+    }
+}
+
+impl RepeatBudget {
+    /// Notes a first call.
+    pub fn note_first(&mut self) {
+        self.left = (self.left + REPEATS_PERCENT).min(REPEATS_MOST * 100);
+    }
+
+    /// Takes a repeat out of the budget; false if there is none left.
+    pub fn take(&mut self) -> bool {
+        let allowed = self.left >= 100;
+        if allowed {
+            self.left -= 100;
+        }
+        allowed
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -88,6 +88,11 @@
                 self.workers[key.0].await_record(end.number, batch);
             }
         }
+        // What ran at the time of an older account, one that was overtaken, tells nothing any more.
+        if sent < self.workers[key.0].account_asked {
+            return;
+        }
+        self.workers[key.0].account_asked = sent;
         for row in &report.running {
             self.take_running(key, row, now);
         }
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -37,7 +37,7 @@
 pub use self::policy::CellPolicy;
 pub use self::timing::CellTiming;
 use self::work::{JobWork, OrderedMark, TaskPhase};
-use self::worker::{RunPhase, WorkerState, WorkerTrust};
+use self::worker::{RunPhase, StopTry, WorkerState, WorkerTrust};
 use crate::ids::{CellTask, FencingToken, JobId, QueueName, RunNumber, WorkerLife};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
@@ -320,7 +320,7 @@
         if matches!(entry.phase, RunPhase::Stopping(_) | RunPhase::Stopped) {
             return;
         }
-        entry.phase = RunPhase::Stopping(now);
+        entry.phase = RunPhase::Stopping(StopTry::first(now));
         let life = worker.entry.life.clone();
         self.events.push(CellEvent::Stopping { task, run, worker: life, reason });
         self.orders.push(CellOrder::Stop(StopOrder { worker: key, task, run }));
@@ -330,11 +330,9 @@
         let again = self.timing.stop_again;
         for (number, worker) in self.workers.iter_mut().enumerate() {
             for (task, run) in &mut worker.runs {
-                let RunPhase::Stopping(sent) = run.phase else { continue };
-                if now < sent.after(again) {
-                    continue;
-                }
-                run.phase = RunPhase::Stopping(now);
+                let RunPhase::Stopping(stop) = run.phase else { continue };
+                let Some(stop) = stop.next(again, now) else { continue };
+                run.phase = RunPhase::Stopping(stop);
                 let order = StopOrder { worker: WorkerKey(number), task: *task, run: run.run };
                 self.orders.push(CellOrder::Stop(order));
             }
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -17,12 +17,39 @@
     Ordered,
     /// The worker said that it runs.
     Confirmed,
-    /// It is to be stopped; set to when the last stop was sent.
-    Stopping(Moment),
+    /// It is to be stopped; set to the last stop that was sent.
+    Stopping(StopTry),
     /// A stop was answered; the end is about to be listed.
     Stopped,
 }
 
+/// A stop that was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopTry {
+    /// When.
+    pub sent: Moment,
+    /// How many were sent before it.
+    pub earlier: u32,
+}
+
+/// The pause between stops grows to at most this many doublings of the first.
+const STOP_DOUBLINGS: u32 = 3;
+
+impl StopTry {
+    /// The first stop of a run.
+    pub fn first(sent: Moment) -> StopTry {
+        StopTry { sent, earlier: 0 }
+    }
+
+    /// The next one, if it is due. Stops that are not answered become rarer: where answers are late
+    /// because a link is full, repeats would fill it further.
+    pub fn next(self, again: TimeSpan, now: Moment) -> Option<StopTry> {
+        let pause = TimeSpan(again.0 << self.earlier.min(STOP_DOUBLINGS));
+        let due = now >= self.sent.after(pause);
+        due.then_some(StopTry { sent: now, earlier: self.earlier + 1 })
+    }
+}
+
 /// One run on a worker. It takes room until its end is listed.
 #[derive(Debug, Clone)]
 pub struct WorkerRun {
@@ -89,6 +116,8 @@
     pub free: ResourceSet,
     /// When it last answered.
     pub answered: Option<Moment>,
+    /// When the newest account that was taken in had been asked for.
+    pub account_asked: Moment,
     /// Calls in a row without an answer.
     pub silent_calls: u32,
     /// No new work before then.
@@ -122,6 +151,7 @@
             fenced: false,
             runs: HashMap::new(),
             answered: None,
+            account_asked: Moment(0),
             silent_calls: 0,
             avoid_until: Moment(0),
             bad_signs: 0,
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions of one cell.
 
+mod accounts;
 mod advice;
 mod authority;
 mod brief;
--- a/crates/sedgehill-cell/tests/testsuite/patience.rs
+++ b/crates/sedgehill-cell/tests/testsuite/patience.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE, STORE_PATIENCE};
+use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE, RepeatBudget, STORE_PATIENCE};
 
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -55,3 +55,30 @@
     }
     assert!(patience.limit() >= millis(250), "{:?}", patience.limit());
 }
+
+#[test]
+fn answers_that_are_all_late_are_waited_for() {
+    let mut patience = CallPatience::new(ORDER_PATIENCE);
+    for _ in 0..100 {
+        patience.note_answer(millis(300));
+    }
+    assert!(patience.limit() >= millis(1_400), "{:?}", patience.limit());
+    // One late answer among many says nothing.
+    let mut patience = CallPatience::new(ORDER_PATIENCE);
+    for _ in 0..100 {
+        patience.note_answer(millis(4));
+    }
+    patience.note_answer(millis(600));
+    assert!(patience.limit() <= millis(120), "{:?}", patience.limit());
+}
+
+#[test]
+fn repeats_are_a_share_of_first_calls() {
+    let mut budget = RepeatBudget::default();
+    let mut repeats = 0;
+    for _ in 0..1_000 {
+        budget.note_first();
+        repeats += u32::from(budget.take());
+    }
+    assert!((200..=250).contains(&repeats), "{repeats}");
+}
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use http::{Request, StatusCode};
@@ -26,6 +27,8 @@
     runs: BTreeMap<String, (u64, Instant)>,
     ends: Vec<(u64, String, u64, &'static str, String)>,
     next_end: u64,
+    /// The highest run of each task that ended here.
+    floor: BTreeMap<String, u64>,
 }
 
 #[derive(Debug, Default)]
@@ -43,6 +46,8 @@
 pub struct StandinWorkers {
     begun: Instant,
     state: Mutex<PoolState>,
+    /// How much later than they are given all answers arrive, in milliseconds.
+    delay_ms: AtomicU64,
 }
 
 /// The name of a worker's life.
@@ -63,7 +68,11 @@
     pub fn new(count: usize) -> StandinWorkers {
         let workers = (0..count).map(|_| WorkerState { next_end: 1, ..WorkerState::default() });
         let state = PoolState { workers: workers.collect(), ..PoolState::default() };
-        StandinWorkers { begun: Instant::now(), state: Mutex::new(state) }
+        StandinWorkers {
+            begun: Instant::now(),
+            state: Mutex::new(state),
+            delay_ms: AtomicU64::new(0),
+        }
     }
 
     /// What happened that must never happen.
@@ -71,6 +80,12 @@
         self.state.lock().violations.clone()
     }
 
+    /// Has all answers arrive late from now on, as over a link that is full. An end counts as noted once it
+    /// was listed, since its answer does arrive.
+    pub fn delay_answers(&self, delay: Duration) {
+        self.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Runs that were begun.
     pub fn starts(&self) -> usize {
         self.state.lock().starts
@@ -107,6 +122,8 @@
 impl WorkerState {
     fn end(&mut self, task: &str, run: u64, how: &'static str) {
         self.runs.remove(task);
+        let floor = self.floor.entry(task.to_owned()).or_default();
+        *floor = run.max(*floor);
         self.ends.push((self.next_end, task.to_owned(), run, how, String::new()));
         self.next_end += 1;
     }
@@ -128,11 +145,21 @@
     ticket: Option<String>,
 }
 
-/// Answers an order to one worker.
+/// Answers an order to one worker, late if that was asked for.
 pub async fn answer(
     pool: Arc<StandinWorkers>,
     number: usize,
     request: Request<Incoming>,
+) -> JsonResponse {
+    let response = obey(pool.clone(), number, request).await;
+    tokio::time::sleep(Duration::from_millis(pool.delay_ms.load(Ordering::Relaxed))).await;
+    response
+}
+
+async fn obey(
+    pool: Arc<StandinWorkers>,
+    number: usize,
+    request: Request<Incoming>,
 ) -> JsonResponse {
     let path = request.uri().path().to_owned();
     let intended = request.headers().get("target-instance").cloned();
@@ -178,6 +205,15 @@
     if order.deadline_ms < clock {
         return refuse("late", clock);
     }
+    let worker = &mut state.workers[number];
+    if worker.runs.get(&order.task).is_some_and(|(run, _)| *run == order.run) {
+        // The same order again.
+        worker.lease_until = worker.lease_until.max(order.deadline_ms);
+        return json(&serde_json::json!({ "clock_ms": clock }));
+    }
+    if worker.floor.get(&order.task).is_some_and(|floor| order.run <= *floor) {
+        return refuse("old", clock);
+    }
     if state.workers.iter().any(|worker| worker.runs.contains_key(&order.task)) {
         state.violations.push(format!("{} runs twice", order.task));
     }
@@ -213,6 +249,10 @@
             noted.extend(seen.filter(|end| end.3 == "done").map(|end| end.1.clone()));
             worker.ends.retain(|end| end.0 > order.last_seen);
             if !worker.ends.is_empty() || Instant::now() >= deadline {
+                if pool.delay_ms.load(Ordering::Relaxed) > 0 {
+                    let listed = worker.ends.iter().filter(|end| end.3 == "done");
+                    noted.extend(listed.map(|end| end.1.clone()));
+                }
                 let running: Vec<(&str, u64, &str, u64)> = worker
                     .runs
                     .iter()
--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -406,6 +406,7 @@
         ("{{port_range.0}}", "3"),
         ("{{platform.address}}", "127.0.0.1:5"),
         ("{{limits.cpu_share}}", "0.25"),
+        ("{{limits.link_mbps}}", "1000.0"),
         ("{{bounds.max_hold_ms}}", "6000"),
         ("{{bounds.stop_ms}}", "400"),
         ("{{bounds.status_s}}", "120"),
@@ -423,3 +424,24 @@
         .unwrap();
     assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
 }
+
+#[tokio::test]
+async fn ends_that_are_heard_late_do_not_let_a_task_begin_again() {
+    build_binaries();
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(3).await.unwrap();
+    platform.configure(1);
+    let only = start_box(directory.path(), "box-1", &platform);
+    wait_ready(&only).await;
+    submit(&[&only], 1).await;
+    wait_completed(&only, 1).await;
+    // Longer than an account is waited for, which is some 0.8 s.
+    platform.workers.delay_answers(Duration::from_millis(1_200));
+    for id in 2..5 {
+        submit(&[&only], id).await;
+    }
+    for id in 2..5 {
+        wait_completed(&only, id).await;
+    }
+    assert_kept(&platform);
+}
--- /dev/null
+++ b/crates/sedgehilld/src/cell/late.rs
@@ -0,0 +1,33 @@
+//! Calls whose answers are taken also when they come late.
+//!
+//! A worker that lists an end has told it, whether or not the answer comes in time: the end must not be
+//! lost, or the task would begin again after its worker's lease. So a call that is not answered in the
+//! usual time counts as unanswered for what is decided next, but it goes on.
+
+use std::time::Duration;
+
+/// How long a late answer is waited for. A run whose worker is not heard for longer than its lease of 4 s
+/// begins elsewhere, so the answers until then matter.
+const LATE_LIMIT: Duration = Duration::from_millis(4_500);
+
+/// How long a call may take in all of which `limit` is waited for.
+pub fn whole_limit(limit: Duration) -> Duration {
+    limit + LATE_LIMIT
+}
+
+/// Waits for a call for at most `limit`. If there is no answer by then, the call goes on, and `late` is
+/// told its answer.
+pub async fn wait_for<T: 'static>(
+    call: impl Future<Output = T> + 'static,
+    limit: Duration,
+    late: impl FnOnce(T) + 'static,
+) -> Option<T> {
+    let mut call = Box::pin(call);
+    match tokio::time::timeout(limit, call.as_mut()).await {
+        Ok(answer) => Some(answer),
+        Err(_) => {
+            tokio::task::spawn_local(async move { late(call.await) });
+            None
+        }
+    }
+}
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -8,7 +8,7 @@
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::{BoxStrength, LeadRecord};
 use sedgehill_cell::ids::{FencingToken, JobId};
-use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE};
+use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE, RepeatBudget};
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
 use sedgehill_cell::standby::StandbySet;
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -66,6 +66,8 @@
     pub relay: RelayDesk,
     /// How long a start or a stop may take.
     pub order_patience: RefCell<CallPatience>,
+    /// How many starts may be sent again.
+    pub repeats: RefCell<RepeatBudget>,
     /// Records that are to be passed on to them.
     pub fed: RefCell<Vec<FedRecords>>,
     /// What callers said, on its way into the store.
@@ -244,6 +246,7 @@
         helpers: RefCell::default(),
         relay: RelayDesk::default(),
         order_patience: RefCell::new(CallPatience::new(ORDER_PATIENCE)),
+        repeats: RefCell::default(),
         fed: RefCell::default(),
         submissions: RefCell::default(),
         in_flight: RefCell::default(),
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod frames;
 mod hedge;
+mod late;
 mod lead;
 mod link;
 mod orders;
--- a/crates/sedgehilld/src/cell/orders.rs
+++ b/crates/sedgehilld/src/cell/orders.rs
@@ -13,6 +13,7 @@
 use slog::warn;
 
 use super::frames::{HelperQuestion, PeerFrame};
+use super::late;
 use super::lead::LeadSession;
 use super::roster::{self, target_of};
 use super::state::CellBox;
@@ -38,10 +39,19 @@
     }
 }
 
-async fn start(host: &CellBox, session: &LeadSession, order: StartOrder) {
+async fn start(host: &Rc<CellBox>, session: &Rc<LeadSession>, order: StartOrder) {
     let target = target_of(session, order.worker);
+    session.repeats.borrow_mut().note_first();
     let answer = match try_start(host, session, &target, &order).await {
-        WorkerAnswer::Unknown => repeat_start(host, session, &target, &order).await,
+        // The same run again: it begins once at the most, and a worker that left one order unanswered
+        // mostly answers the next. Only "done" settles it, since the first copy may still be carried out
+        // whatever the second meets.
+        WorkerAnswer::Unknown if session.repeats.borrow_mut().take() => {
+            match try_start(host, session, &target, &order).await {
+                WorkerAnswer::Done(clock) => WorkerAnswer::Done(clock),
+                WorkerAnswer::NotDone(_) | WorkerAnswer::Unknown => WorkerAnswer::Unknown,
+            }
+        }
         answer => answer,
     };
     session.scheduler.borrow_mut().start_answered(&order, answer, clock::now());
@@ -49,55 +59,57 @@
 }
 
 async fn try_start(
-    host: &CellBox,
-    session: &LeadSession,
+    host: &Rc<CellBox>,
+    session: &Rc<LeadSession>,
     target: &WorkerTarget,
     order: &StartOrder,
 ) -> WorkerAnswer<WorkerTime> {
     if !session.may_order(host) {
         return WorkerAnswer::NotDone(WorkerRefusal::Withheld);
     }
-    let calling = |limit| host.clients.workers.start(target, order, session.token, limit);
+    let (workers, token) = (host.clients.workers.clone(), session.token);
+    let (target, order) = (target.clone(), order.clone());
+    let calling = |whole| async move { workers.start(&target, &order, token, whole).await };
     call_worker(session, calling).await
 }
 
-/// Sends a start again that was not answered: it is the same run, so it begins once at the most, and a
-/// worker that left one order unanswered mostly answers the next. Only "done" settles it, since the
-/// first copy may still be carried out whatever the second meets.
-async fn repeat_start(
-    host: &CellBox,
-    session: &LeadSession,
-    target: &WorkerTarget,
-    order: &StartOrder,
-) -> WorkerAnswer<WorkerTime> {
-    match try_start(host, session, target, order).await {
-        WorkerAnswer::Done(clock) => WorkerAnswer::Done(clock),
-        WorkerAnswer::NotDone(_) | WorkerAnswer::Unknown => WorkerAnswer::Unknown,
-    }
-}
-
-/// Makes a call to a worker, for as long as answers of workers usually take.
-async fn call_worker<T, F>(
-    session: &LeadSession,
+/// Makes a call to a worker and waits for as long as answers of workers usually take. One that comes later
+/// tells how long they take now.
+async fn call_worker<F>(
+    session: &Rc<LeadSession>,
     calling: impl FnOnce(Duration) -> F,
-) -> WorkerAnswer<T>
+) -> WorkerAnswer<WorkerTime>
 where
-    F: Future<Output = WorkerAnswer<T>>,
+    F: Future<Output = WorkerAnswer<WorkerTime>> + 'static,
 {
     let limit = session.order_patience.borrow().limit();
     let sent = Instant::now();
-    let answer = calling(limit).await;
-    if let WorkerAnswer::Done(_) = answer {
-        session.order_patience.borrow_mut().note_answer(sent.elapsed());
+    let learn = {
+        let session = session.clone();
+        move |answer: &WorkerAnswer<WorkerTime>| {
+            if let WorkerAnswer::Done(_) = answer {
+                session.order_patience.borrow_mut().note_answer(sent.elapsed());
+            }
+        }
+    };
+    let late_learn = learn.clone();
+    let calling = calling(late::whole_limit(limit));
+    match late::wait_for(calling, limit, move |answer| late_learn(&answer)).await {
+        Some(answer) => {
+            learn(&answer);
+            answer
+        }
+        None => WorkerAnswer::Unknown,
     }
-    answer
 }
 
-async fn stop(host: &CellBox, session: &LeadSession, order: StopOrder) {
+async fn stop(host: &Rc<CellBox>, session: &Rc<LeadSession>, order: StopOrder) {
     let target = target_of(session, order.worker);
     let answer = match session.may_order(host) {
         true => {
-            let calling = |limit| host.clients.workers.stop(&target, &order, session.token, limit);
+            let (workers, token) = (host.clients.workers.clone(), session.token);
+            let (target, order) = (target.clone(), order.clone());
+            let calling = |whole| async move { workers.stop(&target, &order, token, whole).await };
             call_worker(session, calling).await
         }
         false => WorkerAnswer::NotDone(WorkerRefusal::Withheld),
--- a/crates/sedgehilld/src/cell/roster.rs
+++ b/crates/sedgehilld/src/cell/roster.rs
@@ -6,10 +6,11 @@
 use sedgehill_adapter::store::StoreTopic;
 use sedgehill_adapter::worker::WorkerTarget;
 use sedgehill_adapter::worker_list::decode_entry;
-use sedgehill_cell::scheduler::{HoldOrder, WorkerAnswer, WorkerKey};
+use sedgehill_cell::scheduler::{HoldOrder, HoldReport, WorkerAnswer, WorkerKey};
 use sedgehill_core::units::TimeSpan;
 use slog::warn;
 
+use super::late;
 use super::lead::LeadSession;
 use super::state::CellBox;
 use crate::clock;
@@ -71,15 +72,9 @@
             tokio::time::sleep(HOLD_PAUSE).await;
             continue;
         }
-        let sent = clock::now();
-        let store_answers = session.store_answers(&host);
-        let order = session.scheduler.borrow_mut().hold_order(key, store_answers, sent);
-        let limit = session.order_patience.borrow().limit();
-        let answer = host.clients.workers.hold(&target, &order, session.token, limit).await;
-        let failed_before =
-            std::mem::replace(&mut failed, !matches!(answer, WorkerAnswer::Done(_)));
-        session.scheduler.borrow_mut().hold_answered(key, answer, sent, clock::now());
-        session.wake.notify_one();
+        let order = next_hold(&host, &session, key);
+        let answered = ask_account(&host, &session, &target, key, order).await;
+        let failed_before = std::mem::replace(&mut failed, !answered);
         let out_of_touch = failed && failed_before;
         tokio::time::sleep(if out_of_touch { HOLD_RETRY } else { HOLD_PAUSE }).await;
     }
@@ -88,18 +83,61 @@
 }
 
 /// Asks a worker for its account at once, without waiting for an end.
-pub async fn look(host: &CellBox, session: &LeadSession, target: &WorkerTarget, key: WorkerKey) {
+pub async fn look(
+    host: &Rc<CellBox>,
+    session: &Rc<LeadSession>,
+    target: &WorkerTarget,
+    key: WorkerKey,
+) {
     if !session.may_order(host) {
         return;
     }
-    let sent = clock::now();
+    let order = HoldOrder { wait: TimeSpan(0), ..next_hold(host, session, key) };
+    ask_account(host, session, target, key, order).await;
+}
+
+fn next_hold(host: &CellBox, session: &LeadSession, key: WorkerKey) -> HoldOrder {
     let store_answers = session.store_answers(host);
-    let order = session.scheduler.borrow_mut().hold_order(key, store_answers, sent);
-    let order = HoldOrder { wait: TimeSpan(0), ..order };
-    let limit = session.order_patience.borrow().limit();
-    let answer = host.clients.workers.hold(target, &order, session.token, limit).await;
+    session.scheduler.borrow_mut().hold_order(key, store_answers, clock::now())
+}
+
+/// Asks a worker for its account and takes it in, also when it comes late. Returns whether it came in
+/// time.
+async fn ask_account(
+    host: &Rc<CellBox>,
+    session: &Rc<LeadSession>,
+    target: &WorkerTarget,
+    key: WorkerKey,
+    order: HoldOrder,
+) -> bool {
+    let sent = clock::now();
+    let usual = session.order_patience.borrow().limit();
+    let limit = usual + Duration::from_millis(order.wait.as_millis());
+    let calling = {
+        let (host, session, target) = (host.clone(), session.clone(), target.clone());
+        let whole = late::whole_limit(usual);
+        let order = order.clone();
+        async move { host.clients.workers.hold(&target, &order, session.token, whole).await }
+    };
+    let take_late = {
+        let session = session.clone();
+        move |answer: WorkerAnswer<HoldReport>| {
+            if let WorkerAnswer::Done(_) = answer
+                && !session.ended.get()
+            {
+                let took = clock::now().since(sent).0.saturating_sub(order.wait.0);
+                session.order_patience.borrow_mut().note_answer(Duration::from_millis(took));
+                session.scheduler.borrow_mut().hold_answered(key, answer, sent, clock::now());
+                session.wake.notify_one();
+            }
+        }
+    };
+    let answer = late::wait_for(calling, limit, take_late).await;
+    let answer = answer.unwrap_or(WorkerAnswer::Unknown);
+    let answered = matches!(answer, WorkerAnswer::Done(_));
     session.scheduler.borrow_mut().hold_answered(key, answer, sent, clock::now());
     session.wake.notify_one();
+    answered
 }
 
 /// Where a worker takes orders.
