cell, silence: connections that fall silent are replaced before a lead is lost for them

Cause: on a connection that lost all without an error each call ran into its own limit: reads after 1.2 s and more, accounts after 0.8 s, links after 0.9 s; the second copy of an append went over a silent link too, and another box claimed though the lead lived.

Change: a call that goes unanswered on an old connection has idle ones as old dropped; an answer on a new one proves the silence, and then what waits on old ones is asked again, for all peers if three prove it together and few old connections answer. The second copy of an append goes on a new connection of its own before another box is asked. A quiet link is replaced after 0.4 s, with what waits on it, and counts as lost after 0.9 s as before.

The cell test fails on the code before by its log line alone, since the stand-in cannot silence links.

--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`standby`] decides which boxes do.
 //! - [`authority`] decides which box leads the cell.
 //! - [`patience`] decides how long to wait for the store.
+//! - [`silence`] tells connections that fell silent from peers that do not answer.
 //! - [`scheduler`] is the lead's own state: workers, runs, waiting tasks and orders.
 
 pub mod authority;
@@ -21,4 +22,5 @@
 pub mod progress;
 pub mod replica;
 pub mod scheduler;
+pub mod silence;
 pub mod standby;
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -11,4 +11,5 @@
 mod random;
 mod replica;
 mod scheduler;
+mod silence;
 mod standby;
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -12,7 +12,7 @@
 
 use self::callers::CallerPool;
 pub use self::plan::{SoakFault, SoakPlan, draw_plan};
-use self::proxy::{FaultyPath, PathState};
+pub use self::proxy::{FaultyPath, PathState};
 use crate::cell_platform::CellPlatform;
 use crate::cell_process::{CellProcess, CellSite, call};
 
@@ -169,6 +169,7 @@
                 repairs.push((after(span), Repair::Open(number)));
             }
             SoakFault::Reset(number) => self.boxes[number].path.reset(),
+            SoakFault::SilenceOpen(number) => self.boxes[number].path.silence_open(),
             SoakFault::StoreSilent(span) => {
                 self.platform.store.set_silent(true);
                 repairs.push((after(span), Repair::StoreSpeaks));
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -20,6 +20,8 @@
     Path(usize, PathState, Duration),
     /// All connections of a box to the store break.
     Reset(usize),
+    /// The open connections of a box to the store lose all that is sent on them.
+    SilenceOpen(usize),
     /// The store answers nobody.
     StoreSilent(Duration),
     /// All boxes are killed at once, and started again after a pause.
@@ -34,6 +36,11 @@
 /// Faults begin on the average so far apart, which is less than most of them last.
 const GAP_MS: std::ops::Range<u64> = 200..1_600;
 
+/// Connections of some box fall silent once in so many seconds.
+const SILENCE_EVERY_S: u64 = 3;
+/// Tells the generator of silences from that of the other faults.
+const SILENCE_SALT: u64 = 0x5113_7ce5;
+
 /// Draws the faults of a run of `seconds` seconds with `boxes` boxes.
 pub fn draw_plan(seed: u64, seconds: u64, boxes: usize) -> SoakPlan {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -43,9 +50,22 @@
         plan.push((Duration::from_millis(at), draw_fault(&mut rng, boxes)));
         at += rng.random_range(GAP_MS);
     }
+    plan.extend(draw_silences(seed, seconds, boxes));
+    plan.sort_by_key(|(at, _)| *at);
     plan
 }
 
+/// Draws when connections fall silent: from a generator of its own, so that a seed keeps its other faults.
+fn draw_silences(seed: u64, seconds: u64, boxes: usize) -> SoakPlan {
+    let mut rng = StdRng::seed_from_u64(seed ^ SILENCE_SALT);
+    let count = seconds / SILENCE_EVERY_S;
+    let draw = |_| {
+        let at = Duration::from_millis(rng.random_range(500..seconds * 1_000));
+        (at, SoakFault::SilenceOpen(rng.random_range(0..boxes)))
+    };
+    (0..count).map(draw).collect()
+}
+
 fn draw_fault(rng: &mut StdRng, boxes: usize) -> SoakFault {
     let number = rng.random_range(0..boxes);
     let span = Duration::from_millis(rng.random_range(100..4_000));
--- a/crates/sedgehill-standin/src/soak/proxy.rs
+++ b/crates/sedgehill-standin/src/soak/proxy.rs
@@ -37,6 +37,7 @@
     pub address: SocketAddr,
     state: Arc<Mutex<PathState>>,
     resets: watch::Sender<u64>,
+    silences: watch::Sender<u64>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -53,6 +54,7 @@
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(PathState::Open));
         let (resets, resetting) = watch::channel(0);
+        let (silences, silencing) = watch::channel(0);
         let shared = state.clone();
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
@@ -61,11 +63,12 @@
                 if *shared.lock() == PathState::Refusing {
                     continue;
                 }
-                connections.spawn(pass(stream, target, shared.clone(), resetting.clone()));
+                let events = (resetting.clone(), silencing.clone());
+                connections.spawn(pass(stream, target, shared.clone(), events));
                 while connections.try_join_next().is_some() {}
             }
         });
-        Ok(FaultyPath { address, state, resets, task })
+        Ok(FaultyPath { address, state, resets, silences, task })
     }
 
     /// Changes what the path does. Refusing also breaks the connections that are open.
@@ -76,6 +79,11 @@
         }
     }
 
+    /// Has the connections that are open now lose all that is sent on them, without an error.
+    pub fn silence_open(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     /// Breaks all connections.
     pub fn reset(&self) {
         self.resets.send_modify(|count| *count += 1);
@@ -86,15 +94,16 @@
     stream: TcpStream,
     target: SocketAddr,
     state: Arc<Mutex<PathState>>,
-    mut resetting: watch::Receiver<u64>,
+    (mut resetting, mut silencing): (watch::Receiver<u64>, watch::Receiver<u64>),
 ) {
     let Ok(onward) = TcpStream::connect(target).await else { return };
     let (near_read, near_write) = stream.into_split();
     let (far_read, far_write) = onward.into_split();
     resetting.mark_unchanged();
+    silencing.mark_unchanged();
     tokio::select! {
-        _ = copy(near_read, far_write, &state, PathState::SilentForth) => {}
-        _ = copy(far_read, near_write, &state, PathState::SilentBack) => {}
+        _ = copy(near_read, far_write, (&state, &silencing), PathState::SilentForth) => {}
+        _ = copy(far_read, near_write, (&state, &silencing), PathState::SilentBack) => {}
         // An error means that the path is gone.
         _ = resetting.changed() => {}
     }
@@ -103,7 +112,7 @@
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    state: &Mutex<PathState>,
+    (state, silencing): (&Mutex<PathState>, &watch::Receiver<u64>),
     silent: PathState,
 ) -> std::io::Result<()> {
     let mut chunk = vec![0; CHUNK];
@@ -112,6 +121,9 @@
         if length == 0 {
             return Ok(());
         }
+        if silencing.has_changed().unwrap_or(true) {
+            continue;
+        }
         while *state.lock() == silent {
             tokio::time::sleep(SILENT_TURN).await;
         }
--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -9,8 +9,8 @@
 use sedgehill_standin::binaries::{build_binaries, workspace_root};
 use sedgehill_standin::cell_platform::CellPlatform;
 use sedgehill_standin::cell_process::{CellProcess, CellSite, call};
+use sedgehill_standin::soak::{FaultyPath, PathState};
 use serde_json::{Value, json};
-use tokio::net::TcpStream;
 
 /// How long a job of the tests may take, take-overs and outages included.
 const PATIENCE: Duration = Duration::from_secs(40);
@@ -30,34 +30,6 @@
     CellSite::new(name, platform, store, cores).start(directory).expect("a box can be started")
 }
 
-/// One box's path to the store, which can be cut.
-struct StorePath {
-    address: SocketAddr,
-    task: tokio::task::JoinHandle<()>,
-}
-
-impl StorePath {
-    async fn open(store: SocketAddr) -> StorePath {
-        let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let task = tokio::spawn(async move {
-            let mut connections = tokio::task::JoinSet::new();
-            while let Ok((mut inner, _)) = listener.accept().await {
-                connections.spawn(async move {
-                    let Ok(mut outer) = TcpStream::connect(store).await else { return };
-                    let _ = tokio::io::copy_bidirectional(&mut inner, &mut outer).await;
-                });
-            }
-        });
-        StorePath { address, task }
-    }
-
-    /// Breaks all connections and takes no more.
-    fn cut(&self) {
-        self.task.abort();
-    }
-}
-
 async fn wait_for(what: &str, mut check: impl AsyncFnMut() -> bool) {
     let deadline = Instant::now() + PATIENCE;
     while !check().await {
@@ -266,11 +238,11 @@
     let lead = start_box_at(directory.path(), "lead", &platform, platform.store_address, "0.5");
     wait_ready(&lead).await;
     wait_for_lead(directory.path(), "lead").await;
-    let path = StorePath::open(platform.store_address).await;
+    let path = FaultyPath::open(platform.store_address).await.unwrap();
     let other = start_box_at(directory.path(), "other", &platform, path.address, "0.25");
     wait_ready(&other).await;
     submit(&[&other], 1).await;
-    path.cut();
+    path.set(PathState::Refusing);
     // Longer than a view is taken as fresh without proof.
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     let ready = call(other.ready, "GET", "/sedgehill/readyz", "").await;
@@ -294,7 +266,7 @@
     let directory = tempfile::tempdir().unwrap();
     let platform = CellPlatform::start(2).await.unwrap();
     platform.configure(1);
-    let path = StorePath::open(platform.store_address).await;
+    let path = FaultyPath::open(platform.store_address).await.unwrap();
     let lead = start_box_at(directory.path(), "lead", &platform, path.address, "0.5");
     wait_ready(&lead).await;
     wait_for_lead(directory.path(), "lead").await;
@@ -303,7 +275,7 @@
     // The boxes have found each other when a job handed in at one is led by the other.
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     submit(&[&other], 1).await;
-    path.cut();
+    path.set(PathState::Refusing);
     for id in 2..=6 {
         submit(&[&lead, &other], id).await;
         tokio::time::sleep(Duration::from_millis(600)).await;
@@ -445,3 +417,30 @@
     }
     assert_kept(&platform);
 }
+
+#[tokio::test]
+async fn connections_that_fall_silent_cost_no_lead_and_little_time() {
+    build_binaries();
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(3).await.unwrap();
+    platform.configure(1);
+    let path = FaultyPath::open(platform.store_address).await.unwrap();
+    let first = start_box_at(directory.path(), "box-1", &platform, path.address, "1.0");
+    wait_ready(&first).await;
+    wait_for_lead(directory.path(), "box-1").await;
+    let second = start_box(directory.path(), "box-2", &platform);
+    wait_ready(&second).await;
+    submit(&[&first], 1).await;
+    wait_completed(&first, 1).await;
+    path.silence_open();
+    let silenced = Instant::now();
+    submit(&[&first], 2).await;
+    // A second copy on a new connection follows after 0.15 s; reads alone take 1.2 s to be given up.
+    assert!(silenced.elapsed() < Duration::from_millis(800), "{:?}", silenced.elapsed());
+    wait_completed(&second, 2).await;
+    let log = std::fs::read_to_string(directory.path().join("box-2.log")).unwrap();
+    assert!(!log.contains("\"leading\""), "the lead lives and must not be followed");
+    let log = std::fs::read_to_string(directory.path().join("box-1.log")).unwrap();
+    assert!(log.contains("silent connections replaced"));
+    assert_kept(&platform);
+}
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -5,6 +5,7 @@
 
 use sedgehill_adapter::config::decode_config;
 use sedgehill_adapter::error::CallError;
+use sedgehill_adapter::http_client::CallLimits;
 use sedgehill_adapter::store::{KeyedRecord, ReadOutcome, StoreTopic};
 use sedgehill_cell::authority::LeadRecord;
 use sedgehill_cell::replica::{CellRecord, ReplicaChange};
@@ -218,8 +219,14 @@
     let outcome = match &relayed {
         Some(session) => session.read_relayed(topic, offset).await?,
         None => {
-            let reading = host.clients.store.read(topic, offset, wait, limit);
-            let outcome = host.store_contact.unless_regained(reading).await?;
+            let limits = CallLimits { doubt: limit.min(read_doubt(host)), whole: limit };
+            let reading = host.clients.store.read(topic, offset, wait, limits);
+            let outcome = tokio::select! {
+                outcome = host.store_contact.unless_regained(reading) => outcome?,
+                () = host.clients.store.wait_for_silence() => {
+                    return Err(CallError::Unknown("the connection fell silent".to_owned()));
+                }
+            };
             host.store_contact.note_answer();
             outcome
         }
@@ -261,6 +268,11 @@
     }
 }
 
+/// When the connection of a read is doubted.
+fn read_doubt(host: &CellBox) -> Duration {
+    host.store_patience.borrow().limit()
+}
+
 fn apply_config(host: &CellBox, record: &KeyedRecord) {
     match decode_config(record) {
         Ok(Some(config)) if config.version > host.config.borrow().version => {
--- a/crates/sedgehilld/src/cell/hedge.rs
+++ b/crates/sedgehilld/src/cell/hedge.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use sedgehill_adapter::error::CallError;
+use sedgehill_adapter::http_client::CallLimits;
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use slog::warn;
 
@@ -17,6 +18,11 @@
 /// How long the answer to either copy is waited for. A slow store lets appends wait for two seconds.
 const ANSWER_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// The second copy goes on a new connection; a third follows after so many usual answers' time ...
+const SECOND_TIMES: u32 = 3;
+/// ... and at least this: a new connection and an answer take some 10 ms.
+const SECOND_LEAST: Duration = Duration::from_millis(40);
+
 /// Pause before a second copy that failed is sent again, perhaps by way of another box.
 const SECOND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -53,7 +59,9 @@
 pub async fn append_once(host: &CellBox, call: AppendCall<'_>) -> Result<AppendOutcome, CallError> {
     let sent = Instant::now();
     let store = &host.clients.store;
-    let appending = store.append(call.topic, call.records, call.condition, ANSWER_LIMIT);
+    let doubt = host.store_patience.borrow().limit();
+    let limits = CallLimits { doubt, whole: ANSWER_LIMIT.max(doubt) };
+    let appending = store.append(call.topic, call.records, call.condition, limits);
     let result = host.store_contact.unless_regained(appending).await;
     if result.is_ok() {
         // An answer that ends a silence tells how long that was, not how long answers take.
@@ -80,7 +88,9 @@
     if let Ok(result) = tokio::time::timeout(limit, first.as_mut()).await {
         return (AnsweredCopy::First, result);
     }
-    let mut second = std::pin::pin!(until_answered(second, limit));
+    let usual = host.store_patience.borrow().usual();
+    let soon = (usual * SECOND_TIMES).clamp(SECOND_LEAST, limit);
+    let mut second = std::pin::pin!(until_answered(second, soon, limit));
     tokio::select! {
         result = first.as_mut() => (AnsweredCopy::First, result.map_err(doubt)),
         outcome = second.as_mut() => match outcome {
@@ -97,19 +107,23 @@
     CallError::Unknown(format!("a second copy was sent; the first: {error}"))
 }
 
-/// Sends copies until one is answered. One that is not answered gives way to the next after a time that
-/// doubles, since its answer may be lost as well.
-async fn until_answered<F>(send: impl Fn() -> F, limit: Duration) -> AppendOutcome
+/// Sends copies until one is answered. The first goes out on a new connection and is answered `soon` if the
+/// one before it had fallen silent. One that is not answered gives way to the next after a time that doubles,
+/// since its answer may be lost as well.
+async fn until_answered<F>(send: impl Fn() -> F, soon: Duration, limit: Duration) -> AppendOutcome
 where
     F: Future<Output = Result<AppendOutcome, CallError>>,
 {
-    let mut limit = limit * 2;
+    let mut wait = soon;
+    let mut next = limit * 2;
     loop {
-        match tokio::time::timeout(limit, send()).await {
+        match tokio::time::timeout(wait, send()).await {
             Ok(Ok(outcome)) => return outcome,
             Ok(Err(_)) => tokio::time::sleep(SECOND_PAUSE).await,
-            Err(_) => limit *= 2,
+            Err(_) => {}
         }
+        wait = next;
+        next *= 2;
     }
 }
 
--- a/crates/sedgehilld/src/cell/late.rs
+++ b/crates/sedgehilld/src/cell/late.rs
@@ -6,13 +6,15 @@
 
 use std::time::Duration;
 
+use sedgehill_adapter::http_client::CallLimits;
+
 /// How long a late answer is waited for. A run whose worker is not heard for longer than its lease of 4 s
 /// begins elsewhere, so the answers until then matter.
 const LATE_LIMIT: Duration = Duration::from_millis(4_500);
 
-/// How long a call may take in all of which `limit` is waited for.
-pub fn whole_limit(limit: Duration) -> Duration {
-    limit + LATE_LIMIT
+/// The limits of a call of which `limit` is waited for.
+pub fn limits_for(limit: Duration) -> CallLimits {
+    CallLimits { doubt: limit, whole: limit + LATE_LIMIT }
 }
 
 /// Waits for a call for at most `limit`. If there is no answer by then, the call goes on, and `late` is
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -7,7 +7,7 @@
 
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::{BoxStrength, LeadRecord};
-use sedgehill_cell::ids::{FencingToken, JobId};
+use sedgehill_cell::ids::{BoxName, FencingToken, JobId};
 use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE, RepeatBudget};
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
 use sedgehill_cell::standby::StandbySet;
@@ -62,6 +62,8 @@
     pub ended: Cell<bool>,
     /// The boxes that keep a link, with the queue of frames for each.
     pub helpers: RefCell<HashMap<HelperId, FrameQueue>>,
+    /// Which of them a box is.
+    pub names: RefCell<HashMap<BoxName, HelperId>>,
     /// Calls to the store by way of them.
     pub relay: RelayDesk,
     /// How long a start or a stop may take.
@@ -244,6 +246,7 @@
         wake: Notify::new(),
         ended: Cell::new(false),
         helpers: RefCell::default(),
+        names: RefCell::default(),
         relay: RelayDesk::default(),
         order_patience: RefCell::new(CallPatience::new(ORDER_PATIENCE)),
         repeats: RefCell::default(),
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -28,8 +28,11 @@
 use super::{follow, orders, relay};
 use crate::clock;
 
-/// A link on which the lead was silent for longer is taken as lost. It speaks every 300 ms.
+/// A lead that was silent for longer on the link is taken as lost. It speaks every 300 ms.
 const SILENCE: Duration = Duration::from_millis(900);
+/// A link on which the lead was silent for longer is replaced: the connection may have fallen silent while
+/// the lead lives.
+const QUIET: Duration = Duration::from_millis(400);
 /// Pause before the lead is connected to again.
 const CONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a connection may take to be made.
@@ -41,14 +44,20 @@
 /// Frames that may wait to be sent. A link that is so far behind is of no use.
 const OUTBOX_LENGTH: usize = 1_024;
 
+/// A question to the lead, which is asked again when the connection is replaced.
+struct PendingCall<T> {
+    frame: PeerFrame,
+    reply: oneshot::Sender<T>,
+}
+
 /// A link to the lead.
 pub struct LeadLink {
     outbox: mpsc::Sender<PeerFrame>,
     /// Whether the store answers the lead, as it says.
     store_answers: Cell<bool>,
     next_number: Cell<u64>,
-    submissions: RefCell<HashMap<u64, oneshot::Sender<AcceptOutcome>>>,
-    questions: RefCell<HashMap<u64, oneshot::Sender<StateAnswer>>>,
+    submissions: RefCell<HashMap<u64, PendingCall<AcceptOutcome>>>,
+    questions: RefCell<HashMap<u64, PendingCall<StateAnswer>>>,
     probe: Cell<Option<(u64, Moment)>>,
 }
 
@@ -73,8 +82,9 @@
     pub async fn submit(&self, job: JobId, statement: &CellRecord) -> Option<AcceptOutcome> {
         let number = self.take_number();
         let (reply, answer) = oneshot::channel();
-        self.submissions.borrow_mut().insert(number, reply);
         let frame = PeerFrame::Submit { number, job, statement: statement.clone() };
+        let pending = PendingCall { frame: frame.clone(), reply };
+        self.submissions.borrow_mut().insert(number, pending);
         if self.outbox.try_send(frame).is_err() {
             self.submissions.borrow_mut().remove(&number);
             return Some(AcceptOutcome::NotDone);
@@ -86,8 +96,10 @@
     pub async fn ask_state(&self, job: JobId) -> StateAnswer {
         let number = self.take_number();
         let (reply, answer) = oneshot::channel();
-        self.questions.borrow_mut().insert(number, reply);
-        if self.outbox.try_send(PeerFrame::AskState { number, job }).is_err() {
+        let frame = PeerFrame::AskState { number, job };
+        let pending = PendingCall { frame: frame.clone(), reply };
+        self.questions.borrow_mut().insert(number, pending);
+        if self.outbox.try_send(frame).is_err() {
             self.questions.borrow_mut().remove(&number);
             return StateAnswer::Untold;
         }
@@ -123,9 +135,9 @@
     }
 
     fn take_outcome(&self, number: u64, outcome: AcceptOutcome) {
-        if let Some(reply) = self.submissions.borrow_mut().remove(&number) {
+        if let Some(pending) = self.submissions.borrow_mut().remove(&number) {
             // A caller that does not wait any more asks again.
-            let _ = reply.send(outcome);
+            let _ = pending.reply.send(outcome);
         }
     }
 
@@ -138,8 +150,17 @@
 
     /// Forgets submissions for whose answer nobody waits any more.
     fn forget_abandoned(&self) {
-        self.submissions.borrow_mut().retain(|_, reply| !reply.is_closed());
-        self.questions.borrow_mut().retain(|_, reply| !reply.is_closed());
+        self.submissions.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
+        self.questions.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
+    }
+
+    /// The questions that wait for an answer. A job that the lead took already stays one job.
+    fn pending_frames(&self) -> Vec<PeerFrame> {
+        self.forget_abandoned();
+        let submissions = self.submissions.borrow();
+        let questions = self.questions.borrow();
+        let submitted = submissions.values().map(|pending| &pending.frame);
+        submitted.chain(questions.values().map(|pending| &pending.frame)).cloned().collect()
     }
 }
 
@@ -183,25 +204,73 @@
 }
 
 async fn hold(host: &Rc<CellBox>, stream: TcpStream, address: SocketAddr) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let (reader, mut writer) = stream.into_split();
-    let hello =
-        PeerFrame::Hello { name: host.settings.name.clone(), strength: host.settings.strength };
-    write_frame(&mut writer, &hello).await?;
-    let (outbox, queue) = mpsc::channel(OUTBOX_LENGTH);
+    let (outbox, mut queue) = mpsc::channel(OUTBOX_LENGTH);
     let link = Rc::new(LeadLink::new(outbox));
-    *host.link.borrow_mut() = Some(link.clone());
-    tokio::select! {
-        result = send(host, &link, writer, queue) => result,
-        result = receive(host, &link, reader, address) => result,
+    let mut stream = stream;
+    let mut patience = SILENCE;
+    loop {
+        stream.set_nodelay(true)?;
+        let (reader, mut writer) = stream.into_split();
+        let hello =
+            PeerFrame::Hello { name: host.settings.name.clone(), strength: host.settings.strength };
+        write_frame(&mut writer, &hello).await?;
+        for frame in link.pending_frames() {
+            write_frame(&mut writer, &frame).await?;
+        }
+        *host.link.borrow_mut() = Some(link.clone());
+        let end = tokio::select! {
+            result = send(host, &link, writer, &mut queue) => return result,
+            result = receive(host, &link, reader, address, patience) => result?,
+        };
+        match end {
+            LinkEnd::OtherLead => return Ok(()),
+            LinkEnd::Replaced(new) => stream = new,
+        }
+        info!(host.log, "quiet link to the lead replaced"; "lead" => %address);
+        patience = SILENCE.saturating_sub(QUIET);
     }
 }
 
+/// Why a connection to the lead is not used any more.
+enum LinkEnd {
+    /// Another box leads.
+    OtherLead,
+    /// It was quiet, and there is a new one.
+    Replaced(TcpStream),
+}
+
+/// Waits for a frame. If none comes for a while, a new connection is made: it may work where the old one has
+/// fallen silent. The machine takes connections for a process that stands still, so a new one has only what is
+/// left of the time after which a lead counts as silent.
+async fn next_frame(
+    reader: &mut OwnedReadHalf,
+    address: SocketAddr,
+    patience: Duration,
+) -> std::io::Result<Result<PeerFrame, TcpStream>> {
+    let silent = || std::io::Error::other("the lead is silent");
+    let mut reading = std::pin::pin!(read_frame(reader));
+    let is_replacement = patience < SILENCE;
+    let first = if is_replacement { patience } else { QUIET };
+    if let Ok(frame) = tokio::time::timeout(first, reading.as_mut()).await {
+        return frame.map(Ok);
+    }
+    if is_replacement {
+        return Err(silent());
+    }
+    let waiting = async {
+        tokio::select! {
+            frame = reading.as_mut() => frame.map(Ok),
+            stream = TcpStream::connect(address) => stream.map(Err),
+        }
+    };
+    tokio::time::timeout(SILENCE - QUIET, waiting).await.map_err(|_| silent())?
+}
+
 async fn send(
     host: &CellBox,
     link: &LeadLink,
     mut writer: OwnedWriteHalf,
-    mut queue: mpsc::Receiver<PeerFrame>,
+    queue: &mut mpsc::Receiver<PeerFrame>,
 ) -> std::io::Result<()> {
     let mut probes = tokio::time::interval(PROBE_EVERY);
     probes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -224,10 +293,15 @@
     link: &LeadLink,
     mut reader: OwnedReadHalf,
     address: SocketAddr,
-) -> std::io::Result<()> {
+    first_patience: Duration,
+) -> std::io::Result<LinkEnd> {
+    let mut patience = first_patience;
     loop {
-        let frame = tokio::time::timeout(SILENCE, read_frame(&mut reader)).await;
-        let frame = frame.map_err(|_| std::io::Error::other("the lead is silent"))??;
+        let frame = match next_frame(&mut reader, address, patience).await? {
+            Ok(frame) => frame,
+            Err(stream) => return Ok(LinkEnd::Replaced(stream)),
+        };
+        patience = SILENCE;
         match frame {
             PeerFrame::Ping { store_answers, strongest } => {
                 link.store_answers.set(store_answers);
@@ -258,9 +332,9 @@
                 });
             }
             PeerFrame::State { number, answer } => {
-                if let Some(reply) = link.questions.borrow_mut().remove(&number) {
+                if let Some(pending) = link.questions.borrow_mut().remove(&number) {
                     // A caller that does not wait any more asks again.
-                    let _ = reply.send(answer);
+                    let _ = pending.reply.send(answer);
                 }
             }
             PeerFrame::Records(fed) => take_records(host, fed),
@@ -289,7 +363,7 @@
             | PeerFrame::Probe { .. } => {}
         }
         if lead_address(host) != Some(address) {
-            return Ok(());
+            return Ok(LinkEnd::OtherLead);
         }
     }
 }
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -44,6 +44,16 @@
     local.block_on(&runtime, serve(settings, log))
 }
 
+/// Logs when connections that fell silent are replaced.
+async fn note_replacements(host: Rc<CellBox>) {
+    loop {
+        let peer = host.clients.http.next_replacement().await;
+        let peer = peer.map_or_else(|| "all".to_owned(), |peer| peer.to_string());
+        telemetry::count_cell_event("connections", "replaced");
+        info!(host.log, "silent connections replaced"; "peer" => peer);
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address).await.map_err(|error| DaemonError::Listen(address, error))
 }
@@ -70,6 +80,7 @@
     spawn_local(peers::listen(host.clone(), peers));
     spawn_local(link::keep(host.clone()));
     spawn_local(lead::run(host.clone()));
+    spawn_local(note_replacements(host.clone()));
     stop::wait(&host).await;
     Ok(())
 }
--- a/crates/sedgehilld/src/cell/orders.rs
+++ b/crates/sedgehilld/src/cell/orders.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use sedgehill_adapter::advice::AdviceAnswer;
+use sedgehill_adapter::http_client::CallLimits;
 use sedgehill_adapter::worker::WorkerTarget;
 use sedgehill_cell::scheduler::{
     AdviceQuestion, CellOrder, OWN_BOX, StartOrder, StopOrder, WorkerAnswer, WorkerRefusal,
@@ -69,7 +70,7 @@
     }
     let (workers, token) = (host.clients.workers.clone(), session.token);
     let (target, order) = (target.clone(), order.clone());
-    let calling = |whole| async move { workers.start(&target, &order, token, whole).await };
+    let calling = |limits| async move { workers.start(&target, &order, token, limits).await };
     call_worker(session, calling).await
 }
 
@@ -77,7 +78,7 @@
 /// tells how long they take now.
 async fn call_worker<F>(
     session: &Rc<LeadSession>,
-    calling: impl FnOnce(Duration) -> F,
+    calling: impl FnOnce(CallLimits) -> F,
 ) -> WorkerAnswer<WorkerTime>
 where
     F: Future<Output = WorkerAnswer<WorkerTime>> + 'static,
@@ -93,7 +94,7 @@
         }
     };
     let late_learn = learn.clone();
-    let calling = calling(late::whole_limit(limit));
+    let calling = calling(late::limits_for(limit));
     match late::wait_for(calling, limit, move |answer| late_learn(&answer)).await {
         Some(answer) => {
             learn(&answer);
@@ -109,7 +110,8 @@
         true => {
             let (workers, token) = (host.clients.workers.clone(), session.token);
             let (target, order) = (target.clone(), order.clone());
-            let calling = |whole| async move { workers.stop(&target, &order, token, whole).await };
+            let calling =
+                |limits| async move { workers.stop(&target, &order, token, limits).await };
             call_worker(session, calling).await
         }
         false => WorkerAnswer::NotDone(WorkerRefusal::Withheld),
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -65,6 +65,11 @@
     let (mut reader, writer) = stream.into_split();
     let Ok(PeerFrame::Hello { name, strength }) = read_frame(&mut reader).await else { return };
     let (queue, frames) = mpsc::channel(QUEUE_LENGTH);
+    // A box that comes again has found its earlier link quiet.
+    let earlier = session.names.borrow_mut().insert(name.clone(), helper);
+    if let Some(earlier) = earlier {
+        session.remove_helper(earlier);
+    }
     join(&host, &session, helper, &name, strength, queue.clone());
     tokio::select! {
         () = send(&host, &session, writer, frames, helper) => {}
@@ -189,7 +194,7 @@
 
 /// Reads records for a box that the store does not answer.
 async fn fetch(host: Rc<CellBox>, queue: FrameQueue, topic: StoreTopic, from: u64) {
-    match host.clients.store.read(topic, from, Duration::ZERO, FETCH_LIMIT).await {
+    match host.clients.store.read(topic, from, Duration::ZERO, FETCH_LIMIT.into()).await {
         Ok(ReadOutcome::Records { records, .. }) => {
             for part in FedRecords::pack(topic, from, &records) {
                 // A box that is too far behind asks again.
@@ -265,6 +270,7 @@
 
     fn remove_helper(&self, helper: HelperId) {
         self.helpers.borrow_mut().remove(&helper);
+        self.names.borrow_mut().retain(|_, named| *named != helper);
         self.standbys.borrow_mut().leave(helper);
         self.choose_standbys();
         self.strengths.borrow_mut().remove(&helper);
--- a/crates/sedgehilld/src/cell/relay.rs
+++ b/crates/sedgehilld/src/cell/relay.rs
@@ -190,8 +190,11 @@
         call: AppendCall<'_>,
     ) -> Result<AppendOutcome, CallError> {
         let relayed = Cell::new(false);
+        let copies = Cell::new(0);
         let second = || async {
-            let helper = self.choose_any();
+            copies.set(copies.get() + 1);
+            // The first copy may have gone out on a connection that fell silent; the next goes on a new one.
+            let helper = if copies.get() > 1 { self.choose_any() } else { None };
             relayed.set(helper.is_some());
             match helper {
                 Some(helper) => self.relay_append(host, helper, call).await,
@@ -293,12 +296,14 @@
 pub async fn carry_out(host: &Rc<CellBox>, call: RelayCall) -> RelayAnswer {
     let store = &host.clients.store;
     let result = match call {
-        RelayCall::Append { topic, records, condition } => {
-            store.append(topic, &records, &condition, APPEND_LIMIT).await.map(RelayAnswer::Appended)
-        }
-        RelayCall::Read { topic, offset } => {
-            store.read(topic, offset, Duration::ZERO, READ_LIMIT).await.map(RelayAnswer::Read)
-        }
+        RelayCall::Append { topic, records, condition } => store
+            .append(topic, &records, &condition, APPEND_LIMIT.into())
+            .await
+            .map(RelayAnswer::Appended),
+        RelayCall::Read { topic, offset } => store
+            .read(topic, offset, Duration::ZERO, READ_LIMIT.into())
+            .await
+            .map(RelayAnswer::Read),
         RelayCall::Newest(topic) => store.newest(topic, READ_LIMIT).await.map(RelayAnswer::Newest),
     };
     result.unwrap_or_else(|error| RelayAnswer::Failed(error.to_string()))
--- a/crates/sedgehilld/src/cell/roster.rs
+++ b/crates/sedgehilld/src/cell/roster.rs
@@ -115,9 +115,9 @@
     let limit = usual + Duration::from_millis(order.wait.as_millis());
     let calling = {
         let (host, session, target) = (host.clone(), session.clone(), target.clone());
-        let whole = late::whole_limit(usual);
+        let limits = late::limits_for(usual);
         let order = order.clone();
-        async move { host.clients.workers.hold(&target, &order, session.token, whole).await }
+        async move { host.clients.workers.hold(&target, &order, session.token, limits).await }
     };
     let take_late = {
         let session = session.clone();
@@ -132,7 +132,11 @@
             }
         }
     };
-    let answer = late::wait_for(calling, limit, take_late).await;
+    let answer = tokio::select! {
+        answer = late::wait_for(calling, limit, take_late) => answer,
+        // Asked again on a new connection, the worker may answer at once.
+        () = host.clients.http.wait_for_silence(target.address) => return true,
+    };
     let answer = answer.unwrap_or(WorkerAnswer::Unknown);
     let answered = matches!(answer, WorkerAnswer::Done(_));
     session.scheduler.borrow_mut().hold_answered(key, answer, sent, clock::now());
