cell, advice: a wide gang asks several boxes at once

Cause: gangs of 30 and more tasks began after 4 to 9 s (median, by width) while narrow ones began after 1 s: one question names some 30 good workers, takes 0.95 s, and its tickets end after 2 s, so a wide gang asked 8 to 9 times in turn.

Change: up to three questions of one gang are under way at once, by different boxes, on different workers; what they may bring counts as room.

The new test fails on the code before.

--- a/crates/sedgehill-cell/src/scheduler/advice.rs
+++ b/crates/sedgehill-cell/src/scheduler/advice.rs
@@ -33,13 +33,22 @@
     pub until: Moment,
 }
 
+/// A question under way.
+#[derive(Debug)]
+pub struct AskedWorkers {
+    /// The box that asks.
+    pub helper: HelperId,
+    /// The workers that it names.
+    pub workers: Vec<WorkerKey>,
+}
+
 /// What is known of one step. Which workers are good never changes; tickets end.
 #[derive(Debug, Default)]
 pub struct StepAdvice {
     /// Workers that were asked about, with the ticket of those that may run the step.
     pub known: HashMap<WorkerKey, Option<StepTicket>>,
-    /// A question is under way since then.
-    pub asking: Option<Moment>,
+    /// Questions under way.
+    pub asking: Vec<AskedWorkers>,
     /// No question before then.
     pub not_before: Moment,
 }
@@ -51,6 +60,16 @@
         (ticket.until > now.after(margin)).then_some(ticket)
     }
 
+    /// Whether a question under way names a worker.
+    pub fn is_asked(&self, key: WorkerKey) -> bool {
+        self.asking.iter().any(|asked| asked.workers.contains(&key))
+    }
+
+    /// The question of a box is not under way any more.
+    pub fn forget_asked(&mut self, helper: HelperId) {
+        self.asking.retain(|asked| asked.helper != helper);
+    }
+
     /// The workers with a ticket that is valid for at least `margin`.
     pub fn ticketed(&self, now: Moment, margin: TimeSpan) -> impl Iterator<Item = WorkerKey> {
         let least = now.after(margin);
@@ -128,15 +147,15 @@
         Some(open.remove(place).sent)
     }
 
-    /// Removes questions that were not answered in time.
-    pub fn expire(&mut self, now: Moment) -> Vec<StepId> {
+    /// Removes questions that were not answered in time. Returns who asked, and about which step.
+    pub fn expire(&mut self, now: Moment) -> Vec<(HelperId, StepId)> {
         let mut expired = Vec::new();
-        for open in self.helpers.values_mut() {
+        for (helper, open) in &mut self.helpers {
             open.retain(|question| {
                 let patience = TimeSpan(question.cost.0 * PATIENCE_FACTOR + PATIENCE.0);
                 let keep = now < question.sent.after(patience);
                 if !keep {
-                    expired.push(question.step);
+                    expired.push((*helper, question.step));
                 }
                 keep
             });
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -161,7 +161,7 @@
     /// A box cannot ask any more.
     pub fn remove_helper(&mut self, helper: HelperId, now: Moment) {
         for step in self.desk.remove_helper(helper) {
-            self.forget_question(step, now);
+            self.forget_question(helper, step, now);
         }
     }
 
@@ -293,8 +293,8 @@
 
     /// Does what time asks for, and starts what can be started.
     pub fn schedule(&mut self, now: Moment) {
-        for step in self.desk.expire(now) {
-            self.forget_question(step, now);
+        for (helper, step) in self.desk.expire(now) {
+            self.forget_question(helper, step, now);
         }
         self.expire_leases(now);
         self.repeat_stops(now);
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -9,6 +9,7 @@
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
+use super::advice::AskedWorkers;
 use super::placement::{Candidate, OpenWorkers, waiting_tasks};
 use super::rank::rank_job;
 use super::*;
@@ -26,6 +27,9 @@
 /// costs without them. The queue with the costliest questions earned 0.82 of its worth instead of 0.78 by
 /// it, the mean of 20 paired days.
 const FILL_COST_PERCENT: u64 = 150;
+/// Questions for one gang at once: one names some thirty good workers at the most, each with room for one to
+/// three members, and a wide gang needs more before the first tickets end.
+const GANG_QUESTIONS: usize = 3;
 /// How long a question that failed is not repeated.
 const ASK_BACKOFF: TimeSpan = TimeSpan(60);
 
@@ -41,7 +45,8 @@
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let Some(policy) = job.record.policy.advice else { return };
         let advice = &job.steps[candidate.step].advice;
-        if advice.asking.is_some() || now < advice.not_before {
+        let at_once = if spec.gang { GANG_QUESTIONS } else { 1 };
+        if advice.asking.len() >= at_once || now < advice.not_before {
             return;
         }
         // Which workers to name takes far longer to find than whether anybody could ask.
@@ -56,11 +61,13 @@
         let Some(helper) = self.desk.free_helper(cost) else { return };
         let step = job.steps[candidate.step].id;
         self.desk.begin(helper, step, cost, now);
+        self.events.push(CellEvent::Asked { step, named: named.len(), helper });
+        let lives = named.iter().map(|key| self.workers[key.0].entry.life.clone()).collect();
+        self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers: lives }));
         if let Some(job) = self.jobs.get_mut(&candidate.job) {
-            job.steps[candidate.step].advice.asking = Some(now);
+            let asked = AskedWorkers { helper, workers: named };
+            job.steps[candidate.step].advice.asking.push(asked);
         }
-        self.events.push(CellEvent::Asked { step, named: named.len(), helper });
-        self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers: named }));
     }
 
     /// The workers whose tickets could give the step enough room: those known as good first, then
@@ -72,7 +79,7 @@
         spec: &StepSpec,
         open: &OpenWorkers,
         now: Moment,
-    ) -> Vec<WorkerLife> {
+    ) -> Vec<WorkerKey> {
         let share = self.shares.get(&job.record.queue).copied().unwrap_or_default().share();
         let advice = &job.steps[candidate.step].advice;
         let displaces = job.record.policy.priority < open.least_urgent
@@ -82,6 +89,7 @@
         let turn = (job.id.0 % self.workers.len() as u64) as usize;
         let mut rooms: Vec<(bool, Reverse<usize>, usize, WorkerKey)> = Vec::new();
         let mut usable = 0;
+        let mut asked = 0.0;
         for key in open.list.iter().copied() {
             let known = advice.known.get(&key);
             if matches!(known, Some(None)) {
@@ -94,6 +102,10 @@
             if room == 0 {
                 continue;
             }
+            if advice.is_asked(key) {
+                asked += room as f64 * if known.is_none() { share } else { 1.0 };
+                continue;
+            }
             match known {
                 Some(Some(ticket)) if ticket.until > now.after(self.timing.ticket_margin) => {
                     usable += room;
@@ -110,13 +122,13 @@
             |unknown: bool, room: usize| room.min(left) as f64 * if unknown { share } else { 1.0 };
         let whole: f64 =
             rooms.iter().map(|(unknown, Reverse(room), ..)| expected(*unknown, *room)).sum();
-        if spec.gang && whole < needed as f64 {
+        if spec.gang && whole + asked < needed as f64 {
             return Vec::new();
         }
         rooms.sort_unstable();
         let factor = if spec.gang { GANG_ROOM_FACTOR } else { ROOM_FACTOR };
         let wanted = needed as f64 * factor;
-        let mut sum = 0.0;
+        let mut sum = asked;
         let mut named = Vec::new();
         for (unknown, Reverse(room), _, key) in rooms.into_iter().take(NAMED_MOST) {
             if sum >= wanted {
@@ -128,7 +140,7 @@
         if self.timing.policy.fill_questions && !named.is_empty() {
             self.fill_question(candidate, job, spec, &mut named, now);
         }
-        named.into_iter().map(|key| self.workers[key.0].entry.life.clone()).collect()
+        named
     }
 
     /// Adds workers that were never asked about, whether they have room now or not, as long as the
@@ -143,14 +155,15 @@
     ) {
         let Some(policy) = job.record.policy.advice else { return };
         let most = policy.cost(named.len()).0 * FILL_COST_PERCENT / 100;
-        let known = &job.steps[candidate.step].advice.known;
+        let advice = &job.steps[candidate.step].advice;
+        let known = &advice.known;
         let turn = (job.id.0 % self.workers.len() as u64) as usize;
         for number in 0..self.workers.len() {
             if named.len() >= NAMED_MOST || policy.cost(named.len() + 1).0 > most {
                 return;
             }
             let key = WorkerKey((number + turn) % self.workers.len());
-            let new = !known.contains_key(&key) && !named.contains(&key);
+            let new = !known.contains_key(&key) && !advice.is_asked(key) && !named.contains(&key);
             if new && self.could_ever_run(key, job, spec, now) {
                 named.push(key);
             }
@@ -182,13 +195,13 @@
         let took = now.since(sent);
         self.events.push(CellEvent::Advised { step: question.step, good, took });
         let Some(answer) = answer else {
-            self.forget_question(question.step, now);
+            self.forget_question(question.helper, question.step, now);
             return;
         };
         let Some(job) = self.jobs.get_mut(&question.step.job) else { return };
         let Some(step) = job.step_index(&question.step) else { return };
         let advice = &mut job.steps[step].advice;
-        advice.asking = None;
+        advice.forget_asked(question.helper);
         let keys: Vec<WorkerKey> =
             question.workers.iter().filter_map(|life| self.lives.get(life)).copied().collect();
         // Workers that were known as good before tell nothing about the others.
@@ -206,11 +219,11 @@
         share.learn(good, new.len());
     }
 
-    pub(super) fn forget_question(&mut self, step: StepId, now: Moment) {
+    pub(super) fn forget_question(&mut self, helper: HelperId, step: StepId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let Some(index) = job.step_index(&step) else { return };
         let advice = &mut job.steps[index].advice;
-        advice.asking = None;
+        advice.forget_asked(helper);
         advice.not_before = now.after(ASK_BACKOFF);
     }
 }
--- a/crates/sedgehill-cell/tests/testsuite/advice.rs
+++ b/crates/sedgehill-cell/tests/testsuite/advice.rs
@@ -1,10 +1,13 @@
 //! Which workers the advice service is asked about.
 
-use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
-use sedgehill_cell::scheduler::CellOrder;
+use std::collections::BTreeSet;
+
+use sedgehill_cell::ids::WorkerLife;
+use sedgehill_cell::job::{AdvicePolicy, JobRecord, QueuePolicy, StepSpec};
+use sedgehill_cell::scheduler::{CellOrder, HelperId};
 use sedgehill_core::units::TimeSpan;
 
-use crate::fake::{FakeCell, job, step};
+use crate::fake::{FakeCell, job, policy, step};
 
 fn advised(steps: Vec<StepSpec>) -> JobRecord {
     let mut record = job(steps);
@@ -88,3 +91,44 @@
     }
     assert_eq!(questions, [13], "one question tells for good who may run the step");
 }
+
+#[test]
+fn a_gang_wider_than_one_question_serves_asks_several_boxes_at_once() {
+    // Of 100 workers of 4 cores, 50 are taken as good: too few for a gang of 120.
+    let mut cell = FakeCell::new(400, 4);
+    let mut lead = cell.lead(false);
+    for helper in 1..=8 {
+        lead.add_helper(HelperId(helper));
+    }
+    let record = JobRecord {
+        policy: QueuePolicy {
+            advice: Some(AdvicePolicy {
+                decide_us: 390_000,
+                each_us: 5_600,
+                valid: TimeSpan(2_000),
+            }),
+            ..policy()
+        },
+        ..job(vec![gang(120, 4)])
+    };
+    cell.submit(&mut lead, 1, record);
+    cell.record(&mut lead);
+    let mut asked = Vec::new();
+    for _ in 0..8 {
+        cell.now.0 += 10;
+        cell.look(&mut lead);
+        lead.schedule(cell.now);
+        for order in lead.take_orders() {
+            if let CellOrder::Ask(question) = order {
+                asked.push(question);
+            }
+        }
+    }
+    assert_eq!(asked.len(), 3, "as many at once as a gang may ask");
+    let helpers: BTreeSet<HelperId> = asked.iter().map(|question| question.helper).collect();
+    assert_eq!(helpers.len(), 3, "each by another box");
+    let named: usize = asked.iter().map(|question| question.workers.len()).sum();
+    let distinct: BTreeSet<&WorkerLife> =
+        asked.iter().flat_map(|question| &question.workers).collect();
+    assert_eq!(distinct.len(), named, "no worker is named twice");
+}
