cell, standby: a lead never goes by states alone, and a box told states leads when no other is left

Cause: found by reading: a box could claim while it knew everything, and take in states from the earlier lead before it had fenced; jobs known by their states alone would then have been left out.

Change: a box that holds the claim takes in no states; a new lead reads what is not whole anew, and asserts that it knows every job in full.

--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/cancelled.rs
@@ -0,0 +1,70 @@
+//! Runs of cancelled jobs end, however they came to run.
+
+use sedgehill_cell::ids::JobId;
+use sedgehill_core::units::TimeSpan;
+
+use crate::fake::{FakeCell, job, step, task};
+
+/// How long a run of a cancelled job may go on once its worker can be heard: a stop and some turns.
+const SOON: TimeSpan = TimeSpan(800);
+
+/// A start whose worker did not answer, and which it has not carried out yet.
+fn unanswered_start() -> (FakeCell, sedgehill_cell::scheduler::Scheduler) {
+    let mut cell = FakeCell::new(1, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 2);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.record(&mut lead);
+    cell.workers[0].cut = true;
+    cell.now.0 += 20;
+    lead.schedule(cell.now);
+    for order in lead.take_orders() {
+        cell.obey(&mut lead, &order);
+    }
+    (cell, lead)
+}
+
+#[test]
+fn a_start_carried_out_after_the_cancelling_is_stopped() {
+    let (mut cell, mut lead) = unanswered_start();
+    cell.cancel(&mut lead, 1);
+    cell.workers[0].cut = false;
+    cell.carry_out_late();
+    assert!(cell.place(task(1, 0, 0)).is_some(), "the worker carried it out");
+    let begun = cell.now;
+    while cell.place(task(1, 0, 0)).is_some() {
+        cell.turn(&mut lead);
+        assert!(cell.now.since(begun) <= SOON, "it still runs");
+    }
+}
+
+#[test]
+fn a_start_of_a_lead_that_is_gone_is_stopped_by_the_next_if_its_job_was_cancelled() {
+    let (mut cell, mut lead) = unanswered_start();
+    cell.cancel(&mut lead, 1);
+    cell.workers[0].cut = false;
+    cell.carry_out_late();
+    drop(lead);
+    let mut next = cell.lead(true);
+    let begun = cell.now;
+    while cell.place(task(1, 0, 0)).is_some() {
+        cell.turn(&mut next);
+        assert!(cell.now.since(begun) <= SOON, "it still runs");
+    }
+}
+
+#[test]
+fn a_run_of_a_job_that_nobody_knows_any_more_is_stopped() {
+    let (mut cell, mut lead) = unanswered_start();
+    cell.cancel(&mut lead, 1);
+    cell.workers[0].cut = false;
+    cell.carry_out_late();
+    drop(lead);
+    cell.store.remove(&JobId(1));
+    let mut next = cell.lead(true);
+    let begun = cell.now;
+    while cell.place(task(1, 0, 0)).is_some() {
+        cell.turn(&mut next);
+        assert!(cell.now.since(begun) <= SOON, "it still runs");
+    }
+}
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod authority;
 mod brief;
+mod cancelled;
 mod displacement;
 mod fake;
 mod led;
--- a/crates/sedgehill-standin/src/cell_process.rs
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -32,6 +32,8 @@
     store: SocketAddr,
     advice: SocketAddr,
     cores: String,
+    /// What its link carries; the default if none.
+    link_mbps: Option<String>,
 }
 
 impl CellSite {
@@ -47,12 +49,19 @@
             store,
             advice: platform.advice_address,
             cores: cores.to_owned(),
+            link_mbps: None,
         }
     }
 
+    /// The same site with a link that carries so much.
+    pub fn with_link(mut self, link_mbps: &str) -> CellSite {
+        self.link_mbps = Some(link_mbps.to_owned());
+        self
+    }
+
     /// Starts the box. Its settings and its log lie in `directory`; the log is appended to.
     pub fn start(&self, directory: &Path) -> std::io::Result<CellProcess> {
-        let settings = json!({
+        let mut settings = json!({
             "box": self.name,
             "cores": self.cores,
             "listen": {
@@ -62,6 +71,9 @@
             "store": self.store,
             "advice": self.advice,
         });
+        if let Some(link) = &self.link_mbps {
+            settings["link_mbps"] = json!(link);
+        }
         let path = directory.join(format!("{}.json", self.name));
         std::fs::write(&path, settings.to_string())?;
         let log =
--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -444,3 +444,52 @@
     assert!(log.contains("silent connections replaced"));
     assert_kept(&platform);
 }
+
+/// Submits a job of many tasks, which keeps the workers of the tests busy for a second.
+async fn submit_wide(process: &CellProcess, id: u64) {
+    let body = json!({"spec": "work", "steps": [
+        {"count": 60, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150}
+    ]})
+    .to_string();
+    let path = format!("/checks/{id:016x}");
+    wait_for("acceptance", async || {
+        let answer = call(process.callers, "POST", &path, &body).await;
+        answer.is_some_and(|(status, _)| status == 200)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_box_that_was_told_states_alone_leads_when_no_other_is_left() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(2).await.unwrap();
+    platform.configure(1);
+    let mut boxes = Vec::new();
+    for name in ["box-1", "box-2", "box-3", "box-4"] {
+        // A link so narrow that the lead feeds as few boxes in full as it may.
+        let site = CellSite::new(name, &platform, platform.store_address, "0.25");
+        let process = site.with_link("0.001").start(directory.path()).unwrap();
+        wait_ready(&process).await;
+        boxes.push(process);
+    }
+    let last = boxes.pop().unwrap();
+    let log = directory.path().join("box-4.log");
+    let mut id = 0;
+    wait_for("the end of standing by", async || {
+        id += 1;
+        submit(&[&last], id).await;
+        std::fs::read_to_string(&log).unwrap().contains("\"stands_by\":false")
+    })
+    .await;
+    let narrow = id;
+    for id in narrow + 1..=narrow + 3 {
+        submit_wide(&last, id).await;
+    }
+    // The lead and all boxes that stand by are killed.
+    drop(boxes);
+    for id in 1..=narrow + 3 {
+        wait_completed(&last, id).await;
+    }
+    assert!(std::fs::read_to_string(&log).unwrap().contains("no box that stands by leads"));
+    assert_kept(&platform);
+}
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -133,6 +133,10 @@
 /// Reads a topic up to an offset at once, whatever else follows it.
 pub async fn catch_up(host: &CellBox, topic: StoreTopic, end: u64) -> Result<(), CallError> {
     let Some(view) = host.view(topic) else { return Ok(()) };
+    if view.offset.get().is_none() {
+        // The newest records hold all that was appended before.
+        read_newest(host, topic, view).await?;
+    }
     while let Some(offset) = view.offset.get().filter(|offset| *offset < end) {
         read_on(host, topic, view, offset, Duration::ZERO).await?;
     }
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -386,6 +386,10 @@
 /// Takes in states that follow what is known. What is missing before them is read from the store.
 fn take_briefs(host: &CellBox, fed: FedBriefs) {
     let Some(view) = host.view(fed.topic) else { return };
+    if host.watch.borrow().is_holder() {
+        // A box that has claimed the lead needs more than states.
+        return;
+    }
     let (from, end) = (fed.from, fed.end);
     let follows = match view.offset.get() {
         Some(known) => (from..end).contains(&known),
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -64,6 +64,8 @@
             None => tokio::time::sleep(RETRY_PAUSE).await,
         }
     };
+    // The earlier lead may have told this box states alone until now.
+    host.read_anew();
     // Jobs that an earlier lead has seen must be known, or their runs would be taken as foreign.
     let limit = Duration::from_millis(FENCE_LIMIT.0.saturating_sub(clock::now().since(begun).0));
     let reading = async {
@@ -80,6 +82,7 @@
         }
         Err(_) => return None,
     }
+    assert!(host.could_lead(), "a lead knows every job in full");
     info!(host.log, "fenced"; "token" => %token, "end" => end,
         "took_ms" => clock::now().since(begun).as_millis());
     Some(recorder)
