platform, idle_pool: at most a quarter of a box's descriptors are idle connections

Cause: each worker's address kept up to six idle connections: with 1,000 workers the lead held 4,054 connections, with 3,000 it reached the limit of 8,192 descriptors, and calls failed for want of one.

Change: the connections of all addresses together are bounded, and those that idled longest are closed; the bound follows from the descriptors in the settings.

--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -379,6 +379,7 @@
         ("{{platform.address}}", "127.0.0.1:5"),
         ("{{limits.cpu_share}}", "0.25"),
         ("{{limits.link_mbps}}", "1000.0"),
+        ("{{limits.max_fds}}", "4200"),
         ("{{bounds.max_hold_ms}}", "6000"),
         ("{{bounds.stop_ms}}", "400"),
         ("{{bounds.status_s}}", "120"),
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -51,6 +51,8 @@
     pub strength: BoxStrength,
     /// What the box's link carries.
     pub link: LinkRate,
+    /// Descriptors that the process may use.
+    pub descriptors: usize,
     /// Times of the scheduler.
     pub cell: CellTiming,
     /// Times of claims and renewals.
@@ -74,6 +76,8 @@
 /// What the link of a box carries whose settings tell nothing: 1,000 Mbit/s, as those of the platform's
 /// usual boxes.
 const DEFAULT_LINK: LinkRate = LinkRate::from_bytes(125_000_000);
+/// Descriptors of a process whose settings tell none: those of the platform's usual boxes.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
 
 impl CellSettings {
     /// Reads and checks a file.
@@ -112,6 +116,7 @@
     let advice = reader.optional_text("advice");
     let strength = reader.text_or("cores", DEFAULT_STRENGTH);
     let link = reader.text_or("link_mbps", DEFAULT_LINK);
+    let descriptors = reader.text_or("descriptors", DEFAULT_DESCRIPTORS);
     let cell = optional_group(reader, "cell", read_cell);
     let policy = optional_group(reader, "policy", read_policy);
     let grace = reader.text_or("stop_grace", TimeSpan(6_000));
@@ -126,6 +131,7 @@
         advice,
         strength: strength?.bounded_by(link?),
         link: link?,
+        descriptors: descriptors?,
         cell: CellTiming { policy: policy?, ..cell? },
         authority: AuthorityTiming::default(),
         keep_ended: TimeSpan(keep_ended?.0 + KEEP_RESERVE.0),
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -188,6 +188,10 @@
     begun: Moment,
 }
 
+/// One descriptor in this many may be an idle connection: each worker has one with an account under way
+/// besides, and callers and other boxes need theirs.
+const IDLE_PART: usize = 4;
+
 /// How long a weak box waits after its start for a lead that tells it the states: a restart of all boxes takes
 /// the strong ones about a second.
 const READING_DEFERRED: TimeSpan = TimeSpan(2_500);
@@ -196,7 +200,7 @@
     /// Shares the state of a box that knows nothing yet.
     pub fn new(settings: CellSettings, log: Logger) -> CellBox {
         let life = rand::random();
-        let http = HttpClient::default();
+        let http = HttpClient::with_idle(settings.descriptors / IDLE_PART);
         let clients = PlatformClients {
             store: StoreClient::new(http.clone(), settings.store),
             workers: WorkerClient::new(http.clone()),
