cell, roster: a reused address does not tell which life of a worker has ended

Workers were replaced at their addresses and the lead was killed 0.3 s later. The store lists a life for some seconds after its end, so the next lead read both lives of an address at once, took the one it read second for the newer, and held the living one for ended: its tasks began elsewhere while its lease ran.

Change: nothing is concluded from an address; the address itself refuses what is meant for another life, and that ends it, as before. The new test fails on the code before.

--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -44,12 +44,13 @@
         self.unwatched()
     }
 
+    /// Two lives may stand at one address, as the store lists a life for some seconds after its end. Which of
+    /// them has ended is told by the address itself, which refuses what is meant for the other.
     fn know_worker(&mut self, entry: WorkerEntry, now: Moment) -> WorkerKey {
         if let Some(key) = self.lives.get(&entry.life) {
             return *key;
         }
         let key = WorkerKey(self.workers.len());
-        self.bury_predecessors(&entry, now);
         self.lives.insert(entry.life.clone(), key);
         self.note_worker(&entry.life, "listed");
         self.workers.push(WorkerState::new(entry, now));
@@ -97,16 +98,6 @@
         WorkerRoster(entries)
     }
 
-    /// A new life at an address means that the life before it has ended.
-    fn bury_predecessors(&mut self, entry: &WorkerEntry, now: Moment) {
-        for number in 0..self.workers.len() {
-            let worker = &self.workers[number];
-            if !worker.dead && worker.entry.address == entry.address {
-                self.bury(WorkerKey(number), now);
-            }
-        }
-    }
-
     /// Whether a worker's daemon task should go on asking it for accounts.
     pub fn is_watched(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key.0];
--- a/crates/sedgehill-cell/tests/testsuite/scheduler.rs
+++ b/crates/sedgehill-cell/tests/testsuite/scheduler.rs
@@ -541,3 +541,31 @@
 fn after_first(spec: StepSpec) -> StepSpec {
     StepSpec { after: vec![0], ..spec }
 }
+
+/// A cell whose lead is lost while a task runs on one of two workers; the store also lists an earlier life
+/// at the address of that worker.
+fn reused_address(earlier_first: bool) {
+    let mut cell = FakeCell::new(3, 4);
+    cell.workers[2].unlisted = true;
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    let number = cell.place(task(1, 0, 0)).unwrap();
+    let earlier = &mut cell.workers[2];
+    earlier.unlisted = false;
+    earlier.cut = true;
+    cell.workers[2].entry.address = cell.workers[number].entry.address;
+    cell.workers[number].cut = true;
+    if earlier_first {
+        cell.workers.swap(0, 2);
+    }
+    let mut next = cell.lead(true);
+    cell.turns(&mut next, 10);
+    assert_eq!(cell.starts.len(), 1, "the task may still run where it was begun");
+}
+
+#[test]
+fn a_reused_address_does_not_tell_a_new_lead_which_life_has_ended() {
+    reused_address(false);
+    reused_address(true);
+}
