--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod patience;
 mod random;
 mod replica;
+mod roster;
 mod scheduler;
 mod silence;
 mod standby;
--- a/crates/sedgehill-cell/tests/testsuite/scheduler.rs
+++ b/crates/sedgehill-cell/tests/testsuite/scheduler.rs
@@ -3,7 +3,7 @@
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::job::{RepeatSpec, StepSpec};
 use sedgehill_cell::progress::JobState;
-use sedgehill_cell::scheduler::{CellEvent, CellOrder, RunEnd, Scheduler, WorkerKey};
+use sedgehill_cell::scheduler::{CellEvent, CellOrder, RunEnd, WorkerKey};
 
 use sedgehill_core::units::TimeSpan;
 
@@ -492,80 +492,3 @@
     // The fake panics if the late copy begins as well.
     cell.carry_out_late();
 }
-
-/// Turns of a lead that shows the store's list to the scheduler as often as the daemon does.
-fn turns_with_lists(cell: &mut FakeCell, lead: &mut Scheduler, count: usize) {
-    for turn in 0..count {
-        if turn % 20 == 0 {
-            cell.list(lead);
-        }
-        cell.turn(lead);
-    }
-}
-
-#[test]
-fn a_worker_that_drained_empty_does_not_hold_up_a_later_lead() {
-    let mut cell = FakeCell::new(3, 16);
-    let mut lead = cell.lead(false);
-    cell.submit(&mut lead, 1, job(vec![step(2, 1), after_first(step(2, 1))]));
-    turns_with_lists(&mut cell, &mut lead, 40);
-    cell.workers[2].entry.draining = true;
-    cell.end_all();
-    turns_with_lists(&mut cell, &mut lead, 60);
-    cell.end_all();
-    // It has ended, though the store still lists it.
-    cell.workers[2].cut = true;
-    cell.now.0 += 20;
-    let mut next = cell.lead(true);
-    cell.turns(&mut next, 10);
-    assert!(next.is_settled());
-}
-
-#[test]
-fn a_worker_out_of_touch_whose_runs_have_lapsed_does_not_hold_up_a_later_lead() {
-    let mut cell = FakeCell::new(3, 16);
-    let mut lead = cell.lead(false);
-    turns_with_lists(&mut cell, &mut lead, 40);
-    cell.workers[1].cut = true;
-    turns_with_lists(&mut cell, &mut lead, 120);
-    let mut next = cell.lead(true);
-    cell.turns(&mut next, 10);
-    assert!(next.is_settled());
-    // Back in touch it gets work again.
-    cell.workers[1].cut = false;
-    cell.submit(&mut next, 2, job(vec![step(3, 16)]));
-    turns_with_lists(&mut cell, &mut next, 60);
-    assert_eq!(cell.starts.len(), 3);
-}
-
-fn after_first(spec: StepSpec) -> StepSpec {
-    StepSpec { after: vec![0], ..spec }
-}
-
-/// A cell whose lead is lost while a task runs on one of two workers; the store also lists an earlier life
-/// at the address of that worker.
-fn reused_address(earlier_first: bool) {
-    let mut cell = FakeCell::new(3, 4);
-    cell.workers[2].unlisted = true;
-    let mut lead = cell.lead(false);
-    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
-    cell.turns(&mut lead, 3);
-    let number = cell.place(task(1, 0, 0)).unwrap();
-    let earlier = &mut cell.workers[2];
-    earlier.unlisted = false;
-    earlier.cut = true;
-    cell.workers[2].entry.address = cell.workers[number].entry.address;
-    cell.workers[number].cut = true;
-    if earlier_first {
-        cell.workers.swap(0, 2);
-    }
-    let mut next = cell.lead(true);
-    cell.turns(&mut next, 10);
-    assert_eq!(cell.starts.len(), 1, "the task may still run where it was begun");
-}
-
-#[test]
-fn a_reused_address_does_not_tell_a_new_lead_which_life_has_ended() {
-    reused_address(false);
-    reused_address(true);
-}
