--- a/crates/sedgehill-cell/tests/testsuite/scheduler.rs
+++ b/crates/sedgehill-cell/tests/testsuite/scheduler.rs
@@ -1,7 +1,7 @@
 //! What the lead of a cell does.
 
 use sedgehill_cell::ids::JobId;
-use sedgehill_cell::job::{RepeatSpec, StepSpec};
+use sedgehill_cell::job::RepeatSpec;
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::scheduler::{CellEvent, CellOrder, RunEnd, WorkerKey};
 
