--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -473,24 +473,34 @@
         wait_ready(&process).await;
         boxes.push(process);
     }
-    let last = boxes.pop().unwrap();
-    let log = directory.path().join("box-4.log");
-    let mut id = 0;
-    wait_for("the end of standing by", async || {
-        id += 1;
-        submit(&[&last], id).await;
-        std::fs::read_to_string(&log).unwrap().contains("\"stands_by\":false")
+    let log_of = |number: usize| {
+        let path = directory.path().join(format!("box-{}.log", number + 1));
+        std::fs::read_to_string(path).unwrap()
+    };
+    // Of boxes alike the one that joined last is told states alone.
+    let mut told = None;
+    let mut narrow = 0;
+    wait_for("a box that is told states alone", async || {
+        narrow += 1;
+        submit(&[&boxes[0]], narrow).await;
+        told = (0..4).find(|number| log_of(*number).contains("told states alone"));
+        told.is_some()
     })
     .await;
-    let narrow = id;
+    let told = told.unwrap();
+    let last = boxes.remove(told);
     for id in narrow + 1..=narrow + 3 {
         submit_wide(&last, id).await;
     }
-    // The lead and all boxes that stand by are killed.
+    // The lead and all boxes that stand by are killed at once: a lead that outlived one of them would have this
+    // box stand by in its place.
+    for process in &boxes {
+        process.signal(Signal::SIGKILL);
+    }
     drop(boxes);
     for id in 1..=narrow + 3 {
         wait_completed(&last, id).await;
     }
-    assert!(std::fs::read_to_string(&log).unwrap().contains("no box that stands by leads"));
+    assert!(log_of(told).contains("no box that stands by leads"));
     assert_kept(&platform);
 }
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -402,7 +402,9 @@
     for brief in fed.jobs {
         host.replica.borrow_mut().apply_brief(brief, clock::now());
     }
-    view.whole.set(false);
+    if view.whole.replace(false) {
+        info!(host.log, "told states alone"; "topic" => ?fed.topic, "end" => end);
+    }
     view.offset.set(Some(end));
 }
 
