cell, tests: one way to learn from an answer in time or late, and steps of tests that stood twice

Read again: a call to a worker learned its answer time in two closures, one for late answers; it learns inside the call now. The tests of cancelled jobs and of submissions share their steps, with the same assertions.

--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -61,11 +61,15 @@
 
 /// Hands a job in at any of the boxes until one takes it.
 async fn submit(boxes: &[&CellProcess], id: u64) {
-    let body = json!({"spec": "work", "steps": [
+    let steps = json!([
         {"count": 2, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150},
         {"count": 2, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150, "gang_scheduled": true, "after": [0]}
-    ]})
-    .to_string();
+    ]);
+    submit_steps(boxes, id, steps).await;
+}
+
+async fn submit_steps(boxes: &[&CellProcess], id: u64, steps: Value) {
+    let body = json!({"spec": "work", "steps": steps}).to_string();
     let path = format!("/checks/{id:016x}");
     let mut turn = id as usize;
     wait_for("acceptance", async || {
@@ -448,16 +452,8 @@
 
 /// Submits a job of many tasks, which keeps the workers of the tests busy for a second.
 async fn submit_wide(process: &CellProcess, id: u64) {
-    let body = json!({"spec": "work", "steps": [
-        {"count": 60, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150}
-    ]})
-    .to_string();
-    let path = format!("/checks/{id:016x}");
-    wait_for("acceptance", async || {
-        let answer = call(process.callers, "POST", &path, &body).await;
-        answer.is_some_and(|(status, _)| status == 200)
-    })
-    .await;
+    let steps = json!([{"count": 60, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150}]);
+    submit_steps(&[process], id, steps).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/sedgehilld/src/cell/orders.rs
+++ b/crates/sedgehilld/src/cell/orders.rs
@@ -85,23 +85,20 @@
 {
     let limit = session.order_patience.borrow().limit();
     let sent = Instant::now();
-    let learn = {
+    let answering = calling(late::limits_for(limit));
+    let learning = {
         let session = session.clone();
-        move |answer: &WorkerAnswer<WorkerTime>| {
+        async move {
+            let answer = answering.await;
             if let WorkerAnswer::Done(_) = answer {
                 session.order_patience.borrow_mut().note_answer(sent.elapsed());
             }
-        }
-    };
-    let late_learn = learn.clone();
-    let calling = calling(late::limits_for(limit));
-    match late::wait_for(calling, limit, move |answer| late_learn(&answer)).await {
-        Some(answer) => {
-            learn(&answer);
             answer
         }
-        None => WorkerAnswer::Unknown,
-    }
+    };
+    // A late answer has told all it can once it was learned from.
+    let answer = late::wait_for(learning, limit, drop).await;
+    answer.unwrap_or(WorkerAnswer::Unknown)
 }
 
 async fn stop(host: &Rc<CellBox>, session: &Rc<LeadSession>, order: StopOrder) {
