--- a/crates/sedgehill-cell/src/brief.rs
+++ b/crates/sedgehill-cell/src/brief.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{JobId, QueueName};
+use crate::ids::{JobId, OrganisationName, QueueName};
 use crate::progress::JobState;
 use crate::replica::CellReplica;
 
@@ -18,6 +18,8 @@
     pub state: Option<JobState>,
     /// The queue of a job none of whose tasks has begun.
     pub waits_in: Option<QueueName>,
+    /// Whose the job is.
+    pub organisation: Option<OrganisationName>,
 }
 
 impl JobBrief {
@@ -28,6 +30,7 @@
             job,
             state: known.map(|known| known.state()),
             waits_in: known.and_then(|known| known.waits_in().cloned()),
+            organisation: known.and_then(|known| known.organisation.clone()),
         }
     }
 }
--- a/crates/sedgehill-cell/src/ids.rs
+++ b/crates/sedgehill-cell/src/ids.rs
@@ -173,6 +173,22 @@
     }
 }
 
+/// The name of an organisation, as operators give it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrganisationName(pub Arc<str>);
+
+impl fmt::Display for OrganisationName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<&str> for OrganisationName {
+    fn from(text: &str) -> OrganisationName {
+        OrganisationName(Arc::from(text))
+    }
+}
+
 /// A service: the pool of workers that run the tasks of a queue.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PoolName(pub Arc<str>);
--- a/crates/sedgehill-cell/src/job.rs
+++ b/crates/sedgehill-cell/src/job.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{PoolName, QueueName};
+use crate::organisation::JobOwner;
 
 /// What the advice service costs for one step of a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -117,6 +118,8 @@
     pub queue: QueueName,
     /// The policy of the queue at acceptance.
     pub policy: QueuePolicy,
+    /// Whose it is; none if it was handed in without a key.
+    pub owner: Option<JobOwner>,
     /// The work.
     pub spec: JobSpec,
     /// When the accepting box took it, in milliseconds since 1970.
--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -5,6 +5,7 @@
 //! same code.
 //!
 //! - [`job`] describes jobs as callers hand them in, and the policy of the queue they came through.
+//! - [`organisation`] says who may call, and what each organisation may have running.
 //! - [`progress`] is what must survive of a job's course.
 //! - [`replica`] folds the cell's records into the jobs that every box knows.
 //! - [`brief`] is what boxes are told of jobs that do not stand by to lead.
@@ -18,6 +19,7 @@
 pub mod brief;
 pub mod ids;
 pub mod job;
+pub mod organisation;
 pub mod patience;
 pub mod progress;
 pub mod replica;
--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::RunNumber;
+use crate::ids::{OrganisationName, RunNumber};
 use crate::job::JobSpec;
 
 /// How far a job is, as callers see it.
@@ -62,6 +62,8 @@
     pub ordered: bool,
     /// The tasks of all steps of all repetitions, in order; empty until the first end.
     pub tasks: Vec<TaskProgress>,
+    /// Whose the job is, once it is over: what was accepted is dropped then.
+    pub organisation: Option<OrganisationName>,
 }
 
 impl JobProgress {
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::brief::JobBrief;
-use crate::ids::{CellIdError, JobId, QueueName};
+use crate::ids::{CellIdError, JobId, OrganisationName, QueueName};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
 use crate::scheduler::WorkerRoster;
@@ -66,6 +66,12 @@
         Ok((kind, id.parse()?))
     }
 
+    /// Whose job the record accepts; none if it accepts no job.
+    pub fn owner(&self) -> Option<Option<OrganisationName>> {
+        let (CellRecord::Job(record) | CellRecord::Led(record)) = self else { return None };
+        Some(record.owner.as_ref().map(|owner| owner.organisation.clone()))
+    }
+
     /// The key under which the record is kept.
     pub fn key(&self, job: JobId) -> String {
         let kind = match self {
@@ -97,6 +103,8 @@
     pub record: Option<Rc<JobRecord>>,
     /// The queue of an accepted job that is not over; none if that was not told.
     queue: Option<QueueName>,
+    /// Whose it is; none for anybody's.
+    pub organisation: Option<OrganisationName>,
     /// Whether it is known to be accepted from its state alone.
     told: bool,
     /// Whether the caller cancelled it.
@@ -119,6 +127,11 @@
         }
     }
 
+    /// Whether a caller of this organisation, or of none, may ask for the job or cancel it.
+    pub fn is_open_to(&self, caller: Option<&OrganisationName>) -> bool {
+        self.organisation.is_none() || self.organisation.as_ref() == caller
+    }
+
     fn is_accepted(&self) -> bool {
         self.record.is_some() || self.told || self.progress.state.is_final()
     }
@@ -209,6 +222,7 @@
             }
             CellRecord::Job(record) | CellRecord::Led(record) => {
                 job.queue = Some(record.queue.clone());
+                job.organisation = record.owner.as_ref().map(|owner| owner.organisation.clone());
                 job.record = Some(Rc::new(record));
                 ReplicaChange::Accepted(id)
             }
@@ -222,6 +236,9 @@
                 ReplicaChange::Other
             }
             CellRecord::Progress(progress) => {
+                if let Some(organisation) = &progress.organisation {
+                    job.organisation.get_or_insert_with(|| organisation.clone());
+                }
                 job.progress = progress;
                 ReplicaChange::Other
             }
@@ -238,6 +255,7 @@
         let was_over = job.progress.state.is_final();
         job.told = true;
         job.queue = job.queue.take().or(brief.waits_in);
+        job.organisation = job.organisation.take().or(brief.organisation);
         match state {
             // The job may still end otherwise, and then that is what callers are told.
             JobState::Cancelled => job.cancelled = true,
--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -26,7 +26,7 @@
         reason: &'static str,
         now: Moment,
     ) {
-        self.workers[key.0].remove_run(&task);
+        self.remove_run(key, &task);
         self.events.push(CellEvent::RunLost { task, run, worker: life.clone(), reason });
         self.release_task(&task, run, now, None);
         self.finish_if_over(task.step.job, now);
@@ -139,13 +139,14 @@
         let run = WorkerRun {
             run: row.run,
             need,
+            owner: self.jobs.get(&row.task.step.job).and_then(|job| job.owner),
             phase: RunPhase::Confirmed,
             listed_from: Some(now),
             since: now,
             expected: None,
             overdue: false,
         };
-        self.workers[key.0].add_run(row.task, run);
+        self.add_run(key, row.task, run);
     }
 
     /// A run of a job that is over and forgotten: it is stopped, and until it is gone the worker
--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -98,9 +98,9 @@
         refusal: WorkerRefusal,
         now: Moment,
     ) {
-        let worker = &mut self.workers[key.0];
-        if worker.runs.get(task).is_some_and(|entry| entry.run == run) {
-            worker.remove_run(task);
+        let runs = &self.workers[key.0].runs;
+        if runs.get(task).is_some_and(|entry| entry.run == run) {
+            self.remove_run(key, task);
         }
         self.release_task(task, run, now.after(self.timing.start_backoff), None);
         if refusal == WorkerRefusal::Ticket
--- a/crates/sedgehill-cell/src/scheduler/ends.rs
+++ b/crates/sedgehill-cell/src/scheduler/ends.rs
@@ -7,10 +7,10 @@
 impl Scheduler {
     /// Takes in an end. Returns whether it changed what is kept of its job.
     pub(super) fn take_end(&mut self, key: WorkerKey, row: &EndRow, now: Moment) -> bool {
-        let worker = &mut self.workers[key.0];
+        let worker = &self.workers[key.0];
         let life = worker.entry.life.clone();
         if worker.runs.get(&row.task).is_some_and(|run| run.run == row.run) {
-            let run = worker.remove_run(&row.task);
+            let run = self.remove_run(key, &row.task);
             if let (Some(run), RunEnd::Done) = (run, row.end) {
                 self.learn_pace(key, &row.task, &run, now);
             }
--- a/crates/sedgehill-cell/src/scheduler/message.rs
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -7,8 +7,9 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CellTask, JobId, PoolName, RunNumber, StepId, WorkerLife};
+use crate::ids::{CellTask, JobId, OrganisationName, PoolName, RunNumber, StepId, WorkerLife};
 use crate::job::JobRecord;
+use crate::organisation::ResourceLimit;
 use crate::progress::JobProgress;
 
 /// The scheduler's handle of one life of a worker.
@@ -344,6 +345,19 @@
         /// Since the question.
         took: TimeSpan,
     },
+    /// Tasks of a step could run but for the limit of their organisation.
+    Held {
+        /// The step.
+        step: StepId,
+        /// Whose limit.
+        organisation: OrganisationName,
+        /// What runs for it, or may.
+        running: ResourceSet,
+        /// The most that may.
+        limit: ResourceLimit,
+        /// What one more task needs.
+        need: ResourceSet,
+    },
     /// A job is over.
     JobEnded {
         /// The job.
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod loss;
 mod message;
 mod naming;
+mod organisations;
 mod pace;
 mod placement;
 mod policy;
@@ -33,8 +34,10 @@
 pub use self::advice::{AdviceDesk, GoodShare};
 use self::loss::LossRate;
 pub use self::message::*;
+use self::organisations::OrganisationBook;
+pub use self::organisations::OrganisationFigures;
 use self::pace::FactorAverage;
-pub use self::policy::CellPolicy;
+pub use self::policy::{CellPolicy, SharingError, SharingWay};
 pub use self::timing::CellTiming;
 use self::work::{JobWork, OrderedMark, TaskPhase};
 use self::worker::{RunPhase, StopTry, WorkerState, WorkerTrust};
@@ -65,6 +68,7 @@
     shares: HashMap<QueueName, GoodShare>,
     estimates: HashMap<QueueName, FactorAverage>,
     losses: LossRate,
+    organisations: OrganisationBook,
     take_over: TakeOver,
     surveyed: bool,
     orders: Vec<CellOrder>,
@@ -97,6 +101,7 @@
             shares: HashMap::new(),
             estimates: HashMap::new(),
             losses: LossRate::default(),
+            organisations: OrganisationBook::default(),
             take_over: TakeOver { since: now, predecessor, settled: false },
             surveyed: false,
             orders: Vec::new(),
@@ -181,6 +186,7 @@
         let job = JobWork::new(id, record, accepted, kept, self.token);
         let needs_mark = job.ordered == OrderedMark::Missing;
         self.jobs.insert(id, job);
+        self.note_owner(id, now);
         if needs_mark {
             self.mark_ordered(id);
         }
@@ -201,6 +207,7 @@
             .or_insert_with(|| JobWork::new(id, record, now, &JobProgress::default(), self.token));
         job.ordered = OrderedMark::Recorded;
         job.foreign_orders = false;
+        self.note_owner(id, now);
     }
 
     fn mark_ordered(&mut self, id: JobId) {
@@ -300,6 +307,7 @@
         self.repeat_stops(now);
         self.find_stragglers(now);
         self.settle_take_over(now);
+        self.count_unseen(self.unix_ms_at(now));
         if self.surveyed {
             self.place_all(now);
         }
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -0,0 +1,321 @@
+//! What runs for each organisation, and whether more may be started for it.
+//!
+//! Everything that may be running counts, at its worst: starts without an answer, runs that are being
+//! stopped, and runs on workers out of touch until their lease has surely ended. A new lead has not heard of
+//! what earlier leads ordered: until every worker has answered, waiting tasks of jobs that were ordered count
+//! as running, as far as the workers not yet heard could hold them.
+
+use std::collections::HashMap;
+
+use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
+
+use super::work::{JobWork, TaskPhase, TaskWork};
+use super::worker::{WorkerRun, WorkerState};
+use super::*;
+use crate::ids::{OrganisationName, StepId};
+use crate::job::StepSpec;
+use crate::organisation::{JobOwner, OrganisationPolicy, ResourceLimit, ShareWeight};
+
+/// The scheduler's handle of an organisation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrganisationKey(usize);
+
+/// An organisation may send what it is due in so much time at once, before more counts as excess: the span
+/// over which its rate is counted.
+const DUE_SPAN: TimeSpan = TimeSpan(1_000);
+/// Thousandths of a job, in which what is due is counted, times milliseconds.
+const JOB_COST: u64 = 1_000 * 1_000;
+
+/// What an organisation is due: jobs that it may still send before they count as excess. It fills at the
+/// organisation's weight.
+#[derive(Debug, Clone, Copy)]
+struct DueBucket {
+    /// In thousandths of a job times milliseconds.
+    level: u64,
+    at: Moment,
+}
+
+impl DueBucket {
+    /// Takes one job out of what is due at `now`. Returns whether there was enough.
+    fn take(&mut self, weight: ShareWeight, now: Moment) -> bool {
+        let most = (weight.0 * DUE_SPAN.0).max(JOB_COST);
+        let filled = self.level.saturating_add(weight.0 * now.since(self.at).0);
+        self.level = filled.min(most);
+        self.at = self.at.max(now);
+        let enough = self.level >= JOB_COST;
+        if enough {
+            self.level -= JOB_COST;
+        }
+        enough
+    }
+}
+
+/// One organisation.
+#[derive(Debug)]
+struct OrganisationAccount {
+    name: OrganisationName,
+    weight: ShareWeight,
+    limit: ResourceLimit,
+    /// What runs, or may run, as far as it is known.
+    running: ResourceSet,
+    /// What may run besides, unheard of.
+    unseen: ResourceSet,
+    due: DueBucket,
+}
+
+impl OrganisationAccount {
+    fn room(&self) -> ResourceSet {
+        self.limit.room_beside(&self.running.plus(&self.unseen))
+    }
+}
+
+/// What operators are shown of an organisation.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OrganisationFigures {
+    /// The organisation.
+    pub name: OrganisationName,
+    /// What runs, or may run.
+    pub running: ResourceSet,
+    /// The most that may.
+    pub limit: ResourceLimit,
+    /// Its share when everything is full.
+    pub weight: ShareWeight,
+    /// Jobs that are not over.
+    pub open_jobs: usize,
+}
+
+/// The account of all organisations.
+#[derive(Debug, Default)]
+pub struct OrganisationBook {
+    accounts: Vec<OrganisationAccount>,
+    keys: HashMap<OrganisationName, OrganisationKey>,
+    weights: u64,
+}
+
+impl OrganisationBook {
+    /// Takes in what the configuration says. One that it does not name any more keeps its last limit, as
+    /// long as this lead lasts.
+    pub fn set_policies(&mut self, policies: &[OrganisationPolicy], now: Moment) {
+        self.weights = policies.iter().map(|policy| policy.weight.0).sum();
+        for policy in policies {
+            let key = self.key_of(&policy.name, policy.maximum, now);
+            let account = &mut self.accounts[key.0];
+            account.limit = policy.maximum;
+            account.weight = policy.weight;
+        }
+    }
+
+    /// The handle of a job's owner.
+    pub fn know(&mut self, owner: &JobOwner, now: Moment) -> OrganisationKey {
+        self.key_of(&owner.organisation, owner.maximum, now)
+    }
+
+    fn key_of(
+        &mut self,
+        name: &OrganisationName,
+        limit: ResourceLimit,
+        now: Moment,
+    ) -> OrganisationKey {
+        if let Some(key) = self.keys.get(name) {
+            return *key;
+        }
+        let key = OrganisationKey(self.accounts.len());
+        self.keys.insert(name.clone(), key);
+        self.accounts.push(OrganisationAccount {
+            name: name.clone(),
+            weight: ShareWeight::default(),
+            limit,
+            running: ResourceSet::default(),
+            unseen: ResourceSet::default(),
+            due: DueBucket { level: u64::MAX, at: now },
+        });
+        key
+    }
+
+    /// Whether a job accepted at `now` is beyond what its organisation is due.
+    pub fn is_excess(&mut self, key: OrganisationKey, now: Moment) -> bool {
+        let account = &mut self.accounts[key.0];
+        // Of an organisation that the configuration does not name nothing is known to be due.
+        account.weight.0 > 0 && !account.due.take(account.weight, now)
+    }
+
+    fn take(&mut self, run: &WorkerRun) {
+        let (Some(key), Some(need)) = (run.owner, run.need) else { return };
+        let account = &mut self.accounts[key.0];
+        account.running = account.running.plus(&need);
+    }
+
+    fn give_back(&mut self, run: &WorkerRun) {
+        let (Some(key), Some(need)) = (run.owner, run.need) else { return };
+        let account = &mut self.accounts[key.0];
+        let left = account.running.minus(&need);
+        account.running = left.expect("an organisation gives back what was counted for it");
+    }
+
+    /// How many tasks that each need `need` may be started now.
+    pub fn room_for(&self, key: Option<OrganisationKey>, need: &ResourceSet) -> usize {
+        let Some(key) = key else { return usize::MAX };
+        let count = self.accounts[key.0].room().capacity_for(need);
+        usize::try_from(count).unwrap_or(usize::MAX)
+    }
+
+    /// By how much an organisation is beyond its share of `total`, in steps of half its share: 0 within it.
+    pub fn beyond_share(&self, key: OrganisationKey, total: &ResourceSet) -> u8 {
+        const STEPS: f64 = 2.0;
+        const MOST: f64 = 200.0;
+        let account = &self.accounts[key.0];
+        if account.weight.0 == 0 || self.weights == 0 {
+            return 0;
+        }
+        let part = |used: u64, all: u64| if all == 0 { 0.0 } else { used as f64 / all as f64 };
+        let running = &account.running;
+        let dominant = part(running.cores.0, total.cores.0)
+            .max(part(running.memory.0, total.memory.0))
+            .max(part(running.accelerators.into(), total.accelerators.into()));
+        let share = account.weight.0 as f64 / self.weights as f64;
+        ((dominant / share - 1.0) * STEPS).ceil().clamp(0.0, MOST) as u8
+    }
+
+    fn note_unseen(&mut self, needs: &HashMap<OrganisationKey, ResourceSet>, most: &ResourceSet) {
+        for (number, account) in self.accounts.iter_mut().enumerate() {
+            let need = needs.get(&OrganisationKey(number)).copied().unwrap_or_default();
+            account.unseen = ResourceSet {
+                cores: need.cores.min(most.cores),
+                memory: need.memory.min(most.memory),
+                accelerators: need.accelerators.min(most.accelerators),
+            };
+        }
+    }
+
+    fn held_event(&self, key: OrganisationKey, step: StepId, need: ResourceSet) -> CellEvent {
+        let account = &self.accounts[key.0];
+        CellEvent::Held {
+            step,
+            organisation: account.name.clone(),
+            running: account.running.plus(&account.unseen),
+            limit: account.limit,
+            need,
+        }
+    }
+}
+
+impl Scheduler {
+    /// Takes in what the configuration says of organisations.
+    pub fn set_organisations(&mut self, policies: &[OrganisationPolicy], now: Moment) {
+        self.organisations.set_policies(policies, now);
+    }
+
+    /// Gives a job that came in its owner.
+    pub(super) fn note_owner(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.owner.is_none()) else { return };
+        let Some(owner) = &job.record.owner else { return };
+        let key = self.organisations.know(owner, now);
+        job.owner = Some(key);
+        job.excess = self.organisations.is_excess(key, job.accepted);
+    }
+
+    /// Puts a run on a worker.
+    pub(super) fn add_run(&mut self, key: WorkerKey, task: CellTask, run: WorkerRun) {
+        self.organisations.take(&run);
+        self.workers[key.0].add_run(task, run);
+    }
+
+    /// A run is gone from a worker.
+    pub(super) fn remove_run(&mut self, key: WorkerKey, task: &CellTask) -> Option<WorkerRun> {
+        let run = self.workers[key.0].remove_run(task)?;
+        self.organisations.give_back(&run);
+        Some(run)
+    }
+
+    /// Counts what earlier leads may have started on workers that did not answer yet.
+    pub(super) fn count_unseen(&mut self, unix_ms: u64) {
+        let mut needs: HashMap<OrganisationKey, ResourceSet> = HashMap::new();
+        let mut most = ResourceSet::default();
+        if !self.take_over.settled {
+            let unheard =
+                |worker: &&WorkerState| worker.inherited && !worker.dead && !worker.fenced;
+            let capacities =
+                self.workers.iter().filter(unheard).map(|worker| worker.entry.capacity);
+            most = capacities.fold(most, |sum, capacity| sum.plus(&capacity));
+            for job in self.jobs.values().filter(|job| job.foreign_orders) {
+                let Some(key) = job.owner else { continue };
+                let need = needs.entry(key).or_default();
+                *need = need.plus(&unseen_need(job, unix_ms));
+            }
+        }
+        self.organisations.note_unseen(&needs, &most);
+    }
+
+    /// How many tasks of a step its organisation may start now, of `waiting` that wait. A gang starts whole
+    /// or not at all.
+    pub(super) fn allowed_tasks(
+        &mut self,
+        id: JobId,
+        step: usize,
+        spec: &StepSpec,
+        waiting: usize,
+    ) -> usize {
+        let Some(job) = self.jobs.get_mut(&id) else { return 0 };
+        let Some(key) = job.owner else { return waiting };
+        let room = self.organisations.room_for(job.owner, &spec.need).min(waiting);
+        let allowed = if spec.gang && room < waiting { 0 } else { room };
+        let work = &mut job.steps[step];
+        let held = allowed == 0 && waiting > 0;
+        if held && !work.held {
+            self.events.push(self.organisations.held_event(key, work.id, spec.need));
+        }
+        work.held = held;
+        allowed
+    }
+
+    /// How far the organisation of a job is beyond what is due to it; 0 within it.
+    pub(super) fn beyond_due(&self, job: &JobWork, total: &ResourceSet) -> u8 {
+        match (self.timing.policy.sharing, job.owner) {
+            (SharingWay::LimitsOnly, _) | (_, None) => 0,
+            (SharingWay::DueFirst, Some(_)) => u8::from(job.excess),
+            (SharingWay::DominantShare, Some(key)) => self.organisations.beyond_share(key, total),
+        }
+    }
+
+    /// What all workers have that may be given work.
+    pub(super) fn total_capacity(&self) -> ResourceSet {
+        if self.timing.policy.sharing != SharingWay::DominantShare {
+            return ResourceSet::default();
+        }
+        let sound = self.workers.iter().filter(|worker| !worker.dead && worker.listed);
+        let capacities = sound.map(|worker| worker.entry.capacity);
+        capacities.fold(ResourceSet::default(), |sum, capacity| sum.plus(&capacity))
+    }
+
+    /// What operators are shown of the organisations.
+    pub fn organisation_figures(&self) -> Vec<OrganisationFigures> {
+        let mut open = vec![0; self.organisations.accounts.len()];
+        for key in self.jobs.values().filter_map(|job| job.owner) {
+            open[key.0] += 1;
+        }
+        let accounts = self.organisations.accounts.iter().zip(open);
+        let figures = |(account, open_jobs): (&OrganisationAccount, usize)| OrganisationFigures {
+            name: account.name.clone(),
+            running: account.running,
+            limit: account.limit,
+            weight: account.weight,
+            open_jobs,
+        };
+        accounts.map(figures).collect()
+    }
+}
+
+/// What may run of a job that an earlier lead ordered, beside what is known to run.
+fn unseen_need(job: &JobWork, unix_ms: u64) -> ResourceSet {
+    let mut sum = ResourceSet::default();
+    for step in 0..job.steps.len() {
+        if job.steps[step].left == 0 || !job.is_due(step, unix_ms) {
+            continue;
+        }
+        let unheard =
+            |task: &&TaskWork| !task.kept.done && matches!(task.phase, TaskPhase::Waiting(_));
+        let count = job.step_tasks(step).iter().filter(unheard).count() as u32;
+        sum = sum.plus(&job.step_spec(step).need.times(count));
+    }
+    sum
+}
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -80,6 +80,7 @@
     fn candidates(&self, now: Moment) -> Vec<Candidate> {
         let settled = self.take_over.settled;
         let unix_ms = self.unix_ms_at(now);
+        let total = self.total_capacity();
         let mut ranked = Vec::new();
         for job in self.jobs.values() {
             // A task of a job that an earlier lead marked as ordered may run unseen. It cannot have
@@ -94,7 +95,10 @@
                     && job.is_due(step, unix_ms)
                     && wants_room(job, step, now)
                 {
-                    let rank = *rank.get_or_insert_with(|| rank_job(job, &self.timing.policy, now));
+                    let rank = *rank.get_or_insert_with(|| {
+                        let beyond = self.beyond_due(job, &total);
+                        rank_job(job, &self.timing.policy, now).with_beyond(beyond)
+                    });
                     ranked.push((rank, Candidate { job: job.id, step }));
                 }
             }
@@ -111,8 +115,14 @@
         if !open.most.fits(&spec.need) && !displaces {
             return;
         }
-        let waiting = waiting_tasks(job, candidate.step, now);
-        if job.ordered == OrderedMark::Recorded {
+        let mut waiting = waiting_tasks(job, candidate.step, now);
+        let ordered = job.ordered == OrderedMark::Recorded;
+        let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, waiting.len());
+        if allowed == 0 {
+            return;
+        }
+        waiting.truncate(allowed);
+        if ordered {
             let assignment = match spec.gang {
                 true => self.assign_gang(candidate, spec, open, &waiting, now),
                 false => self.assign_each(candidate, spec, open, &waiting, now),
@@ -301,6 +311,8 @@
         let Some(step) = job.step_index(&task.step) else { return };
         let worker = &mut self.workers[key.0];
         assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
+        let allowed = self.organisations.room_for(job.owner, &need) > 0;
+        assert!(allowed, "{task} would take its organisation past its limit");
         let life = worker.entry.life.clone();
         let ticket = job.steps[step].advice.ticket(key, now, TimeSpan(0));
         let estimate = job.step_spec(step).estimate.0 as f64;
@@ -308,6 +320,7 @@
         let entry = WorkerRun {
             run,
             need: Some(need),
+            owner: job.owner,
             phase: RunPhase::Ordered,
             listed_from: None,
             since: now,
@@ -320,7 +333,6 @@
         if matches!(worker.trust, WorkerTrust::Shunned(_)) {
             worker.trust = WorkerTrust::Probed;
         }
-        worker.add_run(task, entry);
         let lease = self.timing.lease;
         let lease_until =
             worker.extend_lease(now, lease).expect("a worker that takes work has a clock");
@@ -340,6 +352,7 @@
             ticket: ticket.map(|ticket| ticket.text.clone()),
             checkpoint,
         }));
+        self.add_run(key, task, entry);
     }
 }
 
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -1,5 +1,45 @@
 //! Which mechanisms of policy are at work.
 
+use std::str::FromStr;
+
+use quick_error::quick_error;
+
+/// Who goes first when there is not room for all organisations.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SharingWay {
+    /// Jobs are ranked whosever they are; limits alone bound an organisation.
+    LimitsOnly,
+    /// What an organisation sends beyond its weight in jobs a second goes after all that is due.
+    DueFirst,
+    /// Organisations that hold more than their weight's share of the scarcest resource go after those that
+    /// hold less.
+    DominantShare,
+}
+
+quick_error! {
+    /// Why a text is no way of sharing.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum SharingError {
+        /// There is no such way.
+        Unknown(found: String) {
+            display("expected `limits-only`, `due-first` or `dominant-share`, found `{found}`")
+        }
+    }
+}
+
+impl FromStr for SharingWay {
+    type Err = SharingError;
+
+    fn from_str(text: &str) -> Result<SharingWay, SharingError> {
+        match text {
+            "limits-only" => Ok(SharingWay::LimitsOnly),
+            "due-first" => Ok(SharingWay::DueFirst),
+            "dominant-share" => Ok(SharingWay::DominantShare),
+            _ => Err(SharingError::Unknown(text.to_owned())),
+        }
+    }
+}
+
 /// Which mechanisms of policy are at work. Each can be switched off, to see what it is worth.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CellPolicy {
@@ -19,6 +59,8 @@
     pub short_only: bool,
     /// Accounts wait less while calls to workers get lost.
     pub short_accounts: bool,
+    /// Who goes first when there is not room for all organisations.
+    pub sharing: SharingWay,
 }
 
 impl Default for CellPolicy {
@@ -32,6 +74,7 @@
             stragglers: true,
             short_only: true,
             short_accounts: true,
+            sharing: SharingWay::LimitsOnly,
         }
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -29,15 +29,24 @@
 /// The place of a job among those that wait; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobRank {
+    /// Jobs that earn nothing any more go last, whosever they are.
+    lost: bool,
+    /// How far its organisation is beyond what is due to it; 0 within it.
+    beyond: u8,
     prospect: Prospect,
     priority: u32,
     latest_start: u64,
 }
 
 impl JobRank {
+    /// The same for a job whose organisation is beyond what is due to it.
+    pub fn with_beyond(self, beyond: u8) -> JobRank {
+        JobRank { beyond, ..self }
+    }
+
     /// Whether the job still earns something.
     pub fn earns(&self) -> bool {
-        self.prospect != Prospect::Lost
+        !self.lost
     }
 }
 
@@ -64,5 +73,11 @@
     } else {
         Prospect::Lost
     };
-    JobRank { prospect, priority: job.record.policy.priority, latest_start }
+    JobRank {
+        lost: prospect == Prospect::Lost,
+        beyond: 0,
+        prospect,
+        priority: job.record.policy.priority,
+        latest_start,
+    }
 }
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -6,7 +6,8 @@
 
 use super::advice::StepAdvice;
 use super::message::WorkerKey;
-use crate::ids::{CellTask, FencingToken, JobId, RunNumber, StepId};
+use super::organisations::OrganisationKey;
+use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId};
 use crate::job::{JobRecord, RepeatSpec, StepSpec};
 use crate::progress::{JobProgress, JobState, TaskProgress};
 
@@ -45,6 +46,8 @@
     pub left: usize,
     /// What the advice service said.
     pub advice: StepAdvice,
+    /// Whether it was last held back by the limit of its organisation.
+    pub held: bool,
 }
 
 /// Whether it is recorded that tasks of the job may run.
@@ -65,6 +68,10 @@
     pub id: JobId,
     /// What was accepted.
     pub record: Rc<JobRecord>,
+    /// Whose it is; none if nobody's limit bounds it.
+    pub owner: Option<OrganisationKey>,
+    /// What its organisation is due came before it.
+    pub excess: bool,
     /// When it was accepted, by this box's clock.
     pub accepted: Moment,
     /// How far it is.
@@ -112,6 +119,7 @@
                     first,
                     left: left.count(),
                     advice: StepAdvice::default(),
+                    held: false,
                 });
                 first += count;
             }
@@ -123,6 +131,8 @@
         JobWork {
             id,
             record,
+            owner: None,
+            excess: false,
             accepted,
             state: kept.state,
             cancelled: false,
@@ -210,9 +220,16 @@
             state: self.state,
             ordered: self.ordered != OrderedMark::Missing,
             tasks: kept,
+            organisation: self.owner_once_over(),
         }
     }
 
+    /// What was accepted is dropped once the job is over, and whose it is would go with it.
+    fn owner_once_over(&self) -> Option<OrganisationName> {
+        let owner = self.record.owner.as_ref().filter(|_| self.state.is_final());
+        owner.map(|owner| owner.organisation.clone())
+    }
+
     /// Runs that are placed, with their workers.
     pub fn placed(&self) -> Vec<(CellTask, WorkerKey, RunNumber)> {
         let mut placed = Vec::new();
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -6,6 +6,7 @@
 
 use super::displacement::WorkerClaim;
 use super::message::{WorkerEntry, WorkerTime};
+use super::organisations::OrganisationKey;
 use super::pace::FactorAverage;
 use super::timing::CellTiming;
 use crate::ids::{CellTask, RunNumber, StepId};
@@ -57,6 +58,8 @@
     pub run: RunNumber,
     /// The room it takes; none if that is not known.
     pub need: Option<ResourceSet>,
+    /// Whose limit it counts against.
+    pub owner: Option<OrganisationKey>,
     /// How far it is settled.
     pub phase: RunPhase,
     /// An account asked for later than this, which lists the run neither as running nor as ended,
--- a/crates/sedgehill-cell/tests/testsuite/brief.rs
+++ b/crates/sedgehill-cell/tests/testsuite/brief.rs
@@ -72,7 +72,8 @@
 #[test]
 fn a_late_brief_does_not_begin_an_ended_job_again() {
     let mut told = CellReplica::default();
-    let brief = |state| JobBrief { job: ID, state: Some(state), waits_in: None };
+    let brief =
+        |state| JobBrief { job: ID, state: Some(state), waits_in: None, organisation: None };
     told.apply_brief(brief(JobState::Completed), NOW);
     told.apply_brief(brief(JobState::Running), NOW);
     assert_eq!(told.job(ID).unwrap().state(), JobState::Completed);
--- a/crates/sedgehill-cell/tests/testsuite/fake.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake.rs
@@ -5,8 +5,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use sedgehill_cell::ids::{CellTask, FencingToken, JobId, RunNumber, StepId, WorkerLife};
+use sedgehill_cell::ids::{
+    CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId, WorkerLife,
+};
 use sedgehill_cell::job::{JobRecord, JobSpec, QueuePolicy, StepSpec};
+use sedgehill_cell::organisation::{JobOwner, OrganisationPolicy, ResourceLimit, ShareWeight};
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::scheduler::{
     AdviceQuestion, CellOrder, CellTiming, EndRow, HoldOrder, HoldReport, OWN_BOX, RunEnd,
@@ -58,6 +61,10 @@
     pub store: BTreeMap<JobId, (Rc<JobRecord>, JobProgress)>,
     pub token: FencingToken,
     pub roster: WorkerRoster,
+    /// The organisations as the configuration has them.
+    organisations: Vec<OrganisationPolicy>,
+    /// The most cores that each was ever allowed.
+    highest: HashMap<OrganisationName, CoreCount>,
     watched: Vec<WorkerKey>,
     late: Vec<LateStart>,
     cancelled: BTreeSet<JobId>,
@@ -103,12 +110,26 @@
 pub fn job(steps: Vec<StepSpec>) -> JobRecord {
     JobRecord {
         queue: "queue".into(),
+        owner: None,
         policy: policy(),
         spec: JobSpec { payload: Arc::from("work"), steps, repeat: None },
         accepted_unix_ms: 0,
     }
 }
 
+/// What the configuration says of an organisation that may have `most` cores running.
+pub fn organisation(name: &OrganisationName, most: u64) -> OrganisationPolicy {
+    let maximum = ResourceLimit { cores: Some(CoreCount(most * 1000)), ..ResourceLimit::default() };
+    OrganisationPolicy { name: name.clone(), weight: ShareWeight(2_000), maximum }
+}
+
+/// A job of an organisation that may have `most` cores running when it is accepted.
+pub fn owned(name: &str, most: u64, record: JobRecord) -> JobRecord {
+    let organisation = organisation(&name.into(), most);
+    let owner = JobOwner { organisation: organisation.name, maximum: organisation.maximum };
+    JobRecord { owner: Some(owner), ..record }
+}
+
 pub fn task(job: u64, step: u16, index: u16) -> CellTask {
     CellTask { step: StepId { job: JobId(job), repetition: 0, step }, index }
 }
@@ -141,6 +162,8 @@
             store: BTreeMap::new(),
             token: FencingToken(0),
             roster: WorkerRoster::default(),
+            organisations: Vec::new(),
+            highest: HashMap::new(),
             watched: Vec::new(),
             late: Vec::new(),
             cancelled: BTreeSet::new(),
@@ -157,6 +180,7 @@
         let mut scheduler =
             Scheduler::take_over(CellTiming::default(), self.token, predecessor, self.now);
         scheduler.add_helper(OWN_BOX);
+        scheduler.set_organisations(&self.organisations, self.now);
         for (id, (record, progress)) in &self.store {
             scheduler.add_job(*id, record.clone(), progress, TimeSpan(0), self.now);
             if self.cancelled.contains(id) {
@@ -169,6 +193,40 @@
         scheduler
     }
 
+    /// The operators set the limit of an organisation, in cores.
+    pub fn limit(&mut self, scheduler: &mut Scheduler, name: &str, most: u64) {
+        let name = OrganisationName::from(name);
+        let highest = self.highest.entry(name.clone()).or_default();
+        *highest = (*highest).max(CoreCount(most * 1000));
+        self.organisations.retain(|policy| policy.name != name);
+        self.organisations.push(organisation(&name, most));
+        scheduler.set_organisations(&self.organisations, self.now);
+    }
+
+    /// The operators drop all organisations.
+    pub fn drop_organisations(&mut self, scheduler: &mut Scheduler) {
+        self.organisations.clear();
+        scheduler.set_organisations(&self.organisations, self.now);
+    }
+
+    /// What runs for an organisation on all workers.
+    pub fn running_for(&self, name: &OrganisationName) -> ResourceSet {
+        let owned = |task: &CellTask| {
+            let owner = &self.store[&task.step.job].0.owner;
+            owner.as_ref().is_some_and(|owner| owner.organisation == *name)
+        };
+        let runs = self.workers.iter().flat_map(|worker| &worker.runs);
+        let needs = runs.filter(|(task, _)| owned(task)).map(|(_, run)| run.need);
+        needs.fold(ResourceSet::default(), |sum, need| sum.plus(&need))
+    }
+
+    fn check_limit(&self, order: &StartOrder) {
+        let Some(owner) = &order.record.owner else { return };
+        let Some(highest) = self.highest.get(&owner.organisation) else { return };
+        let running = self.running_for(&owner.organisation);
+        assert!(running.cores <= *highest, "{} is over its limit", owner.organisation);
+    }
+
     /// Shows the scheduler what the store lists.
     pub fn list(&mut self, scheduler: &mut Scheduler) {
         let listed = self.workers.iter().filter(|worker| !worker.unlisted);
@@ -456,6 +514,7 @@
             self.starts.iter().any(|(task, run, _)| (*task, *run) == (order.task, order.run));
         assert!(!again, "run {} of {} begins twice", order.run, order.task);
         self.starts.push((order.task, order.run, life));
+        self.check_limit(order);
         WorkerAnswer::Done(clock)
     }
 
@@ -524,6 +583,11 @@
         self.workers.iter().position(|worker| worker.runs.contains_key(&task))
     }
 
+    /// Runs on a worker.
+    pub fn listed_runs(&self, number: usize) -> usize {
+        self.workers[number].runs.len()
+    }
+
     /// Ends that a worker still lists.
     pub fn listed_ends(&self, number: usize) -> usize {
         self.workers[number].ends.len()
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod displacement;
 mod fake;
 mod led;
+mod organisations;
 mod patience;
 mod random;
 mod replica;
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/organisations.rs
@@ -0,0 +1,219 @@
+//! Who may call, and what an organisation may have running.
+
+use sedgehill_cell::brief::JobBrief;
+use sedgehill_cell::ids::{JobId, OrganisationName};
+use sedgehill_cell::organisation::{DIGEST_BYTES, KeyDigest, KeyRefusal, KeyRing, ResourceLimit};
+use sedgehill_cell::progress::{JobProgress, JobState};
+use sedgehill_cell::replica::{CellRecord, CellReplica};
+use sedgehill_cell::scheduler::{CellEvent, RunEnd};
+use sedgehill_core::units::{CoreCount, Moment};
+
+use crate::fake::{FakeCell, cores, job, owned, step, task};
+
+const ORG: &str = "office";
+const ID: JobId = JobId(7);
+const NOW: Moment = Moment(1_000);
+
+fn digest(byte: u8) -> KeyDigest {
+    KeyDigest([byte; DIGEST_BYTES])
+}
+
+fn name(text: &str) -> OrganisationName {
+    OrganisationName::from(text)
+}
+
+fn running(cell: &FakeCell) -> u64 {
+    cell.running_for(&name(ORG)).cores.0 / 1000
+}
+
+#[test]
+fn a_call_needs_a_key_in_force_unless_its_queue_is_public() {
+    let mut ring = KeyRing::default();
+    ring.add(digest(1), &name(ORG));
+    let owner = name(ORG);
+    assert_eq!(ring.admit(false, Ok(digest(1))), Ok(Some(&owner)));
+    assert_eq!(ring.admit(false, Ok(digest(2))), Err(KeyRefusal::Unknown));
+    assert_eq!(ring.admit(false, Err(KeyRefusal::Missing)), Err(KeyRefusal::Missing));
+    assert_eq!(ring.admit(true, Err(KeyRefusal::Missing)), Ok(None));
+    assert_eq!(ring.admit(true, Ok(digest(2))), Ok(None));
+    assert_eq!(ring.admit(true, Ok(digest(1))), Ok(Some(&owner)));
+}
+
+#[test]
+fn a_key_stays_with_the_organisation_that_had_it_first_and_is_never_shown() {
+    let mut ring = KeyRing::default();
+    ring.add(digest(65), &name(ORG));
+    ring.add(digest(65), &name("other"));
+    assert_eq!(ring.admit(false, Ok(digest(65))), Ok(Some(&name(ORG))));
+    assert!(!format!("{ring:?}").contains("65"));
+}
+
+#[test]
+fn a_job_is_its_organisations_alone_also_once_it_is_over_and_told_in_short() {
+    let mut replica = CellReplica::default();
+    replica.apply(ID, CellRecord::Led(owned(ORG, 4, job(vec![step(1, 1)]))), NOW);
+    let mut told = CellReplica::default();
+    told.apply_brief(JobBrief::of(&replica, ID), NOW);
+    let over = JobProgress {
+        state: JobState::Completed,
+        organisation: Some(name(ORG)),
+        ..JobProgress::default()
+    };
+    // A box that starts after the end reads the progress alone.
+    let mut late = CellReplica::default();
+    late.apply(ID, CellRecord::Progress(over), NOW);
+    for replica in [&replica, &told, &late] {
+        let known = replica.job(ID).unwrap();
+        assert!(known.is_open_to(Some(&name(ORG))));
+        assert!(!known.is_open_to(Some(&name("other"))));
+        assert!(!known.is_open_to(None));
+    }
+}
+
+#[test]
+fn the_progress_of_a_job_that_is_over_says_whose_it_was() {
+    let mut cell = FakeCell::new(1, 16);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, owned(ORG, 4, job(vec![step(1, 1)])));
+    cell.turns(&mut lead, 3);
+    assert_eq!(cell.progress(1).organisation, None);
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Done);
+    cell.turns(&mut lead, 3);
+    assert_eq!(cell.progress(1).state, JobState::Completed);
+    assert_eq!(cell.progress(1).organisation, Some(name(ORG)));
+}
+
+#[test]
+fn a_step_wider_than_the_limit_runs_in_waves() {
+    let mut cell = FakeCell::new(4, 16);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, ORG, 5);
+    cell.submit(&mut lead, 1, owned(ORG, 5, job(vec![step(12, 2)])));
+    for _ in 0..6 {
+        cell.turns(&mut lead, 5);
+        assert_eq!(running(&cell), 4, "two tasks of two cores fit under five");
+        cell.end_all();
+    }
+    cell.turns(&mut lead, 5);
+    assert_eq!(cell.progress(1).state, JobState::Completed);
+}
+
+#[test]
+fn a_gang_starts_whole_under_the_limit_or_not_at_all() {
+    let mut cell = FakeCell::new(4, 16);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, ORG, 5);
+    let mut gang = step(3, 2);
+    gang.gang = true;
+    cell.submit(&mut lead, 1, owned(ORG, 5, job(vec![gang])));
+    cell.turns(&mut lead, 5);
+    assert_eq!(running(&cell), 0);
+    let events = lead.take_events();
+    let held = events.iter().filter(|event| matches!(event, CellEvent::Held { .. }));
+    assert_eq!(held.count(), 1, "it is told once, not each turn");
+    cell.limit(&mut lead, ORG, 6);
+    cell.turns(&mut lead, 5);
+    assert_eq!(running(&cell), 6);
+}
+
+#[test]
+fn other_organisations_do_not_wait_for_one_at_its_limit() {
+    let mut cell = FakeCell::new(1, 16);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, ORG, 2);
+    cell.limit(&mut lead, "other", 8);
+    cell.submit(&mut lead, 1, owned(ORG, 2, job(vec![step(20, 1)])));
+    cell.submit(&mut lead, 2, owned("other", 8, job(vec![step(8, 1)])));
+    cell.turns(&mut lead, 5);
+    assert_eq!(running(&cell), 2);
+    assert_eq!(cell.running_for(&name("other")).cores, cores(8).cores);
+}
+
+#[test]
+fn a_lowered_limit_stops_new_starts_at_once_and_ends_nothing() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, ORG, 8);
+    cell.submit(&mut lead, 1, owned(ORG, 8, job(vec![step(12, 1)])));
+    cell.turns(&mut lead, 5);
+    assert_eq!(running(&cell), 8);
+    cell.limit(&mut lead, ORG, 3);
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Done);
+    cell.turns(&mut lead, 5);
+    assert_eq!(running(&cell), 7, "nothing is stopped, and nothing begins");
+    cell.end_all();
+    cell.turns(&mut lead, 5);
+    assert_eq!(running(&cell), 3);
+}
+
+#[test]
+fn a_start_without_an_answer_counts_until_it_is_settled() {
+    let mut cell = FakeCell::new(3, 16);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, ORG, 4);
+    cell.turns(&mut lead, 3);
+    // Only one worker has room for the first job; its answers are lost, so what it runs is not known.
+    cell.workers[0].mute = true;
+    cell.submit(&mut lead, 1, owned(ORG, 4, job(vec![step(4, 1)])));
+    cell.turns(&mut lead, 2);
+    cell.workers[0].cut = true;
+    cell.submit(&mut lead, 2, owned(ORG, 4, job(vec![step(4, 1)])));
+    for _ in 0..400 {
+        cell.turn(&mut lead);
+        // The fakes panic if more than four cores ever run for the organisation.
+        assert!(running(&cell) <= 4);
+    }
+    assert_eq!(running(&cell), 4, "after the lease the room is there again");
+}
+
+#[test]
+fn a_new_lead_counts_what_an_earlier_one_may_have_started_on_workers_not_yet_heard() {
+    let mut cell = FakeCell::new(4, 8);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, ORG, 8);
+    // A wide job fills the limit, on whichever workers.
+    cell.submit_led(&mut lead, 1, owned(ORG, 8, job(vec![step(8, 1)])));
+    cell.turns(&mut lead, 4);
+    assert_eq!(running(&cell), 8);
+    let holders: Vec<usize> = (0..4).filter(|number| cell.listed_runs(*number) > 0).collect();
+    for holder in &holders {
+        cell.workers[*holder].cut = true;
+    }
+    let mut next = cell.lead(true);
+    cell.submit_led(&mut next, 2, owned(ORG, 8, job(vec![step(8, 1)])));
+    cell.turns(&mut next, 20);
+    assert_eq!(cell.starts.len(), 8, "all of the limit may be in use, unheard");
+    for holder in holders {
+        cell.workers[holder].cut = false;
+    }
+    cell.turns(&mut next, 10);
+    cell.end_all();
+    cell.turns(&mut next, 10);
+    assert_eq!(running(&cell), 8);
+    assert_eq!(cell.starts.len(), 16);
+}
+
+#[test]
+fn jobs_of_a_dropped_organisation_go_on_under_the_limit_of_their_acceptance() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, ORG, 3);
+    cell.submit(&mut lead, 1, owned(ORG, 3, job(vec![step(6, 1)])));
+    cell.drop_organisations(&mut lead);
+    cell.turns(&mut lead, 5);
+    assert_eq!(running(&cell), 3);
+    let mut next = cell.lead(false);
+    cell.turns(&mut next, 10);
+    cell.end_all();
+    cell.turns(&mut next, 10);
+    assert_eq!(running(&cell), 3);
+}
+
+#[test]
+fn a_limit_says_what_it_admits() {
+    let limit = ResourceLimit { cores: Some(CoreCount(4_000)), ..ResourceLimit::default() };
+    assert!(limit.admits(&cores(4)));
+    assert!(!limit.admits(&cores(5)));
+    assert!(ResourceLimit::default().admits(&cores(1_000_000)));
+    assert_eq!(limit.to_string(), "4 cores, any memory, any accelerators");
+}
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -1,16 +1,18 @@
 //! Random courses of a cell: leads that are lost, workers that are cut or mute or not listed, runs
 //! that end in any way, orders that are carried out late. The fakes panic when a task runs twice,
-//! after its end, or beyond a worker's size.
+//! after its end, beyond a worker's size, or beyond the highest limit that its organisation has had.
 
 use proptest::prelude::*;
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::scheduler::{RunEnd, Scheduler};
 
-use crate::fake::{FakeCell, job, step};
+use crate::fake::{FakeCell, job, owned, step};
 
 const WORKERS: u16 = 4;
 const CORES: u64 = 4;
+/// Organisations of the courses, with their limits in cores at first.
+const ORGANISATIONS: [(&str, u64); 2] = [("large", 9), ("small", 4)];
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -19,8 +21,11 @@
         need: u64,
         gang: bool,
         chained: bool,
+        owner: usize,
     },
     Cancel(u64),
+    /// The limit of an organisation becomes so many cores.
+    Limit(usize, u64),
     Cut(usize, bool),
     Mute(usize, bool),
     Unlist(usize, bool),
@@ -48,8 +53,12 @@
         1 => Just(RunEnd::Stopped),
     ];
     prop_oneof![
-        4 => (1u16..5, 1u64..4, any::<bool>(), any::<bool>())
-            .prop_map(|(count, need, gang, chained)| Step::Submit { count, need, gang, chained }),
+        4 => (1u16..5, 1u64..4, any::<bool>(), any::<bool>(), 0usize..3).prop_map(
+            |(count, need, gang, chained, owner)| {
+                Step::Submit { count, need, gang, chained, owner }
+            }
+        ),
+        1 => (0usize..2, 3u64..16).prop_map(|(owner, most)| Step::Limit(owner, most)),
         1 => (0u64..12).prop_map(Step::Cancel),
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, cut)| Step::Cut(number, cut)),
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, mute)| Step::Mute(number, mute)),
@@ -66,7 +75,7 @@
 
 fn take(cell: &mut FakeCell, lead: &mut Scheduler, jobs: &mut u64, taken: Step) {
     match taken {
-        Step::Submit { count, need, gang, chained } => {
+        Step::Submit { count, need, gang, chained, owner } => {
             let mut first = step(count, need);
             first.gang = gang;
             let mut all = vec![first];
@@ -76,13 +85,18 @@
                 all.push(second);
             }
             // Every other job comes through the lead, which needs no mark to start it.
+            let record = match ORGANISATIONS.get(owner) {
+                Some((name, most)) => owned(name, *most, job(all)),
+                None => job(all),
+            };
             match jobs.is_multiple_of(2) {
-                true => cell.submit_led(lead, *jobs, job(all)),
-                false => cell.submit(lead, *jobs, job(all)),
+                true => cell.submit_led(lead, *jobs, record),
+                false => cell.submit(lead, *jobs, record),
             }
             *jobs += 1;
         }
         Step::Cancel(id) => cell.cancel(lead, id),
+        Step::Limit(owner, most) => cell.limit(lead, ORGANISATIONS[owner].0, most),
         Step::Cut(number, cut) => cell.workers[number].cut = cut,
         Step::Mute(number, mute) => cell.workers[number].mute = mute,
         Step::Unlist(number, gone) => cell.workers[number].unlisted = gone,
@@ -105,6 +119,9 @@
     fn no_course_breaks_a_rule_and_every_job_ends(course in prop::collection::vec(steps(), 1..120)) {
         let mut cell = FakeCell::new(WORKERS, CORES);
         let mut lead = cell.lead(false);
+        for (name, most) in ORGANISATIONS {
+            cell.limit(&mut lead, name, most);
+        }
         let mut jobs = 0;
         for taken in course {
             take(&mut cell, &mut lead, &mut jobs, taken);
@@ -112,6 +129,10 @@
         for worker in &mut cell.workers {
             (worker.cut, worker.mute, worker.unlisted) = (false, false, false);
         }
+        // The widest gang needs twelve cores.
+        for (name, _) in ORGANISATIONS {
+            cell.limit(&mut lead, name, 12);
+        }
         for _ in 0..60 {
             cell.list(&mut lead);
             cell.turns(&mut lead, 40);
--- a/crates/sedgehilld/src/cell/accept.rs
+++ b/crates/sedgehilld/src/cell/accept.rs
@@ -39,6 +39,8 @@
     NotDone,
     /// It may be in the store, now or later.
     Unknown,
+    /// Another job has its id: it is not in the store and will not be.
+    Taken,
     /// It is not in the store and will not be, since the store answers no appends: another way would
     /// end the same.
     StoreAway,
@@ -75,9 +77,9 @@
         let begun = Instant::now();
         let by_lead = submit_to_lead(host, job, statement);
         let led = match tokio::time::timeout(patience, by_lead).await {
-            Ok(LedOutcome::Told(done @ (AcceptOutcome::Kept | AcceptOutcome::StoreAway))) => {
-                return done;
-            }
+            Ok(LedOutcome::Told(
+                done @ (AcceptOutcome::Kept | AcceptOutcome::Taken | AcceptOutcome::StoreAway),
+            )) => return done,
             Ok(led) => led,
             // The lead lives, or the link to it would be lost: no other box has a better way.
             Err(_) => return AcceptOutcome::Unknown,
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -5,20 +5,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
+use sedgehill_adapter::api_key::decode_key;
 use sedgehill_adapter::caller::{
     CallerAnswer, CallerRequest, decode_patience, decode_request, decode_submission, encode_answer,
     encode_ready,
 };
-use sedgehill_adapter::config::QueueRoute;
-use sedgehill_cell::ids::JobId;
+use sedgehill_adapter::config::{CellConfig, QueueRoute};
+use sedgehill_cell::ids::{JobId, OrganisationName};
 use sedgehill_cell::job::JobRecord;
+use sedgehill_cell::organisation::JobOwner;
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::CellRecord;
 use slog::{debug, info};
@@ -105,14 +107,28 @@
     };
     let patience = decode_patience(&parts.headers).unwrap_or(DEFAULT_PATIENCE);
     let patience = patience.saturating_sub(ANSWER_RESERVE).min(ACCEPT_LIMIT);
+    let caller = match identify(host, &config, route, &parts.headers) {
+        Ok(caller) => caller,
+        Err(answer) => {
+            drain(body, config.body_bytes).await;
+            telemetry::count_caller_answer("refused", answer.name());
+            info!(host.log, "call refused"; "method" => %parts.method, "queue" => %route.queue,
+                "config" => config.version, "config_age_ms" => age_of(host), "answer" => ?answer);
+            return answer;
+        }
+    };
     let (name, answer) = match call {
         Err(answer) => ("wrong", answer),
         Ok(CallerRequest::Waiting) => ("waiting", count_waiting(host, route)),
-        Ok(CallerRequest::State(id)) => ("state", tell_state(host, id).await),
-        Ok(CallerRequest::Cancel(id)) => ("cancel", cancel_job(desk, id, patience).await),
+        Ok(CallerRequest::State(id)) => ("state", tell_state(host, id, caller.as_ref()).await),
+        Ok(CallerRequest::Cancel(id)) => {
+            ("cancel", cancel_job(desk, id, caller.as_ref(), patience).await)
+        }
         Ok(CallerRequest::Submit(id)) => {
-            let answer = submit_job(desk, route, id, body, config.body_bytes, patience).await;
+            let submission = JobSubmission { id, route, config: &config, caller: caller.clone() };
+            let answer = submit_job(desk, &submission, body, patience).await;
             info!(host.log, "submission"; "job" => %id, "queue" => %route.queue,
+                "organisation" => caller.as_ref().map(ToString::to_string),
                 "config" => config.version, "answer" => ?answer,
                 "store_silent" => host.store_contact.is_silent(),
                 "store_usual_ms" => host.store_patience.borrow().usual().as_millis() as u64,
@@ -124,6 +140,33 @@
     answer
 }
 
+/// On whose behalf a call is made; nobody's where no key is needed. A box whose configuration may be out of
+/// date neither lets a key pass, which may have been taken away, nor calls one unknown, which may be new.
+fn identify(
+    host: &CellBox,
+    config: &CellConfig,
+    route: &QueueRoute,
+    headers: &HeaderMap,
+) -> Result<Option<OrganisationName>, CallerAnswer> {
+    let Some(keys) = &config.keys else { return Ok(None) };
+    let key = decode_key(headers);
+    let decided_by_config = !route.public && key.is_ok();
+    if decided_by_config && !host.config_view.is_fresh() {
+        return Err(CallerAnswer::NotDone(RETRY_AFTER));
+    }
+    keys.admit(route.public, key).map(|caller| caller.cloned()).map_err(CallerAnswer::Refused)
+}
+
+fn age_of(host: &CellBox) -> Option<u64> {
+    host.config_view.age().map(|age| age.as_millis())
+}
+
+/// Reads a body that is not used, so that the answer is not lost with the connection.
+async fn drain(body: Incoming, most: usize) {
+    // Whether it came whole does not matter.
+    let _ = tokio::time::timeout(RECEIVE_LIMIT, Limited::new(body, most).collect()).await;
+}
+
 /// Serves metrics in the text form of Prometheus.
 pub async fn serve_metrics(metrics: PrometheusHandle, listener: TcpListener) {
     loop {
@@ -151,17 +194,22 @@
     }
 }
 
-async fn tell_state(host: &CellBox, id: JobId) -> CallerAnswer {
-    match host.find_state(id).await {
+async fn tell_state(host: &CellBox, id: JobId, caller: Option<&OrganisationName>) -> CallerAnswer {
+    match host.find_state(id, caller).await {
         StateAnswer::Known(state) => CallerAnswer::State(state),
         StateAnswer::NoJob => CallerAnswer::NoJob,
         StateAnswer::Untold => CallerAnswer::NotDone(RETRY_AFTER),
     }
 }
 
-async fn cancel_job(desk: &CallerDesk, id: JobId, patience: Duration) -> CallerAnswer {
+async fn cancel_job(
+    desk: &CallerDesk,
+    id: JobId,
+    caller: Option<&OrganisationName>,
+    patience: Duration,
+) -> CallerAnswer {
     let host = &desk.host;
-    let state = host.find_state(id).await;
+    let state = host.find_state(id, caller).await;
     let answer = match state {
         StateAnswer::Known(JobState::Cancelled) => CallerAnswer::Cancelled,
         StateAnswer::NoJob => CallerAnswer::NoJob,
@@ -173,6 +221,7 @@
                     CallerAnswer::NotDone(RETRY_AFTER)
                 }
                 AcceptOutcome::Unknown => CallerAnswer::Unknown,
+                AcceptOutcome::Taken => CallerAnswer::NoJob,
             }
         }
     };
@@ -180,15 +229,33 @@
     answer
 }
 
+/// A job that a caller hands in.
+struct JobSubmission<'a> {
+    id: JobId,
+    route: &'a QueueRoute,
+    config: &'a CellConfig,
+    caller: Option<OrganisationName>,
+}
+
+impl JobSubmission<'_> {
+    fn owner(&self) -> Option<JobOwner> {
+        let organisation = self.caller.clone()?;
+        let policies = &self.config.organisations;
+        let maximum = policies.iter().find(|policy| policy.name == organisation);
+        let maximum = maximum.map(|policy| policy.maximum).unwrap_or_default();
+        Some(JobOwner { organisation, maximum })
+    }
+}
+
 async fn submit_job(
     desk: &CallerDesk,
-    route: &QueueRoute,
-    id: JobId,
+    submission: &JobSubmission<'_>,
     body: Incoming,
-    body_bytes: usize,
     patience: Duration,
 ) -> CallerAnswer {
     let host = &desk.host;
+    let JobSubmission { id, route, config, .. } = *submission;
+    let body_bytes = config.body_bytes;
     let reading = Limited::new(body, body_bytes).collect();
     let body = match tokio::time::timeout(RECEIVE_LIMIT, reading).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -199,8 +266,11 @@
         Ok(spec) => spec,
         Err(answer) => return answer,
     };
-    if host.replica.borrow().job(id).is_some() {
-        return CallerAnswer::Accepted;
+    if let Some(known) = host.replica.borrow().job(id) {
+        return match known.is_open_to(submission.caller.as_ref()) {
+            true => CallerAnswer::Accepted,
+            false => CallerAnswer::Taken,
+        };
     }
     debug!(host.log, "job read"; "job" => %id, "steps" => spec.steps.len(),
         "tasks" => spec.steps.iter().map(|step| u32::from(step.count)).sum::<u32>(),
@@ -213,6 +283,7 @@
     let record = JobRecord {
         queue: route.queue.clone(),
         policy: route.policy.clone(),
+        owner: submission.owner(),
         spec,
         accepted_unix_ms: clock::unix_ms(),
     };
@@ -220,6 +291,7 @@
         AcceptOutcome::Kept => CallerAnswer::Accepted,
         AcceptOutcome::NotDone | AcceptOutcome::StoreAway => CallerAnswer::NotDone(RETRY_AFTER),
         AcceptOutcome::Unknown => CallerAnswer::Unknown,
+        AcceptOutcome::Taken => CallerAnswer::Taken,
     }
 }
 
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -32,6 +32,7 @@
             telemetry::count_cell_event("advised", detail);
             telemetry::note_cell_time("sedgehill_cell_advice_seconds", took.0 as f64 / MILLIS);
         }
+        CellEvent::Held { .. } => telemetry::count_cell_event("held", "limit"),
         CellEvent::JobEnded { state, after, .. } => {
             telemetry::count_cell_event("job_ended", state.name());
             telemetry::note_cell_time("sedgehill_cell_job_seconds", after.0 as f64 / MILLIS);
@@ -68,6 +69,10 @@
         CellEvent::Advised { step, good, took } => {
             info!(log, "advised"; "step" => %step, "good" => good, "took_ms" => took.0);
         }
+        CellEvent::Held { step, organisation, running, limit, need } => {
+            info!(log, "held back by a limit"; "step" => %step, "organisation" => %organisation,
+                "running" => %running, "limit" => %limit, "need" => %need);
+        }
         CellEvent::JobEnded { job, state, after } => {
             info!(log, "job ended"; "job" => %job, "state" => ?state, "after_ms" => after.0);
         }
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sedgehill_adapter::config::decode_config;
+use bytes::Bytes;
+use sedgehill_adapter::config::{decode_config, is_config};
 use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::http_client::CallLimits;
 use sedgehill_adapter::store::{KeyedRecord, ReadOutcome, StoreTopic};
@@ -13,6 +14,7 @@
 use sedgehill_core::units::TimeSpan;
 use slog::{info, warn};
 
+use super::lead::LeadSession;
 use super::state::{CellBox, TopicView};
 use crate::clock;
 
@@ -181,7 +183,8 @@
 /// Takes in a record of a topic.
 pub fn apply(host: &CellBox, topic: StoreTopic, record: &KeyedRecord) {
     match topic {
-        StoreTopic::Operators => apply_config(host, record),
+        StoreTopic::Operators if is_config(record) => apply_config(host, record.value.clone()),
+        StoreTopic::Operators => {}
         StoreTopic::Leads => apply_lead(host, record),
         StoreTopic::Jobs | StoreTopic::Progress => apply_cell(host, record),
         StoreTopic::Workers => {}
@@ -194,8 +197,14 @@
     view: &TopicView,
 ) -> Result<usize, CallError> {
     let asked = clock::now();
-    let newest = host.clients.store.newest(topic, NEWEST_LIMIT).await?;
-    host.store_contact.note_answer();
+    let newest = match relaying_session(host, topic) {
+        Some(session) => session.newest_relayed(topic).await?,
+        None => {
+            let newest = host.clients.store.newest(topic, NEWEST_LIMIT).await?;
+            host.store_contact.note_answer();
+            newest
+        }
+    };
     for record in &newest.records {
         apply(host, topic, record);
     }
@@ -207,6 +216,14 @@
     Ok(newest.records.len())
 }
 
+/// The session of a lead that reads a topic by way of another box. A lead decides by the configuration, so
+/// that goes the same way as the jobs.
+fn relaying_session(host: &CellBox, topic: StoreTopic) -> Option<Rc<LeadSession>> {
+    let session = host.session.borrow().clone()?;
+    let relayed = is_cell(topic) || topic == StoreTopic::Operators;
+    (relayed && session.relays()).then_some(session)
+}
+
 /// What one read brought.
 struct ReadStretch {
     /// How many records.
@@ -227,8 +244,7 @@
         true => (Duration::ZERO, PROBE_LIMIT),
         false => (wait, READ_LIMIT),
     };
-    let session = host.session.borrow().clone();
-    let relayed = session.filter(|session| session.relays() && is_cell(topic));
+    let relayed = relaying_session(host, topic);
     let outcome = match &relayed {
         Some(session) => session.read_relayed(topic, offset).await?,
         None => {
@@ -286,12 +302,15 @@
     host.store_patience.borrow().limit()
 }
 
-fn apply_config(host: &CellBox, record: &KeyedRecord) {
-    match decode_config(record) {
-        Ok(Some(config)) if config.version > host.config.borrow().version => {
+/// Takes in the record of a configuration. An older one than that in force changes nothing.
+pub fn apply_config(host: &CellBox, record: Bytes) {
+    match decode_config(&record) {
+        Ok(config) if config.version > host.config.borrow().version => {
             info!(host.log, "configuration in force";
-                "version" => config.version, "routes" => config.routes.len());
+                "version" => config.version, "routes" => config.routes.len(),
+                "organisations" => config.organisations.len());
             *host.config.borrow_mut() = Rc::new(config);
+            *host.config_record.borrow_mut() = record;
         }
         Ok(_) => {}
         Err(error) => warn!(host.log, "configuration not readable"; "error" => %error),
--- a/crates/sedgehilld/src/cell/frames.rs
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -6,7 +6,7 @@
 use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::BoxStrength;
 use sedgehill_cell::brief::JobBrief;
-use sedgehill_cell::ids::{BoxName, JobId, StepId, WorkerLife};
+use sedgehill_cell::ids::{BoxName, JobId, OrganisationName, StepId, WorkerLife};
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::AdviceQuestion;
@@ -203,6 +203,8 @@
         number: u64,
         /// The job.
         job: JobId,
+        /// On whose behalf; none for nobody's.
+        caller: Option<OrganisationName>,
     },
     /// The state of a job.
     State {
@@ -247,6 +249,8 @@
         /// The first offset that is missing.
         from: u64,
     },
+    /// The newest record of the configuration, for a box that cannot read it.
+    Config(Vec<u8>),
     /// How far they reach; none if the lead cannot tell.
     Proof {
         /// The number of the question.
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -1,13 +1,13 @@
 //! Claims the lead, renews it, and does the lead's work while the claim lasts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::{BoxStrength, LeadRecord};
-use sedgehill_cell::ids::{BoxName, FencingToken, JobId};
+use sedgehill_cell::ids::{BoxName, FencingToken, JobId, OrganisationName};
 use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE, RepeatBudget};
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
 use sedgehill_cell::standby::StandbySet;
@@ -74,8 +74,8 @@
     pub fed: RefCell<Vec<FedRecords>>,
     /// What callers said, on its way into the store.
     pub submissions: RefCell<Vec<LedSubmission>>,
-    /// The jobs in the append under way.
-    pub in_flight: RefCell<HashSet<JobId>>,
+    /// The jobs in the append under way, with their owners.
+    pub in_flight: RefCell<HashMap<JobId, Option<OrganisationName>>>,
     /// The append under way takes so long that the store is taken as not answering.
     pub stuck: Cell<bool>,
     /// The strengths of those boxes.
@@ -84,6 +84,8 @@
     pub standbys: RefCell<StandbySet>,
     /// Since when a much stronger box has helped.
     pub outdone: Cell<Option<Moment>>,
+    /// The version of the configuration whose limits the scheduler goes by.
+    pub config: Cell<u64>,
     /// When the store last answered an append.
     pub answered: Cell<Moment>,
     /// Rung when the store answers appends again: boxes that refuse callers are told at once.
@@ -121,6 +123,18 @@
         self.outdone.get().is_some_and(|since| clock::now().since(since) >= YIELD_AFTER)
     }
 
+    /// Takes in the limits of organisations, if the configuration changed.
+    fn take_config(&self, host: &CellBox) {
+        let config = host.config();
+        if self.config.replace(config.version) != config.version {
+            let organisations = &config.organisations;
+            self.scheduler.borrow_mut().set_organisations(organisations, clock::now());
+            info!(host.log, "limits in force"; "token" => %self.token, "config" => config.version,
+                "organisations" => organisations.len(),
+                "config_age_ms" => host.config_view.age().map(|age| age.0));
+        }
+    }
+
     /// Takes in a job that was accepted.
     pub fn add_job(&self, host: &CellBox, id: JobId) {
         let replica = host.replica.borrow();
@@ -257,6 +271,7 @@
         strengths: RefCell::default(),
         standbys: RefCell::new(StandbySet::new(host.settings.link, began)),
         outdone: Cell::default(),
+        config: Cell::default(),
         answered: Cell::new(clock::now()),
         store_back: Notify::new(),
     });
@@ -272,6 +287,7 @@
     };
     session.scheduler.borrow_mut().note_fenced(clock::now());
     session.scheduler.borrow_mut().add_helper(OWN_BOX);
+    session.take_config(host);
     let known: Vec<JobId> = host.replica.borrow().jobs().map(|(id, _)| id).collect();
     for id in known {
         session.add_job(host, id);
@@ -355,6 +371,7 @@
         let begun = Instant::now();
         if session.may_order(host) {
             let now = clock::now();
+            session.take_config(host);
             session.scheduler.borrow_mut().set_wall_clock(clock::unix_ms(), now);
             session.scheduler.borrow_mut().schedule(now);
             let orders = session.scheduler.borrow_mut().take_orders();
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
-use sedgehill_cell::ids::JobId;
+use sedgehill_cell::ids::{JobId, OrganisationName};
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
@@ -59,6 +59,8 @@
     submissions: RefCell<HashMap<u64, PendingCall<AcceptOutcome>>>,
     questions: RefCell<HashMap<u64, PendingCall<StateAnswer>>>,
     probe: Cell<Option<(u64, Moment)>>,
+    /// Whether the last proof named a configuration that this box did not have.
+    config_behind: Cell<bool>,
 }
 
 impl LeadLink {
@@ -70,6 +72,7 @@
             submissions: RefCell::default(),
             questions: RefCell::default(),
             probe: Cell::default(),
+            config_behind: Cell::default(),
         }
     }
 
@@ -93,10 +96,10 @@
     }
 
     /// Asks for the state of a job.
-    pub async fn ask_state(&self, job: JobId) -> StateAnswer {
+    pub async fn ask_state(&self, job: JobId, caller: Option<OrganisationName>) -> StateAnswer {
         let number = self.take_number();
         let (reply, answer) = oneshot::channel();
-        let frame = PeerFrame::AskState { number, job };
+        let frame = PeerFrame::AskState { number, job, caller };
         let pending = PendingCall { frame: frame.clone(), reply };
         self.questions.borrow_mut().insert(number, pending);
         if self.outbox.try_send(frame).is_err() {
@@ -111,23 +114,29 @@
 
     /// Asks the lead for what this box cannot read itself.
     fn fetch_missed(&self, host: &CellBox, proof: &ViewProof) {
+        let behind = host.config.borrow().version < proof.config;
+        // A version that was proved before and is still missing will hardly come by the own path.
+        if self.config_behind.replace(behind) && behind {
+            self.fetch(StoreTopic::Operators, 0);
+        }
         if !host.store_contact.is_silent() {
             return;
         }
-        let mut missed =
-            vec![(StoreTopic::Jobs, proof.jobs_end), (StoreTopic::Progress, proof.progress_end)];
-        if host.config.borrow().version < proof.config {
-            missed.push((StoreTopic::Operators, u64::MAX));
-        }
+        let missed =
+            [(StoreTopic::Jobs, proof.jobs_end), (StoreTopic::Progress, proof.progress_end)];
         for (topic, end) in missed {
             let read = host.view(topic).and_then(|view| view.offset.get());
             if let Some(from) = read.filter(|read| *read < end) {
-                // A link that is overfull is of no use, and the next proof asks again.
-                let _ = self.outbox.try_send(PeerFrame::Fetch { topic, from });
+                self.fetch(topic, from);
             }
         }
     }
 
+    fn fetch(&self, topic: StoreTopic, from: u64) {
+        // A link that is overfull is of no use, and the next proof asks again.
+        let _ = self.outbox.try_send(PeerFrame::Fetch { topic, from });
+    }
+
     fn take_number(&self) -> u64 {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
@@ -342,6 +351,7 @@
             }
             PeerFrame::Records(fed) => take_records(host, fed),
             PeerFrame::Briefs(fed) => take_briefs(host, fed),
+            PeerFrame::Config(record) => follow::apply_config(host, record.into()),
             PeerFrame::StandBy(stands_by) => {
                 info!(host.log, "role"; "stands_by" => stands_by, "whole" => host.could_lead());
                 if stands_by {
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -157,12 +157,17 @@
                     return;
                 }
             }
-            PeerFrame::AskState { number, job } => {
-                let answer = host.state_of(job);
+            PeerFrame::AskState { number, job, caller } => {
+                let answer = host.state_of(job, caller.as_ref());
                 if queue.try_send(PeerFrame::State { number, answer }.encode()).is_err() {
                     return;
                 }
             }
+            PeerFrame::Fetch { topic: StoreTopic::Operators, .. } => {
+                let record = host.config_record.borrow().clone();
+                // A box whose queue is full asks again.
+                let _ = queue.try_send(PeerFrame::Config(record.to_vec()).encode());
+            }
             PeerFrame::Fetch { topic, from } => {
                 tokio::task::spawn_local(fetch(host.clone(), queue.clone(), topic, from));
             }
@@ -180,6 +185,7 @@
             | PeerFrame::Records(_)
             | PeerFrame::Briefs(_)
             | PeerFrame::StandBy(_)
+            | PeerFrame::Config(_)
             | PeerFrame::Proof { .. } => return,
         }
     }
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -3,12 +3,13 @@
 //! What callers hand in at any box comes the same way: one append holds the progress and the jobs of
 //! some milliseconds, and a job that the lead accepted may be started as soon as it is recorded.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
-use sedgehill_cell::ids::{FencingToken, JobId};
+use sedgehill_cell::ids::{FencingToken, JobId, OrganisationName};
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{ProgressBatch, WorkerRoster};
@@ -104,8 +105,11 @@
         job: JobId,
         statement: &CellRecord,
     ) -> Option<AcceptOutcome> {
-        if is_known(host, job, statement) {
-            return Some(AcceptOutcome::Kept);
+        if let Some(outcome) = known_outcome(host, job, statement) {
+            return Some(outcome);
+        }
+        if self.is_taken(job, statement) {
+            return Some(AcceptOutcome::Taken);
         }
         if self.ended.get() || self.submissions.borrow().len() >= SUBMISSIONS_MOST {
             return Some(AcceptOutcome::NotDone);
@@ -122,9 +126,20 @@
         answer.await.ok()
     }
 
+    /// Whether a job of another organisation with the same id is on its way into the store.
+    fn is_taken(&self, job: JobId, statement: &CellRecord) -> bool {
+        let Some(owner) = statement.owner() else { return false };
+        let waiting = self.submissions.borrow();
+        let waiting = waiting.iter().filter(|said| said.job == job);
+        let in_flight = self.in_flight.borrow();
+        let in_flight = in_flight.get(&job).into_iter().cloned();
+        let mut others = waiting.filter_map(|said| said.statement.owner()).chain(in_flight);
+        others.any(|other| other != owner)
+    }
+
     /// What a caller is told while an append is stuck. What that append holds may still be kept.
     fn refusal_of(&self, job: JobId) -> AcceptOutcome {
-        match self.in_flight.borrow().contains(&job) {
+        match self.in_flight.borrow().contains_key(&job) {
             true => AcceptOutcome::Unknown,
             false => AcceptOutcome::StoreAway,
         }
@@ -149,11 +164,14 @@
     }
 }
 
-fn is_known(host: &CellBox, job: JobId, statement: &CellRecord) -> bool {
+/// What came of a statement that is in the store already, or cannot be put there.
+fn known_outcome(host: &CellBox, job: JobId, statement: &CellRecord) -> Option<AcceptOutcome> {
     let replica = host.replica.borrow();
-    match (replica.job(job), statement) {
-        (Some(known), CellRecord::Cancel) => known.cancelled,
-        (known, _) => known.is_some(),
+    let known = replica.job(job)?;
+    match statement.owner() {
+        Some(owner) if !known.is_open_to(owner.as_ref()) => Some(AcceptOutcome::Taken),
+        Some(_) => Some(AcceptOutcome::Kept),
+        None => known.cancelled.then_some(AcceptOutcome::Kept),
     }
 }
 
@@ -165,6 +183,12 @@
 }
 
 impl RecorderBatch {
+    /// The jobs that callers spoke of, with their owners.
+    fn owners(&self) -> HashMap<JobId, Option<OrganisationName>> {
+        let owner = |said: &LedSubmission| said.statement.owner().unwrap_or_default();
+        self.submissions.iter().map(|said| (said.job, owner(said))).collect()
+    }
+
     fn records(&self) -> Vec<KeyedRecord> {
         let record = |id: JobId, record: &CellRecord| KeyedRecord {
             key: record.key(id),
@@ -217,8 +241,7 @@
             let recorded = match records.is_empty() {
                 true => Some(None),
                 false => {
-                    let ids = batch.submissions.iter().map(|said| said.job).collect();
-                    session.in_flight.replace(ids);
+                    session.in_flight.replace(batch.owners());
                     let recording = self.record(host, session, &records);
                     let refuse = || session.refuse_waiting();
                     let kept = hedge::unless_stuck(host, recording, refuse).await;
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -163,6 +163,7 @@
     let stragglers = group.flag_or("stragglers", default.stragglers);
     let short_only = group.flag_or("short_only", default.short_only);
     let short_accounts = group.flag_or("short_accounts", default.short_accounts);
+    let sharing = group.text_or("sharing", default.sharing);
     Some(CellPolicy {
         fill_questions: fill_questions?,
         displacement: displacement?,
@@ -172,6 +173,7 @@
         stragglers: stragglers?,
         short_only: short_only?,
         short_accounts: short_accounts?,
+        sharing: sharing?,
     })
 }
 
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use bytes::Bytes;
 use sedgehill_adapter::advice::AdviceClient;
 use sedgehill_adapter::config::CellConfig;
 use sedgehill_adapter::error::CallError;
@@ -10,7 +11,7 @@
 use sedgehill_adapter::store::{StoreClient, StoreTopic};
 use sedgehill_adapter::worker::WorkerClient;
 use sedgehill_cell::authority::LeadWatch;
-use sedgehill_cell::ids::JobId;
+use sedgehill_cell::ids::{JobId, OrganisationName};
 use sedgehill_cell::patience::{CallPatience, STORE_PATIENCE};
 use sedgehill_cell::replica::CellReplica;
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -152,6 +153,8 @@
     pub clients: PlatformClients,
     /// The configuration in force.
     pub config: RefCell<Rc<CellConfig>>,
+    /// The record that holds it, for boxes that cannot read it.
+    pub config_record: RefCell<Bytes>,
     /// How current the configuration is.
     pub config_view: TopicView,
     /// The jobs.
@@ -214,6 +217,7 @@
             log,
             clients,
             config: RefCell::default(),
+            config_record: RefCell::default(),
             config_view: TopicView::default(),
             replica: RefCell::default(),
             jobs_view: TopicView::default(),
@@ -254,9 +258,11 @@
         self.link.borrow().as_ref().is_some_and(|link| link.takes_submissions())
     }
 
-    /// What this box knows of a job.
-    pub fn state_of(&self, job: JobId) -> StateAnswer {
+    /// What this box knows of a job, as a caller of an organisation, or of none, is told. Another
+    /// organisation's job is told like one that does not exist.
+    pub fn state_of(&self, job: JobId, caller: Option<&OrganisationName>) -> StateAnswer {
         match self.replica.borrow().job(job) {
+            Some(known) if !known.is_open_to(caller) => StateAnswer::NoJob,
             Some(known) => StateAnswer::Known(known.state()),
             None if self.knows_jobs() => StateAnswer::NoJob,
             None => StateAnswer::Untold,
@@ -264,10 +270,10 @@
     }
 
     /// What this box or the lead knows of a job.
-    pub async fn find_state(&self, job: JobId) -> StateAnswer {
+    pub async fn find_state(&self, job: JobId, caller: Option<&OrganisationName>) -> StateAnswer {
         let link = self.link.borrow().clone();
-        match (self.state_of(job), link) {
-            (StateAnswer::Untold, Some(link)) => link.ask_state(job).await,
+        match (self.state_of(job, caller), link) {
+            (StateAnswer::Untold, Some(link)) => link.ask_state(job, caller.cloned()).await,
             (answer, _) => answer,
         }
     }
