standin, tests: organisations over real boxes: keys, revocations, foreign jobs, limits while leads are killed

The stand-in platform configures organisations, callers bring keys, workers count tasks beyond a bound. Steps that tests of cell mode share stand in cell_support.rs. Five tests over processes: 401 by reason at every box, another organisation's job is told like none, a revocation reaches within 2 s a box, and a lead, that the store turns away, a box that hears from nobody answers 503, and a limit holds over four killed leads.

--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -49,7 +49,36 @@
 
     /// Puts a configuration with one queue into the store.
     pub fn configure(&self, version: u64) {
-        let config = serde_json::json!({
+        self.store.put("keyed.op", "config", &one_queue(version));
+    }
+
+    /// The same with organisations, whose callers need keys.
+    pub fn configure_organisations(&self, version: u64, organisations: &[StandinOrganisation]) {
+        let tenant = |organisation: &StandinOrganisation| {
+            serde_json::json!({
+                "name": organisation.name, "api_keys": organisation.keys, "weight": 10,
+                "maximum": {"cpu": organisation.cores * 1000, "mem_mb": 0, "gpu": 0}
+            })
+        };
+        let mut config = one_queue(version);
+        config["tenants"] = organisations.iter().map(tenant).collect();
+        self.store.put("keyed.op", "config", &config);
+    }
+}
+
+/// An organisation as it is configured.
+#[derive(Debug, Clone)]
+pub struct StandinOrganisation {
+    /// Its name.
+    pub name: &'static str,
+    /// Its keys.
+    pub keys: Vec<String>,
+    /// The most cores that it may have running; 0 for no limit.
+    pub cores: u64,
+}
+
+fn one_queue(version: u64) -> serde_json::Value {
+    serde_json::json!({
             "version": version,
             "routes": [{
                 "name": "checks", "host": "cell.example", "path_prefix": "/checks/",
@@ -57,9 +86,7 @@
                 "target_latency_ms": 1000,
                 "advice": {"decide_ms": 1.0, "each_ms": 0.1, "valid_ms": 2000}
             }]
-        });
-        self.store.put("keyed.op", "config", &config);
-    }
+    })
 }
 
 #[derive(serde::Deserialize)]
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -39,6 +39,8 @@
     starts: usize,
     /// Jobs of which a task was ever begun.
     begun_jobs: BTreeSet<String>,
+    /// The most tasks that may run of jobs whose ids begin so.
+    bounds: Vec<(String, usize)>,
 }
 
 /// All workers, which share one account of what must never happen.
@@ -86,6 +88,11 @@
         self.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Has it counted as a violation if more than `most` tasks run at once of jobs whose ids begin so.
+    pub fn bound(&self, prefix: &str, most: usize) {
+        self.state.lock().bounds.push((prefix.to_owned(), most));
+    }
+
     /// Runs that were begun.
     pub fn starts(&self) -> usize {
         self.state.lock().starts
@@ -228,9 +235,20 @@
     if worker.runs.len() > ROOM {
         state.violations.push(format!("{} is over its size", name(number)));
     }
+    check_bounds(state);
     json(&serde_json::json!({ "clock_ms": clock }))
 }
 
+fn check_bounds(state: &mut PoolState) {
+    for (prefix, most) in &state.bounds {
+        let tasks = state.workers.iter().flat_map(|worker| worker.runs.keys());
+        let running = tasks.filter(|task| task.starts_with(prefix.as_str())).count();
+        if running > *most {
+            state.violations.push(format!("{running} tasks of {prefix} run, beyond {most}"));
+        }
+    }
+}
+
 async fn hold(pool: &StandinWorkers, number: usize, order: &Order) -> JsonResponse {
     let deadline = Instant::now() + Duration::from_millis(order.wait_ms);
     loop {
--- a/crates/sedgehill-standin/src/cell_process.rs
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -167,11 +167,23 @@
     path: &str,
     body: &str,
 ) -> Option<(u16, String)> {
+    call_with_key(address, method, path, body, None).await
+}
+
+/// The same with a key.
+pub async fn call_with_key(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    key: Option<&str>,
+) -> Option<(u16, String)> {
+    let key = key.map(|key| format!("Authorization: Token {key}\r\n")).unwrap_or_default();
     let exchange = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
         let request = format!(
             "{method} {path} HTTP/1.1\r\nHost: cell.example\r\nConnection: close\r\n\
-             Deadline-Ms: 3000\r\nContent-Length: {}\r\n\r\n{body}",
+             Deadline-Ms: 3000\r\n{key}Content-Length: {}\r\n\r\n{body}",
             body.len()
         );
         stream.write_all(request.as_bytes()).await.ok()?;
--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -1,7 +1,5 @@
 //! Boxes in cell mode as separate processes, against stand-ins of the users' platform.
 
-use std::net::SocketAddr;
-use std::path::Path;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -12,87 +10,10 @@
 use sedgehill_standin::soak::{FaultyPath, PathState};
 use serde_json::{Value, json};
 
-/// How long a job of the tests may take, take-overs and outages included.
-const PATIENCE: Duration = Duration::from_secs(40);
-
-fn start_box(directory: &Path, name: &str, platform: &CellPlatform) -> CellProcess {
-    start_box_at(directory, name, platform, platform.store_address, "0.25")
-}
-
-/// Starts a box that reaches the store at `store`.
-fn start_box_at(
-    directory: &Path,
-    name: &str,
-    platform: &CellPlatform,
-    store: SocketAddr,
-    cores: &str,
-) -> CellProcess {
-    CellSite::new(name, platform, store, cores).start(directory).expect("a box can be started")
-}
-
-async fn wait_for(what: &str, mut check: impl AsyncFnMut() -> bool) {
-    let deadline = Instant::now() + PATIENCE;
-    while !check().await {
-        assert!(Instant::now() < deadline, "{what} did not come");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
-async fn wait_ready(process: &CellProcess) {
-    let deadline = Instant::now() + PATIENCE;
-    loop {
-        let answer = call(process.ready, "GET", "/sedgehill/readyz", "").await;
-        if answer.is_some_and(|(status, _)| status == 200) {
-            return;
-        }
-        assert!(Instant::now() < deadline, "readiness did not come:\n{}", process.last_lines());
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
-/// Waits until a box says in its log that it leads.
-async fn wait_for_lead(directory: &Path, name: &str) {
-    wait_for("the lead", async || {
-        let log = std::fs::read_to_string(directory.join(format!("{name}.log"))).unwrap();
-        log.contains("\"leading\"")
-    })
-    .await;
-}
-
-/// Hands a job in at any of the boxes until one takes it.
-async fn submit(boxes: &[&CellProcess], id: u64) {
-    let steps = json!([
-        {"count": 2, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150},
-        {"count": 2, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150, "gang_scheduled": true, "after": [0]}
-    ]);
-    submit_steps(boxes, id, steps).await;
-}
-
-async fn submit_steps(boxes: &[&CellProcess], id: u64, steps: Value) {
-    let body = json!({"spec": "work", "steps": steps}).to_string();
-    let path = format!("/checks/{id:016x}");
-    let mut turn = id as usize;
-    wait_for("acceptance", async || {
-        turn += 1;
-        let process = boxes[turn % boxes.len()];
-        let answer = call(process.callers, "POST", &path, &body).await;
-        answer.is_some_and(|(status, _)| status == 200)
-    })
-    .await;
-}
-
-async fn wait_completed(process: &CellProcess, id: u64) {
-    let path = format!("/checks/{id:016x}");
-    wait_for("completion", async || {
-        let answer = call(process.callers, "GET", &path, "").await;
-        answer.is_some_and(|(status, body)| status == 200 && body.contains("completed"))
-    })
-    .await;
-}
-
-fn assert_kept(platform: &CellPlatform) {
-    assert_eq!(platform.workers.violations(), Vec::<String>::new());
-}
+use crate::cell_support::{
+    assert_kept, start_box, start_box_at, submit, submit_steps, wait_completed, wait_for,
+    wait_for_lead, wait_ready,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_run_to_their_end_and_any_box_tells_their_state() {
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The system as separate processes, against stand-ins that fail on purpose.
 
 mod cell;
+mod cell_support;
 mod client;
 mod configuration;
 mod demo;
@@ -9,6 +10,7 @@
 mod logging;
 mod messages;
 mod once_only;
+mod organisations;
 mod peers;
 mod placement;
 mod soak;
