cell, link: a dial or a quiet link is given up the moment another lead is known

Cause: boxes kept dialling, or listening to, the address of a lead whose machine had vanished, for 0.6 to 0.9 s after they had read that another box leads; meanwhile the successor had nobody to ask advice through. Change: a change of lead, heard from the store, ends the dial, the link and the pause before the next.

--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -16,4 +16,5 @@
 mod soak;
 mod stops;
 mod support;
+mod take_over;
 mod whole_path;
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -331,6 +331,9 @@
                     "resigned" => lead.resigned);
             }
             host.watch.borrow_mut().note_record(lead, clock::now());
+            if changed {
+                host.lead_changed.notify_waiters();
+            }
         }
         Err(error) => warn!(host.log, "lead record not readable"; "error" => %error),
     }
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -176,24 +176,66 @@
 /// Keeps a link to whoever leads.
 pub async fn keep(host: Rc<CellBox>) {
     loop {
-        tokio::time::sleep(CONNECT_PAUSE).await;
-        let Some(address) = lead_address(&host) else { continue };
-        let connecting = TcpStream::connect(address);
-        match tokio::time::timeout(CONNECT_LIMIT, connecting).await {
-            Ok(Ok(stream)) => {
-                if let Err(error) = hold(&host, stream, address).await {
-                    warn!(host.log, "link to the lead lost"; "error" => %error);
+        let Some(address) = lead_address(&host) else {
+            pause(&host).await;
+            continue;
+        };
+        let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address));
+        match unless_led_elsewhere(&host, address, connecting).await {
+            Some(Ok(Ok(stream))) => {
+                match unless_led_elsewhere(&host, address, hold(&host, stream, address)).await {
+                    Some(Err(error)) => {
+                        warn!(host.log, "link to the lead lost"; "error" => %error);
+                    }
+                    Some(Ok(())) | None => {}
                 }
             }
-            Ok(Err(error)) if is_refusal(&error) => host.watch.borrow_mut().note_gone(),
+            Some(Ok(Err(error))) if is_refusal(&error) => host.watch.borrow_mut().note_gone(),
             // Silence says nothing of the lead's process.
-            Ok(Err(_)) | Err(_) => {}
+            Some(Ok(Err(_)) | Err(_)) | None => {}
         }
         if let Some(link) = host.link.take() {
             link.give_up();
         }
-        host.watch.borrow_mut().note_reachable(false);
-        host.lead_doubted.notify_waiters();
+        if lead_address(&host).is_none_or(|current| current == address) {
+            host.watch.borrow_mut().note_reachable(false);
+            host.lead_doubted.notify_waiters();
+            pause(&host).await;
+        }
+    }
+}
+
+/// Waits before the next try, or until another box leads.
+async fn pause(host: &CellBox) {
+    tokio::select! {
+        () = tokio::time::sleep(CONNECT_PAUSE) => {}
+        () = host.lead_changed.notified() => {}
+    }
+}
+
+/// Waits for what is done with the lead at `address`, unless another box leads meanwhile. None if one does. A
+/// dial to a machine without power, or a quiet link to it, kept boxes for 0.6 s from a successor that was known
+/// already; meanwhile that had nobody to ask advice through.
+async fn unless_led_elsewhere<T>(
+    host: &CellBox,
+    address: SocketAddr,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        done = work => Some(done),
+        () = led_elsewhere(host, address) => None,
+    }
+}
+
+/// Returns once a box at another address leads.
+async fn led_elsewhere(host: &CellBox, address: SocketAddr) {
+    loop {
+        // Begun before the look, so that no change is missed.
+        let changed = host.lead_changed.notified();
+        if lead_address(host) != Some(address) {
+            return;
+        }
+        changed.await;
     }
 }
 
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -173,6 +173,8 @@
     pub lead_view: TopicView,
     /// Rung when the newest record of who leads may be out of date.
     pub lead_doubted: Notify,
+    /// Rung when another box leads, or none does any more.
+    pub lead_changed: Notify,
     /// What this box does as the lead.
     pub session: RefCell<Option<Rc<LeadSession>>>,
     /// The link to the lead, while there is one.
@@ -227,6 +229,7 @@
             watch: RefCell::new(watch),
             lead_view: TopicView::default(),
             lead_doubted: Notify::new(),
+            lead_changed: Notify::new(),
             session: RefCell::default(),
             link: RefCell::default(),
             stopping: Cell::new(false),
