--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -183,11 +183,10 @@
         let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address));
         match unless_led_elsewhere(&host, address, connecting).await {
             Some(Ok(Ok(stream))) => {
-                match unless_led_elsewhere(&host, address, hold(&host, stream, address)).await {
-                    Some(Err(error)) => {
-                        warn!(host.log, "link to the lead lost"; "error" => %error);
-                    }
-                    Some(Ok(())) | None => {}
+                let holding = hold(&host, stream, address);
+                let ended = unless_led_elsewhere(&host, address, holding).await;
+                if let Some(Err(error)) = ended {
+                    warn!(host.log, "link to the lead lost"; "error" => %error);
                 }
             }
             Some(Ok(Err(error))) if is_refusal(&error) => host.watch.borrow_mut().note_gone(),
