cell: what a limit leaves to work ranked later, three ways behind a switch

Under a tight limit each bit of room that comes free goes to narrow work, and a gang of the same organisation never finds enough at once. policy.limit_order: backfill (as before, the default), gangs-first, in-order.

--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -37,7 +37,7 @@
 use self::organisations::OrganisationBook;
 pub use self::organisations::OrganisationFigures;
 use self::pace::FactorAverage;
-pub use self::policy::{CellPolicy, SharingError, SharingWay};
+pub use self::policy::{CellPolicy, LimitOrder, LimitOrderError, SharingError, SharingWay};
 pub use self::timing::CellTiming;
 use self::work::{JobWork, OrderedMark, TaskPhase};
 use self::worker::{RunPhase, StopTry, WorkerState, WorkerTrust};
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -9,6 +9,8 @@
 
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
+use super::placement::Candidate;
+use super::rank::rank_job;
 use super::work::{JobWork, TaskPhase, TaskWork};
 use super::worker::{WorkerRun, WorkerState};
 use super::*;
@@ -60,12 +62,14 @@
     running: ResourceSet,
     /// What may run besides, unheard of.
     unseen: ResourceSet,
+    /// What is left to steps that wait, in this turn.
+    kept: ResourceSet,
     due: DueBucket,
 }
 
 impl OrganisationAccount {
     fn room(&self) -> ResourceSet {
-        self.limit.room_beside(&self.running.plus(&self.unseen))
+        self.limit.room_beside(&self.running.plus(&self.unseen).plus(&self.kept))
     }
 }
 
@@ -127,6 +131,7 @@
             limit,
             running: ResourceSet::default(),
             unseen: ResourceSet::default(),
+            kept: ResourceSet::default(),
             due: DueBucket { level: u64::MAX, at: now },
         });
         key
@@ -159,6 +164,20 @@
         usize::try_from(count).unwrap_or(usize::MAX)
     }
 
+    /// Leaves room under a limit to a step that waits, if it could ever run there.
+    fn keep(&mut self, key: OrganisationKey, need: &ResourceSet) {
+        let account = &mut self.accounts[key.0];
+        if account.limit.admits(need) {
+            account.kept = account.kept.plus(need);
+        }
+    }
+
+    fn keep_nothing(&mut self) {
+        for account in &mut self.accounts {
+            account.kept = ResourceSet::default();
+        }
+    }
+
     /// By how much an organisation is beyond its share of `total`, in steps of half its share: 0 within it.
     pub fn beyond_share(&self, key: OrganisationKey, total: &ResourceSet) -> u8 {
         const STEPS: f64 = 2.0;
@@ -287,6 +306,32 @@
         capacities.fold(ResourceSet::default(), |sum, capacity| sum.plus(&capacity))
     }
 
+    /// Begins a turn, in which nothing is kept yet.
+    pub(super) fn keep_nothing(&mut self) {
+        self.organisations.keep_nothing();
+    }
+
+    /// Leaves room under the limit of its organisation to the tasks of a step that wait still: what is
+    /// ranked after it would take each bit of room that comes free, and a gang would never find enough.
+    pub(super) fn keep_room(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        left: usize,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let Some(key) = job.owner else { return };
+        let keeps = match self.timing.policy.limit_order {
+            LimitOrder::Backfill => false,
+            LimitOrder::GangsFirst => spec.gang,
+            LimitOrder::InOrder => true,
+        };
+        if keeps && left > 0 && rank_job(job, &self.timing.policy, now).earns() {
+            self.organisations.keep(key, &spec.need.times(left as u32));
+        }
+    }
+
     /// What operators are shown of the organisations.
     pub fn organisation_figures(&self) -> Vec<OrganisationFigures> {
         let mut open = vec![0; self.organisations.accounts.len()];
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -42,6 +42,7 @@
         if open.list.is_empty() && open.least_urgent == 0 {
             return;
         }
+        self.keep_nothing();
         for candidate in self.candidates(now) {
             self.place_step(&candidate, &open, now);
         }
@@ -119,6 +120,7 @@
         let ordered = job.ordered == OrderedMark::Recorded;
         let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, waiting.len());
         if allowed == 0 {
+            self.keep_room(candidate, spec, waiting.len(), now);
             return;
         }
         waiting.truncate(allowed);
@@ -132,6 +134,7 @@
             if placed == waiting.len() {
                 return;
             }
+            self.keep_room(candidate, spec, waiting.len() - placed, now);
             if displaces {
                 self.displace_for(candidate, spec, waiting.len() - placed, now);
             }
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -16,6 +16,41 @@
     DominantShare,
 }
 
+/// What an organisation's limit leaves to work that is ranked after a step which waits for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitOrder {
+    /// Whatever fits.
+    Backfill,
+    /// What a gang that waits does not need.
+    GangsFirst,
+    /// What no step that waits needs.
+    InOrder,
+}
+
+quick_error! {
+    /// Why a text is no order under a limit.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum LimitOrderError {
+        /// There is no such order.
+        Unknown(found: String) {
+            display("expected `backfill`, `gangs-first` or `in-order`, found `{found}`")
+        }
+    }
+}
+
+impl FromStr for LimitOrder {
+    type Err = LimitOrderError;
+
+    fn from_str(text: &str) -> Result<LimitOrder, LimitOrderError> {
+        match text {
+            "backfill" => Ok(LimitOrder::Backfill),
+            "gangs-first" => Ok(LimitOrder::GangsFirst),
+            "in-order" => Ok(LimitOrder::InOrder),
+            _ => Err(LimitOrderError::Unknown(text.to_owned())),
+        }
+    }
+}
+
 quick_error! {
     /// Why a text is no way of sharing.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -61,6 +96,8 @@
     pub short_accounts: bool,
     /// Who goes first when there is not room for all organisations.
     pub sharing: SharingWay,
+    /// What a limit leaves to work that is ranked later.
+    pub limit_order: LimitOrder,
 }
 
 impl Default for CellPolicy {
@@ -75,6 +112,7 @@
             short_only: true,
             short_accounts: true,
             sharing: SharingWay::LimitsOnly,
+            limit_order: LimitOrder::Backfill,
         }
     }
 }
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -164,6 +164,7 @@
     let short_only = group.flag_or("short_only", default.short_only);
     let short_accounts = group.flag_or("short_accounts", default.short_accounts);
     let sharing = group.text_or("sharing", default.sharing);
+    let limit_order = group.text_or("limit_order", default.limit_order);
     Some(CellPolicy {
         fill_questions: fill_questions?,
         displacement: displacement?,
@@ -174,6 +175,7 @@
         short_only: short_only?,
         short_accounts: short_accounts?,
         sharing: sharing?,
+        limit_order: limit_order?,
     })
 }
 
