--- a/crates/sedgehill-cell/src/organisation.rs
+++ b/crates/sedgehill-cell/src/organisation.rs
@@ -46,16 +46,25 @@
     }
 }
 
+/// Whose a key is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyOwner {
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// Its place among the organisations of the configuration.
+    pub place: usize,
+}
+
 /// The keys in force.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct KeyRing {
-    owners: HashMap<KeyDigest, OrganisationName>,
+    owners: HashMap<KeyDigest, KeyOwner>,
 }
 
 impl KeyRing {
     /// Puts a key in force. One that is in force for another organisation stays with that.
-    pub fn add(&mut self, key: KeyDigest, owner: &OrganisationName) {
-        self.owners.entry(key).or_insert_with(|| owner.clone());
+    pub fn add(&mut self, key: KeyDigest, owner: KeyOwner) {
+        self.owners.entry(key).or_insert(owner);
     }
 
     /// Decides on a call by the key that it brings. Returns on whose behalf it is made: nobody's where none
@@ -64,7 +73,7 @@
         &self,
         public: bool,
         key: Result<KeyDigest, KeyRefusal>,
-    ) -> Result<Option<&OrganisationName>, KeyRefusal> {
+    ) -> Result<Option<&KeyOwner>, KeyRefusal> {
         let owner = key.and_then(|key| self.owners.get(&key).ok_or(KeyRefusal::Unknown));
         match owner {
             Err(_) if public => Ok(None),
--- a/crates/sedgehill-cell/tests/testsuite/organisations.rs
+++ b/crates/sedgehill-cell/tests/testsuite/organisations.rs
@@ -2,7 +2,9 @@
 
 use sedgehill_cell::brief::JobBrief;
 use sedgehill_cell::ids::{JobId, OrganisationName};
-use sedgehill_cell::organisation::{DIGEST_BYTES, KeyDigest, KeyRefusal, KeyRing, ResourceLimit};
+use sedgehill_cell::organisation::{
+    DIGEST_BYTES, KeyDigest, KeyOwner, KeyRefusal, KeyRing, ResourceLimit,
+};
 use sedgehill_cell::progress::{JobProgress, JobState};
 use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::{CellEvent, RunEnd};
@@ -22,6 +24,10 @@
     OrganisationName::from(text)
 }
 
+fn owner(text: &str, place: usize) -> KeyOwner {
+    KeyOwner { organisation: name(text), place }
+}
+
 fn running(cell: &FakeCell) -> u64 {
     cell.running_for(&name(ORG)).cores.0 / 1000
 }
@@ -29,8 +35,8 @@
 #[test]
 fn a_call_needs_a_key_in_force_unless_its_queue_is_public() {
     let mut ring = KeyRing::default();
-    ring.add(digest(1), &name(ORG));
-    let owner = name(ORG);
+    let owner = owner(ORG, 0);
+    ring.add(digest(1), owner.clone());
     assert_eq!(ring.admit(false, Ok(digest(1))), Ok(Some(&owner)));
     assert_eq!(ring.admit(false, Ok(digest(2))), Err(KeyRefusal::Unknown));
     assert_eq!(ring.admit(false, Err(KeyRefusal::Missing)), Err(KeyRefusal::Missing));
@@ -42,9 +48,9 @@
 #[test]
 fn a_key_stays_with_the_organisation_that_had_it_first_and_is_never_shown() {
     let mut ring = KeyRing::default();
-    ring.add(digest(65), &name(ORG));
-    ring.add(digest(65), &name("other"));
-    assert_eq!(ring.admit(false, Ok(digest(65))), Ok(Some(&name(ORG))));
+    ring.add(digest(65), owner(ORG, 0));
+    ring.add(digest(65), owner("other", 1));
+    assert_eq!(ring.admit(false, Ok(digest(65))), Ok(Some(&owner(ORG, 0))));
     assert!(!format!("{ring:?}").contains("65"));
 }
 
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -20,7 +20,7 @@
 use sedgehill_adapter::config::{CellConfig, QueueRoute};
 use sedgehill_cell::ids::{JobId, OrganisationName};
 use sedgehill_cell::job::JobRecord;
-use sedgehill_cell::organisation::JobOwner;
+use sedgehill_cell::organisation::{JobOwner, KeyOwner};
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::CellRecord;
 use slog::{debug, info};
@@ -117,18 +117,19 @@
             return answer;
         }
     };
+    let organisation = caller.as_ref().map(|caller| &caller.organisation);
     let (name, answer) = match call {
         Err(answer) => ("wrong", answer),
         Ok(CallerRequest::Waiting) => ("waiting", count_waiting(host, route)),
-        Ok(CallerRequest::State(id)) => ("state", tell_state(host, id, caller.as_ref()).await),
+        Ok(CallerRequest::State(id)) => ("state", tell_state(host, id, organisation).await),
         Ok(CallerRequest::Cancel(id)) => {
-            ("cancel", cancel_job(desk, id, caller.as_ref(), patience).await)
+            ("cancel", cancel_job(desk, id, organisation, patience).await)
         }
         Ok(CallerRequest::Submit(id)) => {
             let submission = JobSubmission { id, route, config: &config, caller: caller.clone() };
             let answer = submit_job(desk, &submission, body, patience).await;
             info!(host.log, "submission"; "job" => %id, "queue" => %route.queue,
-                "organisation" => caller.as_ref().map(ToString::to_string),
+                "organisation" => organisation.map(ToString::to_string),
                 "config" => config.version, "answer" => ?answer,
                 "store_silent" => host.store_contact.is_silent(),
                 "store_usual_ms" => host.store_patience.borrow().usual().as_millis() as u64,
@@ -137,6 +138,9 @@
         }
     };
     telemetry::count_caller_answer(name, answer.name());
+    if let Some(caller) = &caller {
+        telemetry::count_organisation_answer(caller, answer.name());
+    }
     answer
 }
 
@@ -147,7 +151,7 @@
     config: &CellConfig,
     route: &QueueRoute,
     headers: &HeaderMap,
-) -> Result<Option<OrganisationName>, CallerAnswer> {
+) -> Result<Option<KeyOwner>, CallerAnswer> {
     let Some(keys) = &config.keys else { return Ok(None) };
     let key = decode_key(headers);
     let decided_by_config = !route.public && key.is_ok();
@@ -234,16 +238,14 @@
     id: JobId,
     route: &'a QueueRoute,
     config: &'a CellConfig,
-    caller: Option<OrganisationName>,
+    caller: Option<KeyOwner>,
 }
 
 impl JobSubmission<'_> {
     fn owner(&self) -> Option<JobOwner> {
-        let organisation = self.caller.clone()?;
-        let policies = &self.config.organisations;
-        let maximum = policies.iter().find(|policy| policy.name == organisation);
-        let maximum = maximum.map(|policy| policy.maximum).unwrap_or_default();
-        Some(JobOwner { organisation, maximum })
+        let KeyOwner { organisation, place } = self.caller.clone()?;
+        let maximum = self.config.organisations.get(place).map(|policy| policy.maximum);
+        Some(JobOwner { organisation, maximum: maximum.unwrap_or_default() })
     }
 }
 
@@ -267,7 +269,8 @@
         Err(answer) => return answer,
     };
     if let Some(known) = host.replica.borrow().job(id) {
-        return match known.is_open_to(submission.caller.as_ref()) {
+        let caller = submission.caller.as_ref().map(|caller| &caller.organisation);
+        return match known.is_open_to(caller) {
             true => CallerAnswer::Accepted,
             false => CallerAnswer::Taken,
         };
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -21,7 +21,7 @@
 use super::recorder::LedSubmission;
 use super::relay::RelayDesk;
 use super::state::CellBox;
-use super::{events, orders, peers, recorder, roster};
+use super::{events, figures, orders, peers, recorder, roster};
 use crate::{clock, telemetry};
 
 /// Time between two looks at who leads.
@@ -299,8 +299,10 @@
         () = roster::follow(host, &session) => {}
         () = peers::feed(host, &session) => {}
         () = take_turns(host, &session) => {}
+        () = figures::show(&session) => {}
     }
     session.ended.set(true);
+    figures::clear(&session);
     // Whoever waits for one of them puts it into the store by itself.
     session.submissions.borrow_mut().clear();
     *host.session.borrow_mut() = None;
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -7,6 +7,7 @@
 mod accept;
 mod callers;
 mod events;
+mod figures;
 mod follow;
 mod frames;
 mod hedge;
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -4,6 +4,7 @@
 
 use metrics::{Counter, Histogram, counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use sedgehill_cell::organisation::KeyOwner;
 
 const REQUESTS: &str = "sedgehill_requests_total";
 const UPKEEP_EVERY: Duration = Duration::from_secs(2);
@@ -99,3 +100,23 @@
 pub fn note_cell_time(name: &'static str, seconds: f64) {
     histogram!(name).record(seconds);
 }
+
+/// Organisations that have labels of their own in metrics; further ones share one. The users plan with 91.
+pub const LABELLED_ORGANISATIONS: usize = 128;
+/// The label of the others.
+const OTHERS: &str = "others";
+
+/// Counts an answer to a caller of an organisation.
+pub fn count_organisation_answer(caller: &KeyOwner, answer: &'static str) {
+    let name = match caller.place < LABELLED_ORGANISATIONS {
+        true => &caller.organisation.0,
+        false => OTHERS,
+    };
+    let labels = [("organisation", name.to_owned()), ("answer", answer.to_owned())];
+    counter!("sedgehill_cell_organisation_answers_total", &labels).increment(1);
+}
+
+/// Notes what an organisation has running, and what it may.
+pub fn set_organisation_gauge(metric: &'static str, name: &str, value: f64) {
+    gauge!(metric, "organisation" => name.to_owned()).set(value);
+}
