cell, feeding: a job's state is told to boxes when it changes, not with each record

Cause: each end of a task writes the job's record anew, and each record was summed up for every box, some eight times a job while its state changes three times; the name of its organisation went along each time. Change: the lead keeps what it told of each job and tells news only, the organisation once. Test: brief::a_job_is_told_again_only_when_its_state_changes.

--- a/crates/sedgehill-cell/src/brief.rs
+++ b/crates/sedgehill-cell/src/brief.rs
@@ -3,6 +3,8 @@
 //! A box answers callers for the state of a job, and counts what waits; neither needs what the tasks
 //! are given, nor how far each of them is. Only boxes that may have to lead follow all of that.
 
+use std::collections::HashMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{JobId, OrganisationName, QueueName};
@@ -34,3 +36,29 @@
         }
     }
 }
+
+/// What a lead has told of each job.
+#[derive(Debug, Default)]
+pub struct BriefLedger {
+    /// The state, and whether the job was told as waiting.
+    told: HashMap<JobId, (JobState, bool)>,
+}
+
+impl BriefLedger {
+    /// What of a brief is news to boxes that know all that was told before; none if nothing is. A job's record is
+    /// written anew with each end of a task, while its state changes three times.
+    pub fn news(&mut self, brief: JobBrief) -> Option<JobBrief> {
+        let Some(state) = brief.state else {
+            // A job may have been told by an earlier lead, so that it is forgotten is always news.
+            self.told.remove(&brief.job);
+            return Some(brief);
+        };
+        let now = (state, brief.waits_in.is_some());
+        match self.told.insert(brief.job, now) {
+            None => Some(brief),
+            Some(told) if told == now => None,
+            // Whose the job is never changes.
+            Some(_) => Some(JobBrief { organisation: None, ..brief }),
+        }
+    }
+}
--- a/crates/sedgehill-cell/tests/testsuite/brief.rs
+++ b/crates/sedgehill-cell/tests/testsuite/brief.rs
@@ -1,12 +1,12 @@
 //! What boxes are told of jobs that do not stand by to lead.
 
-use sedgehill_cell::brief::JobBrief;
+use sedgehill_cell::brief::{BriefLedger, JobBrief};
 use sedgehill_cell::ids::{JobId, QueueName};
 use sedgehill_cell::progress::{JobProgress, JobState};
 use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_core::units::Moment;
 
-use crate::fake::{job, step};
+use crate::fake::{job, owned, step};
 
 const ID: JobId = JobId(7);
 const NOW: Moment = Moment(1_000);
@@ -78,3 +78,34 @@
     told.apply_brief(brief(JobState::Running), NOW);
     assert_eq!(told.job(ID).unwrap().state(), JobState::Completed);
 }
+
+#[test]
+fn a_job_is_told_again_only_when_its_state_changes() {
+    let (mut lead, mut told) = (CellReplica::default(), CellReplica::default());
+    let mut ledger = BriefLedger::default();
+    let mut sent = Vec::new();
+    let mut pass_on = |lead: &CellReplica| {
+        let news = ledger.news(JobBrief::of(lead, ID));
+        sent.push(news.is_some());
+        if let Some(news) = news {
+            told.apply_brief(news, NOW);
+        }
+        assert_eq!(told.job(ID).map(|job| job.state()), lead.job(ID).map(|job| job.state()));
+        assert_eq!(told.waiting(&queue()), lead.waiting(&queue()));
+        let owner =
+            |replica: &CellReplica| replica.job(ID).and_then(|job| job.organisation.clone());
+        assert_eq!(owner(&told), owner(lead));
+    };
+    lead.apply(ID, CellRecord::Led(owned("office", 4, job(vec![step(2, 1)]))), NOW);
+    pass_on(&lead);
+    // Each end of a task is a record.
+    for _ in 0..3 {
+        lead.apply(ID, progress(JobState::Running), NOW);
+        pass_on(&lead);
+    }
+    lead.apply(ID, progress(JobState::Completed), NOW);
+    pass_on(&lead);
+    lead.forget(ID);
+    pass_on(&lead);
+    assert_eq!(sent, [true, true, false, false, true, true]);
+}
--- a/crates/sedgehilld/src/cell/frames.rs
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -5,7 +5,7 @@
 
 use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::BoxStrength;
-use sedgehill_cell::brief::JobBrief;
+use sedgehill_cell::brief::{BriefLedger, JobBrief};
 use sedgehill_cell::ids::{BoxName, JobId, OrganisationName, StepId, WorkerLife};
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::{CellRecord, CellReplica};
@@ -97,8 +97,12 @@
         ]
     }
 
-    /// Sums up records as `replica` knows their jobs, a stretch for each topic.
-    pub fn sum_up(parts: &[FedRecords], replica: &CellReplica) -> Vec<FedBriefs> {
+    /// Sums up what is news in records, as `replica` knows their jobs, a stretch for each topic.
+    pub fn sum_up(
+        parts: &[FedRecords],
+        replica: &CellReplica,
+        ledger: &mut BriefLedger,
+    ) -> Vec<FedBriefs> {
         let mut stretches: Vec<(FedBriefs, BTreeSet<JobId>)> = Vec::new();
         for part in parts {
             let follows = |(stretch, _): &&mut (FedBriefs, BTreeSet<JobId>)| {
@@ -118,8 +122,9 @@
                 }
             }
         }
+        let mut news = |job| ledger.news(JobBrief::of(replica, job));
         let tell = |(stretch, jobs): (FedBriefs, BTreeSet<JobId>)| FedBriefs {
-            jobs: jobs.into_iter().map(|job| JobBrief::of(replica, job)).collect(),
+            jobs: jobs.into_iter().filter_map(&mut news).collect(),
             ..stretch
         };
         stretches.into_iter().map(tell).collect()
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -7,6 +7,7 @@
 
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::{BoxStrength, LeadRecord};
+use sedgehill_cell::brief::BriefLedger;
 use sedgehill_cell::ids::{BoxName, FencingToken, JobId, OrganisationName};
 use sedgehill_cell::patience::{CallPatience, ORDER_PATIENCE, RepeatBudget};
 use sedgehill_cell::scheduler::{HelperId, OWN_BOX, Scheduler};
@@ -72,6 +73,8 @@
     pub repeats: RefCell<RepeatBudget>,
     /// Records that are to be passed on to them.
     pub fed: RefCell<Vec<FedRecords>>,
+    /// What they were told of jobs.
+    pub told: RefCell<BriefLedger>,
     /// What callers said, on its way into the store.
     pub submissions: RefCell<Vec<LedSubmission>>,
     /// The jobs in the append under way, with their owners.
@@ -265,6 +268,7 @@
         order_patience: RefCell::new(CallPatience::new(ORDER_PATIENCE)),
         repeats: RefCell::default(),
         fed: RefCell::default(),
+        told: RefCell::default(),
         submissions: RefCell::default(),
         in_flight: RefCell::default(),
         stuck: Cell::default(),
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -261,7 +261,8 @@
         if parts.is_empty() {
             return;
         }
-        let briefs = FedBriefs::sum_up(&parts, &host.replica.borrow());
+        let ledger = &mut self.told.borrow_mut();
+        let briefs = FedBriefs::sum_up(&parts, &host.replica.borrow(), ledger);
         let briefs: Vec<Rc<[u8]>> =
             briefs.into_iter().map(|fed| PeerFrame::Briefs(fed).encode()).collect();
         let records: Vec<Rc<[u8]>> =
