soak, measure: the soak has an organisation whose keys and limit change; cost of a key and a limit check

Each change of the configuration in a soak takes one key away, puts another in force and moves the limit; a prober calls with keys that should be gone for two seconds, and the workers count tasks beyond the highest limit. cargo measure organisations times both checks at 20, 91, 1,000 and 10,000 organisations. Not yet run: the soak with it; next.

--- a/crates/sedgehill-standin/src/measure/mod.rs
+++ b/crates/sedgehill-standin/src/measure/mod.rs
@@ -2,6 +2,7 @@
 //! is compared is measured in one run.
 
 mod capacity;
+mod organisations;
 mod path;
 
 use std::path::PathBuf;
@@ -21,7 +22,12 @@
     match name.as_str() {
         "path" => show(json, &path::measure().await, path::PathReport::render),
         "capacity" => show(json, &capacity::measure().await, capacity::CapacityReport::render),
-        other => Err(format!("there is no measurement `{other}`, expected: path, capacity")),
+        "organisations" => {
+            show(json, &organisations::measure(), organisations::OrganisationReport::render)
+        }
+        other => Err(format!(
+            "there is no measurement `{other}`, expected: path, capacity, organisations"
+        )),
     }
 }
 
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -15,6 +15,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::keys::SOAK_KEY;
+
 /// How often a caller tries one job before it gives up.
 const TRIES: usize = 10;
 /// Pause before the next try.
@@ -125,6 +127,7 @@
             .uri(format!("http://{address}/checks/{id:016x}"))
             .header("host", "cell.example")
             .header("deadline-ms", "3000")
+            .header("authorization", format!("Token {SOAK_KEY}"))
             .body(Full::new(Bytes::from(body.to_owned())))
             .expect("the parts are valid");
         let exchange = async {
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! what callers and workers see.
 
 mod callers;
+mod keys;
 mod plan;
 mod proxy;
 
@@ -11,10 +12,11 @@
 use nix::sys::signal::Signal;
 
 use self::callers::CallerPool;
+use self::keys::{SOAK_KEY, SoakKeys};
 pub use self::plan::{SoakFault, SoakPlan, draw_plan};
 pub use self::proxy::{FaultyPath, PathState};
 use crate::cell_platform::CellPlatform;
-use crate::cell_process::{CellProcess, CellSite, call};
+use crate::cell_process::{CellProcess, CellSite, call, call_with_key};
 
 /// Boxes of a run.
 const BOXES: usize = 3;
@@ -54,7 +56,7 @@
     directory: &'a Path,
     platform: CellPlatform,
     boxes: Vec<SoakBox>,
-    version: u64,
+    keys: SoakKeys,
 }
 
 /// What ends a fault again.
@@ -73,8 +75,12 @@
     let callers = CallerPool::new(soak.boxes.iter().map(|one| one.site.callers).collect());
     let mut report = SoakReport { faults: plan.len(), ..SoakReport::default() };
     let load = futures_all((0..CALLERS).map(|caller| callers.run(seed, caller + 1)));
+    let keys = soak.keys.clone();
+    let addresses: Vec<_> = soak.boxes.iter().map(|one| one.site.callers).collect();
+    let probing = keys.probe(&addresses, seed);
     tokio::select! {
         () = load => {}
+        () = probing => {}
         result = soak.carry_out(&plan, seconds) => result?,
     }
     soak.heal()?;
@@ -98,7 +104,8 @@
 impl<'a> Soak<'a> {
     async fn start(directory: &'a Path) -> std::io::Result<Soak<'a>> {
         let platform = CellPlatform::start(WORKERS).await?;
-        platform.configure(1);
+        let keys = SoakKeys::default();
+        keys.configure(&platform);
         let mut boxes = Vec::new();
         for number in 0..BOXES {
             let path = FaultyPath::open(platform.store_address).await?;
@@ -106,7 +113,7 @@
             let process = Some(site.start(directory)?);
             boxes.push(SoakBox { site, path, process });
         }
-        let mut soak = Soak { directory, platform, boxes, version: 1 };
+        let mut soak = Soak { directory, platform, boxes, keys };
         soak.wait_ready().await?;
         Ok(soak)
     }
@@ -174,10 +181,7 @@
                 self.platform.store.set_silent(true);
                 repairs.push((after(span), Repair::StoreSpeaks));
             }
-            SoakFault::Configure => {
-                self.version += 1;
-                self.platform.configure(self.version);
-            }
+            SoakFault::Configure => self.keys.configure(&self.platform),
         }
         Ok(())
     }
@@ -242,6 +246,7 @@
             }
         }
         report.broken.extend(self.platform.workers.violations());
+        report.broken.extend(self.keys.violations());
         let begun = self.platform.workers.begun_jobs();
         let ran = refused.iter().map(|id| format!("{id:016x}")).filter(|id| begun.contains(id));
         report.broken.extend(ran.map(|id| format!("{id} was refused each time and ran")));
@@ -263,7 +268,8 @@
                 return Some(format!("not to be asked for: {error}"));
             }
             for one in &self.boxes {
-                match call(one.site.callers, "GET", &path, "").await {
+                let key = Some(SOAK_KEY);
+                match call_with_key(one.site.callers, "GET", &path, "", key).await {
                     Some((200, body)) if body.contains("completed") => return None,
                     Some((410, _)) => return Some("not known any more".to_owned()),
                     Some((status, body)) => last = format!("{status} {body}"),
