cell, feeding: boxes ask the lead for states once telling them all would fill its link

Cause: what is told of jobs grows by jobs times boxes: 1,011 jobs a second to 300 boxes are some 20 MB/s of a link that carries 25. Ruled out: a tree of boxes that pass states on (the same bytes in all, priced, and a hop more to recover); shorter records alone (a third of it at the best). Change: the lead measures what telling costs; beyond a tenth of its link it stops, says so, and boxes that do not stand by forget what they knew and ask for each state and count. It begins again after 5 s below a twentieth.

--- a/crates/sedgehill-cell/src/standby.rs
+++ b/crates/sedgehill-cell/src/standby.rs
@@ -23,6 +23,11 @@
 const FEED_PERMILLE: u64 = 200;
 /// Time over which the rate of feeding is measured.
 const RATE_SPAN: TimeSpan = TimeSpan(2_000);
+/// The part of the lead's link that telling states to all other boxes may take, in thousandths. Beyond it they ask
+/// for each state that a caller wants. Telling costs by jobs times boxes, asking by what callers ask.
+const TELL_PERMILLE: u64 = 100;
+/// The part below which states are told again, once that was so for a calm time.
+const TELL_AGAIN_PERMILLE: u64 = 50;
 /// A box that begins to stand by reads all jobs from the store, so none begins in vain.
 const CALM: TimeSpan = TimeSpan(5_000);
 
@@ -92,19 +97,30 @@
     measured: (Moment, u64),
     /// Bytes a second, measured.
     rate: u64,
+    /// The same for what is told, or would be, to a box that does not stand by.
+    told: (Moment, u64),
+    told_rate: u64,
+    /// Whether states are told, and since when.
+    tells: bool,
+    tells_since: Moment,
     /// How many boxes may stand by, and since when.
     limit: usize,
     limited: Moment,
 }
 
 impl StandbySet {
-    /// The set of a box that begins to lead, whose link carries `link`.
-    pub fn new(link: LinkRate, now: Moment) -> StandbySet {
+    /// The set of a box that begins to lead, whose link carries `link`. `tells` says whether the lead before it
+    /// told states.
+    pub fn new(link: LinkRate, tells: bool, now: Moment) -> StandbySet {
         StandbySet {
             link,
             entries: BTreeMap::new(),
             measured: (now, 0),
             rate: 0,
+            told: (now, 0),
+            told_rate: 0,
+            tells,
+            tells_since: now,
             limit: STANDBYS_MOST,
             limited: now,
         }
@@ -127,15 +143,43 @@
 
     /// Notes bytes that were passed on in full, counted once for all boxes.
     pub fn note_fed(&mut self, bytes: usize, now: Moment) {
-        let (since, sum) = &mut self.measured;
-        *sum += bytes as u64;
-        let span = now.since(*since);
-        if span >= RATE_SPAN {
-            self.rate = *sum * 1000 / span.as_millis();
-            self.measured = (now, 0);
+        if let Some(rate) = measure(&mut self.measured, bytes, now) {
+            self.rate = rate;
         }
     }
 
+    /// Notes bytes of states that were told, or would have been, counted once for all boxes.
+    pub fn note_told(&mut self, bytes: usize, now: Moment) {
+        if let Some(rate) = measure(&mut self.told, bytes, now) {
+            self.told_rate = rate;
+        }
+    }
+
+    /// Whether states are told to the boxes that do not stand by.
+    pub fn tells(&self) -> bool {
+        self.tells
+    }
+
+    /// Decides whether states are told. Returns whether that changed. A cell of 300 boxes and 1,000 jobs a second
+    /// would fill four fifths of a link of 200 Mbit/s with them.
+    pub fn choose_telling(&mut self, now: Moment) -> bool {
+        let others = self.entries.values().filter(|entry| !entry.stands_by).count() as u64;
+        let cost = self.told_rate * others;
+        let part = |permille: u64| self.link.bytes() * permille / 1000;
+        let calm = now.since(self.tells_since) >= CALM;
+        let tells = match self.tells {
+            true => cost <= part(TELL_PERMILLE),
+            false => calm && cost < part(TELL_AGAIN_PERMILLE),
+        };
+        let costly = !self.tells && cost >= part(TELL_AGAIN_PERMILLE);
+        let changed = tells != self.tells;
+        if changed || costly {
+            self.tells_since = now;
+        }
+        self.tells = tells;
+        changed
+    }
+
     /// How many boxes the link can feed.
     fn allowed(&self) -> usize {
         let budget = self.link.bytes() * FEED_PERMILLE / 1000;
@@ -177,3 +221,16 @@
         changes
     }
 }
+
+/// Adds bytes to a measurement. Returns the rate, in bytes a second, once its span is over.
+fn measure(measured: &mut (Moment, u64), bytes: usize, now: Moment) -> Option<u64> {
+    let (since, sum) = measured;
+    *sum += bytes as u64;
+    let span = now.since(*since);
+    if span < RATE_SPAN {
+        return None;
+    }
+    let rate = *sum * 1000 / span.as_millis();
+    *measured = (now, 0);
+    Some(rate)
+}
--- a/crates/sedgehill-cell/tests/testsuite/standby.rs
+++ b/crates/sedgehill-cell/tests/testsuite/standby.rs
@@ -14,7 +14,7 @@
 
 #[test]
 fn a_few_of_the_strongest_stand_by() {
-    let mut set = StandbySet::new("200".parse().unwrap(), Moment(0));
+    let mut set = StandbySet::new("200".parse().unwrap(), true, Moment(0));
     for helper in 1..=90 {
         let strength = if helper % 6 == 0 { STRONG } else { WEAK };
         set.join(HelperId(helper), strength);
@@ -25,7 +25,7 @@
 
 #[test]
 fn another_box_takes_the_place_of_one_that_left() {
-    let mut set = StandbySet::new("200".parse().unwrap(), Moment(0));
+    let mut set = StandbySet::new("200".parse().unwrap(), true, Moment(0));
     for helper in 1..=10 {
         set.join(HelperId(helper), STRONG);
     }
@@ -37,7 +37,7 @@
 
 #[test]
 fn a_narrow_link_feeds_fewer_boxes() {
-    let mut set = StandbySet::new("2".parse().unwrap(), Moment(0));
+    let mut set = StandbySet::new("2".parse().unwrap(), true, Moment(0));
     for helper in 1..=10 {
         set.join(HelperId(helper), WEAK);
     }
@@ -70,3 +70,43 @@
     assert!(STRONG.bounded_by(narrow) < WEAK.bounded_by(wide));
     assert_eq!(STRONG.bounded_by(wide), STRONG);
 }
+
+/// A set of a lead with a link of 200 Mbit/s and so many other boxes, two of which may stand by in any case.
+fn busy_set(boxes: u64, tells: bool) -> StandbySet {
+    let mut set = StandbySet::new("200".parse().unwrap(), tells, Moment(0));
+    for helper in 1..=boxes {
+        set.join(HelperId(helper), BoxStrength(if helper <= 2 { 500 } else { 120 }));
+    }
+    set.choose(Moment(0));
+    set
+}
+
+/// Whether states are told after `seconds` in each of which so many bytes of them come up.
+fn told_after(set: &mut StandbySet, from: u64, seconds: u64, bytes: usize) -> bool {
+    for turn in 0..seconds * 25 {
+        let now = Moment(from + turn * 40);
+        set.note_told(bytes / 25, now);
+        set.choose_telling(now);
+    }
+    set.tells()
+}
+
+#[test]
+fn states_are_told_while_that_takes_little_of_the_leads_link() {
+    // 118 jobs a second, told some three times each in 27 bytes, to 44 boxes: 1.6 % of the link.
+    assert!(told_after(&mut busy_set(44, true), 0, 30, 9_600));
+    // 1,011 jobs a second in a cell of 300 boxes: 97 %.
+    assert!(!told_after(&mut busy_set(300, true), 0, 5, 81_900));
+}
+
+#[test]
+fn telling_begins_again_only_after_a_calm_time_and_never_swings() {
+    let mut set = busy_set(300, true);
+    assert!(!told_after(&mut set, 0, 5, 81_900));
+    assert!(!told_after(&mut set, 5_000, 4, 1_000), "not at once");
+    assert!(told_after(&mut set, 9_000, 8, 1_000));
+    // Between the two bounds it stays as it is, either way.
+    let between = 25_000_000 * 75 / 1_000 / 292;
+    assert!(told_after(&mut busy_set(300, true), 0, 60, between));
+    assert!(!told_after(&mut busy_set(300, false), 0, 60, between));
+}
--- a/crates/sedgehill-standin/tests/testsuite/cell_support.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell_support.rs
@@ -84,11 +84,18 @@
 /// Waits until a box tells that a job is completed.
 pub async fn wait_completed(process: &CellProcess, id: u64) {
     let path = format!("/checks/{id:016x}");
-    wait_for("completion", async || {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
         let answer = call(process.callers, "GET", &path, "").await;
-        answer.is_some_and(|(status, body)| status == 200 && body.contains("completed"))
-    })
-    .await;
+        let completed =
+            |(status, body): &(u16, String)| *status == 200 && body.contains("completed");
+        if answer.as_ref().is_some_and(completed) {
+            return;
+        }
+        let log = process.last_lines();
+        assert!(Instant::now() < deadline, "job {id} is told as {answer:?}; the box's log:\n{log}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
 }
 
 /// Asserts that the workers saw nothing that must never happen.
--- a/crates/sedgehill-standin/tests/testsuite/take_over.rs
+++ b/crates/sedgehill-standin/tests/testsuite/take_over.rs
@@ -5,9 +5,11 @@
 
 use nix::sys::signal::Signal;
 use sedgehill_standin::cell_platform::CellPlatform;
+use sedgehill_standin::cell_process::{CellProcess, CellSite, call};
 
 use crate::cell_support::{
-    assert_kept, start_box, start_box_at, submit, wait_completed, wait_for_lead, wait_ready,
+    assert_kept, start_box, start_box_at, submit, wait_completed, wait_for, wait_for_lead,
+    wait_ready,
 };
 
 /// How soon after its claim a new lead has the links of the others. A dial takes a few milliseconds; the rest is
@@ -60,3 +62,49 @@
     wait_completed(&others[1], 1).await;
     assert_kept(&platform);
 }
+
+/// A link on which telling two boxes of some twenty jobs a second takes more than the lead allows.
+const THIN_LINK: &str = "0.05";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn boxes_that_are_not_told_states_ask_for_them_and_outlive_their_lead() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(4).await.unwrap();
+    platform.configure(1);
+    let names = ["a", "b", "c", "d", "e"];
+    let start = |name: &str| {
+        let site = CellSite::new(name, &platform, platform.store_address, "0.25");
+        site.with_link(THIN_LINK).start(directory.path()).expect("a box can be started")
+    };
+    let mut boxes: Vec<CellProcess> = names.iter().map(|name| start(name)).collect();
+    for process in &boxes {
+        wait_ready(process).await;
+    }
+    // Until the boxes have found each other.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let mut jobs = 0;
+    wait_for("a lead that tells no states", async || {
+        jobs += 1;
+        submit(&[&boxes[0], &boxes[1]], jobs).await;
+        says(directory.path(), &names, "\"told_states\":false").is_some()
+    })
+    .await;
+    for process in &boxes {
+        for id in 1..=jobs {
+            wait_completed(process, id).await;
+        }
+        let waiting = call(process.callers, "GET", "/checks/", "").await;
+        assert_eq!(waiting, Some((200, "{\"waiting\":0}".to_owned())));
+        let unknown = call(process.callers, "GET", "/checks/00000000000fffff", "").await;
+        assert_eq!(unknown.map(|(status, _)| status), Some(410));
+    }
+    let lead = says(directory.path(), &names, "\"states told\"").expect("one of them leads");
+    let place = names.iter().position(|name| *name == lead).expect("it is one of them");
+    drop(boxes.remove(place));
+    submit(&[&boxes[0], &boxes[1]], jobs + 1).await;
+    for process in &boxes {
+        wait_completed(process, jobs + 1).await;
+        wait_completed(process, 1).await;
+    }
+    assert_kept(&platform);
+}
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -120,7 +120,7 @@
     let organisation = caller.as_ref().map(|caller| &caller.organisation);
     let (name, answer) = match call {
         Err(answer) => ("wrong", answer),
-        Ok(CallerRequest::Waiting) => ("waiting", count_waiting(host, route)),
+        Ok(CallerRequest::Waiting) => ("waiting", count_waiting(host, route).await),
         Ok(CallerRequest::State(id)) => ("state", tell_state(host, id, organisation).await),
         Ok(CallerRequest::Cancel(id)) => {
             ("cancel", cancel_job(desk, id, organisation, patience).await)
@@ -191,10 +191,10 @@
     }
 }
 
-fn count_waiting(host: &CellBox, route: &QueueRoute) -> CallerAnswer {
-    match host.knows_jobs() {
-        true => CallerAnswer::Waiting(host.replica.borrow().waiting(&route.queue)),
-        false => CallerAnswer::NotDone(RETRY_AFTER),
+async fn count_waiting(host: &CellBox, route: &QueueRoute) -> CallerAnswer {
+    match host.count_waiting(&route.queue).await {
+        Some(count) => CallerAnswer::Waiting(count),
+        None => CallerAnswer::NotDone(RETRY_AFTER),
     }
 }
 
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -85,8 +85,8 @@
     let mut failing = false;
     loop {
         // Who led last tells whether this box has to read the jobs.
-        let waits =
-            is_cell(topic) && (host.lead_view.offset.get().is_none() || host.defers_reading());
+        let unready = host.lead_view.offset.get().is_none();
+        let waits = is_cell(topic) && (unready || host.defers_reading() || host.asks_lead());
         if waits {
             tokio::time::sleep(FIRST_PAUSE).await;
             continue;
--- a/crates/sedgehilld/src/cell/frames.rs
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -6,7 +6,7 @@
 use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::BoxStrength;
 use sedgehill_cell::brief::{BriefLedger, JobBrief};
-use sedgehill_cell::ids::{BoxName, JobId, OrganisationName, StepId, WorkerLife};
+use sedgehill_cell::ids::{BoxName, JobId, OrganisationName, QueueName, StepId, WorkerLife};
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::AdviceQuestion;
@@ -226,6 +226,22 @@
     AskBriefs,
     /// Whether the box is to stand by.
     StandBy(bool),
+    /// Whether the lead tells states to the boxes that do not stand by. If not, they ask.
+    Tells(bool),
+    /// A box that is not told states asks how many jobs of a queue wait.
+    AskWaiting {
+        /// Told again in the answer.
+        number: u64,
+        /// The queue.
+        queue: QueueName,
+    },
+    /// How many jobs of a queue wait.
+    Waiting {
+        /// The number of the question.
+        number: u64,
+        /// How many; none if the lead cannot tell.
+        count: Option<u64>,
+    },
     /// The lead has a box call the store for it.
     Relay {
         /// Told again in the answer.
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -255,6 +255,7 @@
     let Some(token) = host.watch.borrow().newest().map(|record| record.token) else { return };
     telemetry::count_cell_event("lead", "claimed");
     info!(host.log, "leading"; "token" => %token, "predecessor" => predecessor);
+    host.set_asking(false);
     let began = clock::now();
     let scheduler = Scheduler::take_over(host.settings.cell.clone(), token, predecessor, began);
     let session = Rc::new(LeadSession {
@@ -273,7 +274,7 @@
         in_flight: RefCell::default(),
         stuck: Cell::default(),
         strengths: RefCell::default(),
-        standbys: RefCell::new(StandbySet::new(host.settings.link, began)),
+        standbys: RefCell::new(StandbySet::new(host.settings.link, host.lead_tells.get(), began)),
         outdone: Cell::default(),
         config: Cell::default(),
         answered: Cell::new(clock::now()),
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
-use sedgehill_cell::ids::{JobId, OrganisationName};
+use sedgehill_cell::ids::{JobId, OrganisationName, QueueName};
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
@@ -58,6 +58,7 @@
     next_number: Cell<u64>,
     submissions: RefCell<HashMap<u64, PendingCall<AcceptOutcome>>>,
     questions: RefCell<HashMap<u64, PendingCall<StateAnswer>>>,
+    counts: RefCell<HashMap<u64, PendingCall<Option<u64>>>>,
     probe: Cell<Option<(u64, Moment)>>,
     /// Whether the last proof named a configuration that this box did not have.
     config_behind: Cell<bool>,
@@ -71,6 +72,7 @@
             next_number: Cell::new(0),
             submissions: RefCell::default(),
             questions: RefCell::default(),
+            counts: RefCell::default(),
             probe: Cell::default(),
             config_behind: Cell::default(),
         }
@@ -112,6 +114,20 @@
         }
     }
 
+    /// Asks how many jobs of a queue wait.
+    pub async fn ask_waiting(&self, queue: QueueName) -> Option<u64> {
+        let number = self.take_number();
+        let (reply, answer) = oneshot::channel();
+        let frame = PeerFrame::AskWaiting { number, queue };
+        let pending = PendingCall { frame: frame.clone(), reply };
+        self.counts.borrow_mut().insert(number, pending);
+        if self.outbox.try_send(frame).is_err() {
+            self.counts.borrow_mut().remove(&number);
+            return None;
+        }
+        tokio::time::timeout(STATE_LIMIT, answer).await.ok()?.ok()?
+    }
+
     /// Asks the lead for what this box cannot read itself.
     fn fetch_missed(&self, host: &CellBox, proof: &ViewProof) {
         let behind = host.config.borrow().version < proof.config;
@@ -155,12 +171,14 @@
         self.store_answers.set(false);
         self.submissions.borrow_mut().clear();
         self.questions.borrow_mut().clear();
+        self.counts.borrow_mut().clear();
     }
 
     /// Forgets submissions for whose answer nobody waits any more.
     fn forget_abandoned(&self) {
         self.submissions.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
         self.questions.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
+        self.counts.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
     }
 
     /// The questions that wait for an answer. A job that the lead took already stays one job.
@@ -168,8 +186,11 @@
         self.forget_abandoned();
         let submissions = self.submissions.borrow();
         let questions = self.questions.borrow();
+        let counts = self.counts.borrow();
         let submitted = submissions.values().map(|pending| &pending.frame);
-        submitted.chain(questions.values().map(|pending| &pending.frame)).cloned().collect()
+        let asked = questions.values().map(|pending| &pending.frame);
+        let counted = counts.values().map(|pending| &pending.frame);
+        submitted.chain(asked).chain(counted).cloned().collect()
     }
 }
 
@@ -349,6 +370,8 @@
     first_patience: Duration,
 ) -> std::io::Result<LinkEnd> {
     let mut patience = first_patience;
+    // Whether this box stands by for the lead of this link.
+    let mut stood_by = false;
     loop {
         let frame = match next_frame(&mut reader, address, patience).await? {
             Ok(frame) => frame,
@@ -358,6 +381,7 @@
         match frame {
             PeerFrame::Ping { store_answers, strongest } => {
                 link.store_answers.set(store_answers);
+                host.note_lead_heard();
                 let mut watch = host.watch.borrow_mut();
                 match store_answers {
                     true => watch.note_lead_served(clock::now()),
@@ -395,8 +419,31 @@
             PeerFrame::Config(record) => follow::apply_config(host, record.into()),
             PeerFrame::StandBy(stands_by) => {
                 info!(host.log, "role"; "stands_by" => stands_by, "whole" => host.could_lead());
-                if stands_by {
-                    host.read_anew();
+                match stands_by {
+                    true => {
+                        host.set_asking(false);
+                        host.read_anew();
+                    }
+                    false if !host.lead_tells.get() => host.set_asking(true),
+                    false => {}
+                }
+                stood_by = stands_by;
+            }
+            PeerFrame::Tells(tells) => {
+                info!(host.log, "role"; "stands_by" => stood_by, "told_states" => tells);
+                host.lead_tells.set(tells);
+                if !stood_by {
+                    host.set_asking(!tells);
+                }
+                if tells && !stood_by && host.progress_view.offset.get().is_none() {
+                    // A link that is overfull is of no use.
+                    let _ = link.outbox.try_send(PeerFrame::AskBriefs);
+                }
+            }
+            PeerFrame::Waiting { number, count } => {
+                if let Some(pending) = link.counts.borrow_mut().remove(&number) {
+                    // A caller that does not wait any more asks again.
+                    let _ = pending.reply.send(count);
                 }
             }
             PeerFrame::Proof { number, proof: Some(proof) } => {
@@ -415,6 +462,7 @@
             | PeerFrame::Relayed { .. }
             | PeerFrame::Fetch { .. }
             | PeerFrame::AskBriefs
+            | PeerFrame::AskWaiting { .. }
             | PeerFrame::Probe { .. } => {}
         }
         if lead_address(host) != Some(address) {
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -93,6 +93,11 @@
     session.note_helper(host, helper, strength);
     session.standbys.borrow_mut().join(helper, strength);
     session.choose_standbys();
+    let tells = session.standbys.borrow().tells();
+    // A box whose queue is full already is of no use.
+    if let Some(queue) = session.helpers.borrow().get(&helper) {
+        let _ = queue.try_send(PeerFrame::Tells(tells).encode());
+    }
     info!(host.log, "helper joined";
         "box" => %name, "helper" => helper.0, "strength" => %strength);
 }
@@ -171,8 +176,15 @@
             PeerFrame::Fetch { topic, from } => {
                 tokio::task::spawn_local(fetch(host.clone(), queue.clone(), topic, from));
             }
+            PeerFrame::AskWaiting { number, queue: name } => {
+                let known = host.knows_jobs();
+                let count = known.then(|| host.replica.borrow().waiting(&name) as u64);
+                if queue.try_send(PeerFrame::Waiting { number, count }.encode()).is_err() {
+                    return;
+                }
+            }
             PeerFrame::AskBriefs => {
-                if !tell_all(host, queue) {
+                if session.standbys.borrow().tells() && !tell_all(host, queue) {
                     return;
                 }
             }
@@ -185,6 +197,8 @@
             | PeerFrame::Records(_)
             | PeerFrame::Briefs(_)
             | PeerFrame::StandBy(_)
+            | PeerFrame::Tells(_)
+            | PeerFrame::Waiting { .. }
             | PeerFrame::Config(_)
             | PeerFrame::Proof { .. } => return,
         }
@@ -267,16 +281,33 @@
             briefs.into_iter().map(|fed| PeerFrame::Briefs(fed).encode()).collect();
         let records: Vec<Rc<[u8]>> =
             parts.into_iter().map(|part| PeerFrame::Records(part).encode()).collect();
-        let bytes = records.iter().map(|frame| frame.len()).sum();
-        self.standbys.borrow_mut().note_fed(bytes, clock::now());
+        let size = |frames: &[Rc<[u8]>]| frames.iter().map(|frame| frame.len()).sum();
+        self.standbys.borrow_mut().note_fed(size(&records), clock::now());
+        self.standbys.borrow_mut().note_told(size(&briefs), clock::now());
         self.choose_standbys();
+        self.choose_telling(host);
         let standbys = self.standbys.borrow();
+        let briefs = if standbys.tells() { briefs } else { Vec::new() };
         self.helpers.borrow_mut().retain(|helper, queue| {
             let frames = if standbys.contains(*helper) { &records } else { &briefs };
             frames.iter().all(|frame| queue.try_send(frame.clone()).is_ok())
         });
     }
 
+    /// Tells all boxes if they are told states from now on, or not any more.
+    fn choose_telling(&self, host: &CellBox) {
+        if !self.standbys.borrow_mut().choose_telling(clock::now()) {
+            return;
+        }
+        let tells = self.standbys.borrow().tells();
+        host.lead_tells.set(tells);
+        info!(host.log, "states told"; "token" => %self.token, "tells" => tells,
+            "boxes" => self.helpers.borrow().len());
+        let frame: Rc<[u8]> = PeerFrame::Tells(tells).encode();
+        // A box whose queue is full is cut off with the next records.
+        self.helpers.borrow().values().for_each(|queue| drop(queue.try_send(frame.clone())));
+    }
+
     /// Tells boxes that are to stand by from now on, or not any more.
     fn choose_standbys(&self) {
         let changes = self.standbys.borrow_mut().choose(clock::now());
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -11,7 +11,7 @@
 use sedgehill_adapter::store::{StoreClient, StoreTopic};
 use sedgehill_adapter::worker::WorkerClient;
 use sedgehill_cell::authority::LeadWatch;
-use sedgehill_cell::ids::{JobId, OrganisationName};
+use sedgehill_cell::ids::{JobId, OrganisationName, QueueName};
 use sedgehill_cell::patience::{CallPatience, STORE_PATIENCE};
 use sedgehill_cell::replica::CellReplica;
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -44,6 +44,14 @@
 const FED: TimeSpan = TimeSpan(800);
 
 impl TopicView {
+    /// What was read is out of date from now on.
+    fn forget(&self) {
+        self.offset.set(None);
+        self.whole.set(false);
+        self.fresh.set(None);
+        self.fed.set(None);
+    }
+
     /// Notes that all records up to a moment not before `asked` were read.
     pub fn note_complete(&self, asked: Moment) {
         self.fresh.set(self.fresh.get().max(Some(asked)));
@@ -177,6 +185,10 @@
     pub lead_changed: Notify,
     /// What this box does as the lead.
     pub session: RefCell<Option<Rc<LeadSession>>>,
+    /// Whether the lead tells states to the boxes that do not stand by.
+    pub lead_tells: Cell<bool>,
+    /// When this box, which is not told states, last heard from a lead that it can ask.
+    asked_lately: Cell<Option<Moment>>,
     /// The link to the lead, while there is one.
     pub link: RefCell<Option<Rc<LeadLink>>>,
     /// Whether the box is stopping.
@@ -231,6 +243,8 @@
             lead_doubted: Notify::new(),
             lead_changed: Notify::new(),
             session: RefCell::default(),
+            lead_tells: Cell::new(true),
+            asked_lately: Cell::default(),
             link: RefCell::default(),
             stopping: Cell::new(false),
             stop: Notify::new(),
@@ -272,6 +286,15 @@
         }
     }
 
+    /// How many jobs of a queue wait, as this box or the lead knows; none if neither does.
+    pub async fn count_waiting(&self, queue: &QueueName) -> Option<u64> {
+        if self.knows_jobs() {
+            return Some(self.replica.borrow().waiting(queue) as u64);
+        }
+        let link = self.link.borrow().clone()?;
+        link.ask_waiting(queue.clone()).await
+    }
+
     /// What this box or the lead knows of a job.
     pub async fn find_state(&self, job: JobId, caller: Option<&OrganisationName>) -> StateAnswer {
         let link = self.link.borrow().clone();
@@ -303,6 +326,34 @@
         deferred && unread && self.watch.borrow().is_outdone()
     }
 
+    /// Whether this box leaves it to the lead to know the jobs, and asks it. One that hears from no lead for a time
+    /// begins to read everything, since nobody else may be left that could lead.
+    pub fn asks_lead(&self) -> bool {
+        let asked = self.asked_lately.get();
+        asked.is_some_and(|asked| clock::now().since(asked) < READING_DEFERRED)
+    }
+
+    /// Notes that the lead lives.
+    pub fn note_lead_heard(&self) {
+        if self.asked_lately.get().is_some() {
+            self.asked_lately.set(Some(clock::now()));
+        }
+    }
+
+    /// From now on the lead is asked for states, or not any more.
+    pub fn set_asking(&self, asks: bool) {
+        // A box that has claimed the lead has to know the jobs itself.
+        let asks = asks && !self.watch.borrow().is_holder();
+        self.asked_lately.set(asks.then(clock::now));
+        if asks {
+            // What was known becomes untrue from now on.
+            self.replica.replace(CellReplica::default());
+            for view in [&self.jobs_view, &self.progress_view] {
+                view.forget();
+            }
+        }
+    }
+
     /// Has the jobs and their progress read from the start, so that this box could lead.
     pub fn read_anew(&self) {
         for view in [&self.jobs_view, &self.progress_view] {
