cell: what is due goes first, and a limit is used in the order of ranks; the losing ways go

Tests: what_an_organisation_sends_beyond_*, narrow_work_leaves_*, each failing under the other way. The random courses lose the answers to the orders of a turn and hold each start against the limit in force. Two mutations in a scratch copy (orders of earlier leads not counted; starts without an answer not counted): both fail the courses within 200 and a test of their own. The second was not noticed before: a worker whose answers were lost got no starts in the fakes.

--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -93,14 +93,12 @@
 pub struct OrganisationBook {
     accounts: Vec<OrganisationAccount>,
     keys: HashMap<OrganisationName, OrganisationKey>,
-    weights: u64,
 }
 
 impl OrganisationBook {
     /// Takes in what the configuration says. One that it does not name any more keeps its last limit, as
     /// long as this lead lasts.
     pub fn set_policies(&mut self, policies: &[OrganisationPolicy], now: Moment) {
-        self.weights = policies.iter().map(|policy| policy.weight.0).sum();
         for policy in policies {
             let key = self.key_of(&policy.name, policy.maximum, now);
             let account = &mut self.accounts[key.0];
@@ -178,23 +176,6 @@
         }
     }
 
-    /// By how much an organisation is beyond its share of `total`, in steps of half its share: 0 within it.
-    pub fn beyond_share(&self, key: OrganisationKey, total: &ResourceSet) -> u8 {
-        const STEPS: f64 = 2.0;
-        const MOST: f64 = 200.0;
-        let account = &self.accounts[key.0];
-        if account.weight.0 == 0 || self.weights == 0 {
-            return 0;
-        }
-        let part = |used: u64, all: u64| if all == 0 { 0.0 } else { used as f64 / all as f64 };
-        let running = &account.running;
-        let dominant = part(running.cores.0, total.cores.0)
-            .max(part(running.memory.0, total.memory.0))
-            .max(part(running.accelerators.into(), total.accelerators.into()));
-        let share = account.weight.0 as f64 / self.weights as f64;
-        ((dominant / share - 1.0) * STEPS).ceil().clamp(0.0, MOST) as u8
-    }
-
     fn note_unseen(&mut self, needs: &HashMap<OrganisationKey, ResourceSet>, most: &ResourceSet) {
         for (number, account) in self.accounts.iter_mut().enumerate() {
             let need = needs.get(&OrganisationKey(number)).copied().unwrap_or_default();
@@ -287,23 +268,9 @@
         allowed
     }
 
-    /// How far the organisation of a job is beyond what is due to it; 0 within it.
-    pub(super) fn beyond_due(&self, job: &JobWork, total: &ResourceSet) -> u8 {
-        match (self.timing.policy.sharing, job.owner) {
-            (SharingWay::LimitsOnly, _) | (_, None) => 0,
-            (SharingWay::DueFirst, Some(_)) => u8::from(job.excess),
-            (SharingWay::DominantShare, Some(key)) => self.organisations.beyond_share(key, total),
-        }
-    }
-
-    /// What all workers have that may be given work.
-    pub(super) fn total_capacity(&self) -> ResourceSet {
-        if self.timing.policy.sharing != SharingWay::DominantShare {
-            return ResourceSet::default();
-        }
-        let sound = self.workers.iter().filter(|worker| !worker.dead && worker.listed);
-        let capacities = sound.map(|worker| worker.entry.capacity);
-        capacities.fold(ResourceSet::default(), |sum, capacity| sum.plus(&capacity))
+    /// Whether a job goes after all that is due to other organisations.
+    pub(super) fn is_beyond_due(&self, job: &JobWork) -> bool {
+        self.timing.policy.sharing == SharingWay::DueFirst && job.excess
     }
 
     /// Begins a turn, in which nothing is kept yet.
@@ -322,11 +289,7 @@
     ) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let Some(key) = job.owner else { return };
-        let keeps = match self.timing.policy.limit_order {
-            LimitOrder::Backfill => false,
-            LimitOrder::GangsFirst => spec.gang,
-            LimitOrder::InOrder => true,
-        };
+        let keeps = self.timing.policy.limit_order == LimitOrder::InOrder;
         if keeps && left > 0 && rank_job(job, &self.timing.policy, now).earns() {
             self.organisations.keep(key, &spec.need.times(left as u32));
         }
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -81,7 +81,6 @@
     fn candidates(&self, now: Moment) -> Vec<Candidate> {
         let settled = self.take_over.settled;
         let unix_ms = self.unix_ms_at(now);
-        let total = self.total_capacity();
         let mut ranked = Vec::new();
         for job in self.jobs.values() {
             // A task of a job that an earlier lead marked as ordered may run unseen. It cannot have
@@ -97,8 +96,8 @@
                     && wants_room(job, step, now)
                 {
                     let rank = *rank.get_or_insert_with(|| {
-                        let beyond = self.beyond_due(job, &total);
-                        rank_job(job, &self.timing.policy, now).with_beyond(beyond)
+                        let beyond_due = self.is_beyond_due(job);
+                        rank_job(job, &self.timing.policy, now).with_beyond_due(beyond_due)
                     });
                     ranked.push((rank, Candidate { job: job.id, step }));
                 }
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -11,9 +11,6 @@
     LimitsOnly,
     /// What an organisation sends beyond its weight in jobs a second goes after all that is due.
     DueFirst,
-    /// Organisations that hold more than their weight's share of the scarcest resource go after those that
-    /// hold less.
-    DominantShare,
 }
 
 /// What an organisation's limit leaves to work that is ranked after a step which waits for it.
@@ -21,8 +18,6 @@
 pub enum LimitOrder {
     /// Whatever fits.
     Backfill,
-    /// What a gang that waits does not need.
-    GangsFirst,
     /// What no step that waits needs.
     InOrder,
 }
@@ -33,7 +28,7 @@
     pub enum LimitOrderError {
         /// There is no such order.
         Unknown(found: String) {
-            display("expected `backfill`, `gangs-first` or `in-order`, found `{found}`")
+            display("expected `backfill` or `in-order`, found `{found}`")
         }
     }
 }
@@ -44,7 +39,6 @@
     fn from_str(text: &str) -> Result<LimitOrder, LimitOrderError> {
         match text {
             "backfill" => Ok(LimitOrder::Backfill),
-            "gangs-first" => Ok(LimitOrder::GangsFirst),
             "in-order" => Ok(LimitOrder::InOrder),
             _ => Err(LimitOrderError::Unknown(text.to_owned())),
         }
@@ -57,7 +51,7 @@
     pub enum SharingError {
         /// There is no such way.
         Unknown(found: String) {
-            display("expected `limits-only`, `due-first` or `dominant-share`, found `{found}`")
+            display("expected `limits-only` or `due-first`, found `{found}`")
         }
     }
 }
@@ -69,7 +63,6 @@
         match text {
             "limits-only" => Ok(SharingWay::LimitsOnly),
             "due-first" => Ok(SharingWay::DueFirst),
-            "dominant-share" => Ok(SharingWay::DominantShare),
             _ => Err(SharingError::Unknown(text.to_owned())),
         }
     }
@@ -111,8 +104,8 @@
             stragglers: true,
             short_only: true,
             short_accounts: true,
-            sharing: SharingWay::LimitsOnly,
-            limit_order: LimitOrder::Backfill,
+            sharing: SharingWay::DueFirst,
+            limit_order: LimitOrder::InOrder,
         }
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -31,17 +31,17 @@
 pub struct JobRank {
     /// Jobs that earn nothing any more go last, whosever they are.
     lost: bool,
-    /// How far its organisation is beyond what is due to it; 0 within it.
-    beyond: u8,
+    /// What is due to organisations goes before what one of them sends beyond it.
+    beyond_due: bool,
     prospect: Prospect,
     priority: u32,
     latest_start: u64,
 }
 
 impl JobRank {
-    /// The same for a job whose organisation is beyond what is due to it.
-    pub fn with_beyond(self, beyond: u8) -> JobRank {
-        JobRank { beyond, ..self }
+    /// The same for a job that its organisation sent beyond what is due to it, or not.
+    pub fn with_beyond_due(self, beyond_due: bool) -> JobRank {
+        JobRank { beyond_due, ..self }
     }
 
     /// Whether the job still earns something.
@@ -75,7 +75,7 @@
     };
     JobRank {
         lost: prospect == Prospect::Lost,
-        beyond: 0,
+        beyond_due: false,
         prospect,
         priority: job.record.policy.priority,
         latest_start,
--- a/crates/sedgehill-cell/tests/testsuite/fake.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake.rs
@@ -135,6 +135,11 @@
 }
 
 impl FakeWorker {
+    /// How many runs there are.
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
     /// Its lease is over: what ran there is gone.
     pub fn expire_for_test(&mut self) {
         self.runs.clear();
@@ -220,11 +225,16 @@
         needs.fold(ResourceSet::default(), |sum, need| sum.plus(&need))
     }
 
-    fn check_limit(&self, order: &StartOrder) {
+    /// A start that was ordered now keeps the limit in force, and one that comes late the highest that ever was.
+    fn check_limit(&self, order: &StartOrder, late: bool) {
         let Some(owner) = &order.record.owner else { return };
-        let Some(highest) = self.highest.get(&owner.organisation) else { return };
-        let running = self.running_for(&owner.organisation);
-        assert!(running.cores <= *highest, "{} is over its limit", owner.organisation);
+        let name = &owner.organisation;
+        let mut policies = self.organisations.iter();
+        let in_force = policies.find(|policy| policy.name == *name && !late);
+        let in_force = in_force.and_then(|policy| policy.maximum.cores);
+        let Some(most) = in_force.or_else(|| self.highest.get(name).copied()) else { return };
+        let running = self.running_for(name);
+        assert!(running.cores <= most, "{name} is over its limit");
     }
 
     /// Shows the scheduler what the store lists.
@@ -267,6 +277,22 @@
         orders
     }
 
+    /// The same, but the answers to all orders are lost: accounts alone are heard.
+    pub fn turn_losing_answers(&mut self, scheduler: &mut Scheduler) {
+        self.now.0 += 20;
+        self.look(scheduler);
+        self.record(scheduler);
+        scheduler.schedule(self.now);
+        let mutes: Vec<bool> = self.workers.iter().map(|worker| worker.mute).collect();
+        self.workers.iter_mut().for_each(|worker| worker.mute = true);
+        for order in scheduler.take_orders() {
+            self.obey(scheduler, &order);
+        }
+        for (worker, mute) in self.workers.iter_mut().zip(mutes) {
+            worker.mute = mute;
+        }
+    }
+
     pub fn turns(&mut self, scheduler: &mut Scheduler, count: usize) {
         for _ in 0..count {
             self.turn(scheduler);
@@ -368,6 +394,7 @@
         for late in std::mem::take(&mut self.late) {
             if !self.workers[late.number].cut {
                 self.begin(late.number, &late.order, late.token);
+                self.check_limit(&late.order, true);
             }
         }
     }
@@ -471,6 +498,7 @@
             return WorkerAnswer::Unknown;
         }
         let answer = self.begin(number, order, self.token);
+        self.check_limit(order, false);
         self.answer(number, answer)
     }
 
@@ -514,7 +542,6 @@
             self.starts.iter().any(|(task, run, _)| (*task, *run) == (order.task, order.run));
         assert!(!again, "run {} of {} begins twice", order.run, order.task);
         self.starts.push((order.task, order.run, life));
-        self.check_limit(order);
         WorkerAnswer::Done(clock)
     }
 
@@ -583,11 +610,6 @@
         self.workers.iter().position(|worker| worker.runs.contains_key(&task))
     }
 
-    /// Runs on a worker.
-    pub fn listed_runs(&self, number: usize) -> usize {
-        self.workers[number].runs.len()
-    }
-
     /// Ends that a worker still lists.
     pub fn listed_ends(&self, number: usize) -> usize {
         self.workers[number].ends.len()
--- a/crates/sedgehill-cell/tests/testsuite/organisations.rs
+++ b/crates/sedgehill-cell/tests/testsuite/organisations.rs
@@ -158,11 +158,13 @@
     let mut lead = cell.lead(false);
     cell.limit(&mut lead, ORG, 4);
     cell.turns(&mut lead, 3);
-    // Only one worker has room for the first job; its answers are lost, so what it runs is not known.
-    cell.workers[0].mute = true;
+    // The answers to the first starts are lost, and the stops after them do not arrive.
     cell.submit(&mut lead, 1, owned(ORG, 4, job(vec![step(4, 1)])));
-    cell.turns(&mut lead, 2);
-    cell.workers[0].cut = true;
+    cell.turn_losing_answers(&mut lead);
+    assert_eq!(running(&cell), 4);
+    for worker in &mut cell.workers {
+        worker.cut = worker.run_count() > 0;
+    }
     cell.submit(&mut lead, 2, owned(ORG, 4, job(vec![step(4, 1)])));
     for _ in 0..400 {
         cell.turn(&mut lead);
@@ -181,7 +183,8 @@
     cell.submit_led(&mut lead, 1, owned(ORG, 8, job(vec![step(8, 1)])));
     cell.turns(&mut lead, 4);
     assert_eq!(running(&cell), 8);
-    let holders: Vec<usize> = (0..4).filter(|number| cell.listed_runs(*number) > 0).collect();
+    let holders: Vec<usize> =
+        (0..4).filter(|number| cell.workers[*number].run_count() > 0).collect();
     for holder in &holders {
         cell.workers[*holder].cut = true;
     }
@@ -223,3 +226,62 @@
     assert!(ResourceLimit::default().admits(&cores(1_000_000)));
     assert_eq!(limit.to_string(), "4 cores, any memory, any accelerators");
 }
+
+#[test]
+fn what_an_organisation_sends_beyond_its_due_goes_after_all_that_is_due() {
+    let mut cell = FakeCell::new(1, 4);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, "hot", 4);
+    cell.limit(&mut lead, ORG, 4);
+    cell.turns(&mut lead, 3);
+    // Two jobs a second are due to each. The hot one's twenty come first, and one of the other's after them.
+    for id in 1..=20 {
+        cell.submit_led(&mut lead, id, owned("hot", 4, job(vec![step(1, 4)])));
+    }
+    cell.submit_led(&mut lead, 21, owned(ORG, 4, job(vec![step(1, 4)])));
+    let mut turns = 0;
+    while cell.place(task(21, 0, 0)).is_none() {
+        turns += 1;
+        assert!(turns <= 3, "only the two jobs that are due to the hot one go before it");
+        cell.turns(&mut lead, 3);
+        if cell.place(task(21, 0, 0)).is_none() {
+            cell.end_all();
+        }
+    }
+    // Idle room is lent: what is beyond the due runs as well.
+    for _ in 0..30 {
+        cell.end_all();
+        cell.turns(&mut lead, 3);
+    }
+    assert_eq!(lead.open_jobs(), 0);
+}
+
+#[test]
+fn narrow_work_leaves_the_limit_to_a_gang_that_was_there_first() {
+    let mut cell = FakeCell::new(4, 16);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, ORG, 8);
+    cell.turns(&mut lead, 3);
+    // Narrow work fills the limit, a gang that needs all of it waits, and more narrow work keeps coming.
+    let mut next = 1;
+    let mut narrow = |cell: &mut FakeCell, lead: &mut _| {
+        let mut record = owned(ORG, 8, job(vec![step(1, 1)]));
+        record.policy.priority = 1;
+        cell.submit_led(lead, next, record);
+        next += 1;
+    };
+    for _ in 0..8 {
+        narrow(&mut cell, &mut lead);
+    }
+    cell.turns(&mut lead, 3);
+    assert_eq!(running(&cell), 8);
+    let mut gang = step(8, 1);
+    gang.gang = true;
+    cell.submit_led(&mut lead, 1_000, owned(ORG, 8, job(vec![gang])));
+    for _ in 0..8 {
+        narrow(&mut cell, &mut lead);
+        cell.end_some(0, RunEnd::Done);
+        cell.turns(&mut lead, 3);
+    }
+    assert!(cell.place(task(1_000, 0, 0)).is_some(), "the gang found the whole limit free");
+}
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -39,6 +39,8 @@
     Unrecorded,
     /// Accounts are heard after orders that were carried out later.
     StaleAccounts,
+    /// The answers to the orders of a turn are lost, and then one worker cannot be reached.
+    LoseAnswers(usize),
     /// Orders that were lost are carried out now.
     CarryOutLate,
     /// The lead is lost with all that it has not recorded.
@@ -68,6 +70,7 @@
         1 => (200usize..500).prop_map(Step::Turns),
         2 => Just(Step::Unrecorded),
         2 => Just(Step::StaleAccounts),
+        3 => (0..usize::from(WORKERS)).prop_map(Step::LoseAnswers),
         2 => Just(Step::CarryOutLate),
         1 => Just(Step::NewLead),
     ]
@@ -107,6 +110,10 @@
         }
         Step::Unrecorded => cell.turn_unrecorded(lead),
         Step::StaleAccounts => cell.turn_with_stale_accounts(lead),
+        Step::LoseAnswers(number) => {
+            cell.turn_losing_answers(lead);
+            cell.workers[number].cut = true;
+        }
         Step::CarryOutLate => cell.carry_out_late(),
         Step::NewLead => *lead = cell.lead(true),
     }
