--- /dev/null
+++ b/crates/sedgehilld/src/cell/lead_link.rs
@@ -0,0 +1,219 @@
+//! What a box asks the lead over its link, and the questions that wait for an answer.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sedgehill_adapter::store::StoreTopic;
+use sedgehill_cell::ids::{JobId, OrganisationName, QueueName};
+use sedgehill_cell::replica::CellRecord;
+use sedgehill_core::units::Moment;
+use tokio::sync::{mpsc, oneshot};
+
+use super::accept::AcceptOutcome;
+use super::frames::{PeerFrame, StateAnswer, ViewProof};
+use super::state::CellBox;
+
+/// How long the lead may take to tell a state.
+const STATE_LIMIT: Duration = Duration::from_millis(800);
+
+/// A question to the lead, which is asked again when the connection is replaced.
+struct PendingCall<T> {
+    frame: PeerFrame,
+    reply: oneshot::Sender<T>,
+}
+
+/// Questions of one kind that wait for an answer, by number.
+struct PendingCalls<T>(RefCell<HashMap<u64, PendingCall<T>>>);
+
+impl<T> Default for PendingCalls<T> {
+    fn default() -> PendingCalls<T> {
+        PendingCalls(RefCell::default())
+    }
+}
+
+impl<T> PendingCalls<T> {
+    fn begin(&self, number: u64, frame: PeerFrame) -> oneshot::Receiver<T> {
+        let (reply, answer) = oneshot::channel();
+        self.0.borrow_mut().insert(number, PendingCall { frame, reply });
+        answer
+    }
+
+    fn finish(&self, number: u64, answer: T) {
+        if let Some(pending) = self.0.borrow_mut().remove(&number) {
+            // A caller that does not wait any more asks again.
+            let _ = pending.reply.send(answer);
+        }
+    }
+
+    fn remove(&self, number: u64) {
+        self.0.borrow_mut().remove(&number);
+    }
+
+    fn clear(&self) {
+        self.0.borrow_mut().clear();
+    }
+
+    /// Forgets questions for whose answer nobody waits any more.
+    fn forget_abandoned(&self) {
+        self.0.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
+    }
+
+    fn frames(&self) -> Vec<PeerFrame> {
+        self.0.borrow().values().map(|pending| pending.frame.clone()).collect()
+    }
+}
+
+/// A link to the lead.
+pub struct LeadLink {
+    /// Frames that are to be sent.
+    pub outbox: mpsc::Sender<PeerFrame>,
+    /// The last question how far the lead's views reach, with when it was asked.
+    pub probe: Cell<Option<(u64, Moment)>>,
+    /// Whether the store answers the lead, as it says.
+    store_answers: Cell<bool>,
+    next_number: Cell<u64>,
+    submissions: PendingCalls<AcceptOutcome>,
+    questions: PendingCalls<StateAnswer>,
+    counts: PendingCalls<Option<u64>>,
+    /// Whether the last proof named a configuration that this box did not have.
+    config_behind: Cell<bool>,
+}
+
+impl LeadLink {
+    /// A link whose frames go into `outbox`.
+    pub fn new(outbox: mpsc::Sender<PeerFrame>) -> LeadLink {
+        LeadLink {
+            outbox,
+            probe: Cell::default(),
+            store_answers: Cell::new(false),
+            next_number: Cell::new(0),
+            submissions: PendingCalls::default(),
+            questions: PendingCalls::default(),
+            counts: PendingCalls::default(),
+            config_behind: Cell::default(),
+        }
+    }
+
+    /// Whether the lead can put things into the store.
+    pub fn takes_submissions(&self) -> bool {
+        self.store_answers.get()
+    }
+
+    /// Notes whether the store answers the lead.
+    pub fn note_store_answers(&self, answers: bool) {
+        self.store_answers.set(answers);
+    }
+
+    /// Sends a question. None if the link is overfull.
+    fn ask<T>(
+        &self,
+        calls: &PendingCalls<T>,
+        question: impl FnOnce(u64) -> PeerFrame,
+    ) -> Option<oneshot::Receiver<T>> {
+        let number = self.take_number();
+        let frame = question(number);
+        let answer = calls.begin(number, frame.clone());
+        if self.outbox.try_send(frame).is_err() {
+            calls.remove(number);
+            return None;
+        }
+        Some(answer)
+    }
+
+    /// Hands in what a caller said. None if the link was lost before an answer.
+    pub async fn submit(&self, job: JobId, statement: &CellRecord) -> Option<AcceptOutcome> {
+        let statement = statement.clone();
+        let submit = |number| PeerFrame::Submit { number, job, statement };
+        match self.ask(&self.submissions, submit) {
+            Some(answer) => answer.await.ok(),
+            None => Some(AcceptOutcome::NotDone),
+        }
+    }
+
+    /// Asks for the state of a job.
+    pub async fn ask_state(&self, job: JobId, caller: Option<OrganisationName>) -> StateAnswer {
+        let question = |number| PeerFrame::AskState { number, job, caller };
+        let Some(answer) = self.ask(&self.questions, question) else { return StateAnswer::Untold };
+        match tokio::time::timeout(STATE_LIMIT, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => StateAnswer::Untold,
+        }
+    }
+
+    /// Asks how many jobs of a queue wait.
+    pub async fn ask_waiting(&self, queue: QueueName) -> Option<u64> {
+        let question = |number| PeerFrame::AskWaiting { number, queue };
+        let answer = self.ask(&self.counts, question)?;
+        tokio::time::timeout(STATE_LIMIT, answer).await.ok()?.ok()?
+    }
+
+    /// Asks the lead for what this box cannot read itself.
+    pub fn fetch_missed(&self, host: &CellBox, proof: &ViewProof) {
+        let behind = host.config.borrow().version < proof.config;
+        // A version that was proved before and is still missing will hardly come by the own path.
+        if self.config_behind.replace(behind) && behind {
+            self.fetch(StoreTopic::Operators, 0);
+        }
+        if !host.store_contact.is_silent() {
+            return;
+        }
+        let missed =
+            [(StoreTopic::Jobs, proof.jobs_end), (StoreTopic::Progress, proof.progress_end)];
+        for (topic, end) in missed {
+            let read = host.view(topic).and_then(|view| view.offset.get());
+            if let Some(from) = read.filter(|read| *read < end) {
+                self.fetch(topic, from);
+            }
+        }
+    }
+
+    fn fetch(&self, topic: StoreTopic, from: u64) {
+        // A link that is overfull is of no use, and the next proof asks again.
+        let _ = self.outbox.try_send(PeerFrame::Fetch { topic, from });
+    }
+
+    /// The number of the next question.
+    pub fn take_number(&self) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
+    }
+
+    /// Takes in what came of a submission.
+    pub fn take_outcome(&self, number: u64, outcome: AcceptOutcome) {
+        self.submissions.finish(number, outcome);
+    }
+
+    /// Takes in the state of a job.
+    pub fn take_state(&self, number: u64, answer: StateAnswer) {
+        self.questions.finish(number, answer);
+    }
+
+    /// Takes in how many jobs of a queue wait.
+    pub fn take_count(&self, number: u64, count: Option<u64>) {
+        self.counts.finish(number, count);
+    }
+
+    /// The link is lost: whoever waits for an answer on it waits no longer.
+    pub fn give_up(&self) {
+        self.store_answers.set(false);
+        self.submissions.clear();
+        self.questions.clear();
+        self.counts.clear();
+    }
+
+    /// Forgets questions for whose answer nobody waits any more.
+    pub fn forget_abandoned(&self) {
+        self.submissions.forget_abandoned();
+        self.questions.forget_abandoned();
+        self.counts.forget_abandoned();
+    }
+
+    /// The questions that wait for an answer. A job that the lead took already stays one job.
+    pub fn pending_frames(&self) -> Vec<PeerFrame> {
+        self.forget_abandoned();
+        let frames = [self.submissions.frames(), self.questions.frames(), self.counts.frames()];
+        frames.concat()
+    }
+}
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -5,25 +5,19 @@
 //! process is gone. Losing a link costs time and calls to the store only: all that must last or be
 //! agreed on goes through the store.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
-use sedgehill_cell::ids::{JobId, OrganisationName, QueueName};
-use sedgehill_cell::replica::CellRecord;
+use sedgehill_adapter::store::KeyedRecord;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
-use super::accept::AcceptOutcome;
-use super::frames::{
-    FedBriefs, FedRecords, PeerFrame, StateAnswer, ViewProof, read_frame, write_frame,
-};
+use super::frames::{FedBriefs, FedRecords, PeerFrame, ViewProof, read_frame, write_frame};
+use super::lead_link::LeadLink;
 use super::state::CellBox;
 use super::{follow, orders, relay};
 use crate::clock;
@@ -39,161 +33,9 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// Time between two questions how far the lead's views reach.
 const PROBE_EVERY: Duration = Duration::from_millis(300);
-/// How long the lead may take to tell a state.
-const STATE_LIMIT: Duration = Duration::from_millis(800);
 /// Frames that may wait to be sent. A link that is so far behind is of no use.
 const OUTBOX_LENGTH: usize = 1_024;
 
-/// A question to the lead, which is asked again when the connection is replaced.
-struct PendingCall<T> {
-    frame: PeerFrame,
-    reply: oneshot::Sender<T>,
-}
-
-/// A link to the lead.
-pub struct LeadLink {
-    outbox: mpsc::Sender<PeerFrame>,
-    /// Whether the store answers the lead, as it says.
-    store_answers: Cell<bool>,
-    next_number: Cell<u64>,
-    submissions: RefCell<HashMap<u64, PendingCall<AcceptOutcome>>>,
-    questions: RefCell<HashMap<u64, PendingCall<StateAnswer>>>,
-    counts: RefCell<HashMap<u64, PendingCall<Option<u64>>>>,
-    probe: Cell<Option<(u64, Moment)>>,
-    /// Whether the last proof named a configuration that this box did not have.
-    config_behind: Cell<bool>,
-}
-
-impl LeadLink {
-    fn new(outbox: mpsc::Sender<PeerFrame>) -> LeadLink {
-        LeadLink {
-            outbox,
-            store_answers: Cell::new(false),
-            next_number: Cell::new(0),
-            submissions: RefCell::default(),
-            questions: RefCell::default(),
-            counts: RefCell::default(),
-            probe: Cell::default(),
-            config_behind: Cell::default(),
-        }
-    }
-
-    /// Whether the lead can put things into the store.
-    pub fn takes_submissions(&self) -> bool {
-        self.store_answers.get()
-    }
-
-    /// Hands in what a caller said. None if the link was lost before an answer, or is overfull.
-    pub async fn submit(&self, job: JobId, statement: &CellRecord) -> Option<AcceptOutcome> {
-        let number = self.take_number();
-        let (reply, answer) = oneshot::channel();
-        let frame = PeerFrame::Submit { number, job, statement: statement.clone() };
-        let pending = PendingCall { frame: frame.clone(), reply };
-        self.submissions.borrow_mut().insert(number, pending);
-        if self.outbox.try_send(frame).is_err() {
-            self.submissions.borrow_mut().remove(&number);
-            return Some(AcceptOutcome::NotDone);
-        }
-        answer.await.ok()
-    }
-
-    /// Asks for the state of a job.
-    pub async fn ask_state(&self, job: JobId, caller: Option<OrganisationName>) -> StateAnswer {
-        let number = self.take_number();
-        let (reply, answer) = oneshot::channel();
-        let frame = PeerFrame::AskState { number, job, caller };
-        let pending = PendingCall { frame: frame.clone(), reply };
-        self.questions.borrow_mut().insert(number, pending);
-        if self.outbox.try_send(frame).is_err() {
-            self.questions.borrow_mut().remove(&number);
-            return StateAnswer::Untold;
-        }
-        match tokio::time::timeout(STATE_LIMIT, answer).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) | Err(_) => StateAnswer::Untold,
-        }
-    }
-
-    /// Asks how many jobs of a queue wait.
-    pub async fn ask_waiting(&self, queue: QueueName) -> Option<u64> {
-        let number = self.take_number();
-        let (reply, answer) = oneshot::channel();
-        let frame = PeerFrame::AskWaiting { number, queue };
-        let pending = PendingCall { frame: frame.clone(), reply };
-        self.counts.borrow_mut().insert(number, pending);
-        if self.outbox.try_send(frame).is_err() {
-            self.counts.borrow_mut().remove(&number);
-            return None;
-        }
-        tokio::time::timeout(STATE_LIMIT, answer).await.ok()?.ok()?
-    }
-
-    /// Asks the lead for what this box cannot read itself.
-    fn fetch_missed(&self, host: &CellBox, proof: &ViewProof) {
-        let behind = host.config.borrow().version < proof.config;
-        // A version that was proved before and is still missing will hardly come by the own path.
-        if self.config_behind.replace(behind) && behind {
-            self.fetch(StoreTopic::Operators, 0);
-        }
-        if !host.store_contact.is_silent() {
-            return;
-        }
-        let missed =
-            [(StoreTopic::Jobs, proof.jobs_end), (StoreTopic::Progress, proof.progress_end)];
-        for (topic, end) in missed {
-            let read = host.view(topic).and_then(|view| view.offset.get());
-            if let Some(from) = read.filter(|read| *read < end) {
-                self.fetch(topic, from);
-            }
-        }
-    }
-
-    fn fetch(&self, topic: StoreTopic, from: u64) {
-        // A link that is overfull is of no use, and the next proof asks again.
-        let _ = self.outbox.try_send(PeerFrame::Fetch { topic, from });
-    }
-
-    fn take_number(&self) -> u64 {
-        let number = self.next_number.get();
-        self.next_number.set(number + 1);
-        number
-    }
-
-    fn take_outcome(&self, number: u64, outcome: AcceptOutcome) {
-        if let Some(pending) = self.submissions.borrow_mut().remove(&number) {
-            // A caller that does not wait any more asks again.
-            let _ = pending.reply.send(outcome);
-        }
-    }
-
-    /// The link is lost: whoever waits for an answer on it waits no longer.
-    fn give_up(&self) {
-        self.store_answers.set(false);
-        self.submissions.borrow_mut().clear();
-        self.questions.borrow_mut().clear();
-        self.counts.borrow_mut().clear();
-    }
-
-    /// Forgets submissions for whose answer nobody waits any more.
-    fn forget_abandoned(&self) {
-        self.submissions.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
-        self.questions.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
-        self.counts.borrow_mut().retain(|_, pending| !pending.reply.is_closed());
-    }
-
-    /// The questions that wait for an answer. A job that the lead took already stays one job.
-    fn pending_frames(&self) -> Vec<PeerFrame> {
-        self.forget_abandoned();
-        let submissions = self.submissions.borrow();
-        let questions = self.questions.borrow();
-        let counts = self.counts.borrow();
-        let submitted = submissions.values().map(|pending| &pending.frame);
-        let asked = questions.values().map(|pending| &pending.frame);
-        let counted = counts.values().map(|pending| &pending.frame);
-        submitted.chain(asked).chain(counted).cloned().collect()
-    }
-}
-
 /// Keeps a link to whoever leads.
 pub async fn keep(host: Rc<CellBox>) {
     loop {
@@ -380,7 +222,7 @@
         patience = SILENCE;
         match frame {
             PeerFrame::Ping { store_answers, strongest } => {
-                link.store_answers.set(store_answers);
+                link.note_store_answers(store_answers);
                 host.note_lead_heard();
                 let mut watch = host.watch.borrow_mut();
                 match store_answers {
@@ -408,12 +250,7 @@
                     let _ = outbox.send(PeerFrame::Relayed { number, answer }).await;
                 });
             }
-            PeerFrame::State { number, answer } => {
-                if let Some(pending) = link.questions.borrow_mut().remove(&number) {
-                    // A caller that does not wait any more asks again.
-                    let _ = pending.reply.send(answer);
-                }
-            }
+            PeerFrame::State { number, answer } => link.take_state(number, answer),
             PeerFrame::Records(fed) => take_records(host, fed),
             PeerFrame::Briefs(fed) => take_briefs(host, fed),
             PeerFrame::Config(record) => follow::apply_config(host, record.into()),
@@ -440,12 +277,7 @@
                     let _ = link.outbox.try_send(PeerFrame::AskBriefs);
                 }
             }
-            PeerFrame::Waiting { number, count } => {
-                if let Some(pending) = link.counts.borrow_mut().remove(&number) {
-                    // A caller that does not wait any more asks again.
-                    let _ = pending.reply.send(count);
-                }
-            }
+            PeerFrame::Waiting { number, count } => link.take_count(number, count),
             PeerFrame::Proof { number, proof: Some(proof) } => {
                 if let Some((asked, sent)) = link.probe.get()
                     && asked == number
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod hedge;
 mod late;
 mod lead;
+mod lead_link;
 mod link;
 mod orders;
 mod peers;
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -20,7 +20,7 @@
 
 use super::frames::StateAnswer;
 use super::lead::LeadSession;
-use super::link::LeadLink;
+use super::lead_link::LeadLink;
 use super::settings::CellSettings;
 use crate::clock;
 
