cell, link: a link to a lead that resigned lasts until another leads

What a box had handed in over it would have been told as unknown, though the lead still answers what it took.

--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -89,12 +89,12 @@
     }
 }
 
-/// Returns once a box at another address leads.
+/// Returns once a box at another address leads. A lead that has resigned may still answer what it took.
 async fn led_elsewhere(host: &CellBox, address: SocketAddr) {
     loop {
         // Begun before the look, so that no change is missed.
         let changed = host.lead_changed.notified();
-        if lead_address(host) != Some(address) {
+        if lead_address(host).is_some_and(|current| current != address) {
             return;
         }
         changed.await;
