cell, feeding: a lead does not begin by telling hundreds of boxes the states of all jobs

After a restart of all, each weak box was told all jobs first, some 200 MB in all, and then told to ask. Change: whether all jobs can be told at once counts when a lead begins and before telling begins again. Test: standby::a_lead_of_many_boxes_*.

--- a/crates/sedgehill-cell/src/standby.rs
+++ b/crates/sedgehill-cell/src/standby.rs
@@ -28,6 +28,11 @@
 const TELL_PERMILLE: u64 = 100;
 /// The part below which states are told again, once that was so for a calm time.
 const TELL_AGAIN_PERMILLE: u64 = 50;
+/// Telling a box begins with the states of all jobs. So much of a second of the lead's link may that take for all
+/// boxes together, in thousandths. After a restart of 300 boxes with 36,000 jobs it would take eight seconds.
+const TELL_ALL_PERMILLE: u64 = 500;
+/// Bytes of one job among the states of all.
+const BRIEF_BYTES: u64 = 20;
 /// A box that begins to stand by reads all jobs from the store, so none begins in vain.
 const CALM: TimeSpan = TimeSpan(5_000);
 
@@ -103,6 +108,8 @@
     /// Whether states are told, and since when.
     tells: bool,
     tells_since: Moment,
+    /// When the lead began.
+    began: Moment,
     /// How many boxes may stand by, and since when.
     limit: usize,
     limited: Moment,
@@ -121,6 +128,7 @@
             told_rate: 0,
             tells,
             tells_since: now,
+            began: now,
             limit: STANDBYS_MOST,
             limited: now,
         }
@@ -160,16 +168,24 @@
         self.tells
     }
 
-    /// Decides whether states are told. Returns whether that changed. A cell of 300 boxes and 1,000 jobs a second
+    /// Whether the lead has led for long enough that the others have found it.
+    fn settled(&self, now: Moment) -> bool {
+        now.since(self.began) >= CALM
+    }
+
+    /// Decides whether states are told, of `known_jobs` jobs. Returns whether that changed. A cell of 300 boxes and 1,000 jobs a second
     /// would fill four fifths of a link of 200 Mbit/s with them.
-    pub fn choose_telling(&mut self, now: Moment) -> bool {
+    pub fn choose_telling(&mut self, known_jobs: usize, now: Moment) -> bool {
         let others = self.entries.values().filter(|entry| !entry.stands_by).count() as u64;
         let cost = self.told_rate * others;
         let part = |permille: u64| self.link.bytes() * permille / 1000;
+        let whole = known_jobs as u64 * BRIEF_BYTES * others;
+        let affordable = whole <= part(TELL_ALL_PERMILLE);
         let calm = now.since(self.tells_since) >= CALM;
+        // Boxes that come to a lead in its first moments know nothing, as after a restart of all.
         let tells = match self.tells {
-            true => cost <= part(TELL_PERMILLE),
-            false => calm && cost < part(TELL_AGAIN_PERMILLE),
+            true => cost <= part(TELL_PERMILLE) && (affordable || self.settled(now)),
+            false => calm && affordable && cost < part(TELL_AGAIN_PERMILLE),
         };
         let costly = !self.tells && cost >= part(TELL_AGAIN_PERMILLE);
         let changed = tells != self.tells;
--- a/crates/sedgehill-cell/tests/testsuite/standby.rs
+++ b/crates/sedgehill-cell/tests/testsuite/standby.rs
@@ -86,7 +86,7 @@
     for turn in 0..seconds * 25 {
         let now = Moment(from + turn * 40);
         set.note_told(bytes / 25, now);
-        set.choose_telling(now);
+        set.choose_telling(2_000, now);
     }
     set.tells()
 }
@@ -110,3 +110,29 @@
     assert!(told_after(&mut busy_set(300, true), 0, 60, between));
     assert!(!told_after(&mut busy_set(300, false), 0, 60, between));
 }
+
+#[test]
+fn a_lead_of_many_boxes_that_know_nothing_does_not_begin_by_telling_each_all_jobs() {
+    let mut set = busy_set(300, true);
+    set.choose_telling(36_000, Moment(20));
+    assert!(!set.tells(), "it would take eight seconds of the link");
+    assert!(!told_again(&mut set, 36_000), "nor later");
+    assert!(told_again(&mut set, 2_000), "once there are few jobs it does");
+    let mut few = busy_set(45, true);
+    few.choose_telling(7_000, Moment(20));
+    assert!(few.tells());
+    // Boxes that were told all along need no beginning.
+    let mut long = busy_set(300, true);
+    long.choose_telling(2_000, Moment(20));
+    long.choose_telling(36_000, Moment(60_000));
+    assert!(long.tells());
+}
+
+/// Whether a set whose boxes ask is told states after a calm time, with so many jobs known.
+fn told_again(set: &mut StandbySet, known_jobs: usize) -> bool {
+    let begin = 100_000 + known_jobs as u64;
+    for turn in 0..200 {
+        set.choose_telling(known_jobs, Moment(begin + turn * 40));
+    }
+    set.tells()
+}
--- a/crates/sedgehilld/src/cell/peers.rs
+++ b/crates/sedgehilld/src/cell/peers.rs
@@ -93,6 +93,7 @@
     session.note_helper(host, helper, strength);
     session.standbys.borrow_mut().join(helper, strength);
     session.choose_standbys();
+    session.choose_telling(host);
     let tells = session.standbys.borrow().tells();
     // A box whose queue is full already is of no use.
     if let Some(queue) = session.helpers.borrow().get(&helper) {
@@ -296,7 +297,8 @@
 
     /// Tells all boxes if they are told states from now on, or not any more.
     fn choose_telling(&self, host: &CellBox) {
-        if !self.standbys.borrow_mut().choose_telling(clock::now()) {
+        let known = host.replica.borrow().len();
+        if !self.standbys.borrow_mut().choose_telling(known, clock::now()) {
             return;
         }
         let tells = self.standbys.borrow().tells();
