--- a/crates/sedgehill-cell/src/standby.rs
+++ b/crates/sedgehill-cell/src/standby.rs
@@ -183,10 +183,13 @@
         let affordable = whole <= part(TELL_ALL_PERMILLE);
         let calm = now.since(self.tells_since) >= CALM;
         // Boxes that come to a lead in its first moments know nothing, as after a restart of all.
-        let tells = match self.tells {
-            true => cost <= part(TELL_PERMILLE) && (affordable || self.settled(now)),
-            false => calm && affordable && cost < part(TELL_AGAIN_PERMILLE),
-        };
+        // So few cost less than the records that go to those that stand by.
+        let few = others <= STANDBYS_MOST as u64;
+        let tells = few
+            || match self.tells {
+                true => cost <= part(TELL_PERMILLE) && (affordable || self.settled(now)),
+                false => calm && affordable && cost < part(TELL_AGAIN_PERMILLE),
+            };
         let costly = !self.tells && cost >= part(TELL_AGAIN_PERMILLE);
         let changed = tells != self.tells;
         if changed || costly {
--- a/crates/sedgehill-cell/tests/testsuite/standby.rs
+++ b/crates/sedgehill-cell/tests/testsuite/standby.rs
@@ -136,3 +136,17 @@
     }
     set.tells()
 }
+
+#[test]
+fn a_few_boxes_are_told_states_over_any_link() {
+    let mut set = StandbySet::new("0.001".parse().unwrap(), true, Moment(0));
+    for helper in 1..=10 {
+        set.join(HelperId(helper), WEAK);
+    }
+    set.note_fed(100_000, Moment(5_000));
+    set.choose(Moment(5_000));
+    assert_eq!(standing(&set, 10).len(), 2);
+    assert!(told_after(&mut set, 0, 5, 10_000));
+    set.join(HelperId(11), WEAK);
+    assert!(!told_after(&mut set, 10_000, 5, 10_000));
+}
--- a/crates/sedgehill-standin/tests/testsuite/take_over.rs
+++ b/crates/sedgehill-standin/tests/testsuite/take_over.rs
@@ -71,7 +71,8 @@
     let directory = tempfile::tempdir().unwrap();
     let platform = CellPlatform::start(4).await.unwrap();
     platform.configure(1);
-    let names = ["a", "b", "c", "d", "e"];
+    // A lead, two that stand by, and more than the few that are told in any case.
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"];
     let start = |name: &str| {
         let site = CellSite::new(name, &platform, platform.store_address, "0.25");
         site.with_link(THIN_LINK).start(directory.path()).expect("a box can be started")
