cell, tests: a lead whose predecessor stands before the newest record, failing

Cause: whether an earlier lead may still give orders was asked of the newest lead record alone. That may be the box's own (a claim whose answer was lost, a lead that failed to fence, its own earlier life) or a resignation, and then a lead before it still holds a term of 2.4 s after the fence, with leases of 6 s beyond.

Change: the rule moves as it is from the daemon into the watch of leads, where tests reach it.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -281,6 +281,11 @@
         self.newest.as_ref().is_some_and(|record| record.life == self.life && !record.resigned)
     }
 
+    /// Whether an earlier lead may still give orders after the next claim of this box.
+    pub fn has_predecessor(&self) -> bool {
+        self.newest.as_ref().is_some_and(|newest| !newest.resigned && newest.holder != self.name)
+    }
+
     /// Whether this box should claim the lead at `now`; `rank` counts the boxes before it.
     pub fn should_claim(&self, now: Moment, rank: u64, timing: &AuthorityTiming) -> bool {
         let Some(newest) = &self.newest else {
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod led;
 mod organisations;
 mod patience;
+mod predecessor;
 mod random;
 mod replica;
 mod roster;
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -181,7 +181,7 @@
         }
         let holder = host.watch.borrow().is_holder();
         if holder || host.watch.borrow().should_claim(now, rank, &host.settings.authority) {
-            let predecessor = has_living_predecessor(&host);
+            let predecessor = host.watch.borrow().has_predecessor();
             if claim(&host).await {
                 lead(&host, predecessor).await;
             }
@@ -195,12 +195,6 @@
     host.life % RANKS
 }
 
-/// Whether an earlier lead may still give orders.
-fn has_living_predecessor(host: &CellBox) -> bool {
-    let watch = host.watch.borrow();
-    watch.newest().is_some_and(|newest| !newest.resigned && newest.holder != host.settings.name)
-}
-
 async fn claim(host: &CellBox) -> bool {
     let Some(end) = lead_end(host) else { return false };
     let peers = host.settings.listen.peers.to_string();
