--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -127,6 +127,17 @@
 /// A lead yields to a box that is at least so much stronger, in thousandths of its own strength.
 const YIELD_PERMILLE: u64 = 1_500;
 
+/// The last sign of the newest lead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeadSign {
+    /// When it came, or for an own record when that was sent.
+    pub heard: Moment,
+    /// Whether there is a link to the lead, and the store answers it.
+    pub reachable: bool,
+    /// Whether nothing listens at its address.
+    pub gone: bool,
+}
+
 /// What a box knows of who leads.
 #[derive(Debug, Clone)]
 pub struct LeadWatch {
@@ -184,6 +195,17 @@
         self.newest.as_ref()
     }
 
+    /// The last sign of the newest lead, as it counts at `now`.
+    pub fn sign(&self, now: Moment) -> LeadSign {
+        LeadSign { heard: self.heard, reachable: self.reachable, gone: self.is_gone(now) }
+    }
+
+    /// Until when this box may give orders, which may be in the past; none if it has given up, or has read
+    /// a later claim.
+    pub fn authority_until(&self) -> Option<Moment> {
+        self.authority_until
+    }
+
     /// Takes in a record of the lead topic, read at `now`.
     pub fn note_record(&mut self, record: LeadRecord, now: Moment) {
         let newer = self.newest.as_ref().is_none_or(|newest| record.token >= newest.token);
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -158,6 +158,16 @@
     Other,
 }
 
+/// When a roster was taken in, and from where.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RosterSign {
+    /// When.
+    pub read: Moment,
+    /// How far the records were known before: the roster stands at this offset or later. None if it came
+    /// with the newest records.
+    pub from: Option<u64>,
+}
+
 /// The jobs of a cell.
 #[derive(Debug, Default)]
 pub struct CellReplica {
@@ -165,6 +175,7 @@
     /// Jobs that are over, with when this box heard so, the first first.
     ended: VecDeque<(Moment, JobId)>,
     roster: WorkerRoster,
+    roster_sign: Option<RosterSign>,
     waiting: HashMap<QueueName, usize>,
 }
 
@@ -174,6 +185,11 @@
         self.jobs.get(&id).filter(|job| job.is_accepted())
     }
 
+    /// Whether an earlier lead may have begun a job, be its acceptance known here or not.
+    pub fn is_ordered(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.led || job.progress.ordered)
+    }
+
     /// All accepted jobs that are not over.
     pub fn jobs(&self) -> impl Iterator<Item = (JobId, &KnownJob)> {
         self.jobs.iter().map(|(id, job)| (*id, job)).filter(|(_, job)| job.record.is_some())
@@ -204,9 +220,15 @@
         &self.roster
     }
 
+    /// When the roster was taken in, and from where; none if none ever was.
+    pub fn roster_sign(&self) -> Option<RosterSign> {
+        self.roster_sign
+    }
+
     /// Takes in a roster.
-    pub fn apply_roster(&mut self, roster: WorkerRoster) {
+    pub fn apply_roster(&mut self, roster: WorkerRoster, sign: RosterSign) {
         self.roster = roster;
+        self.roster_sign = Some(sign);
     }
 
     /// Takes in a record, heard at `now`.
--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -7,13 +7,13 @@
 use super::*;
 
 impl Scheduler {
-    pub(super) fn lose_runs(&mut self, key: WorkerKey, reason: &'static str, now: Moment) {
+    pub(super) fn lose_runs(&mut self, key: WorkerKey, cause: LossCause, now: Moment) {
         let worker = &mut self.workers[key.0];
         let life = worker.entry.life.clone();
         let runs: Vec<(CellTask, RunNumber)> =
             worker.runs.iter().map(|(task, run)| (*task, run.run)).collect();
         for (task, run) in runs {
-            self.lose_run(key, task, run, &life, reason, now);
+            self.lose_run(key, task, run, &life, cause, now);
         }
     }
 
@@ -23,11 +23,11 @@
         task: CellTask,
         run: RunNumber,
         life: &WorkerLife,
-        reason: &'static str,
+        cause: LossCause,
         now: Moment,
     ) {
         self.remove_run(key, &task);
-        self.events.push(CellEvent::RunLost { task, run, worker: life.clone(), reason });
+        self.events.push(CellEvent::RunLost { task, run, worker: life.clone(), cause });
         self.release_task(&task, run, now, None);
         self.finish_if_over(task.step.job, now);
     }
@@ -66,20 +66,18 @@
     ) {
         match answer {
             WorkerAnswer::Done(report) => self.take_account(key, report, sent, now),
-            WorkerAnswer::NotDone(refusal) => self.note_refusal(key, refusal, now),
+            WorkerAnswer::NotDone(refusal) => {
+                self.note_refusal(key, WorkerCall::Account, refusal, now);
+            }
             WorkerAnswer::Unknown => self.note_silence(key, now),
         }
     }
 
     fn take_account(&mut self, key: WorkerKey, report: HoldReport, sent: Moment, now: Moment) {
-        let worker = &mut self.workers[key.0];
-        if worker.dead {
+        if self.workers[key.0].dead {
             return;
         }
-        if !worker.fenced || worker.silent_calls > 0 {
-            let life = worker.entry.life.clone();
-            self.events.push(CellEvent::Worker { worker: life, change: "answers" });
-        }
+        self.note_account(key, &report, now);
         self.note_answer(key, report.clock, now);
         for end in &report.ended {
             if self.workers[key.0].is_new_end(end.number) {
@@ -128,10 +126,14 @@
         self.adopt(key, row, Some(need), now);
         match wanted {
             true => {
+                self.note_adopted(key, row);
                 self.note_checkpoint(&row.task, row.run, &row.checkpoint);
                 self.note_begun(job, now);
             }
-            false => self.stop_run(key, row.task, row.run, "not wanted", now),
+            false => {
+                self.note_unwanted(key, row, now);
+                self.stop_run(key, row.task, row.run, "not wanted", now);
+            }
         }
     }
 
@@ -153,6 +155,7 @@
     /// takes no work, since its need is not known.
     fn adopt_foreign(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) {
         self.adopt(key, row, None, now);
+        self.note_unwanted(key, row, now);
         self.stop_run(key, row.task, row.run, "unknown job", now);
     }
 
@@ -172,15 +175,17 @@
     fn drop_unlisted(&mut self, key: WorkerKey, report: &HoldReport, sent: Moment, now: Moment) {
         let worker = &self.workers[key.0];
         let listed = |task: &CellTask| report.running.iter().any(|row| row.task == *task);
-        let gone: Vec<(CellTask, RunNumber)> = worker
+        let gone: Vec<(CellTask, RunNumber, Moment)> = worker
             .runs
             .iter()
-            .filter(|(task, run)| run.listed_from.is_some_and(|from| sent > from) && !listed(task))
-            .map(|(task, run)| (*task, run.run))
+            .filter_map(|(task, run)| Some((*task, run.run, run.listed_from?)))
+            .filter(|(task, _, from)| sent > *from && !listed(task))
             .collect();
         let life = worker.entry.life.clone();
-        for (task, run) in gone {
-            self.lose_run(key, task, run, &life, "not listed", now);
+        for (task, run, from) in gone {
+            let (asked, listed_from) = (now.since(sent), now.since(from));
+            let cause = LossCause::NotListed { asked, listed_from };
+            self.lose_run(key, task, run, &life, cause, now);
         }
     }
 
@@ -191,8 +196,10 @@
             if worker.dead || worker.runs.is_empty() || worker.silent_calls == 0 {
                 continue;
             }
-            if worker.surely_lapsed(now, &self.timing) {
-                self.lose_runs(WorkerKey(number), "lease ended", now);
+            if worker.surely_lapsed(now, &self.timing)
+                && let Some(reading) = worker.lease_reading(now, &self.timing)
+            {
+                self.lose_runs(WorkerKey(number), LossCause::LeaseEnded(reading), now);
             }
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -19,15 +19,23 @@
         worker.silent_calls += 1;
         worker.avoid_until = worker.avoid_until.max(now.after(self.timing.worker_backoff));
         if worker.silent_calls == 1 {
-            let life = worker.entry.life.clone();
-            self.note_worker(&life, "silent");
+            self.note_worker(key, "silent");
         }
     }
 
-    pub(super) fn note_refusal(&mut self, key: WorkerKey, refusal: WorkerRefusal, now: Moment) {
+    pub(super) fn note_refusal(
+        &mut self,
+        key: WorkerKey,
+        call: WorkerCall,
+        refusal: WorkerRefusal,
+        now: Moment,
+    ) {
         match refusal {
-            WorkerRefusal::Fenced => self.fenced_out = true,
-            WorkerRefusal::OtherLife => self.bury(key, now),
+            WorkerRefusal::Fenced => {
+                self.note_fenced_out(key, call);
+                self.fenced_out = true;
+            }
+            WorkerRefusal::OtherLife => self.bury(key, call, now),
             WorkerRefusal::Unreached => self.note_silence(key, now),
             WorkerRefusal::Unhealthy | WorkerRefusal::NoRoom | WorkerRefusal::Malformed => {
                 let worker = &mut self.workers[key.0];
@@ -43,8 +51,7 @@
     pub(super) fn note_bad_sign(&mut self, key: WorkerKey, change: &'static str, now: Moment) {
         let worker = &mut self.workers[key.0];
         if worker.note_bad_sign(now, &self.timing) {
-            let life = worker.entry.life.clone();
-            self.note_worker(&life, change);
+            self.note_worker(key, change);
         }
     }
 
@@ -73,7 +80,7 @@
                 self.stop_run(key, task, run, "start not answered", now);
             }
             Some(refusal) => {
-                self.note_refusal(key, refusal, now);
+                self.note_refusal(key, WorkerCall::Start, refusal, now);
                 self.withdraw_start(key, &task, run, refusal, now);
             }
         }
@@ -150,7 +157,9 @@
                     entry.listed_from = Some(now);
                 }
             }
-            WorkerAnswer::NotDone(refusal) => self.note_refusal(key, refusal, now),
+            WorkerAnswer::NotDone(refusal) => {
+                self.note_refusal(key, WorkerCall::Stop, refusal, now);
+            }
             WorkerAnswer::Unknown => self.note_silence(key, now),
         }
     }
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -0,0 +1,337 @@
+//! Decisions of the scheduler, with what decided them.
+
+use std::net::SocketAddr;
+
+use sedgehill_core::units::{ResourceSet, TimeSpan};
+
+use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
+use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId, WorkerLife};
+use crate::organisation::ResourceLimit;
+use crate::progress::JobState;
+
+/// A decision worth a log line.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CellEvent {
+    /// A start was ordered.
+    Placed {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// Since the job was accepted.
+        waited: TimeSpan,
+        /// Time left on the ticket.
+        ticket_left: Option<TimeSpan>,
+        /// The lead that ordered it.
+        token: FencingToken,
+        /// What settled the orders of earlier leads, if one of them may have begun the job.
+        earlier: Option<EarlierSettled>,
+    },
+    /// A start was refused or went unanswered.
+    StartFailed {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// Why; none if there was no answer.
+        refusal: Option<WorkerRefusal>,
+    },
+    /// A run ended.
+    Ended {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// How.
+        end: RunEnd,
+    },
+    /// A stop was ordered.
+    Stopping {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A run is taken as gone.
+    RunLost {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// Why.
+        cause: LossCause,
+    },
+    /// A run of an earlier lead is taken over.
+    Adopted {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+    },
+    /// A worker lists a run that this lead does not want; it is stopped.
+    Unwanted {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// What the lead takes as true of the task instead.
+        belief: TaskBelief,
+    },
+    /// The advice service was asked.
+    Asked {
+        /// The step.
+        step: StepId,
+        /// Workers named.
+        named: usize,
+        /// Who asks.
+        helper: HelperId,
+    },
+    /// The advice service answered, or did not.
+    Advised {
+        /// The step.
+        step: StepId,
+        /// Workers that may run the step; none without an answer.
+        good: Option<usize>,
+        /// Since the question.
+        took: TimeSpan,
+    },
+    /// Tasks of a step could run but for the limit of their organisation.
+    Held {
+        /// The step.
+        step: StepId,
+        /// Whose limit.
+        organisation: OrganisationName,
+        /// What runs for it, or may.
+        running: ResourceSet,
+        /// The most that may.
+        limit: ResourceLimit,
+        /// What one more task needs.
+        need: ResourceSet,
+    },
+    /// A job is over.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: JobState,
+        /// Since it was accepted.
+        after: TimeSpan,
+    },
+    /// A worker is new, or takes orders again, or does not.
+    Worker {
+        /// The worker.
+        worker: WorkerLife,
+        /// What changed.
+        change: &'static str,
+        /// Where it takes orders.
+        address: SocketAddr,
+    },
+    /// A worker answered this lead for the first time, and so refuses every earlier one.
+    WorkerHeard {
+        /// The worker.
+        worker: WorkerLife,
+        /// It stood in the roster of an earlier lead.
+        inherited: bool,
+        /// Runs that it listed as running.
+        running: usize,
+        /// Ends that it listed.
+        ended: usize,
+        /// Its clock.
+        clock: WorkerTime,
+        /// When the longest lease that an earlier lead may have asked for ends.
+        lease_until: WorkerTime,
+        /// Since the store refuses earlier leads.
+        after: TimeSpan,
+    },
+    /// A life of a worker is taken as ended, since another one answered at its address.
+    WorkerEnded {
+        /// The life that ended.
+        worker: WorkerLife,
+        /// Where the other one answered.
+        address: SocketAddr,
+        /// What it was asked.
+        call: WorkerCall,
+        /// Runs that were there.
+        runs: usize,
+        /// How long ago the ended life last answered this lead; none if it never did.
+        silent: Option<TimeSpan>,
+    },
+    /// A worker has seen a higher token.
+    FencedByWorker {
+        /// The worker.
+        worker: WorkerLife,
+        /// What it was asked.
+        call: WorkerCall,
+    },
+    /// What earlier leads did is settled.
+    TakeOverSettled(TakeOverSettled),
+    /// A job that an earlier lead may have begun became known only after this lead had caught up.
+    EarlierJobLate {
+        /// The job.
+        job: JobId,
+        /// Whether its tasks may start at once, since the take-over is settled.
+        settled: bool,
+        /// Since the store refuses earlier leads.
+        after: TimeSpan,
+    },
+}
+
+/// What settled whether an earlier lead has something of a job running.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EarlierSettled {
+    /// Every worker of the roster has answered this lead, or has ended.
+    Heard,
+    /// The term and the longest lease of earlier leads have passed.
+    Time,
+    /// This lead accepted the job again, and takes it as its own.
+    AcceptedAgain,
+    /// Nothing did: the take-over is not settled.
+    Nothing,
+}
+
+impl EarlierSettled {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            EarlierSettled::Heard => "heard",
+            EarlierSettled::Time => "time",
+            EarlierSettled::AcceptedAgain => "accepted_again",
+            EarlierSettled::Nothing => "nothing",
+        }
+    }
+}
+
+/// How what earlier leads did came to be settled.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TakeOverSettled {
+    /// By what.
+    pub by: EarlierSettled,
+    /// Since the store refuses earlier leads.
+    pub after: TimeSpan,
+    /// Workers of the inherited roster that have answered.
+    pub heard: usize,
+    /// Those that are taken as ended.
+    pub ended: usize,
+    /// Those that did neither.
+    pub unheard: usize,
+    /// Some of these.
+    pub unheard_some: Vec<WorkerLife>,
+    /// Jobs that an earlier lead may have begun, and whose tasks may start from now on.
+    pub jobs: usize,
+}
+
+/// A call to a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkerCall {
+    /// For its account.
+    Account,
+    /// To start a run.
+    Start,
+    /// To stop a run.
+    Stop,
+}
+
+impl WorkerCall {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            WorkerCall::Account => "account",
+            WorkerCall::Start => "start",
+            WorkerCall::Stop => "stop",
+        }
+    }
+}
+
+/// Why a run is taken as gone, with what said so.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum LossCause {
+    /// The worker has been silent for longer than its lease.
+    LeaseEnded(LeaseReading),
+    /// An account that was asked for after the run had to be listed lists it neither as running nor
+    /// as ended.
+    NotListed {
+        /// How long ago the account was asked for.
+        asked: TimeSpan,
+        /// Since when the run had to be listed.
+        listed_from: TimeSpan,
+    },
+    /// Another life answered at the worker's address.
+    WorkerEnded {
+        /// The address.
+        address: SocketAddr,
+        /// What it was asked.
+        call: WorkerCall,
+    },
+}
+
+impl LossCause {
+    /// The name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            LossCause::LeaseEnded(_) => "lease ended",
+            LossCause::NotListed { .. } => "not listed",
+            LossCause::WorkerEnded { .. } => "worker ended",
+        }
+    }
+}
+
+/// What a lease is taken as ended by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseReading {
+    /// The end of the last lease that any lead may have asked for.
+    pub until: WorkerTime,
+    /// The newest reading of the worker's clock.
+    pub clock: WorkerTime,
+    /// How old the reading is.
+    pub age: TimeSpan,
+    /// The least that the clock shows now.
+    pub least: WorkerTime,
+}
+
+/// What a lead takes as true of a task.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TaskBelief {
+    /// It runs on another worker, or may.
+    Placed {
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+        /// How long ago that worker last answered this lead; none if it never did.
+        answered: Option<TimeSpan>,
+    },
+    /// It ended done.
+    Done,
+    /// Its job is cancelled or over.
+    JobOver(JobState),
+    /// There is no such job, or it has no such task.
+    Unknown,
+}
+
+impl TaskBelief {
+    /// The name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            TaskBelief::Placed { .. } => "placed",
+            TaskBelief::Done => "done",
+            TaskBelief::JobOver(_) => "job_over",
+            TaskBelief::Unknown => "unknown_job",
+        }
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/message.rs
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -7,9 +7,8 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CellTask, JobId, OrganisationName, PoolName, RunNumber, StepId, WorkerLife};
+use crate::ids::{CellTask, JobId, PoolName, RunNumber, StepId, WorkerLife};
 use crate::job::JobRecord;
-use crate::organisation::ResourceLimit;
 use crate::progress::JobProgress;
 
 /// The scheduler's handle of one life of a worker.
@@ -266,112 +265,3 @@
         postcard::from_bytes(value)
     }
 }
-
-/// A decision worth a log line.
-#[derive(Debug, Clone, PartialEq)]
-pub enum CellEvent {
-    /// A start was ordered.
-    Placed {
-        /// The task.
-        task: CellTask,
-        /// The run.
-        run: RunNumber,
-        /// Where.
-        worker: WorkerLife,
-        /// Since the job was accepted.
-        waited: TimeSpan,
-        /// Time left on the ticket.
-        ticket_left: Option<TimeSpan>,
-    },
-    /// A start was refused or went unanswered.
-    StartFailed {
-        /// The task.
-        task: CellTask,
-        /// The run.
-        run: RunNumber,
-        /// Where.
-        worker: WorkerLife,
-        /// Why; none if there was no answer.
-        refusal: Option<WorkerRefusal>,
-    },
-    /// A run ended.
-    Ended {
-        /// The task.
-        task: CellTask,
-        /// The run.
-        run: RunNumber,
-        /// Where.
-        worker: WorkerLife,
-        /// How.
-        end: RunEnd,
-    },
-    /// A stop was ordered.
-    Stopping {
-        /// The task.
-        task: CellTask,
-        /// The run.
-        run: RunNumber,
-        /// Where.
-        worker: WorkerLife,
-        /// Why.
-        reason: &'static str,
-    },
-    /// A run is taken as gone.
-    RunLost {
-        /// The task.
-        task: CellTask,
-        /// The run.
-        run: RunNumber,
-        /// Where.
-        worker: WorkerLife,
-        /// Why.
-        reason: &'static str,
-    },
-    /// The advice service was asked.
-    Asked {
-        /// The step.
-        step: StepId,
-        /// Workers named.
-        named: usize,
-        /// Who asks.
-        helper: HelperId,
-    },
-    /// The advice service answered, or did not.
-    Advised {
-        /// The step.
-        step: StepId,
-        /// Workers that may run the step; none without an answer.
-        good: Option<usize>,
-        /// Since the question.
-        took: TimeSpan,
-    },
-    /// Tasks of a step could run but for the limit of their organisation.
-    Held {
-        /// The step.
-        step: StepId,
-        /// Whose limit.
-        organisation: OrganisationName,
-        /// What runs for it, or may.
-        running: ResourceSet,
-        /// The most that may.
-        limit: ResourceLimit,
-        /// What one more task needs.
-        need: ResourceSet,
-    },
-    /// A job is over.
-    JobEnded {
-        /// The job.
-        job: JobId,
-        /// How.
-        state: crate::progress::JobState,
-        /// Since it was accepted.
-        after: TimeSpan,
-    },
-    /// A worker is new, or takes orders again, or does not.
-    Worker {
-        /// The worker.
-        worker: WorkerLife,
-        /// What changed.
-        change: &'static str,
-    },
-}
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod answers;
 mod displacement;
 mod ends;
+mod event;
 mod loss;
 mod message;
 mod naming;
@@ -20,6 +21,7 @@
 mod policy;
 mod rank;
 mod roster;
+mod sight;
 mod stragglers;
 mod take_over;
 mod timing;
@@ -32,11 +34,13 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 pub use self::advice::{AdviceDesk, GoodShare};
+pub use self::event::*;
 use self::loss::LossRate;
 pub use self::message::*;
 pub use self::organisations::{OrganisationBook, OrganisationFigures, OrganisationKey};
 use self::pace::FactorAverage;
 pub use self::policy::{CellPolicy, LimitOrder, LimitOrderError, SharingError, SharingWay};
+pub use self::sight::TakeOverSight;
 pub use self::timing::CellTiming;
 use self::work::{JobWork, OrderedMark, TaskPhase};
 use self::worker::{RunPhase, StopTry, WorkerState, WorkerTrust};
@@ -53,6 +57,10 @@
     predecessor: bool,
     /// Every worker has answered, or what it runs has surely ended.
     settled: bool,
+    /// What settled it.
+    settled_by: Option<EarlierSettled>,
+    /// The workers of the inherited roster are known.
+    roster_taken: bool,
 }
 
 /// The lead's state.
@@ -101,7 +109,13 @@
             estimates: HashMap::new(),
             losses: LossRate::default(),
             organisations: OrganisationBook::default(),
-            take_over: TakeOver { since: now, predecessor, settled: false },
+            take_over: TakeOver {
+                since: now,
+                predecessor,
+                settled: false,
+                settled_by: None,
+                roster_taken: false,
+            },
             surveyed: false,
             orders: Vec::new(),
             events: Vec::new(),
@@ -181,6 +195,7 @@
         if kept.state.is_final() || self.jobs.contains_key(&id) {
             return;
         }
+        self.note_late_job(id, kept, now);
         let accepted = Moment(now.0.saturating_sub(age.as_millis()));
         let job = JobWork::new(id, record, accepted, kept, self.token);
         let needs_mark = job.ordered == OrderedMark::Missing;
@@ -205,6 +220,7 @@
             .entry(id)
             .or_insert_with(|| JobWork::new(id, record, now, &JobProgress::default(), self.token));
         job.ordered = OrderedMark::Recorded;
+        job.accepted_again |= job.foreign_orders;
         job.foreign_orders = false;
         self.note_owner(id, now);
     }
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -311,6 +311,7 @@
     ) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
+        let earlier = self.earlier_settled(job);
         let worker = &mut self.workers[key.0];
         assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
         let allowed = self.organisations.room_for(job.owner, &need) > 0;
@@ -344,6 +345,8 @@
             worker: life,
             waited: now.since(job.accepted),
             ticket_left: ticket.map(|ticket| ticket.until.since(now)),
+            token: self.token,
+            earlier,
         });
         self.orders.push(CellOrder::Start(StartOrder {
             worker: key,
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -13,16 +13,12 @@
         let mut listed = BTreeSet::new();
         for entry in entries {
             let draining = entry.draining;
-            let key = self.know_worker(entry, now);
+            let key = self.know_worker(entry, "listed", now);
             self.workers[key.0].entry.draining |= draining;
             listed.insert(key);
         }
-        for (number, worker) in self.workers.iter_mut().enumerate() {
-            let is_listed = listed.contains(&WorkerKey(number));
-            if worker.listed && !is_listed {
-                worker.unlisted_since = now;
-            }
-            worker.listed = is_listed;
+        for number in 0..self.workers.len() {
+            self.set_listed(WorkerKey(number), listed.contains(&WorkerKey(number)), now);
         }
         self.surveyed = true;
         // A later lead should not have to wait for workers that have left.
@@ -33,27 +29,41 @@
         self.unwatched()
     }
 
+    fn set_listed(&mut self, key: WorkerKey, is_listed: bool, now: Moment) {
+        let worker = &mut self.workers[key.0];
+        let was_listed = std::mem::replace(&mut worker.listed, is_listed);
+        if was_listed && !is_listed {
+            worker.unlisted_since = now;
+        }
+        match (was_listed, is_listed) {
+            (true, false) => self.note_worker(key, "unlisted"),
+            (false, true) => self.note_worker(key, "listed again"),
+            _ => {}
+        }
+    }
+
     /// Takes in the workers on which an earlier lead may have started something. Returns the workers
     /// that nobody asks for accounts yet.
     pub fn add_roster(&mut self, roster: &WorkerRoster, now: Moment) -> Vec<WorkerKey> {
         for entry in &roster.0 {
-            let key = self.know_worker(entry.clone(), now);
+            let key = self.know_worker(entry.clone(), "inherited", now);
             self.workers[key.0].rostered = true;
             self.workers[key.0].inherited = true;
         }
+        self.take_over.roster_taken = true;
         self.unwatched()
     }
 
     /// Two lives may stand at one address, as the store lists a life for some seconds after its end. Which of
     /// them has ended is told by the address itself, which refuses what is meant for the other.
-    fn know_worker(&mut self, entry: WorkerEntry, now: Moment) -> WorkerKey {
+    fn know_worker(&mut self, entry: WorkerEntry, change: &'static str, now: Moment) -> WorkerKey {
         if let Some(key) = self.lives.get(&entry.life) {
             return *key;
         }
         let key = WorkerKey(self.workers.len());
         self.lives.insert(entry.life.clone(), key);
-        self.note_worker(&entry.life, "listed");
         self.workers.push(WorkerState::new(entry, now));
+        self.note_worker(key, change);
         key
     }
 
@@ -92,27 +102,31 @@
         for number in 0..self.workers.len() {
             match self.belongs_to_roster(&self.workers[number], now) {
                 true => entries.push(self.workers[number].entry.clone()),
-                false => self.workers[number].rostered = false,
+                false => self.leave_roster(WorkerKey(number)),
             }
         }
         WorkerRoster(entries)
     }
 
+    fn leave_roster(&mut self, key: WorkerKey) {
+        if std::mem::replace(&mut self.workers[key.0].rostered, false) {
+            self.note_worker(key, "left the roster");
+        }
+    }
+
     /// Whether a worker's daemon task should go on asking it for accounts.
     pub fn is_watched(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key.0];
         !worker.dead && (worker.listed || !worker.runs.is_empty() || !worker.fenced)
     }
 
-    /// A life has surely ended: nothing runs there any more.
-    pub fn bury(&mut self, key: WorkerKey, now: Moment) {
+    /// A life has surely ended, as another one answered a call to it: nothing runs there any more.
+    pub(super) fn bury(&mut self, key: WorkerKey, call: WorkerCall, now: Moment) {
+        if !self.workers[key.0].dead {
+            self.note_ended(key, call, now);
+        }
         self.workers[key.0].dead = true;
-        let life = self.workers[key.0].entry.life.clone();
-        self.note_worker(&life, "ended");
-        self.lose_runs(key, "worker ended", now);
-    }
-
-    pub(super) fn note_worker(&mut self, life: &WorkerLife, change: &'static str) {
-        self.events.push(CellEvent::Worker { worker: life.clone(), change });
+        let address = self.workers[key.0].entry.address;
+        self.lose_runs(key, LossCause::WorkerEnded { address, call }, now);
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -15,24 +15,28 @@
         self.take_over.since = now;
     }
 
+    /// When whatever earlier leads may have ordered has surely ended.
+    pub(super) fn earlier_runs_end(&self) -> Moment {
+        let term = match self.take_over.predecessor {
+            true => self.timing.authority_term,
+            false => TimeSpan(0),
+        };
+        let lease = self.timing.lease_most;
+        let drift = TimeSpan(DRIFT_TIMES * lease.0 * self.timing.clock_drift_permille / 1000);
+        let orders_end = self.take_over.since.after(term);
+        orders_end.after(lease).after(drift).after(self.timing.lapse_margin)
+    }
+
     /// Lifts what a new lead has to wait for, once it is settled.
     pub(super) fn settle_take_over(&mut self, now: Moment) {
         if self.take_over.settled || !self.surveyed {
             return;
         }
-        let since = self.take_over.since;
         // On workers that stood in no roster nothing was started.
         let unheard = |worker: &WorkerState| worker.inherited && !worker.dead && !worker.fenced;
         let unheard = self.workers.iter().any(unheard);
-        let term = match self.take_over.predecessor {
-            true => self.timing.authority_term,
-            false => TimeSpan(0),
-        };
-        let lease = self.timing.lease_most;
-        let drift = TimeSpan(DRIFT_TIMES * lease.0 * self.timing.clock_drift_permille / 1000);
-        let orders_end = since.after(term);
-        let runs_end = orders_end.after(lease).after(drift).after(self.timing.lapse_margin);
-        if !unheard || now >= runs_end {
+        if !unheard || now >= self.earlier_runs_end() {
+            self.note_settled(now);
             self.take_over.settled = true;
             for job in self.jobs.values_mut() {
                 job.foreign_orders = false;
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -82,6 +82,10 @@
     pub ordered: OrderedMark,
     /// An earlier lead may have started tasks of it, unknown to this one.
     pub foreign_orders: bool,
+    /// The same, whether or not that is settled by now.
+    pub begun_earlier: bool,
+    /// This lead accepted it as its own before that was settled.
+    pub accepted_again: bool,
     /// All tasks, step after step.
     pub tasks: Vec<TaskWork>,
     /// All steps of all repetitions.
@@ -138,6 +142,8 @@
             cancelled: false,
             ordered,
             foreign_orders: kept.ordered,
+            begun_earlier: kept.ordered,
+            accepted_again: false,
             tasks,
             steps,
         }
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -5,6 +5,7 @@
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
 use super::displacement::WorkerClaim;
+use super::event::LeaseReading;
 use super::message::{WorkerEntry, WorkerTime};
 use super::organisations::OrganisationKey;
 use super::pace::FactorAverage;
@@ -173,13 +174,19 @@
         self.clock.map(|(clock, at)| clock.after(now.since(at)))
     }
 
+    /// The end of the longest lease that an earlier lead may have asked for, by the clock of the first
+    /// answer.
+    pub fn assumed_lease(&self, clock: WorkerTime, timing: &CellTiming) -> WorkerTime {
+        self.lease_until.max(clock.after(timing.lease_most))
+    }
+
     /// Takes in the clock of an answer that was received at `now`.
     pub fn note_answer(&mut self, clock: WorkerTime, now: Moment, timing: &CellTiming) {
         self.answered = Some(now);
         self.silent_calls = 0;
         if !self.fenced {
             // An earlier lead may have renewed the lease as far as workers allow.
-            self.lease_until = self.lease_until.max(clock.after(timing.lease_most));
+            self.lease_until = self.assumed_lease(clock, timing);
         }
         self.fenced = true;
         if self.clock_at(now).is_none_or(|estimate| clock >= estimate) {
@@ -196,10 +203,17 @@
 
     /// Whether every lease that was ever asked for has surely ended.
     pub fn surely_lapsed(&self, now: Moment, timing: &CellTiming) -> bool {
-        let Some((clock, at)) = self.clock else { return false };
-        let elapsed = now.since(at).as_millis();
+        let reading = self.lease_reading(now, timing);
+        reading.is_some_and(|reading| reading.least > reading.until.after(timing.lapse_margin))
+    }
+
+    /// What is known of the end of its leases; none before its first answer.
+    pub fn lease_reading(&self, now: Moment, timing: &CellTiming) -> Option<LeaseReading> {
+        let (clock, at) = self.clock?;
+        let age = now.since(at);
+        let elapsed = age.as_millis();
         let least = clock.0 + elapsed - elapsed * timing.clock_drift_permille / 1000;
-        least > self.lease_until.0 + timing.lapse_margin.as_millis()
+        Some(LeaseReading { until: self.lease_until, clock, age, least: WorkerTime(least) })
     }
 
     /// Whether the store lists it, or may do so again in a moment.
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -15,5 +15,6 @@
 mod replica;
 mod roster;
 mod scheduler;
+mod sight;
 mod silence;
 mod standby;
--- a/crates/sedgehill-cell/tests/testsuite/replica.rs
+++ b/crates/sedgehill-cell/tests/testsuite/replica.rs
@@ -2,7 +2,8 @@
 
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::progress::{JobProgress, JobState};
-use sedgehill_cell::replica::{CellRecord, CellReplica, ReplicaChange};
+use sedgehill_cell::replica::{CellRecord, CellReplica, ReplicaChange, RosterSign};
+use sedgehill_cell::scheduler::WorkerRoster;
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use crate::fake::{job, step};
@@ -116,3 +117,24 @@
     replica.apply(ID, CellRecord::Job(job(vec![step(1, 1)])), NOW);
     assert_eq!(replica.ended_before(Moment(u64::MAX), 10), Vec::new());
 }
+
+#[test]
+fn a_job_whose_progress_alone_is_known_is_told_as_begun() {
+    let mut replica = CellReplica::default();
+    assert!(!replica.is_ordered(ID));
+    let progress = JobProgress { ordered: true, ..JobProgress::default() };
+    replica.apply(ID, CellRecord::Progress(progress), NOW);
+    assert!(replica.job(ID).is_none());
+    assert!(replica.is_ordered(ID));
+}
+
+#[test]
+fn a_roster_tells_when_it_was_read_and_from_where() {
+    let mut replica = CellReplica::default();
+    assert_eq!(replica.roster_sign(), None);
+    for from in [None, Some(12)] {
+        let sign = RosterSign { read: NOW, from };
+        replica.apply_roster(WorkerRoster::default(), sign);
+        assert_eq!(replica.roster_sign(), Some(sign));
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/sight.rs
@@ -0,0 +1,323 @@
+//! What a lead tells of its decisions, with what decided them.
+
+use sedgehill_cell::authority::{AuthorityTiming, BoxStrength, LeadWatch};
+use sedgehill_cell::ids::{BoxName, JobId, RunNumber, WorkerLife};
+use sedgehill_cell::progress::JobState;
+use sedgehill_cell::scheduler::{
+    CellEvent, EarlierSettled, HoldReport, LossCause, RunEnd, RunningRow, Scheduler,
+    TakeOverSettled, TaskBelief, WorkerAnswer, WorkerCall, WorkerKey, WorkerRefusal, WorkerTime,
+};
+use sedgehill_core::units::{Moment, TimeSpan};
+
+use crate::fake::{FakeCell, job, step, task};
+
+/// A cell whose lead has started a task and is lost; with the number of the worker.
+fn begun(workers: u16) -> (FakeCell, usize) {
+    let mut cell = FakeCell::new(workers, 4);
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    let number = cell.place(task(1, 0, 0)).expect("it runs");
+    (cell, number)
+}
+
+fn settled(events: &[CellEvent]) -> Option<&TakeOverSettled> {
+    events.iter().find_map(|event| match event {
+        CellEvent::TakeOverSettled(settled) => Some(settled),
+        _ => None,
+    })
+}
+
+fn losses(events: &[CellEvent]) -> Vec<LossCause> {
+    let cause = |event: &CellEvent| match event {
+        CellEvent::RunLost { cause, .. } => Some(*cause),
+        _ => None,
+    };
+    events.iter().filter_map(cause).collect()
+}
+
+fn changes(events: &[CellEvent], life: &WorkerLife) -> Vec<&'static str> {
+    let change = |event: &CellEvent| match event {
+        CellEvent::Worker { worker, change, .. } if worker == life => Some(*change),
+        _ => None,
+    };
+    events.iter().filter_map(change).collect()
+}
+
+/// What settled the start of a task that the events tell of.
+fn earlier_of_start(events: &[CellEvent]) -> Option<Option<EarlierSettled>> {
+    events.iter().find_map(|event| match event {
+        CellEvent::Placed { earlier, .. } => Some(*earlier),
+        _ => None,
+    })
+}
+
+/// The answer of a worker that lists one run.
+fn listing(cell: &FakeCell, run: RunningRow) -> WorkerAnswer<HoldReport> {
+    let clock = WorkerTime(cell.now.0 + 100_000);
+    WorkerAnswer::Done(HoldReport { clock, running: vec![run], ended: Vec::new() })
+}
+
+fn row(number: u64, run: u32) -> RunningRow {
+    RunningRow { task: task(number, 0, 0), run: RunNumber(run), checkpoint: String::new() }
+}
+
+#[test]
+fn a_take_over_tells_what_it_goes_by_and_that_all_were_heard() {
+    let (mut cell, number) = begun(3);
+    let mut next = cell.lead(true);
+    let sight = next.take_over_sight();
+    assert!(sight.waits_for_term);
+    assert_eq!((sight.jobs, sight.earlier_jobs), (1, 1));
+    // Term 2.4 s, lease 6 s with twice 2 %, margin 0.15 s.
+    assert_eq!(sight.settled_by.since(cell.now), TimeSpan(2_400 + 6_000 + 240 + 150));
+    cell.turns(&mut next, 3);
+    let events = next.take_events();
+    let settled = settled(&events).expect("all have answered");
+    assert_eq!(settled.by, EarlierSettled::Heard);
+    assert_eq!((settled.heard, settled.ended, settled.unheard, settled.jobs), (3, 0, 0, 1));
+    let life = &cell.workers[number].entry.life;
+    let adopted =
+        CellEvent::Adopted { task: task(1, 0, 0), run: RunNumber(1), worker: life.clone() };
+    assert!(events.contains(&adopted), "{events:?}");
+    assert_eq!(changes(&events, life), ["inherited"]);
+}
+
+#[test]
+fn a_take_over_settled_by_time_names_who_was_not_heard() {
+    let (mut cell, number) = begun(2);
+    cell.workers[number].cut = true;
+    let mut next = cell.lead(false);
+    let begun_at = cell.now;
+    let by_time = next.take_over_sight().settled_by;
+    let mut events = Vec::new();
+    while settled(&events).is_none() {
+        assert!(cell.now.since(begun_at) < TimeSpan(10_000), "{events:?}");
+        cell.turn(&mut next);
+        events.extend(next.take_events());
+    }
+    assert!(cell.now >= by_time);
+    let settled = settled(&events).unwrap();
+    assert_eq!(settled.by, EarlierSettled::Time);
+    assert_eq!(settled.after, cell.now.since(begun_at));
+    assert_eq!((settled.heard, settled.unheard), (1, 1));
+    assert_eq!(settled.unheard_some, [cell.workers[number].entry.life.clone()]);
+    cell.turns(&mut next, 10);
+    events.extend(next.take_events());
+    assert_eq!(earlier_of_start(&events), Some(Some(EarlierSettled::Time)));
+}
+
+#[test]
+fn a_start_of_an_own_job_tells_the_token_alone() {
+    let mut cell = FakeCell::new(1, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 3);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    let events = lead.take_events();
+    assert_eq!(earlier_of_start(&events), Some(None));
+    let told = |event: &CellEvent| matches!(event, CellEvent::Placed { token, .. } if *token == cell.token);
+    assert!(events.iter().any(told), "{events:?}");
+}
+
+#[test]
+fn a_job_that_is_accepted_again_is_told_as_such_when_it_starts() {
+    let (mut cell, number) = begun(2);
+    // What the worker runs ends unheard, and the worker is lost with it.
+    cell.workers[number].expire_for_test();
+    cell.workers[number].cut = true;
+    let mut next = cell.lead(true);
+    cell.turns(&mut next, 3);
+    cell.submit_led(&mut next, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut next, 3);
+    assert!(!next.is_settled());
+    let events = next.take_events();
+    assert_eq!(earlier_of_start(&events), Some(Some(EarlierSettled::AcceptedAgain)));
+}
+
+#[test]
+fn a_job_of_an_earlier_lead_that_is_known_late_is_told() {
+    let (mut cell, _) = begun(2);
+    let (record, kept) = cell.store.remove(&JobId(1)).unwrap();
+    let mut next = cell.lead(true);
+    next.add_job(JobId(1), record, &kept, TimeSpan(0), cell.now);
+    let late = CellEvent::EarlierJobLate { job: JobId(1), settled: false, after: TimeSpan(0) };
+    assert!(next.take_events().contains(&late));
+}
+
+#[test]
+fn a_first_answer_tells_the_lease_that_is_assumed() {
+    let (mut cell, number) = begun(1);
+    let mut next = cell.lead(true);
+    cell.turn(&mut next);
+    let clock = WorkerTime(cell.now.0 + 100_000);
+    let heard = CellEvent::WorkerHeard {
+        worker: cell.workers[number].entry.life.clone(),
+        inherited: true,
+        running: 1,
+        ended: 0,
+        clock,
+        lease_until: clock.after(TimeSpan(6_000)),
+        after: TimeSpan(20),
+    };
+    let events = next.take_events();
+    assert!(events.contains(&heard), "{events:?}");
+    cell.turns(&mut next, 3);
+    let again = next.take_events();
+    let told = again.iter().any(|event| matches!(event, CellEvent::WorkerHeard { .. }));
+    assert!(!told, "a worker is heard first but once");
+}
+
+#[test]
+fn a_lease_taken_as_ended_tells_its_end_and_the_clock() {
+    let (mut cell, number) = begun(2);
+    let mut next = cell.lead(false);
+    cell.turns(&mut next, 3);
+    let heard = cell.now;
+    cell.workers[number].cut = true;
+    let mut events = Vec::new();
+    while losses(&events).is_empty() {
+        assert!(cell.now.since(heard) < TimeSpan(10_000));
+        cell.turn(&mut next);
+        events.extend(next.take_events());
+    }
+    let [LossCause::LeaseEnded(reading)] = losses(&events)[..] else { panic!("{events:?}") };
+    assert_eq!(reading.clock, WorkerTime(heard.0 + 100_000));
+    assert_eq!(reading.age, cell.now.since(heard));
+    assert!(reading.until >= reading.clock.after(TimeSpan(5_900)), "{reading:?}");
+    assert!(reading.least > reading.until.after(TimeSpan(150)), "{reading:?}");
+    assert!(reading.least < reading.clock.after(reading.age), "the clock may be slow");
+}
+
+#[test]
+fn a_life_taken_as_ended_tells_the_address_and_the_call() {
+    let (mut cell, number) = begun(1);
+    let mut next = cell.lead(false);
+    cell.turns(&mut next, 3);
+    next.take_events();
+    let answered = cell.now;
+    cell.now.0 += 30;
+    let refused = WorkerAnswer::NotDone(WorkerRefusal::OtherLife);
+    next.hold_answered(WorkerKey(0), refused, cell.now, cell.now);
+    let events = next.take_events();
+    let entry = &cell.workers[number].entry;
+    let (address, call) = (entry.address, WorkerCall::Account);
+    assert_eq!(losses(&events), [LossCause::WorkerEnded { address, call }]);
+    let ended = CellEvent::WorkerEnded {
+        worker: entry.life.clone(),
+        address,
+        call,
+        runs: 1,
+        silent: Some(cell.now.since(answered)),
+    };
+    assert!(events.contains(&ended), "{events:?}");
+}
+
+#[test]
+fn a_run_that_is_not_listed_tells_when_the_account_was_asked_for() {
+    let (mut cell, number) = begun(1);
+    let mut next = cell.lead(false);
+    cell.turns(&mut next, 3);
+    let seen = next.take_events();
+    assert!(losses(&seen).is_empty());
+    cell.workers[number].expire_for_test();
+    cell.turn(&mut next);
+    let [LossCause::NotListed { asked, listed_from }] = losses(&next.take_events())[..] else {
+        panic!("it is gone");
+    };
+    // The fake answers in no time, and the run was adopted with the first account.
+    assert_eq!((asked, listed_from), (TimeSpan(0), TimeSpan(60)));
+}
+
+/// What a lead says of a run that worker 1 lists.
+fn belief(cell: &FakeCell, lead: &mut Scheduler, run: RunningRow) -> TaskBelief {
+    lead.take_events();
+    let answer = listing(cell, run);
+    lead.hold_answered(WorkerKey(1), answer, cell.now, cell.now);
+    let unwanted = lead.take_events().into_iter().find_map(|event| match event {
+        CellEvent::Unwanted { belief, .. } => Some(belief),
+        _ => None,
+    });
+    unwanted.expect("it is not wanted")
+}
+
+#[test]
+fn a_run_that_is_not_wanted_tells_what_is_believed_instead() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    for worker in 1..3 {
+        cell.submit(&mut lead, worker, job(vec![step(1, 1)]));
+    }
+    cell.workers[1].entry.draining = true;
+    cell.list(&mut lead);
+    cell.turns(&mut lead, 3);
+    assert_eq!(cell.place(task(1, 0, 0)), Some(0));
+    cell.now.0 += 10;
+    let placed = TaskBelief::Placed {
+        run: RunNumber(1),
+        worker: cell.workers[0].entry.life.clone(),
+        answered: Some(TimeSpan(10)),
+    };
+    assert_eq!(belief(&cell, &mut lead, row(1, 5)), placed);
+    assert_eq!(belief(&cell, &mut lead, row(9, 1)), TaskBelief::Unknown);
+    lead.cancel_job(JobId(2), cell.now);
+    cell.end_anywhere(task(2, 0, 0), RunEnd::Stopped);
+    cell.look_at(&mut lead, WorkerKey(0));
+    let over = belief(&cell, &mut lead, row(2, 5));
+    assert_eq!(over, TaskBelief::JobOver(JobState::Cancelled));
+}
+
+#[test]
+fn a_worker_that_leaves_list_and_roster_is_told() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 3);
+    cell.workers[1].unlisted = true;
+    for _ in 0..8 {
+        cell.list(&mut lead);
+        cell.turns(&mut lead, 20);
+    }
+    cell.workers[1].unlisted = false;
+    cell.list(&mut lead);
+    let events = lead.take_events();
+    let told = changes(&events, &cell.workers[1].entry.life);
+    assert_eq!(told, ["listed", "unlisted", "left the roster", "listed again"]);
+}
+
+#[test]
+fn the_first_worker_that_knows_a_later_lead_is_told() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 3);
+    lead.take_events();
+    for key in [WorkerKey(1), WorkerKey(0)] {
+        let refused = WorkerAnswer::NotDone(WorkerRefusal::Fenced);
+        lead.hold_answered(key, refused, cell.now, cell.now);
+    }
+    let worker = lead.entry(WorkerKey(1)).life.clone();
+    let fenced = CellEvent::FencedByWorker { worker, call: WorkerCall::Account };
+    assert_eq!(lead.take_events(), [fenced]);
+}
+
+#[test]
+fn a_watch_tells_its_last_sign_and_how_long_its_authority_lasts() {
+    let timing = AuthorityTiming::default();
+    let begin = Moment(50_000);
+    let mut own = LeadWatch::new(BoxName::from("a"), 1, BoxStrength(250), begin);
+    assert_eq!(own.authority_until(), None);
+    own.note_own(own.next_claim("127.0.0.1:1"), begin, 1, &timing);
+    let until = begin.after(timing.term);
+    // Also once it is over, to tell since when.
+    assert_eq!(own.authority_until(), Some(until));
+    let mut other = LeadWatch::new(BoxName::from("b"), 2, BoxStrength(250), begin);
+    let read = begin.after(TimeSpan(30));
+    other.note_record(own.newest().unwrap().clone(), read);
+    other.note_reachable(true);
+    let now = read.after(TimeSpan(20));
+    let sign = other.sign(now);
+    assert_eq!((sign.heard, sign.reachable, sign.gone), (read, true, false));
+    other.note_gone();
+    assert!(other.sign(now).gone);
+    own.note_record(other.next_claim("127.0.0.1:2"), now);
+    assert_eq!(own.authority_until(), None);
+}
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -50,6 +50,7 @@
     state: Mutex<PoolState>,
     /// How much later than they are given all answers arrive, in milliseconds.
     delay_ms: AtomicU64,
+    run_ms: AtomicU64,
 }
 
 /// The name of a worker's life.
@@ -74,6 +75,7 @@
             begun: Instant::now(),
             state: Mutex::new(state),
             delay_ms: AtomicU64::new(0),
+            run_ms: AtomicU64::new(RUN_TIME.as_millis() as u64),
         }
     }
 
@@ -88,6 +90,11 @@
         self.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Has runs take so long from now on.
+    pub fn set_run_time(&self, time: Duration) {
+        self.run_ms.store(time.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Has it counted as a violation if more than `most` tasks run at once of jobs whose ids begin so.
     pub fn bound(&self, prefix: &str, most: usize) {
         self.state.lock().bounds.push((prefix.to_owned(), most));
@@ -110,12 +117,13 @@
     /// Ends what has run its time, and what the lease does not cover any more.
     fn settle(&self, state: &mut PoolState) {
         let clock = self.clock_ms();
+        let run_time = Duration::from_millis(self.run_ms.load(Ordering::Relaxed));
         for worker in &mut state.workers {
             let lapsed = clock > worker.lease_until;
             let over: Vec<(String, u64)> = worker
                 .runs
                 .iter()
-                .filter(|(_, (_, since))| lapsed || since.elapsed() >= RUN_TIME)
+                .filter(|(_, (_, since))| lapsed || since.elapsed() >= run_time)
                 .map(|(task, (run, _))| (task.clone(), *run))
                 .collect();
             for (task, run) in over {
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod organisations;
 mod peers;
 mod placement;
+mod sight;
 mod soak;
 mod stops;
 mod support;
--- /dev/null
+++ b/crates/sedgehill-standin/tests/testsuite/sight.rs
@@ -0,0 +1,78 @@
+//! What boxes in cell mode tell of a change of the lead.
+
+use std::path::Path;
+use std::time::Duration;
+
+use sedgehill_standin::cell_platform::CellPlatform;
+use sedgehill_standin::cell_process::call;
+use serde_json::{Value, json};
+
+use crate::cell_support::{
+    assert_kept, start_box, submit_steps, wait_completed, wait_for, wait_for_lead, wait_ready,
+};
+
+/// The lines of a box with one message.
+fn lines(directory: &Path, name: &str, message: &str) -> Vec<Value> {
+    let text = std::fs::read_to_string(directory.join(format!("{name}.log"))).unwrap();
+    let parsed = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    parsed.filter(|line| line["msg"] == message).collect()
+}
+
+/// The metrics page of a box.
+async fn metrics(directory: &Path, name: &str) -> String {
+    let settings = std::fs::read_to_string(directory.join(format!("{name}.json"))).unwrap();
+    let settings: Value = serde_json::from_str(&settings).unwrap();
+    let address = settings["listen"]["metrics"].as_str().unwrap().parse().unwrap();
+    let (status, page) = call(address, "GET", "/metrics", "").await.expect("it answers");
+    assert_eq!(status, 200);
+    page
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_successor_of_a_killed_lead_tells_what_it_takes_over() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(3).await.unwrap();
+    platform.configure(1);
+    platform.workers.set_run_time(Duration::from_millis(3_500));
+    let first = start_box(directory.path(), "first", &platform);
+    wait_ready(&first).await;
+    wait_for_lead(directory.path(), "first").await;
+    let second = start_box(directory.path(), "second", &platform);
+    wait_ready(&second).await;
+    let steps = json!([{"count": 2, "cpu": 1000, "mem_mb": 16, "estimate_ms": 3500}]);
+    submit_steps(&[&first], 1, steps).await;
+    wait_for("both starts", async || platform.workers.starts() == 2).await;
+    let earlier = lines(directory.path(), "first", "placed");
+    assert!(earlier.iter().all(|line| line["token"] == "1"), "{earlier:?}");
+    assert!(earlier.iter().all(|line| line["earlier_settled"].is_null()), "{earlier:?}");
+    drop(first);
+    wait_for("the take-over", async || {
+        !lines(directory.path(), "second", "take-over settled").is_empty()
+    })
+    .await;
+    let [taking_over] = &lines(directory.path(), "second", "taking over")[..] else {
+        panic!("one line each");
+    };
+    assert_eq!(taking_over["follows_token"], "1", "{taking_over}");
+    assert_eq!(taking_over["follows_holder"], "first", "{taking_over}");
+    assert_eq!(taking_over["waits_for_term"], true, "{taking_over}");
+    assert_eq!(taking_over["roster"], 3, "{taking_over}");
+    assert_eq!(taking_over["earlier_jobs"], 1, "{taking_over}");
+    assert_eq!(taking_over["gaps"], 0, "{taking_over}");
+    let read = |key: &str| taking_over[key].as_u64();
+    assert!(read("progress_read") >= read("progress_fence"), "{taking_over}");
+    let settled = &lines(directory.path(), "second", "take-over settled")[0];
+    assert_eq!((&settled["by"], &settled["heard"]), (&json!("heard"), &json!(3)), "{settled}");
+    wait_for("both runs", async || lines(directory.path(), "second", "run adopted").len() == 2)
+        .await;
+    wait_completed(&second, 1).await;
+    let page = metrics(directory.path(), "second").await;
+    for line in [
+        "sedgehill_cell_take_overs_settled_total{by=\"heard\"} 1",
+        "sedgehill_cell_runs_found_total{result=\"adopted\"} 2",
+        "sedgehill_cell_lead_changes_total{change=\"begun\",reason=",
+    ] {
+        assert!(page.contains(line), "{line}:\n{page}");
+    }
+    assert_kept(&platform);
+}
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -1,7 +1,10 @@
 //! A log line and a count for each decision of the scheduler.
 
-use sedgehill_cell::scheduler::CellEvent;
-use slog::{Logger, info};
+use sedgehill_cell::ids::WorkerLife;
+use sedgehill_cell::scheduler::{
+    CellEvent, EarlierSettled, LossCause, TakeOverSettled, TaskBelief,
+};
+use slog::{KV, Logger, Record, Serializer, info};
 
 use crate::telemetry;
 
@@ -15,8 +18,11 @@
 
 fn count(event: &CellEvent) {
     match event {
-        CellEvent::Placed { waited, .. } => {
+        CellEvent::Placed { waited, earlier, .. } => {
             telemetry::count_cell_event("placed", "");
+            if let Some(earlier) = earlier {
+                telemetry::count_earlier_start(earlier.name());
+            }
             telemetry::note_cell_time("sedgehill_cell_wait_seconds", waited.0 as f64 / MILLIS);
         }
         CellEvent::StartFailed { refusal, .. } => {
@@ -25,7 +31,12 @@
         }
         CellEvent::Ended { end, .. } => telemetry::count_cell_event("run_ended", end.name()),
         CellEvent::Stopping { reason, .. } => telemetry::count_cell_event("stopping", reason),
-        CellEvent::RunLost { reason, .. } => telemetry::count_cell_event("run_lost", reason),
+        CellEvent::RunLost { cause, .. } => {
+            telemetry::count_cell_event("run_lost", cause.name());
+            telemetry::count_run_lost(cause.name());
+        }
+        CellEvent::Adopted { .. } => telemetry::count_run_found("adopted"),
+        CellEvent::Unwanted { .. } => telemetry::count_run_found("unwanted"),
         CellEvent::Asked { .. } => telemetry::count_cell_event("asked", ""),
         CellEvent::Advised { good, took, .. } => {
             let detail = if good.is_some() { "answered" } else { "failed" };
@@ -38,13 +49,19 @@
             telemetry::note_cell_time("sedgehill_cell_job_seconds", after.0 as f64 / MILLIS);
         }
         CellEvent::Worker { change, .. } => telemetry::count_cell_event("worker", change),
+        CellEvent::WorkerHeard { .. } => telemetry::count_cell_event("worker", "answers"),
+        CellEvent::WorkerEnded { .. } => telemetry::count_cell_event("worker", "ended"),
+        CellEvent::FencedByWorker { .. } => telemetry::count_cell_event("fenced_by_worker", ""),
+        CellEvent::TakeOverSettled(settled) => telemetry::count_settled(settled.by.name()),
+        CellEvent::EarlierJobLate { .. } => telemetry::count_cell_event("earlier_job_late", ""),
     }
 }
 
 fn write(log: &Logger, event: &CellEvent) {
     match event {
-        CellEvent::Placed { task, run, worker, waited, ticket_left } => {
-            info!(log, "placed"; "task" => %task, "run" => run.0, "worker" => %worker,
+        CellEvent::Placed { task, run, worker, waited, ticket_left, token, earlier } => {
+            info!(log, "placed"; Earlier(*earlier), "token" => %token,
+                "task" => %task, "run" => run.0, "worker" => %worker,
                 "waited_ms" => waited.0, "ticket_left_ms" => ticket_left.map(|left| left.0));
         }
         CellEvent::StartFailed { task, run, worker, refusal } => {
@@ -59,9 +76,16 @@
             info!(log, "stopping run"; "task" => %task, "run" => run.0, "worker" => %worker,
                 "reason" => reason);
         }
-        CellEvent::RunLost { task, run, worker, reason } => {
-            info!(log, "run lost"; "task" => %task, "run" => run.0, "worker" => %worker,
-                "reason" => reason);
+        CellEvent::RunLost { task, run, worker, cause } => {
+            info!(log, "run lost"; Cause(cause), "task" => %task, "run" => run.0,
+                "worker" => %worker, "reason" => cause.name());
+        }
+        CellEvent::Adopted { task, run, worker } => {
+            info!(log, "run adopted"; "task" => %task, "run" => run.0, "worker" => %worker);
+        }
+        CellEvent::Unwanted { task, run, worker, belief } => {
+            info!(log, "run not wanted"; Belief(belief), "task" => %task, "run" => run.0,
+                "worker" => %worker);
         }
         CellEvent::Asked { step, named, helper } => {
             info!(log, "asked"; "step" => %step, "named" => named, "helper" => helper.0);
@@ -76,8 +100,88 @@
         CellEvent::JobEnded { job, state, after } => {
             info!(log, "job ended"; "job" => %job, "state" => ?state, "after_ms" => after.0);
         }
-        CellEvent::Worker { worker, change } => {
-            info!(log, "worker"; "worker" => %worker, "change" => change);
+        CellEvent::Worker { worker, change, address } => {
+            info!(log, "worker"; "worker" => %worker, "change" => change, "address" => %address);
+        }
+        CellEvent::WorkerHeard { worker, inherited, running, ended, clock, lease_until, after } => {
+            info!(log, "worker heard"; "worker" => %worker, "inherited" => inherited,
+                "running" => running, "ended" => ended, "clock" => clock.0,
+                "lease_until" => lease_until.0, "after_ms" => after.0);
+        }
+        CellEvent::WorkerEnded { worker, address, call, runs, silent } => {
+            info!(log, "worker ended"; "worker" => %worker, "address" => %address,
+                "call" => call.name(), "runs" => runs, "silent_ms" => silent.map(|silent| silent.0));
+        }
+        CellEvent::FencedByWorker { worker, call } => {
+            info!(log, "fenced by a worker"; "worker" => %worker, "call" => call.name());
+        }
+        CellEvent::TakeOverSettled(settled) => write_settled(log, settled),
+        CellEvent::EarlierJobLate { job, settled, after } => {
+            info!(log, "job of an earlier lead known late"; "job" => %job, "settled" => settled,
+                "after_ms" => after.0);
+        }
+    }
+}
+
+fn write_settled(log: &Logger, settled: &TakeOverSettled) {
+    let names: Vec<String> = settled.unheard_some.iter().map(WorkerLife::to_string).collect();
+    info!(log, "take-over settled"; "by" => settled.by.name(), "after_ms" => settled.after.0,
+        "heard" => settled.heard, "ended" => settled.ended, "unheard" => settled.unheard,
+        "unheard_some" => names.join(" "), "jobs" => settled.jobs);
+}
+
+/// What settled the orders of earlier leads, where there may have been any.
+struct Earlier(Option<EarlierSettled>);
+
+impl KV for Earlier {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        match self.0 {
+            Some(earlier) => serializer.emit_str("earlier_settled", earlier.name()),
+            None => Ok(()),
+        }
+    }
+}
+
+/// What a run is taken as gone by.
+struct Cause<'a>(&'a LossCause);
+
+impl KV for Cause<'_> {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        match self.0 {
+            LossCause::LeaseEnded(reading) => {
+                serializer.emit_u64("clock_least", reading.least.0)?;
+                serializer.emit_u64("clock_age_ms", reading.age.0)?;
+                serializer.emit_u64("clock", reading.clock.0)?;
+                serializer.emit_u64("lease_until", reading.until.0)
+            }
+            LossCause::NotListed { asked, listed_from } => {
+                serializer.emit_u64("listed_from_ms_ago", listed_from.0)?;
+                serializer.emit_u64("asked_ms_ago", asked.0)
+            }
+            LossCause::WorkerEnded { address, call } => {
+                serializer.emit_str("call", call.name())?;
+                serializer.emit_arguments("address", &format_args!("{address}"))
+            }
+        }
+    }
+}
+
+/// What the lead takes as true of a task instead.
+struct Belief<'a>(&'a TaskBelief);
+
+impl KV for Belief<'_> {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        match self.0 {
+            TaskBelief::Placed { run, worker, answered } => {
+                if let Some(answered) = answered {
+                    serializer.emit_u64("placed_answered_ms_ago", answered.0)?;
+                }
+                serializer.emit_str("placed_worker", &worker.0)?;
+                serializer.emit_u32("placed_run", run.0)?;
+            }
+            TaskBelief::JobOver(state) => serializer.emit_str("state", state.name())?,
+            TaskBelief::Done | TaskBelief::Unknown => {}
         }
+        serializer.emit_str("belief", self.0.name())
     }
 }
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -9,7 +9,7 @@
 use sedgehill_adapter::http_client::CallLimits;
 use sedgehill_adapter::store::{KeyedRecord, ReadOutcome, StoreTopic};
 use sedgehill_cell::authority::LeadRecord;
-use sedgehill_cell::replica::{CellRecord, ReplicaChange};
+use sedgehill_cell::replica::{CellRecord, ReplicaChange, RosterSign};
 use sedgehill_cell::scheduler::WorkerRoster;
 use sedgehill_core::units::TimeSpan;
 use slog::{info, warn};
@@ -267,6 +267,7 @@
         ReadOutcome::Gone => {
             info!(host.log, "topic history gone"; "topic" => ?topic, "offset" => offset);
             view.offset.set(None);
+            view.gaps.set(view.gaps.get() + 1);
             Ok(ReadStretch { records: 0, end: offset })
         }
         ReadOutcome::Records { records, end } => {
@@ -346,7 +347,10 @@
     }
     if record.key == WorkerRoster::KEY {
         match WorkerRoster::decode(&record.value) {
-            Ok(roster) => host.replica.borrow_mut().apply_roster(roster),
+            Ok(roster) => {
+                let sign = RosterSign { read: clock::now(), from: host.progress_view.offset.get() };
+                host.replica.borrow_mut().apply_roster(roster, sign);
+            }
             Err(error) => warn!(host.log, "roster not readable"; "error" => %error),
         }
         return;
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -21,12 +21,14 @@
 use super::peers::FrameQueue;
 use super::recorder::LedSubmission;
 use super::relay::RelayDesk;
+use super::renewal::{give_up, renew};
+use super::sight::{AuthoritySight, FollowedLead, LeadEnd};
 use super::state::CellBox;
-use super::{events, figures, orders, peers, recorder, roster};
+use super::{events, figures, orders, peers, recorder, roster, sight};
 use crate::{clock, telemetry};
 
 /// Time between two looks at who leads.
-const WATCH_TURN: Duration = Duration::from_millis(40);
+pub const WATCH_TURN: Duration = Duration::from_millis(40);
 /// The least time between two turns of the scheduler: changes of a few milliseconds are taken
 /// together.
 const TURN_PAUSE: Duration = Duration::from_millis(4);
@@ -35,8 +37,6 @@
 const TURN_REST: u32 = 2;
 /// The most time between two turns of the scheduler.
 const TURN_MOST: Duration = Duration::from_millis(40);
-/// Pause before a renewal that failed is tried again.
-const RENEW_RETRY: Duration = Duration::from_millis(100);
 /// The key under which claims stand.
 const LEAD_KEY: &str = "lead";
 /// A store that has not answered for so long is taken as not answering. Several times the answer of
@@ -117,7 +117,7 @@
     }
 
     /// Whether a much stronger box helps, and has for long enough to be relied on.
-    fn should_yield(&self, host: &CellBox) -> bool {
+    pub fn should_yield(&self, host: &CellBox) -> bool {
         let own = host.settings.strength;
         let outdone = self.strengths.borrow().values().any(|other| own.yields_to(*other));
         if !outdone {
@@ -182,8 +182,9 @@
         let holder = host.watch.borrow().is_holder();
         if holder || host.watch.borrow().should_claim(now, rank, &host.settings.authority) {
             let predecessor = host.watch.borrow().has_predecessor();
+            let followed = FollowedLead::of(&host);
             if claim(&host).await {
-                lead(&host, predecessor).await;
+                lead(&host, predecessor, &followed).await;
             }
         }
     }
@@ -204,13 +205,13 @@
 
 /// Where the topic of leads ends, as far as this box knows. Reads may be seconds behind its own last
 /// renewal.
-fn lead_end(host: &CellBox) -> Option<u64> {
+pub fn lead_end(host: &CellBox) -> Option<u64> {
     let read = host.lead_view.offset.get()?;
     Some(read.max(host.watch.borrow().own_end()))
 }
 
 /// Appends a lead record if the topic still ends at `end`. Returns whether it stands.
-async fn append_lead(
+pub async fn append_lead(
     host: &CellBox,
     session: Option<&LeadSession>,
     record: LeadRecord,
@@ -245,9 +246,10 @@
 }
 
 /// Does the lead's work until the lead is over.
-async fn lead(host: &Rc<CellBox>, predecessor: bool) {
+async fn lead(host: &Rc<CellBox>, predecessor: bool, followed: &FollowedLead) {
     let Some(token) = host.watch.borrow().newest().map(|record| record.token) else { return };
     telemetry::count_cell_event("lead", "claimed");
+    followed.count();
     info!(host.log, "leading"; "token" => %token, "predecessor" => predecessor);
     host.set_asking(false);
     let began = clock::now();
@@ -277,12 +279,16 @@
     // Renewals go on while the store is slow to fence, or another box would claim meanwhile.
     let mut renewing = std::pin::pin!(renew(host, &session));
     let fenced = tokio::select! {
-        fenced = recorder::fence(host, token) => fenced,
-        () = renewing.as_mut() => None,
+        fenced = recorder::fence(host, token) => fenced.ok_or(LeadEnd::NotFenced),
+        end = renewing.as_mut() => Err(end),
     };
-    let Some(mut recorder) = fenced else {
-        give_up(host, &session).await;
-        return;
+    let mut recorder = match fenced {
+        Ok(recorder) => recorder,
+        Err(end) => {
+            sight::note_end(host, &session, end);
+            give_up(host, &session).await;
+            return;
+        }
     };
     session.scheduler.borrow_mut().note_fenced(clock::now());
     session.scheduler.borrow_mut().add_helper(OWN_BOX);
@@ -291,86 +297,35 @@
     for id in known {
         session.add_job(host, id);
     }
+    sight::note_taking_over(host, &session, followed, recorder.fence);
     *host.session.borrow_mut() = Some(session.clone());
-    tokio::select! {
-        () = renewing.as_mut() => {}
-        () = recorder.run(host, &session) => {}
-        () = roster::follow(host, &session) => {}
-        () = peers::feed(host, &session) => {}
-        () = take_turns(host, &session) => {}
-        () = figures::show(&session) => {}
-    }
+    let end = tokio::select! {
+        end = renewing.as_mut() => end,
+        () = recorder.run(host, &session) => LeadEnd::FencedByStore,
+        () = roster::follow(host, &session) => LeadEnd::Halted,
+        () = peers::feed(host, &session) => LeadEnd::Halted,
+        () = take_turns(host, &session) => LeadEnd::Halted,
+        () = figures::show(&session) => LeadEnd::Halted,
+    };
     session.ended.set(true);
+    sight::note_end(host, &session, end);
     figures::clear(&session);
     // Whoever waits for one of them puts it into the store by itself.
     session.submissions.borrow_mut().clear();
     *host.session.borrow_mut() = None;
     give_up(host, &session).await;
     telemetry::count_cell_event("lead", "ended");
-    info!(host.log, "not leading any more"; "token" => %token,
-        "open_jobs" => session.scheduler.borrow().open_jobs());
-}
-
-/// Gives up the lead, and says so if this box stops or knows of a better one.
-async fn give_up(host: &CellBox, session: &LeadSession) {
-    if host.stopping.get() || session.should_yield(host) {
-        resign(host, session.token).await;
-    }
-    host.watch.borrow_mut().step_down();
-}
-
-/// Renews the claim until it is lost or the box stops.
-async fn renew(host: &CellBox, session: &LeadSession) {
-    let every = Duration::from_millis(host.settings.authority.renew.as_millis());
-    let mut pause = every;
-    loop {
-        tokio::select! {
-            () = tokio::time::sleep(pause) => {}
-            () = wait_for_stop(host) => return,
-        }
-        if !host.watch.borrow().is_holder() || session.scheduler.borrow().is_fenced_out() {
-            return;
-        }
-        if session.should_yield(host) {
-            info!(host.log, "yielding to a stronger box"; "token" => %session.token,
-                "own" => %host.settings.strength, "strongest" => %host.watch.borrow().strongest());
-            return;
-        }
-        let newest = host.watch.borrow().newest().cloned();
-        let (Some(record), Some(end)) = (newest, lead_end(host)) else { return };
-        pause = RENEW_RETRY;
-        if record.token == session.token && append_lead(host, Some(session), record, end).await {
-            pause = every;
-        }
-    }
-}
-
-async fn wait_for_stop(host: &CellBox) {
-    while !host.stopping.get() {
-        host.stop.notified().await;
-    }
-}
-
-/// Tells the other boxes that this one gives no further orders.
-async fn resign(host: &CellBox, token: FencingToken) {
-    const TRIES: usize = 5;
-    for _ in 0..TRIES {
-        let newest = host.watch.borrow().newest().cloned();
-        let Some(end) = lead_end(host) else { return };
-        let Some(record) = newest.filter(|newest| newest.token == token) else { return };
-        if append_lead(host, None, LeadRecord { resigned: true, ..record }, end).await {
-            return;
-        }
-        tokio::time::sleep(WATCH_TURN).await;
-    }
 }
 
 /// Lets the scheduler decide, and carries out its orders.
 async fn take_turns(host: &Rc<CellBox>, session: &Rc<LeadSession>) {
+    let mut authority = AuthoritySight::new();
     loop {
         let _ = tokio::time::timeout(TURN_MOST, session.wake.notified()).await;
         let begun = Instant::now();
-        if session.may_order(host) {
+        let may_order = session.may_order(host);
+        authority.note(host, session, may_order);
+        if may_order {
             let now = clock::now();
             session.take_config(host);
             session.scheduler.borrow_mut().set_wall_clock(clock::unix_ms(), now);
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -19,8 +19,10 @@
 mod peers;
 mod recorder;
 mod relay;
+mod renewal;
 mod roster;
 mod settings;
+mod sight;
 mod state;
 mod stop;
 
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -47,12 +47,14 @@
     sequence: u64,
     /// When the append under way was first sent. The answer to a repeated one may be as old as that.
     first_sent: Option<Moment>,
+    /// Where progress ended once the store refused earlier leads.
+    pub fence: u64,
 }
 
 /// Makes the store refuse the progress of earlier leads, and waits until all that they recorded is
 /// known here.
 pub async fn fence(host: &CellBox, token: FencingToken) -> Option<ProgressRecorder> {
-    let mut recorder = ProgressRecorder { token, sequence: 0, first_sent: None };
+    let mut recorder = ProgressRecorder { token, sequence: 0, first_sent: None, fence: 0 };
     let begun = clock::now();
     let end = loop {
         match recorder.append(host, None, &[]).await {
@@ -65,6 +67,7 @@
             None => tokio::time::sleep(RETRY_PAUSE).await,
         }
     };
+    recorder.fence = end;
     // The earlier lead may have told this box states alone until now.
     host.read_anew();
     // Jobs that an earlier lead has seen must be known, or their runs would be taken as foreign.
@@ -251,6 +254,7 @@
             };
             let Some(kept) = recorded else { return };
             if let Some(kept) = kept {
+                self.note_roster(host, batch.progress.as_ref(), kept);
                 take_own(host, session, &batch.submissions, &records, kept);
             }
             if let Some(progress) = &batch.progress {
@@ -264,6 +268,14 @@
         }
     }
 
+    /// A later lead tells by where it stands which roster it goes by.
+    fn note_roster(&self, host: &CellBox, progress: Option<&ProgressBatch>, kept: KeptBatch) {
+        if let Some(roster) = progress.and_then(|batch| batch.roster.as_ref()) {
+            info!(host.log, "roster recorded"; "token" => %self.token,
+                "workers" => roster.0.len(), "end" => kept.end);
+        }
+    }
+
     /// Records one batch, however often it has to be tried. None if a later lead exists.
     async fn record(
         &mut self,
@@ -348,6 +360,10 @@
     for said in submissions {
         let CellRecord::Led(record) = &said.statement else { continue };
         let known = host.replica.borrow().job(said.job).is_some();
+        if !known && host.replica.borrow().is_ordered(said.job) {
+            warn!(host.log, "job of an earlier lead accepted as new"; "token" => %session.token,
+                "job" => %said.job);
+        }
         let mut scheduler = session.scheduler.borrow_mut();
         // A second copy of a job that has come and gone meanwhile must not begin it again.
         if !known || scheduler.has_job(said.job) {
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -35,6 +35,8 @@
     pub offset: Cell<Option<u64>>,
     /// Whether every record up to there was taken in, and not only what it says of states.
     pub whole: Cell<bool>,
+    /// How often the store had dropped what was to be read next.
+    pub gaps: Cell<u64>,
     fresh: Cell<Option<Moment>>,
     fed: Cell<Option<Moment>>,
 }
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -96,6 +96,32 @@
     counter!("sedgehill_cell_events_total", "event" => event, "detail" => detail).increment(1);
 }
 
+/// Counts a change of the lead of this box: `begun`, `withheld` or `ended`.
+pub fn count_lead(change: &'static str, reason: &'static str) {
+    counter!("sedgehill_cell_lead_changes_total", "change" => change, "reason" => reason)
+        .increment(1);
+}
+
+/// Counts a take-over that is settled, by what settled it.
+pub fn count_settled(by: &'static str) {
+    counter!("sedgehill_cell_take_overs_settled_total", "by" => by).increment(1);
+}
+
+/// Counts a run that is taken as gone.
+pub fn count_run_lost(reason: &'static str) {
+    counter!("sedgehill_cell_runs_lost_total", "reason" => reason).increment(1);
+}
+
+/// Counts a run of an earlier lead that a worker listed, by whether it was taken over.
+pub fn count_run_found(result: &'static str) {
+    counter!("sedgehill_cell_runs_found_total", "result" => result).increment(1);
+}
+
+/// Counts a start of a job that an earlier lead may have begun, by what settled that.
+pub fn count_earlier_start(settled_by: &'static str) {
+    counter!("sedgehill_cell_earlier_starts_total", "settled_by" => settled_by).increment(1);
+}
+
 /// Notes a time of a job or a question: `sedgehill_cell_wait_seconds` until its first start and the like.
 pub fn note_cell_time(name: &'static str, seconds: f64) {
     histogram!(name).record(seconds);
