--- a/crates/sedgehill-standin/tests/testsuite/sight.rs
+++ b/crates/sedgehill-standin/tests/testsuite/sight.rs
@@ -1,7 +1,6 @@
 //! What boxes in cell mode tell of a change of the lead.
 
 use std::path::Path;
-use std::time::Duration;
 
 use sedgehill_standin::cell_platform::CellPlatform;
 use sedgehill_standin::cell_process::call;
@@ -33,7 +32,7 @@
     let directory = tempfile::tempdir().unwrap();
     let platform = CellPlatform::start(3).await.unwrap();
     platform.configure(1);
-    platform.workers.set_run_time(Duration::from_millis(3_500));
+    platform.workers.set_run_ms(3_500..3_501);
     let first = start_box(directory.path(), "first", &platform);
     wait_ready(&first).await;
     wait_for_lead(directory.path(), "first").await;
