cell, follow: whatever the store forgets, a catch-up ends only when all is read

Cause: three ways in which what a box had read counted as complete and was not. A catch-up ended when the store answered that its history was gone. A slow reading of the newest records could undo what a faster one had brought. Jobs that were dropped while a box was away stayed known.

Change: the catch-up goes on with the newest records; a slower reading changes nothing; led jobs without a record in a whole reading are forgotten. The second has no test: the order of two readings of many pages cannot be arranged with the stand-ins.

--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -3,7 +3,7 @@
 //! Each statement stands under a key of its own, so that a copy of an old one that arrives late
 //! never undoes a newer statement of another kind.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use quick_error::quick_error;
@@ -321,6 +321,19 @@
         ended.map(|(_, id)| *id).filter(forgettable).take(most).collect()
     }
 
+    /// Jobs that a lead accepted.
+    pub fn led_ids(&self) -> Vec<JobId> {
+        self.jobs.iter().filter(|(_, job)| job.led).map(|(id, _)| *id).collect()
+    }
+
+    /// Forgets those of the jobs `known` that are not among `kept`, of which the store still holds a record of
+    /// the lead. They ended while this box did not hear of it, and must not begin again.
+    pub fn forget_dropped(&mut self, known: &[JobId], kept: &HashSet<JobId>) {
+        for id in known.iter().filter(|id| !kept.contains(id)) {
+            self.forget(*id);
+        }
+    }
+
     /// Forgets a job.
     pub fn forget(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else { return };
--- a/crates/sedgehill-cell/tests/testsuite/replica.rs
+++ b/crates/sedgehill-cell/tests/testsuite/replica.rs
@@ -138,3 +138,23 @@
         assert_eq!(replica.roster_sign(), Some(sign));
     }
 }
+
+/// A box that was away for longer than the store keeps its history reads the newest record of each key. A job that
+/// ended and was dropped meanwhile has none, and the box went on taking it as running: as a lead it would have
+/// begun its tasks once more.
+#[test]
+fn a_job_that_was_dropped_while_a_box_was_away_is_forgotten() {
+    let mut replica = CellReplica::default();
+    let dropped = JobId(1);
+    let (running, direct, new) = (JobId(2), JobId(3), JobId(4));
+    for id in [dropped, running] {
+        replica.apply(id, CellRecord::Led(job(vec![step(1, 1)])), NOW);
+    }
+    replica.apply(direct, CellRecord::Job(job(vec![step(1, 1)])), NOW);
+    let before = replica.led_ids();
+    // Taken in while the newest records were being read, which do not hold it yet.
+    replica.apply(new, CellRecord::Led(job(vec![step(1, 1)])), NOW);
+    replica.forget_dropped(&before, &[running].into());
+    let left: std::collections::BTreeSet<JobId> = replica.jobs().map(|(id, _)| id).collect();
+    assert_eq!(left, [running, direct, new].into());
+}
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the topics of the store: configuration, jobs, and who leads.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use sedgehill_adapter::http_client::CallLimits;
 use sedgehill_adapter::store::{KeyedRecord, ReadOutcome, StoreTopic};
 use sedgehill_cell::authority::LeadRecord;
+use sedgehill_cell::ids::JobId;
 use sedgehill_cell::replica::{CellRecord, ReplicaChange, RosterSign};
 use sedgehill_cell::scheduler::WorkerRoster;
 use sedgehill_core::units::TimeSpan;
@@ -135,14 +137,18 @@
 /// Reads a topic up to an offset at once, whatever else follows it.
 pub async fn catch_up(host: &CellBox, topic: StoreTopic, end: u64) -> Result<(), CallError> {
     let Some(view) = host.view(topic) else { return Ok(()) };
-    if view.offset.get().is_none() {
-        // The newest records hold all that was appended before.
-        read_newest(host, topic, view).await?;
-    }
-    while let Some(offset) = view.offset.get().filter(|offset| *offset < end) {
-        read_on(host, topic, view, offset, Duration::ZERO).await?;
+    // The store may forget its history at any moment, also between two reads. A catch-up that took this for its
+    // end left a new lead without the last records, and it began tasks that ran already.
+    loop {
+        match view.offset.get() {
+            // The newest records hold all that was appended before.
+            None => drop(read_newest(host, topic, view).await?),
+            Some(offset) if offset < end => {
+                read_on(host, topic, view, offset, Duration::ZERO).await?;
+            }
+            Some(_) => return Ok(()),
+        }
     }
-    Ok(())
 }
 
 /// Reads a topic at once up to where it ends now. What is appended meanwhile is not waited for.
@@ -197,6 +203,10 @@
     view: &TopicView,
 ) -> Result<usize, CallError> {
     let asked = clock::now();
+    let known = match topic {
+        StoreTopic::Progress => host.replica.borrow().led_ids(),
+        _ => Vec::new(),
+    };
     let newest = match relaying_session(host, topic) {
         Some(session) => session.newest_relayed(topic).await?,
         None => {
@@ -205,9 +215,14 @@
             newest
         }
     };
+    if view.whole.get() && view.offset.get().is_some_and(|read| read >= newest.end) {
+        // Another reading was faster. What it brought, and what came since, must not be undone by older records.
+        return Ok(0);
+    }
     for record in &newest.records {
         apply(host, topic, record);
     }
+    host.replica.borrow_mut().forget_dropped(&known, &kept_jobs(&newest.records));
     view.offset.set(Some(newest.end));
     view.whole.set(true);
     view.note_complete(asked);
@@ -216,6 +231,12 @@
     Ok(newest.records.len())
 }
 
+/// The jobs of which there are records.
+fn kept_jobs(records: &[KeyedRecord]) -> HashSet<JobId> {
+    let decoded = records.iter().map(|record| CellRecord::decode_key(&record.key));
+    decoded.filter_map(|key| key.ok().map(|(_, id)| id)).collect()
+}
+
 /// The session of a lead that reads a topic by way of another box. A lead decides by the configuration, so
 /// that goes the same way as the jobs.
 fn relaying_session(host: &CellBox, topic: StoreTopic) -> Option<Rc<LeadSession>> {
