cell, worker: the clock of a slow worker is read again

Cause: a reading of a worker's clock counted only if it was ahead of the estimate, which runs at full speed. A clock that is 2 % slow was so read once, and the deadlines asked for drifted ahead by 20 ms a second. A deadline that is carried out late could then outlast what a next lead waits for.

Change: a reading counts if it is ahead of the least that the clock can show.

--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -180,6 +180,14 @@
         self.lease_until.max(clock.after(timing.lease_most))
     }
 
+    /// The least that the worker's clock shows at `now`, however slow it runs.
+    fn least_clock_at(&self, now: Moment, timing: &CellTiming) -> Option<WorkerTime> {
+        let (clock, at) = self.clock?;
+        let elapsed = now.since(at).as_millis();
+        let drift = elapsed * timing.clock_drift_permille / 1000;
+        Some(clock.after(TimeSpan(elapsed - drift)))
+    }
+
     /// Takes in the clock of an answer that was received at `now`.
     pub fn note_answer(&mut self, clock: WorkerTime, now: Moment, timing: &CellTiming) {
         self.answered = Some(now);
@@ -189,7 +197,9 @@
             self.lease_until = self.assumed_lease(clock, timing);
         }
         self.fenced = true;
-        if self.clock_at(now).is_none_or(|estimate| clock >= estimate) {
+        // A late answer tells an earlier time than is known already. One of a clock that runs slow does not: kept
+        // to its first reading, leases asked for grew by 20 ms a second beyond what a next lead waits for.
+        if self.least_clock_at(now, timing).is_none_or(|least| clock >= least) {
             self.clock = Some((clock, now));
         }
     }
@@ -210,10 +220,8 @@
     /// What is known of the end of its leases; none before its first answer.
     pub fn lease_reading(&self, now: Moment, timing: &CellTiming) -> Option<LeaseReading> {
         let (clock, at) = self.clock?;
-        let age = now.since(at);
-        let elapsed = age.as_millis();
-        let least = clock.0 + elapsed - elapsed * timing.clock_drift_permille / 1000;
-        Some(LeaseReading { until: self.lease_until, clock, age, least: WorkerTime(least) })
+        let least = self.least_clock_at(now, timing)?;
+        Some(LeaseReading { until: self.lease_until, clock, age: now.since(at), least })
     }
 
     /// Whether the store lists it, or may do so again in a moment.
--- a/crates/sedgehill-cell/tests/testsuite/accounts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/accounts.rs
@@ -1,10 +1,13 @@
 //! Accounts of workers that overtake each other, or come late.
 
+use sedgehill_cell::ids::FencingToken;
 use sedgehill_cell::progress::JobState;
-use sedgehill_cell::scheduler::{CellOrder, RunEnd, WorkerAnswer, WorkerKey};
+use sedgehill_cell::scheduler::{
+    CellOrder, CellTiming, HoldReport, RunEnd, Scheduler, WorkerAnswer, WorkerKey, WorkerTime,
+};
 use sedgehill_core::units::Moment;
 
-use crate::fake::{FakeCell, job, step, task};
+use crate::fake::{FakeCell, job, step, task, worker_entry};
 
 const ONLY: WorkerKey = WorkerKey(0);
 
@@ -62,3 +65,23 @@
     }
     assert!((5..=12).contains(&stops), "{stops} stops in 10 s");
 }
+
+/// A worker whose clock runs 2 % slow answers every second. The lead kept to the first reading of that clock, so
+/// each lease was asked for 20 ms longer than the one before. What the next lead waits for is reckoned from the
+/// lease that was meant.
+#[test]
+fn leases_on_a_slow_clock_stay_as_long_as_meant() {
+    let timing = CellTiming::default();
+    let mut lead = Scheduler::take_over(timing.clone(), FencingToken(1), false, Moment(0));
+    let keys = lead.update_workers(vec![worker_entry(0, 4)], Moment(0));
+    let worker_clock = |now: u64| WorkerTime(7_000_000 + now * 98 / 100);
+    for now in (0..60_000).step_by(1_000) {
+        let order = lead.hold_order(keys[0], true, Moment(now));
+        if let Some(until) = order.lease_until {
+            let asked = until.0 - worker_clock(now).0;
+            assert!(asked <= timing.lease.0 + 30, "{asked} ms asked for after {now} ms");
+        }
+        let report = HoldReport { clock: worker_clock(now), ..HoldReport::default() };
+        lead.hold_answered(keys[0], WorkerAnswer::Done(report), Moment(now), Moment(now));
+    }
+}
