cell: a copy of a job that an earlier lead began does not make it new

Cause: a lead that recorded a job from a caller marked it as begun by nobody else, also if it knew of it from an earlier lead. Only a lead that had not read everything when it began could meet this.

Change: the mark of an earlier lead stays. The log value that told of the fault goes; its test is replaced by one that wants no start before the take-over is settled.

--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -199,8 +199,6 @@
     Heard,
     /// The term and the longest lease of earlier leads have passed.
     Time,
-    /// This lead accepted the job again, and takes it as its own.
-    AcceptedAgain,
     /// Nothing did: the take-over is not settled.
     Nothing,
 }
@@ -211,7 +209,6 @@
         match self {
             EarlierSettled::Heard => "heard",
             EarlierSettled::Time => "time",
-            EarlierSettled::AcceptedAgain => "accepted_again",
             EarlierSettled::Nothing => "nothing",
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -215,16 +215,15 @@
         self.jobs.contains_key(&id)
     }
 
-    /// Takes in a job that this lead accepted, and that is recorded as such: no other lead can have
-    /// started anything of it, and its tasks may start at once.
+    /// Takes in a job that this lead accepted, and that is recorded as such. One that is new may start at once,
+    /// since no other lead can have started anything of it. A copy of one that an earlier lead began does not
+    /// make it new: its tasks would start beside those that run already.
     pub fn add_led_job(&mut self, id: JobId, record: Rc<JobRecord>, now: Moment) {
         let job = self
             .jobs
             .entry(id)
             .or_insert_with(|| JobWork::new(id, record, now, &JobProgress::default(), self.token));
         job.ordered = OrderedMark::Recorded;
-        job.accepted_again |= job.foreign_orders;
-        job.foreign_orders = false;
         self.note_owner(id, now);
     }
 
--- a/crates/sedgehill-cell/src/scheduler/sight.rs
+++ b/crates/sedgehill-cell/src/scheduler/sight.rs
@@ -57,10 +57,7 @@
         if !job.begun_earlier {
             return None;
         }
-        Some(match job.accepted_again {
-            true => EarlierSettled::AcceptedAgain,
-            false => self.take_over.settled_by.unwrap_or(EarlierSettled::Nothing),
-        })
+        Some(self.take_over.settled_by.unwrap_or(EarlierSettled::Nothing))
     }
 
     /// A job became known after this lead had caught up.
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -84,8 +84,6 @@
     pub foreign_orders: bool,
     /// The same, whether or not that is settled by now.
     pub begun_earlier: bool,
-    /// This lead accepted it as its own before that was settled.
-    pub accepted_again: bool,
     /// All tasks, step after step.
     pub tasks: Vec<TaskWork>,
     /// All steps of all repetitions.
@@ -143,7 +141,6 @@
             ordered,
             foreign_orders: kept.ordered,
             begun_earlier: kept.ordered,
-            accepted_again: false,
             tasks,
             steps,
         }
--- a/crates/sedgehill-cell/tests/testsuite/led.rs
+++ b/crates/sedgehill-cell/tests/testsuite/led.rs
@@ -63,3 +63,20 @@
     cell.turns(&mut lead, 1);
     assert!(lead.has_job(JobId(1)));
 }
+
+/// The caller of a job handed it in once more, at a later lead. The lead took it as new though it knew that an
+/// earlier lead had begun it, and started a task that ran already on a worker which it had not heard from.
+#[test]
+fn a_copy_of_a_job_that_an_earlier_lead_began_does_not_make_it_new() {
+    let mut cell = FakeCell::new(2, 16);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 3);
+    let holder = cell.place(task(1, 0, 0)).expect("it runs");
+    cell.workers[holder].cut = true;
+    let mut next = cell.lead(true);
+    cell.turns(&mut next, 3);
+    cell.submit_led(&mut next, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut next, 10);
+    assert_eq!(cell.starts.len(), 1);
+}
--- a/crates/sedgehill-cell/tests/testsuite/sight.rs
+++ b/crates/sedgehill-cell/tests/testsuite/sight.rs
@@ -121,7 +121,7 @@
 }
 
 #[test]
-fn a_job_that_is_accepted_again_is_told_as_such_when_it_starts() {
+fn a_job_that_is_accepted_again_starts_once_all_is_settled_and_tells_by_what() {
     let (mut cell, number) = begun(2);
     // What the worker runs ends unheard, and the worker is lost with it.
     cell.workers[number].expire_for_test();
@@ -131,8 +131,11 @@
     cell.submit_led(&mut next, 1, job(vec![step(1, 1)]));
     cell.turns(&mut next, 3);
     assert!(!next.is_settled());
+    assert_eq!(earlier_of_start(&next.take_events()), None);
+    // The term, the longest lease, the drift of clocks and the margin.
+    cell.turns(&mut next, 450);
     let events = next.take_events();
-    assert_eq!(earlier_of_start(&events), Some(Some(EarlierSettled::AcceptedAgain)));
+    assert_eq!(earlier_of_start(&events), Some(Some(EarlierSettled::Time)));
 }
 
 #[test]
