--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -5,7 +5,7 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
-use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId, WorkerLife};
+use crate::ids::{CellTask, JobId, OrganisationName, RunNumber, StepId, WorkerLife};
 use crate::organisation::ResourceLimit;
 use crate::progress::JobState;
 
@@ -24,8 +24,6 @@
         waited: TimeSpan,
         /// Time left on the ticket.
         ticket_left: Option<TimeSpan>,
-        /// The lead that ordered it.
-        token: FencingToken,
         /// What settled the orders of earlier leads, if one of them may have begun the job.
         earlier: Option<EarlierSettled>,
     },
--- a/crates/sedgehill-cell/src/scheduler/message.rs
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -1,5 +1,7 @@
 //! What goes into and out of the scheduler.
 
+use std::fmt;
+use std::hash::{DefaultHasher, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -246,6 +248,16 @@
     pub roster: Option<WorkerRoster>,
 }
 
+/// Tells rosters apart in logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RosterMark(u64);
+
+impl fmt::Display for RosterMark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// The workers on which a lead may have started something. It is recorded before the first start on
 /// any of them: the store's own list may miss workers that live, for some seconds after an outage.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -260,6 +272,13 @@
         postcard::to_stdvec(self).expect("a roster has no types that cannot be encoded")
     }
 
+    /// What tells rosters apart in logs: the same for the same workers in the same order.
+    pub fn mark(&self) -> RosterMark {
+        let mut hasher = DefaultHasher::new();
+        hasher.write(&self.encode());
+        RosterMark(hasher.finish())
+    }
+
     /// Reads a roster back.
     pub fn decode(value: &[u8]) -> Result<WorkerRoster, postcard::Error> {
         postcard::from_bytes(value)
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -345,7 +345,6 @@
             worker: life,
             waited: now.since(job.accepted),
             ticket_left: ticket.map(|ticket| ticket.until.since(now)),
-            token: self.token,
             earlier,
         });
         self.orders.push(CellOrder::Start(StartOrder {
--- a/crates/sedgehill-standin/tests/testsuite/sight.rs
+++ b/crates/sedgehill-standin/tests/testsuite/sight.rs
@@ -56,6 +56,8 @@
     assert_eq!(taking_over["follows_holder"], "first", "{taking_over}");
     assert_eq!(taking_over["waits_for_term"], true, "{taking_over}");
     assert_eq!(taking_over["roster"], 3, "{taking_over}");
+    let recorded = lines(directory.path(), "first", "roster recorded");
+    assert_eq!(taking_over["roster_mark"], recorded.last().unwrap()["mark"], "{taking_over}");
     assert_eq!(taking_over["earlier_jobs"], 1, "{taking_over}");
     assert_eq!(taking_over["gaps"], 0, "{taking_over}");
     let read = |key: &str| taking_over[key].as_u64();
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -1,6 +1,6 @@
 //! A log line and a count for each decision of the scheduler.
 
-use sedgehill_cell::ids::WorkerLife;
+use sedgehill_cell::ids::{FencingToken, WorkerLife};
 use sedgehill_cell::scheduler::{
     CellEvent, EarlierSettled, LossCause, TakeOverSettled, TaskBelief,
 };
@@ -10,10 +10,10 @@
 
 const MILLIS: f64 = 1000.0;
 
-/// Logs and counts a decision.
-pub fn note(log: &Logger, event: &CellEvent) {
+/// Logs and counts a decision of the lead that holds `token`.
+pub fn note(log: &Logger, token: FencingToken, event: &CellEvent) {
     count(event);
-    write(log, event);
+    write(log, token, event);
 }
 
 fn count(event: &CellEvent) {
@@ -57,9 +57,9 @@
     }
 }
 
-fn write(log: &Logger, event: &CellEvent) {
+fn write(log: &Logger, token: FencingToken, event: &CellEvent) {
     match event {
-        CellEvent::Placed { task, run, worker, waited, ticket_left, token, earlier } => {
+        CellEvent::Placed { task, run, worker, waited, ticket_left, earlier } => {
             info!(log, "placed"; Earlier(*earlier), "token" => %token,
                 "task" => %task, "run" => run.0, "worker" => %worker,
                 "waited_ms" => waited.0, "ticket_left_ms" => ticket_left.map(|left| left.0));
@@ -77,14 +77,14 @@
                 "reason" => reason);
         }
         CellEvent::RunLost { task, run, worker, cause } => {
-            info!(log, "run lost"; Cause(cause), "task" => %task, "run" => run.0,
+            info!(log, "run lost"; "token" => %token, Cause(cause), "task" => %task, "run" => run.0,
                 "worker" => %worker, "reason" => cause.name());
         }
         CellEvent::Adopted { task, run, worker } => {
-            info!(log, "run adopted"; "task" => %task, "run" => run.0, "worker" => %worker);
+            info!(log, "run adopted"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
         CellEvent::Unwanted { task, run, worker, belief } => {
-            info!(log, "run not wanted"; Belief(belief), "task" => %task, "run" => run.0,
+            info!(log, "run not wanted"; "token" => %token, Belief(belief), "task" => %task, "run" => run.0,
                 "worker" => %worker);
         }
         CellEvent::Asked { step, named, helper } => {
@@ -104,28 +104,28 @@
             info!(log, "worker"; "worker" => %worker, "change" => change, "address" => %address);
         }
         CellEvent::WorkerHeard { worker, inherited, running, ended, clock, lease_until, after } => {
-            info!(log, "worker heard"; "worker" => %worker, "inherited" => inherited,
+            info!(log, "worker heard"; "token" => %token, "worker" => %worker, "inherited" => inherited,
                 "running" => running, "ended" => ended, "clock" => clock.0,
                 "lease_until" => lease_until.0, "after_ms" => after.0);
         }
         CellEvent::WorkerEnded { worker, address, call, runs, silent } => {
-            info!(log, "worker ended"; "worker" => %worker, "address" => %address,
+            info!(log, "worker ended"; "token" => %token, "worker" => %worker, "address" => %address,
                 "call" => call.name(), "runs" => runs, "silent_ms" => silent.map(|silent| silent.0));
         }
         CellEvent::FencedByWorker { worker, call } => {
-            info!(log, "fenced by a worker"; "worker" => %worker, "call" => call.name());
+            info!(log, "fenced by a worker"; "token" => %token, "worker" => %worker, "call" => call.name());
         }
-        CellEvent::TakeOverSettled(settled) => write_settled(log, settled),
+        CellEvent::TakeOverSettled(settled) => write_settled(log, token, settled),
         CellEvent::EarlierJobLate { job, settled, after } => {
-            info!(log, "job of an earlier lead known late"; "job" => %job, "settled" => settled,
+            info!(log, "job of an earlier lead known late"; "token" => %token, "job" => %job, "settled" => settled,
                 "after_ms" => after.0);
         }
     }
 }
 
-fn write_settled(log: &Logger, settled: &TakeOverSettled) {
+fn write_settled(log: &Logger, token: FencingToken, settled: &TakeOverSettled) {
     let names: Vec<String> = settled.unheard_some.iter().map(WorkerLife::to_string).collect();
-    info!(log, "take-over settled"; "by" => settled.by.name(), "after_ms" => settled.after.0,
+    info!(log, "take-over settled"; "token" => %token, "by" => settled.by.name(), "after_ms" => settled.after.0,
         "heard" => settled.heard, "ended" => settled.ended, "unheard" => settled.unheard,
         "unheard_some" => names.join(" "), "jobs" => settled.jobs);
 }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -337,7 +337,7 @@
         }
         let events = session.scheduler.borrow_mut().take_events();
         for event in &events {
-            events::note(&host.log, event);
+            events::note(&host.log, session.token, event);
         }
         tokio::time::sleep(TURN_PAUSE.max(begun.elapsed() * TURN_REST)).await;
     }
--- a/crates/sedgehilld/src/cell/sight.rs
+++ b/crates/sedgehilld/src/cell/sight.rs
@@ -116,7 +116,8 @@
         if let Some(record) = &self.record {
             serializer.emit_arguments("follows_token", &format_args!("{}", record.token))?;
             serializer.emit_str("follows_holder", &record.holder.0)?;
-            serializer.emit_u64("follows_life", record.life)?;
+            // As a text: it is beyond what many readers of JSON keep of a number.
+            serializer.emit_arguments("follows_life", &format_args!("{}", record.life))?;
             serializer.emit_bool("follows_resigned", record.resigned)?;
             serializer.emit_bool("reachable", self.sign.reachable)?;
             serializer.emit_bool("gone", self.sign.gone)?;
@@ -147,7 +148,7 @@
         "waits_for_term" => known.waits_for_term,
         "settled_within_ms" => known.settled_by.since(now).0,
         "jobs" => known.jobs, "earlier_jobs" => known.earlier_jobs,
-        "roster" => replica.roster().0.len(),
+        "roster" => replica.roster().0.len(), "roster_mark" => %replica.roster().mark(),
         "roster_from" => roster_sign.and_then(|sign| sign.from),
         "roster_age_ms" => roster_sign.map(|sign| now.since(sign.read).0),
         "progress_fence" => fence,
