cell: a lead does not start what its successor marked

Cause: a lead that was replaced and had not read so yet went on reading what is recorded of jobs. A record that tasks of a job may run is meant for the lead that made it and for later ones, but the earlier lead took it as its own. With nothing left to wait for, it started the tasks at once, on workers that had not heard of its successor, beside the successor's own starts.

Ruled out: to end the lead at such a record. The lead's own records are read back as well when an answer is late, so a record alone does not tell whose it is.

Change: once a lead has taken in what earlier leads recorded, a mark on a job that it did not make itself is a later lead's. It keeps such a job and starts nothing of it.

--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -179,12 +179,11 @@
     },
     /// What earlier leads did is settled.
     TakeOverSettled(TakeOverSettled),
-    /// A job that an earlier lead may have begun became known only after this lead had caught up.
-    EarlierJobLate {
+    /// A job became known, after this lead had caught up, whose tasks another lead may start. Nothing of it is
+    /// started unless this lead's own record turns out to be the mark.
+    MarkedLate {
         /// The job.
         job: JobId,
-        /// Whether its tasks may start at once, since the take-over is settled.
-        settled: bool,
         /// Since the store refuses earlier leads.
         after: TimeSpan,
     },
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -57,12 +57,12 @@
     predecessor: bool,
     /// The store refuses earlier leads.
     fenced: bool,
+    /// All that earlier leads recorded was taken in.
+    caught_up: bool,
     /// Every worker has answered, or what it runs has surely ended.
     settled: bool,
     /// What settled it.
     settled_by: Option<EarlierSettled>,
-    /// The workers of the inherited roster are known.
-    roster_taken: bool,
 }
 
 /// The lead's state.
@@ -115,9 +115,9 @@
                 since: now,
                 predecessor,
                 fenced: false,
+                caught_up: false,
                 settled: false,
                 settled_by: None,
-                roster_taken: false,
             },
             surveyed: false,
             orders: Vec::new(),
@@ -198,9 +198,16 @@
         if kept.state.is_final() || self.jobs.contains_key(&id) {
             return;
         }
-        self.note_late_job(id, kept, now);
         let accepted = Moment(now.0.saturating_sub(age.as_millis()));
-        let job = JobWork::new(id, record, accepted, kept, self.token);
+        let mut job = JobWork::new(id, record, accepted, kept, self.token);
+        if self.take_over.caught_up && kept.ordered {
+            // No earlier lead can have marked it any more. It was marked by this lead, which is about to be told
+            // so, or by a later one.
+            job.later_mark = true;
+            job.foreign_orders = false;
+            job.begun_earlier = false;
+            self.note_marked_late(id, now);
+        }
         let needs_mark = job.ordered == OrderedMark::Missing;
         self.jobs.insert(id, job);
         self.note_owner(id, now);
@@ -224,6 +231,7 @@
             .entry(id)
             .or_insert_with(|| JobWork::new(id, record, now, &JobProgress::default(), self.token));
         job.ordered = OrderedMark::Recorded;
+        job.later_mark = false;
         self.note_owner(id, now);
     }
 
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -85,7 +85,9 @@
         for job in self.jobs.values() {
             // A task of a job that an earlier lead marked as ordered may run unseen. It cannot have
             // begun one of another job: since this lead fenced the store, no mark of it is kept.
-            let may_start = settled || !job.foreign_orders;
+            // A job that a later lead marked is that lead's alone: this one has not read yet that it was replaced,
+            // and would start tasks beside its successor's on workers that have not heard of that.
+            let may_start = (settled || !job.foreign_orders) && !job.later_mark;
             if job.is_over() || !may_start {
                 continue;
             }
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -50,7 +50,6 @@
             self.workers[key.0].rostered = true;
             self.workers[key.0].inherited = true;
         }
-        self.take_over.roster_taken = true;
         self.unwatched()
     }
 
--- a/crates/sedgehill-cell/src/scheduler/sight.rs
+++ b/crates/sedgehill-cell/src/scheduler/sight.rs
@@ -60,13 +60,10 @@
         Some(self.take_over.settled_by.unwrap_or(EarlierSettled::Nothing))
     }
 
-    /// A job became known after this lead had caught up.
-    pub(super) fn note_late_job(&mut self, id: JobId, kept: &JobProgress, now: Moment) {
-        if self.take_over.roster_taken && kept.ordered {
-            let after = now.since(self.take_over.since);
-            let settled = self.take_over.settled;
-            self.events.push(CellEvent::EarlierJobLate { job: id, settled, after });
-        }
+    /// A job with a mark became known after this lead had caught up.
+    pub(super) fn note_marked_late(&mut self, id: JobId, now: Moment) {
+        let after = now.since(self.take_over.since);
+        self.events.push(CellEvent::MarkedLate { job: id, after });
     }
 
     /// A worker answered, maybe for the first time or after a silence.
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -16,6 +16,12 @@
         self.take_over.fenced = true;
     }
 
+    /// All jobs that earlier leads recorded were taken in. A job that comes later with the mark that its tasks may
+    /// run was marked by a later lead, unless this one recorded it.
+    pub fn note_caught_up(&mut self) {
+        self.take_over.caught_up = true;
+    }
+
     /// Whether no earlier lead can give orders any more.
     pub fn is_sole(&self, now: Moment) -> bool {
         !self.take_over.predecessor || (self.take_over.fenced && now >= self.earlier_orders_end())
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -84,6 +84,8 @@
     pub foreign_orders: bool,
     /// The same, whether or not that is settled by now.
     pub begun_earlier: bool,
+    /// A later lead may start tasks of it.
+    pub later_mark: bool,
     /// All tasks, step after step.
     pub tasks: Vec<TaskWork>,
     /// All steps of all repetitions.
@@ -141,6 +143,7 @@
             ordered,
             foreign_orders: kept.ordered,
             begun_earlier: kept.ordered,
+            later_mark: false,
             tasks,
             steps,
         }
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -183,6 +183,7 @@
                 scheduler.cancel_job(*id, self.now);
             }
         }
+        scheduler.note_caught_up();
         let roster = self.roster.clone();
         self.watched = scheduler.add_roster(&roster, self.now);
         self.list(&mut scheduler);
--- a/crates/sedgehill-cell/tests/testsuite/sight.rs
+++ b/crates/sedgehill-cell/tests/testsuite/sight.rs
@@ -138,13 +138,18 @@
 }
 
 #[test]
-fn a_job_of_an_earlier_lead_that_is_known_late_is_told() {
+fn a_job_with_the_mark_of_another_lead_is_told_and_not_started() {
     let (mut cell, _) = begun(2);
     let (record, kept) = cell.store.remove(&JobId(1)).unwrap();
     let mut next = cell.lead(true);
+    cell.store.insert(JobId(1), (record.clone(), kept.clone()));
     next.add_job(JobId(1), record, &kept, TimeSpan(0), cell.now);
-    let late = CellEvent::EarlierJobLate { job: JobId(1), settled: false, after: TimeSpan(0) };
+    let late = CellEvent::MarkedLate { job: JobId(1), after: TimeSpan(0) };
     assert!(next.take_events().contains(&late));
+    cell.workers.iter_mut().for_each(|worker| worker.expire_for_test());
+    cell.turns(&mut next, 20);
+    assert!(next.is_settled());
+    assert_eq!(earlier_of_start(&next.take_events()), None);
 }
 
 #[test]
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -53,7 +53,7 @@
         CellEvent::WorkerEnded { .. } => telemetry::count_cell_event("worker", "ended"),
         CellEvent::FencedByWorker { .. } => telemetry::count_cell_event("fenced_by_worker", ""),
         CellEvent::TakeOverSettled(settled) => telemetry::count_settled(settled.by.name()),
-        CellEvent::EarlierJobLate { .. } => telemetry::count_cell_event("earlier_job_late", ""),
+        CellEvent::MarkedLate { .. } => telemetry::count_cell_event("marked_late", ""),
     }
 }
 
@@ -116,9 +116,8 @@
             info!(log, "fenced by a worker"; "token" => %token, "worker" => %worker, "call" => call.name());
         }
         CellEvent::TakeOverSettled(settled) => write_settled(log, token, settled),
-        CellEvent::EarlierJobLate { job, settled, after } => {
-            info!(log, "job of an earlier lead known late"; "token" => %token, "job" => %job, "settled" => settled,
-                "after_ms" => after.0);
+        CellEvent::MarkedLate { job, after } => {
+            info!(log, "job marked by another lead"; "token" => %token, "job" => %job, "after_ms" => after.0);
         }
     }
 }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -297,6 +297,7 @@
     for id in known {
         session.add_job(host, id);
     }
+    session.scheduler.borrow_mut().note_caught_up();
     sight::note_taking_over(host, &session, followed, recorder.fence);
     *host.session.borrow_mut() = Some(session.clone());
     let end = tokio::select! {
