cell, authority: an answer that comes after a later claim was read gives no authority

Cause: whatever had been read meanwhile, a record of its own that was kept made a box take it as the newest. When the answer to a renewal came after the claim of a successor, the earlier lead ordered on, beside its successor. Its next claim took the token after its own record, which the successor held: neither the store nor the workers could then tell the two apart.

Ruled out: that the next read sets it right. A renewal appended in between is kept, and extends the authority once more.

Change: such an answer is noted for where the topic ends, and for nothing else; the box says so.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -221,21 +221,29 @@
         self.heard = now;
     }
 
-    /// Notes that an own record, sent at `sent`, stands in the store as the last one before `end`.
+    /// Notes that an own record, sent at `sent`, stands in the store as the last one before `end`. Returns whether
+    /// it is still the newest.
+    ///
+    /// The answer may be heard after a later claim was read. Taken for the newest then, the record would have this
+    /// box order beside its successor, and claim with the successor's own token.
     pub fn note_own(
         &mut self,
         record: LeadRecord,
         sent: Moment,
         end: u64,
         timing: &AuthorityTiming,
-    ) {
-        self.own_end = end;
+    ) -> bool {
+        self.own_end = self.own_end.max(end);
+        if self.newest.as_ref().is_some_and(|newest| newest.token > record.token) {
+            return false;
+        }
         if self.is_gone(sent) {
             self.followed_gone = Some(sent);
         }
         self.heard = sent;
         self.authority_until = (!record.resigned).then(|| sent.after(timing.term));
         self.newest = Some(record);
+        true
     }
 
     /// Notes that the store kept something under this box's token, sent at `sent`, which it does only as
--- a/crates/sedgehill-cell/tests/testsuite/authority.rs
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -211,3 +211,23 @@
     assert!(weak.is_outdone());
     assert!(!alike.is_outdone());
 }
+
+/// A lead's renewal was kept, and the answer came late: after the lead had read the claim of its successor. It took
+/// its own record for the newest again, so it ordered on, and claimed with the token that its successor held. The
+/// store and the workers could not tell the two apart any more.
+#[test]
+fn an_answer_that_comes_after_a_later_claim_was_read_gives_no_authority() {
+    let timing = AuthorityTiming::default();
+    let mut own = watch("a", 1);
+    let claim = own.next_claim("127.0.0.1:1");
+    assert!(own.note_own(claim.clone(), START, 1, &timing));
+    let mut successor = watch("b", 2);
+    successor.note_record(claim.clone(), START);
+    let later = successor.next_claim("127.0.0.1:2");
+    own.note_record(later.clone(), at(1_500));
+    assert!(!own.note_own(claim, at(400), 2, &timing));
+    assert_eq!(own.authority(at(1_500)), None);
+    assert!(!own.is_holder());
+    assert!(own.next_claim("127.0.0.1:1").token > later.token);
+    assert_eq!(own.own_end(), 2);
+}
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -210,7 +210,7 @@
     Some(read.max(host.watch.borrow().own_end()))
 }
 
-/// Appends a lead record if the topic still ends at `end`. Returns whether it stands.
+/// Appends a lead record if the topic still ends at `end`. Returns whether it stands as the newest.
 pub async fn append_lead(
     host: &CellBox,
     session: Option<&LeadSession>,
@@ -228,8 +228,13 @@
     match result {
         Ok(AppendOutcome::Kept { end }) => {
             let timing = &host.settings.authority;
-            host.watch.borrow_mut().note_own(record, sent, end, timing);
-            true
+            let token = record.token;
+            let stands = host.watch.borrow_mut().note_own(record, sent, end, timing);
+            if !stands {
+                info!(host.log, "lead record overtaken"; "token" => %token,
+                    "age_ms" => clock::now().since(sent).0);
+            }
+            stands
         }
         Ok(outcome) => {
             info!(host.log, "lead record not kept";
