cell, tests: a lead that follows a claim of its own box waits for the lead before it

Cause: what a new lead waits for counts the term of an earlier lead only if the newest record is another box's. If it is an earlier claim of the same box, the lead before that may still have authority: it renews the leases of what it runs for up to a term after the new lead has fenced, and the new lead starts these tasks elsewhere a term too early.

Ruled out: a fault of the fakes.

Change: a directed test with two real watches and two schedulers, of which the earlier one goes on beside its successor.

--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod fake;
 mod led;
 mod organisations;
+mod overlapping;
 mod patience;
 mod random;
 mod replica;
