cell, tests: random courses of leads that overlap; an earlier lead starts what its successor marked

Cause, found by the courses: a lead that has been replaced and has not read so yet goes on reading the topic of progress. There it finds jobs that its successor accepted or marked as ordered. A mark is meant for the lead that made it and for later ones, but the earlier lead takes it as its own: being settled, it starts the tasks at once, on a worker that its successor has not reached. Nothing slow, lost or late is needed at the workers; it is enough that the topic of leads is read later than that of progress.

Ruled out: that this is the term of an earlier lead.

Change: three boxes with the real watch, replica and scheduler, over one store model and workers with tokens, clocks, leases and ends; paths are cut or slow by pair and way, orders arrive late and out of order, boxes freeze, die and resign, workers die and come back.

--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod fake;
 mod led;
 mod organisations;
+mod overlap;
 mod overlapping;
 mod patience;
 mod random;
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/answers.rs
@@ -0,0 +1,208 @@
+//! What a box makes of the answers to its calls, and of silence.
+
+use sedgehill_cell::authority::{AuthorityTiming, LeadRecord};
+use sedgehill_cell::ids::FencingToken;
+use sedgehill_cell::replica::{CellRecord, ReplicaChange};
+use sedgehill_cell::scheduler::{WorkerAnswer, WorkerRoster};
+use sedgehill_core::units::Moment;
+
+use super::host::{Call, Host, Purpose, READ_EVERY, RENEW_RETRY, Reply, Waiting};
+use super::session::Session;
+use super::store::{LEADS, PROGRESS, Row, StoreReply};
+use super::worker::WorkerReply;
+
+impl Host {
+    /// Takes in what came of a call; none if nothing came in time.
+    pub(super) fn take(
+        &mut self,
+        waiting: Waiting,
+        reply: Option<Reply>,
+        out: &mut Vec<(Purpose, Call)>,
+        now: Moment,
+    ) {
+        let sent = waiting.sent;
+        let (store, worker) = match reply {
+            Some(Reply::Store(reply)) => (Some(reply), None),
+            Some(Reply::Worker(reply)) => (None, Some(reply)),
+            None => (None, None),
+        };
+        match waiting.purpose {
+            Purpose::Read(topic) => self.take_read(topic, store, sent, now),
+            Purpose::Claim(record, predecessor) => {
+                self.busy = false;
+                if self.take_own(&record, &store, sent) {
+                    let renew_at = now.after(AuthorityTiming::default().renew);
+                    self.session = Some(Session::new(record.token, predecessor, renew_at, now));
+                }
+            }
+            Purpose::Resign(record) => {
+                self.busy = false;
+                self.take_own(&record, &store, sent);
+            }
+            Purpose::Renew(record) => self.take_renewal(&record, store, sent, now),
+            Purpose::Record(token) => self.take_recorded(token, store, out, now),
+            Purpose::List(token) => {
+                let Some(session) = self.session_of(token) else { return };
+                let entries = match store {
+                    Some(StoreReply::Workers(entries)) => Some(entries),
+                    _ => None,
+                };
+                session.take_list(entries, now);
+            }
+            purpose => self.take_worker_answer(purpose, worker, sent, out, now),
+        }
+    }
+
+    fn session_of(&mut self, token: FencingToken) -> Option<&mut Session> {
+        self.session.as_mut().filter(|session| session.token == token)
+    }
+
+    /// Notes an own record if it stands.
+    fn take_own(&mut self, record: &LeadRecord, reply: &Option<StoreReply>, sent: Moment) -> bool {
+        let timing = AuthorityTiming::default();
+        match reply {
+            Some(StoreReply::Kept { end }) => {
+                self.watch.note_own(record.clone(), sent, *end, &timing);
+                true
+            }
+            Some(_) => {
+                // Who leads is in doubt, and read at once.
+                self.views[LEADS].read_at = Moment(0);
+                false
+            }
+            None => false,
+        }
+    }
+
+    fn take_renewal(
+        &mut self,
+        record: &LeadRecord,
+        reply: Option<StoreReply>,
+        sent: Moment,
+        now: Moment,
+    ) {
+        if self.session_of(record.token).is_none() {
+            return;
+        }
+        let pause = match self.take_own(record, &reply, sent) {
+            true => AuthorityTiming::default().renew,
+            false => RENEW_RETRY,
+        };
+        let Some(session) = self.session_of(record.token) else { return };
+        session.renewing = false;
+        session.renew_at = now.after(pause);
+        if reply.is_some() {
+            session.store_answered(now);
+        }
+    }
+
+    fn take_recorded(
+        &mut self,
+        token: FencingToken,
+        reply: Option<StoreReply>,
+        out: &mut Vec<(Purpose, Call)>,
+        now: Moment,
+    ) {
+        let Some(session) = self.session.as_mut().filter(|session| session.token == token) else {
+            return;
+        };
+        let end = match reply {
+            Some(StoreReply::Kept { end }) => end,
+            Some(_) => return self.give_up(out),
+            None => return session.not_answered(now),
+        };
+        let Some(batch) = session.kept(end, &mut self.watch, now) else { return };
+        session.recorded(&batch, &self.replica, now);
+        let from = end - batch.rows.len() as u64;
+        if self.views[PROGRESS].offset == Some(from) {
+            self.apply(PROGRESS, &batch.rows, now);
+            self.views[PROGRESS].offset = Some(end);
+        }
+        if let Some(session) = self.session_of(token) {
+            session.batch_recorded(&batch);
+        }
+    }
+
+    fn take_worker_answer(
+        &mut self,
+        purpose: Purpose,
+        reply: Option<WorkerReply>,
+        sent: Moment,
+        out: &mut Vec<(Purpose, Call)>,
+        now: Moment,
+    ) {
+        let may_order = self.may_order(now);
+        let (account, order) = match reply {
+            Some(WorkerReply::Account(answer)) => (answer, WorkerAnswer::Unknown),
+            Some(WorkerReply::Order(answer)) => (WorkerAnswer::Unknown, answer),
+            None => (WorkerAnswer::Unknown, WorkerAnswer::Unknown),
+        };
+        match purpose {
+            Purpose::Hold(token, key) => {
+                let Some(session) = self.session_of(token) else { return };
+                session.take_account(key, account, false, sent, now);
+            }
+            Purpose::LateHold(token, key) => {
+                let Some(session) = self.session_of(token) else { return };
+                session.take_account(key, account, true, sent, now);
+            }
+            Purpose::Start(token, start, again) => {
+                let Some(session) = self.session_of(token) else { return };
+                session.take_start(start, again, order, may_order, out, now);
+            }
+            Purpose::Stop(token, stop) => {
+                let Some(session) = self.session_of(token) else { return };
+                session.scheduler.stop_answered(&stop, order, now);
+            }
+            _ => unreachable!("all others are taken before"),
+        }
+    }
+
+    fn take_read(&mut self, topic: usize, reply: Option<StoreReply>, sent: Moment, now: Moment) {
+        let view = &mut self.views[topic];
+        view.reading = false;
+        view.read_at = now.after(READ_EVERY);
+        match reply {
+            Some(StoreReply::Gone) => view.offset = None,
+            Some(StoreReply::Rows { rows, end }) => {
+                // Meanwhile the box may have written some of them by itself.
+                let from = end - rows.len() as u64;
+                let new = match view.offset {
+                    Some(known) => rows.get((known.saturating_sub(from)) as usize..),
+                    None => Some(&rows[..]),
+                };
+                let new = new.unwrap_or_default().to_vec();
+                view.offset = view.offset.max(Some(end));
+                view.complete = view.complete.max(Some(sent));
+                self.apply(topic, &new, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn apply(&mut self, topic: usize, rows: &[Row], now: Moment) {
+        for row in rows {
+            match row.key.as_str() {
+                _ if topic == LEADS => {
+                    let record = LeadRecord::decode(&row.value).unwrap();
+                    self.watch.note_record(record, now);
+                }
+                WorkerRoster::KEY => {
+                    self.replica.apply_roster(WorkerRoster::decode(&row.value).unwrap());
+                }
+                key => self.apply_statement(key, &row.value, now),
+            }
+        }
+    }
+
+    fn apply_statement(&mut self, key: &str, value: &[u8], now: Moment) {
+        let (id, record) = CellRecord::decode(key, value).unwrap();
+        let change = self.replica.apply(id, record, now);
+        if let ReplicaChange::Accepted(id) = change
+            && let Some(session) = &mut self.session
+            && self.replica.job(id).is_some()
+        {
+            session.add_new_job(&self.replica, id, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
@@ -0,0 +1,166 @@
+//! Random courses.
+
+use proptest::prelude::*;
+use sedgehill_cell::scheduler::RunEnd;
+use sedgehill_core::units::TimeSpan;
+
+use super::{Path, Way, World};
+use crate::fake::{job, step};
+
+pub const HOSTS: usize = 3;
+pub const WORKERS: usize = 3;
+const CORES: u64 = 4;
+
+/// Something that happens. Boxes are counted from the newest lead, workers from those that run something.
+#[derive(Debug, Clone)]
+pub enum Event {
+    Submit {
+        host: usize,
+        count: u16,
+        need: u64,
+    },
+    End {
+        pick: usize,
+        end: RunEnd,
+    },
+    /// The path between a box and a worker.
+    WorkerPath {
+        host: usize,
+        worker: usize,
+        path: Path,
+    },
+    /// The path of a box to the topic of leads, to the rest of the store, or to both.
+    StorePath {
+        host: usize,
+        leads: Option<Path>,
+        rest: Option<Path>,
+    },
+    Freeze {
+        host: usize,
+        span: u64,
+    },
+    Kill {
+        host: usize,
+        span: u64,
+    },
+    Resign(usize),
+    /// A box takes the lead as gone.
+    Gone(usize),
+    /// A worker ends; its entry is listed for a time, and a new life comes.
+    WorkerDies {
+        worker: usize,
+        listed: u64,
+        back: u64,
+    },
+    Unlist {
+        worker: usize,
+        unlisted: bool,
+    },
+    /// The store removes its history.
+    Forget,
+    /// All paths are whole.
+    Heal,
+    /// Time goes on in small steps.
+    Run(u64),
+    /// Many seconds in larger steps.
+    Quiet(u64),
+}
+
+fn way() -> impl Strategy<Value = Way> {
+    prop_oneof![
+        3 => Just(Way::Open),
+        2 => Just(Way::Lost),
+        1 => (100u64..9_000).prop_map(|by| Way::Late(TimeSpan(by))),
+    ]
+}
+
+fn path() -> impl Strategy<Value = Path> {
+    prop_oneof![
+        2 => Just(Path::default()),
+        3 => Just(Path { there: Way::Lost, back: Way::Lost }),
+        3 => (way(), way()).prop_map(|(there, back)| Path { there, back }),
+    ]
+}
+
+fn end() -> impl Strategy<Value = RunEnd> {
+    prop_oneof![4 => Just(RunEnd::Done), 1 => Just(RunEnd::Failed)]
+}
+
+fn fault() -> impl Strategy<Value = Event> {
+    let (host, worker) = (0..HOSTS, 0..WORKERS);
+    prop_oneof![
+        6 => (host.clone(), worker.clone(), path())
+            .prop_map(|(host, worker, path)| Event::WorkerPath { host, worker, path }),
+        6 => (host.clone(), prop::option::weighted(0.7, path()), prop::option::weighted(0.6, path()))
+            .prop_map(|(host, leads, rest)| Event::StorePath { host, leads, rest }),
+        2 => (host.clone(), 100u64..5_000).prop_map(|(host, span)| Event::Freeze { host, span }),
+        3 => (host.clone(), 0u64..1_500).prop_map(|(host, span)| Event::Kill { host, span }),
+        2 => host.clone().prop_map(Event::Resign),
+        2 => host.prop_map(Event::Gone),
+        1 => (worker.clone(), 0u64..4_000, 0u64..3_000)
+            .prop_map(|(worker, listed, back)| Event::WorkerDies { worker, listed, back }),
+        1 => (worker, any::<bool>())
+            .prop_map(|(worker, unlisted)| Event::Unlist { worker, unlisted }),
+        1 => Just(Event::Forget),
+        1 => Just(Event::Heal),
+    ]
+}
+
+/// A course with some jobs at work from its beginning.
+pub fn events() -> impl Strategy<Value = Event> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        2 => (host, 1u16..4, 1u64..4)
+            .prop_map(|(host, count, need)| Event::Submit { host, count, need }),
+        2 => (0usize..16, end()).prop_map(|(pick, end)| Event::End { pick, end }),
+        9 => fault(),
+        8 => (20u64..1_500).prop_map(Event::Run),
+        2 => (1_500u64..8_000).prop_map(Event::Run),
+        1 => (10_000u64..150_000).prop_map(Event::Quiet),
+    ]
+}
+
+/// Lets an event happen.
+pub fn take(world: &mut World, event: Event) {
+    match event {
+        Event::Submit { host, count, need } => {
+            world.submit(world.host(host), job(vec![step(count, need)]));
+        }
+        Event::End { pick, end } => world.end_some(pick, end),
+        Event::WorkerPath { host, worker, path } => {
+            let (host, worker) = (world.host(host), world.worker(worker));
+            world.paths[host].workers[worker] = path;
+        }
+        Event::StorePath { host, leads, rest } => {
+            let host = world.host(host);
+            let paths = &mut world.paths[host];
+            paths.leads = leads.unwrap_or(paths.leads);
+            paths.store = rest.unwrap_or(paths.store);
+        }
+        Event::Freeze { host, span } => world.freeze(world.host(host), TimeSpan(span)),
+        Event::Kill { host, span } => world.kill(world.host(host), TimeSpan(span)),
+        Event::Resign(host) => world.resign(world.host(host)),
+        Event::Gone(host) => world.take_as_gone(world.host(host)),
+        Event::WorkerDies { worker, listed, back } => {
+            let at = |span| world.now.after(TimeSpan(span));
+            let (listed, back, worker) = (at(listed), at(back), world.worker(worker));
+            world.workers[worker].die(listed, back);
+        }
+        Event::Unlist { worker, unlisted } => {
+            let worker = world.worker(worker);
+            world.workers[worker].unlisted = unlisted;
+        }
+        Event::Forget => world.forget_history(),
+        Event::Heal => world.heal(),
+        Event::Run(span) => world.run(TimeSpan(span), TimeSpan(20)),
+        Event::Quiet(span) => world.run(TimeSpan(span), TimeSpan(100)),
+    }
+}
+
+/// A world before a course: a lead, and some tasks at work.
+pub fn begin(slow: &[bool]) -> World {
+    let slow: Vec<u64> = slow.iter().map(|slow| if *slow { 20 } else { 0 }).collect();
+    let mut world = World::new(HOSTS, &slow, CORES);
+    world.run(TimeSpan(1_000), TimeSpan(20));
+    world
+}
--- a/crates/sedgehill-cell/tests/testsuite/overlapping.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlapping.rs
@@ -1,17 +1,17 @@
 //! Leads that overlap: an earlier one goes on giving orders beside its successors for as long as its
 //! authority lasts.
 
+use proptest::prelude::*;
 use sedgehill_cell::authority::{AuthorityTiming, BoxStrength, LeadRecord, LeadWatch};
-use sedgehill_cell::ids::{BoxName, FencingToken};
+use sedgehill_cell::ids::{FencingToken, JobId};
+use sedgehill_cell::progress::JobProgress;
+use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::{Scheduler, WorkerKey};
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use crate::fake::{FakeCell, job, step, task};
-
-/// What a box tells the scheduler when it takes over: whether an earlier lead may still give orders.
-fn has_living_predecessor(watch: &LeadWatch, name: &BoxName) -> bool {
-    watch.newest().is_some_and(|newest| !newest.resigned && newest.holder != *name)
-}
+use crate::overlap::course::{WORKERS, begin, events, take};
+use crate::overlap::has_living_predecessor;
 
 fn watch(name: &str, life: u64, now: Moment) -> LeadWatch {
     LeadWatch::new(name.into(), life, BoxStrength(1_000), now)
@@ -77,3 +77,89 @@
     }
     assert_eq!(cell.starts.len(), 2, "the task runs elsewhere in the end");
 }
+
+/// Two workers; a lead that has been replaced and goes on, and its successor, which has begun a task on
+/// one of the workers that the earlier one does not reach. The earlier one reads what the store holds of
+/// the job, as `statements` has it.
+fn an_earlier_lead_reads(statements: &[CellRecord]) {
+    let mut cell = FakeCell::new(2, 4);
+    let mut earlier = cell.lead(false);
+    cell.turns(&mut earlier, 3);
+    let mut next = cell.lead(true);
+    cell.workers[0].cut = true;
+    cell.submit_led(&mut next, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut next, 3);
+    assert_eq!(cell.place(task(1, 0, 0)), Some(1));
+
+    let mut replica = CellReplica::default();
+    for statement in statements {
+        replica.apply(JobId(1), statement.clone(), cell.now);
+    }
+    let known = replica.job(JobId(1)).unwrap();
+    let record = known.record.clone().unwrap();
+    earlier.add_job(JobId(1), record, &known.kept(), TimeSpan(0), cell.now);
+    cell.token = FencingToken(1);
+    (cell.workers[0].cut, cell.workers[1].cut) = (false, true);
+    for _ in 0..20 {
+        cell.turn_unrecorded(&mut earlier);
+    }
+    assert_eq!(cell.starts.len(), 1, "the successor has begun it, and may go on");
+}
+
+// A lead has been replaced and does not know it yet: the topic of leads cannot be read, or is read late. It
+// goes on reading what is recorded of jobs, and finds one that its successor accepted. The record says to
+// whoever reads it that tasks of the job may be started, which was meant for the successor and later
+// leads. The earlier lead has nothing to wait for any more, so it starts the task too, on a worker that
+// has not heard of its successor.
+#[test]
+fn a_lead_does_not_start_a_job_that_its_successor_accepted() {
+    an_earlier_lead_reads(&[CellRecord::Led(job(vec![step(1, 1)]))]);
+}
+
+// The same with a job that some box put into the store by itself: the successor has marked it, and the
+// earlier lead reads the mark before it reads the job.
+#[test]
+fn a_lead_does_not_start_a_job_that_its_successor_marked() {
+    let marked = JobProgress { ordered: true, ..JobProgress::default() };
+    let accepted = CellRecord::Job(job(vec![step(1, 1)]));
+    an_earlier_lead_reads(&[CellRecord::Progress(marked), accepted]);
+}
+
+/// As many courses as fit into a few seconds, or as many as are asked for.
+fn config() -> ProptestConfig {
+    let default = ProptestConfig::default();
+    match std::env::var_os("PROPTEST_CASES") {
+        Some(_) => default,
+        None => ProptestConfig { cases: 60, ..default },
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_course_of_overlapping_leads_breaks_a_rule_and_every_job_ends(
+        slow in prop::collection::vec(any::<bool>(), WORKERS),
+        course in prop::collection::vec(events(), 1..60),
+    ) {
+        let mut world = begin(&slow);
+        for event in course {
+            take(&mut world, event);
+        }
+        world.heal();
+        let open = world.settle(TimeSpan(90_000));
+        prop_assert!(open.is_empty(), "not over: {open:?}");
+    }
+}
+
+#[test]
+fn without_faults_jobs_run_and_the_lead_stays() {
+    let mut world = begin(&[false; WORKERS]);
+    for host in 0..2 {
+        world.submit(host, job(vec![step(2, 1)]));
+    }
+    world.run(TimeSpan(2_000), TimeSpan(20));
+    assert_eq!(world.starts.len(), 4);
+    assert_eq!(world.leads().len(), 1);
+    assert_eq!(world.settle(TimeSpan(3_000)), Vec::new());
+}
