cell, tests: more of leads that overlap: slow clocks, late answers to renewals, numbers of runs

Change: courses in which a worker is reached by the lead alone, perhaps late, the lead loses touch with the store, is followed, and something befalls its followers; boxes are counted from the newest lead.

--- a/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
@@ -106,8 +106,7 @@
     ]
 }
 
-/// A course with some jobs at work from its beginning.
-pub fn events() -> impl Strategy<Value = Event> {
+fn event() -> impl Strategy<Value = Event> {
     let host = 0..HOSTS;
     prop_oneof![
         2 => (host, 1u16..4, 1u64..4)
@@ -120,6 +119,69 @@
     ]
 }
 
+/// Paths by which a lead loses touch with the store and goes on giving orders.
+fn isolating() -> impl Strategy<Value = Path> {
+    let cut = Path { there: Way::Lost, back: Way::Lost };
+    prop_oneof![
+        3 => Just(cut),
+        1 => (100u64..1_500)
+            .prop_map(|by| Path { there: Way::Open, back: Way::Late(TimeSpan(by)) }),
+        1 => path(),
+    ]
+}
+
+/// What befalls a box that has just followed a lead.
+fn upset() -> impl Strategy<Value = Option<Event>> {
+    prop_oneof![
+        2 => Just(None),
+        2 => (0usize..2, 0u64..400).prop_map(|(host, span)| Some(Event::Kill { host, span })),
+        2 => Just(Some(Event::Resign(0))),
+        1 => (0..HOSTS, path())
+            .prop_map(|(host, path)| Some(Event::StorePath { host, leads: None, rest: Some(path) })),
+        1 => (0..HOSTS, 100u64..3_000).prop_map(|(host, span)| Some(Event::Freeze { host, span })),
+    ]
+}
+
+/// A worker that runs something is reached by the lead alone, perhaps late; the lead loses touch with the
+/// store and is followed, and something befalls its followers.
+fn take_over() -> impl Strategy<Value = Vec<Event>> {
+    let apart = prop::option::weighted(0.8, path());
+    let late = prop::option::of((100u64..4_000).prop_map(|by| Way::Late(TimeSpan(by))));
+    let rest = prop::option::weighted(0.7, isolating());
+    let spans = (20u64..1_400, 20u64..600, 2_000u64..9_500);
+    let followers = (0usize..3, upset());
+    (apart, late, isolating(), rest, spans, followers).prop_map(
+        |(apart, late, leads, rest, (before, between, after), (gone, upset))| {
+            let cut = Path { there: Way::Lost, back: Way::Lost };
+            let mut events = vec![Event::WorkerPath { host: 1, worker: 0, path: cut }];
+            events.extend(apart.map(|path| Event::WorkerPath { host: 2, worker: 0, path }));
+            let late = late.map(|there| Path { there, back: Way::Open });
+            events.push(Event::StorePath { host: 0, leads: Some(leads), rest });
+            events.push(Event::Run(before));
+            events.extend(late.map(|path| Event::WorkerPath { host: 0, worker: 0, path }));
+            events.extend((gone > 0).then_some(Event::Gone(gone)));
+            events.push(Event::Run(between));
+            events.extend(upset);
+            events.push(Event::Run(after));
+            events
+        },
+    )
+}
+
+/// A course: a job or two at work, often for long, and what happens then.
+pub fn course() -> impl Strategy<Value = Vec<Event>> {
+    let some = prop_oneof![6 => event().prop_map(|event| vec![event]), 1 => take_over()];
+    let begin = (1u16..4, 1u64..4, prop::option::of(10_000u64..180_000)).prop_map(
+        |(count, need, quiet)| {
+            let mut events = vec![Event::Submit { host: 0, count, need }, Event::Run(400)];
+            events.extend(quiet.map(Event::Quiet));
+            events
+        },
+    );
+    let rest = prop::collection::vec(some, 1..40);
+    (begin, rest).prop_map(|(begin, rest)| begin.into_iter().chain(rest.concat()).collect())
+}
+
 /// Lets an event happen.
 pub fn take(world: &mut World, event: Event) {
     match event {
@@ -157,7 +219,7 @@
     }
 }
 
-/// A world before a course: a lead, and some tasks at work.
+/// A world before a course: a lead, and workers some of whose clocks are slow.
 pub fn begin(slow: &[bool]) -> World {
     let slow: Vec<u64> = slow.iter().map(|slow| if *slow { 20 } else { 0 }).collect();
     let mut world = World::new(HOSTS, &slow, CORES);
--- a/crates/sedgehill-cell/tests/testsuite/overlapping.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlapping.rs
@@ -6,11 +6,14 @@
 use sedgehill_cell::ids::{FencingToken, JobId};
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::{CellRecord, CellReplica};
-use sedgehill_cell::scheduler::{Scheduler, WorkerKey};
+use sedgehill_cell::scheduler::{
+    CellOrder, CellTiming, HoldReport, Scheduler, WorkerAnswer, WorkerKey, WorkerRefusal,
+    WorkerTime,
+};
 use sedgehill_core::units::{Moment, TimeSpan};
 
-use crate::fake::{FakeCell, job, step, task};
-use crate::overlap::course::{WORKERS, begin, events, take};
+use crate::fake::{FakeCell, job, step, task, worker_entry};
+use crate::overlap::course::{WORKERS, begin, course, take};
 use crate::overlap::has_living_predecessor;
 
 fn watch(name: &str, life: u64, now: Moment) -> LeadWatch {
@@ -33,6 +36,58 @@
     lead.hold_answered(key, answer, cell.now, cell.now);
 }
 
+/// A lead whose claim stands, a task that runs on a worker which no other box reaches, and what the
+/// lead does while `next` leads beside it.
+struct FarTask {
+    cell: FakeCell,
+    first: LeadWatch,
+    earlier: Scheduler,
+    far: usize,
+    key: WorkerKey,
+}
+
+impl FarTask {
+    fn new() -> FarTask {
+        let mut cell = FakeCell::new(2, 4);
+        let mut first = watch("first", 1, cell.now);
+        let mut earlier = cell.lead(false);
+        cell.submit(&mut earlier, 1, job(vec![step(1, 1)]));
+        cell.turns(&mut earlier, 3);
+        let far = cell.place(task(1, 0, 0)).unwrap();
+        let key = [0, 1].map(WorkerKey).into_iter().find(|key| cell.number(&earlier, *key) == far);
+        claim(&mut first, cell.now, 1);
+        FarTask { cell, first, earlier, far, key: key.unwrap() }
+    }
+
+    /// A box that has read the claim of the first lead.
+    fn follower(&self, name: &str, life: u64) -> LeadWatch {
+        let mut follower = watch(name, life, self.cell.now);
+        follower.note_record(self.first.newest().unwrap().clone(), self.cell.now);
+        follower
+    }
+
+    /// A box leads beside the first one for as long as that may give orders, and on after that.
+    fn led_beside(mut self, follower: &mut LeadWatch, name: &str) {
+        let predecessor = has_living_predecessor(follower, &name.into());
+        let own = claim(follower, self.cell.now, 3).token;
+        self.cell.token = FencingToken(own.0 - 1);
+        self.cell.workers[self.far].cut = true;
+        let mut next = self.cell.lead(predecessor);
+        next.note_fenced(self.cell.now);
+        let end = self.cell.now.after(TimeSpan(10_000));
+        while self.cell.now < end {
+            if let Some(token) = self.first.authority(self.cell.now) {
+                self.cell.workers[self.far].cut = false;
+                renew_lease(&mut self.cell, &mut self.earlier, token, self.key);
+            }
+            self.cell.workers[self.far].cut = true;
+            self.cell.token = own;
+            self.cell.turn(&mut next);
+        }
+        assert_eq!(self.cell.starts.len(), 2, "the task runs elsewhere in the end");
+    }
+}
+
 // A lead is cut from the store while a task runs on a worker that no other box reaches. Another box
 // claims after a second, and its process is started again before it has done anything. The new process
 // finds a claim of its own box as the newest one and claims again. The first lead may still give
@@ -41,41 +96,30 @@
 #[test]
 fn a_box_that_follows_its_own_claim_waits_for_the_lead_before_that() {
     let timing = AuthorityTiming::default();
-    let mut cell = FakeCell::new(2, 4);
-    let mut first = watch("first", 1, cell.now);
-    let mut earlier = cell.lead(false);
-    cell.submit(&mut earlier, 1, job(vec![step(1, 1)]));
-    cell.turns(&mut earlier, 3);
-    let far = cell.place(task(1, 0, 0)).unwrap();
-    let key = [0, 1].map(WorkerKey).into_iter().find(|key| cell.number(&earlier, *key) == far);
-
-    let last_of_first = claim(&mut first, cell.now, 1);
-    let mut second = watch("second", 2, cell.now);
-    second.note_record(last_of_first, cell.now);
-    cell.now.0 += 1_000;
-    assert!(second.should_claim(cell.now, 0, &timing));
-    let unused = claim(&mut second, cell.now, 2);
-    let mut second = watch("second", 3, cell.now);
-    second.note_record(unused, cell.now);
-    assert!(second.should_claim(cell.now, 0, &timing));
-
-    let predecessor = has_living_predecessor(&second, &"second".into());
-    let own = claim(&mut second, cell.now, 3).token;
-    cell.token = FencingToken(own.0 - 1);
-    cell.workers[far].cut = true;
-    let mut next = cell.lead(predecessor);
-    next.note_fenced(cell.now);
-    let end = cell.now.after(TimeSpan(10_000));
-    while cell.now < end {
-        if let Some(token) = first.authority(cell.now) {
-            cell.workers[far].cut = false;
-            renew_lease(&mut cell, &mut earlier, token, key.unwrap());
-        }
-        cell.workers[far].cut = true;
-        cell.token = own;
-        cell.turn(&mut next);
-    }
-    assert_eq!(cell.starts.len(), 2, "the task runs elsewhere in the end");
+    let mut far = FarTask::new();
+    let mut second = far.follower("second", 2);
+    far.cell.now.0 += 1_000;
+    assert!(second.should_claim(far.cell.now, 0, &timing));
+    let unused = claim(&mut second, far.cell.now, 2);
+    let mut second = watch("second", 3, far.cell.now);
+    second.note_record(unused, far.cell.now);
+    assert!(second.should_claim(far.cell.now, 0, &timing));
+    far.led_beside(&mut second, "second");
+}
+
+// The same, but the box that followed resigned at once, since it was stopped, and a third one follows. That
+// the second lead gives no further orders says nothing about the first.
+#[test]
+fn a_box_that_follows_a_short_lead_waits_for_the_lead_before_that() {
+    let timing = AuthorityTiming::default();
+    let mut far = FarTask::new();
+    let mut second = far.follower("second", 2);
+    let mut third = far.follower("third", 3);
+    far.cell.now.0 += 1_000;
+    let short = claim(&mut second, far.cell.now, 2);
+    third.note_record(LeadRecord { resigned: true, ..short }, far.cell.now);
+    assert!(third.should_claim(far.cell.now, 0, &timing));
+    far.led_beside(&mut third, "third");
 }
 
 /// Two workers; a lead that has been replaced and goes on, and its successor, which has begun a task on
@@ -125,6 +169,77 @@
     an_earlier_lead_reads(&[CellRecord::Progress(marked), accepted]);
 }
 
+// A renewal is kept, but its answer comes only after a later claim was read. A box that then took its own
+// record for the newest one would claim with the token of the other box: workers and store would take
+// the orders and records of both.
+#[test]
+fn an_answer_that_comes_after_a_later_claim_does_not_undo_it() {
+    let timing = AuthorityTiming::default();
+    let start = Moment(50_000);
+    let mut own = watch("own", 1, start);
+    let record = claim(&mut own, start, 1);
+    let mut other = watch("other", 2, start);
+    other.note_record(record.clone(), start);
+    let later = other.next_claim("127.0.0.1:7001");
+    let (sent, heard) = (start.after(TimeSpan(400)), start.after(TimeSpan(900)));
+    own.note_record(later.clone(), heard);
+    own.note_own(record, sent, 2, &timing);
+    assert_eq!(own.newest(), Some(&later));
+    assert!(!own.is_holder());
+    assert_eq!(own.authority(heard), None);
+    assert_eq!(own.next_claim("127.0.0.1:7000").token, FencingToken(later.token.0 + 1));
+}
+
+// A worker's clock is 2 % slow, as far as is allowed. The lead asks it for accounts for minutes, and each
+// tells the clock. A lease that is reckoned from an old reading lies ahead of what was meant, further with
+// each minute; a renewal that arrives late then lasts longer than a later lead waits for.
+#[test]
+fn a_lease_on_a_slow_clock_is_not_longer_than_meant() {
+    let timing = CellTiming::default();
+    let start = Moment(50_000);
+    let mut lead = Scheduler::take_over(timing.clone(), FencingToken(1), false, start);
+    let key = lead.update_workers(vec![worker_entry(0, 4)], start)[0];
+    // The clock may have fallen behind by this much since the account before.
+    let since_account = TimeSpan(2);
+    for turn in 0..3_000 {
+        let (now, clock) = (start.after(TimeSpan(turn * 100)), WorkerTime(9_000 + turn * 98));
+        let order = lead.hold_order(key, true, now);
+        let most = clock.after(timing.lease).after(since_account);
+        assert!(order.lease_until.is_none_or(|until| until <= most), "after {turn} accounts");
+        let report = HoldReport { clock, ..HoldReport::default() };
+        lead.hold_answered(key, WorkerAnswer::Done(report), now, now);
+    }
+}
+
+// Workers that are not well refuse start after start, each of which has a run of its own. None of this is
+// recorded, and the next lead must not give the numbers to runs of its own: an end of the one would be taken
+// for the end of the other.
+#[test]
+fn a_lead_numbers_runs_above_all_that_were_refused_to_the_lead_before() {
+    let mut cell = FakeCell::new(1, 4);
+    let mut first = cell.lead(false);
+    cell.submit(&mut first, 1, job(vec![step(1, 1)]));
+    cell.record(&mut first);
+    let mut earlier = cell.lead(false);
+    cell.record(&mut earlier);
+    let mut highest = None;
+    for _ in 0..100 {
+        cell.now.0 += 400;
+        cell.look(&mut earlier);
+        earlier.schedule(cell.now);
+        for order in earlier.take_orders() {
+            let CellOrder::Start(order) = order else { continue };
+            highest = highest.max(Some(order.run));
+            let refused = WorkerAnswer::NotDone(WorkerRefusal::Unhealthy);
+            earlier.start_answered(&order, refused, cell.now);
+        }
+    }
+    let mut next = cell.lead(false);
+    cell.turns(&mut next, 10);
+    let (_, run, _) = cell.starts.last().expect("the worker is well again");
+    assert!(Some(*run) > highest, "run {run} after {highest:?}");
+}
+
 /// As many courses as fit into a few seconds, or as many as are asked for.
 fn config() -> ProptestConfig {
     let default = ProptestConfig::default();
@@ -140,10 +255,10 @@
     #[test]
     fn no_course_of_overlapping_leads_breaks_a_rule_and_every_job_ends(
         slow in prop::collection::vec(any::<bool>(), WORKERS),
-        course in prop::collection::vec(events(), 1..60),
+        events in course(),
     ) {
         let mut world = begin(&slow);
-        for event in course {
+        for event in events {
             take(&mut world, event);
         }
         world.heal();
