cell, tests: a lead takes a lease for ended that its successor renewed; gangs and links in the courses

Ruled out: that the new lead waits too short; it starts nothing here.

Change: a directed test; gangs, links between boxes and the real limit for appends in the courses.

--- a/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
@@ -1,6 +1,7 @@
 //! Random courses.
 
 use proptest::prelude::*;
+use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::scheduler::RunEnd;
 use sedgehill_core::units::TimeSpan;
 
@@ -18,6 +19,7 @@
         host: usize,
         count: u16,
         need: u64,
+        gang: bool,
     },
     End {
         pick: usize,
@@ -46,6 +48,11 @@
     Resign(usize),
     /// A box takes the lead as gone.
     Gone(usize),
+    /// A box has a link to the lead, or none.
+    Link {
+        host: usize,
+        reachable: bool,
+    },
     /// A worker ends; its entry is listed for a time, and a new life comes.
     WorkerDies {
         worker: usize,
@@ -96,7 +103,8 @@
         2 => (host.clone(), 100u64..5_000).prop_map(|(host, span)| Event::Freeze { host, span }),
         3 => (host.clone(), 0u64..1_500).prop_map(|(host, span)| Event::Kill { host, span }),
         2 => host.clone().prop_map(Event::Resign),
-        2 => host.prop_map(Event::Gone),
+        2 => host.clone().prop_map(Event::Gone),
+        1 => (host, any::<bool>()).prop_map(|(host, reachable)| Event::Link { host, reachable }),
         1 => (worker.clone(), 0u64..4_000, 0u64..3_000)
             .prop_map(|(worker, listed, back)| Event::WorkerDies { worker, listed, back }),
         1 => (worker, any::<bool>())
@@ -109,8 +117,8 @@
 fn event() -> impl Strategy<Value = Event> {
     let host = 0..HOSTS;
     prop_oneof![
-        2 => (host, 1u16..4, 1u64..4)
-            .prop_map(|(host, count, need)| Event::Submit { host, count, need }),
+        2 => (host, 1u16..4, 1u64..4, any::<bool>())
+            .prop_map(|(host, count, need, gang)| Event::Submit { host, count, need, gang }),
         2 => (0usize..16, end()).prop_map(|(pick, end)| Event::End { pick, end }),
         9 => fault(),
         8 => (20u64..1_500).prop_map(Event::Run),
@@ -173,7 +181,8 @@
     let some = prop_oneof![6 => event().prop_map(|event| vec![event]), 1 => take_over()];
     let begin = (1u16..4, 1u64..4, prop::option::of(10_000u64..180_000)).prop_map(
         |(count, need, quiet)| {
-            let mut events = vec![Event::Submit { host: 0, count, need }, Event::Run(400)];
+            let mut events =
+                vec![Event::Submit { host: 0, count, need, gang: false }, Event::Run(400)];
             events.extend(quiet.map(Event::Quiet));
             events
         },
@@ -185,8 +194,9 @@
 /// Lets an event happen.
 pub fn take(world: &mut World, event: Event) {
     match event {
-        Event::Submit { host, count, need } => {
-            world.submit(world.host(host), job(vec![step(count, need)]));
+        Event::Submit { host, count, need, gang } => {
+            let spec = StepSpec { gang, ..step(count, need) };
+            world.submit(world.host(host), job(vec![spec]));
         }
         Event::End { pick, end } => world.end_some(pick, end),
         Event::WorkerPath { host, worker, path } => {
@@ -203,6 +213,7 @@
         Event::Kill { host, span } => world.kill(world.host(host), TimeSpan(span)),
         Event::Resign(host) => world.resign(world.host(host)),
         Event::Gone(host) => world.take_as_gone(world.host(host)),
+        Event::Link { host, reachable } => world.link(world.host(host), reachable),
         Event::WorkerDies { worker, listed, back } => {
             let at = |span| world.now.after(TimeSpan(span));
             let (listed, back, worker) = (at(listed), at(back), world.worker(worker));
--- a/crates/sedgehill-cell/tests/testsuite/overlap/host.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/host.rs
@@ -13,8 +13,9 @@
 use super::store::{Condition, JOBS, LEADS, PROGRESS, Row, StoreCall, StoreReply, TOPICS};
 use super::worker::{WorkerCall, WorkerReply};
 
-/// How long a box waits for the store, and for a worker.
-const STORE_LIMIT: TimeSpan = TimeSpan(1_200);
+/// How long a box waits for what it appends, for what it reads, and for a worker.
+const APPEND_LIMIT: TimeSpan = TimeSpan(2_500);
+const READ_LIMIT: TimeSpan = TimeSpan(1_200);
 const ORDER_LIMIT: TimeSpan = TimeSpan(300);
 /// Time between two readings of a topic.
 pub(super) const READ_EVERY: TimeSpan = TimeSpan(100);
@@ -139,7 +140,8 @@
 
     fn post(&mut self, purpose: Purpose, call: Call, now: Moment) -> (u64, Call) {
         let limit = match call {
-            Call::Store(_) => STORE_LIMIT,
+            Call::Store(StoreCall::Append { .. }) => APPEND_LIMIT,
+            Call::Store(_) => READ_LIMIT,
             Call::Worker { .. } => ORDER_LIMIT,
         };
         self.calls += 1;
--- a/crates/sedgehill-cell/tests/testsuite/overlap/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/mod.rs
@@ -194,9 +194,7 @@
 
     /// Looks at a run that has just begun.
     fn check_start(&mut self, place: usize, task: CellTask, run: RunNumber) {
-        for worker in &mut self.workers {
-            worker.lapse(self.now);
-        }
+        self.lapse_all();
         let worker = &self.workers[place];
         assert!(worker.entry.capacity.fits(&worker.used()), "{} is over size", worker.entry.life);
         let runs = self.workers.iter().filter(|worker| worker.runs.contains_key(&task));
@@ -236,19 +234,41 @@
 
     /// Ends some run.
     pub fn end_some(&mut self, pick: usize, end: RunEnd) {
-        for worker in &mut self.workers {
-            worker.lapse(self.now);
-        }
+        self.lapse_all();
         let runs = self.all_runs();
         if let Some((place, task)) = runs.get(pick % runs.len().max(1)) {
             self.end(*place, *task, end);
         }
     }
 
+    fn lapse_all(&mut self) {
+        for worker in &mut self.workers {
+            worker.lapse(self.now);
+        }
+    }
+
+    /// Ends a run. The members of a gang end together: all done, or the others broken; a gang that is not
+    /// whole does no work.
     fn end(&mut self, place: usize, task: CellTask, end: RunEnd) {
-        self.workers[place].end(task, end);
-        if end == RunEnd::Done {
-            self.done.insert(task);
+        let spec = &self.jobs[&task.step.job].spec.steps[usize::from(task.step.step)];
+        let (gang, count) = (spec.gang, usize::from(spec.count));
+        let run = self.workers[place].runs[&task].run;
+        let mut members = self.all_runs();
+        members.retain(|(at, member)| match gang {
+            true => member.step == task.step && self.workers[*at].runs[member].run == run,
+            false => *member == task,
+        });
+        let end = if gang && members.len() < count { RunEnd::Alone } else { end };
+        for (at, member) in members {
+            let own = match end {
+                RunEnd::Done => RunEnd::Done,
+                end if member == task => end,
+                _ => RunEnd::Broken,
+            };
+            self.workers[at].end(member, own);
+            if own == RunEnd::Done {
+                self.done.insert(member);
+            }
         }
     }
 
@@ -282,6 +302,11 @@
         self.hosts[host].watch.note_gone();
     }
 
+    /// A box has a link to the lead, or none.
+    pub fn link(&mut self, host: usize, reachable: bool) {
+        self.hosts[host].watch.note_reachable(reachable);
+    }
+
     /// The store removes the history of its topics.
     pub fn forget_history(&mut self) {
         for topic in 0..store::TOPICS {
@@ -316,6 +341,7 @@
         }
         for host in &mut self.hosts {
             host.frozen_until = self.now;
+            host.watch.note_reachable(false);
         }
         for worker in &mut self.workers {
             worker.unlisted = false;
@@ -327,10 +353,8 @@
         let end = self.now.after(limit);
         while self.now < end && !self.open_jobs().is_empty() {
             self.run(TimeSpan(600), TimeSpan(30));
-            for worker in &mut self.workers {
-                worker.lapse(self.now);
-            }
-            for (place, task) in self.all_runs() {
+            self.lapse_all();
+            while let Some((place, task)) = self.all_runs().first().copied() {
                 self.end(place, task, RunEnd::Done);
             }
         }
--- a/crates/sedgehill-cell/tests/testsuite/overlapping.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlapping.rs
@@ -169,6 +169,33 @@
     an_earlier_lead_reads(&[CellRecord::Progress(marked), accepted]);
 }
 
+// A lead does not reach the worker of a task for some seconds and waits until the lease that it gave has
+// ended. Meanwhile another box leads; it reaches the worker, renews the lease and lets the task go on. The
+// first lead may still give orders, but must not take the lease for ended: it cannot know of the other one.
+#[test]
+fn a_lead_does_not_take_a_lease_for_ended_that_its_successor_renewed() {
+    let timing = AuthorityTiming::default();
+    let FarTask { mut cell, mut first, mut earlier, far, .. } = FarTask::new();
+    cell.turns(&mut earlier, 200);
+    cell.workers[far].cut = true;
+    cell.turns(&mut earlier, 120);
+    let token = first.newest().unwrap().token;
+    first.note_fenced_append(token, cell.now, &timing);
+    let mut next = cell.lead(true);
+    let own = cell.token;
+    for _ in 0..200 {
+        cell.token = own;
+        (cell.workers[far].cut, cell.workers[1 - far].cut) = (false, true);
+        cell.turn(&mut next);
+        if let Some(token) = first.authority(cell.now) {
+            cell.token = token;
+            (cell.workers[far].cut, cell.workers[1 - far].cut) = (true, false);
+            cell.turn_unrecorded(&mut earlier);
+        }
+    }
+    assert_eq!(cell.starts.len(), 1, "the task goes on where it is");
+}
+
 // A renewal is kept, but its answer comes only after a later claim was read. A box that then took its own
 // record for the newest one would claim with the token of the other box: workers and store would take
 // the orders and records of both.
