--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -9,6 +9,8 @@
 mod fake;
 mod led;
 mod organisations;
+mod overlap;
+mod overlapping;
 mod patience;
 mod predecessor;
 mod random;
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
@@ -0,0 +1,239 @@
+//! Random courses.
+
+use proptest::prelude::*;
+use sedgehill_cell::job::StepSpec;
+use sedgehill_cell::scheduler::RunEnd;
+use sedgehill_core::units::TimeSpan;
+
+use super::{Path, Way, World};
+use crate::fake::{job, step};
+
+pub const HOSTS: usize = 3;
+pub const WORKERS: usize = 3;
+const CORES: u64 = 4;
+
+/// Something that happens. Boxes are counted from the newest lead, workers from those that run something.
+#[derive(Debug, Clone)]
+pub enum Event {
+    Submit {
+        host: usize,
+        count: u16,
+        need: u64,
+        gang: bool,
+    },
+    End {
+        pick: usize,
+        end: RunEnd,
+    },
+    /// The path between a box and a worker.
+    WorkerPath {
+        host: usize,
+        worker: usize,
+        path: Path,
+    },
+    /// The path of a box to the topic of leads, to the rest of the store, or to both.
+    StorePath {
+        host: usize,
+        leads: Option<Path>,
+        rest: Option<Path>,
+    },
+    Freeze {
+        host: usize,
+        span: u64,
+    },
+    Kill {
+        host: usize,
+        span: u64,
+    },
+    Resign(usize),
+    /// A box takes the lead as gone.
+    Gone(usize),
+    /// A box has a link to the lead, or none.
+    Link {
+        host: usize,
+        reachable: bool,
+    },
+    /// A worker ends; its entry is listed for a time, and a new life comes.
+    WorkerDies {
+        worker: usize,
+        listed: u64,
+        back: u64,
+    },
+    Unlist {
+        worker: usize,
+        unlisted: bool,
+    },
+    /// The store removes its history.
+    Forget,
+    /// All paths are whole.
+    Heal,
+    /// Time goes on in small steps.
+    Run(u64),
+    /// Many seconds in larger steps.
+    Quiet(u64),
+}
+
+fn way() -> impl Strategy<Value = Way> {
+    prop_oneof![
+        3 => Just(Way::Open),
+        2 => Just(Way::Lost),
+        1 => (100u64..9_000).prop_map(|by| Way::Late(TimeSpan(by))),
+    ]
+}
+
+fn path() -> impl Strategy<Value = Path> {
+    prop_oneof![
+        2 => Just(Path::default()),
+        3 => Just(Path { there: Way::Lost, back: Way::Lost }),
+        3 => (way(), way()).prop_map(|(there, back)| Path { there, back }),
+    ]
+}
+
+fn end() -> impl Strategy<Value = RunEnd> {
+    prop_oneof![4 => Just(RunEnd::Done), 1 => Just(RunEnd::Failed)]
+}
+
+fn fault() -> impl Strategy<Value = Event> {
+    let (host, worker) = (0..HOSTS, 0..WORKERS);
+    prop_oneof![
+        6 => (host.clone(), worker.clone(), path())
+            .prop_map(|(host, worker, path)| Event::WorkerPath { host, worker, path }),
+        6 => (host.clone(), prop::option::weighted(0.7, path()), prop::option::weighted(0.6, path()))
+            .prop_map(|(host, leads, rest)| Event::StorePath { host, leads, rest }),
+        2 => (host.clone(), 100u64..5_000).prop_map(|(host, span)| Event::Freeze { host, span }),
+        3 => (host.clone(), 0u64..1_500).prop_map(|(host, span)| Event::Kill { host, span }),
+        2 => host.clone().prop_map(Event::Resign),
+        2 => host.clone().prop_map(Event::Gone),
+        1 => (host, any::<bool>()).prop_map(|(host, reachable)| Event::Link { host, reachable }),
+        1 => (worker.clone(), 0u64..4_000, 0u64..3_000)
+            .prop_map(|(worker, listed, back)| Event::WorkerDies { worker, listed, back }),
+        1 => (worker, any::<bool>())
+            .prop_map(|(worker, unlisted)| Event::Unlist { worker, unlisted }),
+        1 => Just(Event::Forget),
+        1 => Just(Event::Heal),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        2 => (host, 1u16..4, 1u64..4, any::<bool>())
+            .prop_map(|(host, count, need, gang)| Event::Submit { host, count, need, gang }),
+        2 => (0usize..16, end()).prop_map(|(pick, end)| Event::End { pick, end }),
+        9 => fault(),
+        8 => (20u64..1_500).prop_map(Event::Run),
+        2 => (1_500u64..8_000).prop_map(Event::Run),
+        1 => (10_000u64..150_000).prop_map(Event::Quiet),
+    ]
+}
+
+/// Paths by which a lead loses touch with the store and goes on giving orders.
+fn isolating() -> impl Strategy<Value = Path> {
+    let cut = Path { there: Way::Lost, back: Way::Lost };
+    prop_oneof![
+        3 => Just(cut),
+        1 => (100u64..1_500)
+            .prop_map(|by| Path { there: Way::Open, back: Way::Late(TimeSpan(by)) }),
+        1 => path(),
+    ]
+}
+
+/// What befalls a box that has just followed a lead.
+fn upset() -> impl Strategy<Value = Option<Event>> {
+    prop_oneof![
+        2 => Just(None),
+        2 => (0usize..2, 0u64..400).prop_map(|(host, span)| Some(Event::Kill { host, span })),
+        2 => Just(Some(Event::Resign(0))),
+        1 => (0..HOSTS, path())
+            .prop_map(|(host, path)| Some(Event::StorePath { host, leads: None, rest: Some(path) })),
+        1 => (0..HOSTS, 100u64..3_000).prop_map(|(host, span)| Some(Event::Freeze { host, span })),
+    ]
+}
+
+/// A worker that runs something is reached by the lead alone, perhaps late; the lead loses touch with the
+/// store and is followed, and something befalls its followers.
+fn take_over() -> impl Strategy<Value = Vec<Event>> {
+    let apart = prop::option::weighted(0.8, path());
+    let late = prop::option::of((100u64..4_000).prop_map(|by| Way::Late(TimeSpan(by))));
+    let rest = prop::option::weighted(0.7, isolating());
+    let spans = (20u64..1_400, 20u64..600, 2_000u64..9_500);
+    let followers = (0usize..3, upset());
+    (apart, late, isolating(), rest, spans, followers).prop_map(
+        |(apart, late, leads, rest, (before, between, after), (gone, upset))| {
+            let cut = Path { there: Way::Lost, back: Way::Lost };
+            let mut events = vec![Event::WorkerPath { host: 1, worker: 0, path: cut }];
+            events.extend(apart.map(|path| Event::WorkerPath { host: 2, worker: 0, path }));
+            let late = late.map(|there| Path { there, back: Way::Open });
+            events.push(Event::StorePath { host: 0, leads: Some(leads), rest });
+            events.push(Event::Run(before));
+            events.extend(late.map(|path| Event::WorkerPath { host: 0, worker: 0, path }));
+            events.extend((gone > 0).then_some(Event::Gone(gone)));
+            events.push(Event::Run(between));
+            events.extend(upset);
+            events.push(Event::Run(after));
+            events
+        },
+    )
+}
+
+/// A course: a job or two at work, often for long, and what happens then.
+pub fn course() -> impl Strategy<Value = Vec<Event>> {
+    let some = prop_oneof![6 => event().prop_map(|event| vec![event]), 1 => take_over()];
+    let begin = (1u16..4, 1u64..4, prop::option::of(10_000u64..180_000)).prop_map(
+        |(count, need, quiet)| {
+            let mut events =
+                vec![Event::Submit { host: 0, count, need, gang: false }, Event::Run(400)];
+            events.extend(quiet.map(Event::Quiet));
+            events
+        },
+    );
+    let rest = prop::collection::vec(some, 1..40);
+    (begin, rest).prop_map(|(begin, rest)| begin.into_iter().chain(rest.concat()).collect())
+}
+
+/// Lets an event happen.
+pub fn take(world: &mut World, event: Event) {
+    match event {
+        Event::Submit { host, count, need, gang } => {
+            let spec = StepSpec { gang, ..step(count, need) };
+            world.submit(world.host(host), job(vec![spec]));
+        }
+        Event::End { pick, end } => world.end_some(pick, end),
+        Event::WorkerPath { host, worker, path } => {
+            let (host, worker) = (world.host(host), world.worker(worker));
+            world.paths[host].workers[worker] = path;
+        }
+        Event::StorePath { host, leads, rest } => {
+            let host = world.host(host);
+            let paths = &mut world.paths[host];
+            paths.leads = leads.unwrap_or(paths.leads);
+            paths.store = rest.unwrap_or(paths.store);
+        }
+        Event::Freeze { host, span } => world.freeze(world.host(host), TimeSpan(span)),
+        Event::Kill { host, span } => world.kill(world.host(host), TimeSpan(span)),
+        Event::Resign(host) => world.resign(world.host(host)),
+        Event::Gone(host) => world.take_as_gone(world.host(host)),
+        Event::Link { host, reachable } => world.link(world.host(host), reachable),
+        Event::WorkerDies { worker, listed, back } => {
+            let at = |span| world.now.after(TimeSpan(span));
+            let (listed, back, worker) = (at(listed), at(back), world.worker(worker));
+            world.workers[worker].die(listed, back);
+        }
+        Event::Unlist { worker, unlisted } => {
+            let worker = world.worker(worker);
+            world.workers[worker].unlisted = unlisted;
+        }
+        Event::Forget => world.forget_history(),
+        Event::Heal => world.heal(),
+        Event::Run(span) => world.run(TimeSpan(span), TimeSpan(20)),
+        Event::Quiet(span) => world.run(TimeSpan(span), TimeSpan(100)),
+    }
+}
+
+/// A world before a course: a lead, and workers some of whose clocks are slow.
+pub fn begin(slow: &[bool]) -> World {
+    let slow: Vec<u64> = slow.iter().map(|slow| if *slow { 20 } else { 0 }).collect();
+    let mut world = World::new(HOSTS, &slow, CORES);
+    world.run(TimeSpan(1_000), TimeSpan(20));
+    world
+}
