--- a/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
@@ -103,6 +103,7 @@
         for id in known {
             self.add_job(replica, id, now);
         }
+        self.scheduler.note_caught_up();
         let roster = replica.roster().clone();
         let keys = self.scheduler.add_roster(&roster, now);
         self.watch(keys, now);
