cell: time alone does not tell a lead that a run has ended

Cause: a lead that is replaced and does not know it holds its term for up to 2.4 s. A worker that it had not reached for longer than a lease counted as free of its runs, though its successor had reached that worker, renewed the lease and let them go on. It started them once more on a worker that had not heard of the successor. A take-over that is settled by time has the same fault.

Ruled out: a longer margin. Whatever it is, a successor may renew for longer.

Change: what time alone has ended counts as ended once something taken for recording after that is in the store, which refuses it if a later lead has fenced. While records flow that costs nothing; otherwise the roster is recorded once more. Each lead has 4,096 numbers for the runs of a task instead of 64: a hundred refused starts used those of the next lead, whose runs could then be taken for theirs.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -196,9 +196,9 @@
             if worker.dead || worker.runs.is_empty() || worker.silent_calls == 0 {
                 continue;
             }
-            if worker.surely_lapsed(now, &self.timing)
-                && let Some(reading) = worker.lease_reading(now, &self.timing)
-            {
+            let Some(reading) = worker.lapsed_reading(now, &self.timing) else { continue };
+            let lapsed_by_then = worker.lapsed_reading(self.confirmed, &self.timing).is_some();
+            if lapsed_by_then || self.is_confirmed(now) {
                 self.lose_runs(WorkerKey(number), LossCause::LeaseEnded(reading), now);
             }
         }
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -88,6 +88,10 @@
     roster_changed: bool,
     next_batch: u64,
     recorded: u64,
+    /// When the batch under way was taken.
+    batch_taken: Moment,
+    /// No later lead had given orders by then: what was taken then is recorded under this lead's token.
+    confirmed: Moment,
     fenced_out: bool,
     wall_clock: (u64, Moment),
 }
@@ -128,6 +132,8 @@
             roster_changed: false,
             next_batch: 1,
             recorded: 0,
+            batch_taken: now,
+            confirmed: now,
             fenced_out: false,
             wall_clock: (0, now),
             timing,
@@ -291,12 +297,30 @@
         let roster = std::mem::take(&mut self.roster_changed).then(|| self.next_roster(now));
         let batch = ProgressBatch { number: self.next_batch, jobs, roster };
         self.next_batch += 1;
+        self.batch_taken = now;
         Some(batch)
     }
 
+    /// Whether no later lead can have given orders by `moment`. If that is not known, something is recorded to
+    /// find out: the store refuses it once a later lead has fenced.
+    ///
+    /// Time alone does not tell that a run has ended. A lead that was replaced and does not know it still holds
+    /// its term, while its successor may have renewed the lease of the run.
+    fn is_confirmed(&mut self, moment: Moment) -> bool {
+        let confirmed = self.confirmed >= moment;
+        if !confirmed {
+            self.roster_changed = true;
+        }
+        confirmed
+    }
+
     /// A batch is in the store.
     pub fn batch_recorded(&mut self, batch: &ProgressBatch) {
         self.recorded = batch.number;
+        // An empty batch is not sent to the store.
+        if !batch.jobs.is_empty() || batch.roster.is_some() {
+            self.confirmed = self.batch_taken;
+        }
         for entry in batch.roster.iter().flat_map(|roster| &roster.0) {
             if let Some(key) = self.lives.get(&entry.life) {
                 self.workers[key.0].rostered = true;
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -55,7 +55,8 @@
         // On workers that stood in no roster nothing was started.
         let unheard = |worker: &WorkerState| worker.inherited && !worker.dead && !worker.fenced;
         let unheard = self.workers.iter().any(unheard);
-        if !unheard || now >= self.earlier_runs_end() {
+        let runs_end = self.earlier_runs_end();
+        if !unheard || (now >= runs_end && self.is_confirmed(runs_end)) {
             self.note_settled(now);
             self.take_over.settled = true;
             for job in self.jobs.values_mut() {
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -12,8 +12,9 @@
 use crate::progress::{JobProgress, JobState, TaskProgress};
 
 /// Runs of a task that one lead may order without recording any of them. Each lead counts from its
-/// token times this number, so that no two use the same number for different runs.
-const RUNS_PER_LEAD: u64 = 64;
+/// token times this number, so that no two use the same number for different runs. A start that is refused uses a
+/// number each 30 ms, so these last for two minutes of refusals, and for a million leads.
+const RUNS_PER_LEAD: u64 = 4_096;
 
 /// Where a task is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -211,14 +211,14 @@
         Some(until)
     }
 
-    /// Whether every lease that was ever asked for has surely ended.
-    pub fn surely_lapsed(&self, now: Moment, timing: &CellTiming) -> bool {
+    /// What tells that every lease that was ever asked for had surely ended at `now`; none if it may last.
+    pub fn lapsed_reading(&self, now: Moment, timing: &CellTiming) -> Option<LeaseReading> {
         let reading = self.lease_reading(now, timing);
-        reading.is_some_and(|reading| reading.least > reading.until.after(timing.lapse_margin))
+        reading.filter(|reading| reading.least > reading.until.after(timing.lapse_margin))
     }
 
     /// What is known of the end of its leases; none before its first answer.
-    pub fn lease_reading(&self, now: Moment, timing: &CellTiming) -> Option<LeaseReading> {
+    fn lease_reading(&self, now: Moment, timing: &CellTiming) -> Option<LeaseReading> {
         let (clock, at) = self.clock?;
         let least = self.least_clock_at(now, timing)?;
         Some(LeaseReading { until: self.lease_until, clock, age: now.since(at), least })
