standin, workers and store: a lead whose unread records are forgotten begins tasks beside their runs; the test fails

Cause, as far as the test shows: catch_up takes a read that is answered with "gone" as the end of the topic, so a lead begins without the job. It takes the earlier lead's runs as foreign ("unknown job"), stops them, reads the newest records 30 ms later, and places the tasks elsewhere while the runs are still being stopped. Ruled out: that the record came over the link or by a read under way; reads of the topic wait until the fence in the test. Change: the stand-in store can forget a topic, also on a fence; the stand-in workers have lives, clocks apart and up to 2 % slow, stops that take 350 ms, bounded leases, refusals of runs that were stopped before they began, and tell both runs of a violation. An end noted after a later start counts too. Nothing of sedgehilld is changed.

--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -3,14 +3,18 @@
 //! They speak what the users publish, small and strict. The workers count what must never happen: a
 //! task in two places, a task begun after its acknowledged end, a worker over its size.
 
+mod life;
+mod oracle;
 mod store;
+mod trouble;
 mod worker;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 pub use self::store::StandinStore;
-pub use self::worker::StandinWorkers;
+pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
+pub use self::worker::{GANG_SPEC, StandinWorkers};
 use crate::http_server::{ServerGuard, json, read_json, serve};
 
 /// The stand-ins, which stop when dropped.
@@ -41,7 +45,7 @@
             let serving = pool.clone();
             let answer = move |request| worker::answer(serving.clone(), number, request);
             let guard = serve(any, answer).await?;
-            store.put("keyed.servers", &worker::name(number), &worker::entry(guard.address));
+            store.put("keyed.servers", &worker::name(number, 0), &worker::entry(guard.address));
             guards.push(guard);
         }
         Ok(CellPlatform { store, workers: pool, store_address, advice_address, _guards: guards })
--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -25,8 +25,19 @@
 #[derive(Debug, Default)]
 struct StoreState {
     topics: HashMap<String, Vec<(String, Bytes)>>,
+    /// The first offset of each topic that can still be read.
+    first: HashMap<String, u64>,
     producers: HashMap<(String, String), ProducerState>,
     silent: bool,
+    /// The topic that cannot be read until it is fenced, and is forgotten then.
+    forgets_at_fence: Option<String>,
+}
+
+impl StoreState {
+    fn forget(&mut self, topic: &str) {
+        let end = self.topics.get(topic).map_or(0, Vec::len) as u64;
+        self.first.insert(topic.to_owned(), end);
+    }
 }
 
 /// The store.
@@ -43,6 +54,17 @@
         state.topics.entry(topic.to_owned()).or_default().push((key.to_owned(), value));
     }
 
+    /// Has the records that a topic holds now gone: only the newest of each key can be read.
+    pub fn forget(&self, topic: &str) {
+        self.state.lock().forget(topic);
+    }
+
+    /// Has reads of a topic wait until a sender begins a new epoch there, and the records that it holds then
+    /// gone. The reads that waited do nothing.
+    pub fn forget_at_fence(&self, topic: &str) {
+        self.state.lock().forgets_at_fence = Some(topic.to_owned());
+    }
+
     /// Lets the store answer nobody, or everybody again. Calls that wait meanwhile do nothing.
     pub fn set_silent(&self, silent: bool) {
         self.state.lock().silent = silent;
@@ -77,19 +99,22 @@
         return status(StatusCode::BAD_REQUEST);
     };
     let mut state = store.state.lock();
-    let StoreState { topics, producers, .. } = &mut *state;
+    let state = &mut *state;
+    let StoreState { topics, producers, .. } = state;
     let records = topics.entry(topic.to_owned()).or_default();
     let end = records.len() as u64;
     if at.is_some_and(|at| at != end) {
         return refuse(StatusCode::PRECONDITION_FAILED, "", end);
     }
     let mut known = None;
+    let mut fences = false;
     if let Some(producer) = producer {
         let state = producers.entry((topic.to_owned(), producer)).or_default();
         if epoch < state.epoch {
             return refuse(StatusCode::CONFLICT, "fenced", end);
         }
         if epoch > state.epoch {
+            fences = true;
             *state = ProducerState { epoch, next: sequence, last: end };
         }
         if sequence + 1 == state.next {
@@ -105,6 +130,9 @@
     if let Some(state) = known {
         (state.next, state.last) = (state.next + 1, end);
     }
+    if fences && state.forgets_at_fence.take_if(|forgotten| forgotten == topic).is_some() {
+        state.forget(topic);
+    }
     json(&serde_json::json!({ "end": end }))
 }
 
@@ -130,24 +158,37 @@
     let from: u64 = query_value(request, "from_rev").unwrap_or_default();
     let wait: u64 = query_value(request, "wait_ms").unwrap_or_default();
     let deadline = Instant::now() + Duration::from_millis(wait);
+    let is_held = || store.state.lock().forgets_at_fence.as_deref() == Some(topic);
     loop {
-        let (end, records) = {
+        if is_held() {
+            while is_held() {
+                tokio::time::sleep(TURN).await;
+            }
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let (first, end, records) = {
             let state = store.state.lock();
             let records = state.topics.get(topic).cloned().unwrap_or_default();
-            (records.len() as u64, records)
+            let first = state.first.get(topic).copied().unwrap_or_default();
+            (first, records.len() as u64, records)
         };
+        if from < first {
+            let mut response = json(&serde_json::json!({ "first": first }));
+            *response.status_mut() = StatusCode::GONE;
+            return response;
+        }
         if end > from || Instant::now() >= deadline {
             let new = records.get(from as usize..).unwrap_or_default();
-            return JsonResponse::new(Full::new(encode(end, new)));
+            return JsonResponse::new(Full::new(encode(first, end, new)));
         }
         tokio::time::sleep(TURN).await;
     }
 }
 
-fn encode(end: u64, records: &[(String, Bytes)]) -> Bytes {
+fn encode(first: u64, end: u64, records: &[(String, Bytes)]) -> Bytes {
     let mut body = BytesMut::new();
     body.put_u64(end);
-    body.put_u64(0);
+    body.put_u64(first);
     for (key, value) in records {
         body.put_u32((1 + key.len() + value.len()) as u32);
         body.put_u8(key.len() as u8);
@@ -166,6 +207,7 @@
     let encode = |value: &Bytes| base64::engine::general_purpose::STANDARD.encode(value);
     let items: Vec<serde_json::Value> = newest
         .into_iter()
+        .filter(|(_, value)| !value.is_empty())
         .map(|(key, value)| serde_json::json!({ "key": key, "value": encode(value), "offset": 0 }))
         .collect();
     json(&serde_json::json!({ "items": items, "more": false, "end": records.len() }))
--- /dev/null
+++ b/crates/sedgehill-standin/src/cell_platform/trouble.rs
@@ -0,0 +1,103 @@
+//! Trouble with calls: some are lost, some are carried out without an answer, some are carried out late.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// How much later a late call is carried out, in milliseconds: past the term of a lead and past leases.
+const LATE_MS: Range<u64> = 2_000..12_000;
+
+/// What goes wrong with a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallTrouble {
+    /// It does not arrive.
+    Lost,
+    /// It is carried out at once, and the answer is lost.
+    Unanswered,
+    /// It is carried out seconds later, and not answered.
+    Late,
+}
+
+/// What becomes of one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallFate {
+    /// It is carried out and answered.
+    Answered,
+    /// It does not arrive.
+    Lost,
+    /// It is carried out after a time and not answered.
+    Unanswered(Duration),
+}
+
+/// Which leads meet trouble. Consecutive leads have consecutive tokens, so a worker that one of them
+/// does not reach can answer the next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TroubledLeads {
+    /// Each one.
+    All,
+    /// Those with odd tokens.
+    Odd,
+    /// Those with even tokens.
+    Even,
+}
+
+impl TroubledLeads {
+    fn contain(self, token: u64) -> bool {
+        match self {
+            TroubledLeads::All => true,
+            TroubledLeads::Odd => !token.is_multiple_of(2),
+            TroubledLeads::Even => token.is_multiple_of(2),
+        }
+    }
+}
+
+/// Trouble on a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PathTrouble {
+    /// What goes wrong.
+    pub kind: CallTrouble,
+    /// Of a hundred calls so many meet it.
+    pub percent: u32,
+    /// Whose calls.
+    pub leads: TroubledLeads,
+}
+
+/// Draws what becomes of calls.
+#[derive(Debug)]
+pub struct FateDrawer {
+    rng: Mutex<StdRng>,
+}
+
+impl Default for FateDrawer {
+    fn default() -> FateDrawer {
+        FateDrawer { rng: Mutex::new(StdRng::seed_from_u64(0)) }
+    }
+}
+
+impl FateDrawer {
+    /// Draws by another seed from now on.
+    pub fn seed(&self, seed: u64) {
+        *self.rng.lock() = StdRng::seed_from_u64(seed);
+    }
+
+    /// What becomes of a call under a token.
+    pub fn draw(&self, trouble: Option<PathTrouble>, token: u64) -> CallFate {
+        let Some(trouble) = trouble.filter(|trouble| trouble.leads.contain(token)) else {
+            return CallFate::Answered;
+        };
+        let mut rng = self.rng.lock();
+        if !rng.random_ratio(trouble.percent, 100) {
+            return CallFate::Answered;
+        }
+        match trouble.kind {
+            CallTrouble::Lost => CallFate::Lost,
+            CallTrouble::Unanswered => CallFate::Unanswered(Duration::ZERO),
+            CallTrouble::Late => {
+                CallFate::Unanswered(Duration::from_millis(rng.random_range(LATE_MS)))
+            }
+        }
+    }
+}
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -1,7 +1,9 @@
 //! Workers that run tasks under leases, and count what must never happen.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -11,36 +13,41 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 
+use super::life::{StandinClock, StandinLife, StandinRun};
+use super::oracle::TaskOracle;
+use super::trouble::{CallFate, FateDrawer, PathTrouble};
 use crate::http_server::{JsonResponse, json, read_json, status};
 
-/// How long every task runs.
-const RUN_TIME: Duration = Duration::from_millis(150);
+/// How long every task runs where nothing else is asked for, in milliseconds.
+const RUN_MS: Range<u64> = 150..151;
+/// How long a stop takes, in milliseconds: the users allow 400.
+const STOP_MS: u64 = 350;
+/// One step in so many runs for longer than the least time.
+const LONG_ONE_IN: u64 = 4;
 /// Tasks of the tests that fit on a worker.
 const ROOM: usize = 4;
 /// Time between two looks of a call that waits.
 const TURN: Duration = Duration::from_millis(5);
+/// How far apart the clocks of workers are, in milliseconds.
+const CLOCK_APART_MS: u64 = 100_000;
+/// How slow the clocks of workers run in turn, in thousandths.
+const CLOCKS_SLOW: [u64; 3] = [0, 10, 20];
 
-#[derive(Debug, Default)]
-struct WorkerState {
-    token: u64,
-    lease_until: u64,
-    runs: BTreeMap<String, (u64, Instant)>,
-    ends: Vec<(u64, String, u64, &'static str, String)>,
-    next_end: u64,
-    /// The highest run of each task that ended here.
-    floor: BTreeMap<String, u64>,
+/// A place for a worker.
+#[derive(Debug)]
+struct WorkerSite {
+    /// The life that is there; none while nothing is.
+    life: Option<StandinLife>,
+    /// Lives that there were.
+    lives: usize,
+    trouble: Option<PathTrouble>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct PoolState {
-    workers: Vec<WorkerState>,
-    noted: BTreeSet<String>,
-    violations: Vec<String>,
-    starts: usize,
-    /// Jobs of which a task was ever begun.
-    begun_jobs: BTreeSet<String>,
-    /// The most tasks that may run of jobs whose ids begin so.
-    bounds: Vec<(String, usize)>,
+    sites: Vec<WorkerSite>,
+    oracle: TaskOracle,
+    run_ms: Range<u64>,
 }
 
 /// All workers, which share one account of what must never happen.
@@ -48,13 +55,17 @@
 pub struct StandinWorkers {
     begun: Instant,
     state: Mutex<PoolState>,
+    fates: FateDrawer,
     /// How much later than they are given all answers arrive, in milliseconds.
     delay_ms: AtomicU64,
 }
 
-/// The name of a worker's life.
-pub fn name(number: usize) -> String {
-    format!("worker-{number}")
+/// The name of a life.
+pub fn name(number: usize, life: usize) -> String {
+    match life {
+        0 => format!("worker-{number}"),
+        life => format!("worker-{number}-{life}"),
+    }
 }
 
 /// The entry of a worker in the store.
@@ -68,18 +79,19 @@
 impl StandinWorkers {
     /// Workers that run nothing.
     pub fn new(count: usize) -> StandinWorkers {
-        let workers = (0..count).map(|_| WorkerState { next_end: 1, ..WorkerState::default() });
-        let state = PoolState { workers: workers.collect(), ..PoolState::default() };
+        let site = |number| WorkerSite { life: Some(new_life(number, 0)), lives: 1, trouble: None };
+        let sites = (0..count).map(site).collect();
         StandinWorkers {
             begun: Instant::now(),
-            state: Mutex::new(state),
+            state: Mutex::new(PoolState { sites, oracle: TaskOracle::default(), run_ms: RUN_MS }),
+            fates: FateDrawer::default(),
             delay_ms: AtomicU64::new(0),
         }
     }
 
     /// What happened that must never happen.
     pub fn violations(&self) -> Vec<String> {
-        self.state.lock().violations.clone()
+        self.state.lock().oracle.violations.clone()
     }
 
     /// Has all answers arrive late from now on, as over a link that is full. An end counts as noted once it
@@ -90,53 +102,89 @@
 
     /// Has it counted as a violation if more than `most` tasks run at once of jobs whose ids begin so.
     pub fn bound(&self, prefix: &str, most: usize) {
-        self.state.lock().bounds.push((prefix.to_owned(), most));
+        self.state.lock().oracle.bounds.push((prefix.to_owned(), most));
+    }
+
+    /// Has tasks run for so many milliseconds: those of one step alike, most of them for the least time.
+    pub fn set_run_ms(&self, run_ms: Range<u64>) {
+        self.state.lock().run_ms = run_ms;
+    }
+
+    /// Draws by another seed what becomes of calls.
+    pub fn seed(&self, seed: u64) {
+        self.fates.seed(seed);
+    }
+
+    /// Makes the path to a worker worse, or good again.
+    pub fn set_trouble(&self, number: usize, trouble: Option<PathTrouble>) {
+        self.state.lock().sites[number].trouble = trouble;
+    }
+
+    /// A worker dies with all that runs there. From then on nothing answers at its address.
+    pub fn crash(&self, number: usize) {
+        let mut state = self.state.lock();
+        // What has ended by now has ended.
+        state.settle(self.now_ms());
+        state.sites[number].life = None;
+    }
+
+    /// Another life begins at the address of one that died. Returns its name; none if one is there.
+    pub fn revive(&self, number: usize) -> Option<String> {
+        let site = &mut self.state.lock().sites[number];
+        if site.life.is_some() {
+            return None;
+        }
+        site.life = Some(new_life(number, site.lives));
+        site.lives += 1;
+        Some(name(number, site.lives - 1))
+    }
+
+    /// The name of the life at an address, or of the last one there.
+    pub fn life_name(&self, number: usize) -> String {
+        name(number, self.state.lock().sites[number].lives - 1)
     }
 
     /// Runs that were begun.
     pub fn starts(&self) -> usize {
-        self.state.lock().starts
+        self.state.lock().oracle.starts
     }
 
     /// Jobs of which a task was ever begun.
     pub fn begun_jobs(&self) -> BTreeSet<String> {
-        self.state.lock().begun_jobs.clone()
+        self.state.lock().oracle.begun_jobs.clone()
     }
 
-    fn clock_ms(&self) -> u64 {
+    fn now_ms(&self) -> u64 {
         self.begun.elapsed().as_millis() as u64
     }
+}
 
-    /// Ends what has run its time, and what the lease does not cover any more.
-    fn settle(&self, state: &mut PoolState) {
-        let clock = self.clock_ms();
-        for worker in &mut state.workers {
-            let lapsed = clock > worker.lease_until;
-            let over: Vec<(String, u64)> = worker
-                .runs
-                .iter()
-                .filter(|(_, (_, since))| lapsed || since.elapsed() >= RUN_TIME)
-                .map(|(task, (run, _))| (task.clone(), *run))
-                .collect();
-            for (task, run) in over {
-                let how = if lapsed { "lapsed" } else { "done" };
-                worker.end(&task, run, how);
-            }
-        }
-    }
+fn new_life(number: usize, life: usize) -> StandinLife {
+    let slow_permille = CLOCKS_SLOW[number % CLOCKS_SLOW.len()];
+    let clock = StandinClock { begun: number as u64 * CLOCK_APART_MS, slow_permille };
+    StandinLife::new(name(number, life), clock)
 }
 
-impl WorkerState {
-    fn end(&mut self, task: &str, run: u64, how: &'static str) {
-        self.runs.remove(task);
-        let floor = self.floor.entry(task.to_owned()).or_default();
-        *floor = run.max(*floor);
-        self.ends.push((self.next_end, task.to_owned(), run, how, String::new()));
-        self.next_end += 1;
+impl PoolState {
+    fn settle(&mut self, now: u64) {
+        self.sites.iter_mut().flat_map(|site| &mut site.life).for_each(|life| life.settle(now));
+    }
+
+    /// How long the tasks of a step run: all alike, since the members of a gang end together.
+    fn span_of(&self, task: &str) -> u64 {
+        let step = task.rsplit_once('.').map_or(task, |(step, _)| step);
+        let mut hasher = DefaultHasher::new();
+        step.hash(&mut hasher);
+        let drawn = hasher.finish();
+        let spread = self.run_ms.end - self.run_ms.start;
+        match drawn % LONG_ONE_IN {
+            0 => self.run_ms.start + drawn / LONG_ONE_IN % spread,
+            _ => self.run_ms.start,
+        }
     }
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Clone)]
 struct Order {
     #[serde(default)]
     task: String,
@@ -149,54 +197,113 @@
     last_seen: u64,
     #[serde(default)]
     wait_ms: u64,
+    #[serde(default)]
+    spec: String,
     ticket: Option<String>,
+    /// How much later than it was sent it is carried out.
+    #[serde(skip)]
+    held: Duration,
 }
 
-/// Answers an order to one worker, late if that was asked for.
-pub async fn answer(
-    pool: Arc<StandinWorkers>,
+/// An order on its way to one life at one address.
+#[derive(Clone)]
+struct Call {
     number: usize,
-    request: Request<Incoming>,
-) -> JsonResponse {
-    let response = obey(pool.clone(), number, request).await;
-    tokio::time::sleep(Duration::from_millis(pool.delay_ms.load(Ordering::Relaxed))).await;
-    response
+    path: String,
+    life: Option<String>,
+    order: Order,
 }
 
-async fn obey(
+/// Answers an order to one worker, late if that was asked for.
+pub async fn answer(
     pool: Arc<StandinWorkers>,
     number: usize,
     request: Request<Incoming>,
 ) -> JsonResponse {
     let path = request.uri().path().to_owned();
-    let intended = request.headers().get("target-instance").cloned();
-    if intended.is_none_or(|life| life.as_bytes() != name(number).as_bytes()) {
-        return status(StatusCode::MISDIRECTED_REQUEST);
-    }
+    let intended = request.headers().get("target-instance");
+    let life = intended.and_then(|life| life.to_str().ok()).map(str::to_owned);
     let Some(order) = read_json::<Order>(request).await else {
         return status(StatusCode::BAD_REQUEST);
     };
-    if path == "/sedgehill/hold" {
-        return hold(&pool, number, &order).await;
+    let trouble = pool.state.lock().sites[number].trouble;
+    let fate = pool.fates.draw(trouble, order.fencing_token);
+    let mut call = Call { number, path, life, order };
+    match fate {
+        CallFate::Answered => {}
+        CallFate::Lost => return std::future::pending().await,
+        CallFate::Unanswered(after) => {
+            call.order.held = after;
+            tokio::spawn(async move {
+                tokio::time::sleep(after).await;
+                obey(&pool, &call).await
+            });
+            return std::future::pending().await;
+        }
     }
-    let mut state = pool.state.lock();
-    pool.settle(&mut state);
-    let clock = pool.clock_ms();
-    if order.fencing_token < state.workers[number].token {
-        return refuse("fence", clock);
+    let response = obey(&pool, &call).await;
+    tokio::time::sleep(Duration::from_millis(pool.delay_ms.load(Ordering::Relaxed))).await;
+    response
+}
+
+async fn obey(pool: &StandinWorkers, call: &Call) -> JsonResponse {
+    let deadline = Instant::now() + Duration::from_millis(call.order.wait_ms);
+    loop {
+        let waits = Instant::now() < deadline;
+        match try_obey(pool, call, waits) {
+            Obeyed::Answer(response) => return response,
+            // A machine without a process says nothing.
+            Obeyed::Nobody => return std::future::pending().await,
+            Obeyed::Waits => tokio::time::sleep(TURN).await,
+        }
     }
-    state.workers[number].token = order.fencing_token;
-    match path.as_str() {
-        "/sedgehill/run-start" => start(&mut state, number, &order, clock),
+}
+
+enum Obeyed {
+    Answer(JsonResponse),
+    Nobody,
+    Waits,
+}
+
+fn try_obey(pool: &StandinWorkers, call: &Call, waits: bool) -> Obeyed {
+    let now = pool.now_ms();
+    let state = &mut *pool.state.lock();
+    state.settle(now);
+    let order = &call.order;
+    let Some(life) = &mut state.sites[call.number].life else { return Obeyed::Nobody };
+    if call.life.as_ref() != Some(&life.name) {
+        return Obeyed::Answer(status(StatusCode::MISDIRECTED_REQUEST));
+    }
+    let clock = life.clock.at(now);
+    if order.fencing_token < life.token {
+        return Obeyed::Answer(refuse("fence", clock));
+    }
+    life.token = order.fencing_token;
+    Obeyed::Answer(match call.path.as_str() {
+        "/sedgehill/run-start" => start(state, call, now),
         "/sedgehill/run-stop" => {
-            let run = state.workers[number].runs.get(&order.task).map(|(run, _)| *run);
-            if run == Some(order.run) {
-                state.workers[number].end(&order.task, order.run, "stopped");
-            }
+            life.stop(&order.task, order.run, now + STOP_MS);
             json(&serde_json::json!({ "clock_ms": clock }))
         }
+        "/sedgehill/hold" => {
+            life.lease(order.deadline_ms, now);
+            let seen = life.acknowledge(order.last_seen);
+            let quiet = life.ends.is_empty();
+            if quiet && waits {
+                state.oracle.note_ends(&seen);
+                return Obeyed::Waits;
+            }
+            let account = account(life, clock);
+            let listed = match pool.delay_ms.load(Ordering::Relaxed) {
+                0 => Vec::new(),
+                _ => life.ends.clone(),
+            };
+            state.oracle.note_ends(&seen);
+            state.oracle.note_ends(&listed);
+            account
+        }
         _ => status(StatusCode::NOT_FOUND),
-    }
+    })
 }
 
 fn refuse(reason: &str, clock: u64) -> JsonResponse {
@@ -205,82 +312,57 @@
     response
 }
 
-fn start(state: &mut PoolState, number: usize, order: &Order, clock: u64) -> JsonResponse {
+fn account(life: &StandinLife, clock: u64) -> JsonResponse {
+    let running: Vec<(&str, u64, &str, u64)> =
+        life.runs.iter().map(|(task, run)| (task.as_str(), run.run, "", 100)).collect();
+    let ended: Vec<(u64, &str, u64, &str, &str)> =
+        life.ends.iter().map(|end| (end.number, end.task.as_str(), end.run, end.how, "")).collect();
+    json(&serde_json::json!({ "clock_ms": clock, "running": running, "ended_at": ended }))
+}
+
+fn start(state: &mut PoolState, call: &Call, now: u64) -> JsonResponse {
+    let (order, number) = (&call.order, call.number);
+    let span = state.span_of(&order.task);
+    let Some(life) = &mut state.sites[number].life else { return status(StatusCode::NOT_FOUND) };
+    let clock = life.clock.at(now);
     if order.ticket.as_deref() != Some("ticket") {
         return refuse("ticket", clock);
     }
     if order.deadline_ms < clock {
         return refuse("late", clock);
     }
-    let worker = &mut state.workers[number];
-    if worker.runs.get(&order.task).is_some_and(|(run, _)| *run == order.run) {
+    life.lease(order.deadline_ms, now);
+    if life.runs.get(&order.task).is_some_and(|run| run.run == order.run) {
         // The same order again.
-        worker.lease_until = worker.lease_until.max(order.deadline_ms);
         return json(&serde_json::json!({ "clock_ms": clock }));
     }
-    if worker.floor.get(&order.task).is_some_and(|floor| order.run <= *floor) {
+    if life.refuses(&order.task, order.run) {
         return refuse("old", clock);
     }
-    if state.workers.iter().any(|worker| worker.runs.contains_key(&order.task)) {
-        state.violations.push(format!("{} runs twice", order.task));
+    let told = format!(
+        "run {} at {} by lead {}, begun at {now} ms, carried out {} ms late",
+        order.run,
+        life.name,
+        order.fencing_token,
+        order.held.as_millis()
+    );
+    let PoolState { sites, oracle, .. } = state;
+    let lives: Vec<&StandinLife> = sites.iter().flat_map(|site| &site.life).collect();
+    oracle.note_start(&order.task, now, &told, &lives);
+    if order.spec == GANG_SPEC {
+        oracle.note_gangs(&order.task);
     }
-    if state.noted.contains(&order.task) {
-        state.violations.push(format!("{} begins after its end", order.task));
-    }
-    state.starts += 1;
-    state.begun_jobs.extend(order.task.split('.').next().map(str::to_owned));
-    let worker = &mut state.workers[number];
-    worker.lease_until = worker.lease_until.max(order.deadline_ms);
-    worker.runs.insert(order.task.clone(), (order.run, Instant::now()));
-    if worker.runs.len() > ROOM {
-        state.violations.push(format!("{} is over its size", name(number)));
-    }
-    check_bounds(state);
-    json(&serde_json::json!({ "clock_ms": clock }))
-}
-
-fn check_bounds(state: &mut PoolState) {
-    for (prefix, most) in &state.bounds {
-        let tasks = state.workers.iter().flat_map(|worker| worker.runs.keys());
-        let running = tasks.filter(|task| task.starts_with(prefix.as_str())).count();
-        if running > *most {
-            state.violations.push(format!("{running} tasks of {prefix} run, beyond {most}"));
+    if let Some(life) = &mut sites[number].life {
+        let run = StandinRun { run: order.run, begun: now, span, stops_at: None, told };
+        life.runs.insert(order.task.clone(), run);
+        if life.runs.len() > ROOM {
+            oracle.violations.push(format!("{} is over its size", life.name));
         }
     }
+    let lives: Vec<&StandinLife> = sites.iter().flat_map(|site| &site.life).collect();
+    oracle.check_bounds(&lives);
+    json(&serde_json::json!({ "clock_ms": clock }))
 }
 
-async fn hold(pool: &StandinWorkers, number: usize, order: &Order) -> JsonResponse {
-    let deadline = Instant::now() + Duration::from_millis(order.wait_ms);
-    loop {
-        {
-            let mut state = pool.state.lock();
-            pool.settle(&mut state);
-            let clock = pool.clock_ms();
-            if order.fencing_token < state.workers[number].token {
-                return refuse("fence", clock);
-            }
-            let PoolState { workers, noted, .. } = &mut *state;
-            let worker = &mut workers[number];
-            worker.token = order.fencing_token;
-            worker.lease_until = worker.lease_until.max(order.deadline_ms);
-            let seen = worker.ends.iter().filter(|end| end.0 <= order.last_seen);
-            noted.extend(seen.filter(|end| end.3 == "done").map(|end| end.1.clone()));
-            worker.ends.retain(|end| end.0 > order.last_seen);
-            if !worker.ends.is_empty() || Instant::now() >= deadline {
-                if pool.delay_ms.load(Ordering::Relaxed) > 0 {
-                    let listed = worker.ends.iter().filter(|end| end.3 == "done");
-                    noted.extend(listed.map(|end| end.1.clone()));
-                }
-                let running: Vec<(&str, u64, &str, u64)> = worker
-                    .runs
-                    .iter()
-                    .map(|(task, (run, _))| (task.as_str(), *run, "", 100))
-                    .collect();
-                return json(&serde_json::json!({
-                    "clock_ms": clock, "running": running, "ended_at": worker.ends
-                }));
-            }
-        }
-        tokio::time::sleep(TURN).await;
-    }
-}
+/// What jobs with gangs carry as their work.
+pub const GANG_SPEC: &str = "gang";
