standin, soak: faults of workers' paths, lives of workers, leads lost twice, a store that forgets

Change: calls to workers are lost, not answered, or carried out 2 to 12 s late, for all leads or every other one; workers die and come back at their address while the old entry is listed; entries are away while the worker lives; leads stand still for up to 6 s or are killed, also twice within a lease; appends get lost or are done late; progress is forgotten, also on a fence. Tasks run up to 2 s. Callers hand accepted jobs in again. Options for boxes and workers. The plan and what was broken are kept with the logs.

--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -12,6 +12,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use sedgehill_cell::authority::LeadRecord;
+use sedgehill_cell::ids::BoxName;
+
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
 pub use self::worker::{GANG_SPEC, StandinWorkers};
@@ -27,9 +30,17 @@
     pub store_address: SocketAddr,
     /// Where the advice service listens.
     pub advice_address: SocketAddr,
+    worker_addresses: Vec<SocketAddr>,
     _guards: Vec<ServerGuard>,
 }
 
+/// The topic of workers' entries.
+const WORKER_TOPIC: &str = "keyed.servers";
+/// The topic of leads.
+const LEAD_TOPIC: &str = "keyed.sedgehill-lead";
+/// The topic that leads write.
+pub const PROGRESS_TOPIC: &str = "keyed.sedgehill-progress";
+
 impl CellPlatform {
     /// Starts a store, an advice service that likes every worker, and some workers of 4 cores.
     pub async fn start(workers: usize) -> std::io::Result<CellPlatform> {
@@ -41,14 +52,41 @@
         guards.push(serve(any, answer_advice).await?);
         let (store_address, advice_address) = (guards[0].address, guards[1].address);
         let pool = Arc::new(StandinWorkers::new(workers));
+        let mut worker_addresses = Vec::new();
         for number in 0..workers {
             let serving = pool.clone();
             let answer = move |request| worker::answer(serving.clone(), number, request);
             let guard = serve(any, answer).await?;
-            store.put("keyed.servers", &worker::name(number, 0), &worker::entry(guard.address));
+            worker_addresses.push(guard.address);
             guards.push(guard);
         }
-        Ok(CellPlatform { store, workers: pool, store_address, advice_address, _guards: guards })
+        let platform = CellPlatform {
+            store,
+            workers: pool,
+            store_address,
+            advice_address,
+            worker_addresses,
+            _guards: guards,
+        };
+        (0..workers).for_each(|number| platform.list_worker(number));
+        Ok(platform)
+    }
+
+    /// Has the store list the life that a worker has now.
+    pub fn list_worker(&self, number: usize) {
+        let entry = worker::entry(self.worker_addresses[number]);
+        self.store.put(WORKER_TOPIC, &self.workers.life_name(number), &entry);
+    }
+
+    /// Has the store list a life no more.
+    pub fn unlist_worker(&self, life: &str) {
+        self.store.remove(WORKER_TOPIC, life);
+    }
+
+    /// The box that claimed the lead last, or renewed it.
+    pub fn lead_holder(&self) -> Option<BoxName> {
+        let value = self.store.newest_value(LEAD_TOPIC, "lead")?;
+        LeadRecord::decode(&value).ok().map(|record| record.holder)
     }
 
     /// Puts a configuration with one queue into the store.
--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
+use super::trouble::{CallFate, FateDrawer, PathTrouble};
 use crate::http_server::{JsonResponse, json, query_value, status};
 
 /// Time between two looks of a call that waits.
@@ -29,8 +30,12 @@
     first: HashMap<String, u64>,
     producers: HashMap<(String, String), ProducerState>,
     silent: bool,
-    /// The topic that cannot be read until it is fenced, and is forgotten then.
+    /// The topic whose records go the moment a sender begins a new epoch there.
     forgets_at_fence: Option<String>,
+    /// The topic whose reads wait, until such a moment at the latest.
+    holds_reads: Option<String>,
+    /// What becomes of appends.
+    trouble: Option<PathTrouble>,
 }
 
 impl StoreState {
@@ -44,6 +49,7 @@
 #[derive(Debug, Default)]
 pub struct StandinStore {
     state: Mutex<StoreState>,
+    fates: FateDrawer,
 }
 
 impl StandinStore {
@@ -59,12 +65,40 @@
         self.state.lock().forget(topic);
     }
 
-    /// Has reads of a topic wait until a sender begins a new epoch there, and the records that it holds then
-    /// gone. The reads that waited do nothing.
+    /// Has a topic's records gone, once, the moment a sender begins a new epoch there.
     pub fn forget_at_fence(&self, topic: &str) {
         self.state.lock().forgets_at_fence = Some(topic.to_owned());
     }
 
+    /// Has reads of a topic wait, until a sender begins a new epoch there at the latest, or wait no more.
+    /// Those that waited do nothing.
+    pub fn hold_reads(&self, topic: Option<&str>) {
+        self.state.lock().holds_reads = topic.map(str::to_owned);
+    }
+
+    /// Has appends meet trouble, or no more.
+    pub fn set_trouble(&self, trouble: Option<PathTrouble>) {
+        self.state.lock().trouble = trouble;
+    }
+
+    /// Draws by another seed what becomes of appends.
+    pub fn seed(&self, seed: u64) {
+        self.fates.seed(seed);
+    }
+
+    /// Drops a key.
+    pub fn remove(&self, topic: &str, key: &str) {
+        let mut state = self.state.lock();
+        state.topics.entry(topic.to_owned()).or_default().push((key.to_owned(), Bytes::new()));
+    }
+
+    /// The newest value of a key.
+    pub fn newest_value(&self, topic: &str, key: &str) -> Option<Bytes> {
+        let state = self.state.lock();
+        let records = state.topics.get(topic)?;
+        records.iter().rev().find(|(other, _)| other == key).map(|(_, value)| value.clone())
+    }
+
     /// Lets the store answer nobody, or everybody again. Calls that wait meanwhile do nothing.
     pub fn set_silent(&self, silent: bool) {
         self.state.lock().silent = silent;
@@ -83,21 +117,53 @@
     }
     let topic: String = query_value(&request, "topic").unwrap_or_default();
     match request.uri().path() {
-        "/sedgehill/log-append" => append(&store, &topic, request).await,
+        "/sedgehill/log-append" => append(store, topic, request).await,
         "/sedgehill/log-read" => read(&store, &topic, &request).await,
         "/sedgehill/log-newest" => newest(&store, &topic),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
 
-async fn append(store: &StandinStore, topic: &str, request: Request<Incoming>) -> JsonResponse {
-    let at: Option<u64> = query_value(&request, "at");
-    let producer: Option<String> = query_value(&request, "producer");
-    let epoch: u64 = query_value(&request, "epoch").unwrap_or_default();
-    let sequence: u64 = query_value(&request, "seq").unwrap_or_default();
+/// An append on its way.
+struct AppendCall {
+    topic: String,
+    at: Option<u64>,
+    producer: Option<String>,
+    epoch: u64,
+    sequence: u64,
+    body: Bytes,
+}
+
+async fn append(
+    store: Arc<StandinStore>,
+    topic: String,
+    request: Request<Incoming>,
+) -> JsonResponse {
+    let at = query_value(&request, "at");
+    let producer = query_value(&request, "producer");
+    let epoch = query_value(&request, "epoch").unwrap_or_default();
+    let sequence = query_value(&request, "seq").unwrap_or_default();
     let Ok(body) = request.into_body().collect().await else {
         return status(StatusCode::BAD_REQUEST);
     };
+    let call = AppendCall { topic, at, producer, epoch, sequence, body: body.to_bytes() };
+    let trouble = store.state.lock().trouble;
+    match store.fates.draw(trouble, epoch) {
+        CallFate::Answered => carry_out(&store, call),
+        CallFate::Lost => std::future::pending().await,
+        CallFate::Unanswered(after) => {
+            tokio::spawn(async move {
+                tokio::time::sleep(after).await;
+                carry_out(&store, call)
+            });
+            std::future::pending().await
+        }
+    }
+}
+
+fn carry_out(store: &StandinStore, call: AppendCall) -> JsonResponse {
+    let AppendCall { topic, at, producer, epoch, sequence, body } = call;
+    let topic = topic.as_str();
     let mut state = store.state.lock();
     let state = &mut *state;
     let StoreState { topics, producers, .. } = state;
@@ -125,11 +191,14 @@
         }
         known = Some(state);
     }
-    records.extend(decode(body.to_bytes()));
+    records.extend(decode(body));
     let end = records.len() as u64;
     if let Some(state) = known {
         (state.next, state.last) = (state.next + 1, end);
     }
+    if fences {
+        state.holds_reads.take_if(|held| held == topic);
+    }
     if fences && state.forgets_at_fence.take_if(|forgotten| forgotten == topic).is_some() {
         state.forget(topic);
     }
@@ -158,7 +227,7 @@
     let from: u64 = query_value(request, "from_rev").unwrap_or_default();
     let wait: u64 = query_value(request, "wait_ms").unwrap_or_default();
     let deadline = Instant::now() + Duration::from_millis(wait);
-    let is_held = || store.state.lock().forgets_at_fence.as_deref() == Some(topic);
+    let is_held = || store.state.lock().holds_reads.as_deref() == Some(topic);
     loop {
         if is_held() {
             while is_held() {
--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -21,7 +21,7 @@
                  path: what a box adds to a request, against the direct way
                  capacity: state, messages, time and memory at growing sizes
     soak         boxes in cell mode under random faults, their promises checked
-                 [--seed N] [--seeds COUNT] [--seconds N] [--keep DIR]
+                 [--seed N] [--seeds COUNT] [--seconds N] [--boxes N] [--workers N] [--keep DIR]
                  --seed is drawn where it is left out; COUNT seeds from it on are run; the logs of
                  a run that breaks a promise stay in DIR
     log          --listen ADDRESS
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -1,6 +1,6 @@
 //! Callers of a soak, who remember what they were told.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::keys::SOAK_KEY;
+use crate::cell_platform::GANG_SPEC;
 
 /// How often a caller tries one job before it gives up.
 const TRIES: usize = 10;
@@ -25,6 +26,12 @@
 const JOB_PAUSE: Duration = Duration::from_millis(60);
 /// How long a caller waits for an answer.
 const CALL_LIMIT: Duration = Duration::from_millis(4_000);
+/// A caller hands in again, one time in so many, one of the jobs that were accepted last.
+const AGAIN_ONE_IN: u32 = 4;
+/// How many such jobs it remembers: those of some seconds.
+const AGAIN_AMONG: usize = 12;
+/// Tells the generator of these from that of jobs.
+const AGAIN_SALT: u64 = 0x6167_6169;
 /// One job in so many is cancelled soon after it was accepted.
 const CANCEL_ONE_IN: u32 = 12;
 
@@ -64,19 +71,33 @@
         let client: Client<HttpConnector, Full<Bytes>> =
             Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http();
         let mut rng = StdRng::seed_from_u64(seed ^ (caller << 32));
+        let mut again = StdRng::seed_from_u64(seed ^ (caller << 32) ^ AGAIN_SALT);
+        let mut accepted: VecDeque<(u64, String)> = VecDeque::new();
         for number in 0.. {
             let id = (caller << 48) | number;
-            self.hand_in(&client, &mut rng, id).await;
+            if let Some(body) = self.hand_in(&client, &mut rng, id).await {
+                accepted.push_back((id, body));
+            }
+            if accepted.len() > AGAIN_AMONG {
+                accepted.pop_front();
+            }
+            if again.random_ratio(1, AGAIN_ONE_IN) && !accepted.is_empty() {
+                let (id, body) = &accepted[again.random_range(0..accepted.len())];
+                let address = self.boxes[again.random_range(0..self.boxes.len())];
+                // It remains one job, whatever is answered.
+                self.call(&client, address, Method::POST, *id, body).await;
+            }
             tokio::time::sleep(JOB_PAUSE).await;
         }
     }
 
+    /// Hands a job in until it is accepted. Returns what was, unless it was cancelled then.
     async fn hand_in(
         &self,
         client: &Client<HttpConnector, Full<Bytes>>,
         rng: &mut StdRng,
         id: u64,
-    ) {
+    ) -> Option<String> {
         let body = draw_job(rng);
         let mut doubtful = false;
         for _ in 0..TRIES {
@@ -86,8 +107,9 @@
                     self.told.lock().accepted.insert(id);
                     if rng.random_ratio(1, CANCEL_ONE_IN) {
                         self.cancel(client, address, id).await;
+                        return None;
                     }
-                    return;
+                    return Some(body);
                 }
                 Some(StatusCode::SERVICE_UNAVAILABLE) => {}
                 Some(_) | None => doubtful = true,
@@ -97,6 +119,7 @@
         if !doubtful {
             self.told.lock().refused.insert(id);
         }
+        None
     }
 
     async fn cancel(
@@ -152,9 +175,11 @@
             "gang_scheduled": gang, "after": after.into_iter().collect::<Vec<u16>>()
         })
     };
-    let mut steps = vec![step(rng, None)];
+    let mut steps: Vec<serde_json::Value> = vec![step(rng, None)];
     if rng.random_ratio(1, 3) {
         steps.push(step(rng, Some(0)));
     }
-    serde_json::json!({ "spec": "work", "steps": steps }).to_string()
+    let gangs = steps.iter().any(|step| step["gang_scheduled"] == true);
+    let spec = if gangs { GANG_SPEC } else { "work" };
+    serde_json::json!({ "spec": spec, "steps": steps }).to_string()
 }
--- /dev/null
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -0,0 +1,159 @@
+//! Causes the faults of a plan and ends them.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+
+use super::Soak;
+use super::plan::SoakFault;
+use super::proxy::PathState;
+use crate::cell_platform::PROGRESS_TOPIC;
+
+/// What ends a fault again.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Repair {
+    Start(usize),
+    Wake(usize),
+    Open(usize),
+    StoreSpeaks,
+    WorkerPath(usize),
+    Revive(usize),
+    List(usize),
+    Unlist(String),
+    Appends,
+    ReadProgress,
+}
+
+impl Soak<'_> {
+    /// The box that leads, as far as the store knows.
+    fn lead(&self) -> Option<usize> {
+        let holder = self.platform.lead_holder()?;
+        self.boxes.iter().position(|one| one.site.name == *holder.0)
+    }
+
+    /// Another life begins at the address of a worker that died.
+    fn revive(&self, number: usize) {
+        if self.platform.workers.revive(number).is_some() {
+            self.platform.list_worker(number);
+        }
+    }
+
+    pub(super) fn cause(
+        &mut self,
+        fault: SoakFault,
+        repairs: &mut Vec<(Instant, Repair)>,
+    ) -> std::io::Result<()> {
+        let after = |span: Duration| Instant::now() + span;
+        match fault {
+            SoakFault::Kill(number, pause) => {
+                self.boxes[number].process = None;
+                repairs.push((after(pause), Repair::Start(number)));
+            }
+            SoakFault::KillAll(pause) => {
+                for number in 0..self.boxes.len() {
+                    self.boxes[number].process = None;
+                    repairs.push((after(pause), Repair::Start(number)));
+                }
+            }
+            SoakFault::Stop(number) => self.signal(number, Signal::SIGTERM),
+            SoakFault::Pause(number, span) => {
+                self.signal(number, Signal::SIGSTOP);
+                repairs.push((after(span), Repair::Wake(number)));
+            }
+            SoakFault::Path(number, state, span) => {
+                self.boxes[number].path.set(state);
+                repairs.push((after(span), Repair::Open(number)));
+            }
+            SoakFault::Reset(number) => self.boxes[number].path.reset(),
+            SoakFault::SilenceOpen(number) => self.boxes[number].path.silence_open(),
+            SoakFault::StoreSilent(span) => {
+                self.platform.store.set_silent(true);
+                repairs.push((after(span), Repair::StoreSpeaks));
+            }
+            SoakFault::Configure => self.keys.configure(&self.platform),
+            SoakFault::KillLead(pause) => {
+                let Some(number) = self.lead() else { return Ok(()) };
+                self.boxes[number].process = None;
+                repairs.push((after(pause), Repair::Start(number)));
+            }
+            SoakFault::PauseLead(span) => {
+                let Some(number) = self.lead() else { return Ok(()) };
+                self.signal(number, Signal::SIGSTOP);
+                repairs.push((after(span), Repair::Wake(number)));
+            }
+            SoakFault::WorkerPath(number, trouble, span) => {
+                self.platform.workers.set_trouble(number, Some(trouble));
+                repairs.push((after(span), Repair::WorkerPath(number)));
+            }
+            SoakFault::WorkerDies(number, pause, listed) => {
+                let gone = self.platform.workers.life_name(number);
+                self.platform.workers.crash(number);
+                repairs.push((after(pause), Repair::Revive(number)));
+                repairs.push((after(pause + listed), Repair::Unlist(gone)));
+            }
+            SoakFault::Unlisted(number, span) => {
+                self.platform.unlist_worker(&self.platform.workers.life_name(number));
+                repairs.push((after(span), Repair::List(number)));
+            }
+            SoakFault::Appends(trouble, span) => {
+                self.platform.store.set_trouble(Some(trouble));
+                repairs.push((after(span), Repair::Appends));
+            }
+            SoakFault::Forget => self.platform.store.forget(PROGRESS_TOPIC),
+            SoakFault::ForgetAtFence(span) => {
+                self.platform.store.forget_at_fence(PROGRESS_TOPIC);
+                self.platform.store.hold_reads(Some(PROGRESS_TOPIC));
+                repairs.push((after(span), Repair::ReadProgress));
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn repair(&mut self, repair: Repair) -> std::io::Result<()> {
+        match repair {
+            Repair::Start(number) => self.start_box(number)?,
+            Repair::Wake(number) => self.signal(number, Signal::SIGCONT),
+            Repair::Open(number) => self.boxes[number].path.set(PathState::Open),
+            Repair::StoreSpeaks => self.platform.store.set_silent(false),
+            Repair::WorkerPath(number) => self.platform.workers.set_trouble(number, None),
+            Repair::Revive(number) => self.revive(number),
+            Repair::List(number) => self.platform.list_worker(number),
+            Repair::Unlist(life) => self.platform.unlist_worker(&life),
+            Repair::Appends => self.platform.store.set_trouble(None),
+            Repair::ReadProgress => self.platform.store.hold_reads(None),
+        }
+        Ok(())
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        if let Some(process) = &self.boxes[number].process {
+            process.signal(signal);
+        }
+    }
+
+    pub(super) fn start_box(&mut self, number: usize) -> std::io::Result<()> {
+        let one = &mut self.boxes[number];
+        if one.process.is_none() {
+            one.process = Some(one.site.start(self.directory)?);
+        }
+        Ok(())
+    }
+
+    /// Ends all faults.
+    pub(super) fn heal(&mut self) -> std::io::Result<()> {
+        self.platform.store.set_silent(false);
+        self.platform.store.set_trouble(None);
+        self.platform.store.hold_reads(None);
+        for number in 0..self.size.workers {
+            self.platform.workers.set_trouble(number, None);
+            self.revive(number);
+            self.platform.list_worker(number);
+        }
+        for number in 0..self.boxes.len() {
+            self.boxes[number].path.set(PathState::Open);
+            self.signal(number, Signal::SIGCONT);
+            self.start_box(number)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/sedgehill-standin/src/soak/keys.rs
+++ b/crates/sedgehill-standin/src/soak/keys.rs
@@ -18,8 +18,9 @@
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// Time between two calls with keys that were taken away.
 const PROBE_EVERY: Duration = Duration::from_millis(40);
-/// The limits of versions in turn, in cores. Each task of a soak takes one.
+/// The limits of versions in turn, in cores for six workers. Each task of a soak takes one.
 const LIMITS: [u64; 2] = [14, 9];
+const LIMITS_FOR: u64 = 6;
 /// Tells the generator of probes from those of faults and jobs.
 const PROBE_SALT: u64 = 0x6b65_7973;
 
@@ -33,6 +34,7 @@
 /// The versions of a soak's configuration.
 #[derive(Debug, Clone, Default)]
 pub struct SoakKeys {
+    workers: u64,
     state: Arc<Mutex<KeyState>>,
 }
 
@@ -42,18 +44,23 @@
 }
 
 impl SoakKeys {
+    /// Versions for a cell of so many workers.
+    pub fn new(workers: usize) -> SoakKeys {
+        SoakKeys { workers: workers as u64, state: Arc::default() }
+    }
+
     /// Puts the next version into the store.
     pub fn configure(&self, platform: &CellPlatform) {
         let mut state = self.state.lock();
         let version = state.versions.len() + 1;
         if version == 1 {
-            let most = LIMITS.into_iter().max().unwrap_or_default();
+            let most = LIMITS.into_iter().max().unwrap_or_default() * self.workers / LIMITS_FOR;
             platform.workers.bound("", most as usize);
         }
         let organisation = StandinOrganisation {
             name: "soak",
             keys: vec![SOAK_KEY.to_owned(), spare_key(version)],
-            cores: LIMITS[version % LIMITS.len()],
+            cores: LIMITS[version % LIMITS.len()] * self.workers / LIMITS_FOR,
         };
         platform.configure_organisations(version as u64, &[organisation]);
         state.versions.push(Instant::now());
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! what callers and workers see.
 
 mod callers;
+mod faults;
 mod keys;
 mod plan;
 mod proxy;
@@ -9,21 +10,16 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use nix::sys::signal::Signal;
-
 use self::callers::CallerPool;
+use self::faults::Repair;
 use self::keys::{SOAK_KEY, SoakKeys};
 pub use self::plan::{SoakFault, SoakPlan, draw_plan};
 pub use self::proxy::{FaultyPath, PathState};
 use crate::cell_platform::CellPlatform;
 use crate::cell_process::{CellProcess, CellSite, call, call_with_key};
 
-/// Boxes of a run.
-const BOXES: usize = 3;
-/// Workers of a run.
-const WORKERS: usize = 6;
-/// Callers of a run.
-const CALLERS: u64 = 6;
+/// How long tasks run, in milliseconds: many outlive their lead.
+const RUN_MS: std::ops::Range<u64> = 150..2_000;
 /// How long everything accepted may take to end once all is well again.
 const SETTLE_LIMIT: Duration = Duration::from_secs(45);
 /// From its acceptance until every box has to know a job, as callers are told.
@@ -31,6 +27,21 @@
 /// Time between two looks.
 const TURN: Duration = Duration::from_millis(100);
 
+/// How large a cell is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SoakSize {
+    /// Boxes.
+    pub boxes: usize,
+    /// Workers; there are as many callers.
+    pub workers: usize,
+}
+
+impl Default for SoakSize {
+    fn default() -> SoakSize {
+        SoakSize { boxes: 3, workers: 6 }
+    }
+}
+
 /// What one run found.
 #[derive(Debug, Default)]
 pub struct SoakReport {
@@ -53,28 +64,28 @@
 
 /// A running soak.
 struct Soak<'a> {
+    size: SoakSize,
     directory: &'a Path,
     platform: CellPlatform,
     boxes: Vec<SoakBox>,
     keys: SoakKeys,
 }
 
-/// What ends a fault again.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Repair {
-    Start(usize),
-    Wake(usize),
-    Open(usize),
-    StoreSpeaks,
-}
-
 /// Runs the faults of a seed for some seconds. Settings and logs of the boxes lie in `directory`.
-pub async fn run_soak(seed: u64, seconds: u64, directory: &Path) -> std::io::Result<SoakReport> {
-    let plan = draw_plan(seed, seconds, BOXES);
-    let mut soak = Soak::start(directory).await?;
+pub async fn run_soak(
+    seed: u64,
+    seconds: u64,
+    size: SoakSize,
+    directory: &Path,
+) -> std::io::Result<SoakReport> {
+    let plan = draw_plan(seed, seconds, size);
+    std::fs::write(directory.join("plan.txt"), format!("{plan:#?}"))?;
+    let mut soak = Soak::start(size, directory).await?;
+    soak.platform.workers.seed(seed);
+    soak.platform.store.seed(seed);
     let callers = CallerPool::new(soak.boxes.iter().map(|one| one.site.callers).collect());
     let mut report = SoakReport { faults: plan.len(), ..SoakReport::default() };
-    let load = futures_all((0..CALLERS).map(|caller| callers.run(seed, caller + 1)));
+    let load = futures_all((0..size.workers as u64).map(|caller| callers.run(seed, caller + 1)));
     let keys = soak.keys.clone();
     let addresses: Vec<_> = soak.boxes.iter().map(|one| one.site.callers).collect();
     let probing = keys.probe(&addresses, seed);
@@ -102,18 +113,19 @@
 }
 
 impl<'a> Soak<'a> {
-    async fn start(directory: &'a Path) -> std::io::Result<Soak<'a>> {
-        let platform = CellPlatform::start(WORKERS).await?;
-        let keys = SoakKeys::default();
+    async fn start(size: SoakSize, directory: &'a Path) -> std::io::Result<Soak<'a>> {
+        let platform = CellPlatform::start(size.workers).await?;
+        platform.workers.set_run_ms(RUN_MS);
+        let keys = SoakKeys::new(size.workers);
         keys.configure(&platform);
         let mut boxes = Vec::new();
-        for number in 0..BOXES {
+        for number in 0..size.boxes {
             let path = FaultyPath::open(platform.store_address).await?;
             let site = CellSite::new(&format!("box-{number}"), &platform, path.address, "0.25");
             let process = Some(site.start(directory)?);
             boxes.push(SoakBox { site, path, process });
         }
-        let mut soak = Soak { directory, platform, boxes, keys };
+        let mut soak = Soak { size, directory, platform, boxes, keys };
         soak.wait_ready().await?;
         Ok(soak)
     }
@@ -149,70 +161,9 @@
         Ok(())
     }
 
-    fn cause(
-        &mut self,
-        fault: SoakFault,
-        repairs: &mut Vec<(Instant, Repair)>,
-    ) -> std::io::Result<()> {
-        let after = |span: Duration| Instant::now() + span;
-        match fault {
-            SoakFault::Kill(number, pause) => {
-                self.boxes[number].process = None;
-                repairs.push((after(pause), Repair::Start(number)));
-            }
-            SoakFault::KillAll(pause) => {
-                for number in 0..BOXES {
-                    self.boxes[number].process = None;
-                    repairs.push((after(pause), Repair::Start(number)));
-                }
-            }
-            SoakFault::Stop(number) => self.signal(number, Signal::SIGTERM),
-            SoakFault::Pause(number, span) => {
-                self.signal(number, Signal::SIGSTOP);
-                repairs.push((after(span), Repair::Wake(number)));
-            }
-            SoakFault::Path(number, state, span) => {
-                self.boxes[number].path.set(state);
-                repairs.push((after(span), Repair::Open(number)));
-            }
-            SoakFault::Reset(number) => self.boxes[number].path.reset(),
-            SoakFault::SilenceOpen(number) => self.boxes[number].path.silence_open(),
-            SoakFault::StoreSilent(span) => {
-                self.platform.store.set_silent(true);
-                repairs.push((after(span), Repair::StoreSpeaks));
-            }
-            SoakFault::Configure => self.keys.configure(&self.platform),
-        }
-        Ok(())
-    }
-
-    fn repair(&mut self, repair: Repair) -> std::io::Result<()> {
-        match repair {
-            Repair::Start(number) => self.start_box(number)?,
-            Repair::Wake(number) => self.signal(number, Signal::SIGCONT),
-            Repair::Open(number) => self.boxes[number].path.set(PathState::Open),
-            Repair::StoreSpeaks => self.platform.store.set_silent(false),
-        }
-        Ok(())
-    }
-
-    fn signal(&self, number: usize, signal: Signal) {
-        if let Some(process) = &self.boxes[number].process {
-            process.signal(signal);
-        }
-    }
-
-    fn start_box(&mut self, number: usize) -> std::io::Result<()> {
-        let one = &mut self.boxes[number];
-        if one.process.is_none() {
-            one.process = Some(one.site.start(self.directory)?);
-        }
-        Ok(())
-    }
-
     /// Boxes that ended after a planned stop start again.
     fn restart_ended(&mut self) -> std::io::Result<()> {
-        for number in 0..BOXES {
+        for number in 0..self.boxes.len() {
             let ended = self.boxes[number].process.as_mut().is_some_and(CellProcess::has_ended);
             if ended {
                 self.boxes[number].process = None;
@@ -222,16 +173,6 @@
         Ok(())
     }
 
-    fn heal(&mut self) -> std::io::Result<()> {
-        self.platform.store.set_silent(false);
-        for number in 0..BOXES {
-            self.boxes[number].path.set(PathState::Open);
-            self.signal(number, Signal::SIGCONT);
-            self.start_box(number)?;
-        }
-        Ok(())
-    }
-
     /// Checks what must hold once all is well again.
     async fn check(&mut self, callers: &CallerPool, report: &mut SoakReport) {
         let accepted = callers.told().lock().accepted.clone();
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -5,7 +5,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::SoakSize;
 use super::proxy::PathState;
+use crate::cell_platform::{CallTrouble, PathTrouble, TroubledLeads};
 
 /// One thing that happens from outside.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -28,6 +30,23 @@
     KillAll(Duration),
     /// The configuration changes.
     Configure,
+    /// The lead is killed, and started again after a pause.
+    KillLead(Duration),
+    /// The lead stands still, and then goes on.
+    PauseLead(Duration),
+    /// Calls to a worker meet trouble for a time.
+    WorkerPath(usize, PathTrouble, Duration),
+    /// A worker dies; another life follows at its address after a pause. The store lists the old one for
+    /// a time.
+    WorkerDies(usize, Duration, Duration),
+    /// The store does not list a worker for a time, though it lives.
+    Unlisted(usize, Duration),
+    /// Appends meet trouble for a time.
+    Appends(PathTrouble, Duration),
+    /// The store forgets the progress of jobs but for the newest of each key.
+    Forget,
+    /// The same the moment the next lead fences. For a time before it progress is not read.
+    ForgetAtFence(Duration),
 }
 
 /// When which fault begins, from the start of the load.
@@ -41,8 +60,21 @@
 /// Tells the generator of silences from that of the other faults.
 const SILENCE_SALT: u64 = 0x5113_7ce5;
 
-/// Draws the faults of a run of `seconds` seconds with `boxes` boxes.
-pub fn draw_plan(seed: u64, seconds: u64, boxes: usize) -> SoakPlan {
+/// Faults of a worker or of the store begin on the average so far apart with six workers, and as much
+/// closer as there are more.
+const WORKER_GAP_MS: std::ops::Range<u64> = 100..1_000;
+/// Tells the generator of these faults from the others.
+const WORKER_SALT: u64 = 0x776f_726b;
+/// Leads are lost so far apart: each may just have taken over.
+const LEAD_GAP_MS: std::ops::Range<u64> = 500..4_500;
+/// Tells the generator of these faults from the others.
+const LEAD_SALT: u64 = 0x6c65_6164;
+/// A second lead may be lost so soon after the first one: within a lease of 4 s.
+const SECOND_LEAD_MS: std::ops::Range<u64> = 400..3_000;
+
+/// Draws the faults of a run of `seconds` seconds.
+pub fn draw_plan(seed: u64, seconds: u64, size: SoakSize) -> SoakPlan {
+    let boxes = size.boxes;
     let mut rng = StdRng::seed_from_u64(seed);
     let mut plan = Vec::new();
     let mut at = 500;
@@ -51,6 +83,8 @@
         at += rng.random_range(GAP_MS);
     }
     plan.extend(draw_silences(seed, seconds, boxes));
+    plan.extend(draw_worker_faults(seed, seconds, size.workers));
+    plan.extend(draw_lead_faults(seed, seconds));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
@@ -83,3 +117,69 @@
         _ => SoakFault::Configure,
     }
 }
+
+fn draw_lead_faults(seed: u64, seconds: u64) -> SoakPlan {
+    let mut rng = StdRng::seed_from_u64(seed ^ LEAD_SALT);
+    let mut plan = Vec::new();
+    let mut at = rng.random_range(LEAD_GAP_MS);
+    while at < seconds * 1_000 {
+        let begins = Duration::from_millis(at);
+        let pause = Duration::from_millis(rng.random_range(100..1_500));
+        let second = Duration::from_millis(rng.random_range(SECOND_LEAD_MS));
+        let frozen = Duration::from_millis(rng.random_range(200..6_000));
+        match rng.random_range(0..4) {
+            0 => plan.push((begins, SoakFault::KillLead(pause))),
+            1 => {
+                plan.push((begins, SoakFault::KillLead(pause)));
+                plan.push((begins + second, SoakFault::KillLead(pause)));
+            }
+            2 => {
+                plan.push((begins, SoakFault::PauseLead(frozen)));
+                plan.push((begins + second, SoakFault::KillLead(pause)));
+            }
+            _ => plan.push((begins, SoakFault::PauseLead(frozen))),
+        }
+        at += rng.random_range(LEAD_GAP_MS);
+    }
+    plan
+}
+
+fn draw_worker_faults(seed: u64, seconds: u64, workers: usize) -> SoakPlan {
+    const GAP_WORKERS: u64 = 6;
+    let mut rng = StdRng::seed_from_u64(seed ^ WORKER_SALT);
+    let mut plan = Vec::new();
+    let mut at = 500;
+    while at < seconds * 1_000 {
+        plan.push((Duration::from_millis(at), draw_worker_fault(&mut rng, workers)));
+        at += 1 + rng.random_range(WORKER_GAP_MS) * GAP_WORKERS / (workers as u64).max(1);
+    }
+    plan
+}
+
+fn draw_worker_fault(rng: &mut StdRng, workers: usize) -> SoakFault {
+    let number = rng.random_range(0..workers);
+    let mut span = |range: std::ops::Range<u64>| Duration::from_millis(rng.random_range(range));
+    let (down, listed) = (span(20..1_500), span(300..4_000));
+    let (cut, away, stored) = (span(500..8_000), span(500..6_000), span(300..2_500));
+    match rng.random_range(0..100) {
+        0..50 => SoakFault::WorkerPath(number, draw_trouble(rng), cut),
+        50..68 => SoakFault::WorkerDies(number, down, listed),
+        68..84 => SoakFault::Unlisted(number, away),
+        84..92 => {
+            let leads = TroubledLeads::All;
+            SoakFault::Appends(PathTrouble { leads, ..draw_trouble(rng) }, stored)
+        }
+        92..95 => SoakFault::Forget,
+        _ => SoakFault::ForgetAtFence(stored),
+    }
+}
+
+fn draw_trouble(rng: &mut StdRng) -> PathTrouble {
+    let kinds = [CallTrouble::Lost, CallTrouble::Unanswered, CallTrouble::Late];
+    let leads = [TroubledLeads::All, TroubledLeads::Odd, TroubledLeads::Even];
+    PathTrouble {
+        kind: kinds[rng.random_range(0..kinds.len())],
+        percent: [20, 50, 100][rng.random_range(0..3)],
+        leads: leads[rng.random_range(0..leads.len())],
+    }
+}
--- a/crates/sedgehill-standin/src/soak_command.rs
+++ b/crates/sedgehill-standin/src/soak_command.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
-use sedgehill_standin::soak::run_soak;
+use sedgehill_standin::soak::{SoakSize, run_soak};
 
 use crate::commands::{CommandResult, finish};
 
@@ -18,20 +18,28 @@
     let count: u64 = args.opt_value_from_str("--seeds").map_err(text)?.unwrap_or(1);
     let seconds: u64 = args.opt_value_from_str("--seconds").map_err(text)?.unwrap_or(SECONDS);
     let keep: Option<PathBuf> = args.opt_value_from_str("--keep").map_err(text)?;
+    let mut size = SoakSize::default();
+    size.boxes = args.opt_value_from_str("--boxes").map_err(text)?.unwrap_or(size.boxes);
+    size.workers = args.opt_value_from_str("--workers").map_err(text)?.unwrap_or(size.workers);
     finish(args)?;
     // Seeds are short, so that they can be typed again.
     let first = first.unwrap_or_else(|| u64::from(rand::random::<u32>()));
     let mut failed = 0;
     for seed in first..first + count {
-        failed += u64::from(!run_seed(seed, seconds, keep.as_deref()).await?);
+        failed += u64::from(!run_seed(seed, seconds, size, keep.as_deref()).await?);
     }
     println!("{count} seeds from {first}, {failed} with a broken promise");
     Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-async fn run_seed(seed: u64, seconds: u64, keep: Option<&std::path::Path>) -> Result<bool, String> {
+async fn run_seed(
+    seed: u64,
+    seconds: u64,
+    size: SoakSize,
+    keep: Option<&Path>,
+) -> Result<bool, String> {
     let directory = tempfile::tempdir().map_err(|error| error.to_string())?;
-    let report = match run_soak(seed, seconds, directory.path()).await {
+    let report = match run_soak(seed, seconds, size, directory.path()).await {
         Ok(report) => report,
         Err(error) => {
             keep_logs(seed, directory.path(), keep)?;
@@ -51,6 +59,8 @@
     if report.broken.is_empty() {
         return Ok(true);
     }
+    let broken = directory.path().join("broken.txt");
+    std::fs::write(broken, report.broken.join("\n")).map_err(|error| error.to_string())?;
     keep_logs(seed, directory.path(), keep)?;
     Ok(false)
 }
--- a/crates/sedgehill-standin/tests/testsuite/forgotten_history.rs
+++ b/crates/sedgehill-standin/tests/testsuite/forgotten_history.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use sedgehill_standin::cell_platform::CellPlatform;
+use sedgehill_standin::cell_platform::{CellPlatform, PROGRESS_TOPIC};
 use sedgehill_standin::cell_process::call;
 use serde_json::json;
 
@@ -23,8 +23,6 @@
 const CELLS: usize = 8;
 /// How soon a job has to begin.
 const BEGIN_LIMIT: Duration = Duration::from_secs(10);
-/// The topic that leads write.
-const PROGRESS: &str = "keyed.sedgehill-progress";
 /// The job of the test.
 const JOB: u64 = 7;
 
@@ -51,7 +49,8 @@
     wait_ready(&next).await;
     // Until the boxes have found each other.
     tokio::time::sleep(Duration::from_millis(1_000)).await;
-    platform.store.forget_at_fence(PROGRESS);
+    platform.store.hold_reads(Some(PROGRESS_TOPIC));
+    platform.store.forget_at_fence(PROGRESS_TOPIC);
     let steps = json!([{"count": 4, "cpu": 1000, "mem_mb": 16, "estimate_ms": 2000}]);
     let body = json!({"spec": "work", "steps": steps}).to_string();
     let callers = lead.callers;
--- a/crates/sedgehill-standin/tests/testsuite/soak.rs
+++ b/crates/sedgehill-standin/tests/testsuite/soak.rs
@@ -1,6 +1,6 @@
 //! Short soaks: one fixed seed, and each seed that ever broke a promise, with its cause.
 
-use sedgehill_standin::soak::{draw_plan, run_soak};
+use sedgehill_standin::soak::{SoakSize, draw_plan, run_soak};
 
 /// Seeds that broke a promise once, each with its cause.
 const REGRESSIONS: &[(u64, &str)] = &[
@@ -16,7 +16,7 @@
 
 async fn assert_kept(seed: u64) {
     let directory = tempfile::tempdir().unwrap();
-    let report = run_soak(seed, SECONDS, directory.path()).await.unwrap();
+    let report = run_soak(seed, SECONDS, SoakSize::default(), directory.path()).await.unwrap();
     assert!(report.accepted > 20, "{report:?}");
     assert!(report.broken.is_empty(), "seed {seed}: {report:?}");
 }
@@ -35,6 +35,7 @@
 
 #[test]
 fn a_seed_gives_the_same_faults_each_time() {
-    assert_eq!(draw_plan(7, 20, 3), draw_plan(7, 20, 3));
-    assert_ne!(draw_plan(7, 20, 3), draw_plan(8, 20, 3));
+    let size = SoakSize::default();
+    assert_eq!(draw_plan(7, 20, size), draw_plan(7, 20, size));
+    assert_ne!(draw_plan(7, 20, size), draw_plan(8, 20, size));
 }
