standin, soak: paths that only later or only earlier leads lose, runs past the longest lease

Cause: with every other token cut, a box that claims twice in a row has the path of the lead before it. Change: trouble counts from the lead of the moment: up to it, after it, or all.

--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -13,7 +13,6 @@
 use std::sync::Arc;
 
 use sedgehill_cell::authority::LeadRecord;
-use sedgehill_cell::ids::BoxName;
 
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
@@ -83,10 +82,10 @@
         self.store.remove(WORKER_TOPIC, life);
     }
 
-    /// The box that claimed the lead last, or renewed it.
-    pub fn lead_holder(&self) -> Option<BoxName> {
+    /// Who claimed the lead last, or renewed it.
+    pub fn lead(&self) -> Option<LeadRecord> {
         let value = self.store.newest_value(LEAD_TOPIC, "lead")?;
-        LeadRecord::decode(&value).ok().map(|record| record.holder)
+        LeadRecord::decode(&value).ok()
     }
 
     /// Puts a configuration with one queue into the store.
--- a/crates/sedgehill-standin/src/cell_platform/trouble.rs
+++ b/crates/sedgehill-standin/src/cell_platform/trouble.rs
@@ -32,24 +32,33 @@
     Unanswered(Duration),
 }
 
-/// Which leads meet trouble. Consecutive leads have consecutive tokens, so a worker that one of them
-/// does not reach can answer the next.
+/// Which leads meet trouble. Tokens rise from one lead to the next, so a worker that the lead of a moment
+/// reaches can be cut from all that follow it, and the other way about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TroubledLeads {
     /// Each one.
     All,
-    /// Those with odd tokens.
-    Odd,
-    /// Those with even tokens.
-    Even,
+    /// Those with this token or a lower one.
+    UpTo(u64),
+    /// Those with a higher token.
+    After(u64),
 }
 
 impl TroubledLeads {
     fn contain(self, token: u64) -> bool {
         match self {
             TroubledLeads::All => true,
-            TroubledLeads::Odd => !token.is_multiple_of(2),
-            TroubledLeads::Even => token.is_multiple_of(2),
+            TroubledLeads::UpTo(last) => token <= last,
+            TroubledLeads::After(last) => token > last,
+        }
+    }
+
+    /// The same leads as of a moment at which the newest has this token.
+    pub fn as_of(self, newest: u64) -> TroubledLeads {
+        match self {
+            TroubledLeads::All => TroubledLeads::All,
+            TroubledLeads::UpTo(_) => TroubledLeads::UpTo(newest),
+            TroubledLeads::After(_) => TroubledLeads::After(newest),
         }
     }
 }
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -24,6 +24,9 @@
 const STOP_MS: u64 = 350;
 /// One step in so many runs for longer than the least time.
 const LONG_ONE_IN: u64 = 4;
+/// One of those runs for so many times as long: past the longest lease.
+const LONGER_ONE_IN: u64 = 6;
+const LONGER_TIMES: u64 = 4;
 /// Tasks of the tests that fit on a worker.
 const ROOM: usize = 4;
 /// Time between two looks of a call that waits.
@@ -177,10 +180,12 @@
         step.hash(&mut hasher);
         let drawn = hasher.finish();
         let spread = self.run_ms.end - self.run_ms.start;
-        match drawn % LONG_ONE_IN {
-            0 => self.run_ms.start + drawn / LONG_ONE_IN % spread,
-            _ => self.run_ms.start,
+        if !drawn.is_multiple_of(LONG_ONE_IN) || spread == 1 {
+            return self.run_ms.start;
         }
+        let drawn = drawn / LONG_ONE_IN;
+        let times = if drawn.is_multiple_of(LONGER_ONE_IN) { LONGER_TIMES } else { 1 };
+        times * (self.run_ms.start + drawn / LONGER_ONE_IN % spread)
     }
 }
 
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -22,8 +22,8 @@
 const TRIES: usize = 10;
 /// Pause before the next try.
 const TRY_PAUSE: Duration = Duration::from_millis(150);
-/// Pause between two jobs of one caller.
-const JOB_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two jobs of one caller: as many callers as workers keep all the room taken.
+const JOB_PAUSE: Duration = Duration::from_millis(300);
 /// How long a caller waits for an answer.
 const CALL_LIMIT: Duration = Duration::from_millis(4_000);
 /// A caller hands in again, one time in so many, one of the jobs that were accepted last.
--- a/crates/sedgehill-standin/src/soak/faults.rs
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -7,7 +7,7 @@
 use super::Soak;
 use super::plan::SoakFault;
 use super::proxy::PathState;
-use crate::cell_platform::PROGRESS_TOPIC;
+use crate::cell_platform::{PROGRESS_TOPIC, PathTrouble};
 
 /// What ends a fault again.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,7 +27,7 @@
 impl Soak<'_> {
     /// The box that leads, as far as the store knows.
     fn lead(&self) -> Option<usize> {
-        let holder = self.platform.lead_holder()?;
+        let holder = self.platform.lead()?.holder;
         self.boxes.iter().position(|one| one.site.name == *holder.0)
     }
 
@@ -82,6 +82,9 @@
                 repairs.push((after(span), Repair::Wake(number)));
             }
             SoakFault::WorkerPath(number, trouble, span) => {
+                let newest = self.platform.lead().map_or(0, |lead| lead.token.0);
+                let leads = trouble.leads.as_of(newest);
+                let trouble = PathTrouble { leads, ..trouble };
                 self.platform.workers.set_trouble(number, Some(trouble));
                 repairs.push((after(span), Repair::WorkerPath(number)));
             }
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -160,7 +160,7 @@
     let number = rng.random_range(0..workers);
     let mut span = |range: std::ops::Range<u64>| Duration::from_millis(rng.random_range(range));
     let (down, listed) = (span(20..1_500), span(300..4_000));
-    let (cut, away, stored) = (span(500..8_000), span(500..6_000), span(300..2_500));
+    let (cut, away, stored) = (span(500..10_000), span(500..6_000), span(300..2_500));
     match rng.random_range(0..100) {
         0..50 => SoakFault::WorkerPath(number, draw_trouble(rng), cut),
         50..68 => SoakFault::WorkerDies(number, down, listed),
@@ -176,7 +176,8 @@
 
 fn draw_trouble(rng: &mut StdRng) -> PathTrouble {
     let kinds = [CallTrouble::Lost, CallTrouble::Unanswered, CallTrouble::Late];
-    let leads = [TroubledLeads::All, TroubledLeads::Odd, TroubledLeads::Even];
+    // Counted from the lead of that moment.
+    let leads = [TroubledLeads::All, TroubledLeads::UpTo(0), TroubledLeads::After(0)];
     PathTrouble {
         kind: kinds[rng.random_range(0..kinds.len())],
         percent: [20, 50, 100][rng.random_range(0..3)],
