cell, worker: readings of a slow clock are not lost to rounding

Cause: a clock that is just 2 % slow and told in whole milliseconds shows up to 1 ms less than the least that was reckoned, so its readings went on being passed over.

Change: the drift is rounded up, and a step of the clock is allowed for.

--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -34,6 +34,9 @@
     pub earlier: u32,
 }
 
+/// Clocks tell whole milliseconds: two readings may be so much closer than the time between them.
+const CLOCK_STEP: TimeSpan = TimeSpan(1);
+
 /// The pause between stops grows to at most this many doublings of the first.
 const STOP_DOUBLINGS: u32 = 3;
 
@@ -184,8 +187,8 @@
     fn least_clock_at(&self, now: Moment, timing: &CellTiming) -> Option<WorkerTime> {
         let (clock, at) = self.clock?;
         let elapsed = now.since(at).as_millis();
-        let drift = elapsed * timing.clock_drift_permille / 1000;
-        Some(clock.after(TimeSpan(elapsed - drift)))
+        let drift = (elapsed * timing.clock_drift_permille).div_ceil(1000) + CLOCK_STEP.0;
+        Some(clock.after(TimeSpan(elapsed.saturating_sub(drift))))
     }
 
     /// Takes in the clock of an answer that was received at `now`.
--- a/crates/sedgehill-cell/tests/testsuite/accounts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/accounts.rs
@@ -66,8 +66,8 @@
     assert!((5..=12).contains(&stops), "{stops} stops in 10 s");
 }
 
-/// A worker whose clock runs 2 % slow answers every second. The lead kept to the first reading of that clock, so
-/// each lease was asked for 20 ms longer than the one before. What the next lead waits for is reckoned from the
+/// A worker whose clock runs 2 % slow answers every 0.12 s. The lead kept to the first reading of that clock, so
+/// the leases asked for grew by 20 ms a second. What the next lead waits for is reckoned from the
 /// lease that was meant.
 #[test]
 fn leases_on_a_slow_clock_stay_as_long_as_meant() {
@@ -75,7 +75,7 @@
     let mut lead = Scheduler::take_over(timing.clone(), FencingToken(1), false, Moment(0));
     let keys = lead.update_workers(vec![worker_entry(0, 4)], Moment(0));
     let worker_clock = |now: u64| WorkerTime(7_000_000 + now * 98 / 100);
-    for now in (0..60_000).step_by(1_000) {
+    for now in (0..60_000).step_by(120) {
         let order = lead.hold_order(keys[0], true, Moment(now));
         if let Some(until) = order.lease_until {
             let asked = until.0 - worker_clock(now).0;
