standin, tests: a lead that wakes up starts nothing that its successor accepted; a fenced-out lead orders nothing

A lead stands still for a second, its successor accepts a job, and the first lead goes on and starts it as well.

Change: the test; and a lead that a worker has told of a later one gives no order any more, where it did so until its next look at its renewal.

--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod organisations;
 mod peers;
 mod placement;
+mod replaced_lead;
 mod sight;
 mod soak;
 mod stops;
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -96,10 +96,11 @@
 }
 
 impl LeadSession {
-    /// Whether orders may be given now.
+    /// Whether orders may be given now. A lead that a worker has told of a later one gives none.
     pub fn may_order(&self, host: &CellBox) -> bool {
         let token = host.watch.borrow().authority(clock::now());
-        !self.ended.get() && token == Some(self.token)
+        let fenced_out = self.scheduler.borrow().is_fenced_out();
+        !self.ended.get() && !fenced_out && token == Some(self.token)
     }
 
     /// Whether the store has answered an append lately.
