--- a/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
@@ -151,17 +151,18 @@
 }
 
 /// A worker that runs something is reached by the lead alone, perhaps late; the lead loses touch with the
-/// store and is followed, and something befalls its followers.
+/// store and is followed, something befalls its followers, and a job comes.
 fn take_over() -> impl Strategy<Value = Vec<Event>> {
     let apart = prop::option::weighted(0.8, path());
     let late = prop::option::of((100u64..4_000).prop_map(|by| Way::Late(TimeSpan(by))));
     let rest = prop::option::weighted(0.7, isolating());
     let spans = (20u64..1_400, 20u64..600, 2_000u64..9_500);
-    let followers = (0usize..3, upset());
-    (apart, late, isolating(), rest, spans, followers).prop_map(
-        |(apart, late, leads, rest, (before, between, after), (gone, upset))| {
+    let followers = (0usize..3, upset(), prop::option::of(comes()));
+    (out_of_touch(), apart, late, isolating(), rest, spans, followers).prop_map(
+        |(mut events, apart, late, leads, rest, (before, between, after), followers)| {
+            let (gone, upset, comes) = followers;
             let cut = Path { there: Way::Lost, back: Way::Lost };
-            let mut events = vec![Event::WorkerPath { host: 1, worker: 0, path: cut }];
+            events.push(Event::WorkerPath { host: 1, worker: 0, path: cut });
             events.extend(apart.map(|path| Event::WorkerPath { host: 2, worker: 0, path }));
             let late = late.map(|there| Path { there, back: Way::Open });
             events.push(Event::StorePath { host: 0, leads: Some(leads), rest });
@@ -170,12 +171,29 @@
             events.extend((gone > 0).then_some(Event::Gone(gone)));
             events.push(Event::Run(between));
             events.extend(upset);
+            events.extend(comes.into_iter().flatten());
             events.push(Event::Run(after));
             events
         },
     )
 }
 
+/// Perhaps the lead has been out of touch with another worker that runs something.
+fn out_of_touch() -> impl Strategy<Value = Vec<Event>> {
+    let cut = Path { there: Way::Lost, back: Way::Lost };
+    let some = (0..WORKERS, 500u64..4_500).prop_map(move |(worker, span)| {
+        vec![Event::WorkerPath { host: 0, worker, path: cut }, Event::Run(span)]
+    });
+    prop_oneof![2 => Just(Vec::new()), 1 => some]
+}
+
+/// A job that some box takes, a moment later.
+fn comes() -> impl Strategy<Value = [Event; 2]> {
+    (20u64..900, 0..HOSTS, 1u16..3).prop_map(|(span, host, count)| {
+        [Event::Run(span), Event::Submit { host, count, need: 1, gang: false }]
+    })
+}
+
 /// A course: a job or two at work, often for long, and what happens then.
 pub fn course() -> impl Strategy<Value = Vec<Event>> {
     let some = prop_oneof![6 => event().prop_map(|event| vec![event]), 1 => take_over()];
