standin, take-over: a box that claims a second time counts on no earlier lead and begins a task beside its run; the test fails

Cause: has_living_predecessor looks at the newest lead record alone. A box that claims, is killed and claims again finds its own record there, logs "predecessor":false, and waits for the lease (6.4 s from its fence) but not for the term of 2.4 s of the lead before, which stood still, woke within its term and asked a worker that the new lead does not reach for the longest lease. Ruled out: a claim whose answer is lost. Change: the test; the stand-in tells where a task runs and where a topic ends. A job is asked for once after the limit too. FAILING TEST.

--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -16,7 +16,7 @@
 
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
-pub use self::worker::{GANG_SPEC, StandinWorkers};
+pub use self::worker::{GANG_SPEC, StandinWorkers, span_of};
 use crate::http_server::{ServerGuard, json, read_json, serve};
 
 /// The stand-ins, which stop when dropped.
@@ -36,7 +36,7 @@
 /// The topic of workers' entries.
 const WORKER_TOPIC: &str = "keyed.servers";
 /// The topic of leads.
-const LEAD_TOPIC: &str = "keyed.sedgehill-lead";
+pub const LEAD_TOPIC: &str = "keyed.sedgehill-lead";
 /// The topic that leads write.
 pub const PROGRESS_TOPIC: &str = "keyed.sedgehill-progress";
 
--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -76,6 +76,11 @@
         self.state.lock().holds_reads = topic.map(str::to_owned);
     }
 
+    /// Where a topic ends.
+    pub fn end(&self, topic: &str) -> u64 {
+        self.state.lock().topics.get(topic).map_or(0, Vec::len) as u64
+    }
+
     /// Has appends meet trouble, or no more.
     pub fn set_trouble(&self, trouble: Option<PathTrouble>) {
         self.state.lock().trouble = trouble;
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -147,6 +147,14 @@
         name(number, self.state.lock().sites[number].lives - 1)
     }
 
+    /// The worker on which a task runs.
+    pub fn place_of(&self, task: &str) -> Option<usize> {
+        let state = self.state.lock();
+        let runs =
+            |site: &WorkerSite| site.life.as_ref().is_some_and(|life| life.runs.contains_key(task));
+        state.sites.iter().position(runs)
+    }
+
     /// Runs that were begun.
     pub fn starts(&self) -> usize {
         self.state.lock().oracle.starts
@@ -172,21 +180,20 @@
     fn settle(&mut self, now: u64) {
         self.sites.iter_mut().flat_map(|site| &mut site.life).for_each(|life| life.settle(now));
     }
+}
 
-    /// How long the tasks of a step run: all alike, since the members of a gang end together.
-    fn span_of(&self, task: &str) -> u64 {
-        let step = task.rsplit_once('.').map_or(task, |(step, _)| step);
-        let mut hasher = DefaultHasher::new();
-        step.hash(&mut hasher);
-        let drawn = hasher.finish();
-        let spread = self.run_ms.end - self.run_ms.start;
-        if !drawn.is_multiple_of(LONG_ONE_IN) || spread == 1 {
-            return self.run_ms.start;
-        }
-        let drawn = drawn / LONG_ONE_IN;
-        let times = if drawn.is_multiple_of(LONGER_ONE_IN) { LONGER_TIMES } else { 1 };
-        times * (self.run_ms.start + drawn / LONGER_ONE_IN % spread)
+/// How long the tasks of a step run: all alike, since the members of a gang end together.
+pub fn span_of(step: &str, run_ms: &Range<u64>) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    step.hash(&mut hasher);
+    let drawn = hasher.finish();
+    let spread = run_ms.end - run_ms.start;
+    if !drawn.is_multiple_of(LONG_ONE_IN) || spread == 1 {
+        return run_ms.start;
     }
+    let drawn = drawn / LONG_ONE_IN;
+    let times = if drawn.is_multiple_of(LONGER_ONE_IN) { LONGER_TIMES } else { 1 };
+    times * (run_ms.start + drawn / LONGER_ONE_IN % spread)
 }
 
 #[derive(Deserialize, Clone)]
@@ -327,7 +334,8 @@
 
 fn start(state: &mut PoolState, call: &Call, now: u64) -> JsonResponse {
     let (order, number) = (&call.order, call.number);
-    let span = state.span_of(&order.task);
+    let step = order.task.rsplit_once('.').map_or(order.task.as_str(), |(step, _)| step);
+    let span = span_of(step, &state.run_ms);
     let Some(life) = &mut state.sites[number].life else { return status(StatusCode::NOT_FOUND) };
     let clock = life.clock.at(now);
     if order.ticket.as_deref() != Some("ticket") {
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -15,8 +15,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::RUN_MS;
 use super::keys::SOAK_KEY;
-use crate::cell_platform::GANG_SPEC;
+use crate::cell_platform::{GANG_SPEC, span_of};
 
 /// How often a caller tries one job before it gives up.
 const TRIES: usize = 10;
@@ -98,7 +99,7 @@
         rng: &mut StdRng,
         id: u64,
     ) -> Option<String> {
-        let body = draw_job(rng);
+        let body = draw_job(rng, id);
         let mut doubtful = false;
         for _ in 0..TRIES {
             let address = self.boxes[rng.random_range(0..self.boxes.len())];
@@ -166,12 +167,14 @@
     }
 }
 
-fn draw_job(rng: &mut StdRng) -> String {
+fn draw_job(rng: &mut StdRng, id: u64) -> String {
     let step = |rng: &mut StdRng, after: Option<u16>| {
+        let number = after.map_or(0, |before| before + 1);
+        let estimate = span_of(&format!("{id:016x}.0.{number}"), &RUN_MS);
         let gang = rng.random_ratio(1, 3);
         let count = rng.random_range(1..4);
         serde_json::json!({
-            "count": count, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150,
+            "count": count, "cpu": 1000, "mem_mb": 16, "estimate_ms": estimate,
             "gang_scheduled": gang, "after": after.into_iter().collect::<Vec<u16>>()
         })
     };
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -19,7 +19,7 @@
 use crate::cell_process::{CellProcess, CellSite, call, call_with_key};
 
 /// How long tasks run, in milliseconds: many outlive their lead.
-const RUN_MS: std::ops::Range<u64> = 150..2_000;
+pub(crate) const RUN_MS: std::ops::Range<u64> = 150..2_000;
 /// How long everything accepted may take to end once all is well again.
 const SETTLE_LIMIT: Duration = Duration::from_secs(45);
 /// From its acceptance until every box has to know a job, as callers are told.
@@ -204,7 +204,8 @@
     async fn wait_completed(&mut self, id: u64, deadline: Instant) -> Option<String> {
         let path = format!("/checks/{id:016x}");
         let mut last = String::from("not known");
-        while Instant::now() < deadline {
+        loop {
+            let is_last = Instant::now() >= deadline;
             if let Err(error) = self.restart_ended() {
                 return Some(format!("not to be asked for: {error}"));
             }
@@ -217,9 +218,11 @@
                     None => {}
                 }
             }
+            if is_last {
+                return Some(last);
+            }
             tokio::time::sleep(TURN).await;
         }
-        Some(last)
     }
 }
 
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod configuration;
 mod demo;
+mod earlier_lead;
 mod endpoints;
 mod forgotten_history;
 mod ledger;
