--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -124,11 +124,17 @@
     let mut at = rng.random_range(LEAD_GAP_MS);
     while at < seconds * 1_000 {
         let begins = Duration::from_millis(at);
-        let pause = Duration::from_millis(rng.random_range(100..1_500));
+        let pause = Duration::from_millis(rng.random_range(20..1_500));
         let second = Duration::from_millis(rng.random_range(SECOND_LEAD_MS));
         let frozen = Duration::from_millis(rng.random_range(200..6_000));
-        match rng.random_range(0..4) {
+        match rng.random_range(0..5) {
             0 => plan.push((begins, SoakFault::KillLead(pause))),
+            4 => {
+                // What this lead has not passed on when it dies is forgotten as the next one fences.
+                let held = Duration::from_millis(rng.random_range(20..200));
+                plan.push((begins, SoakFault::ForgetAtFence(second)));
+                plan.push((begins + held, SoakFault::KillLead(pause)));
+            }
             1 => {
                 plan.push((begins, SoakFault::KillLead(pause)));
                 plan.push((begins + second, SoakFault::KillLead(pause)));
