authority, standin: a claim or renewal that is answered late undoes a later claim, and two leads share a token; the tests fail

Cause: note_own takes an own record for the newest whatever was read meanwhile. Its fence under that token was answered from the other's: the store gives a repeated epoch and sequence its first answer again. Ruled out: a race of two claims; the store keeps each on its condition. Change: the tests; the stand-in store can answer an append late; the soak counts tokens that two processes claimed. FAILING TESTS.

--- a/crates/sedgehill-cell/tests/testsuite/authority.rs
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -56,6 +56,25 @@
     assert_eq!(box_watch.newest(), Some(&first));
 }
 
+#[test]
+fn an_own_record_that_is_answered_late_does_not_undo_a_later_claim() {
+    let timing = AuthorityTiming::default();
+    let mut own = watch("a", 1);
+    let claim = own.next_claim("127.0.0.1:1");
+    own.note_own(claim.clone(), START, 1, &timing);
+    let mut other = watch("b", 2);
+    other.note_record(claim.clone(), START);
+    let later = other.next_claim("127.0.0.1:2");
+    own.note_record(later.clone(), at(1_500));
+    // The answer to a renewal that the store kept before that claim.
+    own.note_own(claim, at(400), 2, &timing);
+    assert_eq!(own.newest(), Some(&later));
+    assert_eq!(own.authority(at(1_501)), None);
+    assert!(!own.is_holder());
+    // Claimed again with the token of the other box, the orders of the two could not be told apart.
+    assert!(own.next_claim("127.0.0.1:1").token > later.token);
+}
+
 #[test]
 fn a_silent_lead_is_followed_and_a_resigned_one_at_once() {
     let timing = AuthorityTiming::default();
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -9,6 +9,7 @@
 mod trouble;
 mod worker;
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -88,6 +89,19 @@
         LeadRecord::decode(&value).ok()
     }
 
+    /// Tokens that more than one process claimed. Workers cannot tell the orders of the two apart.
+    pub fn shared_tokens(&self) -> Vec<String> {
+        let values = self.store.all_values(LEAD_TOPIC);
+        let records = values.iter().filter_map(|value| LeadRecord::decode(value).ok());
+        let mut claims: BTreeMap<u64, BTreeSet<String>> = BTreeMap::new();
+        for record in records {
+            let process = format!("{} ({})", record.holder, record.life);
+            claims.entry(record.token.0).or_default().insert(process);
+        }
+        let shared = claims.into_iter().filter(|(_, processes)| processes.len() > 1);
+        shared.map(|(token, processes)| format!("token {token} is held by {processes:?}")).collect()
+    }
+
     /// Puts a configuration with one queue into the store.
     pub fn configure(&self, version: u64) {
         self.store.put("keyed.op", "config", &one_queue(version));
--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -34,6 +34,8 @@
     forgets_at_fence: Option<String>,
     /// The topic whose reads wait, until such a moment at the latest.
     holds_reads: Option<String>,
+    /// The topic whose next append is answered so much later than it is carried out.
+    answers_late: Option<(String, Duration)>,
     /// What becomes of appends.
     trouble: Option<PathTrouble>,
 }
@@ -76,6 +78,18 @@
         self.state.lock().holds_reads = topic.map(str::to_owned);
     }
 
+    /// Has the next append to a topic carried out at once and answered after a time.
+    pub fn answer_next_late(&self, topic: &str, after: Duration) {
+        self.state.lock().answers_late = Some((topic.to_owned(), after));
+    }
+
+    /// All that was ever appended to a topic.
+    pub fn all_values(&self, topic: &str) -> Vec<Bytes> {
+        let state = self.state.lock();
+        let records = state.topics.get(topic).into_iter().flatten();
+        records.map(|(_, value)| value.clone()).collect()
+    }
+
     /// Where a topic ends.
     pub fn end(&self, topic: &str) -> u64 {
         self.state.lock().topics.get(topic).map_or(0, Vec::len) as u64
@@ -153,6 +167,12 @@
     };
     let call = AppendCall { topic, at, producer, epoch, sequence, body: body.to_bytes() };
     let trouble = store.state.lock().trouble;
+    let late = store.state.lock().answers_late.take_if(|(topic, _)| *topic == call.topic);
+    if let Some((_, after)) = late {
+        let response = carry_out(&store, call);
+        tokio::time::sleep(after).await;
+        return response;
+    }
     match store.fates.draw(trouble, epoch) {
         CallFate::Answered => carry_out(&store, call),
         CallFate::Lost => std::future::pending().await,
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -188,6 +188,7 @@
         }
         report.broken.extend(self.platform.workers.violations());
         report.broken.extend(self.keys.violations());
+        report.broken.extend(self.platform.shared_tokens());
         let begun = self.platform.workers.begun_jobs();
         let ran = refused.iter().map(|id| format!("{id:016x}")).filter(|id| begun.contains(id));
         report.broken.extend(ran.map(|id| format!("{id} was refused each time and ran")));
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod organisations;
 mod peers;
 mod placement;
+mod shared_token;
 mod soak;
 mod stops;
 mod support;
