--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -175,6 +175,11 @@
     }
     match store.fates.draw(trouble, epoch) {
         CallFate::Answered => carry_out(&store, call),
+        CallFate::AnsweredAfter(after) => {
+            let response = carry_out(&store, call);
+            tokio::time::sleep(after).await;
+            response
+        }
         CallFate::Lost => std::future::pending().await,
         CallFate::Unanswered(after) => {
             tokio::spawn(async move {
--- a/crates/sedgehill-standin/src/cell_platform/trouble.rs
+++ b/crates/sedgehill-standin/src/cell_platform/trouble.rs
@@ -10,6 +10,9 @@
 /// How much later a late call is carried out, in milliseconds: past the term of a lead and past leases.
 const LATE_MS: Range<u64> = 2_000..12_000;
 
+/// How much later a late answer comes, in milliseconds: another lead may have claimed meanwhile.
+const ANSWER_LATE_MS: Range<u64> = 100..2_400;
+
 /// What goes wrong with a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallTrouble {
@@ -19,6 +22,8 @@
     Unanswered,
     /// It is carried out seconds later, and not answered.
     Late,
+    /// It is carried out at once, and answered late.
+    AnsweredLate,
 }
 
 /// What becomes of one call.
@@ -26,6 +31,8 @@
 pub enum CallFate {
     /// It is carried out and answered.
     Answered,
+    /// It is carried out at once and answered after a time.
+    AnsweredAfter(Duration),
     /// It does not arrive.
     Lost,
     /// It is carried out after a time and not answered.
@@ -104,6 +111,9 @@
         match trouble.kind {
             CallTrouble::Lost => CallFate::Lost,
             CallTrouble::Unanswered => CallFate::Unanswered(Duration::ZERO),
+            CallTrouble::AnsweredLate => {
+                CallFate::AnsweredAfter(Duration::from_millis(rng.random_range(ANSWER_LATE_MS)))
+            }
             CallTrouble::Late => {
                 CallFate::Unanswered(Duration::from_millis(rng.random_range(LATE_MS)))
             }
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -241,8 +241,10 @@
     let trouble = pool.state.lock().sites[number].trouble;
     let fate = pool.fates.draw(trouble, order.fencing_token);
     let mut call = Call { number, path, life, order };
+    let mut late = Duration::from_millis(pool.delay_ms.load(Ordering::Relaxed));
     match fate {
         CallFate::Answered => {}
+        CallFate::AnsweredAfter(after) => late += after,
         CallFate::Lost => return std::future::pending().await,
         CallFate::Unanswered(after) => {
             call.order.held = after;
@@ -254,7 +256,7 @@
         }
     }
     let response = obey(&pool, &call).await;
-    tokio::time::sleep(Duration::from_millis(pool.delay_ms.load(Ordering::Relaxed))).await;
+    tokio::time::sleep(late).await;
     response
 }
 
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -181,7 +181,8 @@
 }
 
 fn draw_trouble(rng: &mut StdRng) -> PathTrouble {
-    let kinds = [CallTrouble::Lost, CallTrouble::Unanswered, CallTrouble::Late];
+    let kinds =
+        [CallTrouble::Lost, CallTrouble::Unanswered, CallTrouble::Late, CallTrouble::AnsweredLate];
     // Counted from the lead of that moment.
     let leads = [TroubledLeads::All, TroubledLeads::UpTo(0), TroubledLeads::After(0)];
     PathTrouble {
