--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -9,6 +9,7 @@
 mod trouble;
 mod worker;
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -16,7 +17,7 @@
 
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
-pub use self::worker::{GANG_SPEC, StandinWorkers};
+pub use self::worker::{GANG_SPEC, StandinWorkers, span_of};
 use crate::http_server::{ServerGuard, json, read_json, serve};
 
 /// The stand-ins, which stop when dropped.
@@ -36,7 +37,7 @@
 /// The topic of workers' entries.
 const WORKER_TOPIC: &str = "keyed.servers";
 /// The topic of leads.
-const LEAD_TOPIC: &str = "keyed.sedgehill-lead";
+pub const LEAD_TOPIC: &str = "keyed.sedgehill-lead";
 /// The topic that leads write.
 pub const PROGRESS_TOPIC: &str = "keyed.sedgehill-progress";
 
@@ -88,6 +89,19 @@
         LeadRecord::decode(&value).ok()
     }
 
+    /// Tokens that more than one process claimed. Workers cannot tell the orders of the two apart.
+    pub fn shared_tokens(&self) -> Vec<String> {
+        let values = self.store.all_values(LEAD_TOPIC);
+        let records = values.iter().filter_map(|value| LeadRecord::decode(value).ok());
+        let mut claims: BTreeMap<u64, BTreeSet<String>> = BTreeMap::new();
+        for record in records {
+            let process = format!("{} ({})", record.holder, record.life);
+            claims.entry(record.token.0).or_default().insert(process);
+        }
+        let shared = claims.into_iter().filter(|(_, processes)| processes.len() > 1);
+        shared.map(|(token, processes)| format!("token {token} is held by {processes:?}")).collect()
+    }
+
     /// Puts a configuration with one queue into the store.
     pub fn configure(&self, version: u64) {
         self.store.put("keyed.op", "config", &one_queue(version));
