--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -35,6 +35,12 @@
 #[derive(Debug)]
 pub struct FakeWorker {
     pub entry: WorkerEntry,
+    /// What the store lists instead of its entry.
+    pub shown: Option<WorkerEntry>,
+    /// Its entry cannot be read.
+    pub unreadable: bool,
+    /// It has ended, and another life stands at its address.
+    pub ended: bool,
     /// The store does not list it.
     pub unlisted: bool,
     /// It answers nothing, and does nothing.
@@ -141,6 +147,9 @@
     pub fn new(workers: u16, capacity: u64) -> FakeCell {
         let worker = |number| FakeWorker {
             entry: worker_entry(number, capacity),
+            shown: None,
+            unreadable: false,
+            ended: false,
             unlisted: false,
             cut: false,
             mute: false,
@@ -191,8 +200,9 @@
 
     /// Shows the scheduler what the store lists.
     pub fn list(&mut self, scheduler: &mut Scheduler) {
-        let listed = self.workers.iter().filter(|worker| !worker.unlisted);
-        let entries = listed.map(|worker| worker.entry.clone()).collect();
+        let listed = self.workers.iter().filter(|worker| !worker.unlisted && !worker.unreadable);
+        let entry = |worker: &FakeWorker| worker.shown.as_ref().unwrap_or(&worker.entry).clone();
+        let entries = listed.map(entry).collect();
         self.watched.extend(scheduler.update_workers(entries, self.now));
     }
 
@@ -267,10 +277,32 @@
     pub fn look_at(&mut self, scheduler: &mut Scheduler, key: WorkerKey) {
         let number = self.number(scheduler, key);
         let order = scheduler.hold_order(key, true, self.now);
-        let answer = self.hold(number, &order);
+        let answer = match self.refusal(scheduler, key) {
+            Some(refusal) => WorkerAnswer::NotDone(refusal),
+            None => self.hold(number, &order),
+        };
         scheduler.hold_answered(key, answer, self.now, self.now);
     }
 
+    /// What a call to a worker meets at the address that the scheduler knows; none if the worker is there.
+    fn refusal(&self, scheduler: &Scheduler, key: WorkerKey) -> Option<WorkerRefusal> {
+        let worker = &self.workers[self.number(scheduler, key)];
+        let address = scheduler.entry(key).address;
+        let others = |other: &&FakeWorker| other.entry.address == address && !other.cut;
+        if address == worker.entry.address && !worker.ended {
+            None
+        } else if worker.ended || self.workers.iter().any(|other| others(&other)) {
+            Some(WorkerRefusal::OtherLife)
+        } else {
+            Some(WorkerRefusal::Unreached)
+        }
+    }
+
+    /// Workers that are asked for accounts.
+    pub fn watched(&self) -> usize {
+        self.watched.len()
+    }
+
     /// Puts what the scheduler wants recorded into the store.
     pub fn record(&mut self, scheduler: &mut Scheduler) {
         while let Some(batch) = scheduler.take_batch(self.now) {
@@ -284,6 +316,12 @@
         }
     }
 
+    /// The handle by which a worker is watched.
+    pub fn key_of(&self, scheduler: &Scheduler, number: usize) -> WorkerKey {
+        let mut keys = self.watched.iter().copied();
+        keys.find(|key| self.number(scheduler, *key) == number).expect("the worker is watched")
+    }
+
     /// Which worker a scheduler's handle stands for.
     pub fn number(&self, scheduler: &Scheduler, key: WorkerKey) -> usize {
         let life = &scheduler.entry(key).life;
@@ -295,12 +333,18 @@
         match order {
             CellOrder::Start(order) => {
                 let number = self.number(scheduler, order.worker);
-                let answer = self.start(number, order);
+                let answer = match self.refusal(scheduler, order.worker) {
+                    Some(refusal) => WorkerAnswer::NotDone(refusal),
+                    None => self.start(number, order),
+                };
                 scheduler.start_answered(order, answer, self.now);
             }
             CellOrder::Stop(order) => {
                 let number = self.number(scheduler, order.worker);
-                let answer = self.stop(number, order);
+                let answer = match self.refusal(scheduler, order.worker) {
+                    Some(refusal) => WorkerAnswer::NotDone(refusal),
+                    None => self.stop(number, order),
+                };
                 scheduler.stop_answered(order, answer, self.now);
             }
             CellOrder::Ask(question) => {
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod brief;
 mod cancelled;
 mod displacement;
+mod entries;
 mod fake;
 mod led;
 mod organisations;
