cell, roster: an unreadable entry ends new work at once, and a wrong address is not for good

Cause: an entry that could not be read was the same as one that is gone: its worker got work for 2.2 s more. A life first listed at another worker's address was taken as ended by its 421 and never used, also once its entry was right; a stranger that answers nothing was asked ten times a second for as long as the lead lasted, and the end of its watch closed the connections to the worker whose address it had. Each reading logged each bad entry. Change: unreadable lives are told to the scheduler apart. A life that has answered keeps its address. One that has not may be listed elsewhere; it then gets a handle of its own, so answers from the other address say nothing of it, and starts nothing before a roster holds it there. Log lines and a counter by reason when an entry turns bad or good. Ruled out: a mark in the roster of who has answered (more writes, a new form). It is not needed: a start goes only to a life that has answered, at the address the newest roster has for it. So a 421 there means either that the life has ended or that nothing was ever started on it; in both cases nothing of an earlier lead runs there, and a take-over need not wait.

--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -27,7 +27,7 @@
     pub(super) fn note_refusal(&mut self, key: WorkerKey, refusal: WorkerRefusal, now: Moment) {
         match refusal {
             WorkerRefusal::Fenced => self.fenced_out = true,
-            WorkerRefusal::OtherLife => self.bury(key, now),
+            WorkerRefusal::OtherLife => self.note_other_life(key, now),
             WorkerRefusal::Unreached => self.note_silence(key, now),
             WorkerRefusal::Unhealthy | WorkerRefusal::NoRoom | WorkerRefusal::Malformed => {
                 let worker = &mut self.workers[key.0];
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -272,7 +272,10 @@
     pub fn batch_recorded(&mut self, batch: &ProgressBatch) {
         self.recorded = batch.number;
         for entry in batch.roster.iter().flat_map(|roster| &roster.0) {
-            if let Some(key) = self.lives.get(&entry.life) {
+            // Meanwhile the life may have been listed at another address, which no roster holds yet.
+            if let Some(key) = self.lives.get(&entry.life)
+                && self.workers[key.0].entry.address == entry.address
+            {
                 self.workers[key.0].rostered = true;
             }
         }
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -1,15 +1,26 @@
 //! Which workers there are: what the store lists, and the roster for later leads.
 
+use std::net::SocketAddr;
+
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::*;
 
+/// A life that has not answered yet and is listed at another address is taken as being there after so long: an
+/// entry that others change again and again takes up no more than this.
+const MOVE_PAUSE: TimeSpan = TimeSpan(2_000);
 /// A worker that has not answered for so long is out of touch: twice the longest wait for an account.
 const OUT_OF_TOUCH: TimeSpan = TimeSpan(1_500);
 
 impl Scheduler {
-    /// Takes in what the store lists. Returns the workers that nobody asks for accounts yet.
-    pub fn update_workers(&mut self, entries: Vec<WorkerEntry>, now: Moment) -> Vec<WorkerKey> {
+    /// Takes in what the store lists, and the lives whose entries there cannot be read: they get no work from
+    /// now on, and what runs there is watched to its end. Returns the workers that nobody asks for accounts yet.
+    pub fn update_workers(
+        &mut self,
+        entries: Vec<WorkerEntry>,
+        unreadable: &[WorkerLife],
+        now: Moment,
+    ) -> Vec<WorkerKey> {
         let mut listed = BTreeSet::new();
         for entry in entries {
             let draining = entry.draining;
@@ -23,6 +34,10 @@
                 worker.unlisted_since = now;
             }
             worker.listed = is_listed;
+            worker.unreadable &= !is_listed;
+        }
+        for key in unreadable.iter().filter_map(|life| self.lives.get(life)) {
+            self.workers[key.0].unreadable = true;
         }
         self.surveyed = true;
         // A later lead should not have to wait for workers that have left.
@@ -47,16 +62,34 @@
     /// Two lives may stand at one address, as the store lists a life for some seconds after its end. Which of
     /// them has ended is told by the address itself, which refuses what is meant for the other.
     fn know_worker(&mut self, entry: WorkerEntry, now: Moment) -> WorkerKey {
-        if let Some(key) = self.lives.get(&entry.life) {
-            return *key;
+        let known = self.lives.get(&entry.life).copied();
+        if let Some(key) = known {
+            if !self.has_moved(key, &entry, now) {
+                return key;
+            }
+            // Answers from the other address are answers to the handle that is given up here.
+            self.workers[key.0].dead = true;
         }
         let key = WorkerKey(self.workers.len());
         self.lives.insert(entry.life.clone(), key);
-        self.note_worker(&entry.life, "listed");
+        let change = if known.is_some() { "listed at another address" } else { "listed" };
+        self.note_worker(&entry.life, change);
         self.workers.push(WorkerState::new(entry, now));
         key
     }
 
+    /// Whether a life is to be looked for at another address than before. The first one that answered is its
+    /// own, whatever is listed later. So is that in the roster of an earlier lead, until it is known that
+    /// nothing of that lead's runs there: starts were sent nowhere else.
+    fn has_moved(&self, key: WorkerKey, entry: &WorkerEntry, now: Moment) -> bool {
+        let worker = &self.workers[key.0];
+        let may_run = worker.inherited && !worker.dead && !self.take_over.settled;
+        let is_proven = worker.fenced || may_run;
+        entry.address != worker.entry.address
+            && !is_proven
+            && now >= worker.known_since.after(MOVE_PAUSE)
+    }
+
     fn unwatched(&mut self) -> Vec<WorkerKey> {
         let keys = (0..self.workers.len()).map(WorkerKey);
         let keys: Vec<WorkerKey> =
@@ -98,17 +131,37 @@
         WorkerRoster(entries)
     }
 
+    /// Whether a worker has answered neither this lead nor, as far as is known, an earlier one.
+    pub fn is_stranger(&self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key.0];
+        !worker.fenced && !worker.inherited
+    }
+
+    /// Whether somebody asks a worker at this address for accounts.
+    pub fn watches_address(&self, address: SocketAddr) -> bool {
+        self.workers.iter().any(|worker| worker.watched && worker.entry.address == address)
+    }
+
     /// Whether a worker's daemon task should go on asking it for accounts.
     pub fn is_watched(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key.0];
-        !worker.dead && (worker.listed || !worker.runs.is_empty() || !worker.fenced)
+        let unheard = worker.inherited && !worker.fenced;
+        !worker.dead && (worker.listed || !worker.runs.is_empty() || unheard)
     }
 
-    /// A life has surely ended: nothing runs there any more.
-    pub fn bury(&mut self, key: WorkerKey, now: Moment) {
-        self.workers[key.0].dead = true;
-        let life = self.workers[key.0].entry.life.clone();
-        self.note_worker(&life, "ended");
+    /// Another life answers at a worker's address. If this life answered there before, it has ended, and
+    /// nothing runs there any more. If it never did, then the address may be wrong and the life may go on
+    /// elsewhere. But nothing of this lead or an earlier one runs there: a start is sent only to a life that
+    /// has answered, and only to the address that stands for it in the newest roster.
+    pub(super) fn note_other_life(&mut self, key: WorkerKey, now: Moment) {
+        let worker = &mut self.workers[key.0];
+        if worker.dead {
+            return;
+        }
+        worker.dead = true;
+        let change = if worker.fenced { "ended" } else { "not at its address" };
+        let life = worker.entry.life.clone();
+        self.note_worker(&life, change);
         self.lose_runs(key, "worker ended", now);
     }
 
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -103,6 +103,10 @@
     pub listed: bool,
     /// Since when the store does not list it.
     pub unlisted_since: Moment,
+    /// Its last entry could not be read.
+    pub unreadable: bool,
+    /// When it was first listed at its address.
+    pub known_since: Moment,
     /// Whether the roster that holds it is recorded.
     pub rostered: bool,
     /// An earlier lead had it in its roster, and so may have started something there.
@@ -147,6 +151,8 @@
             entry,
             listed: true,
             unlisted_since: now,
+            unreadable: false,
+            known_since: now,
             rostered: false,
             inherited: false,
             watched: false,
@@ -202,9 +208,10 @@
         least > self.lease_until.0 + timing.lapse_margin.as_millis()
     }
 
-    /// Whether the store lists it, or may do so again in a moment.
+    /// Whether the store lists it, or may do so again in a moment. One whose entry cannot be read is there, but
+    /// not to be used.
     pub fn is_listed(&self, now: Moment, timing: &CellTiming) -> bool {
-        self.listed || now < self.unlisted_since.after(timing.relist)
+        !self.unreadable && (self.listed || now < self.unlisted_since.after(timing.relist))
     }
 
     /// Whether new work may be sent there.
--- a/crates/sedgehill-cell/tests/testsuite/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/entries.rs
@@ -1,8 +1,10 @@
 //! Entries that others wrote: unreadable ones, and ones with the address of another worker.
 
+use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::scheduler::{
     HoldReport, RunEnd, Scheduler, WorkerAnswer, WorkerEntry, WorkerRefusal,
 };
+use sedgehill_core::units::TimeSpan;
 
 use crate::fake::{FakeCell, job, step, task};
 
@@ -97,7 +99,9 @@
     let mut cell = FakeCell::new(2, 4);
     cell.workers[1].shown = Some(at_address_of(&cell, 1, 0));
     let mut lead = cell.lead(false);
-    cell.submit(&mut lead, 1, job(vec![step(8, 1)]));
+    // None of them is overdue in this test.
+    let long = StepSpec { estimate: TimeSpan(60_000), ..step(8, 1) };
+    cell.submit(&mut lead, 1, job(vec![long]));
     turns(&mut cell, &mut lead, 60);
     assert_eq!((starts_on(&cell, 0), starts_on(&cell, 1)), (4, 0));
     assert_eq!(cell.watched(), 1, "nobody asks again where another life answers");
@@ -120,7 +124,7 @@
     // Nothing answers at that address at first.
     cell.workers[0].cut = true;
     let mut lead = cell.lead(false);
-    let wrong = lead.update_workers(vec![at_address_of(&cell, 1, 0)], cell.now);
+    let wrong = lead.update_workers(vec![at_address_of(&cell, 1, 0)], &[], cell.now);
     assert!(wrong.is_empty(), "it is known and watched");
     let keys = lead.add_roster(&Default::default(), cell.now);
     assert!(keys.is_empty());
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -203,7 +203,10 @@
         let listed = self.workers.iter().filter(|worker| !worker.unlisted && !worker.unreadable);
         let entry = |worker: &FakeWorker| worker.shown.as_ref().unwrap_or(&worker.entry).clone();
         let entries = listed.map(entry).collect();
-        self.watched.extend(scheduler.update_workers(entries, self.now));
+        let unreadable = self.workers.iter().filter(|worker| worker.unreadable && !worker.unlisted);
+        let unreadable: Vec<WorkerLife> =
+            unreadable.map(|worker| worker.entry.life.clone()).collect();
+        self.watched.extend(scheduler.update_workers(entries, &unreadable, self.now));
     }
 
     /// Accepts a job.
--- a/crates/sedgehilld/src/cell/roster.rs
+++ b/crates/sedgehilld/src/cell/roster.rs
@@ -1,19 +1,20 @@
 //! Follows the workers of the cell: which there are, what runs there, and their leases.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use sedgehill_adapter::store::StoreTopic;
 use sedgehill_adapter::worker::WorkerTarget;
-use sedgehill_adapter::worker_list::decode_entry;
+use sedgehill_adapter::worker_list::{ListReader, ListReading};
 use sedgehill_cell::scheduler::{HoldOrder, HoldReport, WorkerAnswer, WorkerKey};
 use sedgehill_core::units::TimeSpan;
-use slog::warn;
+use slog::{info, warn};
 
 use super::late;
 use super::lead::LeadSession;
 use super::state::CellBox;
-use crate::clock;
+use crate::{clock, telemetry};
 
 /// Time between two readings of the list. A leaving worker is seen within it.
 const LIST_EVERY: Duration = Duration::from_millis(400);
@@ -21,6 +22,9 @@
 const LIST_LIMIT: Duration = Duration::from_millis(1_000);
 /// Pause after an account that failed for the second time in a row, or more often.
 const HOLD_RETRY: Duration = Duration::from_millis(100);
+/// The most doublings of that pause where nobody has answered to this life yet: the address may be that of
+/// anything, and each look is paid for.
+const STRANGER_DOUBLINGS: u32 = 3;
 /// Pause after an account: ends that come together are read together.
 const HOLD_PAUSE: Duration = Duration::from_millis(10);
 
@@ -29,6 +33,7 @@
     let roster = host.replica.borrow().roster().clone();
     let known = session.scheduler.borrow_mut().add_roster(&roster, clock::now());
     watch_all(host, session, known);
+    let mut reader = ListReader::new(addresses_of_others(host));
     loop {
         let reading = match session.relays() {
             true => session.newest_relayed(StoreTopic::Workers).await,
@@ -36,15 +41,11 @@
         };
         match reading {
             Ok(newest) => {
-                let mut entries = Vec::with_capacity(newest.records.len());
-                for record in &newest.records {
-                    match decode_entry(record) {
-                        Ok(entry) => entries.extend(entry),
-                        Err(error) => warn!(host.log, "worker entry not readable";
-                            "worker" => &record.key, "error" => %error),
-                    }
-                }
-                let new = session.scheduler.borrow_mut().update_workers(entries, clock::now());
+                let reading = reader.read(&newest.records);
+                tell_unreadable(host, &reading);
+                let ListReading { entries, unreadable, .. } = reading;
+                let now = clock::now();
+                let new = session.scheduler.borrow_mut().update_workers(entries, &unreadable, now);
                 watch_all(host, session, new);
                 session.wake.notify_one();
             }
@@ -54,6 +55,24 @@
     }
 }
 
+/// Where others than workers answer, as far as this box knows.
+fn addresses_of_others(host: &CellBox) -> Vec<SocketAddr> {
+    let listen = &host.settings.listen;
+    let own = [listen.callers, listen.ready, listen.peers, listen.metrics, host.settings.store];
+    own.into_iter().chain(host.settings.advice).collect()
+}
+
+/// Tells once of each entry that it cannot be read, and once that it can again or is gone.
+fn tell_unreadable(host: &CellBox, reading: &ListReading) {
+    for (worker, error) in &reading.worse {
+        telemetry::count_unreadable_entry(error.name());
+        warn!(host.log, "worker entry not readable"; "worker" => worker, "error" => %error);
+    }
+    for worker in &reading.mended {
+        info!(host.log, "worker entry readable or gone"; "worker" => worker);
+    }
+}
+
 fn watch_all(host: &Rc<CellBox>, session: &Rc<LeadSession>, keys: Vec<WorkerKey>) {
     for key in keys {
         tokio::task::spawn_local(watch(host.clone(), session.clone(), key));
@@ -63,7 +82,7 @@
 /// Renews a worker's lease and reads its accounts for as long as it is of interest.
 async fn watch(host: Rc<CellBox>, session: Rc<LeadSession>, key: WorkerKey) {
     let target = target_of(&session, key);
-    let mut failed = false;
+    let mut failures = 0;
     loop {
         if session.ended.get() || !session.scheduler.borrow().is_watched(key) {
             break;
@@ -74,12 +93,23 @@
         }
         let order = next_hold(&host, &session, key);
         let answered = ask_account(&host, &session, &target, key, order).await;
-        let failed_before = std::mem::replace(&mut failed, !answered);
-        let out_of_touch = failed && failed_before;
-        tokio::time::sleep(if out_of_touch { HOLD_RETRY } else { HOLD_PAUSE }).await;
+        failures = if answered { 0 } else { failures + 1 };
+        let stranger = session.scheduler.borrow().is_stranger(key);
+        tokio::time::sleep(hold_pause(failures, stranger)).await;
     }
     session.scheduler.borrow_mut().unwatch(key);
-    host.clients.http.forget(target.address);
+    if !session.scheduler.borrow().watches_address(target.address) {
+        host.clients.http.forget(target.address);
+    }
+}
+
+/// How long to wait before the next account, after so many failed ones in a row.
+fn hold_pause(failures: u32, stranger: bool) -> Duration {
+    let doublings = if stranger { failures.saturating_sub(2).min(STRANGER_DOUBLINGS) } else { 0 };
+    match failures {
+        0 | 1 => HOLD_PAUSE,
+        _ => HOLD_RETRY * 2u32.pow(doublings),
+    }
 }
 
 /// Asks a worker for its account at once, without waiting for an end.
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -96,6 +96,11 @@
     counter!("sedgehill_cell_events_total", "event" => event, "detail" => detail).increment(1);
 }
 
+/// Counts an entry of the list of workers that became unreadable, by why.
+pub fn count_unreadable_entry(reason: &'static str) {
+    counter!("sedgehill_cell_unreadable_entries_total", "reason" => reason).increment(1);
+}
+
 /// Notes a time of a job or a question: `sedgehill_cell_wait_seconds` until its first start and the like.
 pub fn note_cell_time(name: &'static str, seconds: f64) {
     histogram!(name).record(seconds);
