standin, tests: a list of workers that others write to as well

The stand-in store takes records of any bytes and page items of any form. Three tests with boxes as processes: entries that cannot be read or have another's address are told once and used by no job; a worker whose entry is overwritten gets no work meanwhile and gets it again; configurations that cannot be read change nothing.

--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -23,6 +23,8 @@
     pub store_address: SocketAddr,
     /// Where the advice service listens.
     pub advice_address: SocketAddr,
+    /// Where the workers listen.
+    pub worker_addresses: Vec<SocketAddr>,
     _guards: Vec<ServerGuard>,
 }
 
@@ -37,14 +39,23 @@
         guards.push(serve(any, answer_advice).await?);
         let (store_address, advice_address) = (guards[0].address, guards[1].address);
         let pool = Arc::new(StandinWorkers::new(workers));
+        let mut worker_addresses = Vec::new();
         for number in 0..workers {
             let serving = pool.clone();
             let answer = move |request| worker::answer(serving.clone(), number, request);
             let guard = serve(any, answer).await?;
             store.put("keyed.servers", &worker::name(number), &worker::entry(guard.address));
+            worker_addresses.push(guard.address);
             guards.push(guard);
         }
-        Ok(CellPlatform { store, workers: pool, store_address, advice_address, _guards: guards })
+        Ok(CellPlatform {
+            store,
+            workers: pool,
+            store_address,
+            advice_address,
+            worker_addresses,
+            _guards: guards,
+        })
     }
 
     /// Puts a configuration with one queue into the store.
--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -27,6 +27,8 @@
     topics: HashMap<String, Vec<(String, Bytes)>>,
     producers: HashMap<(String, String), ProducerState>,
     silent: bool,
+    /// What pages of the newest records hold as well, as it stands: the topic and the item.
+    strays: Vec<(String, serde_json::Value)>,
 }
 
 /// The store.
@@ -38,11 +40,21 @@
 impl StandinStore {
     /// Puts a record under a key.
     pub fn put(&self, topic: &str, key: &str, value: &serde_json::Value) {
-        let value = Bytes::from(value.to_string());
+        self.put_bytes(topic, key, value.to_string().as_bytes());
+    }
+
+    /// Puts a record of any bytes under a key.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        let value = Bytes::copy_from_slice(value);
         let mut state = self.state.lock();
         state.topics.entry(topic.to_owned()).or_default().push((key.to_owned(), value));
     }
 
+    /// Puts an item into the pages of a topic's newest records, whatever it is.
+    pub fn put_stray(&self, topic: &str, item: serde_json::Value) {
+        self.state.lock().strays.push((topic.to_owned(), item));
+    }
+
     /// Lets the store answer nobody, or everybody again. Calls that wait meanwhile do nothing.
     pub fn set_silent(&self, silent: bool) {
         self.state.lock().silent = silent;
@@ -164,9 +176,10 @@
     let newest: BTreeMap<&str, &Bytes> =
         records.iter().map(|(key, value)| (key.as_str(), value)).collect();
     let encode = |value: &Bytes| base64::engine::general_purpose::STANDARD.encode(value);
-    let items: Vec<serde_json::Value> = newest
+    let strays = state.strays.iter().filter(|(of, _)| of == topic).map(|(_, item)| item.clone());
+    let items = newest
         .into_iter()
-        .map(|(key, value)| serde_json::json!({ "key": key, "value": encode(value), "offset": 0 }))
-        .collect();
+        .map(|(key, value)| serde_json::json!({ "key": key, "value": encode(value), "offset": 0 }));
+    let items: Vec<serde_json::Value> = strays.chain(items).collect();
     json(&serde_json::json!({ "items": items, "more": false, "end": records.len() }))
 }
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -29,6 +29,7 @@
     next_end: u64,
     /// The highest run of each task that ended here.
     floor: BTreeMap<String, u64>,
+    starts: usize,
 }
 
 #[derive(Debug, Default)]
@@ -98,6 +99,11 @@
         self.state.lock().starts
     }
 
+    /// Runs that were begun on one worker.
+    pub fn starts_on(&self, number: usize) -> usize {
+        self.state.lock().workers[number].starts
+    }
+
     /// Jobs of which a task was ever begun.
     pub fn begun_jobs(&self) -> BTreeSet<String> {
         self.state.lock().begun_jobs.clone()
@@ -231,6 +237,7 @@
     state.begun_jobs.extend(order.task.split('.').next().map(str::to_owned));
     let worker = &mut state.workers[number];
     worker.lease_until = worker.lease_until.max(order.deadline_ms);
+    worker.starts += 1;
     worker.runs.insert(order.task.clone(), (order.run, Instant::now()));
     if worker.runs.len() > ROOM {
         state.violations.push(format!("{} is over its size", name(number)));
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod demo;
 mod endpoints;
+mod entries;
 mod ledger;
 mod logging;
 mod messages;
