cell, tests: random courses with spoilt and misplaced entries, and lives that begin anew

The courses now also hold entries that cannot be read, entries at another worker's address, and lives that end while another begins at their address; the fakes refuse what is meant for another life.

--- a/crates/sedgehill-cell/tests/testsuite/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/entries.rs
@@ -84,7 +84,7 @@
 fn a_known_worker_that_is_shown_at_another_address_keeps_its_own() {
     let (mut cell, mut lead, number) = running_cell();
     let other = (number + 1) % 3;
-    cell.workers[number].shown = Some(at_address_of(&cell, number, other));
+    cell.misplace(number, other);
     turns(&mut cell, &mut lead, 400);
     assert_eq!(cell.place(task(1, 0, 0)), Some(number));
     let mut next = cell.lead(true);
@@ -97,7 +97,7 @@
 #[test]
 fn a_life_shown_at_another_s_address_is_used_once_its_entry_is_right() {
     let mut cell = FakeCell::new(2, 4);
-    cell.workers[1].shown = Some(at_address_of(&cell, 1, 0));
+    cell.misplace(1, 0);
     let mut lead = cell.lead(false);
     // None of them is overdue in this test.
     let long = StepSpec { estimate: TimeSpan(60_000), ..step(8, 1) };
@@ -109,7 +109,7 @@
     turns(&mut cell, &mut lead, 160);
     assert_eq!((starts_on(&cell, 0), starts_on(&cell, 1)), (4, 4));
     // Once it has answered, its address is known.
-    cell.workers[1].shown = Some(at_address_of(&cell, 1, 0));
+    cell.misplace(1, 0);
     turns(&mut cell, &mut lead, 400);
     assert_eq!(cell.starts.len(), 8);
     let mut next = cell.lead(true);
@@ -120,7 +120,7 @@
 #[test]
 fn an_answer_from_the_wrong_address_says_nothing_of_the_right_one() {
     let mut cell = FakeCell::new(2, 4);
-    cell.workers[1].shown = Some(at_address_of(&cell, 1, 0));
+    cell.misplace(1, 0);
     // Nothing answers at that address at first.
     cell.workers[0].cut = true;
     let mut lead = cell.lead(false);
@@ -146,7 +146,7 @@
 fn a_roster_with_the_wrong_address_allows_no_start_at_the_right_one() {
     let mut cell = FakeCell::new(2, 4);
     cell.workers[0].cut = true;
-    cell.workers[1].shown = Some(at_address_of(&cell, 1, 0));
+    cell.misplace(1, 0);
     let mut lead = cell.lead(false);
     cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
     // The roster of the wrong address is on its way to the store ...
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -132,20 +132,8 @@
 }
 
 impl FakeWorker {
-    /// How many runs there are.
-    pub fn run_count(&self) -> usize {
-        self.runs.len()
-    }
-
-    /// Its lease is over: what ran there is gone.
-    pub fn expire_for_test(&mut self) {
-        self.runs.clear();
-    }
-}
-
-impl FakeCell {
-    pub fn new(workers: u16, capacity: u64) -> FakeCell {
-        let worker = |number| FakeWorker {
+    fn new(number: u16, capacity: u64) -> FakeWorker {
+        FakeWorker {
             entry: worker_entry(number, capacity),
             shown: None,
             unreadable: false,
@@ -160,10 +148,25 @@
             token: FencingToken(0),
             floor: HashMap::new(),
             lease_until: 0,
-        };
+        }
+    }
+
+    /// How many runs there are.
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Its lease is over: what ran there is gone.
+    pub fn expire_for_test(&mut self) {
+        self.runs.clear();
+    }
+}
+
+impl FakeCell {
+    pub fn new(workers: u16, capacity: u64) -> FakeCell {
         FakeCell {
             now: Moment(1_000_000),
-            workers: (0..workers).map(worker).collect(),
+            workers: (0..workers).map(|number| FakeWorker::new(number, capacity)).collect(),
             store: BTreeMap::new(),
             token: FencingToken(0),
             roster: WorkerRoster::default(),
@@ -280,13 +283,44 @@
     pub fn look_at(&mut self, scheduler: &mut Scheduler, key: WorkerKey) {
         let number = self.number(scheduler, key);
         let order = scheduler.hold_order(key, true, self.now);
-        let answer = match self.refusal(scheduler, key) {
-            Some(refusal) => WorkerAnswer::NotDone(refusal),
-            None => self.hold(number, &order),
-        };
+        let answer = self.hold_at_address(scheduler, key, number, &order);
         scheduler.hold_answered(key, answer, self.now, self.now);
     }
 
+    fn hold_at_address(
+        &mut self,
+        scheduler: &Scheduler,
+        key: WorkerKey,
+        number: usize,
+        order: &HoldOrder,
+    ) -> WorkerAnswer<HoldReport> {
+        match self.refusal(scheduler, key) {
+            Some(refusal) => WorkerAnswer::NotDone(refusal),
+            None => self.hold(number, order),
+        }
+    }
+
+    /// The store lists a worker at the address of another one.
+    pub fn misplace(&mut self, number: usize, at: usize) {
+        let address = self.workers[at].entry.address;
+        let entry = self.workers[number].entry.clone();
+        self.workers[number].shown = Some(WorkerEntry { address, ..entry });
+    }
+
+    /// A worker's life ends, and another begins at its address. The store lists the old one for a time.
+    pub fn begin_anew(&mut self, number: usize) {
+        if self.workers[number].ended {
+            return;
+        }
+        let capacity = self.workers[number].entry.capacity.cores.0 / 1000;
+        let mut next = FakeWorker::new(self.workers.len() as u16, capacity);
+        next.entry.address = self.workers[number].entry.address;
+        let ended = &mut self.workers[number];
+        ended.ended = true;
+        ended.runs.clear();
+        self.workers.push(next);
+    }
+
     /// What a call to a worker meets at the address that the scheduler knows; none if the worker is there.
     fn refusal(&self, scheduler: &Scheduler, key: WorkerKey) -> Option<WorkerRefusal> {
         let worker = &self.workers[self.number(scheduler, key)];
@@ -375,7 +409,7 @@
         for key in self.watched.clone() {
             let order = scheduler.hold_order(key, true, sent);
             let number = self.number(scheduler, key);
-            answers.push((key, self.hold(number, &order)));
+            answers.push((key, self.hold_at_address(scheduler, key, number, &order)));
         }
         self.record(scheduler);
         scheduler.schedule(self.now);
@@ -391,7 +425,8 @@
     /// Carries out the starts that were lost on the way.
     pub fn carry_out_late(&mut self) {
         for late in std::mem::take(&mut self.late) {
-            if !self.workers[late.number].cut {
+            let FakeWorker { cut, ended, .. } = self.workers[late.number];
+            if !cut && !ended {
                 self.begin(late.number, &late.order, late.token);
                 self.check_limit(&late.order, true);
             }
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -1,4 +1,4 @@
-//! Random courses of a cell: leads that are lost, workers that are cut or mute or not listed, runs
+//! Random courses of a cell: leads that are lost, workers that are cut or mute or not listed or listed wrongly, runs
 //! that end in any way, orders that are carried out late. The fakes panic when a task runs twice,
 //! after its end, beyond a worker's size, or beyond the highest limit that its organisation has had.
 
@@ -29,6 +29,12 @@
     Cut(usize, bool),
     Mute(usize, bool),
     Unlist(usize, bool),
+    /// The entry of a worker cannot be read, or can be again.
+    Spoil(usize, bool),
+    /// A worker is listed at the address of another one, or of itself.
+    Misplace(usize, usize),
+    /// A life ends, and another one begins at its address.
+    BeginAnew(usize),
     End {
         pick: usize,
         end: RunEnd,
@@ -64,7 +70,10 @@
         1 => (0u64..12).prop_map(Step::Cancel),
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, cut)| Step::Cut(number, cut)),
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, mute)| Step::Mute(number, mute)),
-        2 => (worker, any::<bool>()).prop_map(|(number, gone)| Step::Unlist(number, gone)),
+        2 => (worker.clone(), any::<bool>()).prop_map(|(number, gone)| Step::Unlist(number, gone)),
+        2 => (worker.clone(), any::<bool>()).prop_map(|(number, bad)| Step::Spoil(number, bad)),
+        2 => (worker.clone(), worker.clone()).prop_map(|(number, at)| Step::Misplace(number, at)),
+        1 => worker.prop_map(Step::BeginAnew),
         6 => (0usize..16, end).prop_map(|(pick, end)| Step::End { pick, end }),
         8 => (1usize..40).prop_map(Step::Turns),
         1 => (200usize..500).prop_map(Step::Turns),
@@ -103,6 +112,9 @@
         Step::Cut(number, cut) => cell.workers[number].cut = cut,
         Step::Mute(number, mute) => cell.workers[number].mute = mute,
         Step::Unlist(number, gone) => cell.workers[number].unlisted = gone,
+        Step::Spoil(number, bad) => cell.workers[number].unreadable = bad,
+        Step::Misplace(number, at) => cell.misplace(number, at),
+        Step::BeginAnew(number) => cell.begin_anew(number),
         Step::End { pick, end } => cell.end_some(pick, end),
         Step::Turns(count) => {
             cell.list(lead);
@@ -135,6 +147,7 @@
         }
         for worker in &mut cell.workers {
             (worker.cut, worker.mute, worker.unlisted) = (false, false, false);
+            (worker.unreadable, worker.shown) = (false, None);
         }
         // The widest gang needs twelve cores.
         for (name, _) in ORGANISATIONS {
