--- a/crates/sedgehill-cell/tests/testsuite/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/entries.rs
@@ -207,3 +207,18 @@
     turns(&mut cell, &mut lead, 100);
     assert_eq!((starts_on(&cell, 0), starts_on(&cell, 1)), (4, 0));
 }
+
+#[test]
+fn a_silent_worker_of_an_earlier_lead_is_waited_for_wherever_it_is_listed() {
+    let (mut cell, _, number) = running_cell();
+    cell.workers[number].cut = true;
+    cell.misplace(number, (number + 1) % 3);
+    let mut next = cell.lead(true);
+    // Longer than it takes to follow a life to another address, shorter than its lease may last.
+    turns(&mut cell, &mut next, 180);
+    assert!(!next.is_settled());
+    assert_eq!(cell.starts.len(), 1);
+    turns(&mut cell, &mut next, 420);
+    assert!(next.is_settled());
+    assert_eq!(cell.starts.len(), 2, "its lease is surely over");
+}
