cell, naming: a life that never answered is not named to the advice service

Cause: questions are filled with whatever the store lists, and each life named costs time at the service; entries of others named lives that are no workers. Change: only lives that have answered this lead are added to a question.

--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -171,11 +171,12 @@
         }
     }
 
-    /// Whether a worker might run the step once it has room.
+    /// Whether a worker might run the step once it has room. What never answered may be no worker.
     fn could_ever_run(&self, key: WorkerKey, job: &JobWork, spec: &StepSpec, now: Moment) -> bool {
         let worker = &self.workers[key.0];
         let entry = &worker.entry;
         !worker.dead
+            && worker.fenced
             && !entry.draining
             && worker.is_listed(now, &self.timing)
             && entry.pool == job.record.policy.pool
--- a/crates/sedgehill-cell/tests/testsuite/advice.rs
+++ b/crates/sedgehill-cell/tests/testsuite/advice.rs
@@ -132,3 +132,13 @@
         asked.iter().flat_map(|question| &question.workers).collect();
     assert_eq!(distinct.len(), named, "no worker is named twice");
 }
+
+#[test]
+fn a_life_that_never_answered_is_not_named() {
+    let mut cell = FakeCell::new(6, 16);
+    for worker in &mut cell.workers[2..] {
+        worker.cut = true;
+    }
+    let named = named(&mut cell, advised(vec![step(2, 1)]));
+    assert_eq!(named, [2], "the others may be no workers at all");
+}
