--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -4,6 +4,7 @@
 //! task in two places, a task begun after its acknowledged end, a worker over its size.
 
 mod store;
+mod strays;
 mod worker;
 
 use std::net::SocketAddr;
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -104,6 +104,7 @@
 impl<'a> Soak<'a> {
     async fn start(directory: &'a Path) -> std::io::Result<Soak<'a>> {
         let platform = CellPlatform::start(WORKERS).await?;
+        platform.put_strays();
         let keys = SoakKeys::default();
         keys.configure(&platform);
         let mut boxes = Vec::new();
--- a/crates/sedgehill-standin/tests/testsuite/entries.rs
+++ b/crates/sedgehill-standin/tests/testsuite/entries.rs
@@ -1,6 +1,5 @@
 //! A list of workers that others write to as well: boxes use those that live, and nothing else.
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -13,61 +12,6 @@
     wait_ready,
 };
 
-const SERVERS: &str = "keyed.servers";
-
-fn entry(address: SocketAddr) -> Value {
-    json!({
-        "service": "pool", "address": address, "state": "ready", "labels": ["a"],
-        "capacity": {"cpu": 4000, "mem_mb": 4096, "gpu": 0}
-    })
-}
-
-fn with(address: SocketAddr, field: &str, value: Value) -> Value {
-    let mut entry = entry(address);
-    entry[field] = value;
-    entry
-}
-
-/// Entries that can be read but name no worker of their own.
-fn put_wrong(platform: &CellPlatform) {
-    let [first, second, _] = platform.worker_addresses[..] else { panic!("three workers") };
-    let dead: SocketAddr = ([127, 0, 0, 1], 9).into();
-    let wrong = [
-        ("a-twin", entry(first)),
-        ("z-twin", entry(second)),
-        ("dead", entry(dead)),
-        ("other-service", with(first, "service", json!("unheard-of"))),
-        ("advice", entry(platform.advice_address)),
-        ("store", entry(platform.store_address)),
-    ];
-    for (key, value) in wrong {
-        platform.store.put(SERVERS, key, &value);
-    }
-}
-
-/// Entries that cannot be read; how many.
-fn put_unreadable(platform: &CellPlatform) -> usize {
-    let address = platform.worker_addresses[0];
-    let padded = with(address, "padding", json!("x".repeat(1 << 20)));
-    let values: Vec<(&str, Vec<u8>)> = vec![
-        ("a-bytes", vec![0xff; 40]),
-        ("b-state", with(address, "state", json!("stopping")).to_string().into()),
-        ("c-port", with(address, "address", json!("127.0.0.1:0")).to_string().into()),
-        ("d-size", with(address, "capacity", json!({})).to_string().into()),
-        ("e-list", json!(["pool", address, "ready", [4000, 4096, 0]]).to_string().into()),
-        ("f-long", padded.to_string().into()),
-        ("g-naïve", entry(address).to_string().into()),
-        ("h\nlines", entry(address).to_string().into()),
-    ];
-    for (key, value) in &values {
-        platform.store.put_bytes(SERVERS, key, value);
-    }
-    platform.store.put_stray(SERVERS, json!({ "key": "i-form", "value": "no base64!" }));
-    platform.store.put_stray(SERVERS, json!({ "key": "j-form", "value": 7 }));
-    platform.store.put_stray(SERVERS, json!(null));
-    values.len() + 3
-}
-
 /// Hands in a job whose tasks fill all three workers, and waits for its end.
 async fn fill(process: &CellProcess, id: u64) {
     let steps = json!([{"count": 12, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150}]);
@@ -87,8 +31,7 @@
     let directory = tempfile::tempdir().unwrap();
     let platform = CellPlatform::start(3).await.unwrap();
     platform.configure(1);
-    put_wrong(&platform);
-    let unreadable = put_unreadable(&platform);
+    let strays = platform.put_strays();
     let first = start_box(directory.path(), "first", &platform);
     wait_ready(&first).await;
     for id in 1..=6 {
@@ -98,10 +41,10 @@
         wait_completed(&first, id).await;
     }
     assert_eq!(platform.workers.starts(), 24);
-    // Several readings of the list later each is told once, that of the store as well.
+    // Several readings of the list later each is told once.
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let told = lines(directory.path(), "first", "worker entry not readable");
-    assert_eq!(told.len(), unreadable + 2, "{told:?}");
+    assert_eq!(told.len(), strays, "{told:?}");
     let used = lines(directory.path(), "first", "placed");
     let own =
         |line: &Value| line["worker"].as_str().is_some_and(|life| life.starts_with("worker-"));
@@ -118,8 +61,7 @@
     wait_ready(&first).await;
     fill(&first, 1).await;
     assert!(platform.workers.starts_on(2) > 0);
-    let address = platform.worker_addresses[2];
-    platform.store.put(SERVERS, "worker-2", &with(address, "state", json!("stopping")));
+    platform.put_entry_with(2, "state", json!("stopping"));
     wait_for("the reading", async || {
         !lines(directory.path(), "first", "worker entry not readable").is_empty()
     })
@@ -130,8 +72,7 @@
     }
     assert_eq!(platform.workers.starts_on(2), before, "nothing starts there meanwhile");
     // A later lead finds the entry of another worker's address, and then the right one.
-    let other = platform.worker_addresses[0];
-    platform.store.put(SERVERS, "worker-2", &entry(other));
+    platform.put_entry_with(2, "address", json!(platform.worker_addresses[0]));
     drop(first);
     let second = start_box(directory.path(), "second", &platform);
     wait_ready(&second).await;
@@ -140,7 +81,7 @@
         fill(&second, id).await;
     }
     assert_eq!(platform.workers.starts_on(2), before);
-    platform.store.put(SERVERS, "worker-2", &entry(address));
+    platform.put_entry_with(2, "state", json!("ready"));
     let mut id = 10;
     wait_for("work on the worker", async || {
         id += 1;
