--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/fake/entries.rs
@@ -0,0 +1,69 @@
+//! What the store lists of a cell of fakes, and what calls meet at the address that it lists.
+
+use sedgehill_cell::scheduler::{
+    HoldOrder, HoldReport, Scheduler, WorkerAnswer, WorkerEntry, WorkerKey, WorkerRefusal,
+};
+
+use super::{FakeCell, FakeWorker};
+
+impl FakeCell {
+    /// Asks a worker for its account at the address that the scheduler knows.
+    pub(super) fn hold_at_address(
+        &mut self,
+        scheduler: &Scheduler,
+        key: WorkerKey,
+        number: usize,
+        order: &HoldOrder,
+    ) -> WorkerAnswer<HoldReport> {
+        match self.refusal(scheduler, key) {
+            Some(refusal) => WorkerAnswer::NotDone(refusal),
+            None => self.hold(number, order),
+        }
+    }
+
+    /// The store lists a worker at the address of another one.
+    pub fn misplace(&mut self, number: usize, at: usize) {
+        let address = self.workers[at].entry.address;
+        let entry = self.workers[number].entry.clone();
+        self.workers[number].shown = Some(WorkerEntry { address, ..entry });
+    }
+
+    /// A worker's life ends, and another begins at its address. The store lists the old one for a time.
+    pub fn begin_anew(&mut self, number: usize) {
+        if self.workers[number].ended {
+            return;
+        }
+        let capacity = self.workers[number].entry.capacity.cores.0 / 1000;
+        let mut next = FakeWorker::new(self.workers.len() as u16, capacity);
+        next.entry.address = self.workers[number].entry.address;
+        let ended = &mut self.workers[number];
+        ended.ended = true;
+        ended.runs.clear();
+        self.workers.push(next);
+    }
+
+    /// What a call to a worker meets at the address that the scheduler knows; none if the worker is there.
+    pub(super) fn refusal(&self, scheduler: &Scheduler, key: WorkerKey) -> Option<WorkerRefusal> {
+        let worker = &self.workers[self.number(scheduler, key)];
+        let address = scheduler.entry(key).address;
+        let others = |other: &&FakeWorker| other.entry.address == address && !other.cut;
+        if address == worker.entry.address && !worker.ended {
+            None
+        } else if worker.ended || self.workers.iter().any(|other| others(&other)) {
+            Some(WorkerRefusal::OtherLife)
+        } else {
+            Some(WorkerRefusal::Unreached)
+        }
+    }
+
+    /// Workers that are asked for accounts.
+    pub fn watched(&self) -> usize {
+        self.watched.len()
+    }
+
+    /// The handle by which a worker is watched.
+    pub fn key_of(&self, scheduler: &Scheduler, number: usize) -> WorkerKey {
+        let mut keys = self.watched.iter().copied();
+        keys.find(|key| self.number(scheduler, *key) == number).expect("the worker is watched")
+    }
+}
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -1,6 +1,7 @@
 //! Workers, store and advice service as the scheduler sees them, which obey at once unless told
 //! otherwise, and notice when a rule is broken.
 
+mod entries;
 mod organisations;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -287,59 +288,6 @@
         scheduler.hold_answered(key, answer, self.now, self.now);
     }
 
-    fn hold_at_address(
-        &mut self,
-        scheduler: &Scheduler,
-        key: WorkerKey,
-        number: usize,
-        order: &HoldOrder,
-    ) -> WorkerAnswer<HoldReport> {
-        match self.refusal(scheduler, key) {
-            Some(refusal) => WorkerAnswer::NotDone(refusal),
-            None => self.hold(number, order),
-        }
-    }
-
-    /// The store lists a worker at the address of another one.
-    pub fn misplace(&mut self, number: usize, at: usize) {
-        let address = self.workers[at].entry.address;
-        let entry = self.workers[number].entry.clone();
-        self.workers[number].shown = Some(WorkerEntry { address, ..entry });
-    }
-
-    /// A worker's life ends, and another begins at its address. The store lists the old one for a time.
-    pub fn begin_anew(&mut self, number: usize) {
-        if self.workers[number].ended {
-            return;
-        }
-        let capacity = self.workers[number].entry.capacity.cores.0 / 1000;
-        let mut next = FakeWorker::new(self.workers.len() as u16, capacity);
-        next.entry.address = self.workers[number].entry.address;
-        let ended = &mut self.workers[number];
-        ended.ended = true;
-        ended.runs.clear();
-        self.workers.push(next);
-    }
-
-    /// What a call to a worker meets at the address that the scheduler knows; none if the worker is there.
-    fn refusal(&self, scheduler: &Scheduler, key: WorkerKey) -> Option<WorkerRefusal> {
-        let worker = &self.workers[self.number(scheduler, key)];
-        let address = scheduler.entry(key).address;
-        let others = |other: &&FakeWorker| other.entry.address == address && !other.cut;
-        if address == worker.entry.address && !worker.ended {
-            None
-        } else if worker.ended || self.workers.iter().any(|other| others(&other)) {
-            Some(WorkerRefusal::OtherLife)
-        } else {
-            Some(WorkerRefusal::Unreached)
-        }
-    }
-
-    /// Workers that are asked for accounts.
-    pub fn watched(&self) -> usize {
-        self.watched.len()
-    }
-
     /// Puts what the scheduler wants recorded into the store.
     pub fn record(&mut self, scheduler: &mut Scheduler) {
         while let Some(batch) = scheduler.take_batch(self.now) {
@@ -353,12 +301,6 @@
         }
     }
 
-    /// The handle by which a worker is watched.
-    pub fn key_of(&self, scheduler: &Scheduler, number: usize) -> WorkerKey {
-        let mut keys = self.watched.iter().copied();
-        keys.find(|key| self.number(scheduler, *key) == number).expect("the worker is watched")
-    }
-
     /// Which worker a scheduler's handle stands for.
     pub fn number(&self, scheduler: &Scheduler, key: WorkerKey) -> usize {
         let life = &scheduler.entry(key).life;
