--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -35,7 +35,7 @@
                 self.note_fenced_out(key, call);
                 self.fenced_out = true;
             }
-            WorkerRefusal::OtherLife => self.bury(key, call, now),
+            WorkerRefusal::OtherLife => self.note_other_life(key, call, now),
             WorkerRefusal::Unreached => self.note_silence(key, now),
             WorkerRefusal::Unhealthy | WorkerRefusal::NoRoom | WorkerRefusal::Malformed => {
                 let worker = &mut self.workers[key.0];
--- a/crates/sedgehill-cell/tests/testsuite/accounts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/accounts.rs
@@ -73,7 +73,7 @@
 fn leases_on_a_slow_clock_stay_as_long_as_meant() {
     let timing = CellTiming::default();
     let mut lead = Scheduler::take_over(timing.clone(), FencingToken(1), false, Moment(0));
-    let keys = lead.update_workers(vec![worker_entry(0, 4)], Moment(0));
+    let keys = lead.update_workers(vec![worker_entry(0, 4)], &[], Moment(0));
     let worker_clock = |now: u64| WorkerTime(7_000_000 + now * 98 / 100);
     for now in (0..60_000).step_by(120) {
         let order = lead.hold_order(keys[0], true, Moment(now));
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -1,6 +1,7 @@
 //! Workers, store and advice service as the scheduler sees them, which obey at once unless told
 //! otherwise, and notice when a rule is broken.
 
+mod entries;
 mod organisations;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -35,6 +36,12 @@
 #[derive(Debug)]
 pub struct FakeWorker {
     pub entry: WorkerEntry,
+    /// What the store lists instead of its entry.
+    pub shown: Option<WorkerEntry>,
+    /// Its entry cannot be read.
+    pub unreadable: bool,
+    /// It has ended, and another life stands at its address.
+    pub ended: bool,
     /// The store does not list it.
     pub unlisted: bool,
     /// It answers nothing, and does nothing.
@@ -126,6 +133,25 @@
 }
 
 impl FakeWorker {
+    fn new(number: u16, capacity: u64) -> FakeWorker {
+        FakeWorker {
+            entry: worker_entry(number, capacity),
+            shown: None,
+            unreadable: false,
+            ended: false,
+            unlisted: false,
+            cut: false,
+            mute: false,
+            runs: BTreeMap::new(),
+            ends: Vec::new(),
+            next_end: 1,
+            excused: 0,
+            token: FencingToken(0),
+            floor: HashMap::new(),
+            lease_until: 0,
+        }
+    }
+
     /// How many runs there are.
     pub fn run_count(&self) -> usize {
         self.runs.len()
@@ -139,22 +165,9 @@
 
 impl FakeCell {
     pub fn new(workers: u16, capacity: u64) -> FakeCell {
-        let worker = |number| FakeWorker {
-            entry: worker_entry(number, capacity),
-            unlisted: false,
-            cut: false,
-            mute: false,
-            runs: BTreeMap::new(),
-            ends: Vec::new(),
-            next_end: 1,
-            excused: 0,
-            token: FencingToken(0),
-            floor: HashMap::new(),
-            lease_until: 0,
-        };
         FakeCell {
             now: Moment(1_000_000),
-            workers: (0..workers).map(worker).collect(),
+            workers: (0..workers).map(|number| FakeWorker::new(number, capacity)).collect(),
             store: BTreeMap::new(),
             token: FencingToken(0),
             roster: WorkerRoster::default(),
@@ -192,9 +205,13 @@
 
     /// Shows the scheduler what the store lists.
     pub fn list(&mut self, scheduler: &mut Scheduler) {
-        let listed = self.workers.iter().filter(|worker| !worker.unlisted);
-        let entries = listed.map(|worker| worker.entry.clone()).collect();
-        self.watched.extend(scheduler.update_workers(entries, self.now));
+        let listed = self.workers.iter().filter(|worker| !worker.unlisted && !worker.unreadable);
+        let entry = |worker: &FakeWorker| worker.shown.as_ref().unwrap_or(&worker.entry).clone();
+        let entries = listed.map(entry).collect();
+        let unreadable = self.workers.iter().filter(|worker| worker.unreadable && !worker.unlisted);
+        let unreadable: Vec<WorkerLife> =
+            unreadable.map(|worker| worker.entry.life.clone()).collect();
+        self.watched.extend(scheduler.update_workers(entries, &unreadable, self.now));
     }
 
     /// Accepts a job.
@@ -268,7 +285,7 @@
     pub fn look_at(&mut self, scheduler: &mut Scheduler, key: WorkerKey) {
         let number = self.number(scheduler, key);
         let order = scheduler.hold_order(key, true, self.now);
-        let answer = self.hold(number, &order);
+        let answer = self.hold_at_address(scheduler, key, number, &order);
         scheduler.hold_answered(key, answer, self.now, self.now);
     }
 
@@ -296,12 +313,18 @@
         match order {
             CellOrder::Start(order) => {
                 let number = self.number(scheduler, order.worker);
-                let answer = self.start(number, order);
+                let answer = match self.refusal(scheduler, order.worker) {
+                    Some(refusal) => WorkerAnswer::NotDone(refusal),
+                    None => self.start(number, order),
+                };
                 scheduler.start_answered(order, answer, self.now);
             }
             CellOrder::Stop(order) => {
                 let number = self.number(scheduler, order.worker);
-                let answer = self.stop(number, order);
+                let answer = match self.refusal(scheduler, order.worker) {
+                    Some(refusal) => WorkerAnswer::NotDone(refusal),
+                    None => self.stop(number, order),
+                };
                 scheduler.stop_answered(order, answer, self.now);
             }
             CellOrder::Ask(question) => {
@@ -329,7 +352,7 @@
         for key in self.watched.clone() {
             let order = scheduler.hold_order(key, true, sent);
             let number = self.number(scheduler, key);
-            answers.push((key, self.hold(number, &order)));
+            answers.push((key, self.hold_at_address(scheduler, key, number, &order)));
         }
         self.record(scheduler);
         scheduler.schedule(self.now);
@@ -345,7 +368,8 @@
     /// Carries out the starts that were lost on the way.
     pub fn carry_out_late(&mut self) {
         for late in std::mem::take(&mut self.late) {
-            if !self.workers[late.number].cut {
+            let FakeWorker { cut, ended, .. } = self.workers[late.number];
+            if !cut && !ended {
                 self.begin(late.number, &late.order, late.token);
                 self.check_limit(&late.order, true);
             }
--- a/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
@@ -130,7 +130,7 @@
     pub fn take_list(&mut self, entries: Option<Vec<WorkerEntry>>, now: Moment) {
         self.list_at = now.after(LIST_EVERY);
         if let Some(entries) = entries {
-            let keys = self.scheduler.update_workers(entries, now);
+            let keys = self.scheduler.update_workers(entries, &[], now);
             self.watch(keys, now);
         }
     }
--- a/crates/sedgehill-cell/tests/testsuite/overlapping.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlapping.rs
@@ -224,7 +224,7 @@
     let timing = CellTiming::default();
     let start = Moment(50_000);
     let mut lead = Scheduler::take_over(timing.clone(), FencingToken(1), false, start);
-    let key = lead.update_workers(vec![worker_entry(0, 4)], start)[0];
+    let key = lead.update_workers(vec![worker_entry(0, 4)], &[], start)[0];
     // The clock may have fallen behind by this much since the account before.
     let since_account = TimeSpan(2);
     for turn in 0..3_000 {
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -6,6 +6,7 @@
 mod life;
 mod oracle;
 mod store;
+mod strays;
 mod trouble;
 mod worker;
 
@@ -30,7 +31,8 @@
     pub store_address: SocketAddr,
     /// Where the advice service listens.
     pub advice_address: SocketAddr,
-    worker_addresses: Vec<SocketAddr>,
+    /// Where the workers listen.
+    pub worker_addresses: Vec<SocketAddr>,
     _guards: Vec<ServerGuard>,
 }
 
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -44,6 +44,8 @@
     /// Lives that there were.
     lives: usize,
     trouble: Option<PathTrouble>,
+    /// Runs that were begun there.
+    starts: usize,
 }
 
 #[derive(Debug)]
@@ -82,7 +84,12 @@
 impl StandinWorkers {
     /// Workers that run nothing.
     pub fn new(count: usize) -> StandinWorkers {
-        let site = |number| WorkerSite { life: Some(new_life(number, 0)), lives: 1, trouble: None };
+        let site = |number| WorkerSite {
+            life: Some(new_life(number, 0)),
+            lives: 1,
+            trouble: None,
+            starts: 0,
+        };
         let sites = (0..count).map(site).collect();
         StandinWorkers {
             begun: Instant::now(),
@@ -160,6 +167,11 @@
         self.state.lock().oracle.starts
     }
 
+    /// Runs that were begun on one worker.
+    pub fn starts_on(&self, number: usize) -> usize {
+        self.state.lock().sites[number].starts
+    }
+
     /// Jobs of which a task was ever begun.
     pub fn begun_jobs(&self) -> BTreeSet<String> {
         self.state.lock().oracle.begun_jobs.clone()
@@ -367,6 +379,7 @@
     if order.spec == GANG_SPEC {
         oracle.note_gangs(&order.task);
     }
+    sites[number].starts += 1;
     if let Some(life) = &mut sites[number].life {
         let run = StandinRun { run: order.run, begun: now, span, stops_at: None, told };
         life.runs.insert(order.task.clone(), run);
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -116,6 +116,7 @@
     async fn start(size: SoakSize, directory: &'a Path) -> std::io::Result<Soak<'a>> {
         let platform = CellPlatform::start(size.workers).await?;
         platform.workers.set_run_ms(RUN_MS);
+        platform.put_strays();
         let keys = SoakKeys::new(size.workers);
         keys.configure(&platform);
         let mut boxes = Vec::new();
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod earlier_lead;
 mod endpoints;
+mod entries;
 mod forgotten_history;
 mod ledger;
 mod logging;
