--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
+use super::WORKER_TOPIC;
 use super::trouble::{CallFate, FateDrawer, PathTrouble};
 use crate::http_server::{JsonResponse, json, query_value, status};
 
@@ -36,6 +37,8 @@
     holds_reads: Option<String>,
     /// The topic whose next append is answered so much later than it is carried out.
     answers_late: Option<(String, Duration)>,
+    /// How much later than the one before each reading of the newest records is answered, and how many were.
+    newest_late: Option<(Duration, u32)>,
     /// What becomes of appends.
     trouble: Option<PathTrouble>,
 }
@@ -83,6 +86,12 @@
         self.state.lock().answers_late = Some((topic.to_owned(), after));
     }
 
+    /// Has each reading of the newest records answered so much later than the one before it: the first as
+    /// late, the second twice as late.
+    pub fn answer_newest_late(&self, each: Duration) {
+        self.state.lock().newest_late = Some((each, 0));
+    }
+
     /// All that was ever appended to a topic.
     pub fn all_values(&self, topic: &str) -> Vec<Bytes> {
         let state = self.state.lock();
@@ -138,6 +147,15 @@
     match request.uri().path() {
         "/sedgehill/log-append" => append(store, topic, request).await,
         "/sedgehill/log-read" => read(&store, &topic, &request).await,
+        "/sedgehill/log-newest" if topic != WORKER_TOPIC => {
+            let late = store.state.lock().newest_late.as_mut().map(|(each, count)| {
+                *count += 1;
+                *each * *count
+            });
+            let response = newest(&store, &topic);
+            tokio::time::sleep(late.unwrap_or_default()).await;
+            response
+        }
         "/sedgehill/log-newest" => newest(&store, &topic),
         _ => status(StatusCode::NOT_FOUND),
     }
