--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod policy;
 mod rank;
+mod record;
 mod roster;
 mod sight;
 mod stragglers;
@@ -277,70 +278,6 @@
         }
     }
 
-    /// The next batch of progress to record, if any is due. One batch is under way at a time.
-    pub fn take_batch(&mut self, now: Moment) -> Option<ProgressBatch> {
-        if self.next_batch - 1 > self.recorded {
-            return None;
-        }
-        let lazy_due =
-            self.lazy_since.is_some_and(|since| now >= since.after(self.timing.lazy_record));
-        if self.dirty.is_empty() && !lazy_due && !self.roster_changed {
-            return None;
-        }
-        let mut ids = std::mem::take(&mut self.dirty);
-        ids.append(&mut self.lazy);
-        self.lazy_since = None;
-        let jobs = ids
-            .into_iter()
-            .filter_map(|id| self.jobs.get(&id).map(|job| (id, job.progress())))
-            .collect();
-        let roster = std::mem::take(&mut self.roster_changed).then(|| self.next_roster(now));
-        let batch = ProgressBatch { number: self.next_batch, jobs, roster };
-        self.next_batch += 1;
-        self.batch_taken = now;
-        Some(batch)
-    }
-
-    /// Whether no later lead can have given orders by `moment`. If that is not known, something is recorded to
-    /// find out: the store refuses it once a later lead has fenced.
-    ///
-    /// Time alone does not tell that a run has ended. A lead that was replaced and does not know it still holds
-    /// its term, while its successor may have renewed the lease of the run.
-    fn is_confirmed(&mut self, moment: Moment) -> bool {
-        let confirmed = self.confirmed >= moment;
-        if !confirmed {
-            self.roster_changed = true;
-        }
-        confirmed
-    }
-
-    /// A batch is in the store.
-    pub fn batch_recorded(&mut self, batch: &ProgressBatch) {
-        self.recorded = batch.number;
-        // An empty batch is not sent to the store.
-        if !batch.jobs.is_empty() || batch.roster.is_some() {
-            self.confirmed = self.batch_taken;
-        }
-        for entry in batch.roster.iter().flat_map(|roster| &roster.0) {
-            // Meanwhile the life may have been listed at another address, which no roster holds yet.
-            if let Some(key) = self.lives.get(&entry.life)
-                && self.workers[key.0].entry.address == entry.address
-            {
-                self.workers[key.0].rostered = true;
-            }
-        }
-        for (id, progress) in &batch.jobs {
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            if job.ordered == OrderedMark::Asked && progress.ordered {
-                job.ordered = OrderedMark::Recorded;
-            }
-            let over = progress.state.is_final() && job.placed().is_empty();
-            if over && !self.dirty.contains(id) {
-                self.jobs.remove(id);
-            }
-        }
-    }
-
     fn note_begun(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.state == JobState::Pending {
--- /dev/null
+++ b/crates/sedgehilld/src/cell/apply.rs
@@ -0,0 +1,105 @@
+//! Takes in records of the store's topics, wherever they come from: a read, the link to the lead, or this
+//! box's own appends.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use sedgehill_adapter::config::{decode_config, is_config};
+use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
+use sedgehill_cell::authority::LeadRecord;
+use sedgehill_cell::replica::{CellRecord, ReplicaChange, RosterSign};
+use sedgehill_cell::scheduler::WorkerRoster;
+use slog::{info, warn};
+
+use super::state::CellBox;
+use crate::clock;
+
+/// Takes in a record of a topic.
+pub fn apply(host: &CellBox, topic: StoreTopic, record: &KeyedRecord) {
+    match topic {
+        StoreTopic::Operators if is_config(record) => apply_config(host, record.value.clone()),
+        StoreTopic::Operators => {}
+        StoreTopic::Leads => apply_lead(host, record),
+        StoreTopic::Jobs | StoreTopic::Progress => apply_cell(host, record),
+        StoreTopic::Workers => {}
+    }
+}
+
+/// Takes in the record of a configuration. An older one than that in force changes nothing.
+pub fn apply_config(host: &CellBox, record: Bytes) {
+    match decode_config(&record) {
+        Ok(config) if config.version > host.config.borrow().version => {
+            info!(host.log, "configuration in force";
+                "version" => config.version, "routes" => config.routes.len(),
+                "organisations" => config.organisations.len());
+            *host.config.borrow_mut() = Rc::new(config);
+            *host.config_record.borrow_mut() = record;
+        }
+        Ok(_) => {}
+        Err(error) => warn!(host.log, "configuration not readable"; "error" => %error),
+    }
+}
+
+fn apply_lead(host: &CellBox, record: &KeyedRecord) {
+    match LeadRecord::decode(&record.value) {
+        Ok(lead) => {
+            let changed = {
+                let watch = host.watch.borrow();
+                watch.newest().is_none_or(|newest| {
+                    newest.token != lead.token || newest.resigned != lead.resigned
+                })
+            };
+            if changed {
+                info!(host.log, "lead"; "token" => %lead.token, "holder" => %lead.holder,
+                    "resigned" => lead.resigned);
+            }
+            host.watch.borrow_mut().note_record(lead, clock::now());
+            if changed {
+                host.lead_changed.notify_waiters();
+            }
+        }
+        Err(error) => warn!(host.log, "lead record not readable"; "error" => %error),
+    }
+}
+
+fn apply_cell(host: &CellBox, record: &KeyedRecord) {
+    if record.value.is_empty() {
+        forget(host, &record.key);
+        return;
+    }
+    if record.key == WorkerRoster::KEY {
+        match WorkerRoster::decode(&record.value) {
+            Ok(roster) => {
+                let sign = RosterSign { read: clock::now(), from: host.progress_view.offset.get() };
+                host.replica.borrow_mut().apply_roster(roster, sign);
+            }
+            Err(error) => warn!(host.log, "roster not readable"; "error" => %error),
+        }
+        return;
+    }
+    let (id, statement) = match CellRecord::decode(&record.key, &record.value) {
+        Ok(decoded) => decoded,
+        Err(error) => {
+            warn!(host.log, "cell record not readable"; "key" => &record.key, "error" => %error);
+            return;
+        }
+    };
+    let change = host.replica.borrow_mut().apply(id, statement, clock::now());
+    let session = host.session.borrow().clone();
+    let Some(session) = session else { return };
+    match change {
+        ReplicaChange::Accepted(id) => session.add_job(host, id),
+        ReplicaChange::Cancelled(id) => session.cancel_job(id),
+        ReplicaChange::Other => {}
+    }
+}
+
+/// The lead dropped a key. A job is forgotten with its progress; what was accepted is dropped earlier,
+/// once the job is over.
+fn forget(host: &CellBox, key: &str) {
+    match CellRecord::decode_key(key) {
+        Ok((CellRecord::PROGRESS_KEY, id)) => host.replica.borrow_mut().forget(id),
+        Ok(_) => {}
+        Err(error) => warn!(host.log, "dropped key not readable"; "key" => key, "error" => %error),
+    }
+}
--- a/crates/sedgehilld/src/cell/link.rs
+++ b/crates/sedgehilld/src/cell/link.rs
@@ -19,7 +19,7 @@
 use super::frames::{FedBriefs, FedRecords, PeerFrame, ViewProof, read_frame, write_frame};
 use super::lead_link::LeadLink;
 use super::state::CellBox;
-use super::{follow, orders, relay};
+use super::{apply, orders, relay};
 use crate::clock;
 
 /// A lead that was silent for longer on the link is taken as lost. It speaks every 300 ms.
@@ -253,7 +253,7 @@
             PeerFrame::State { number, answer } => link.take_state(number, answer),
             PeerFrame::Records(fed) => take_records(host, fed),
             PeerFrame::Briefs(fed) => take_briefs(host, fed),
-            PeerFrame::Config(record) => follow::apply_config(host, record.into()),
+            PeerFrame::Config(record) => apply::apply_config(host, record.into()),
             PeerFrame::StandBy(stands_by) => {
                 info!(host.log, "role"; "stands_by" => stands_by, "whole" => host.could_lead());
                 match stands_by {
@@ -309,7 +309,7 @@
     let (from, end) = (fed.from, fed.end());
     let Some(known) = view.offset.get().filter(|known| (from..end).contains(known)) else { return };
     for (key, value) in fed.records.into_iter().skip((known - from) as usize) {
-        follow::apply(host, fed.topic, &KeyedRecord { key, value: value.into() });
+        apply::apply(host, fed.topic, &KeyedRecord { key, value: value.into() });
     }
     view.offset.set(Some(end));
 }
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -5,6 +5,7 @@
 //! keeps anything on disk. All tasks run on one thread, since a box has a fraction of one core.
 
 mod accept;
+mod apply;
 mod callers;
 mod events;
 mod figures;
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 
 use super::accept::AcceptOutcome;
+use super::apply;
 use super::follow;
 use super::hedge::{self, AppendCall};
 use super::lead::LeadSession;
@@ -377,7 +378,7 @@
         return;
     }
     for record in records {
-        follow::apply(host, StoreTopic::Progress, record);
+        apply::apply(host, StoreTopic::Progress, record);
     }
     view.offset.set(Some(kept.end));
     view.note_fed(kept.sent);
