--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -23,7 +23,7 @@
 const TRIES: usize = 10;
 /// Pause before the next try.
 const TRY_PAUSE: Duration = Duration::from_millis(150);
-/// Pause between two jobs of one caller: as many callers as workers keep all the room taken.
+/// Pause between two jobs of one caller: shorter ones only make the queue longer that is worked off at the end.
 const JOB_PAUSE: Duration = Duration::from_millis(300);
 /// How long a caller waits for an answer.
 const CALL_LIMIT: Duration = Duration::from_millis(4_000);
