cell, authority, follow: a token shared by chance stays the other's; a late sign of a gap resets nothing

Cause: read of the change with the traces of real processes. An own record with the token of another process could still become the newest; a reading that found its history gone put back a view which another reading had brought further.

Change: both are left alone.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -234,7 +234,11 @@
         timing: &AuthorityTiming,
     ) -> bool {
         self.own_end = self.own_end.max(end);
-        if self.newest.as_ref().is_some_and(|newest| newest.token > record.token) {
+        let overtaken = |newest: &LeadRecord| {
+            newest.token > record.token
+                || (newest.token == record.token && newest.life != record.life)
+        };
+        if self.newest.as_ref().is_some_and(overtaken) {
             return false;
         }
         if self.is_gone(sent) {
--- a/crates/sedgehill-cell/tests/testsuite/authority.rs
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -249,4 +249,7 @@
     assert!(!own.is_holder());
     assert!(own.next_claim("127.0.0.1:1").token > later.token);
     assert_eq!(own.own_end(), 2);
+    let same_token = LeadRecord { token: later.token, ..own.next_claim("127.0.0.1:1") };
+    assert!(!own.note_own(same_token, at(1_500), 3, &timing));
+    assert!(!own.is_holder());
 }
--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -273,7 +273,10 @@
     match outcome {
         ReadOutcome::Gone => {
             info!(host.log, "topic history gone"; "topic" => ?topic, "offset" => offset);
-            view.offset.set(None);
+            // Unless another reading has come further meanwhile.
+            if view.offset.get() == Some(offset) {
+                view.offset.set(None);
+            }
             view.gaps.set(view.gaps.get() + 1);
             Ok(ReadStretch { records: 0, end: offset })
         }
