--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -89,7 +89,9 @@
     roster_changed: bool,
     next_batch: u64,
     recorded: u64,
-    /// When the batch under way was taken.
+    /// Something is to be recorded to learn whether a later lead has fenced.
+    confirmation_wanted: bool,
+    /// When the newest batch that is sent was taken.
     batch_taken: Moment,
     /// No later lead had given orders by then: what was taken then is recorded under this lead's token.
     confirmed: Moment,
@@ -133,6 +135,7 @@
             roster_changed: false,
             next_batch: 1,
             recorded: 0,
+            confirmation_wanted: false,
             batch_taken: now,
             confirmed: now,
             fenced_out: false,
--- a/crates/sedgehill-cell/src/scheduler/record.rs
+++ b/crates/sedgehill-cell/src/scheduler/record.rs
@@ -12,20 +12,26 @@
         }
         let lazy_due =
             self.lazy_since.is_some_and(|since| now >= since.after(self.timing.lazy_record));
-        if self.dirty.is_empty() && !lazy_due && !self.roster_changed {
+        let due = !self.dirty.is_empty() || lazy_due || self.roster_changed;
+        if !due && !self.confirmation_wanted {
             return None;
         }
         let mut ids = std::mem::take(&mut self.dirty);
         ids.append(&mut self.lazy);
         self.lazy_since = None;
-        let jobs = ids
+        let jobs: Vec<(JobId, JobProgress)> = ids
             .into_iter()
             .filter_map(|id| self.jobs.get(&id).map(|job| (id, job.progress())))
             .collect();
-        let roster = std::mem::take(&mut self.roster_changed).then(|| self.next_roster(now));
+        // Any record confirms that no later lead has fenced; the roster is at hand when there is no other.
+        let confirms = std::mem::take(&mut self.confirmation_wanted) && jobs.is_empty();
+        let takes_roster = std::mem::take(&mut self.roster_changed) || confirms;
+        let roster = takes_roster.then(|| self.next_roster(now));
         let batch = ProgressBatch { number: self.next_batch, jobs, roster };
         self.next_batch += 1;
-        self.batch_taken = now;
+        if is_sent(&batch) {
+            self.batch_taken = now;
+        }
         Some(batch)
     }
 
@@ -36,8 +42,9 @@
     /// its term, while its successor may have renewed the lease of the run.
     pub(super) fn is_confirmed(&mut self, moment: Moment) -> bool {
         let confirmed = self.confirmed >= moment;
-        if !confirmed {
-            self.roster_changed = true;
+        // A batch that was taken since then will tell.
+        if !confirmed && self.batch_taken < moment {
+            self.confirmation_wanted = true;
         }
         confirmed
     }
@@ -45,8 +52,7 @@
     /// A batch is in the store.
     pub fn batch_recorded(&mut self, batch: &ProgressBatch) {
         self.recorded = batch.number;
-        // An empty batch is not sent to the store.
-        if !batch.jobs.is_empty() || batch.roster.is_some() {
+        if is_sent(batch) {
             self.confirmed = self.batch_taken;
         }
         for entry in batch.roster.iter().flat_map(|roster| &roster.0) {
@@ -69,3 +75,8 @@
         }
     }
 }
+
+/// Whether a batch holds anything: an empty one is not sent to the store.
+fn is_sent(batch: &ProgressBatch) -> bool {
+    !batch.jobs.is_empty() || batch.roster.is_some()
+}
--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -35,6 +35,8 @@
     forgets_at_fence: Option<String>,
     /// The topic whose reads wait, until such a moment at the latest.
     holds_reads: Option<String>,
+    /// How much later such reads are told that what they ask for is gone; none for an error at once.
+    tells_gone_late: Option<Duration>,
     /// The topic whose next append is answered so much later than it is carried out.
     answers_late: Option<(String, Duration)>,
     /// How much later than the one before each reading of the newest records is answered, and how many were.
@@ -111,6 +113,20 @@
         self.state.lock().topics.get(topic).map_or(0, Vec::len) as u64
     }
 
+    /// Has reads that waited told so much later that what they ask for is gone.
+    pub fn tell_held_reads_late(&self, late: Duration) {
+        self.state.lock().tells_gone_late = Some(late);
+    }
+
+    fn gone_late(&self, topic: &str, from: u64) -> Option<Duration> {
+        let is_gone = from < self.first_of(topic);
+        self.state.lock().tells_gone_late.filter(|_| is_gone)
+    }
+
+    fn first_of(&self, topic: &str) -> u64 {
+        self.state.lock().first.get(topic).copied().unwrap_or_default()
+    }
+
     /// Has appends meet trouble, or no more.
     pub fn set_trouble(&self, trouble: Option<PathTrouble>) {
         self.state.lock().trouble = trouble;
@@ -293,6 +309,10 @@
             while is_held() {
                 tokio::time::sleep(TURN).await;
             }
+            if let Some(late) = store.gone_late(topic, from) {
+                tokio::time::sleep(late).await;
+                return gone(store.first_of(topic));
+            }
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
         let (first, end, records) = {
@@ -302,9 +322,7 @@
             (first, records.len() as u64, records)
         };
         if from < first {
-            let mut response = json(&serde_json::json!({ "first": first }));
-            *response.status_mut() = StatusCode::GONE;
-            return response;
+            return gone(first);
         }
         if end > from || Instant::now() >= deadline {
             let new = records.get(from as usize..).unwrap_or_default();
@@ -314,6 +332,12 @@
     }
 }
 
+fn gone(first: u64) -> JsonResponse {
+    let mut response = json(&serde_json::json!({ "first": first }));
+    *response.status_mut() = StatusCode::GONE;
+    response
+}
+
 fn encode(first: u64, end: u64, records: &[(String, Bytes)]) -> Bytes {
     let mut body = BytesMut::new();
     body.put_u64(end);
--- a/crates/sedgehill-standin/tests/testsuite/forgotten_history.rs
+++ b/crates/sedgehill-standin/tests/testsuite/forgotten_history.rs
@@ -76,6 +76,40 @@
     panic!("each lead had passed the job on before it died");
 }
 
+/// How much later than the lead's own one the sign of the gap reaches its follower of the topic.
+const GONE_LATE: Duration = Duration::from_millis(500);
+/// How much later readings of the newest records are answered: until then the lead's own records do not follow.
+const READ_AGAIN_LATE: Duration = Duration::from_millis(300);
+/// How long the second sign of the gap may take.
+const SECOND_GAP_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// The follower's read was under way when the lead fenced, and told of the gap half a second after the lead had read
+/// everything. The view went back to nothing. Until it was read again the lead knew its new jobs in the scheduler
+/// alone, and a caller that handed in one more copy of one that had ended began it again: run 2 of both tasks.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_sign_of_a_gap_does_not_have_a_lead_begin_again_what_is_over() {
+    for _ in 0..CELLS {
+        let course = Course::start(60..61).await;
+        course.platform.store.tell_held_reads_late(GONE_LATE);
+        course.lead_dies().await;
+        course.platform.store.answer_newest_late(READ_AGAIN_LATE);
+        wait_for_lead(course.directory.path(), "next").await;
+        if !course.second_gap_comes().await {
+            continue;
+        }
+        let steps = json!([{"count": 2, "cpu": 1000, "mem_mb": 16, "estimate_ms": 60}]);
+        submit_steps(&[&course.next], JOB + 1, steps.clone()).await;
+        let ended = format!("\"state\":\"Completed\",\"job\":\"{:016x}\"", JOB + 1);
+        wait_for("the end", async || course.next_says(&ended)).await;
+        tokio::time::sleep(AFTER_ANSWER).await;
+        submit_steps(&[&course.next], JOB + 1, steps).await;
+        tokio::time::sleep(AFTER_END * 3).await;
+        course.assert_kept();
+        return;
+    }
+    panic!("no follower was told of the gap after the lead");
+}
+
 /// Plays the course once. Returns whether the next lead had to read what was forgotten.
 async fn lead_dies_before_it_passes_a_job_on() -> bool {
     let course = Course::start(RUN_MS).await;
@@ -97,6 +131,22 @@
 }
 
 impl Course {
+    /// Waits until the next lead's follower is told of the gap as well. Returns whether it was.
+    async fn second_gap_comes(&self) -> bool {
+        let begun = Instant::now();
+        while begun.elapsed() < SECOND_GAP_LIMIT {
+            let log = self.log();
+            let gaps = log
+                .lines()
+                .filter(|line| line.contains("topic history gone") && line.contains("Progress"));
+            if gaps.count() >= 2 {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(3)).await;
+        }
+        false
+    }
+
     async fn start(run_ms: std::ops::Range<u64>) -> Course {
         let directory = tempfile::tempdir().unwrap();
         let platform = CellPlatform::start(4).await.unwrap();
--- a/crates/sedgehilld/src/cell/roster.rs
+++ b/crates/sedgehilld/src/cell/roster.rs
@@ -92,6 +92,10 @@
             continue;
         }
         let order = next_hold(&host, &session, key);
+        // A process that stands still after the look at the term must not ask for a lease beyond it.
+        if !session.may_order(&host) {
+            continue;
+        }
         let answered = ask_account(&host, &session, &target, key, order).await;
         failures = if answered { 0 } else { failures + 1 };
         let stranger = session.scheduler.borrow().is_stranger(key);
@@ -119,10 +123,10 @@
     target: &WorkerTarget,
     key: WorkerKey,
 ) {
+    let order = HoldOrder { wait: TimeSpan(0), ..next_hold(host, session, key) };
     if !session.may_order(host) {
         return;
     }
-    let order = HoldOrder { wait: TimeSpan(0), ..next_hold(host, session, key) };
     ask_account(host, session, target, key, order).await;
 }
 
