cell, authority: lead records of two versions are read by boxes of either

Cause: the new field stood before the last one, so boxes of earlier versions could not read who leads, and would have claimed with a token that is held while one version replaces the other.

Change: the field stands last, which earlier versions pass over; a record that ends before it counts as one whose predecessors may still order.

Figures: a test reads either form with the other's type.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -30,12 +30,16 @@
     pub peer_address: String,
     /// What the holder can bear.
     pub strength: BoxStrength,
-    /// No lead before this one can give orders any more.
-    pub sole: bool,
     /// The holder gives no further orders: any box may follow at once.
     pub resigned: bool,
+    /// No lead before this one can give orders any more. It stands last: boxes of versions without it read the
+    /// rest, and theirs are read without it.
+    pub sole: bool,
 }
 
+/// What stands for [`LeadRecord::sole`] if a record ends before it: leads before it may give orders.
+const SOLE_MISSING: u8 = 0;
+
 impl LeadRecord {
     /// The stored form of the record.
     pub fn encode(&self) -> Vec<u8> {
@@ -44,7 +48,11 @@
 
     /// Reads a record back.
     pub fn decode(value: &[u8]) -> Result<LeadRecord, postcard::Error> {
-        postcard::from_bytes(value)
+        postcard::from_bytes(value).or_else(|_| {
+            let mut whole = value.to_vec();
+            whole.push(SOLE_MISSING);
+            postcard::from_bytes(&whole)
+        })
     }
 }
 
--- a/crates/sedgehill-cell/tests/testsuite/authority.rs
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -253,3 +253,25 @@
     assert!(!own.note_own(same_token, at(1_500), 3, &timing));
     assert!(!own.is_holder());
 }
+
+/// Boxes of two versions run side by side while one replaces the other. One that could not read who leads would claim
+/// with a token that is held.
+#[test]
+fn lead_records_of_earlier_versions_are_read_and_read_by_them() {
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+    struct EarlierRecord {
+        token: u64,
+        holder: String,
+        life: u64,
+        peer_address: String,
+        strength: u32,
+        resigned: bool,
+    }
+    let record =
+        LeadRecord { resigned: true, sole: true, ..watch("a", 1).next_claim("127.0.0.1:1") };
+    let earlier: EarlierRecord = postcard::from_bytes(&record.encode()).unwrap();
+    assert_eq!((earlier.token, earlier.holder.as_str(), earlier.resigned), (1, "a", true));
+    let read = LeadRecord::decode(&postcard::to_stdvec(&earlier).unwrap()).unwrap();
+    assert_eq!(read, LeadRecord { sole: false, ..record.clone() });
+    assert!(LeadRecord::decode(&record.encode()[..4]).is_err());
+}
