cell tests: a task that crashes its workers is started without end; the test fails

Cause, as suspected: a run whose worker ended is lost, its task waits again, and nothing is kept of it.

The fakes learn tasks that crash their workers, workers that nothing listens for until their next life begins, and count the starts of such a task after three workers have crashed under it.

--- a/crates/sedgehill-cell/tests/testsuite/fake/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/entries.rs
@@ -45,6 +45,9 @@
     /// What a call to a worker meets at the address that the scheduler knows; none if the worker is there.
     pub(super) fn refusal(&self, scheduler: &Scheduler, key: WorkerKey) -> Option<WorkerRefusal> {
         let worker = &self.workers[self.number(scheduler, key)];
+        if worker.down {
+            return Some(WorkerRefusal::Unreached);
+        }
         let address = scheduler.entry(key).address;
         let others = |other: &&FakeWorker| other.entry.address == address && !other.cut;
         if address == worker.entry.address && !worker.ended {
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -1,6 +1,7 @@
 //! Workers, store and advice service as the scheduler sees them, which obey at once unless told
 //! otherwise, and notice when a rule is broken.
 
+mod crashes;
 mod entries;
 mod organisations;
 
@@ -21,6 +22,8 @@
 };
 use sedgehill_core::units::{CoreCount, MemorySize, Moment, ResourceSet, TimeSpan};
 
+pub use self::crashes::CrashHabit;
+use self::crashes::CrashLedger;
 pub use self::organisations::owned;
 
 /// A worker's clock is this far ahead of the lead's.
@@ -42,6 +45,8 @@
     pub unreadable: bool,
     /// It has ended, and another life stands at its address.
     pub ended: bool,
+    /// It has crashed, and nothing listens at its address.
+    pub down: bool,
     /// The store does not list it.
     pub unlisted: bool,
     /// It answers nothing, and does nothing.
@@ -86,6 +91,7 @@
     noted: BTreeSet<CellTask>,
     /// Tasks that began again after an end that nobody had noticed, with the run that did.
     begun_again: HashMap<CellTask, RunNumber>,
+    crashes: CrashLedger,
 }
 
 pub fn cores(count: u64) -> ResourceSet {
@@ -139,6 +145,7 @@
             shown: None,
             unreadable: false,
             ended: false,
+            down: false,
             unlisted: false,
             cut: false,
             mute: false,
@@ -180,6 +187,7 @@
             done: BTreeSet::new(),
             noted: BTreeSet::new(),
             begun_again: HashMap::new(),
+            crashes: CrashLedger::default(),
         }
     }
 
@@ -234,9 +242,15 @@
         &self.store[&JobId(id)].1
     }
 
+    /// The time between two turns passes.
+    fn pass(&mut self) {
+        self.now.0 += 20;
+        self.pass_crashes();
+    }
+
     /// One turn: accounts, decisions, orders, records. Returns the orders.
     pub fn turn(&mut self, scheduler: &mut Scheduler) -> Vec<CellOrder> {
-        self.now.0 += 20;
+        self.pass();
         self.look(scheduler);
         self.record(scheduler);
         scheduler.schedule(self.now);
@@ -249,7 +263,7 @@
 
     /// The same, but the answers to all orders are lost: accounts alone are heard.
     pub fn turn_losing_answers(&mut self, scheduler: &mut Scheduler) {
-        self.now.0 += 20;
+        self.pass();
         self.look(scheduler);
         self.record(scheduler);
         scheduler.schedule(self.now);
@@ -336,7 +350,7 @@
 
     /// A turn of which nothing is recorded.
     pub fn turn_unrecorded(&mut self, scheduler: &mut Scheduler) {
-        self.now.0 += 20;
+        self.pass();
         self.look(scheduler);
         scheduler.schedule(self.now);
         for order in scheduler.take_orders() {
@@ -346,7 +360,7 @@
 
     /// A turn in which accounts are taken before orders are carried out and heard after them.
     pub fn turn_with_stale_accounts(&mut self, scheduler: &mut Scheduler) {
-        self.now.0 += 20;
+        self.pass();
         let sent = self.now;
         let mut answers = Vec::new();
         for key in self.watched.clone() {
@@ -368,8 +382,8 @@
     /// Carries out the starts that were lost on the way.
     pub fn carry_out_late(&mut self) {
         for late in std::mem::take(&mut self.late) {
-            let FakeWorker { cut, ended, .. } = self.workers[late.number];
-            if !cut && !ended {
+            let FakeWorker { cut, ended, down, .. } = self.workers[late.number];
+            if !cut && !ended && !down {
                 self.begin(late.number, &late.order, late.token);
                 self.check_limit(&late.order, true);
             }
@@ -474,7 +488,11 @@
             self.late.push(LateStart { number, order, token });
             return WorkerAnswer::Unknown;
         }
+        let before = self.starts.len();
         let answer = self.begin(number, order, self.token);
+        if self.starts.len() > before {
+            self.check_crashing_start(order.task);
+        }
         self.check_limit(order, false);
         self.answer(number, answer)
     }
@@ -519,6 +537,7 @@
             self.starts.iter().any(|(task, run, _)| (*task, *run) == (order.task, order.run));
         assert!(!again, "run {} of {} begins twice", order.run, order.task);
         self.starts.push((order.task, order.run, life));
+        self.note_crashing_start(number, order.task, order.run);
         WorkerAnswer::Done(clock)
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod authority;
 mod brief;
 mod cancelled;
+mod crashing;
 mod displacement;
 mod entries;
 mod fake;
