--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`authority`] decides which box leads the cell.
 //! - [`patience`] decides how long to wait for the store.
 //! - [`silence`] tells connections that fell silent from peers that do not answer.
+//! - [`suspicion`] is what is kept of workers that crash under a task.
 //! - [`scheduler`] is the lead's own state: workers, runs, waiting tasks and orders.
 
 pub mod authority;
@@ -26,3 +27,4 @@
 pub mod scheduler;
 pub mod silence;
 pub mod standby;
+pub mod suspicion;
--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -4,6 +4,7 @@
 
 use crate::ids::{OrganisationName, RunNumber};
 use crate::job::JobSpec;
+use crate::suspicion::TaskSuspicion;
 
 /// How far a job is, as callers see it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,6 +65,9 @@
     pub tasks: Vec<TaskProgress>,
     /// Whose the job is, once it is over: what was accepted is dropped then.
     pub organisation: Option<OrganisationName>,
+    /// Tasks, by their place among all tasks, under which workers were lost. They stand last, where boxes of earlier
+    /// versions pass over them.
+    pub suspects: Vec<(u32, TaskSuspicion)>,
 }
 
 impl JobProgress {
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -90,11 +90,24 @@
 
     /// Reads a record back.
     pub fn decode(key: &str, value: &[u8]) -> Result<(JobId, CellRecord), RecordError> {
-        let (_, id) = CellRecord::decode_key(key)?;
-        Ok((id, postcard::from_bytes(value)?))
+        let (kind, id) = CellRecord::decode_key(key)?;
+        let record = postcard::from_bytes(value).or_else(|error| match kind {
+            CellRecord::PROGRESS_KEY => decode_earlier_progress(value),
+            _ => Err(error),
+        })?;
+        Ok((id, record))
     }
 }
 
+/// Reads progress that a box of an earlier version wrote, which ends before the suspects.
+fn decode_earlier_progress(value: &[u8]) -> Result<CellRecord, postcard::Error> {
+    /// The stored form of a list of none.
+    const NO_SUSPECTS: u8 = 0;
+    let mut whole = value.to_vec();
+    whole.push(NO_SUSPECTS);
+    postcard::from_bytes(&whole)
+}
+
 /// One job as every box knows it.
 #[derive(Debug, Clone, Default)]
 pub struct KnownJob {
--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -8,12 +8,13 @@
 
 impl Scheduler {
     pub(super) fn lose_runs(&mut self, key: WorkerKey, cause: LossCause, now: Moment) {
-        let worker = &mut self.workers[key.0];
-        let life = worker.entry.life.clone();
-        let runs: Vec<(CellTask, RunNumber)> =
-            worker.runs.iter().map(|(task, run)| (*task, run.run)).collect();
-        for (task, run) in runs {
-            self.lose_run(key, task, run, &life, cause, now);
+        let life = self.workers[key.0].entry.life.clone();
+        let runs = self.runs_at_loss(key, now);
+        for lost in &runs {
+            self.lose_run(key, lost.task, lost.run, &life, cause, now);
+        }
+        for lost in &runs {
+            self.note_lost(key, lost, &cause, now);
         }
     }
 
@@ -26,9 +27,12 @@
         cause: LossCause,
         now: Moment,
     ) {
-        self.remove_run(key, &task);
+        let removed = self.remove_run(key, &task);
         self.events.push(CellEvent::RunLost { task, run, worker: life.clone(), cause });
         self.release_task(&task, run, now, None);
+        if removed.is_some_and(|entry| entry.phase == RunPhase::Recording) {
+            self.abort_gang(&task, run, now);
+        }
         self.finish_if_over(task.step.job, now);
     }
 
@@ -77,8 +81,12 @@
         if self.workers[key.0].dead {
             return;
         }
+        let is_first = !self.workers[key.0].fenced;
         self.note_account(key, &report, now);
         self.note_answer(key, report.clock, now);
+        if is_first {
+            self.settle_followed(key, now);
+        }
         for end in &report.ended {
             if self.workers[key.0].is_new_end(end.number) {
                 let needs_record = self.take_end(key, end, now);
@@ -95,6 +103,7 @@
             self.take_running(key, row, now);
         }
         self.drop_unlisted(key, &report, sent, now);
+        self.settle_living(key, &report, sent);
     }
 
     /// Takes in a row of a run.
@@ -147,6 +156,7 @@
             since: now,
             expected: None,
             overdue: false,
+            alone: false,
         };
         self.add_run(key, row.task, run);
     }
@@ -186,6 +196,7 @@
             let (asked, listed_from) = (now.since(sent), now.since(from));
             let cause = LossCause::NotListed { asked, listed_from };
             self.lose_run(key, task, run, &life, cause, now);
+            self.close_run(&task, run);
         }
     }
 
--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -110,6 +110,7 @@
             self.remove_run(key, task);
         }
         self.release_task(task, run, now.after(self.timing.start_backoff), None);
+        self.close_run(task, run);
         if refusal == WorkerRefusal::Ticket
             && let Some(job) = self.jobs.get_mut(&task.step.job)
             && let Some(step) = job.step_index(&task.step)
@@ -120,7 +121,7 @@
     }
 
     /// A gang that cannot become whole is stopped, so that it holds no room in vain.
-    fn abort_gang(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
+    pub(super) fn abort_gang(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
         if !job.step_spec(step).gang {
--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -33,6 +33,8 @@
     pub need: ResourceSet,
     /// Until when.
     pub until: Moment,
+    /// It is for a task that runs with nothing of another job beside it.
+    pub alone: bool,
 }
 
 /// Runs whose end makes room for a task.
@@ -65,7 +67,8 @@
             let Some(displacement) = self.find_displacement(candidate, spec, now) else { return };
             let key = displacement.worker;
             let until = now.after(self.timing.stop).after(CLAIM_MARGIN);
-            self.workers[key.0].claim = Some(WorkerClaim { step, need: spec.need, until });
+            self.workers[key.0].claim =
+                Some(WorkerClaim { step, need: spec.need, until, alone: false });
             for (task, run) in displacement.runs {
                 self.stop_run(key, task, run, "displaced", now);
             }
@@ -116,7 +119,7 @@
         let fits = sound
             && worker.claim_of(now).is_none()
             && worker.entry.capacity.fits(&spec.need)
-            && self.admits(key, job, step, spec);
+            && self.admits(key, job, step, spec, now);
         if !fits {
             return None;
         }
--- a/crates/sedgehill-cell/src/scheduler/ends.rs
+++ b/crates/sedgehill-cell/src/scheduler/ends.rs
@@ -26,6 +26,7 @@
         if !known {
             return false;
         }
+        self.close_run(&row.task, row.run);
         match row.end {
             RunEnd::Done => self.take_done(&row.task, now),
             RunEnd::Failed => self.take_failed(key, row, now),
@@ -98,14 +99,10 @@
             kept.failed_runs.push(row.run);
         }
         let hopeless = kept.failed_runs.len() >= job.record.policy.max_attempts as usize;
-        if hopeless && !job.tasks[index].kept.done && !job.state.is_final() {
-            job.state = JobState::Failed;
-            for (task, worker, run) in job.placed() {
-                if task != row.task {
-                    self.stop_run(worker, task, run, "job failed", now);
-                }
-            }
-        }
+        let is_done = job.tasks[index].kept.done;
         self.release_task(&row.task, row.run, now, Some(&row.checkpoint));
+        if hopeless && !is_done {
+            self.fail_job(row.task.step.job, "job failed", now);
+        }
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -5,6 +5,7 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
+use super::suspects::CrashSign;
 use crate::ids::{CellTask, JobId, OrganisationName, RunNumber, StepId, WorkerLife};
 use crate::organisation::ResourceLimit;
 use crate::progress::JobState;
@@ -71,6 +72,48 @@
         /// Why.
         cause: LossCause,
     },
+    /// A run was lost with a worker out of touch: it is open whether that crashed.
+    LossOpen {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+    },
+    /// A worker that was out of touch lives: its loss counts against none of its tasks.
+    LossCleared {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// Where.
+        worker: WorkerLife,
+    },
+    /// A worker crashed under a task.
+    CrashCounted {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// The life that ended.
+        worker: WorkerLife,
+        /// Nothing of another job was there.
+        alone: bool,
+        /// Other runs that were there; 0 where that is not known any more.
+        beside: usize,
+        /// What told the crash.
+        sign: CrashSign,
+        /// Workers that crashed under the task so far.
+        count: usize,
+    },
+    /// A task is taken as the cause of crashes, and its job fails.
+    GivenUp {
+        /// The task.
+        task: CellTask,
+        /// The lives that ended under it.
+        workers: Vec<WorkerLife>,
+    },
     /// A run of an earlier lead is taken over.
     Adopted {
         /// The task.
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/isolation.rs
@@ -0,0 +1,173 @@
+//! Where tasks are started under which workers were lost.
+//!
+//! A task that lost one worker is kept apart from others that were there, so that a second crash tells which of
+//! them it follows. One that lost two gets a worker on which nothing of another job stands; if there is none, a
+//! worker is claimed and comes free as its runs end. What runs beside a suspect would be lost with it, and could
+//! not be told from it.
+
+use sedgehill_core::units::{Moment, TimeSpan};
+
+use super::displacement::WorkerClaim;
+use super::placement::{Assignment, Candidate, OpenWorkers};
+use super::*;
+use crate::job::StepSpec;
+use crate::suspicion::{SuspectStage, TaskSuspicion};
+
+/// A run that has gone on for so long is not what crashes its worker. Tasks of the users that crash workers do so
+/// within a second of their start, and their longest usual tasks take some six.
+const TRUSTED_AFTER: TimeSpan = TimeSpan(10_000);
+/// A claim for a task that wants a worker of its own lasts so long, and is renewed with each turn.
+const CLAIM_SPAN: TimeSpan = TimeSpan(1_000);
+/// One in so many workers of a pool may be claimed for such tasks: the others go on with all other work.
+const CLAIMED_ONE_IN: usize = 8;
+
+impl WorkerState {
+    /// Whether nothing of another job is there that could be the cause of a crash.
+    pub(super) fn is_clear_for(&self, job: JobId, now: Moment) -> bool {
+        let trusted = |run: &worker::WorkerRun| now >= run.since.after(TRUSTED_AFTER);
+        self.runs.iter().all(|(task, run)| task.step.job == job || trusted(run))
+    }
+
+    /// Whether a task of another job wants the worker for itself.
+    pub(super) fn is_kept_from(&self, job: JobId, now: Moment) -> bool {
+        let wants = |run: &worker::WorkerRun| run.alone && now < run.since.after(TRUSTED_AFTER);
+        self.runs.iter().any(|(task, run)| task.step.job != job && wants(run))
+    }
+
+    /// How long it takes at the most until nothing of another job is there that could be the cause of a crash.
+    fn clears_for(&self, job: JobId, now: Moment) -> TimeSpan {
+        let left = |run: &worker::WorkerRun| {
+            let age = now.since(run.since);
+            let whole = run.expected.unwrap_or(TRUSTED_AFTER).min(TRUSTED_AFTER);
+            TimeSpan(whole.0.saturating_sub(age.0))
+        };
+        let others = self.runs.iter().filter(|(task, _)| task.step.job != job);
+        others.map(|(_, run)| left(run)).max().unwrap_or_default()
+    }
+
+    fn is_claimed_alone(&self, now: Moment) -> bool {
+        self.claim_of(now).is_some_and(|claim| claim.alone)
+    }
+}
+
+/// How a task of a step may be started.
+pub(super) fn stage_of(job: &JobWork, step: usize, index: u16) -> SuspectStage {
+    job.step_tasks(step)[usize::from(index)].suspicion.stage()
+}
+
+/// The tasks that want a worker of their own, and the others.
+pub(super) fn split_alone(job: &JobWork, step: usize, tasks: &[u16]) -> (Vec<u16>, Vec<u16>) {
+    tasks.iter().partition(|index| stage_of(job, step, **index) == SuspectStage::Alone)
+}
+
+impl Scheduler {
+    /// Places tasks that want a worker of their own, as far as there is one for each.
+    pub(super) fn assign_alone(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        open: &OpenWorkers,
+        tasks: &[u16],
+        now: Moment,
+    ) -> Assignment {
+        if tasks.is_empty() {
+            return Vec::new();
+        }
+        let mut rooms = self.usable_rooms(candidate, spec, open, now);
+        rooms.retain(|(key, _)| self.workers[key.0].is_clear_for(candidate.job, now));
+        rooms.sort_by_key(|(key, _)| !self.workers[key.0].runs.is_empty());
+        tasks.iter().copied().zip(rooms.into_iter().map(|(key, _)| key)).collect()
+    }
+
+    /// Keeps workers from new work until each of `wanted` tasks of a step finds one that is clear.
+    pub(super) fn claim_alone(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        wanted: usize,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let step = job.steps[candidate.step].id;
+        let until = now.after(CLAIM_SPAN);
+        let mut claimed = 0;
+        for worker in &mut self.workers {
+            if !worker.takes_work(now, &self.timing) {
+                continue;
+            }
+            if let Some(claim) = &mut worker.claim
+                && now < claim.until
+                && claim.alone
+                && claim.step == step
+            {
+                claim.until = until;
+                claimed += 1;
+            }
+        }
+        for _ in claimed..wanted {
+            let Some(key) = self.find_claimable(candidate, spec, now) else { return };
+            let worker = &mut self.workers[key.0];
+            let need = worker.entry.capacity;
+            worker.claim = Some(WorkerClaim { step, need, until, alone: true });
+        }
+    }
+
+    /// The worker that is clear the soonest.
+    fn find_claimable(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> Option<WorkerKey> {
+        let job = self.jobs.get(&candidate.job)?;
+        let pool = &job.record.policy.pool;
+        let workers = || self.workers.iter().filter(|worker| worker.entry.pool == *pool);
+        let usable = |worker: &&WorkerState| worker.takes_work(now, &self.timing);
+        let most = (workers().filter(usable).count() / CLAIMED_ONE_IN).max(1);
+        if workers().filter(|worker| worker.is_claimed_alone(now)).count() >= most {
+            return None;
+        }
+        let advice = &job.steps[candidate.step].advice;
+        let keys = (0..self.workers.len()).map(WorkerKey);
+        let fitting = keys.filter(|key| {
+            let worker = &self.workers[key.0];
+            usable(&worker)
+                && worker.claim_of(now).is_none()
+                && worker.trust == WorkerTrust::Sound
+                && worker.entry.capacity.fits(&spec.need)
+                && self.admits(*key, job, candidate.step, spec, now)
+                && !matches!(advice.known.get(key), Some(None))
+        });
+        fitting.min_by_key(|key| {
+            let known = matches!(advice.known.get(key), Some(Some(_)));
+            (!known, self.workers[key.0].clears_for(candidate.job, now), *key)
+        })
+    }
+
+    /// Whether a task may be put on a worker beside what runs there.
+    pub(super) fn may_join(
+        &self,
+        key: WorkerKey,
+        id: JobId,
+        suspicion: &TaskSuspicion,
+        now: Moment,
+    ) -> bool {
+        if suspicion.is_clear() {
+            return true;
+        }
+        let others = self.workers[key.0]
+            .runs
+            .iter()
+            .filter(|(task, run)| task.step.job != id && now < run.since.after(TRUSTED_AFTER));
+        let mut suspects = others.filter_map(|(task, _)| {
+            let job = self.jobs.get(&task.step.job)?;
+            Some(&job.tasks[job.task_index(task)?].suspicion)
+        });
+        !suspects.any(|other| suspicion.shares_loss(other))
+    }
+
+    /// Whether a worker is kept for a task of this step that is to run alone.
+    pub(super) fn is_claimed_for_alone(&self, key: WorkerKey, now: Moment) -> bool {
+        self.workers[key.0].is_claimed_alone(now)
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -12,6 +12,8 @@
 mod displacement;
 mod ends;
 mod event;
+mod held;
+mod isolation;
 mod loss;
 mod message;
 mod naming;
@@ -24,6 +26,7 @@
 mod roster;
 mod sight;
 mod stragglers;
+mod suspects;
 mod take_over;
 mod timing;
 mod work;
@@ -36,12 +39,15 @@
 
 pub use self::advice::{AdviceDesk, GoodShare};
 pub use self::event::*;
+use self::held::HeldStart;
 use self::loss::LossRate;
 pub use self::message::*;
 pub use self::organisations::{OrganisationBook, OrganisationFigures, OrganisationKey};
 use self::pace::FactorAverage;
 pub use self::policy::{CellPolicy, LimitOrder, LimitOrderError, SharingError, SharingWay};
 pub use self::sight::TakeOverSight;
+pub use self::suspects::CrashSign;
+use self::suspects::OpenRuns;
 pub use self::timing::CellTiming;
 use self::work::{JobWork, OrderedMark, TaskPhase};
 use self::worker::{RunPhase, StopTry, WorkerState, WorkerTrust};
@@ -64,6 +70,8 @@
     settled: bool,
     /// What settled it.
     settled_by: Option<EarlierSettled>,
+    /// A worker on which an earlier lead may have started something was not heard.
+    lost_workers: bool,
 }
 
 /// The lead's state.
@@ -97,6 +105,12 @@
     confirmed: Moment,
     fenced_out: bool,
     wall_clock: (u64, Moment),
+    /// Runs of which it is open whether a crash took them.
+    open_runs: OpenRuns,
+    /// A crash was counted, by this lead or an earlier one.
+    suspects_seen: bool,
+    /// Starts that wait until they are recorded.
+    held: Vec<HeldStart>,
 }
 
 impl Scheduler {
@@ -125,6 +139,7 @@
                 caught_up: false,
                 settled: false,
                 settled_by: None,
+                lost_workers: false,
             },
             surveyed: false,
             orders: Vec::new(),
@@ -140,6 +155,9 @@
             confirmed: now,
             fenced_out: false,
             wall_clock: (0, now),
+            open_runs: OpenRuns::default(),
+            suspects_seen: false,
+            held: Vec::new(),
             timing,
         }
     }
@@ -221,6 +239,7 @@
         let needs_mark = job.ordered == OrderedMark::Missing;
         self.jobs.insert(id, job);
         self.note_owner(id, now);
+        self.note_inherited_suspects(id, now);
         if needs_mark {
             self.mark_ordered(id);
         }
@@ -281,6 +300,16 @@
         }
     }
 
+    /// A job has failed for good: what runs of it is stopped.
+    fn fail_job(&mut self, id: JobId, reason: &'static str, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.state.is_final()) else { return };
+        job.state = JobState::Failed;
+        for (task, worker, run) in job.placed() {
+            self.stop_run(worker, task, run, reason, now);
+        }
+        self.finish_if_over(id, now);
+    }
+
     fn note_begun(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.state == JobState::Pending {
@@ -299,6 +328,8 @@
         self.repeat_stops(now);
         self.find_stragglers(now);
         self.settle_take_over(now);
+        self.expire_open_runs(now);
+        self.release_held(now);
         self.count_unseen(self.unix_ms_at(now));
         if self.surveyed {
             self.place_all(now);
@@ -320,6 +351,9 @@
         if matches!(entry.phase, RunPhase::Stopping(_) | RunPhase::Stopped) {
             return;
         }
+        if entry.phase == RunPhase::Recording {
+            return self.withdraw_held(key, &task, run, now);
+        }
         entry.phase = RunPhase::Stopping(StopTry::first(now));
         let life = worker.entry.life.clone();
         self.events.push(CellEvent::Stopping { task, run, worker: life, reason });
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -10,6 +10,7 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::advice::AskedWorkers;
+use super::isolation::split_alone;
 use super::placement::{Candidate, OpenWorkers, waiting_tasks};
 use super::rank::rank_job;
 use super::*;
@@ -91,9 +92,13 @@
         let mut rooms: Vec<(bool, Reverse<usize>, usize, WorkerKey)> = Vec::new();
         let mut usable = 0;
         let mut asked = 0.0;
+        let waiting = waiting_tasks(job, candidate.step, now);
+        // Tickets for workers on which others run are of no use to tasks that want one of their own.
+        let is_alone = split_alone(job, candidate.step, &waiting).1.is_empty();
         for key in open.list.iter().copied() {
             let known = advice.known.get(&key);
-            if matches!(known, Some(None)) {
+            let of_use = !is_alone || self.workers[key.0].is_clear_for(job.id, now);
+            if matches!(known, Some(None)) || !of_use {
                 continue;
             }
             let room = match self.room_on(key, job, candidate.step, spec, now) {
@@ -118,7 +123,7 @@
             }
         }
         let left = job.steps[candidate.step].left;
-        let needed = waiting_tasks(job, candidate.step, now).len().saturating_sub(usable);
+        let needed = waiting.len().saturating_sub(usable);
         let expected =
             |unknown: bool, room: usize| room.min(left) as f64 * if unknown { share } else { 1.0 };
         let whole: f64 =
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -1,9 +1,12 @@
 //! Which waiting steps get room and advice.
 
+use super::held::HeldRun;
+use super::isolation::{split_alone, stage_of};
 use super::rank::rank_job;
 use super::worker::{WorkerRun, WorkerTrust};
 use super::*;
 use crate::job::StepSpec;
+use crate::suspicion::SuspectStage;
 use sedgehill_core::units::{Moment, ResourceSet};
 
 /// Time that a tight job has left beside twice its work.
@@ -20,7 +23,15 @@
 }
 
 /// Where the tasks of a step go.
-type Assignment = Vec<(u16, WorkerKey)>;
+pub(super) type Assignment = Vec<(u16, WorkerKey)>;
+
+/// Tasks of a step that found no room.
+#[derive(Debug, Clone, Copy, Default)]
+struct TasksLeft {
+    /// Those that want a worker of their own.
+    alone: usize,
+    others: usize,
+}
 
 /// The workers that may be given work in this turn. Found once a turn, since most workers of a busy
 /// cell are full, and each step that waits looks at all others.
@@ -39,7 +50,7 @@
     /// Starts what can be started, and asks for the advice that is missing, best ranked first.
     pub(super) fn place_all(&mut self, now: Moment) {
         let open = self.open_workers(now);
-        if open.list.is_empty() && open.least_urgent == 0 {
+        if open.list.is_empty() && open.least_urgent == 0 && !self.suspects_seen {
             return;
         }
         self.keep_nothing();
@@ -114,7 +125,9 @@
         let record = job.record.clone();
         let spec = record.step_spec(candidate.step);
         let displaces = record.policy.priority < open.least_urgent;
-        if !open.most.fits(&spec.need) && !displaces {
+        let isolates = |task: &work::TaskWork| task.suspicion.stage() == SuspectStage::Alone;
+        let claims = self.suspects_seen && job.step_tasks(candidate.step).iter().any(isolates);
+        if !open.most.fits(&spec.need) && !displaces && !claims {
             return;
         }
         let mut waiting = waiting_tasks(job, candidate.step, now);
@@ -126,23 +139,50 @@
         }
         waiting.truncate(allowed);
         if ordered {
-            let assignment = match spec.gang {
-                true => self.assign_gang(candidate, spec, open, &waiting, now),
-                false => self.assign_each(candidate, spec, open, &waiting, now),
-            };
-            let placed = assignment.len();
-            self.start_all(candidate, spec, assignment, now);
-            if placed == waiting.len() {
+            let left = self.start_waiting(candidate, spec, open, &waiting, now);
+            if left.alone + left.others == 0 {
                 return;
             }
-            self.keep_room(candidate, spec, waiting.len() - placed, now);
-            if displaces {
-                self.displace_for(candidate, spec, waiting.len() - placed, now);
+            self.keep_room(candidate, spec, left.alone + left.others, now);
+            if left.alone > 0 {
+                self.claim_alone(candidate, spec, left.alone, now);
+            }
+            if displaces && left.others > 0 {
+                self.displace_for(candidate, spec, left.others, now);
             }
         }
         self.ask_advice(candidate, spec, open, now);
     }
 
+    /// Starts those of the tasks that wait for which there is room. Returns how many are left.
+    fn start_waiting(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        open: &OpenWorkers,
+        waiting: &[u16],
+        now: Moment,
+    ) -> TasksLeft {
+        let Some(job) = self.jobs.get(&candidate.job) else { return TasksLeft::default() };
+        let (alone, others) = split_alone(job, candidate.step, waiting);
+        let mut left = TasksLeft { alone: alone.len(), others: others.len() };
+        if spec.gang {
+            let assignment = self.assign_gang(candidate, spec, open, waiting, now);
+            if assignment.len() == waiting.len() {
+                left = TasksLeft::default();
+            }
+            self.start_all(candidate, spec, assignment, now);
+            return left;
+        }
+        let assignment = self.assign_alone(candidate, spec, open, &alone, now);
+        left.alone -= assignment.len();
+        self.start_all(candidate, spec, assignment, now);
+        let assignment = self.assign_each(candidate, spec, open, &others, now);
+        left.others -= assignment.len();
+        self.start_all(candidate, spec, assignment, now);
+        left
+    }
+
     /// How many tasks of a step an open worker can take now, apart from advice.
     pub(super) fn room_on(
         &self,
@@ -155,7 +195,7 @@
         let worker = &self.workers[key.0];
         let step_id = job.steps[step].id;
         let fits = worker.free_for(&step_id, now).capacity_for(&spec.need) as usize;
-        if fits == 0 || !self.admits(key, job, step, spec) {
+        if fits == 0 || !self.admits(key, job, step, spec, now) {
             return 0;
         }
         let fits = fits.min(worker.runs_allowed(now));
@@ -171,6 +211,7 @@
         job: &JobWork,
         step: usize,
         spec: &StepSpec,
+        now: Moment,
     ) -> bool {
         let worker = &self.workers[key.0];
         let labels = &worker.entry.labels;
@@ -179,10 +220,11 @@
         worker.entry.pool == job.record.policy.pool
             && spec.label.as_ref().is_none_or(|label| labels.contains(label))
             && !spec.max_per_worker.is_some_and(full)
+            && !worker.is_kept_from(job.id, now)
     }
 
     /// Workers that may run the step now, with the tasks they can take; the fullest first.
-    fn usable_rooms(
+    pub(super) fn usable_rooms(
         &self,
         candidate: &Candidate,
         spec: &StepSpec,
@@ -226,19 +268,21 @@
         now: Moment,
     ) -> Assignment {
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
+        rooms.retain(|(key, _)| !self.is_claimed_for_alone(*key, now));
         let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
         let mut assignment = Vec::new();
         for index in waiting {
-            let failed_at = job.step_tasks(candidate.step)[usize::from(*index)].failed_at;
+            if rooms.is_empty() {
+                break;
+            }
+            let task = &job.step_tasks(candidate.step)[usize::from(*index)];
+            let joins = |key: WorkerKey| self.may_join(key, job.id, &task.suspicion, now);
             let choice = rooms
                 .iter()
-                .position(|(key, _)| Some(*key) != failed_at)
-                .or_else(|| (!rooms.is_empty()).then_some(0));
-            let Some(choice) = choice else { break };
-            assignment.push((*index, rooms[choice].0));
-            rooms[choice].1 -= 1;
-            if rooms[choice].1 == 0 {
-                rooms.remove(choice);
+                .position(|(key, _)| Some(*key) != task.failed_at && joins(*key))
+                .or_else(|| rooms.iter().position(|(key, _)| joins(*key)));
+            if let Some(choice) = choice {
+                assignment.push((*index, take_slot(&mut rooms, choice)));
             }
         }
         assignment
@@ -257,13 +301,22 @@
         if waiting.len() < left {
             return Vec::new();
         }
-        let rooms = self.usable_rooms(candidate, spec, open, now);
-        let slots = rooms.iter().flat_map(|(key, room)| std::iter::repeat_n(*key, *room));
-        let assignment: Assignment = waiting.iter().copied().zip(slots).collect();
-        match assignment.len() == waiting.len() {
-            true => assignment,
-            false => Vec::new(),
+        let (alone, others) = split_alone(job, candidate.step, waiting);
+        let mut assignment = self.assign_alone(candidate, spec, open, &alone, now);
+        if assignment.len() < alone.len() {
+            return Vec::new();
+        }
+        let mut rooms = self.usable_rooms(candidate, spec, open, now);
+        rooms.retain(|(key, _)| assignment.iter().all(|(_, taken)| taken != key));
+        for index in others {
+            let task = &job.step_tasks(candidate.step)[usize::from(index)];
+            let joins = |key: WorkerKey| self.may_join(key, job.id, &task.suspicion, now);
+            let Some(choice) = rooms.iter().position(|(key, _)| joins(*key)) else {
+                return Vec::new();
+            };
+            assignment.push((index, take_slot(&mut rooms, choice)));
         }
+        assignment
     }
 
     fn start_all(
@@ -273,7 +326,7 @@
         assignment: Assignment,
         now: Moment,
     ) {
-        let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
         if assignment.is_empty() {
             return;
         }
@@ -285,7 +338,14 @@
         let saved = job.step_tasks(candidate.step).iter().map(|task| &task.kept.checkpoint);
         let gang_checkpoint =
             saved.filter(|text| !text.is_empty()).max().cloned().unwrap_or_default();
-        for (index, key) in assignment {
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let is_ahead = |index: u16| self.is_recorded_ahead(job, first + usize::from(index));
+        let gang_ahead = spec.gang && assignment.iter().any(|(index, _)| is_ahead(*index));
+        let starts: Vec<(u16, WorkerKey, bool)> = assignment
+            .into_iter()
+            .map(|(index, key)| (index, key, gang_ahead || is_ahead(index)))
+            .collect();
+        for (index, key, ahead) in starts {
             let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
             let task = CellTask { step: step_id, index };
             let work = &mut job.tasks[first + usize::from(index)];
@@ -298,39 +358,33 @@
                 true => gang_checkpoint.clone(),
                 false => work.kept.checkpoint.clone(),
             };
-            self.order_start(key, task, run, spec.need, checkpoint, now);
+            let alone = stage_of(job, candidate.step, index) == SuspectStage::Alone;
+            let start = HeldRun { worker: key, task, run, checkpoint, alone };
+            self.order_start(start, spec.need, ahead, now);
         }
     }
 
-    fn order_start(
-        &mut self,
-        key: WorkerKey,
-        task: CellTask,
-        run: RunNumber,
-        need: ResourceSet,
-        checkpoint: String,
-        now: Moment,
-    ) {
+    /// Puts a run on a worker, and orders its start at once or when it is recorded.
+    fn order_start(&mut self, start: HeldRun, need: ResourceSet, ahead: bool, now: Moment) {
+        let (key, task, run) = (start.worker, start.task, start.run);
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
-        let earlier = self.earlier_settled(job);
         let worker = &mut self.workers[key.0];
         assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
         let allowed = self.organisations.room_for(job.owner, &need) > 0;
         assert!(allowed, "{task} would take its organisation past its limit");
-        let life = worker.entry.life.clone();
-        let ticket = job.steps[step].advice.ticket(key, now, TimeSpan(0));
         let estimate = job.step_spec(step).estimate.0 as f64;
         let factor = self.estimates.get(&job.record.queue).map_or(1.0, FactorAverage::factor);
         let entry = WorkerRun {
             run,
             need: Some(need),
             owner: job.owner,
-            phase: RunPhase::Ordered,
+            phase: if ahead { RunPhase::Recording } else { RunPhase::Ordered },
             listed_from: None,
             since: now,
             expected: Some(TimeSpan((estimate * factor) as u64)),
             overdue: false,
+            alone: start.alone,
         };
         if worker.claim.is_some_and(|claim| claim.step == task.step) {
             worker.claim = None;
@@ -338,9 +392,31 @@
         if matches!(worker.trust, WorkerTrust::Shunned(_)) {
             worker.trust = WorkerTrust::Probed;
         }
-        let lease = self.timing.lease;
-        let lease_until =
-            worker.extend_lease(now, lease).expect("a worker that takes work has a clock");
+        self.add_run(key, task, entry);
+        match ahead {
+            true => self.hold_start(start, now),
+            false => self.send_start(key, task, run, start.checkpoint, now),
+        }
+    }
+
+    /// Orders the start of a run that has its place.
+    pub(super) fn send_start(
+        &mut self,
+        key: WorkerKey,
+        task: CellTask,
+        run: RunNumber,
+        checkpoint: String,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let Some(step) = job.step_index(&task.step) else { return };
+        let earlier = self.earlier_settled(job);
+        let ticket = job.steps[step].advice.ticket(key, now, TimeSpan(0));
+        let worker = &mut self.workers[key.0];
+        let life = worker.entry.life.clone();
+        let lease_until = worker
+            .extend_lease(now, self.timing.lease)
+            .expect("a worker that takes work has a clock");
         self.events.push(CellEvent::Placed {
             task,
             run,
@@ -358,10 +434,19 @@
             ticket: ticket.map(|ticket| ticket.text.clone()),
             checkpoint,
         }));
-        self.add_run(key, task, entry);
     }
 }
 
+/// Takes room for one task from the list.
+fn take_slot(rooms: &mut Vec<(WorkerKey, usize)>, choice: usize) -> WorkerKey {
+    let key = rooms[choice].0;
+    rooms[choice].1 -= 1;
+    if rooms[choice].1 == 0 {
+        rooms.remove(choice);
+    }
+    key
+}
+
 /// Whether a job leaves little time beside its work, so that it should run on the fastest workers.
 fn is_tight(job: &JobWork) -> bool {
     let chain = job.record.spec.longest_chain().as_millis();
@@ -380,15 +465,10 @@
 }
 
 fn wants_room(job: &JobWork, step: usize, now: Moment) -> bool {
-    let ready = |phase: TaskPhase| matches!(phase, TaskPhase::Waiting(from) if now >= from);
-    job.step_tasks(step).iter().any(|task| !task.kept.done && ready(task.phase))
+    job.step_tasks(step).iter().any(|task| task.is_ready(now))
 }
 
 pub(super) fn waiting_tasks(job: &JobWork, step: usize, now: Moment) -> Vec<u16> {
-    let ready = |phase: TaskPhase| matches!(phase, TaskPhase::Waiting(from) if now >= from);
     let tasks = job.step_tasks(step).iter().enumerate();
-    tasks
-        .filter(|(_, task)| !task.kept.done && ready(task.phase))
-        .map(|(index, _)| index as u16)
-        .collect()
+    tasks.filter(|(_, task)| task.is_ready(now)).map(|(index, _)| index as u16).collect()
 }
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -182,5 +182,7 @@
         }
         self.workers[key.0].dead = true;
         self.lose_runs(key, LossCause::WorkerEnded { address, call }, now);
+        let life = self.workers[key.0].entry.life.clone();
+        self.settle_crashed(&life, CrashSign::OtherLife, now);
     }
 }
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -0,0 +1,288 @@
+//! What the loss of a worker says of the tasks that ran there.
+//!
+//! Four things look alike from afar. A worker that *crashed* is told by another life that answers at its address.
+//! One that *left* said so before, or answered on after the store had dropped its entry. One that is *cut* is silent
+//! until its leases have lapsed; whether it crashed stays open until it answers again or another life does. A run
+//! that *ended*, by its lapsed lease or otherwise, is listed by a worker that lives. Only crashes count.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use sedgehill_core::units::{Moment, TimeSpan};
+
+use super::*;
+use crate::suspicion::{OpenRun, WorkerCrash};
+
+/// How long a loss may stay open. A worker that crashed is back after some seconds; one that is not heard of by then
+/// was taken away, and a task should not wait for it any longer.
+const OPEN_MOST: TimeSpan = TimeSpan(20_000);
+
+/// What told that a worker crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashSign {
+    /// A call for it met another life.
+    OtherLife,
+    /// Another life was first heard at the address where it was.
+    Successor,
+}
+
+impl CrashSign {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CrashSign::OtherLife => "other_life",
+            CrashSign::Successor => "successor",
+        }
+    }
+}
+
+/// A run of which it is open whether a crash took it.
+#[derive(Debug, Clone)]
+struct OpenMark {
+    task: CellTask,
+    run: RunNumber,
+    address: SocketAddr,
+    since: Moment,
+}
+
+/// All such runs, by the life on which they were started.
+#[derive(Debug, Default)]
+pub struct OpenRuns {
+    lives: HashMap<WorkerLife, Vec<OpenMark>>,
+}
+
+impl OpenRuns {
+    fn add(&mut self, life: WorkerLife, mark: OpenMark) {
+        self.lives.entry(life).or_default().push(mark);
+    }
+
+    fn remove(&mut self, life: &WorkerLife, task: &CellTask, run: RunNumber) {
+        let Some(marks) = self.lives.get_mut(life) else { return };
+        marks.retain(|mark| (mark.task, mark.run) != (*task, run));
+        if marks.is_empty() {
+            self.lives.remove(life);
+        }
+    }
+}
+
+/// A run on a worker that is lost.
+pub(super) struct LostRun {
+    pub(super) task: CellTask,
+    pub(super) run: RunNumber,
+    /// Its start was sent.
+    sent: bool,
+    /// Nothing of another job stood beside it.
+    alone: bool,
+    /// Other runs that were there.
+    beside: usize,
+}
+
+/// A crash under a task.
+struct CrashUnder<'a> {
+    task: CellTask,
+    run: RunNumber,
+    life: &'a WorkerLife,
+    alone: bool,
+    beside: usize,
+    sign: CrashSign,
+}
+
+impl Scheduler {
+    /// What runs on a worker that is lost.
+    pub(super) fn runs_at_loss(&self, key: WorkerKey, now: Moment) -> Vec<LostRun> {
+        let worker = &self.workers[key.0];
+        let sent = |phase: RunPhase| phase != RunPhase::Recording;
+        let there = worker.runs.values().filter(|run| sent(run.phase)).count();
+        let lost = |(task, run): (&CellTask, &worker::WorkerRun)| LostRun {
+            task: *task,
+            run: run.run,
+            sent: sent(run.phase),
+            alone: worker.is_clear_for(task.step.job, now),
+            beside: there.saturating_sub(1),
+        };
+        worker.runs.iter().map(lost).collect()
+    }
+
+    /// Takes in what the loss of a run says of its task.
+    pub(super) fn note_lost(
+        &mut self,
+        key: WorkerKey,
+        lost: &LostRun,
+        cause: &LossCause,
+        now: Moment,
+    ) {
+        let worker = &self.workers[key.0];
+        let (life, address) = (worker.entry.life.clone(), worker.entry.address);
+        if !lost.sent || worker.is_leaving() {
+            return self.close_run(&lost.task, lost.run);
+        }
+        match cause {
+            LossCause::WorkerEnded { .. } => {
+                let LostRun { task, run, alone, beside, .. } = *lost;
+                let sign = CrashSign::OtherLife;
+                self.count_crash(CrashUnder { task, run, life: &life, alone, beside, sign }, now);
+            }
+            LossCause::LeaseEnded(_) => {
+                let open =
+                    OpenRun { run: lost.run, life: life.clone(), address, alone: lost.alone };
+                self.open_run(&lost.task, open, now);
+                self.events.push(CellEvent::LossOpen {
+                    task: lost.task,
+                    run: lost.run,
+                    worker: life,
+                });
+            }
+            LossCause::NotListed { .. } => self.close_run(&lost.task, lost.run),
+        }
+    }
+
+    /// Notes a run of which it is open whether a crash will take it, or has.
+    pub(super) fn open_run(&mut self, task: &CellTask, open: OpenRun, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
+            return;
+        };
+        let Some(index) = job.task_index(task) else { return };
+        let (run, life, address) = (open.run, open.life.clone(), open.address);
+        if job.tasks[index].suspicion.open(open) {
+            self.open_runs.add(life, OpenMark { task: *task, run, address, since: now });
+            self.suspects_seen = true;
+            self.dirty.insert(task.step.job);
+        }
+    }
+
+    /// A run ended otherwise than by a crash, or never began.
+    pub(super) fn close_run(&mut self, task: &CellTask, run: RunNumber) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(index) = job.task_index(task) else { return };
+        if let Some(open) = job.tasks[index].suspicion.close(run) {
+            self.open_runs.remove(&open.life, task, run);
+            self.dirty.insert(task.step.job);
+        }
+    }
+
+    /// Takes in what an earlier lead kept of a job's tasks.
+    pub(super) fn note_inherited_suspects(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let mut open = Vec::new();
+        for (number, step) in job.steps.iter().enumerate() {
+            for (index, task) in job.step_tasks(number).iter().enumerate() {
+                self.suspects_seen |= !task.suspicion.is_clear();
+                let task_id = CellTask { step: step.id, index: index as u16 };
+                open.extend(task.suspicion.open.iter().map(|open| (task_id, open.clone())));
+            }
+        }
+        for (task, open) in open {
+            let OpenRun { run, life, address, .. } = open;
+            self.open_runs.add(life.clone(), OpenMark { task, run, address, since: now });
+            let followed = |worker: &WorkerState| {
+                let other = worker.entry.life != life && worker.entry.address == address;
+                other && worker.fenced && !worker.dead
+            };
+            if self.workers.iter().any(followed) {
+                self.settle_crashed(&life, CrashSign::Successor, now);
+            }
+        }
+    }
+
+    /// A life has ended: the runs there whose loss was open were taken by its crash, unless it left as planned.
+    pub(super) fn settle_crashed(&mut self, life: &WorkerLife, sign: CrashSign, now: Moment) {
+        let Some(marks) = self.open_runs.lives.remove(life) else { return };
+        let key = self.lives.get(life);
+        let leaving = key.is_some_and(|key| self.workers[key.0].is_leaving());
+        for OpenMark { task, run, .. } in marks {
+            let Some(open) = self.find_open(&task, run) else { continue };
+            match leaving {
+                true => self.close_run(&task, run),
+                false => {
+                    let (alone, beside) = (open.alone, 0);
+                    self.count_crash(CrashUnder { task, run, life, alone, beside, sign }, now);
+                }
+            }
+        }
+    }
+
+    fn find_open(&self, task: &CellTask, run: RunNumber) -> Option<OpenRun> {
+        let job = self.jobs.get(&task.step.job)?;
+        let suspicion = &job.tasks[job.task_index(task)?].suspicion;
+        suspicion.open.iter().find(|open| open.run == run).cloned()
+    }
+
+    /// A worker was heard for the first time: whatever was at its address before has ended.
+    pub(super) fn settle_followed(&mut self, key: WorkerKey, now: Moment) {
+        let entry = &self.workers[key.0].entry;
+        let is_here = |mark: &OpenMark| mark.address == entry.address;
+        let lives = self.open_runs.lives.iter();
+        let followed =
+            lives.filter(|(life, marks)| **life != entry.life && marks.iter().any(is_here));
+        let followed: Vec<WorkerLife> = followed.map(|(life, _)| life.clone()).collect();
+        for life in followed {
+            self.settle_crashed(&life, CrashSign::Successor, now);
+        }
+    }
+
+    /// A worker lives: what it does not list any more was not taken by a crash.
+    pub(super) fn settle_living(&mut self, key: WorkerKey, report: &HoldReport, sent: Moment) {
+        let worker = &self.workers[key.0];
+        let Some(marks) = self.open_runs.lives.get(&worker.entry.life) else { return };
+        let known = |mark: &OpenMark| {
+            worker.runs.get(&mark.task).is_some_and(|entry| entry.run == mark.run)
+        };
+        let listed = |mark: &OpenMark| {
+            report.running.iter().any(|row| (row.task, row.run) == (mark.task, mark.run))
+        };
+        let over = |mark: &&OpenMark| mark.since < sent && !known(mark) && !listed(mark);
+        let over: Vec<OpenMark> = marks.iter().filter(over).cloned().collect();
+        let life = worker.entry.life.clone();
+        for OpenMark { task, run, .. } in over {
+            self.close_run(&task, run);
+            self.events.push(CellEvent::LossCleared { task, run, worker: life.clone() });
+        }
+    }
+
+    /// Gives up to learn what became of runs that were lost long ago.
+    pub(super) fn expire_open_runs(&mut self, now: Moment) {
+        let mut expired = Vec::new();
+        for (life, marks) in &self.open_runs.lives {
+            let worker = self.lives.get(life).map(|key| &self.workers[key.0]);
+            let is_known = |mark: &OpenMark| {
+                let runs = worker.map(|worker| &worker.runs);
+                let run = runs.and_then(|runs| runs.get(&mark.task));
+                run.is_some_and(|entry| entry.run == mark.run)
+            };
+            let is_old = |mark: &&OpenMark| now >= mark.since.after(OPEN_MOST) && !is_known(mark);
+            let is_gone = |mark: &&OpenMark| !self.jobs.contains_key(&mark.task.step.job);
+            let over = marks.iter().filter(|mark| is_old(mark) || is_gone(mark));
+            expired.extend(over.map(|mark| (life.clone(), mark.task, mark.run)));
+        }
+        for (life, task, run) in expired {
+            self.close_run(&task, run);
+            self.open_runs.remove(&life, &task, run);
+        }
+    }
+
+    fn count_crash(&mut self, crash: CrashUnder<'_>, now: Moment) {
+        let CrashUnder { task, run, life, alone, beside, sign } = crash;
+        self.suspects_seen = true;
+        self.close_run(&task, run);
+        let at_unix_ms = self.unix_ms_at(now);
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
+            return;
+        };
+        let Some(index) = job.task_index(&task) else { return };
+        let work = &mut job.tasks[index];
+        let counted = WorkerCrash { life: life.clone(), alone, at_unix_ms };
+        if work.kept.done || !work.suspicion.count(counted) {
+            return;
+        }
+        let (crashes, guilty) = (work.suspicion.crashes.clone(), work.suspicion.is_guilty());
+        self.dirty.insert(task.step.job);
+        let worker = life.clone();
+        let count = crashes.len();
+        self.events.push(CellEvent::CrashCounted { task, run, worker, alone, beside, sign, count });
+        if guilty {
+            let workers = crashes.into_iter().map(|crash| crash.life).collect();
+            self.events.push(CellEvent::GivenUp { task, workers });
+            self.fail_job(task.step.job, "job failed", now);
+        }
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -59,6 +59,8 @@
         if !unheard || (now >= runs_end && self.is_confirmed(runs_end)) {
             self.note_settled(now);
             self.take_over.settled = true;
+            let lost = |worker: &WorkerState| worker.inherited && (worker.dead || !worker.fenced);
+            self.take_over.lost_workers = self.workers.iter().any(lost);
             for job in self.jobs.values_mut() {
                 job.foreign_orders = false;
             }
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -10,6 +10,7 @@
 use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId};
 use crate::job::{JobRecord, RepeatSpec, StepSpec};
 use crate::progress::{JobProgress, JobState, TaskProgress};
+use crate::suspicion::{SuspectStage, TaskSuspicion};
 
 /// Runs of a task that one lead may order without recording any of them. Each lead counts from its
 /// token times this number, so that no two use the same number for different runs. A start that is refused uses a
@@ -34,6 +35,16 @@
     pub kept: TaskProgress,
     /// Where its last run failed.
     pub failed_at: Option<WorkerKey>,
+    /// What is known of the workers that were lost under it.
+    pub suspicion: TaskSuspicion,
+}
+
+impl TaskWork {
+    /// Whether it may be started now, given room.
+    pub fn is_ready(&self, now: Moment) -> bool {
+        let waits = matches!(self.phase, TaskPhase::Waiting(from) if now >= from);
+        waits && !self.kept.done && self.suspicion.stage() != SuspectStage::Held
+    }
 }
 
 /// One step of one repetition.
@@ -105,8 +116,18 @@
         let mut tasks: Vec<TaskWork> = kept
             .tasks_of(&record.spec)
             .into_iter()
-            .map(|kept| TaskWork { phase: TaskPhase::Waiting(Moment(0)), kept, failed_at: None })
+            .map(|kept| TaskWork {
+                phase: TaskPhase::Waiting(Moment(0)),
+                kept,
+                failed_at: None,
+                suspicion: TaskSuspicion::default(),
+            })
             .collect();
+        for (place, suspicion) in &kept.suspects {
+            if let Some(task) = tasks.get_mut(*place as usize) {
+                task.suspicion = suspicion.clone();
+            }
+        }
         if kept.ordered {
             let first = u32::try_from(token.0 * RUNS_PER_LEAD).unwrap_or(u32::MAX - 1);
             for task in &mut tasks {
@@ -228,9 +249,17 @@
             ordered: self.ordered != OrderedMark::Missing,
             tasks: kept,
             organisation: self.owner_once_over(),
+            suspects: self.suspects(),
         }
     }
 
+    /// What is kept of the tasks under which workers were lost; nothing once the job is over.
+    fn suspects(&self) -> Vec<(u32, TaskSuspicion)> {
+        let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
+        let suspects = tasks.filter(|(_, task)| !task.suspicion.is_clear());
+        suspects.map(|(place, task)| (place as u32, task.suspicion.clone())).collect()
+    }
+
     /// What was accepted is dropped once the job is over, and whose it is would go with it.
     fn owner_once_over(&self) -> Option<OrganisationName> {
         let owner = self.record.owner.as_ref().filter(|_| self.state.is_final());
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -15,6 +15,8 @@
 /// How far an order to run is settled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPhase {
+    /// The start waits until it is recorded; nothing was sent.
+    Recording,
     /// The start was sent and not yet answered.
     Ordered,
     /// The worker said that it runs.
@@ -75,6 +77,8 @@
     pub expected: Option<TimeSpan>,
     /// It has taken so much longer that it counted against the worker.
     pub overdue: bool,
+    /// Nothing of another job may be put beside it.
+    pub alone: bool,
 }
 
 impl WorkerRun {
@@ -255,6 +259,18 @@
             && now >= self.avoid_until
     }
 
+    /// Whether more runs there, or may, than it has room for.
+    pub fn is_over_size(&self) -> bool {
+        !self.entry.capacity.fits(&self.used())
+    }
+
+    /// Whether it is about to end as planned, or has: it said so, or it answered while the store had dropped its
+    /// entry.
+    pub fn is_leaving(&self) -> bool {
+        let answered_since = self.answered.is_some_and(|answered| answered > self.unlisted_since);
+        self.entry.draining || (!self.listed && answered_since)
+    }
+
     /// The claim on it, if one is in force.
     pub fn claim_of(&self, now: Moment) -> Option<&WorkerClaim> {
         self.claim.as_ref().filter(|claim| now < claim.until)
@@ -311,13 +327,13 @@
         run
     }
 
+    fn used(&self) -> ResourceSet {
+        let needs = self.runs.values().filter_map(|run| run.need);
+        needs.fold(ResourceSet::default(), |used, need| used.plus(&need))
+    }
+
     fn count_room(&mut self) {
-        let used = self
-            .runs
-            .values()
-            .filter_map(|run| run.need)
-            .fold(ResourceSet::default(), |used, need| used.plus(&need));
-        self.free = self.entry.capacity.saturating_minus(&used);
+        self.free = self.entry.capacity.saturating_minus(&self.used());
     }
 
     /// Runs of one step that are there.
--- /dev/null
+++ b/crates/sedgehill-cell/src/suspicion.rs
@@ -0,0 +1,133 @@
+//! Which tasks may crash the workers that start them: the account that is kept of each.
+//!
+//! A worker that crashes lists no ends, so a task that crashes it would be started again for ever. Every task that
+//! ran on a worker when it crashed is a suspect, since nobody sees which of them did it. A suspect goes on at once,
+//! but not beside others of the same crash; after a second crash it runs on a worker of its own. One that takes down
+//! a worker there too is taken as the cause. So a task that crashes its workers takes down three, and one beside it
+//! is cleared by its run alone.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{RunNumber, WorkerLife};
+
+/// Workers that crashed under a task, from which on it runs on a worker of its own. With one already, each crash of
+/// a full worker asks for some eight empty ones at once; with two, the second crash tells the cause from what stood
+/// beside it.
+pub const ALONE_FROM: usize = 2;
+/// Workers that crashed under a task, from which on it is given up if nothing of another job stood beside it in one
+/// of these crashes. The users allow it from two on; the third is what a worker crashing by itself would have to hit
+/// again, with the task alone there.
+pub const GUILTY_FROM: usize = 3;
+/// Workers that crashed under a task, or may have, from which on it is not started any more. The users allow two
+/// starts after the third crash.
+pub const STARTS_MOST: usize = 5;
+/// How long a crash is remembered, in milliseconds. A task that lasts sees a worker crash now and then without any
+/// doing of its own, some times a day; one that crashes workers does so much more often.
+pub const MEMORY_MS: u64 = 600_000;
+
+/// A worker that crashed under a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCrash {
+    /// The life that ended.
+    pub life: WorkerLife,
+    /// Nothing of another job stood beside the task.
+    pub alone: bool,
+    /// When the crash became known, in milliseconds since 1970.
+    pub at_unix_ms: u64,
+}
+
+/// A run that was started, and of which nobody knows yet how it ended or whether its worker crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenRun {
+    /// The run.
+    pub run: RunNumber,
+    /// Where it was started.
+    pub life: WorkerLife,
+    /// Where that life took orders: another life that answers there tells that it has ended.
+    pub address: SocketAddr,
+    /// Nothing of another job stood beside it.
+    pub alone: bool,
+}
+
+/// How a task may be started, by what happened to its workers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectStage {
+    /// Like any other.
+    Clear,
+    /// Not beside others that were there when one of its workers was lost.
+    Apart,
+    /// With nothing of another job beside it.
+    Alone,
+    /// Not before more is known of its earlier workers.
+    Held,
+}
+
+/// What is known of the workers that were lost under a task.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskSuspicion {
+    /// Workers that crashed.
+    pub crashes: Vec<WorkerCrash>,
+    /// Runs that may have been lost by a crash.
+    pub open: Vec<OpenRun>,
+}
+
+impl TaskSuspicion {
+    /// Whether nothing is kept.
+    pub fn is_clear(&self) -> bool {
+        self.crashes.is_empty() && self.open.is_empty()
+    }
+
+    /// How the task may be started while none of its runs is under way.
+    pub fn stage(&self) -> SuspectStage {
+        match self.crashes.len() + self.open.len() {
+            0 => SuspectStage::Clear,
+            lost if lost >= STARTS_MOST => SuspectStage::Held,
+            lost if lost >= ALONE_FROM => SuspectStage::Alone,
+            _ => SuspectStage::Apart,
+        }
+    }
+
+    /// Whether the task is taken as the cause of the crashes.
+    pub fn is_guilty(&self) -> bool {
+        let count = self.crashes.len();
+        let alone = self.crashes.iter().any(|crash| crash.alone);
+        count >= STARTS_MOST || (count >= GUILTY_FROM && alone)
+    }
+
+    /// Whether a life was lost under both tasks.
+    pub fn shares_loss(&self, other: &TaskSuspicion) -> bool {
+        self.lives().any(|life| other.lives().any(|lost| lost == life))
+    }
+
+    fn lives(&self) -> impl Iterator<Item = &WorkerLife> {
+        let crashed = self.crashes.iter().map(|crash| &crash.life);
+        crashed.chain(self.open.iter().map(|open| &open.life))
+    }
+
+    /// Notes a run that may be lost by a crash. Returns whether it was not noted before.
+    pub fn open(&mut self, open: OpenRun) -> bool {
+        let new = self.open.iter().all(|known| known.run != open.run);
+        if new {
+            self.open.push(open);
+        }
+        new
+    }
+
+    /// Forgets an open run: it ended otherwise, or never began. Returns it if it was noted.
+    pub fn close(&mut self, run: RunNumber) -> Option<OpenRun> {
+        let place = self.open.iter().position(|open| open.run == run)?;
+        Some(self.open.remove(place))
+    }
+
+    /// Counts a crash. Returns whether it was not counted before.
+    pub fn count(&mut self, crash: WorkerCrash) -> bool {
+        self.crashes.retain(|old| crash.at_unix_ms.saturating_sub(old.at_unix_ms) < MEMORY_MS);
+        let new = self.crashes.iter().all(|known| known.life != crash.life);
+        if new {
+            self.crashes.push(crash);
+        }
+        new
+    }
+}
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -4,7 +4,7 @@
 use sedgehill_cell::scheduler::{
     CellEvent, EarlierSettled, LossCause, TakeOverSettled, TaskBelief,
 };
-use slog::{KV, Logger, Record, Serializer, info};
+use slog::{KV, Logger, Record, Serializer, info, warn};
 
 use crate::telemetry;
 
@@ -35,6 +35,10 @@
             telemetry::count_cell_event("run_lost", cause.name());
             telemetry::count_run_lost(cause.name());
         }
+        CellEvent::LossOpen { .. } => telemetry::count_crash("open", ""),
+        CellEvent::LossCleared { .. } => telemetry::count_crash("cleared", ""),
+        CellEvent::CrashCounted { sign, .. } => telemetry::count_crash("counted", sign.name()),
+        CellEvent::GivenUp { .. } => telemetry::count_crash("given_up", ""),
         CellEvent::Adopted { .. } => telemetry::count_run_found("adopted"),
         CellEvent::Unwanted { .. } => telemetry::count_run_found("unwanted"),
         CellEvent::Asked { .. } => telemetry::count_cell_event("asked", ""),
@@ -80,6 +84,20 @@
             info!(log, "run lost"; "token" => %token, Cause(cause), "task" => %task, "run" => run.0,
                 "worker" => %worker, "reason" => cause.name());
         }
+        CellEvent::LossOpen { task, run, worker } => {
+            info!(log, "crash not known"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
+        }
+        CellEvent::LossCleared { task, run, worker } => {
+            info!(log, "no crash"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
+        }
+        CellEvent::CrashCounted { task, run, worker, alone, beside, sign, count } => {
+            info!(log, "crash counted"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker,
+                "alone" => alone, "beside" => beside, "told_by" => sign.name(), "count" => count);
+        }
+        CellEvent::GivenUp { task, workers } => {
+            let names: Vec<String> = workers.iter().map(WorkerLife::to_string).collect();
+            warn!(log, "task given up"; "token" => %token, "task" => %task, "crashed" => names.join(" "));
+        }
         CellEvent::Adopted { task, run, worker } => {
             info!(log, "run adopted"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -112,6 +112,11 @@
     counter!("sedgehill_cell_runs_lost_total", "reason" => reason).increment(1);
 }
 
+/// Counts what the loss of a worker says of a task that ran there, and what told it.
+pub fn count_crash(result: &'static str, told_by: &'static str) {
+    counter!("sedgehill_cell_crashes_total", "result" => result, "told_by" => told_by).increment(1);
+}
+
 /// Counts a run of an earlier lead that a worker listed, by whether it was taken over.
 pub fn count_run_found(result: &'static str) {
     counter!("sedgehill_cell_runs_found_total", "result" => result).increment(1);
