cell tests: crashes told from cuts, ends and planned leaves; workers that shrink get starts beyond what they have

Tests of the count of crashes: cut, drained, dropped and lapsed workers count against nothing, the count is kept over lost leads, gangs and lasting tasks are given up, innocent tasks end.

Cause of the three that fail: the entry of a worker is kept as it was first listed.

Figures: 4 starts instead of 2 on a worker of 4 cores that shrank to 2.

--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/capacity.rs
@@ -0,0 +1,80 @@
+//! Workers that have less, or more, than before while they run.
+//!
+//! What a worker has stood in its entry when it was first listed, and the lead went by that for as long as the
+//! worker lived. One that shrank was filled as before: workers that do not check carry out what they are told.
+
+use sedgehill_cell::job::StepSpec;
+use sedgehill_cell::scheduler::{RunEnd, Scheduler};
+use sedgehill_core::units::{CoreCount, MemorySize};
+
+use crate::fake::{FakeCell, job, step, task};
+
+/// Room for one task less than the worker began with, in each dimension in turn.
+fn shrink(cell: &mut FakeCell, number: usize, dimension: usize) {
+    let capacity = &mut cell.workers[number].entry.capacity;
+    match dimension {
+        0 => capacity.cores = CoreCount(2_000),
+        1 => capacity.memory = MemorySize(2 << 30),
+        _ => capacity.accelerators = 2,
+    }
+}
+
+fn started(cell: &FakeCell, id: u64) -> usize {
+    cell.starts.iter().filter(|(task, ..)| task.step.job.0 == id).count()
+}
+
+/// A cell of one worker with four cores and four accelerators, and a job of four tasks that need one of each.
+fn one_worker() -> (FakeCell, Scheduler, StepSpec) {
+    let mut cell = FakeCell::new(1, 4);
+    cell.workers[0].entry.capacity.accelerators = 4;
+    let lead = cell.lead(false);
+    let mut spec = step(4, 1);
+    spec.need.accelerators = 1;
+    (cell, lead, spec)
+}
+
+#[test]
+fn a_worker_that_shrank_gets_no_start_beyond_what_it_has_left() {
+    for dimension in 0..3 {
+        let (mut cell, mut lead, spec) = one_worker();
+        cell.turns(&mut lead, 2);
+        shrink(&mut cell, 0, dimension);
+        cell.list(&mut lead);
+        cell.submit_led(&mut lead, 1, job(vec![spec]));
+        cell.turns(&mut lead, 20);
+        assert_eq!(started(&cell, 1), 2, "dimension {dimension}");
+    }
+}
+
+#[test]
+fn a_worker_below_what_runs_there_gets_no_start_until_enough_has_ended() {
+    let (mut cell, mut lead, spec) = one_worker();
+    cell.submit_led(&mut lead, 1, job(vec![spec.clone()]));
+    cell.turns(&mut lead, 5);
+    assert_eq!(cell.workers[0].run_count(), 4);
+    shrink(&mut cell, 0, 0);
+    cell.list(&mut lead);
+    cell.submit_led(&mut lead, 2, job(vec![spec]));
+    for ended in 0..2 {
+        cell.end(0, task(1, 0, ended), RunEnd::Done);
+        cell.turns(&mut lead, 5);
+        assert_eq!(started(&cell, 2), 0);
+    }
+    cell.end(0, task(1, 0, 2), RunEnd::Done);
+    cell.turns(&mut lead, 5);
+    assert_eq!(started(&cell, 2), 1);
+}
+
+#[test]
+fn a_worker_that_grew_is_filled_in_the_turn_after_it_is_listed_so() {
+    let (mut cell, mut lead, spec) = one_worker();
+    shrink(&mut cell, 0, 0);
+    cell.list(&mut lead);
+    cell.submit_led(&mut lead, 1, job(vec![spec]));
+    cell.turns(&mut lead, 5);
+    assert_eq!(started(&cell, 1), 2);
+    cell.workers[0].entry.capacity.cores = CoreCount(4_000);
+    cell.list(&mut lead);
+    cell.turn(&mut lead);
+    assert_eq!(started(&cell, 1), 4);
+}
--- a/crates/sedgehill-cell/tests/testsuite/crashing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/crashing.rs
@@ -12,7 +12,12 @@
 //! 56.3907 placed        token=2 worker=i-7ac6217d7a run=7
 //! ```
 
-use sedgehill_cell::progress::JobState;
+use sedgehill_cell::ids::JobId;
+use sedgehill_cell::job::StepSpec;
+use sedgehill_cell::progress::{JobProgress, JobState};
+use sedgehill_cell::replica::CellRecord;
+use sedgehill_cell::scheduler::{RunEnd, Scheduler};
+use sedgehill_core::units::TimeSpan;
 
 use crate::fake::{CrashHabit, FakeCell, job, step, task};
 
@@ -36,3 +41,319 @@
     cell.turns(&mut lead, 5);
     assert_eq!(cell.progress(2).state, JobState::Completed);
 }
+
+/// Turns until a lost lease is surely over, with some to spare.
+const PAST_LEASES: usize = 400;
+
+/// Turns in which the list is read as often as by a box.
+fn turns(cell: &mut FakeCell, lead: &mut Scheduler, count: usize) {
+    for turn in 0..count {
+        if turn.is_multiple_of(20) {
+            cell.list(lead);
+        }
+        cell.turn(lead);
+    }
+}
+
+/// Crashes counted under the tasks of a job, as kept in the store.
+fn counted(cell: &FakeCell, id: u64) -> usize {
+    cell.progress(id).suspects.iter().map(|(_, suspicion)| suspicion.crashes.len()).sum()
+}
+
+/// A job of one task that has begun, and where.
+fn begun(cell: &mut FakeCell, lead: &mut Scheduler, id: u64) -> usize {
+    cell.submit_led(lead, id, job(vec![step(1, 1)]));
+    turns(cell, lead, 3);
+    cell.place(task(id, 0, 0)).unwrap()
+}
+
+#[test]
+fn a_worker_that_is_cut_again_and_again_counts_against_none_of_its_tasks() {
+    let mut cell = FakeCell::new(6, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    for _ in 0..6 {
+        turns(&mut cell, &mut lead, PAST_LEASES);
+        let place = cell.place(task(1, 0, 0)).unwrap();
+        cell.workers[place].cut = true;
+        turns(&mut cell, &mut lead, PAST_LEASES);
+        cell.workers[place].cut = false;
+    }
+    turns(&mut cell, &mut lead, PAST_LEASES);
+    assert_eq!(cell.progress(1).state, JobState::Running);
+    assert!(cell.progress(1).suspects.is_empty(), "{:?}", cell.progress(1).suspects);
+    assert!(cell.starts_of(task(1, 0, 0)) >= 6);
+}
+
+#[test]
+fn workers_that_leave_as_planned_count_against_none_of_their_tasks() {
+    for says_so in [true, false] {
+        let mut cell = FakeCell::new(6, 4);
+        let mut lead = cell.lead(false);
+        cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+        for _ in 0..5 {
+            turns(&mut cell, &mut lead, 10);
+            let place = cell.place(task(1, 0, 0)).unwrap();
+            match says_so {
+                true => cell.workers[place].entry.draining = true,
+                false => cell.workers[place].unlisted = true,
+            }
+            cell.list(&mut lead);
+            turns(&mut cell, &mut lead, 10);
+            cell.begin_anew(place);
+        }
+        turns(&mut cell, &mut lead, 10);
+        assert_eq!(cell.progress(1).state, JobState::Running);
+        assert_eq!(counted(&cell, 1), 0);
+    }
+}
+
+#[test]
+fn runs_that_lapse_or_are_stopped_count_against_none_of_their_tasks() {
+    let mut cell = FakeCell::new(3, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    for end in [RunEnd::Lapsed, RunEnd::Stopped, RunEnd::Lapsed, RunEnd::Lapsed, RunEnd::Stopped] {
+        turns(&mut cell, &mut lead, 10);
+        cell.end_anywhere(task(1, 0, 0), end);
+    }
+    turns(&mut cell, &mut lead, 10);
+    assert_eq!(cell.progress(1).state, JobState::Running);
+    assert_eq!(counted(&cell, 1), 0);
+}
+
+// A worker is silent for longer than its leases, so its task runs elsewhere. Then another life answers at its
+// address: it had crashed, and that counts though the run was given up long before.
+#[test]
+fn a_crash_that_shows_after_the_lease_counts() {
+    let mut cell = FakeCell::new(4, 4);
+    let mut lead = cell.lead(false);
+    let habit = CrashHabit { back: TimeSpan(9_000), ..CrashHabit::default() };
+    cell.make_crash(task(1, 0, 0), habit);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    turns(&mut cell, &mut lead, SEVERAL_CRASHES * 2);
+    assert_eq!(cell.progress(1).state, JobState::Failed);
+    assert!(cell.starts_of(task(1, 0, 0)) <= 5);
+}
+
+#[test]
+fn crashes_are_counted_over_lost_leads() {
+    for back in [500, 3_000, 7_000] {
+        for lost_after in [1, 30, 149, 151] {
+            let mut cell = FakeCell::new(8, 4);
+            let mut lead = cell.lead(false);
+            let habit = CrashHabit { back: TimeSpan(back), ..CrashHabit::default() };
+            cell.make_crash(task(1, 0, 0), habit);
+            cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+            cell.submit_led(&mut lead, 2, job(vec![step(8, 1)]));
+            while cell.progress(1).state != JobState::Failed {
+                let starts = cell.starts_of(task(1, 0, 0));
+                for _ in 0..600 {
+                    turns(&mut cell, &mut lead, 1);
+                    if cell.starts_of(task(1, 0, 0)) > starts {
+                        break;
+                    }
+                }
+                turns(&mut cell, &mut lead, lost_after);
+                lead = cell.lead(true);
+                lead.note_fenced(cell.now);
+                cell.list(&mut lead);
+            }
+            cell.end_all();
+            turns(&mut cell, &mut lead, 50);
+            cell.end_all();
+            turns(&mut cell, &mut lead, 50);
+            assert_eq!(cell.progress(2).state, JobState::Completed);
+        }
+    }
+}
+
+#[test]
+fn a_gang_with_a_member_that_crashes_its_workers_is_given_up() {
+    let mut cell = FakeCell::new(8, 4);
+    let mut lead = cell.lead(false);
+    cell.make_crash(task(1, 0, 2), CrashHabit::default());
+    cell.submit_led(&mut lead, 1, job(vec![StepSpec { gang: true, ..step(4, 2) }]));
+    cell.submit_led(&mut lead, 2, job(vec![step(6, 1)]));
+    for _ in 0..SEVERAL_CRASHES {
+        turns(&mut cell, &mut lead, 1);
+        cell.break_gangs();
+    }
+    assert_eq!(cell.progress(1).state, JobState::Failed);
+    assert!(cell.crashes_under(task(1, 0, 2)) <= 3);
+    cell.end_all();
+    turns(&mut cell, &mut lead, 20);
+    assert_eq!(cell.progress(2).state, JobState::Completed);
+}
+
+#[test]
+fn a_lasting_task_that_crashes_its_workers_is_given_up() {
+    let mut cell = FakeCell::new(6, 4);
+    let mut lead = cell.lead(false);
+    let habit = CrashHabit { after: TimeSpan(700), ..CrashHabit::default() };
+    cell.make_crash(task(1, 0, 0), habit);
+    cell.submit_led(&mut lead, 1, job(vec![StepSpec { long_running: true, ..step(2, 1) }]));
+    turns(&mut cell, &mut lead, SEVERAL_CRASHES);
+    assert_eq!(cell.progress(1).state, JobState::Failed);
+    assert_eq!(cell.crashes_under(task(1, 0, 0)), 3);
+    // What else ran of the job was stopped.
+    assert_eq!(cell.place(task(1, 0, 1)), None);
+}
+
+// A worker under a lasting task crashes by itself once in a quarter of an hour.
+#[test]
+fn a_lasting_task_is_not_given_up_for_crashes_far_apart() {
+    let mut cell = FakeCell::new(3, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, 1, job(vec![StepSpec { long_running: true, ..step(1, 1) }]));
+    for quarter in 1..8 {
+        turns(&mut cell, &mut lead, 10);
+        let place = cell.place(task(1, 0, 0)).unwrap();
+        cell.crash(place, TimeSpan(3_000));
+        turns(&mut cell, &mut lead, PAST_LEASES);
+        lead.set_wall_clock(quarter * 900_000, cell.now);
+    }
+    assert_eq!(cell.progress(1).state, JobState::Running);
+    assert!(cell.place(task(1, 0, 0)).is_some());
+}
+
+#[test]
+fn a_task_that_crashes_its_first_two_workers_is_done_by_the_third() {
+    let mut cell = FakeCell::new(4, 4);
+    let mut lead = cell.lead(false);
+    cell.make_crash(task(1, 0, 0), CrashHabit { runs: 2, ..CrashHabit::default() });
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    turns(&mut cell, &mut lead, SEVERAL_CRASHES);
+    cell.end_all();
+    turns(&mut cell, &mut lead, 5);
+    assert_eq!(cell.progress(1).state, JobState::Completed);
+    assert_eq!(cell.starts_of(task(1, 0, 0)), 3);
+}
+
+// Every crash takes down a worker that is full of other tasks: none of their jobs fails, and each task goes on.
+#[test]
+fn tasks_beside_many_that_crash_their_workers_end_and_none_is_given_up() {
+    let mut cell = FakeCell::new(16, 8);
+    let mut lead = cell.lead(false);
+    const GUILTY: u64 = 12;
+    const OTHERS: u64 = 100;
+    for id in 0..GUILTY {
+        let habit = CrashHabit { after: TimeSpan(20 + 150 * id), ..CrashHabit::default() };
+        cell.make_crash(task(id, 0, 0), habit);
+    }
+    for id in 0..OTHERS {
+        cell.submit_led(&mut lead, id, job(vec![step(2, 1)]));
+        turns(&mut cell, &mut lead, 10);
+    }
+    for _ in 0..40 {
+        turns(&mut cell, &mut lead, 50);
+        cell.end_older_than(TimeSpan(1_000));
+    }
+    for id in 0..OTHERS {
+        let wanted = if id < GUILTY { JobState::Failed } else { JobState::Completed };
+        assert_eq!(cell.progress(id).state, wanted, "job {id}");
+    }
+    let most = (0..GUILTY).map(|id| cell.crashes_under(task(id, 0, 0))).max();
+    assert_eq!(most, Some(3));
+}
+
+// A hall loses power twice: the tasks there run on elsewhere.
+#[test]
+fn a_hall_that_loses_power_twice_fails_no_job() {
+    let mut cell = FakeCell::new(12, 4);
+    let mut lead = cell.lead(false);
+    for id in 0..12 {
+        cell.submit_led(&mut lead, id, job(vec![step(2, 1)]));
+    }
+    for _ in 0..2 {
+        turns(&mut cell, &mut lead, 20);
+        let lost: Vec<usize> = (0..cell.workers.len()).filter(|at| at % 3 == 0).collect();
+        lost.into_iter().for_each(|number| cell.crash(number, TimeSpan(2_500)));
+        turns(&mut cell, &mut lead, 200);
+    }
+    for _ in 0..10 {
+        cell.end_all();
+        turns(&mut cell, &mut lead, 50);
+    }
+    for id in 0..12 {
+        assert_eq!(cell.progress(id).state, JobState::Completed, "job {id}");
+    }
+}
+
+// Two tasks were there when their worker crashed. On a cell of a single worker the second one waits for the first.
+#[test]
+fn suspects_of_one_crash_run_one_after_the_other_where_there_is_one_worker() {
+    let mut cell = FakeCell::new(1, 4);
+    let mut lead = cell.lead(false);
+    begun(&mut cell, &mut lead, 1);
+    let place = begun(&mut cell, &mut lead, 2);
+    cell.crash(place, TimeSpan(1_000));
+    turns(&mut cell, &mut lead, 100);
+    let running = || [1, 2].map(|id| cell.place(task(id, 0, 0)).is_some());
+    assert_eq!(running().into_iter().filter(|runs| *runs).count(), 1);
+    for _ in 0..3 {
+        cell.end_all();
+        turns(&mut cell, &mut lead, 20);
+    }
+    assert_eq!([1, 2].map(|id| cell.progress(id).state), [JobState::Completed; 2]);
+}
+
+// The only worker is full of short tasks, and more of them wait. A task that lost two workers gets one of its own.
+#[test]
+fn a_suspect_that_wants_a_worker_of_its_own_is_not_kept_waiting() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    for _ in 0..2 {
+        if cell.starts_of(task(1, 0, 0)) == 0 {
+            begun(&mut cell, &mut lead, 1);
+        }
+        let place = cell.place(task(1, 0, 0)).unwrap();
+        cell.crash(place, TimeSpan(500));
+        turns(&mut cell, &mut lead, 60);
+    }
+    // It runs alone by now; it is stopped to begin again in a full cell.
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Lapsed);
+    for id in 2..40 {
+        cell.submit_led(&mut lead, id, job(vec![step(4, 1)]));
+    }
+    let before = cell.starts_of(task(1, 0, 0));
+    let mut waited = 0;
+    while cell.starts_of(task(1, 0, 0)) == before {
+        turns(&mut cell, &mut lead, 1);
+        cell.end_older_than(TimeSpan(300));
+        waited += 1;
+        assert!(waited < 100, "it waited for {waited} turns");
+    }
+    let place = cell.place(task(1, 0, 0)).unwrap();
+    assert_eq!(cell.workers[place].run_count(), 1);
+    turns(&mut cell, &mut lead, 20);
+    assert_eq!(cell.workers[place].run_count(), 1);
+}
+
+#[test]
+fn a_caller_is_told_as_soon_as_the_third_worker_is_known_to_have_crashed() {
+    let mut cell = FakeCell::new(4, 4);
+    let mut lead = cell.lead(false);
+    cell.make_crash(task(1, 0, 0), CrashHabit::default());
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    while cell.crashes_under(task(1, 0, 0)) < 3 {
+        turns(&mut cell, &mut lead, 1);
+    }
+    // The next life is there after 3 s.
+    turns(&mut cell, &mut lead, 153);
+    assert_eq!(cell.progress(1).state, JobState::Failed);
+    assert!(cell.progress(1).suspects.is_empty(), "nothing is kept of a job that is over");
+}
+
+#[test]
+fn progress_of_earlier_versions_is_read() {
+    let progress = JobProgress { ordered: true, ..JobProgress::default() };
+    let record = CellRecord::Progress(progress);
+    let mut earlier = record.encode();
+    // The list of suspects stands last, and is empty.
+    assert_eq!(earlier.pop(), Some(0));
+    let key = record.key(JobId(7));
+    assert_eq!(CellRecord::decode(&key, &earlier).unwrap(), (JobId(7), record.clone()));
+    assert_eq!(CellRecord::decode(&key, &record.encode()).unwrap(), (JobId(7), record));
+    assert!(CellRecord::decode(&key, &earlier[..1]).is_err());
+}
--- a/crates/sedgehill-cell/tests/testsuite/fake/crashes.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/crashes.rs
@@ -3,7 +3,8 @@
 
 use std::collections::HashMap;
 
-use sedgehill_cell::ids::{CellTask, RunNumber};
+use sedgehill_cell::ids::{CellTask, RunNumber, StepId};
+use sedgehill_cell::scheduler::RunEnd;
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::FakeCell;
@@ -51,6 +52,8 @@
     under: HashMap<CellTask, usize>,
     /// Starts of a task after so many workers had crashed under it that no more are free.
     further: HashMap<CellTask, usize>,
+    /// Gangs by their run, and whether they ever were whole.
+    gangs: HashMap<(StepId, RunNumber), bool>,
 }
 
 impl FakeCell {
@@ -80,6 +83,37 @@
         self.crashes.returns.push((self.now.after(back), number));
     }
 
+    /// Ends gangs that are not whole, as workers do when a member is lost.
+    pub fn break_gangs(&mut self) {
+        for (number, task) in self.all_runs() {
+            let spec = &self.store[&task.step.job].0.spec.steps[usize::from(task.step.step)];
+            let (gang, count) = (spec.gang, usize::from(spec.count));
+            let Some(run) = self.workers[number].runs.get(&task).map(|there| there.run) else {
+                continue;
+            };
+            let members = self.all_runs().into_iter().filter(|(at, member)| {
+                member.step == task.step && self.workers[*at].runs[member].run == run
+            });
+            let known = self.crashes.gangs.entry((task.step, run)).or_default();
+            let whole = members.count() == count;
+            *known |= whole;
+            if gang && *known && !whole {
+                self.end(number, task, RunEnd::Broken);
+            }
+        }
+    }
+
+    /// Ends well what has run for so long, but for tasks that crash their workers.
+    pub fn end_older_than(&mut self, age: TimeSpan) {
+        let limit = self.now;
+        for (number, task) in self.all_runs() {
+            let since = self.workers[number].runs[&task].since;
+            if limit >= since.after(age) && !self.crashes.habits.contains_key(&task) {
+                self.end(number, task, RunEnd::Done);
+            }
+        }
+    }
+
     /// A start was carried out.
     pub(super) fn note_crashing_start(&mut self, number: usize, task: CellTask, run: RunNumber) {
         let Some(habit) = self.crashes.habits.get(&task).copied() else { return };
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod authority;
 mod brief;
 mod cancelled;
+mod capacity;
 mod crashing;
 mod displacement;
 mod entries;
