cell: what a worker says that it has is in force with the next reading of the list

Cause: an entry was kept as it was first listed, so a worker that shrank was filled as before, and one that grew was not.

Change: each reading takes in what a worker has, in all dimensions. What runs beyond it goes on; nothing starts until enough has ended, counting stops and starts without an answer. The roster is written again when a worker shrank, so that a later lead that finds it away goes by that. A start that waited to be recorded is taken back if its worker shrank meanwhile.

--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use sedgehill_core::units::{Moment, TimeSpan};
+use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
 use super::*;
 
@@ -23,9 +23,10 @@
     ) -> Vec<WorkerKey> {
         let mut listed = BTreeSet::new();
         for entry in entries {
-            let draining = entry.draining;
+            let (draining, capacity) = (entry.draining, entry.capacity);
             let key = self.know_worker(entry, "listed", now);
             self.workers[key.0].entry.draining |= draining;
+            self.resize_worker(key, capacity);
             listed.insert(key);
         }
         for number in 0..self.workers.len() {
@@ -45,6 +46,22 @@
         self.unwatched()
     }
 
+    /// Takes in what a worker says that it has now. A start beyond it would be carried out by workers that do not
+    /// check. What runs there goes on: a stop would throw its work away, and nothing asks for that.
+    fn resize_worker(&mut self, key: WorkerKey, capacity: ResourceSet) {
+        let worker = &mut self.workers[key.0];
+        if worker.entry.capacity == capacity {
+            return;
+        }
+        if worker.resize(capacity) {
+            // A later lead goes by the roster until it has read the list.
+            self.roster_changed = true;
+            self.note_worker(key, "shrank");
+        } else {
+            self.note_worker(key, "grew");
+        }
+    }
+
     fn set_listed(&mut self, key: WorkerKey, is_listed: bool, now: Moment) {
         let worker = &mut self.workers[key.0];
         let was_listed = std::mem::replace(&mut worker.listed, is_listed);
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -259,6 +259,15 @@
             && now >= self.avoid_until
     }
 
+    /// Takes in what the worker says that it has. What runs there beyond it goes on. Returns whether it has less
+    /// than before in any dimension.
+    pub fn resize(&mut self, capacity: ResourceSet) -> bool {
+        let shrunk = !capacity.fits(&self.entry.capacity);
+        self.entry.capacity = capacity;
+        self.count_room();
+        shrunk
+    }
+
     /// Whether more runs there, or may, than it has room for.
     pub fn is_over_size(&self) -> bool {
         !self.entry.capacity.fits(&self.used())
--- a/crates/sedgehill-cell/tests/testsuite/capacity.rs
+++ b/crates/sedgehill-cell/tests/testsuite/capacity.rs
@@ -4,10 +4,11 @@
 //! worker lived. One that shrank was filled as before: workers that do not check carry out what they are told.
 
 use sedgehill_cell::job::StepSpec;
+use sedgehill_cell::progress::JobState;
 use sedgehill_cell::scheduler::{RunEnd, Scheduler};
-use sedgehill_core::units::{CoreCount, MemorySize};
+use sedgehill_core::units::{CoreCount, MemorySize, TimeSpan};
 
-use crate::fake::{FakeCell, job, step, task};
+use crate::fake::{CrashHabit, FakeCell, job, step, task};
 
 /// Room for one task less than the worker began with, in each dimension in turn.
 fn shrink(cell: &mut FakeCell, number: usize, dimension: usize) {
@@ -78,3 +79,48 @@
     cell.turn(&mut lead);
     assert_eq!(started(&cell, 1), 4);
 }
+
+#[test]
+fn a_lead_that_finds_a_worker_away_goes_by_what_was_known_of_it_last() {
+    let (mut cell, mut lead, spec) = one_worker();
+    cell.turns(&mut lead, 2);
+    shrink(&mut cell, 0, 0);
+    cell.list(&mut lead);
+    cell.turns(&mut lead, 2);
+    cell.workers[0].unlisted = true;
+    let mut next = cell.lead(true);
+    next.note_fenced(cell.now);
+    cell.submit_led(&mut next, 1, job(vec![spec]));
+    cell.turns(&mut next, 40);
+    assert_eq!(started(&cell, 1), 2);
+}
+
+#[test]
+fn a_start_that_waited_to_be_recorded_is_not_sent_to_a_worker_that_shrank_meanwhile() {
+    let mut cell = FakeCell::new(1, 4);
+    let mut lead = cell.lead(false);
+    let habit = CrashHabit { runs: 1, back: TimeSpan(500), ..CrashHabit::default() };
+    cell.make_crash(task(1, 0, 0), habit);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 2)]));
+    while cell.progress(1).suspects.is_empty() {
+        cell.list(&mut lead);
+        cell.turn(&mut lead);
+    }
+    // The next start is of a task under which a worker crashed.
+    let number = cell.workers.len() - 1;
+    for _ in 0..10 {
+        cell.list(&mut lead);
+        cell.turn_unrecorded(&mut lead);
+    }
+    assert_eq!(started(&cell, 1), 1, "nothing is sent before it is recorded");
+    cell.workers[number].entry.capacity.cores = CoreCount(1_000);
+    cell.list(&mut lead);
+    cell.turns(&mut lead, 20);
+    assert_eq!(started(&cell, 1), 1);
+    cell.workers[number].entry.capacity.cores = CoreCount(4_000);
+    cell.list(&mut lead);
+    cell.turns(&mut lead, 20);
+    cell.end_all();
+    cell.turns(&mut lead, 5);
+    assert_eq!(cell.progress(1).state, JobState::Completed);
+}
