cell: counts of crashes hold against lost answers, leads, limits and sizes; random courses learn crashes

Change: a crash counts in full if the run was seen there. What may have been a crash that nobody saw counts as a doubt, which proves nothing, but uses up the starts that the users allow. A task with three losses waits until what is open of them is known. A held start is looked at again before it is sent. The roster tells the most that a shrunk worker had.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -157,6 +157,7 @@
             expected: None,
             overdue: false,
             alone: false,
+            seen: true,
         };
         self.add_run(key, row.task, run);
     }
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -100,6 +100,8 @@
         worker: WorkerLife,
         /// Nothing of another job was there.
         alone: bool,
+        /// The worker had said that the run was there.
+        seen: bool,
         /// Other runs that were there; 0 where that is not known any more.
         beside: usize,
         /// What told the crash.
--- a/crates/sedgehill-cell/src/scheduler/held.rs
+++ b/crates/sedgehill-cell/src/scheduler/held.rs
@@ -24,16 +24,22 @@
 impl Scheduler {
     /// Whether a start of a task is recorded before it is sent.
     pub(super) fn is_recorded_ahead(&self, job: &JobWork, place: usize) -> bool {
-        let unsure = job.begun_earlier && self.take_over.lost_workers;
-        unsure || !job.tasks[place].suspicion.is_clear()
+        self.is_unsure(job) || !job.tasks[place].suspicion.is_clear()
+    }
+
+    /// Whether a task of the job may have been lost with a worker while no lead saw it.
+    fn is_unsure(&self, job: &JobWork) -> bool {
+        job.begun_earlier && self.take_over.lost_workers
     }
 
     /// Has a start recorded.
     pub(super) fn hold_start(&mut self, start: HeldRun, now: Moment) {
         let HeldRun { worker, task, run, checkpoint, alone } = start;
         let entry = &self.workers[worker.0].entry;
-        let open = OpenRun { run, life: entry.life.clone(), address: entry.address, alone };
+        let (life, address) = (entry.life.clone(), entry.address);
+        let open = OpenRun { run, life, address, alone, seen: false };
         self.open_run(&task, open, now);
+        self.note_suspect_start(&task);
         let batch = self.next_batch;
         self.held.push(HeldStart { batch, worker, task, run, checkpoint });
     }
@@ -49,6 +55,8 @@
 
     fn release_start(&mut self, held: HeldStart, now: Moment) {
         let HeldStart { worker: key, task, run, checkpoint, .. } = held;
+        let owner = self.jobs.get(&task.step.job).and_then(|job| job.owner);
+        let wanted = self.is_placed(&task, key, run) && !self.organisations.is_over_limit(owner);
         let worker = &mut self.workers[key.0];
         let usable = worker.is_listed(now, &self.timing)
             && !worker.dead
@@ -58,7 +66,7 @@
         if entry.run != run || entry.phase != RunPhase::Recording {
             return;
         }
-        if !usable {
+        if !usable || !wanted {
             self.withdraw_held(key, &task, run, now);
             self.abort_gang(&task, run, now);
             return;
@@ -68,6 +76,13 @@
         self.send_start(key, task, run, checkpoint, now);
     }
 
+    /// Whether a task's run is this one. The task may have turned out to be done, and its job to be over.
+    fn is_placed(&self, task: &CellTask, key: WorkerKey, run: RunNumber) -> bool {
+        let job = self.jobs.get(&task.step.job).filter(|job| !job.is_over());
+        let work = job.and_then(|job| Some(&job.tasks[job.task_index(task)?]));
+        work.is_some_and(|work| work.phase == TaskPhase::Placed(key, run))
+    }
+
     /// Takes back a start that was not sent.
     pub(super) fn withdraw_held(
         &mut self,
--- a/crates/sedgehill-cell/src/scheduler/isolation.rs
+++ b/crates/sedgehill-cell/src/scheduler/isolation.rs
@@ -76,7 +76,9 @@
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
         rooms.retain(|(key, _)| self.workers[key.0].is_clear_for(candidate.job, now));
         rooms.sort_by_key(|(key, _)| !self.workers[key.0].runs.is_empty());
-        tasks.iter().copied().zip(rooms.into_iter().map(|(key, _)| key)).collect()
+        // The members of a gang are lost together, wherever they stand.
+        let slots = |(key, room)| std::iter::repeat_n(key, if spec.gang { room } else { 1 });
+        tasks.iter().copied().zip(rooms.into_iter().flat_map(slots)).collect()
     }
 
     /// Keeps workers from new work until each of `wanted` tasks of a step finds one that is clear.
@@ -90,7 +92,11 @@
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let step = job.steps[candidate.step].id;
         let until = now.after(CLAIM_SPAN);
-        let mut claimed = 0;
+        let slots = |worker: &WorkerState| match spec.gang {
+            true => worker.entry.capacity.capacity_for(&spec.need) as usize,
+            false => 1,
+        };
+        let mut claimed: usize = 0;
         for worker in &mut self.workers {
             if !worker.takes_work(now, &self.timing) {
                 continue;
@@ -101,14 +107,15 @@
                 && claim.step == step
             {
                 claim.until = until;
-                claimed += 1;
+                claimed += slots(worker);
             }
         }
-        for _ in claimed..wanted {
+        while claimed < wanted {
             let Some(key) = self.find_claimable(candidate, spec, now) else { return };
             let worker = &mut self.workers[key.0];
             let need = worker.entry.capacity;
             worker.claim = Some(WorkerClaim { step, need, until, alone: true });
+            claimed += slots(worker).max(1);
         }
     }
 
@@ -124,7 +131,11 @@
         let workers = || self.workers.iter().filter(|worker| worker.entry.pool == *pool);
         let usable = |worker: &&WorkerState| worker.takes_work(now, &self.timing);
         let most = (workers().filter(usable).count() / CLAIMED_ONE_IN).max(1);
-        if workers().filter(|worker| worker.is_claimed_alone(now)).count() >= most {
+        let step = job.steps[candidate.step].id;
+        let claims = || workers().filter_map(|worker| worker.claim_of(now));
+        let claims = || claims().filter(|claim| claim.alone);
+        // A gang that wants more than that would never become whole, so the first step has what it wants.
+        if claims().count() >= most && claims().any(|claim| claim.step != step) {
             return None;
         }
         let advice = &job.steps[candidate.step].advice;
--- a/crates/sedgehill-cell/src/scheduler/message.rs
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -261,7 +261,13 @@
 /// The workers on which a lead may have started something. It is recorded before the first start on
 /// any of them: the store's own list may miss workers that live, for some seconds after an outage.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct WorkerRoster(pub Vec<WorkerEntry>);
+pub struct WorkerRoster {
+    /// The workers, as they were listed last.
+    pub workers: Vec<WorkerEntry>,
+    /// Those that had more before, by their place in the list, with the most that they had. What was started then
+    /// may still run. They stand last, where boxes of earlier versions pass over them.
+    pub shrunk: Vec<(u32, ResourceSet)>,
+}
 
 impl WorkerRoster {
     /// The key under which the roster is kept.
@@ -281,6 +287,12 @@
 
     /// Reads a roster back.
     pub fn decode(value: &[u8]) -> Result<WorkerRoster, postcard::Error> {
-        postcard::from_bytes(value)
+        /// The stored form of a list of none: rosters of earlier versions end before it.
+        const NONE_SHRUNK: u8 = 0;
+        postcard::from_bytes(value).or_else(|_| {
+            let mut whole = value.to_vec();
+            whole.push(NONE_SHRUNK);
+            postcard::from_bytes(&whole)
+        })
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -162,6 +162,12 @@
         usize::try_from(count).unwrap_or(usize::MAX)
     }
 
+    /// Whether more runs for an organisation, or may, than its limit allows by now.
+    pub fn is_over_limit(&self, key: Option<OrganisationKey>) -> bool {
+        let account = key.map(|key| &self.accounts[key.0]);
+        account.is_some_and(|account| !account.limit.admits(&account.running.plus(&account.unseen)))
+    }
+
     /// Leaves room under a limit to a step that waits, if it could ever run there.
     fn keep(&mut self, key: OrganisationKey, need: &ResourceSet) {
         let account = &mut self.accounts[key.0];
@@ -234,9 +240,8 @@
         if !self.take_over.settled {
             let unheard =
                 |worker: &&WorkerState| worker.inherited && !worker.dead && !worker.fenced;
-            let capacities =
-                self.workers.iter().filter(unheard).map(|worker| worker.entry.capacity);
-            most = capacities.fold(most, |sum, capacity| sum.plus(&capacity));
+            let largest = self.workers.iter().filter(unheard).map(|worker| worker.largest);
+            most = largest.fold(most, |sum, capacity| sum.plus(&capacity));
             for job in self.jobs.values().filter(|job| job.foreign_orders) {
                 let Some(key) = job.owner else { continue };
                 let need = needs.entry(key).or_default();
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -121,6 +121,9 @@
     }
 
     fn place_step(&mut self, candidate: &Candidate, open: &OpenWorkers, now: Moment) {
+        if self.judge_step(candidate.job, candidate.step, now) {
+            return;
+        }
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let record = job.record.clone();
         let spec = record.step_spec(candidate.step);
@@ -385,6 +388,7 @@
             expected: Some(TimeSpan((estimate * factor) as u64)),
             overdue: false,
             alone: start.alone,
+            seen: false,
         };
         if worker.claim.is_some_and(|claim| claim.step == task.step) {
             worker.claim = None;
--- a/crates/sedgehill-cell/src/scheduler/record.rs
+++ b/crates/sedgehill-cell/src/scheduler/record.rs
@@ -55,7 +55,7 @@
         if is_sent(batch) {
             self.confirmed = self.batch_taken;
         }
-        for entry in batch.roster.iter().flat_map(|roster| &roster.0) {
+        for entry in batch.roster.iter().flat_map(|roster| &roster.workers) {
             // Meanwhile the life may have been listed at another address, which no roster holds yet.
             if let Some(key) = self.lives.get(&entry.life)
                 && self.workers[key.0].entry.address == entry.address
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -78,10 +78,18 @@
     /// Takes in the workers on which an earlier lead may have started something. Returns the workers
     /// that nobody asks for accounts yet.
     pub fn add_roster(&mut self, roster: &WorkerRoster, now: Moment) -> Vec<WorkerKey> {
-        for entry in &roster.0 {
+        let mut keys = Vec::with_capacity(roster.workers.len());
+        for entry in &roster.workers {
             let key = self.know_worker(entry.clone(), "inherited", now);
             self.workers[key.0].rostered = true;
             self.workers[key.0].inherited = true;
+            self.workers[key.0].had(&entry.capacity);
+            keys.push(key);
+        }
+        for (place, had) in &roster.shrunk {
+            if let Some(key) = keys.get(*place as usize) {
+                self.workers[key.0].had(had);
+            }
         }
         self.unwatched()
     }
@@ -148,14 +156,19 @@
 
     /// The workers that are to stand in the roster. The others get no work from now on.
     pub(super) fn next_roster(&mut self, now: Moment) -> WorkerRoster {
-        let mut entries = Vec::new();
+        let mut roster = WorkerRoster::default();
         for number in 0..self.workers.len() {
-            match self.belongs_to_roster(&self.workers[number], now) {
-                true => entries.push(self.workers[number].entry.clone()),
-                false => self.leave_roster(WorkerKey(number)),
+            let worker = &self.workers[number];
+            if !self.belongs_to_roster(worker, now) {
+                self.leave_roster(WorkerKey(number));
+                continue;
+            }
+            if worker.largest != worker.entry.capacity {
+                roster.shrunk.push((roster.workers.len() as u32, worker.largest));
             }
+            roster.workers.push(worker.entry.clone());
         }
-        WorkerRoster(entries)
+        roster
     }
 
     fn leave_roster(&mut self, key: WorkerKey) {
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -71,6 +71,8 @@
     pub(super) run: RunNumber,
     /// Its start was sent.
     sent: bool,
+    /// The worker had said that it was there.
+    seen: bool,
     /// Nothing of another job stood beside it.
     alone: bool,
     /// Other runs that were there.
@@ -83,6 +85,7 @@
     run: RunNumber,
     life: &'a WorkerLife,
     alone: bool,
+    seen: bool,
     beside: usize,
     sign: CrashSign,
 }
@@ -97,6 +100,7 @@
             task: *task,
             run: run.run,
             sent: sent(run.phase),
+            seen: run.seen,
             alone: worker.is_clear_for(task.step.job, now),
             beside: there.saturating_sub(1),
         };
@@ -113,18 +117,21 @@
     ) {
         let worker = &self.workers[key.0];
         let (life, address) = (worker.entry.life.clone(), worker.entry.address);
-        if !lost.sent || worker.is_leaving() {
+        if !lost.sent {
             return self.close_run(&lost.task, lost.run);
         }
         match cause {
+            LossCause::WorkerEnded { .. } | LossCause::LeaseEnded(_) if worker.is_leaving() => {
+                self.doubt_run(&lost.task, lost.run, now);
+            }
             LossCause::WorkerEnded { .. } => {
-                let LostRun { task, run, alone, beside, .. } = *lost;
-                let sign = CrashSign::OtherLife;
-                self.count_crash(CrashUnder { task, run, life: &life, alone, beside, sign }, now);
+                let LostRun { task, run, alone, seen, beside, .. } = *lost;
+                let (life, sign) = (&life, CrashSign::OtherLife);
+                self.count_crash(CrashUnder { task, run, life, alone, seen, beside, sign }, now);
             }
             LossCause::LeaseEnded(_) => {
-                let open =
-                    OpenRun { run: lost.run, life: life.clone(), address, alone: lost.alone };
+                let LostRun { run, alone, seen, .. } = *lost;
+                let open = OpenRun { run, life: life.clone(), address, alone, seen };
                 self.open_run(&lost.task, open, now);
                 self.events.push(CellEvent::LossOpen {
                     task: lost.task,
@@ -160,6 +167,42 @@
         }
     }
 
+    /// A run went with a worker that left, most likely as planned.
+    fn doubt_run(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
+        self.close_run(task, run);
+        self.doubt_task(task, now);
+        self.dirty.insert(task.step.job);
+    }
+
+    /// A worker of the last lead was not heard: each task that it may have started, and that runs nowhere, may have
+    /// been lost there by a crash. That is recorded with the next start of the task.
+    pub(super) fn doubt_unseen(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.foreign_orders) else { return };
+        if !self.take_over.lost_workers {
+            return;
+        }
+        let mut unseen = Vec::new();
+        for (number, step) in job.steps.iter().enumerate() {
+            for (index, task) in job.step_tasks(number).iter().enumerate() {
+                if !task.kept.done && matches!(task.phase, TaskPhase::Waiting(_)) {
+                    unseen.push(CellTask { step: step.id, index: index as u16 });
+                }
+            }
+        }
+        for task in unseen {
+            self.doubt_task(&task, now);
+        }
+    }
+
+    fn doubt_task(&mut self, task: &CellTask, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
+            return;
+        };
+        let Some(index) = job.task_index(task) else { return };
+        job.tasks[index].suspicion.doubt();
+        self.judge(task, now);
+    }
+
     /// Takes in what an earlier lead kept of a job's tasks.
     pub(super) fn note_inherited_suspects(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get(&id) else { return };
@@ -192,10 +235,14 @@
         for OpenMark { task, run, .. } in marks {
             let Some(open) = self.find_open(&task, run) else { continue };
             match leaving {
-                true => self.close_run(&task, run),
+                true => self.doubt_run(&task, run, now),
                 false => {
-                    let (alone, beside) = (open.alone, 0);
-                    self.count_crash(CrashUnder { task, run, life, alone, beside, sign }, now);
+                    let OpenRun { alone, seen, .. } = open;
+                    let beside = 0;
+                    self.count_crash(
+                        CrashUnder { task, run, life, alone, seen, beside, sign },
+                        now,
+                    );
                 }
             }
         }
@@ -261,7 +308,7 @@
     }
 
     fn count_crash(&mut self, crash: CrashUnder<'_>, now: Moment) {
-        let CrashUnder { task, run, life, alone, beside, sign } = crash;
+        let CrashUnder { task, run, life, alone, seen, beside, sign } = crash;
         self.suspects_seen = true;
         self.close_run(&task, run);
         let at_unix_ms = self.unix_ms_at(now);
@@ -270,18 +317,55 @@
         };
         let Some(index) = job.task_index(&task) else { return };
         let work = &mut job.tasks[index];
-        let counted = WorkerCrash { life: life.clone(), alone, at_unix_ms };
+        let counted = WorkerCrash { life: life.clone(), alone, seen, at_unix_ms };
         if work.kept.done || !work.suspicion.count(counted) {
             return;
         }
-        let (crashes, guilty) = (work.suspicion.crashes.clone(), work.suspicion.is_guilty());
+        let count = work.suspicion.crashes.len();
         self.dirty.insert(task.step.job);
         let worker = life.clone();
-        let count = crashes.len();
-        self.events.push(CellEvent::CrashCounted { task, run, worker, alone, beside, sign, count });
-        if guilty {
-            let workers = crashes.into_iter().map(|crash| crash.life).collect();
-            self.events.push(CellEvent::GivenUp { task, workers });
+        self.events.push(CellEvent::CrashCounted {
+            task,
+            run,
+            worker,
+            alone,
+            seen,
+            beside,
+            sign,
+            count,
+        });
+        self.judge(&task, now);
+    }
+
+    /// Counts the start of a task under which workers were lost.
+    pub(super) fn note_suspect_start(&mut self, task: &CellTask) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if let Some(index) = job.task_index(task) {
+            job.tasks[index].suspicion.note_start();
+        }
+    }
+
+    /// Gives up tasks of a step that may not be started any more. Returns whether there were any.
+    pub(super) fn judge_step(&mut self, id: JobId, step: usize, now: Moment) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|_| self.suspects_seen) else { return false };
+        let is_guilty = |task: &work::TaskWork| {
+            let waits = !task.kept.done && matches!(task.phase, TaskPhase::Waiting(_));
+            waits && task.suspicion.is_guilty()
+        };
+        let Some(index) = job.step_tasks(step).iter().position(is_guilty) else { return false };
+        let task = CellTask { step: job.steps[step].id, index: index as u16 };
+        self.judge(&task, now);
+        true
+    }
+
+    /// Gives a task up if it is taken as the cause of crashes.
+    fn judge(&mut self, task: &CellTask, now: Moment) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let Some(index) = job.task_index(task) else { return };
+        let suspicion = &job.tasks[index].suspicion;
+        if suspicion.is_guilty() {
+            let workers = suspicion.crashes.iter().map(|crash| crash.life.clone()).collect();
+            self.events.push(CellEvent::GivenUp { task: *task, workers });
             self.fail_job(task.step.job, "job failed", now);
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -61,11 +61,12 @@
             self.take_over.settled = true;
             let lost = |worker: &WorkerState| worker.inherited && (worker.dead || !worker.fenced);
             self.take_over.lost_workers = self.workers.iter().any(lost);
-            for job in self.jobs.values_mut() {
-                job.foreign_orders = false;
-            }
             let ids: Vec<JobId> = self.jobs.keys().copied().collect();
             for id in ids {
+                self.doubt_unseen(id, now);
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.foreign_orders = false;
+                }
                 self.stop_broken_gangs(id, now);
             }
         }
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -79,11 +79,14 @@
     pub overdue: bool,
     /// Nothing of another job may be put beside it.
     pub alone: bool,
+    /// The worker has said that it is there.
+    pub seen: bool,
 }
 
 impl WorkerRun {
     /// The worker said that it runs.
     pub fn confirm(&mut self, now: Moment) {
+        self.seen = true;
         if self.phase == RunPhase::Ordered {
             self.phase = RunPhase::Confirmed;
             self.listed_from = Some(now);
@@ -129,6 +132,8 @@
     pub runs: HashMap<CellTask, WorkerRun>,
     /// Room left.
     pub free: ResourceSet,
+    /// The most that it is known to have had, in each dimension: what was started then may still run.
+    pub largest: ResourceSet,
     /// When it last answered.
     pub answered: Option<Moment>,
     /// When the newest account that was taken in had been asked for.
@@ -156,6 +161,7 @@
     pub fn new(entry: WorkerEntry, now: Moment) -> WorkerState {
         WorkerState {
             free: entry.capacity,
+            largest: entry.capacity,
             entry,
             listed: true,
             unlisted_since: now,
@@ -264,10 +270,19 @@
     pub fn resize(&mut self, capacity: ResourceSet) -> bool {
         let shrunk = !capacity.fits(&self.entry.capacity);
         self.entry.capacity = capacity;
+        self.had(&capacity);
         self.count_room();
         shrunk
     }
 
+    /// Notes what it has had.
+    pub fn had(&mut self, capacity: &ResourceSet) {
+        let ResourceSet { cores, memory, accelerators } = *capacity;
+        self.largest.cores = self.largest.cores.max(cores);
+        self.largest.memory = self.largest.memory.max(memory);
+        self.largest.accelerators = self.largest.accelerators.max(accelerators);
+    }
+
     /// Whether more runs there, or may, than it has room for.
     pub fn is_over_size(&self) -> bool {
         !self.entry.capacity.fits(&self.used())
--- a/crates/sedgehill-cell/src/suspicion.rs
+++ b/crates/sedgehill-cell/src/suspicion.rs
@@ -16,13 +16,19 @@
 /// a full worker asks for some eight empty ones at once; with two, the second crash tells the cause from what stood
 /// beside it.
 pub const ALONE_FROM: usize = 2;
-/// Workers that crashed under a task, from which on it is given up if nothing of another job stood beside it in one
-/// of these crashes. The users allow it from two on; the third is what a worker crashing by itself would have to hit
+/// Workers that crashed under a task that was seen there, from which on it is given up if nothing of another job
+/// stood beside it in one of these crashes. The users allow it from two on; the third is what a worker crashing by itself would have to hit
 /// again, with the task alone there.
 pub const GUILTY_FROM: usize = 3;
-/// Workers that crashed under a task, or may have, from which on it is not started any more. The users allow two
-/// starts after the third crash.
-pub const STARTS_MOST: usize = 5;
+/// Workers that crashed under a task, from which on the users allow to give it up.
+const GIVEN_UP_FROM: usize = 2;
+/// Starts that the users allow after the third crash.
+pub const FURTHER_STARTS: u8 = 2;
+/// Workers that crashed under a task, or may have, from which on it is not started before more is known: that is some
+/// seconds, and each start could be one too many.
+const HELD_FROM: usize = GUILTY_FROM;
+/// Crashes that nobody saw and that are counted; more change nothing, since three have to be known.
+const DOUBTS_MOST: u8 = FURTHER_STARTS;
 /// How long a crash is remembered, in milliseconds. A task that lasts sees a worker crash now and then without any
 /// doing of its own, some times a day; one that crashes workers does so much more often.
 pub const MEMORY_MS: u64 = 600_000;
@@ -34,6 +40,9 @@
     pub life: WorkerLife,
     /// Nothing of another job stood beside the task.
     pub alone: bool,
+    /// The worker had said that the run was there. Else its start was sent and not answered: the worker may have
+    /// been down by then.
+    pub seen: bool,
     /// When the crash became known, in milliseconds since 1970.
     pub at_unix_ms: u64,
 }
@@ -49,6 +58,8 @@
     pub address: SocketAddr,
     /// Nothing of another job stood beside it.
     pub alone: bool,
+    /// The worker had said that it was there.
+    pub seen: bool,
 }
 
 /// How a task may be started, by what happened to its workers.
@@ -71,19 +82,26 @@
     pub crashes: Vec<WorkerCrash>,
     /// Runs that may have been lost by a crash.
     pub open: Vec<OpenRun>,
+    /// Runs that may have been lost by a crash that nobody saw: with their worker while leads changed, or on a worker
+    /// that may as well have left as planned. They prove nothing, but count for what the users allow.
+    pub doubts: u8,
+    /// Starts since three workers had crashed under it, or may have.
+    pub further: u8,
 }
 
 impl TaskSuspicion {
     /// Whether nothing is kept.
     pub fn is_clear(&self) -> bool {
-        self.crashes.is_empty() && self.open.is_empty()
+        self.crashes.is_empty() && self.open.is_empty() && self.doubts == 0
     }
 
     /// How the task may be started while none of its runs is under way.
     pub fn stage(&self) -> SuspectStage {
-        match self.crashes.len() + self.open.len() {
+        let lost = self.crashes.len() + self.open.len();
+        let most = lost + usize::from(self.doubts);
+        match lost {
+            _ if most >= HELD_FROM && !self.open.is_empty() => SuspectStage::Held,
             0 => SuspectStage::Clear,
-            lost if lost >= STARTS_MOST => SuspectStage::Held,
             lost if lost >= ALONE_FROM => SuspectStage::Alone,
             _ => SuspectStage::Apart,
         }
@@ -91,9 +109,13 @@
 
     /// Whether the task is taken as the cause of the crashes.
     pub fn is_guilty(&self) -> bool {
+        let seen = || self.crashes.iter().filter(|crash| crash.seen);
+        let proven = seen().count() >= GUILTY_FROM && seen().any(|crash| crash.alone);
         let count = self.crashes.len();
-        let alone = self.crashes.iter().any(|crash| crash.alone);
-        count >= STARTS_MOST || (count >= GUILTY_FROM && alone)
+        // Any of these may have been another's doing, but the users allow no further start.
+        let used_up = self.further >= FURTHER_STARTS
+            || count + usize::from(self.doubts) >= GUILTY_FROM + usize::from(FURTHER_STARTS);
+        proven || (count >= GIVEN_UP_FROM && used_up)
     }
 
     /// Whether a life was lost under both tasks.
@@ -108,11 +130,16 @@
 
     /// Notes a run that may be lost by a crash. Returns whether it was not noted before.
     pub fn open(&mut self, open: OpenRun) -> bool {
-        let new = self.open.iter().all(|known| known.run != open.run);
-        if new {
-            self.open.push(open);
+        match self.open.iter_mut().find(|known| known.run == open.run) {
+            Some(known) => {
+                *known = open;
+                false
+            }
+            None => {
+                self.open.push(open);
+                true
+            }
         }
-        new
     }
 
     /// Forgets an open run: it ended otherwise, or never began. Returns it if it was noted.
@@ -121,6 +148,18 @@
         Some(self.open.remove(place))
     }
 
+    /// Notes a start.
+    pub fn note_start(&mut self) {
+        if self.crashes.len() + usize::from(self.doubts) >= GUILTY_FROM {
+            self.further = self.further.saturating_add(1);
+        }
+    }
+
+    /// Notes a run that may have been lost by a crash that nobody saw.
+    pub fn doubt(&mut self) {
+        self.doubts = self.doubts.saturating_add(1).min(DOUBTS_MOST);
+    }
+
     /// Counts a crash. Returns whether it was not counted before.
     pub fn count(&mut self, crash: WorkerCrash) -> bool {
         self.crashes.retain(|old| crash.at_unix_ms.saturating_sub(old.at_unix_ms) < MEMORY_MS);
--- a/crates/sedgehill-cell/tests/testsuite/capacity.rs
+++ b/crates/sedgehill-cell/tests/testsuite/capacity.rs
@@ -5,10 +5,10 @@
 
 use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::progress::JobState;
-use sedgehill_cell::scheduler::{RunEnd, Scheduler};
+use sedgehill_cell::scheduler::{RunEnd, Scheduler, WorkerRoster};
 use sedgehill_core::units::{CoreCount, MemorySize, TimeSpan};
 
-use crate::fake::{CrashHabit, FakeCell, job, step, task};
+use crate::fake::{CrashHabit, FakeCell, job, owned, step, task, worker_entry};
 
 /// Room for one task less than the worker began with, in each dimension in turn.
 fn shrink(cell: &mut FakeCell, number: usize, dimension: usize) {
@@ -95,6 +95,39 @@
     assert_eq!(started(&cell, 1), 2);
 }
 
+// A worker shrank below what runs there. A later lead that has not heard it counts what may run there by what the
+// worker had when that was started.
+#[test]
+fn what_was_started_before_a_worker_shrank_counts_against_the_limit_at_a_later_lead() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, "small", 4);
+    cell.submit_led(&mut lead, 1, owned("small", 4, job(vec![step(4, 1)])));
+    cell.turns(&mut lead, 5);
+    let place = cell.place(task(1, 0, 0)).unwrap();
+    cell.workers[place].entry.capacity.cores = CoreCount(1_000);
+    cell.list(&mut lead);
+    cell.turns(&mut lead, 5);
+    cell.workers[place].cut = true;
+    let mut next = cell.lead(true);
+    next.note_fenced(cell.now);
+    cell.submit_led(&mut next, 2, owned("small", 4, job(vec![step(4, 1)])));
+    cell.turns(&mut next, 50);
+    assert_eq!(started(&cell, 2), 0);
+}
+
+#[test]
+fn rosters_of_earlier_versions_are_read() {
+    let workers = vec![worker_entry(1, 4), worker_entry(2, 8)];
+    let roster = WorkerRoster { workers, shrunk: Vec::new() };
+    let mut earlier = roster.encode();
+    assert_eq!(earlier.pop(), Some(0));
+    assert_eq!(WorkerRoster::decode(&earlier).unwrap(), roster);
+    let shrunk = vec![(1, worker_entry(2, 16).capacity)];
+    let roster = WorkerRoster { shrunk, ..roster };
+    assert_eq!(WorkerRoster::decode(&roster.encode()).unwrap(), roster);
+}
+
 #[test]
 fn a_start_that_waited_to_be_recorded_is_not_sent_to_a_worker_that_shrank_meanwhile() {
     let mut cell = FakeCell::new(1, 4);
--- a/crates/sedgehill-cell/tests/testsuite/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/entries.rs
@@ -161,7 +161,7 @@
     assert!(lead.take_orders().is_empty(), "no roster holds the right address yet");
     turns(&mut cell, &mut lead, 40);
     assert_eq!(starts_on(&cell, 1), 1);
-    assert!(cell.roster.0.contains(&cell.workers[1].entry));
+    assert!(cell.roster.workers.contains(&cell.workers[1].entry));
 }
 
 #[test]
@@ -172,7 +172,7 @@
     turns(&mut cell, &mut lead, 40);
     // The roster was recorded before the life was heard of.
     let wrong = at_address_of(&cell, 1, 0);
-    for entry in &mut cell.roster.0 {
+    for entry in &mut cell.roster.workers {
         if entry.life == wrong.life {
             *entry = wrong.clone();
         }
--- a/crates/sedgehill-cell/tests/testsuite/fake/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/entries.rs
@@ -36,9 +36,8 @@
         let capacity = self.workers[number].entry.capacity.cores.0 / 1000;
         let mut next = FakeWorker::new(self.workers.len() as u16, capacity);
         next.entry.address = self.workers[number].entry.address;
-        let ended = &mut self.workers[number];
-        ended.ended = true;
-        ended.runs.clear();
+        self.workers[number].ended = true;
+        self.lose_all(number);
         self.workers.push(next);
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -219,7 +219,10 @@
     /// Shows the scheduler what the store lists.
     pub fn list(&mut self, scheduler: &mut Scheduler) {
         let listed = self.workers.iter().filter(|worker| !worker.unlisted && !worker.unreadable);
-        let entry = |worker: &FakeWorker| worker.shown.as_ref().unwrap_or(&worker.entry).clone();
+        let entry = |worker: &FakeWorker| {
+            let shown = worker.shown.as_ref().unwrap_or(&worker.entry).clone();
+            WorkerEntry { capacity: worker.entry.capacity, ..shown }
+        };
         let entries = listed.map(entry).collect();
         let unreadable = self.workers.iter().filter(|worker| worker.unreadable && !worker.unlisted);
         let unreadable: Vec<WorkerLife> =
@@ -535,7 +538,7 @@
             .insert(order.task, FakeRun { run: order.run, need: spec.need, since: self.now });
         let used =
             worker.runs.values().fold(ResourceSet::default(), |sum, run| sum.plus(&run.need));
-        let rostered = self.roster.0.iter().find(|entry| entry.life == worker.entry.life);
+        let rostered = self.roster.workers.iter().find(|entry| entry.life == worker.entry.life);
         let mut known = [worker.entry.capacity, worker.listed_as]
             .into_iter()
             .chain(rostered.map(|entry| entry.capacity));
@@ -606,8 +609,12 @@
         let row = EndRow { number: worker.next_end, task, run, end, checkpoint: String::new() };
         worker.next_end += 1;
         worker.ends.push(row);
-        if end == RunEnd::Done {
-            self.done.insert(task);
+        match end {
+            RunEnd::Done => {
+                self.done.insert(task);
+            }
+            RunEnd::Failed => self.note_failed(task, run),
+            _ => {}
         }
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod cancelled;
 mod capacity;
 mod crashing;
+mod dbg;
 mod displacement;
 mod entries;
 mod fake;
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -1,13 +1,15 @@
 //! Random courses of a cell: leads that are lost, workers that are cut or mute or not listed or listed wrongly, runs
-//! that end in any way, orders that are carried out late. The fakes panic when a task runs twice,
+//! that end in any way, orders that are carried out late, tasks that crash their workers, workers that crash by
+//! themselves, that shrink and grow. The fakes panic when a task runs twice,
 //! after its end, beyond a worker's size, or beyond the highest limit that its organisation has had.
 
 use proptest::prelude::*;
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::scheduler::{RunEnd, Scheduler};
+use sedgehill_core::units::{CoreCount, TimeSpan};
 
-use crate::fake::{FakeCell, job, owned, step};
+use crate::fake::{CrashHabit, FakeCell, job, owned, step, task};
 
 const WORKERS: u16 = 4;
 const CORES: u64 = 4;
@@ -22,7 +24,13 @@
         gang: bool,
         chained: bool,
         owner: usize,
+        /// Its first task crashes the workers that start it, mostly.
+        crashes: Option<CrashHabit>,
     },
+    /// A worker crashes by itself, and is back after so long.
+    Crash(usize, u64),
+    /// A worker has so many cores from now on.
+    Resize(usize, u64),
     Cancel(u64),
     /// The limit of an organisation becomes so many cores.
     Limit(usize, u64),
@@ -53,6 +61,17 @@
     NewLead,
 }
 
+/// Mostly none. A task crashes its workers at once or later, each time or the first times only.
+fn habits() -> impl Strategy<Value = Option<CrashHabit>> {
+    let runs = prop_oneof![3 => Just(usize::MAX), 1 => 1usize..4];
+    let habit = (0u64..2_000, 20u64..8_000, runs).prop_map(|(after, back, runs)| CrashHabit {
+        after: TimeSpan(after),
+        back: TimeSpan(back),
+        runs,
+    });
+    prop::option::weighted(0.15, habit)
+}
+
 fn steps() -> impl Strategy<Value = Step> {
     let worker = 0..usize::from(WORKERS);
     let end = prop_oneof![
@@ -61,11 +80,13 @@
         1 => Just(RunEnd::Stopped),
     ];
     prop_oneof![
-        4 => (1u16..5, 1u64..4, any::<bool>(), any::<bool>(), 0usize..3).prop_map(
-            |(count, need, gang, chained, owner)| {
-                Step::Submit { count, need, gang, chained, owner }
+        4 => (1u16..5, 1u64..4, any::<bool>(), any::<bool>(), 0usize..3, habits()).prop_map(
+            |(count, need, gang, chained, owner, crashes)| {
+                Step::Submit { count, need, gang, chained, owner, crashes }
             }
         ),
+        1 => (worker.clone(), 20u64..9_000).prop_map(|(number, back)| Step::Crash(number, back)),
+        2 => (worker.clone(), 0u64..6).prop_map(|(number, cores)| Step::Resize(number, cores)),
         1 => (0usize..2, 3u64..16).prop_map(|(owner, most)| Step::Limit(owner, most)),
         1 => (0u64..12).prop_map(Step::Cancel),
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, cut)| Step::Cut(number, cut)),
@@ -87,7 +108,10 @@
 
 fn take(cell: &mut FakeCell, lead: &mut Scheduler, jobs: &mut u64, taken: Step) {
     match taken {
-        Step::Submit { count, need, gang, chained, owner } => {
+        Step::Submit { count, need, gang, chained, owner, crashes } => {
+            if let Some(habit) = crashes {
+                cell.make_crash(task(*jobs, 0, 0), habit);
+            }
             let mut first = step(count, need);
             first.gang = gang;
             let mut all = vec![first];
@@ -107,6 +131,14 @@
             }
             *jobs += 1;
         }
+        Step::Crash(number, back) => {
+            let number = cell.living(number);
+            cell.crash(number, TimeSpan(back));
+        }
+        Step::Resize(number, cores) => {
+            let number = cell.living(number);
+            cell.workers[number].entry.capacity.cores = CoreCount(cores * 1_000);
+        }
         Step::Cancel(id) => cell.cancel(lead, id),
         Step::Limit(owner, most) => cell.limit(lead, ORGANISATIONS[owner].0, most),
         Step::Cut(number, cut) => cell.workers[number].cut = cut,
@@ -119,6 +151,7 @@
         Step::Turns(count) => {
             cell.list(lead);
             cell.turns(lead, count);
+            cell.break_gangs();
         }
         Step::Unrecorded => cell.turn_unrecorded(lead),
         Step::StaleAccounts => cell.turn_with_stale_accounts(lead),
@@ -148,6 +181,7 @@
         for worker in &mut cell.workers {
             (worker.cut, worker.mute, worker.unlisted) = (false, false, false);
             (worker.unreadable, worker.shown) = (false, None);
+            worker.entry.capacity.cores = CoreCount(CORES * 1_000);
         }
         // The widest gang needs twelve cores.
         for (name, _) in ORGANISATIONS {
@@ -156,12 +190,15 @@
         for _ in 0..60 {
             cell.list(&mut lead);
             cell.turns(&mut lead, 40);
-            cell.end_all();
+            cell.break_gangs();
+            cell.end_older_than(TimeSpan(0));
         }
         for id in 0..jobs {
             let state = cell.progress(id).state;
             prop_assert!(state.is_final(), "job {} is {:?}", JobId(id), state);
             prop_assert!(state != JobState::Cancelled || cell.was_cancelled(id));
+            let given_up = state == JobState::Failed && !cell.has_failed(id);
+            prop_assert!(!given_up || cell.may_be_given_up(id), "job {} is given up", JobId(id));
         }
     }
 }
--- a/crates/sedgehill-cell/tests/testsuite/sight.rs
+++ b/crates/sedgehill-cell/tests/testsuite/sight.rs
@@ -331,8 +331,10 @@
 
 #[test]
 fn rosters_are_told_apart_by_their_marks() {
-    let roster =
-        |count: u16| WorkerRoster((0..count).map(|number| worker_entry(number, 4)).collect());
+    let roster = |count: u16| WorkerRoster {
+        workers: (0..count).map(|number| worker_entry(number, 4)).collect(),
+        shrunk: Vec::new(),
+    };
     let read = WorkerRoster::decode(&roster(2).encode()).unwrap();
     assert_eq!(read.mark(), roster(2).mark());
     assert_ne!(roster(3).mark(), roster(2).mark());
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -90,9 +90,9 @@
         CellEvent::LossCleared { task, run, worker } => {
             info!(log, "no crash"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
-        CellEvent::CrashCounted { task, run, worker, alone, beside, sign, count } => {
+        CellEvent::CrashCounted { task, run, worker, alone, seen, beside, sign, count } => {
             info!(log, "crash counted"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker,
-                "alone" => alone, "beside" => beside, "told_by" => sign.name(), "count" => count);
+                "alone" => alone, "seen" => seen, "beside" => beside, "told_by" => sign.name(), "count" => count);
         }
         CellEvent::GivenUp { task, workers } => {
             let names: Vec<String> = workers.iter().map(WorkerLife::to_string).collect();
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -277,7 +277,7 @@
     fn note_roster(&self, host: &CellBox, progress: Option<&ProgressBatch>, kept: KeptBatch) {
         if let Some(roster) = progress.and_then(|batch| batch.roster.as_ref()) {
             info!(host.log, "roster recorded"; "token" => %self.token,
-                "workers" => roster.0.len(), "mark" => %roster.mark(), "end" => kept.end);
+                "workers" => roster.workers.len(), "mark" => %roster.mark(), "end" => kept.end);
         }
     }
 
