--- a/crates/sedgehill-cell/src/scheduler/held.rs
+++ b/crates/sedgehill-cell/src/scheduler/held.rs
@@ -46,6 +46,9 @@
 
     /// Sends the starts that are recorded by now.
     pub(super) fn release_held(&mut self, now: Moment) {
+        if !self.knows_sizes(now) {
+            return;
+        }
         let recorded = self.recorded;
         let due: Vec<HeldStart> = self.held.extract_if(.., |held| held.batch <= recorded).collect();
         for held in due {
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -88,7 +88,8 @@
     losses: LossRate,
     organisations: OrganisationBook,
     take_over: TakeOver,
-    surveyed: bool,
+    /// When the list of workers was read last; none if it never was.
+    surveyed: Option<Moment>,
     orders: Vec<CellOrder>,
     events: Vec<CellEvent>,
     dirty: BTreeSet<JobId>,
@@ -141,7 +142,7 @@
                 settled_by: None,
                 lost_workers: false,
             },
-            surveyed: false,
+            surveyed: None,
             orders: Vec::new(),
             events: Vec::new(),
             dirty: BTreeSet::new(),
@@ -331,7 +332,7 @@
         self.expire_open_runs(now);
         self.release_held(now);
         self.count_unseen(self.unix_ms_at(now));
-        if self.surveyed {
+        if self.knows_sizes(now) {
             self.place_all(now);
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -37,7 +37,7 @@
         for key in unreadable.iter().filter_map(|life| self.lives.get(life)) {
             self.workers[key.0].unreadable = true;
         }
-        self.surveyed = true;
+        self.surveyed = Some(now);
         // A later lead should not have to wait for workers that have left.
         let changed = |worker: &WorkerState| worker.rostered != self.belongs_to_roster(worker, now);
         if self.workers.iter().any(changed) {
@@ -46,6 +46,12 @@
         self.unwatched()
     }
 
+    /// Whether the list of workers was read lately enough to start something by it. Where the store answers for all
+    /// else but not for the list, workers that shrink meanwhile would be filled beyond what they have.
+    pub(super) fn knows_sizes(&self, now: Moment) -> bool {
+        self.surveyed.is_some_and(|read| now < read.after(self.timing.list_fresh))
+    }
+
     /// Takes in what a worker says that it has now. A start beyond it would be carried out by workers that do not
     /// check. What runs there goes on: a stop would throw its work away, and nothing asks for that.
     fn resize_worker(&mut self, key: WorkerKey, capacity: ResourceSet) {
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -49,7 +49,7 @@
 
     /// Lifts what a new lead has to wait for, once it is settled.
     pub(super) fn settle_take_over(&mut self, now: Moment) {
-        if self.take_over.settled || !self.surveyed {
+        if self.take_over.settled || self.surveyed.is_none() {
             return;
         }
         // On workers that stood in no roster nothing was started.
--- a/crates/sedgehill-cell/src/scheduler/timing.rs
+++ b/crates/sedgehill-cell/src/scheduler/timing.rs
@@ -47,6 +47,9 @@
     pub overdue_slack: TimeSpan,
     /// A ticket is not used when it has less time left: the start has to arrive.
     pub ticket_margin: TimeSpan,
+    /// Nothing is started by a list of workers that was read longer ago: a worker that shrank must get no start beyond
+    /// its size from 3 s after it was listed so, less what an order takes on its way.
+    pub list_fresh: TimeSpan,
     /// How long progress that nobody waits for may wait for a batch.
     pub lazy_record: TimeSpan,
     /// Which mechanisms are at work.
@@ -74,6 +77,7 @@
             overdue_percent: 250,
             overdue_slack: TimeSpan(600),
             ticket_margin: TimeSpan(120),
+            list_fresh: TimeSpan(2_800),
             lazy_record: TimeSpan(300),
             policy: CellPolicy::default(),
         }
--- a/crates/sedgehill-cell/tests/testsuite/capacity.rs
+++ b/crates/sedgehill-cell/tests/testsuite/capacity.rs
@@ -95,6 +95,23 @@
     assert_eq!(started(&cell, 1), 2);
 }
 
+// The store answers for all else but not for the list of workers. What shrinks meanwhile is not known.
+#[test]
+fn nothing_starts_by_a_list_that_was_read_long_ago() {
+    let mut cell = FakeCell::new(1, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 2);
+    cell.list_away = true;
+    cell.turns(&mut lead, 160);
+    cell.workers[0].entry.capacity.cores = CoreCount(1_000);
+    cell.submit_led(&mut lead, 1, job(vec![step(4, 1)]));
+    cell.turns(&mut lead, 50);
+    assert_eq!(started(&cell, 1), 0);
+    cell.list_away = false;
+    cell.turns(&mut lead, 25);
+    assert_eq!(started(&cell, 1), 1);
+}
+
 // A worker shrank below what runs there. A later lead that has not heard it counts what may run there by what the
 // worker had when that was started.
 #[test]
--- a/crates/sedgehill-cell/tests/testsuite/overlap/worker.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/worker.rs
@@ -8,7 +8,7 @@
     EndRow, HoldOrder, HoldReport, RunEnd, RunningRow, StartOrder, StopOrder, WorkerAnswer,
     WorkerEntry, WorkerRefusal, WorkerTime,
 };
-use sedgehill_core::units::{Moment, ResourceSet};
+use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
 use crate::fake::worker_entry;
 
@@ -17,6 +17,9 @@
 /// Clocks of different lives differ by this much.
 const CLOCKS_APART: u64 = 10_000_000;
 
+/// Within so many milliseconds a lead has to know that a worker shrank: the users allow 3 s and a beat of 1.5 s.
+const KNOWN_WITHIN: u64 = 4_500;
+
 /// What a worker is asked.
 #[derive(Debug, Clone)]
 pub enum WorkerCall {
@@ -52,6 +55,8 @@
     /// The store does not list it though it lives.
     pub unlisted: bool,
     pub runs: BTreeMap<CellTask, SimRun>,
+    /// What it had before it shrank, and until when a lead may go by that.
+    pub earlier_sizes: Vec<(ResourceSet, Moment)>,
     /// Ends that were acknowledged before a lease lapsed, not yet looked at by the checks.
     pub noted: Vec<EndRow>,
     ends: Vec<EndRow>,
@@ -74,6 +79,7 @@
             ghost: None,
             unlisted: false,
             runs: BTreeMap::new(),
+            earlier_sizes: Vec::new(),
             noted: Vec::new(),
             ends: Vec::new(),
             next_end: 1,
@@ -224,6 +230,19 @@
         WorkerAnswer::Done(HoldReport { clock: self.clock(now), running, ended })
     }
 
+    /// It has so much from now on.
+    pub fn resize(&mut self, capacity: ResourceSet, now: Moment) {
+        let earlier = std::mem::replace(&mut self.entry.capacity, capacity);
+        self.earlier_sizes.push((earlier, now.after(TimeSpan(KNOWN_WITHIN))));
+    }
+
+    /// Whether what runs there fits into what a lead has to know that it has.
+    pub fn fits(&self, now: Moment) -> bool {
+        let used = self.used();
+        let mut earlier = self.earlier_sizes.iter().filter(|(_, until)| now < *until);
+        self.entry.capacity.fits(&used) || earlier.any(|(capacity, _)| capacity.fits(&used))
+    }
+
     /// What all that runs there needs.
     pub fn used(&self) -> ResourceSet {
         self.runs.values().fold(ResourceSet::default(), |sum, run| sum.plus(&run.need))
