standin, soak: tasks that crash their workers, workers that shrink and grow, counted by the stand-ins; process tests

One job in twenty of the soak has a task that crashes its workers; each worker shrinks once in twelve seconds, down to nothing. The stand-ins count starts after the third crash, starts beyond a size, and which jobs may be given up. Three tests with real boxes: the job is told as failed and what ran beside it goes on, also while leads are killed; a worker that shrank gets no start beyond its size.

--- a/crates/sedgehill-standin/src/cell_platform/life.rs
+++ b/crates/sedgehill-standin/src/cell_platform/life.rs
@@ -35,6 +35,8 @@
     pub span: u64,
     /// When it will have been stopped; none if nobody stops it.
     pub stops_at: Option<u64>,
+    /// When it crashes its worker; none if it does not.
+    pub crashes_at: Option<u64>,
     /// Who ordered it and how, for whoever reads of it.
     pub told: String,
 }
@@ -80,6 +82,12 @@
         self.lease_until = self.lease_until.max(until.min(most));
     }
 
+    /// The run that has crashed the worker by now, if one has: it was still there when its time came.
+    pub fn crashed_by(&self, now: u64) -> Option<(&String, u64)> {
+        let crashes = self.runs.iter().filter_map(|(task, run)| Some((task, run.crashes_at?)));
+        crashes.filter(|(_, at)| *at <= now).min_by_key(|(_, at)| *at)
+    }
+
     /// Ends what has run its time, what was stopped, and what the lease does not cover any more.
     pub fn settle(&mut self, now: u64) {
         let lapse = self.clock.passed(self.lease_until);
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -1,7 +1,8 @@
 //! Stand-ins of what a box in cell mode meets: the users' store, workers and advice service.
 //!
 //! They speak what the users publish, small and strict. The workers count what must never happen: a
-//! task in two places, a task begun after its acknowledged end, a worker over its size.
+//! task in two places, a task begun after its acknowledged end, a worker over its size, a task that crashes its
+//! workers started without end.
 
 mod life;
 mod oracle;
@@ -13,12 +14,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sedgehill_cell::authority::LeadRecord;
 
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
-pub use self::worker::{GANG_SPEC, StandinWorkers, span_of};
+pub use self::worker::{CORES, CRASH_SPEC, GANG_SPEC, StandinWorkers, span_of};
 use crate::http_server::{ServerGuard, json, read_json, serve};
 
 /// The stand-ins, which stop when dropped.
@@ -34,8 +36,21 @@
     /// Where the workers listen.
     pub worker_addresses: Vec<SocketAddr>,
     _guards: Vec<ServerGuard>,
+    _returns: ReturnsGuard,
 }
 
+/// Lets workers that tasks crashed come back, until it is dropped.
+struct ReturnsGuard(tokio::task::JoinHandle<()>);
+
+impl Drop for ReturnsGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Time between two looks for workers that tasks crashed.
+const RETURNS_EVERY: Duration = Duration::from_millis(20);
+
 /// The topic of workers' entries.
 const WORKER_TOPIC: &str = "keyed.servers";
 /// The topic of leads.
@@ -62,6 +77,7 @@
             worker_addresses.push(guard.address);
             guards.push(guard);
         }
+        let returns = follow_crashes(pool.clone(), store.clone(), worker_addresses.clone());
         let platform = CellPlatform {
             store,
             workers: pool,
@@ -69,6 +85,7 @@
             advice_address,
             worker_addresses,
             _guards: guards,
+            _returns: ReturnsGuard(tokio::spawn(returns)),
         };
         (0..workers).for_each(|number| platform.list_worker(number));
         Ok(platform)
@@ -76,8 +93,13 @@
 
     /// Has the store list the life that a worker has now.
     pub fn list_worker(&self, number: usize) {
-        let entry = worker::entry(self.worker_addresses[number]);
-        self.store.put(WORKER_TOPIC, &self.workers.life_name(number), &entry);
+        list_life(&self.workers, &self.store, self.worker_addresses[number], number);
+    }
+
+    /// A worker has so many cores from now on, and its entry says so.
+    pub fn resize_worker(&self, number: usize, cores: usize) {
+        self.workers.resize(number, cores);
+        self.list_worker(number);
     }
 
     /// Has the store list a life no more.
@@ -134,6 +156,28 @@
     pub cores: u64,
 }
 
+fn list_life(workers: &StandinWorkers, store: &StandinStore, address: SocketAddr, number: usize) {
+    let entry = worker::entry(address, workers.cores(number));
+    store.put(WORKER_TOPIC, &workers.life_name(number), &entry);
+}
+
+async fn follow_crashes(
+    workers: Arc<StandinWorkers>,
+    store: Arc<StandinStore>,
+    addresses: Vec<SocketAddr>,
+) {
+    loop {
+        let (back, gone) = workers.follow_crashes();
+        for number in back {
+            list_life(&workers, &store, addresses[number], number);
+        }
+        for life in gone {
+            store.remove(WORKER_TOPIC, &life);
+        }
+        tokio::time::sleep(RETURNS_EVERY).await;
+    }
+}
+
 fn one_queue(version: u64) -> serde_json::Value {
     serde_json::json!({
             "version": version,
--- a/crates/sedgehill-standin/src/cell_platform/oracle.rs
+++ b/crates/sedgehill-standin/src/cell_platform/oracle.rs
@@ -4,6 +4,13 @@
 
 use super::life::{StandinEnd, StandinLife};
 
+/// Workers that may crash under a task before its starts are counted.
+const CRASHES_FREE: usize = 3;
+/// Workers that crashed under a task, from which on it may be given up.
+const CRASHES_GIVEN_UP: usize = 2;
+/// The first of the counted starts that is one too many.
+const STARTS_TOO_MANY: usize = 3;
+
 /// The account of all workers.
 #[derive(Debug, Default)]
 pub struct TaskOracle {
@@ -17,6 +24,11 @@
     noted: BTreeMap<String, String>,
     /// When each run of a task began, and what is told of it.
     begun: BTreeMap<String, Vec<(u64, String)>>,
+    /// Lives that ended with a task on them.
+    lost: BTreeMap<String, usize>,
+    /// Workers that crashed under a task by its doing, and starts of it since the third.
+    crashed: BTreeMap<String, usize>,
+    further: BTreeMap<String, usize>,
     /// Jobs whose tasks end together at the platform, which these workers do not know.
     gangs: BTreeSet<String>,
 }
@@ -37,6 +49,42 @@
         self.begun.entry(task.to_owned()).or_default().push((now, told.to_owned()));
     }
 
+    /// A life ends with all that runs there, by the doing of a task or not.
+    pub fn note_crash(&mut self, life: &StandinLife, by: Option<&str>) {
+        for task in life.runs.keys() {
+            *self.lost.entry(task.clone()).or_default() += 1;
+        }
+        if let Some(task) = by {
+            *self.crashed.entry(task.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// A task that crashes its workers is started by an order that was not held up.
+    pub fn note_crashing_start(&mut self, task: &str, told: &str) {
+        if self.crashed.get(task).is_none_or(|count| *count < CRASHES_FREE) {
+            return;
+        }
+        let further = self.further.entry(task.to_owned()).or_default();
+        *further += 1;
+        if *further >= STARTS_TOO_MANY {
+            let what = format!(
+                "{task} was started {further} times more after {CRASHES_FREE} crashes: {told}"
+            );
+            self.violations.push(what);
+        }
+    }
+
+    /// Workers that crashed under a task by its doing.
+    pub fn crashes_under(&self, task: &str) -> usize {
+        self.crashed.get(task).copied().unwrap_or(0)
+    }
+
+    /// Whether a job may be given up: so many lives ended under one of its tasks.
+    pub fn may_give_up(&self, job: &str) -> bool {
+        let of_job = self.lost.iter().filter(|(task, _)| job_of(task) == job);
+        of_job.into_iter().any(|(_, count)| *count >= CRASHES_GIVEN_UP)
+    }
+
     /// Tells of a job with gangs.
     pub fn note_gangs(&mut self, task: &str) {
         self.gangs.insert(job_of(task));
--- a/crates/sedgehill-standin/src/cell_platform/strays.rs
+++ b/crates/sedgehill-standin/src/cell_platform/strays.rs
@@ -15,7 +15,7 @@
 
 /// The entry of a worker with one field set.
 fn with(address: SocketAddr, field: &str, value: Value) -> Value {
-    let mut entry = worker::entry(address);
+    let mut entry = worker::entry(address, worker::CORES);
     entry[field] = value;
     entry
 }
@@ -38,15 +38,15 @@
         let (first, last) = (workers[0], workers[workers.len() - 1]);
         let dead = SocketAddr::from(([127, 0, 0, 1], NO_LISTENER));
         let wrong = [
-            ("a-twin", worker::entry(first)),
-            ("z-twin", worker::entry(last)),
-            ("dead", worker::entry(dead)),
+            ("a-twin", worker::entry(first, worker::CORES)),
+            ("z-twin", worker::entry(last, worker::CORES)),
+            ("dead", worker::entry(dead, worker::CORES)),
             ("other-service", with(first, "service", json!("unheard-of"))),
         ];
         // A box knows that no worker is there, unless it reaches them by another way.
         let others = [
-            ("advice", worker::entry(self.advice_address)),
-            ("store", worker::entry(self.store_address)),
+            ("advice", worker::entry(self.advice_address, worker::CORES)),
+            ("store", worker::entry(self.store_address, worker::CORES)),
         ];
         for (key, entry) in wrong.iter().chain(&others) {
             self.store.put(SERVERS, key, entry);
@@ -66,8 +66,8 @@
             ("d-size", with(address, "capacity", json!({})).to_string().into()),
             ("e-list", list.to_string().into()),
             ("f-long", with(address, "padding", padding).to_string().into()),
-            ("g-naïve", worker::entry(address).to_string().into()),
-            ("h\nlines", worker::entry(address).to_string().into()),
+            ("g-naïve", worker::entry(address, worker::CORES).to_string().into()),
+            ("h\nlines", worker::entry(address, worker::CORES).to_string().into()),
         ];
         for (key, value) in &values {
             self.store.put_bytes(SERVERS, key, value);
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -17,7 +17,7 @@
 
 use super::RUN_MS;
 use super::keys::SOAK_KEY;
-use crate::cell_platform::{GANG_SPEC, span_of};
+use crate::cell_platform::{CRASH_SPEC, GANG_SPEC, span_of};
 
 /// How often a caller tries one job before it gives up.
 const TRIES: usize = 10;
@@ -33,6 +33,11 @@
 const AGAIN_AMONG: usize = 12;
 /// Tells the generator of these from that of jobs.
 const AGAIN_SALT: u64 = 0x6167_6169;
+/// One job in so many has a task that crashes its workers, so long after its start in milliseconds.
+const CRASH_ONE_IN: u32 = 20;
+const CRASH_AFTER_MS: std::ops::Range<u64> = 0..140;
+/// Tells the generator of these from that of jobs.
+const CRASH_SALT: u64 = 0x6372_6173;
 /// One job in so many is cancelled soon after it was accepted.
 const CANCEL_ONE_IN: u32 = 12;
 
@@ -41,6 +46,8 @@
 pub struct ToldJobs {
     /// Accepted, and not cancelled by their caller.
     pub accepted: BTreeSet<u64>,
+    /// Those of them whose first task crashes its workers.
+    pub crashing: BTreeSet<u64>,
     /// Accepted, and then cancelled.
     pub cancelled: BTreeSet<u64>,
     /// Each answer said that the job was not taken.
@@ -100,12 +107,20 @@
         id: u64,
     ) -> Option<String> {
         let body = draw_job(rng, id);
+        let crash = draw_crash(id);
+        let body = match crash {
+            Some(after) => crashing_job(after),
+            None => body,
+        };
         let mut doubtful = false;
         for _ in 0..TRIES {
             let address = self.boxes[rng.random_range(0..self.boxes.len())];
             match self.call(client, address, Method::POST, id, &body).await {
                 Some(StatusCode::OK) => {
                     self.told.lock().accepted.insert(id);
+                    if crash.is_some() {
+                        self.told.lock().crashing.insert(id);
+                    }
                     if rng.random_ratio(1, CANCEL_ONE_IN) {
                         self.cancel(client, address, id).await;
                         return None;
@@ -167,6 +182,18 @@
     }
 }
 
+/// How long after its start the first task of a job crashes its worker, by the id of the job; mostly none.
+fn draw_crash(id: u64) -> Option<u64> {
+    let mut rng = StdRng::seed_from_u64(id ^ CRASH_SALT);
+    let crashes = rng.random_ratio(1, CRASH_ONE_IN);
+    crashes.then(|| rng.random_range(CRASH_AFTER_MS))
+}
+
+fn crashing_job(after: u64) -> String {
+    let step = serde_json::json!({ "count": 2, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150 });
+    serde_json::json!({ "spec": format!("{CRASH_SPEC}{after}"), "steps": [step] }).to_string()
+}
+
 fn draw_job(rng: &mut StdRng, id: u64) -> String {
     let step = |rng: &mut StdRng, after: Option<u16>| {
         let number = after.map_or(0, |before| before + 1);
--- a/crates/sedgehill-standin/src/soak/faults.rs
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -7,7 +7,7 @@
 use super::Soak;
 use super::plan::SoakFault;
 use super::proxy::PathState;
-use crate::cell_platform::{PROGRESS_TOPIC, PathTrouble};
+use crate::cell_platform::{CORES, PROGRESS_TOPIC, PathTrouble};
 
 /// What ends a fault again.
 #[derive(Debug, Clone, PartialEq)]
@@ -20,6 +20,7 @@
     Revive(usize),
     List(usize),
     Unlist(String),
+    Size(usize),
     Appends,
     ReadProgress,
 }
@@ -98,6 +99,10 @@
                 self.platform.unlist_worker(&self.platform.workers.life_name(number));
                 repairs.push((after(span), Repair::List(number)));
             }
+            SoakFault::Resize(number, cores, span) => {
+                self.platform.resize_worker(number, cores);
+                repairs.push((after(span), Repair::Size(number)));
+            }
             SoakFault::Appends(trouble, span) => {
                 self.platform.store.set_trouble(Some(trouble));
                 repairs.push((after(span), Repair::Appends));
@@ -122,6 +127,7 @@
             Repair::Revive(number) => self.revive(number),
             Repair::List(number) => self.platform.list_worker(number),
             Repair::Unlist(life) => self.platform.unlist_worker(&life),
+            Repair::Size(number) => self.platform.resize_worker(number, CORES),
             Repair::Appends => self.platform.store.set_trouble(None),
             Repair::ReadProgress => self.platform.store.hold_reads(None),
         }
@@ -150,7 +156,7 @@
         for number in 0..self.size.workers {
             self.platform.workers.set_trouble(number, None);
             self.revive(number);
-            self.platform.list_worker(number);
+            self.platform.resize_worker(number, CORES);
         }
         for number in 0..self.boxes.len() {
             self.boxes[number].path.set(PathState::Open);
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -7,7 +7,7 @@
 
 use super::SoakSize;
 use super::proxy::PathState;
-use crate::cell_platform::{CallTrouble, PathTrouble, TroubledLeads};
+use crate::cell_platform::{CORES, CallTrouble, PathTrouble, TroubledLeads};
 
 /// One thing that happens from outside.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -41,6 +41,8 @@
     WorkerDies(usize, Duration, Duration),
     /// The store does not list a worker for a time, though it lives.
     Unlisted(usize, Duration),
+    /// A worker has so many cores for a time.
+    Resize(usize, usize, Duration),
     /// Appends meet trouble for a time.
     Appends(PathTrouble, Duration),
     /// The store forgets the progress of jobs but for the newest of each key.
@@ -60,6 +62,11 @@
 /// Tells the generator of silences from that of the other faults.
 const SILENCE_SALT: u64 = 0x5113_7ce5;
 
+/// Each worker shrinks once in so many seconds.
+const SIZE_EVERY_S: u64 = 12;
+/// Tells the generator of these faults from the others.
+const SIZE_SALT: u64 = 0x7369_7a65;
+
 /// Faults of a worker or of the store begin on the average so far apart with six workers, and as much
 /// closer as there are more.
 const WORKER_GAP_MS: std::ops::Range<u64> = 100..1_000;
@@ -85,6 +92,7 @@
     plan.extend(draw_silences(seed, seconds, boxes));
     plan.extend(draw_worker_faults(seed, seconds, size.workers));
     plan.extend(draw_lead_faults(seed, seconds));
+    plan.extend(draw_sizes(seed, seconds, size.workers));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
@@ -100,6 +108,19 @@
     (0..count).map(draw).collect()
 }
 
+/// Draws when workers shrink and grow, down to nothing.
+fn draw_sizes(seed: u64, seconds: u64, workers: usize) -> SoakPlan {
+    let mut rng = StdRng::seed_from_u64(seed ^ SIZE_SALT);
+    let count = seconds * workers as u64 / SIZE_EVERY_S;
+    let draw = |_| {
+        let at = Duration::from_millis(rng.random_range(500..seconds * 1_000));
+        let (number, cores) = (rng.random_range(0..workers), rng.random_range(0..CORES));
+        let span = Duration::from_millis(rng.random_range(100..6_000));
+        (at, SoakFault::Resize(number, cores, span))
+    };
+    (0..count).map(draw).collect()
+}
+
 fn draw_fault(rng: &mut StdRng, boxes: usize) -> SoakFault {
     let number = rng.random_range(0..boxes);
     let span = Duration::from_millis(rng.random_range(100..4_000));
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod cell_support;
 mod client;
 mod configuration;
+mod crashing;
 mod demo;
 mod earlier_lead;
 mod endpoints;
