cell: where workers crash by themselves, two crashes alone tell the cause

Cause: an innocent task that had lost two workers to others ran alone when its worker crashed by itself, and its job was given up.

Change: the lead remembers for a minute which workers crashed without a task on them that had lost another one. Where that makes a crash under one run likelier than 0.2 %, two crashes alone are asked for, within the starts that the users allow.

--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod accounts;
 mod advice;
 mod answers;
+mod background;
 mod displacement;
 mod ends;
 mod event;
@@ -38,6 +39,7 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 pub use self::advice::{AdviceDesk, GoodShare};
+use self::background::CrashBackground;
 pub use self::event::*;
 use self::held::HeldStart;
 use self::loss::LossRate;
@@ -108,6 +110,8 @@
     wall_clock: (u64, Moment),
     /// Runs of which it is open whether a crash took them.
     open_runs: OpenRuns,
+    /// Workers that crashed by themselves, as far as is known.
+    background: CrashBackground,
     /// A crash was counted, by this lead or an earlier one.
     suspects_seen: bool,
     /// Starts that wait until they are recorded.
@@ -157,6 +161,7 @@
             fenced_out: false,
             wall_clock: (0, now),
             open_runs: OpenRuns::default(),
+            background: CrashBackground::default(),
             suspects_seen: false,
             held: Vec::new(),
             timing,
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -213,13 +213,16 @@
         }
         let answered = worker.fenced;
         let address = worker.entry.address;
+        let life = worker.entry.life.clone();
+        if answered && !worker.is_leaving() {
+            self.background.note(life.clone(), now);
+        }
         match answered {
             true => self.note_ended(key, call, now),
             false => self.note_worker(key, "not at its address"),
         }
         self.workers[key.0].dead = true;
         self.lose_runs(key, LossCause::WorkerEnded { address, call }, now);
-        let life = self.workers[key.0].entry.life.clone();
         self.settle_crashed(&life, CrashSign::OtherLife, now);
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -335,7 +335,12 @@
         if work.kept.done || !work.suspicion.count(counted) {
             return;
         }
-        let count = work.suspicion.crashes.len();
+        let crashes = &work.suspicion.crashes;
+        let count = crashes.len();
+        if count > 1 {
+            // Most likely they are this task's doing.
+            crashes.iter().for_each(|crash| self.background.explain(&crash.life));
+        }
         self.dirty.insert(task.step.job);
         let worker = life.clone();
         self.events.push(CellEvent::CrashCounted {
@@ -364,7 +369,7 @@
         let Some(job) = self.jobs.get(&id).filter(|_| self.suspects_seen) else { return false };
         let is_guilty = |task: &work::TaskWork| {
             let waits = !task.kept.done && matches!(task.phase, TaskPhase::Waiting(_));
-            waits && task.suspicion.is_guilty()
+            waits && self.is_guilty(job, step, task, now)
         };
         let Some(index) = job.step_tasks(step).iter().position(is_guilty) else { return false };
         let task = CellTask { step: job.steps[step].id, index: index as u16 };
@@ -372,15 +377,29 @@
         true
     }
 
+    fn is_guilty(&self, job: &JobWork, step: usize, task: &work::TaskWork, now: Moment) -> bool {
+        let suspicion = &task.suspicion;
+        if suspicion.crashes.is_empty() {
+            return false;
+        }
+        let living = self.workers.iter().filter(|worker| !worker.dead && worker.listed).count();
+        let run = job.step_spec(step).estimate;
+        let alone = self.background.wanted_alone(living.max(1), run, now);
+        suspicion.is_guilty(alone)
+    }
+
     /// Gives a task up if it is taken as the cause of crashes.
     fn judge(&mut self, task: &CellTask, now: Moment) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
-        let Some(index) = job.task_index(task) else { return };
-        let suspicion = &job.tasks[index].suspicion;
-        if suspicion.is_guilty() {
-            let workers = suspicion.crashes.iter().map(|crash| crash.life.clone()).collect();
-            self.events.push(CellEvent::GivenUp { task: *task, workers });
-            self.fail_job(task.step.job, "job failed", now);
+        let (Some(step), Some(index)) = (job.step_index(&task.step), job.task_index(task)) else {
+            return;
+        };
+        if !self.is_guilty(job, step, &job.tasks[index], now) {
+            return;
         }
+        let crashes = job.tasks[index].suspicion.crashes.iter();
+        let workers: Vec<WorkerLife> = crashes.map(|crash| crash.life.clone()).collect();
+        self.events.push(CellEvent::GivenUp { task: *task, workers });
+        self.fail_job(task.step.job, "job failed", now);
     }
 }
--- a/crates/sedgehill-cell/src/suspicion.rs
+++ b/crates/sedgehill-cell/src/suspicion.rs
@@ -107,10 +107,12 @@
         }
     }
 
-    /// Whether the task is taken as the cause of the crashes.
-    pub fn is_guilty(&self) -> bool {
+    /// Whether the task is taken as the cause of the crashes. `alone` of them have to be with nothing of another job
+    /// beside it.
+    pub fn is_guilty(&self, alone: usize) -> bool {
         let seen = || self.crashes.iter().filter(|crash| crash.seen);
-        let proven = seen().count() >= GUILTY_FROM && seen().any(|crash| crash.alone);
+        let proven =
+            seen().count() >= GUILTY_FROM && seen().filter(|crash| crash.alone).count() >= alone;
         let count = self.crashes.len();
         // Any of these may have been another's doing, but the users allow no further start.
         let used_up = self.further >= FURTHER_STARTS
