--- a/crates/sedgehill-cell/tests/testsuite/crashing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/crashing.rs
@@ -357,3 +357,37 @@
     assert_eq!(CellRecord::decode(&key, &record.encode()).unwrap(), (JobId(7), record));
     assert!(CellRecord::decode(&key, &earlier[..1]).is_err());
 }
+
+// Where workers crash by themselves, one crash of a worker that a suspect has for itself may be another of these.
+#[test]
+fn where_workers_crash_by_themselves_one_crash_alone_tells_nothing() {
+    let mut cell = FakeCell::new(10, 4);
+    let mut lead = cell.lead(false);
+    turns(&mut cell, &mut lead, 5);
+    for _ in 0..4 {
+        let number = cell.living(9);
+        cell.crash(number, TimeSpan(500));
+        turns(&mut cell, &mut lead, 60);
+    }
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    for id in 2..4 {
+        // Others stand beside it when its first two workers crash.
+        cell.submit_led(&mut lead, id, job(vec![step(40, 1)]));
+        turns(&mut cell, &mut lead, 10);
+        let place = cell.place(task(1, 0, 0)).unwrap();
+        assert!(cell.workers[place].run_count() > 1);
+        cell.crash(place, TimeSpan(500));
+        turns(&mut cell, &mut lead, 60);
+    }
+    cell.end_older_than(TimeSpan(0));
+    for known in 3..5 {
+        turns(&mut cell, &mut lead, 20);
+        cell.end_others(1);
+        turns(&mut cell, &mut lead, 100);
+        assert_eq!(cell.progress(1).state, JobState::Running, "{known} crashes");
+        let place = cell.place(task(1, 0, 0)).unwrap();
+        cell.crash(place, TimeSpan(500));
+        turns(&mut cell, &mut lead, 60);
+    }
+    assert_eq!(cell.progress(1).state, JobState::Failed);
+}
--- a/crates/sedgehill-cell/tests/testsuite/fake/crashes.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/crashes.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Ends well what runs of all jobs but one.
+    pub fn end_others(&mut self, id: u64) {
+        for (number, task) in self.all_runs() {
+            if task.step.job.0 != id {
+                self.end(number, task, RunEnd::Done);
+            }
+        }
+    }
+
     /// Ends well what has run for so long, but for tasks that crash their workers.
     pub fn end_older_than(&mut self, age: TimeSpan) {
         let limit = self.now;
