--- a/crates/sedgehill-cell/src/scheduler/held.rs
+++ b/crates/sedgehill-cell/src/scheduler/held.rs
@@ -33,8 +33,8 @@
     }
 
     /// Has a start recorded.
-    pub(super) fn hold_start(&mut self, start: HeldRun, now: Moment) {
-        let HeldRun { worker, task, run, checkpoint, alone } = start;
+    pub(super) fn hold_start(&mut self, start: StartPlan, now: Moment) {
+        let StartPlan { worker, task, run, checkpoint, alone } = start;
         let entry = &self.workers[worker.0].entry;
         let (life, address) = (entry.life.clone(), entry.address);
         let open = OpenRun { run, life, address, alone, seen: false };
@@ -100,8 +100,8 @@
     }
 }
 
-/// What a held start is made of.
-pub(super) struct HeldRun {
+/// A start that has its place.
+pub(super) struct StartPlan {
     pub(super) worker: WorkerKey,
     pub(super) task: CellTask,
     pub(super) run: RunNumber,
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -112,7 +112,7 @@
     open_runs: OpenRuns,
     /// Workers that crashed by themselves, as far as is known.
     background: CrashBackground,
-    /// A crash was counted, by this lead or an earlier one.
+    /// There may be tasks under which workers were lost.
     suspects_seen: bool,
     /// Starts that wait until they are recorded.
     held: Vec<HeldStart>,
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -1,6 +1,6 @@
 //! Which waiting steps get room and advice.
 
-use super::held::HeldRun;
+use super::held::StartPlan;
 use super::isolation::{split_alone, stage_of};
 use super::rank::rank_job;
 use super::worker::{WorkerRun, WorkerTrust};
@@ -49,6 +49,7 @@
 impl Scheduler {
     /// Starts what can be started, and asks for the advice that is missing, best ranked first.
     pub(super) fn place_all(&mut self, now: Moment) {
+        self.suspects_seen = self.suspects_seen && self.jobs.values().any(JobWork::has_suspects);
         let open = self.open_workers(now);
         if open.list.is_empty() && open.least_urgent == 0 && !self.suspects_seen {
             return;
@@ -362,13 +363,13 @@
                 false => work.kept.checkpoint.clone(),
             };
             let alone = stage_of(job, candidate.step, index) == SuspectStage::Alone;
-            let start = HeldRun { worker: key, task, run, checkpoint, alone };
+            let start = StartPlan { worker: key, task, run, checkpoint, alone };
             self.order_start(start, spec.need, ahead, now);
         }
     }
 
     /// Puts a run on a worker, and orders its start at once or when it is recorded.
-    fn order_start(&mut self, start: HeldRun, need: ResourceSet, ahead: bool, now: Moment) {
+    fn order_start(&mut self, start: StartPlan, need: ResourceSet, ahead: bool, now: Moment) {
         let (key, task, run) = (start.worker, start.task, start.run);
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -253,6 +253,11 @@
         }
     }
 
+    /// Whether workers were lost under one of its tasks, or may have been.
+    pub fn has_suspects(&self) -> bool {
+        self.tasks.iter().any(|task| !task.suspicion.is_clear())
+    }
+
     /// What is kept of the tasks under which workers were lost; nothing once the job is over.
     fn suspects(&self) -> Vec<(u32, TaskSuspicion)> {
         let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
--- a/crates/sedgehill-cell/src/suspicion.rs
+++ b/crates/sedgehill-cell/src/suspicion.rs
@@ -17,8 +17,8 @@
 /// beside it.
 pub const ALONE_FROM: usize = 2;
 /// Workers that crashed under a task that was seen there, from which on it is given up if nothing of another job
-/// stood beside it in one of these crashes. The users allow it from two on; the third is what a worker crashing by itself would have to hit
-/// again, with the task alone there.
+/// stood beside it in one of these crashes. The users allow it from two on. Two can come from two tasks that stood
+/// beside it; the third, with the task alone, cannot.
 pub const GUILTY_FROM: usize = 3;
 /// Workers that crashed under a task, from which on the users allow to give it up.
 const GIVEN_UP_FROM: usize = 2;
