standin tests: the deployment's template asks for one more bound

Cause: the test fills the gaps of the template from its own list, which lacked bounds.contact_ms. The gap is in the list now, and has to be in the template.

--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -307,6 +307,7 @@
         ("{{limits.max_fds}}", "4200"),
         ("{{bounds.max_hold_ms}}", "6000"),
         ("{{bounds.stop_ms}}", "400"),
+        ("{{bounds.contact_ms}}", "3000"),
         ("{{bounds.status_s}}", "120"),
         ("{{bounds.grace_s}}", "6"),
     ];
