--- a/crates/sedgehill-cell/tests/testsuite/crashing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/crashing.rs
@@ -391,3 +391,39 @@
     }
     assert_eq!(cell.progress(1).state, JobState::Failed);
 }
+
+// The entry of a worker that crashed goes after some seconds, and nobody asks at its address any more. The next life
+// tells of the crash by answering there.
+#[test]
+fn a_crash_is_told_by_the_next_life_though_nobody_asks_for_the_last_one() {
+    let mut cell = FakeCell::new(4, 4);
+    let mut lead = cell.lead(false);
+    let place = begun(&mut cell, &mut lead, 1);
+    cell.crash(place, TimeSpan(9_000));
+    turns(&mut cell, &mut lead, 225);
+    cell.workers[place].unlisted = true;
+    turns(&mut cell, &mut lead, 195);
+    assert_eq!(counted(&cell, 1), 0);
+    turns(&mut cell, &mut lead, 60);
+    assert_eq!(counted(&cell, 1), 1);
+}
+
+// A start is lost on its way to a worker that is cut, and its lease lapses. The worker lists neither the run nor an end.
+#[test]
+fn a_worker_that_never_heard_of_a_run_counts_against_nothing() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    turns(&mut cell, &mut lead, 5);
+    cell.workers.iter_mut().for_each(|worker| worker.cut = true);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    lead.schedule(cell.now);
+    for order in lead.take_orders() {
+        cell.obey(&mut lead, &order);
+    }
+    turns(&mut cell, &mut lead, PAST_LEASES);
+    assert!(!cell.progress(1).suspects.is_empty(), "it is open whether the worker crashed");
+    cell.workers.iter_mut().for_each(|worker| worker.cut = false);
+    turns(&mut cell, &mut lead, 50);
+    assert!(cell.progress(1).suspects.is_empty(), "{:?}", cell.progress(1).suspects);
+    assert!(cell.place(task(1, 0, 0)).is_some());
+}
