cell tests: a held start is looked at again before it is sent; the test failed to hold one

Cause: the one worker of the test was not in the roster yet, so no start was held and the rule went unnoticed when switched off. It fails now with the look taken out.

--- a/crates/sedgehill-cell/tests/testsuite/capacity.rs
+++ b/crates/sedgehill-cell/tests/testsuite/capacity.rs
@@ -149,29 +149,31 @@
 
 #[test]
 fn a_start_that_waited_to_be_recorded_is_not_sent_to_a_worker_that_shrank_meanwhile() {
-    let mut cell = FakeCell::new(1, 4);
+    let mut cell = FakeCell::new(2, 4);
     let mut lead = cell.lead(false);
     let habit = CrashHabit { runs: 1, back: TimeSpan(500), ..CrashHabit::default() };
     cell.make_crash(task(1, 0, 0), habit);
     cell.submit_led(&mut lead, 1, job(vec![step(1, 2)]));
+    // The turn that counts the crash decides on the next start, which waits to be recorded.
     while cell.progress(1).suspects.is_empty() {
-        cell.list(&mut lead);
-        cell.turn(&mut lead);
-    }
-    // The next start is of a task under which a worker crashed.
-    let number = cell.workers.len() - 1;
-    for _ in 0..10 {
         cell.list(&mut lead);
         cell.turn_unrecorded(&mut lead);
+        if cell.counted_crash(&mut lead) {
+            break;
+        }
+        cell.record(&mut lead);
     }
     assert_eq!(started(&cell, 1), 1, "nothing is sent before it is recorded");
-    cell.workers[number].entry.capacity.cores = CoreCount(1_000);
+    let resize = |cell: &mut FakeCell, cores: u64| {
+        let living = cell.workers.iter_mut().filter(|worker| !worker.ended);
+        living.for_each(|worker| worker.entry.capacity.cores = CoreCount(cores * 1_000));
+    };
+    resize(&mut cell, 1);
     cell.list(&mut lead);
     cell.turns(&mut lead, 20);
     assert_eq!(started(&cell, 1), 1);
-    cell.workers[number].entry.capacity.cores = CoreCount(4_000);
-    cell.list(&mut lead);
-    cell.turns(&mut lead, 20);
+    resize(&mut cell, 4);
+    cell.turns(&mut lead, 40);
     cell.end_all();
     cell.turns(&mut lead, 5);
     assert_eq!(cell.progress(1).state, JobState::Completed);
--- a/crates/sedgehill-cell/tests/testsuite/fake/crashes.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/crashes.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 
 use sedgehill_cell::ids::{CellTask, RunNumber, StepId};
-use sedgehill_cell::scheduler::RunEnd;
+use sedgehill_cell::scheduler::{CellEvent, RunEnd, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::FakeCell;
@@ -95,6 +95,12 @@
         guilty || lost.any(|(_, count)| *count >= CRASHES_GIVEN_UP)
     }
 
+    /// Whether the lead has counted a crash since its events were last taken.
+    pub fn counted_crash(&self, scheduler: &mut Scheduler) -> bool {
+        let events = scheduler.take_events();
+        events.iter().any(|event| matches!(event, CellEvent::CrashCounted { .. }))
+    }
+
     /// How often a task was started.
     pub fn starts_of(&self, task: CellTask) -> usize {
         self.starts.iter().filter(|(started, ..)| *started == task).count()
