--- a/crates/sedgehill-cell/tests/testsuite/crashing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/crashing.rs
@@ -17,6 +17,7 @@
 use sedgehill_cell::progress::{JobProgress, JobState};
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{RunEnd, Scheduler};
+use sedgehill_cell::suspicion::{TaskSuspicion, WorkerCrash};
 use sedgehill_core::units::TimeSpan;
 
 use crate::fake::{CrashHabit, FakeCell, job, step, task};
@@ -427,3 +428,26 @@
     assert!(cell.progress(1).suspects.is_empty(), "{:?}", cell.progress(1).suspects);
     assert!(cell.place(task(1, 0, 0)).is_some());
 }
+
+// Starts that were sent to workers that were down already, and never answered: the task may never have been there.
+#[test]
+fn crashes_under_runs_that_were_never_seen_prove_nothing() {
+    let crash = |number: u64, seen: bool| WorkerCrash {
+        life: format!("w{number}").as_str().into(),
+        alone: true,
+        seen,
+        at_unix_ms: number,
+    };
+    let after = |seen: [bool; 3]| {
+        let mut suspicion = TaskSuspicion::default();
+        for (number, seen) in seen.into_iter().enumerate() {
+            suspicion.count(crash(number as u64, seen));
+        }
+        suspicion
+    };
+    assert!(!after([false, false, false]).is_guilty(1));
+    assert!(!after([true, false, true]).is_guilty(1));
+    assert!(after([true, true, true]).is_guilty(1));
+    // Three of them with nothing of another job beside it are not enough where four are asked for.
+    assert!(!after([true, true, true]).is_guilty(4));
+}
