standin: the ports of a box differ

Cause: each port of a box of a test cluster was drawn and given back before the next one, so that two of them could be the same, and the box could not listen. Change: they are drawn as for boxes in cell mode, by the same function.

--- a/crates/sedgehill-standin/src/cell_process.rs
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -1,9 +1,8 @@
 //! Boxes in cell mode as separate processes.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use nix::sys::signal::{Signal, kill};
@@ -14,6 +13,7 @@
 
 use crate::binaries::build_binaries;
 use crate::cell_platform::CellPlatform;
+use crate::network::free_addresses;
 
 /// How long one call may take.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
@@ -39,7 +39,7 @@
 impl CellSite {
     /// A site on free ports of loopback. The box reaches the store at `store`.
     pub fn new(name: &str, platform: &CellPlatform, store: SocketAddr, cores: &str) -> CellSite {
-        let [callers, ready, peers, metrics] = free_addresses();
+        let [callers, ready, peers, metrics] = free_addresses(Ipv4Addr::LOCALHOST.into());
         CellSite {
             name: name.to_owned(),
             callers,
@@ -139,27 +139,6 @@
     }
 }
 
-/// Ports for boxes: below those that the system gives to outgoing connections, which would take a port
-/// between the moment it is chosen and the moment the box listens there.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
-/// How far apart processes begin to choose, so that they seldom meet.
-const PORT_STRIDE: u32 = 997;
-
-/// Addresses that were free a moment ago, which this process does not choose again soon.
-fn free_addresses() -> [SocketAddr; 4] {
-    static CHOSEN: AtomicU32 = AtomicU32::new(0);
-    let count = u32::from(PORTS.end - PORTS.start);
-    let begin = std::process::id().wrapping_mul(PORT_STRIDE);
-    [(); 4].map(|()| {
-        let choices = (0..count).map(|_| {
-            let place = begin.wrapping_add(CHOSEN.fetch_add(1, Ordering::Relaxed)) % count;
-            SocketAddr::from(([127, 0, 0, 1], PORTS.start + place as u16))
-        });
-        let is_free = |address: &SocketAddr| TcpListener::bind(address).is_ok();
-        choices.into_iter().find(is_free).expect("one of many ports is free")
-    })
-}
-
 /// One call on a connection of its own: the status and the body; none without a whole answer.
 pub async fn call(
     address: SocketAddr,
--- a/crates/sedgehill-standin/src/lib.rs
+++ b/crates/sedgehill-standin/src/lib.rs
@@ -15,6 +15,6 @@
 pub mod ledger;
 pub mod list_server;
 pub mod log_server;
-mod network;
+pub mod network;
 pub mod soak;
 pub mod worker;
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod ledger;
 mod logging;
 mod messages;
+mod network;
 mod once_only;
 mod organisations;
 mod peers;
