--- a/crates/sedgehill-cell/tests/testsuite/crashing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/crashing.rs
@@ -451,3 +451,20 @@
     // Three of them with nothing of another job beside it are not enough where four are asked for.
     assert!(!after([true, true, true]).is_guilty(4));
 }
+
+// A worker is out of touch, and its leases have lapsed. Another writer lists it at the address of another worker: the
+// next lead asks for it there and meets that one. It lives where it was, and has not crashed.
+#[test]
+fn another_life_at_a_wrong_address_tells_of_no_crash() {
+    let mut cell = FakeCell::new(3, 4);
+    let mut lead = cell.lead(false);
+    let place = begun(&mut cell, &mut lead, 1);
+    cell.workers[place].cut = true;
+    turns(&mut cell, &mut lead, PAST_LEASES);
+    assert!(!cell.progress(1).suspects.is_empty(), "it is open whether the worker crashed");
+    cell.misplace(place, (place + 1) % 3);
+    let mut next = cell.lead(true);
+    next.note_fenced(cell.now);
+    turns(&mut cell, &mut next, 50);
+    assert_eq!(counted(&cell, 1), 0);
+}
