cell: what answers at an address tells of a crash only there

Cause: a loss that was open was settled by whatever answered for its life at any address. An entry of another writer lists a living worker at the address of another one, and a lead that has not heard it asks for it there; the open runs of all its tasks counted as crashes.

Change: another life settles those runs that were started at the address where it answers.

--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -223,6 +223,6 @@
         }
         self.workers[key.0].dead = true;
         self.lose_runs(key, LossCause::WorkerEnded { address, call }, now);
-        self.settle_crashed(&life, CrashSign::OtherLife, now);
+        self.settle_crashed(&life, address, CrashSign::OtherLife, now);
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -218,20 +218,29 @@
                 other && worker.fenced && !worker.dead
             };
             if self.workers.iter().any(followed) {
-                self.settle_crashed(&life, CrashSign::Successor, now);
+                self.settle_crashed(&life, address, CrashSign::Successor, now);
             }
         }
     }
 
-    /// A life has ended: the runs there whose loss was open were taken by its crash, unless it left as planned.
-    pub(super) fn settle_crashed(&mut self, life: &WorkerLife, sign: CrashSign, now: Moment) {
+    /// Another life answers at an address: the runs that were started on `life` there, and whose loss was open, were taken
+    /// by its crash, unless it left as planned. An entry of another writer may name any address for it; what answers
+    /// where nothing of it was started says nothing.
+    pub(super) fn settle_crashed(
+        &mut self,
+        life: &WorkerLife,
+        address: SocketAddr,
+        sign: CrashSign,
+        now: Moment,
+    ) {
         let Some(marks) = self.open_runs.lives.get(life) else { return };
         let worker = self.lives.get(life).map(|key| &self.workers[key.0]);
         let leaving = worker.is_some_and(WorkerState::is_leaving);
         // What is not lost yet is counted when it is, which follows: more is known of it then.
         let is_lost =
             |mark: &&OpenMark| worker.is_none_or(|worker| !worker.has_run(&mark.task, mark.run));
-        let marks: Vec<OpenMark> = marks.iter().filter(is_lost).cloned().collect();
+        let was_here = |mark: &&OpenMark| mark.address == address;
+        let marks: Vec<OpenMark> = marks.iter().filter(was_here).filter(is_lost).cloned().collect();
         for OpenMark { task, run, .. } in marks {
             let Some(open) = self.find_open(&task, run) else {
                 self.open_runs.remove(life, &task, run);
@@ -259,14 +268,11 @@
 
     /// A worker was heard for the first time: whatever was at its address before has ended.
     pub(super) fn settle_followed(&mut self, key: WorkerKey, now: Moment) {
-        let entry = &self.workers[key.0].entry;
-        let is_here = |mark: &OpenMark| mark.address == entry.address;
-        let lives = self.open_runs.lives.iter();
-        let followed =
-            lives.filter(|(life, marks)| **life != entry.life && marks.iter().any(is_here));
-        let followed: Vec<WorkerLife> = followed.map(|(life, _)| life.clone()).collect();
-        for life in followed {
-            self.settle_crashed(&life, CrashSign::Successor, now);
+        let WorkerEntry { life, address, .. } = self.workers[key.0].entry.clone();
+        let others: Vec<WorkerLife> =
+            self.open_runs.lives.keys().filter(|other| **other != life).cloned().collect();
+        for other in others {
+            self.settle_crashed(&other, address, CrashSign::Successor, now);
         }
     }
 
