--- a/crates/sedgehill-cell/tests/testsuite/organisations.rs
+++ b/crates/sedgehill-cell/tests/testsuite/organisations.rs
@@ -285,3 +285,22 @@
     }
     assert!(cell.place(task(1_000, 0, 0)).is_some(), "the gang found the whole limit free");
 }
+
+// A job is cancelled while the worker that runs its task is out of touch, and the lead is lost. The task runs on there
+// until its lease ends, and counts against the limit of its organisation.
+#[test]
+fn what_a_cancelled_job_may_still_run_counts_against_the_limit_at_a_later_lead() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    cell.limit(&mut lead, "small", 4);
+    cell.submit_led(&mut lead, 1, owned("small", 4, job(vec![step(1, 3)])));
+    cell.turns(&mut lead, 5);
+    let place = cell.place(task(1, 0, 0)).unwrap();
+    cell.workers[place].cut = true;
+    cell.cancel(&mut lead, 1);
+    let mut next = cell.lead(true);
+    next.note_fenced(cell.now);
+    cell.submit_led(&mut next, 2, owned("small", 4, job(vec![step(2, 1)])));
+    cell.turns(&mut next, 20);
+    assert!(cell.starts.iter().filter(|(task, ..)| task.step.job.0 == 2).count() <= 1);
+}
