cell: why a step stands is kept as the scheduler decides, shown as figures and told in one line

Each look at a step that starts nothing now returns its gate; a step that has stood for 3 s beside room for it twice over is told of (`step stands`: reason, places on workers good, unknown and all, share, shunned workers, questions), at most four a turn and each again after 10 s; steps that stand are shown by reason with the longest age. No decision changes.

--- a/crates/sedgehill-cell/src/scheduler/advice.rs
+++ b/crates/sedgehill-cell/src/scheduler/advice.rs
@@ -51,6 +51,8 @@
     pub asking: Vec<AskedWorkers>,
     /// No question before then.
     pub not_before: Moment,
+    /// When the last question was sent.
+    pub asked: Option<Moment>,
 }
 
 impl StepAdvice {
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -5,6 +5,7 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
+use super::standing::{StandBelief, StandReason};
 use super::suspects::CrashSign;
 use crate::ids::{CellTask, JobId, OrganisationName, RunNumber, StepId, WorkerLife};
 use crate::organisation::ResourceLimit;
@@ -167,6 +168,17 @@
         /// What one more task needs.
         need: ResourceSet,
     },
+    /// Nothing of a step runs, though its turn came long ago and there is room for it twice over.
+    Stands {
+        /// The step.
+        step: StepId,
+        /// Where it was turned back last.
+        reason: StandReason,
+        /// For how long.
+        stood: TimeSpan,
+        /// What was believed then.
+        belief: StandBelief,
+    },
     /// A job is over.
     JobEnded {
         /// The job.
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod record;
 mod roster;
 mod sight;
+mod standing;
 mod stragglers;
 mod suspects;
 mod take_over;
@@ -48,6 +49,7 @@
 use self::pace::FactorAverage;
 pub use self::policy::{CellPolicy, LimitOrder, LimitOrderError, SharingError, SharingWay};
 pub use self::sight::TakeOverSight;
+pub use self::standing::{StandBelief, StandFigures, StandReason};
 pub use self::suspects::CrashSign;
 use self::suspects::OpenRuns;
 pub use self::timing::CellTiming;
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -36,31 +36,37 @@
 const ASK_BACKOFF: TimeSpan = TimeSpan(60);
 
 impl Scheduler {
-    /// Asks which workers may run a step, if there is room that an answer could open.
+    /// Asks which workers may run a step, if there is room that an answer could open. Returns what the step waits
+    /// for.
     pub(super) fn ask_advice(
         &mut self,
         candidate: &Candidate,
         spec: &StepSpec,
         open: &OpenWorkers,
         now: Moment,
-    ) {
-        let Some(job) = self.jobs.get(&candidate.job) else { return };
-        let Some(policy) = job.record.policy.advice else { return };
+    ) -> StandReason {
+        let Some(job) = self.jobs.get(&candidate.job) else { return StandReason::NoRoom };
+        let room = if spec.gang { StandReason::GangRoom } else { StandReason::NoRoom };
+        let Some(policy) = job.record.policy.advice else { return room };
         let advice = &job.steps[candidate.step].advice;
         let at_once = if spec.gang { GANG_QUESTIONS } else { 1 };
-        if advice.asking.len() >= at_once || now < advice.not_before {
-            return;
+        if advice.asking.len() >= at_once {
+            return StandReason::Asking;
+        }
+        if now < advice.not_before {
+            return StandReason::AskedLately;
         }
         // Which workers to name takes far longer to find than whether anybody could ask.
         if self.desk.free_helper(policy.cost(1)).is_none() {
-            return;
-        }
-        let named = self.workers_to_name(candidate, job, spec, open, now);
-        if named.is_empty() {
-            return;
+            return StandReason::NoHelper;
         }
+        let named = match self.workers_to_name(candidate, job, spec, open, now) {
+            Ok(named) => named,
+            Err(_) if !advice.asking.is_empty() => return StandReason::Asking,
+            Err(reason) => return reason,
+        };
         let cost = policy.cost(named.len());
-        let Some(helper) = self.desk.free_helper(cost) else { return };
+        let Some(helper) = self.desk.free_helper(cost) else { return StandReason::NoHelper };
         let step = job.steps[candidate.step].id;
         self.desk.begin(helper, step, cost, now);
         self.events.push(CellEvent::Asked { step, named: named.len(), helper });
@@ -68,12 +74,20 @@
         self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers: lives }));
         if let Some(job) = self.jobs.get_mut(&candidate.job) {
             let asked = AskedWorkers { helper, workers: named };
-            job.steps[candidate.step].advice.asking.push(asked);
+            let advice = &mut job.steps[candidate.step].advice;
+            advice.asking.push(asked);
+            advice.asked = Some(now);
         }
+        StandReason::Asking
+    }
+
+    /// What share of the workers is taken as good for a step of a queue that was not asked about.
+    pub(super) fn share_of(&self, queue: &QueueName) -> f64 {
+        self.shares.get(queue).copied().unwrap_or_default().share()
     }
 
     /// The workers whose tickets could give the step enough room: those known as good first, then
-    /// those with the most room. Empty if too little room is free for a gang to become whole.
+    /// those with the most room. Otherwise why it would be of no use to ask.
     fn workers_to_name(
         &self,
         candidate: &Candidate,
@@ -81,8 +95,8 @@
         spec: &StepSpec,
         open: &OpenWorkers,
         now: Moment,
-    ) -> Vec<WorkerKey> {
-        let share = self.shares.get(&job.record.queue).copied().unwrap_or_default().share();
+    ) -> Result<Vec<WorkerKey>, StandReason> {
+        let share = self.share_of(&job.record.queue);
         let advice = &job.steps[candidate.step].advice;
         let displaces = job.record.policy.priority < open.least_urgent
             && !spec.gang
@@ -129,7 +143,11 @@
         let whole: f64 =
             rooms.iter().map(|(unknown, Reverse(room), ..)| expected(*unknown, *room)).sum();
         if spec.gang && whole + asked < needed as f64 {
-            return Vec::new();
+            let unknown = rooms.iter().any(|(unknown, ..)| *unknown) || asked > 0.0;
+            return Err(match unknown {
+                true => StandReason::ExpectedRoom,
+                false => self.lack_of_names(candidate, job, spec, now),
+            });
         }
         rooms.sort_unstable();
         let factor = if spec.gang { GANG_ROOM_FACTOR } else { ROOM_FACTOR };
@@ -143,10 +161,33 @@
             sum += expected(unknown, room);
             named.push(key);
         }
-        if self.timing.policy.fill_questions && !named.is_empty() {
+        if named.is_empty() {
+            return Err(self.lack_of_names(candidate, job, spec, now));
+        }
+        if self.timing.policy.fill_questions {
             self.fill_question(candidate, job, spec, &mut named, now);
         }
-        named
+        Ok(named)
+    }
+
+    /// Why there is nobody to ask about.
+    fn lack_of_names(
+        &self,
+        candidate: &Candidate,
+        job: &JobWork,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> StandReason {
+        let known = &job.steps[candidate.step].advice.known;
+        let usable = |key: &WorkerKey| self.could_ever_run(*key, job, spec, now);
+        let mut usable = (0..self.workers.len()).map(WorkerKey).filter(usable).peekable();
+        if usable.peek().is_none() {
+            return StandReason::NoRoom;
+        }
+        match usable.all(|key| matches!(known.get(&key), Some(None))) {
+            true => StandReason::NobodyGood,
+            false => StandReason::KnownRoom,
+        }
     }
 
     /// Adds workers that were never asked about, whether they have room now or not, as long as the
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -57,8 +57,10 @@
         }
         self.keep_nothing();
         for candidate in self.candidates(now) {
-            self.place_step(&candidate, &open, now);
+            let reason = self.place_step(&candidate, &open, now);
+            self.note_stand(&candidate, reason, now);
         }
+        self.tell_stands(&open, now);
     }
 
     fn open_workers(&self, now: Moment) -> OpenWorkers {
@@ -91,17 +93,22 @@
         running.map(|job| job.record.policy.priority).max().unwrap_or(0)
     }
 
-    fn candidates(&self, now: Moment) -> Vec<Candidate> {
+    fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
         let settled = self.take_over.settled;
         let unix_ms = self.unix_ms_at(now);
         let mut ranked = Vec::new();
+        let mut barred = Vec::new();
         for job in self.jobs.values() {
             // A task of a job that an earlier lead marked as ordered may run unseen. It cannot have
             // begun one of another job: since this lead fenced the store, no mark of it is kept.
             // A job that a later lead marked is that lead's alone: this one has not read yet that it was replaced,
             // and would start tasks beside its successor's on workers that have not heard of that.
-            let may_start = (settled || !job.foreign_orders) && !job.later_mark;
-            if job.is_over() || !may_start {
+            let bar = match job {
+                job if job.later_mark => Some(StandReason::LaterLead),
+                job if !settled && job.foreign_orders => Some(StandReason::EarlierLead),
+                _ => None,
+            };
+            if job.is_over() {
                 continue;
             }
             let mut rank = None;
@@ -110,43 +117,58 @@
                     && job.is_due(step, unix_ms)
                     && wants_room(job, step, now)
                 {
+                    let candidate = Candidate { job: job.id, step };
+                    if let Some(reason) = bar {
+                        barred.push((reason, candidate));
+                        continue;
+                    }
                     let rank = *rank.get_or_insert_with(|| {
                         let beyond_due = self.is_beyond_due(job);
                         rank_job(job, &self.timing.policy, now).with_beyond_due(beyond_due)
                     });
-                    ranked.push((rank, Candidate { job: job.id, step }));
+                    ranked.push((rank, candidate));
                 }
             }
         }
+        for (reason, candidate) in barred {
+            self.note_stand(&candidate, Some(reason), now);
+        }
         ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.job, candidate.step));
         ranked.into_iter().map(|(_, candidate)| candidate).collect()
     }
 
-    fn place_step(&mut self, candidate: &Candidate, open: &OpenWorkers, now: Moment) {
+    /// Starts what can be started of a step, and asks for advice that is missing. Returns what the others wait for.
+    fn place_step(
+        &mut self,
+        candidate: &Candidate,
+        open: &OpenWorkers,
+        now: Moment,
+    ) -> Option<StandReason> {
         if self.judge_step(candidate.job, candidate.step, now) {
-            return;
+            return None;
         }
-        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let job = self.jobs.get(&candidate.job)?;
         let record = job.record.clone();
         let spec = record.step_spec(candidate.step);
         let displaces = record.policy.priority < open.least_urgent;
         let isolates = |task: &work::TaskWork| task.suspicion.stage() == SuspectStage::Alone;
         let claims = self.suspects_seen && job.step_tasks(candidate.step).iter().any(isolates);
         if !open.most.fits(&spec.need) && !displaces && !claims {
-            return;
+            return Some(StandReason::NoRoom);
         }
         let mut waiting = waiting_tasks(job, candidate.step, now);
         let ordered = job.ordered == OrderedMark::Recorded;
+        let held = spec.gang && waiting.len() < job.steps[candidate.step].left;
         let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, waiting.len());
         if allowed == 0 {
             self.keep_room(candidate, spec, waiting.len(), now);
-            return;
+            return Some(StandReason::Limit);
         }
         waiting.truncate(allowed);
         if ordered {
             let left = self.start_waiting(candidate, spec, open, &waiting, now);
             if left.alone + left.others == 0 {
-                return;
+                return None;
             }
             self.keep_room(candidate, spec, left.alone + left.others, now);
             if left.alone > 0 {
@@ -156,7 +178,12 @@
                 self.displace_for(candidate, spec, left.others, now);
             }
         }
-        self.ask_advice(candidate, spec, open, now);
+        let reason = self.ask_advice(candidate, spec, open, now);
+        Some(match ordered {
+            false => StandReason::NotRecorded,
+            true if held => StandReason::Suspect,
+            true => reason,
+        })
     }
 
     /// Starts those of the tasks that wait for which there is room. Returns how many are left.
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/standing.rs
@@ -0,0 +1,244 @@
+//! Why a step whose turn has come has nothing running.
+//!
+//! Most steps that wait are passed over by one look: no room, no ticket, nobody to ask. Such a look leaves no line, so a
+//! job that stood for a minute left none at all. The scheduler therefore keeps for each step the gate at which it was
+//! last turned back and since when the step stands, shows them as figures, and says so once a step has stood for some
+//! seconds beside room for it twice over.
+
+use std::fmt;
+
+use sedgehill_core::units::{Moment, TimeSpan};
+
+use super::placement::{Candidate, OpenWorkers, waiting_tasks};
+use super::worker::WorkerTrust;
+use super::*;
+
+/// A step that has stood for so long with room is told of: as long as the users allow.
+const STANDS_AFTER: TimeSpan = TimeSpan(3_000);
+/// It is told of again so much later, if it still stands.
+const TOLD_AGAIN: TimeSpan = TimeSpan(10_000);
+/// Steps that are told of in one turn, at the most: a cell in which everything stands needs no more lines.
+const TOLD_AT_ONCE: usize = 4;
+/// Room for so many times what waits is no lack of room.
+const ROOM_TIMES: usize = 2;
+
+/// The gate at which a step was turned back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StandReason {
+    /// The list of workers was read too long ago to start anything.
+    OldList,
+    /// An earlier lead may have something of the job running.
+    EarlierLead,
+    /// A later lead seems to have marked the job.
+    LaterLead,
+    /// It is not recorded yet that tasks of the job may run.
+    NotRecorded,
+    /// A member is held until more is known of a worker that was lost under it.
+    Suspect,
+    /// The limit of its organisation.
+    Limit,
+    /// No worker that takes work has room for a single task.
+    NoRoom,
+    /// There is room for some members of a gang, and not for all.
+    GangRoom,
+    /// Workers that may run it are known, and have no room that is not kept for others.
+    KnownRoom,
+    /// The room that is expected on workers that were not asked about is less than a gang needs.
+    ExpectedRoom,
+    /// All workers are known, and none of them may run it.
+    NobodyGood,
+    /// No box is free to ask the advice service.
+    NoHelper,
+    /// A question failed a moment ago.
+    AskedLately,
+    /// A question is under way.
+    Asking,
+}
+
+impl StandReason {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            StandReason::OldList => "old_list",
+            StandReason::EarlierLead => "earlier_lead",
+            StandReason::LaterLead => "later_lead",
+            StandReason::NotRecorded => "not_recorded",
+            StandReason::Suspect => "suspect",
+            StandReason::Limit => "limit",
+            StandReason::NoRoom => "no_room",
+            StandReason::GangRoom => "gang_room",
+            StandReason::KnownRoom => "known_room",
+            StandReason::ExpectedRoom => "expected_room",
+            StandReason::NobodyGood => "nobody_good",
+            StandReason::NoHelper => "no_helper",
+            StandReason::AskedLately => "asked_lately",
+            StandReason::Asking => "asking",
+        }
+    }
+}
+
+impl fmt::Display for StandReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// A step that has nothing running though its turn has come.
+#[derive(Debug, Clone, Copy)]
+pub struct StepStand {
+    /// Since when.
+    pub since: Moment,
+    /// Where it was turned back last.
+    pub reason: StandReason,
+    /// When it was told of last.
+    told: Option<Moment>,
+}
+
+/// What was believed when a step was told of as standing.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StandBelief {
+    /// Tasks that wait.
+    pub waiting: usize,
+    /// Places for them on workers that take work, whoever may run the step.
+    pub places: usize,
+    /// Those of the places that are on workers known as good, and on workers never asked about.
+    pub places_good: usize,
+    /// See above.
+    pub places_unknown: usize,
+    /// Workers known as good, and as not good.
+    pub good: usize,
+    /// See above.
+    pub not_good: usize,
+    /// Workers that get at most one run since they did badly.
+    pub shunned: usize,
+    /// The share of workers that is taken as good in the queue, in hundredths.
+    pub share_percent: u64,
+    /// Questions under way.
+    pub asking: usize,
+    /// Since the last question was sent; none if there was none.
+    pub asked_ago: Option<TimeSpan>,
+}
+
+/// Steps that stand for one reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StandFigures {
+    /// The reason.
+    pub reason: StandReason,
+    /// How many.
+    pub steps: usize,
+    /// The longest time that one of them has stood.
+    pub longest: TimeSpan,
+}
+
+impl JobWork {
+    /// Whether a task of a step runs, or may.
+    fn has_placed(&self, step: usize) -> bool {
+        let placed = |task: &work::TaskWork| matches!(task.phase, TaskPhase::Placed(..));
+        self.step_tasks(step).iter().any(placed)
+    }
+}
+
+impl Scheduler {
+    /// Notes at which gate a step was turned back; none if something of it was started.
+    pub(super) fn note_stand(
+        &mut self,
+        candidate: &Candidate,
+        reason: Option<StandReason>,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
+        let stands = reason.filter(|_| !job.has_placed(candidate.step));
+        let stand = &mut job.steps[candidate.step].stand;
+        *stand = stands.map(|reason| match *stand {
+            Some(stand) => StepStand { reason, ..stand },
+            None => StepStand { since: now, reason, told: None },
+        });
+    }
+
+    /// Tells of steps that have stood for long beside room for them.
+    pub(super) fn tell_stands(&mut self, open: &OpenWorkers, now: Moment) {
+        let is_long = |stand: &StepStand| {
+            let told = stand.told.is_some_and(|told| now < told.after(TOLD_AGAIN));
+            now >= stand.since.after(STANDS_AFTER) && !told
+        };
+        let mut long: Vec<(Moment, Candidate)> = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.is_over()) {
+            for (step, work) in job.steps.iter().enumerate() {
+                let Some(stand) = work.stand.filter(is_long) else { continue };
+                // It may have been taken over from an earlier lead since.
+                if !job.has_placed(step) {
+                    long.push((stand.since, Candidate { job: job.id, step }));
+                }
+            }
+        }
+        long.sort_by_key(|(since, candidate)| (*since, candidate.job, candidate.step));
+        let mut told = 0;
+        for (since, candidate) in long {
+            let Some(belief) = self.stand_belief(&candidate, open, now) else { continue };
+            let Some(job) = self.jobs.get_mut(&candidate.job) else { continue };
+            let work = &mut job.steps[candidate.step];
+            let Some(stand) = &mut work.stand else { continue };
+            // Looked at again later, whether it is told of or not: the look goes over all workers.
+            stand.told = Some(now);
+            if belief.places < ROOM_TIMES * belief.waiting || told == TOLD_AT_ONCE {
+                continue;
+            }
+            told += 1;
+            let (step, reason) = (work.id, stand.reason);
+            self.events.push(CellEvent::Stands { step, reason, stood: now.since(since), belief });
+        }
+    }
+
+    fn stand_belief(
+        &self,
+        candidate: &Candidate,
+        open: &OpenWorkers,
+        now: Moment,
+    ) -> Option<StandBelief> {
+        let job = self.jobs.get(&candidate.job)?;
+        let spec = job.step_spec(candidate.step);
+        let advice = &job.steps[candidate.step].advice;
+        let mut belief = StandBelief {
+            waiting: waiting_tasks(job, candidate.step, now).len(),
+            places: 0,
+            places_good: 0,
+            places_unknown: 0,
+            good: advice.known.values().filter(|known| known.is_some()).count(),
+            not_good: advice.known.values().filter(|known| known.is_none()).count(),
+            shunned: self.workers.iter().filter(|one| one.trust != WorkerTrust::Sound).count(),
+            share_percent: (self.share_of(&job.record.queue) * 100.0) as u64,
+            asking: advice.asking.len(),
+            asked_ago: advice.asked.map(|asked| now.since(asked)),
+        };
+        for key in &open.list {
+            let worker = &self.workers[key.0];
+            let places = match self.admits(*key, job, candidate.step, spec, now) {
+                true => worker.free.capacity_for(&spec.need) as usize,
+                false => 0,
+            };
+            belief.places += places;
+            match advice.known.get(key) {
+                Some(Some(_)) => belief.places_good += places,
+                Some(None) => {}
+                None => belief.places_unknown += places,
+            }
+        }
+        Some(belief)
+    }
+
+    /// The steps that stand, by reason.
+    pub fn stand_figures(&self, now: Moment) -> Vec<StandFigures> {
+        let mut figures: BTreeMap<StandReason, StandFigures> = BTreeMap::new();
+        let jobs = self.jobs.values().filter(|job| !job.is_over());
+        let steps = jobs.flat_map(|job| (0..job.steps.len()).map(move |step| (job, step)));
+        let standing = steps.filter(|(job, step)| !job.has_placed(*step));
+        for stand in standing.filter_map(|(job, step)| job.steps[step].stand) {
+            let reason = if self.knows_sizes(now) { stand.reason } else { StandReason::OldList };
+            let one = figures.entry(reason);
+            let one = one.or_insert(StandFigures { reason, steps: 0, longest: TimeSpan(0) });
+            one.steps += 1;
+            one.longest = one.longest.max(now.since(stand.since));
+        }
+        figures.into_values().collect()
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -7,6 +7,7 @@
 use super::advice::StepAdvice;
 use super::message::WorkerKey;
 use super::organisations::OrganisationKey;
+use super::standing::StepStand;
 use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId};
 use crate::job::{JobRecord, RepeatSpec, StepSpec};
 use crate::progress::{JobProgress, JobState, TaskProgress};
@@ -65,6 +66,8 @@
     pub advice: StepAdvice,
     /// Whether it was last held back by the limit of its organisation.
     pub held: bool,
+    /// Set while its turn has come and nothing of it runs.
+    pub stand: Option<StepStand>,
 }
 
 /// Whether it is recorded that tasks of the job may run.
@@ -151,6 +154,7 @@
                     left: left.count(),
                     advice: StepAdvice::default(),
                     held: false,
+                    stand: None,
                 });
                 first += count;
             }
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -48,6 +48,7 @@
             telemetry::note_cell_time("sedgehill_cell_advice_seconds", took.0 as f64 / MILLIS);
         }
         CellEvent::Held { .. } => telemetry::count_cell_event("held", "limit"),
+        CellEvent::Stands { reason, .. } => telemetry::count_cell_event("stands", reason.name()),
         CellEvent::JobEnded { state, after, .. } => {
             telemetry::count_cell_event("job_ended", state.name());
             telemetry::note_cell_time("sedgehill_cell_job_seconds", after.0 as f64 / MILLIS);
@@ -115,6 +116,14 @@
             info!(log, "held back by a limit"; "step" => %step, "organisation" => %organisation,
                 "running" => %running, "limit" => %limit, "need" => %need);
         }
+        CellEvent::Stands { step, reason, stood, belief } => {
+            warn!(log, "step stands"; "token" => %token, "step" => %step, "reason" => %reason,
+                "stood_ms" => stood.0, "waiting" => belief.waiting, "places" => belief.places,
+                "places_good" => belief.places_good, "places_unknown" => belief.places_unknown,
+                "good" => belief.good, "not_good" => belief.not_good, "shunned" => belief.shunned,
+                "share_percent" => belief.share_percent, "asking" => belief.asking,
+                "asked_ms_ago" => belief.asked_ago.map(|ago| ago.0));
+        }
         CellEvent::JobEnded { job, state, after } => {
             info!(log, "job ended"; "job" => %job, "state" => ?state, "after_ms" => after.0);
         }
--- a/crates/sedgehilld/src/cell/figures.rs
+++ b/crates/sedgehilld/src/cell/figures.rs
@@ -1,26 +1,42 @@
-//! What the lead shows of organisations, as metrics.
+//! What the lead shows of organisations and of steps that stand, as metrics.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sedgehill_cell::scheduler::OrganisationFigures;
+use sedgehill_cell::scheduler::{OrganisationFigures, StandFigures, StandReason};
 use sedgehill_core::units::{CoreCount, ResourceSet};
 
 use super::lead::LeadSession;
-use crate::telemetry;
+use crate::{clock, telemetry};
 
 /// Time between two updates.
 const EVERY: Duration = Duration::from_secs(1);
 /// Thousandths in a core, and in a job a second.
 const THOUSANDTHS: f64 = 1_000.0;
+/// Milliseconds in a second.
+const MILLIS: f64 = 1_000.0;
 /// Shown where there is no limit, as Prometheus writes it.
 const NO_LIMIT: f64 = f64::INFINITY;
 
 /// Shows what organisations have running for as long as the lead lasts. A box that does not lead any more
 /// shows that nothing runs by its orders.
 pub async fn show(session: &LeadSession) {
+    let mut shown = BTreeSet::new();
     loop {
         tokio::time::sleep(EVERY).await;
         write(&session.scheduler.borrow().organisation_figures());
+        write_stands(&session.scheduler.borrow().stand_figures(clock::now()), &mut shown);
+    }
+}
+
+/// Shows the steps that stand. Reasons that were shown and hold for none any more are set to nothing.
+fn write_stands(figures: &[StandFigures], shown: &mut BTreeSet<StandReason>) {
+    for one in figures {
+        shown.insert(one.reason);
+        telemetry::set_standing(one.reason.name(), one.steps, one.longest.0 as f64 / MILLIS);
+    }
+    for reason in shown.iter().filter(|reason| figures.iter().all(|one| one.reason != **reason)) {
+        telemetry::set_standing(reason.name(), 0, 0.0);
     }
 }
 
@@ -31,6 +47,8 @@
         (one.running, one.open_jobs) = (ResourceSet::default(), 0);
     }
     write(&figures);
+    let stands = session.scheduler.borrow().stand_figures(clock::now());
+    write_stands(&[], &mut stands.iter().map(|one| one.reason).collect());
 }
 
 fn write(figures: &[OrganisationFigures]) {
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -156,3 +156,9 @@
 pub fn set_organisation_gauge(metric: &'static str, name: &str, value: f64) {
     gauge!(metric, "organisation" => name.to_owned()).set(value);
 }
+
+/// Notes how many steps stand for a reason, and for how long the one that has stood the longest.
+pub fn set_standing(reason: &'static str, steps: usize, longest_seconds: f64) {
+    gauge!("sedgehill_cell_standing_steps", "reason" => reason).set(steps as f64);
+    gauge!("sedgehill_cell_standing_longest_seconds", "reason" => reason).set(longest_seconds);
+}
