standin, soak: a world with wide gangs and dear advice, and a watch that no job stands while the load goes on

The advice service of the stand-ins takes its time, one question a box, with tickets that workers check and boxes whose questions fail, go unanswered or take long. The watch goes by what callers were told and what workers run. `--calm`: no fault but trouble of one box's questions.

--- a/crates/sedgehill-cell/src/scheduler/standing.rs
+++ b/crates/sedgehill-cell/src/scheduler/standing.rs
@@ -130,6 +130,13 @@
     pub longest: TimeSpan,
 }
 
+impl WorkerState {
+    /// Whether it is there and gets one run at a time.
+    fn is_distrusted(&self) -> bool {
+        !self.dead && self.trust != WorkerTrust::Sound
+    }
+}
+
 impl JobWork {
     /// Whether a task of a step runs, or may.
     fn has_placed(&self, step: usize) -> bool {
@@ -205,7 +212,7 @@
             places_unknown: 0,
             good: advice.known.values().filter(|known| known.is_some()).count(),
             not_good: advice.known.values().filter(|known| known.is_none()).count(),
-            shunned: self.workers.iter().filter(|one| one.trust != WorkerTrust::Sound).count(),
+            shunned: self.workers.iter().filter(|one| one.is_distrusted()).count(),
             share_percent: (self.share_of(&job.record.queue) * 100.0) as u64,
             asking: advice.asking.len(),
             asked_ago: advice.asked.map(|asked| now.since(asked)),
--- a/crates/sedgehill-standin/src/cell_platform/life.rs
+++ b/crates/sedgehill-standin/src/cell_platform/life.rs
@@ -33,6 +33,8 @@
     pub run: u64,
     pub begun: u64,
     pub span: u64,
+    /// What it takes, in cores.
+    pub cores: usize,
     /// When it will have been stopped; none if nobody stops it.
     pub stops_at: Option<u64>,
     /// When it crashes its worker; none if it does not.
@@ -82,6 +84,11 @@
         self.lease_until = self.lease_until.max(until.min(most));
     }
 
+    /// What all runs take, in cores.
+    pub fn used_cores(&self) -> usize {
+        self.runs.values().map(|run| run.cores).sum()
+    }
+
     /// The run that has crashed the worker by now, if one has: it was still there when its time came.
     pub fn crashed_by(&self, now: u64) -> Option<(&String, u64)> {
         let crashes = self.runs.iter().filter_map(|(task, run)| Some((task, run.crashes_at?)));
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -4,6 +4,7 @@
 //! task in two places, a task begun after its acknowledged end, a worker over its size, a task that crashes its
 //! workers started without end.
 
+mod advice;
 mod life;
 mod oracle;
 mod store;
@@ -18,10 +19,13 @@
 
 use sedgehill_cell::authority::LeadRecord;
 
+pub use self::advice::{AdviceTrouble, StandinAdvice, StepHabit};
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
-pub use self::worker::{CORES, CRASH_SPEC, GANG_SPEC, StandinWorkers, span_of};
-use crate::http_server::{ServerGuard, json, read_json, serve};
+pub use self::worker::{
+    CORES, CRASH_SPEC, GANG_SPEC, StandinWorkers, WIDE_SPEC, WorkerSight, span_of,
+};
+use crate::http_server::{ServerGuard, serve};
 
 /// The stand-ins, which stop when dropped.
 pub struct CellPlatform {
@@ -29,6 +33,8 @@
     pub store: Arc<StandinStore>,
     /// The workers.
     pub workers: Arc<StandinWorkers>,
+    /// The advice service.
+    pub advice: Arc<StandinAdvice>,
     /// Where the store listens.
     pub store_address: SocketAddr,
     /// Where the advice service listens.
@@ -61,14 +67,20 @@
 impl CellPlatform {
     /// Starts a store, an advice service that likes every worker, and some workers of 4 cores.
     pub async fn start(workers: usize) -> std::io::Result<CellPlatform> {
+        CellPlatform::start_sized(workers, CORES).await
+    }
+
+    /// The same with workers of so many cores.
+    pub async fn start_sized(workers: usize, cores: usize) -> std::io::Result<CellPlatform> {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let store = Arc::new(StandinStore::default());
         let serving = store.clone();
         let mut guards = Vec::new();
         guards.push(serve(any, move |request| store::answer(serving.clone(), request)).await?);
-        guards.push(serve(any, answer_advice).await?);
+        let pool = Arc::new(StandinWorkers::new(workers, cores));
+        let advice = Arc::new(StandinAdvice::new(pool.clone(), workers));
+        guards.push(serve_advice(&advice).await?);
         let (store_address, advice_address) = (guards[0].address, guards[1].address);
-        let pool = Arc::new(StandinWorkers::new(workers));
         let mut worker_addresses = Vec::new();
         for number in 0..workers {
             let serving = pool.clone();
@@ -81,6 +93,7 @@
         let platform = CellPlatform {
             store,
             workers: pool,
+            advice,
             store_address,
             advice_address,
             worker_addresses,
@@ -91,6 +104,15 @@
         Ok(platform)
     }
 
+    /// Opens a way to the advice service for one box more. Returns its address; boxes are numbered from 1, since all
+    /// that were not given a way of their own are number 0.
+    pub async fn open_advice(&mut self) -> std::io::Result<SocketAddr> {
+        let guard = serve_advice(&self.advice).await?;
+        let address = guard.address;
+        self._guards.push(guard);
+        Ok(address)
+    }
+
     /// Has the store list the life that a worker has now.
     pub fn list_worker(&self, number: usize) {
         list_life(&self.workers, &self.store, self.worker_addresses[number], number);
@@ -131,6 +153,19 @@
         self.store.put("keyed.op", "config", &one_queue(version));
     }
 
+    /// The version after that of the configuration in the store.
+    pub fn next_version(&self) -> u64 {
+        let config = self.store.newest_value("keyed.op", "config").unwrap_or_default();
+        let config: serde_json::Value = serde_json::from_slice(&config).unwrap_or_default();
+        config["version"].as_u64().unwrap_or(0) + 1
+    }
+
+    /// Puts a configuration of any queues into the store.
+    pub fn configure_queues(&self, version: u64, queues: &[serde_json::Value]) {
+        let config = serde_json::json!({ "version": version, "routes": queues });
+        self.store.put("keyed.op", "config", &config);
+    }
+
     /// The same with organisations, whose callers need keys.
     pub fn configure_organisations(&self, version: u64, organisations: &[StandinOrganisation]) {
         let tenant = |organisation: &StandinOrganisation| {
@@ -190,16 +225,8 @@
     })
 }
 
-#[derive(serde::Deserialize)]
-struct Question {
-    workers: Vec<String>,
-}
-
-async fn answer_advice(
-    request: http::Request<hyper::body::Incoming>,
-) -> crate::http_server::JsonResponse {
-    let question: Option<Question> = read_json(request).await;
-    let workers = question.map(|question| question.workers).unwrap_or_default();
-    let good: Vec<(String, &str)> = workers.into_iter().map(|name| (name, "ticket")).collect();
-    json(&serde_json::json!({ "good": good, "valid_ms": 2000 }))
+async fn serve_advice(advice: &Arc<StandinAdvice>) -> std::io::Result<ServerGuard> {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let (serving, number) = (advice.clone(), advice.add_box());
+    serve(any, move |request| advice::answer(serving.clone(), number, request)).await
 }
--- a/crates/sedgehill-standin/src/cell_platform/oracle.rs
+++ b/crates/sedgehill-standin/src/cell_platform/oracle.rs
@@ -85,6 +85,11 @@
         of_job.into_iter().any(|(_, count)| *count >= CRASHES_GIVEN_UP)
     }
 
+    /// Tasks whose end somebody has noted.
+    pub fn done_tasks(&self) -> impl Iterator<Item = &String> {
+        self.noted.keys()
+    }
+
     /// Tells of a job with gangs.
     pub fn note_gangs(&mut self, task: &str) {
         self.gangs.insert(job_of(task));
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -1,6 +1,6 @@
 //! Workers that run tasks under leases, and count what must never happen.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 
+use super::advice;
 use super::life::{StandinClock, StandinLife, StandinRun};
 use super::oracle::TaskOracle;
 use super::trouble::{CallFate, FateDrawer, PathTrouble};
@@ -27,7 +28,7 @@
 /// One of those runs for so many times as long: past the longest lease.
 const LONGER_ONE_IN: u64 = 6;
 const LONGER_TIMES: u64 = 4;
-/// Cores of a worker. Each task of the tests needs one.
+/// Cores of a worker, where nothing else is asked for. Each task needs one, unless its work says more.
 pub const CORES: usize = 4;
 /// A worker that shrank may be filled by what it had for so long, in milliseconds: the users allow 3 s and a beat.
 const SIZE_KNOWN_MS: u64 = 4_500;
@@ -78,6 +79,24 @@
     delay_ms: AtomicU64,
 }
 
+/// A worker as seen from outside.
+#[derive(Debug, Clone)]
+pub struct WorkerSight {
+    /// A life is there.
+    pub lives: bool,
+    /// What it has, in cores.
+    pub cores: usize,
+    /// What runs there takes so many of them.
+    pub used: usize,
+    /// The step of each task that runs there.
+    pub running: Vec<String>,
+}
+
+/// The step of a task.
+fn step_of(task: &str) -> &str {
+    task.rsplit_once('.').map_or(task, |(step, _)| step)
+}
+
 /// The name of a life.
 pub fn name(number: usize, life: usize) -> String {
     match life {
@@ -95,14 +114,14 @@
 }
 
 impl StandinWorkers {
-    /// Workers that run nothing.
-    pub fn new(count: usize) -> StandinWorkers {
+    /// Workers of so many cores that run nothing.
+    pub fn new(count: usize, cores: usize) -> StandinWorkers {
         let site = |number| WorkerSite {
             life: Some(new_life(number, 0)),
             lives: 1,
             trouble: None,
             starts: 0,
-            cores: CORES,
+            cores,
             earlier_cores: Vec::new(),
             back_at: None,
             listed: Vec::new(),
@@ -244,7 +263,36 @@
         self.state.lock().oracle.begun_jobs.clone()
     }
 
-    fn now_ms(&self) -> u64 {
+    /// What runs on each worker, as seen from outside.
+    pub fn sights(&self) -> Vec<WorkerSight> {
+        let now = self.now_ms();
+        let state = &mut *self.state.lock();
+        state.settle(now);
+        let sight = |site: &WorkerSite| WorkerSight {
+            lives: site.life.is_some(),
+            cores: site.cores,
+            used: site.life.as_ref().map_or(0, StandinLife::used_cores),
+            running: site
+                .life
+                .iter()
+                .flat_map(|life| life.runs.keys())
+                .map(|task| step_of(task).to_owned())
+                .collect(),
+        };
+        state.sites.iter().map(sight).collect()
+    }
+
+    /// How many tasks of each step have ended done.
+    pub fn done_tasks(&self) -> BTreeMap<String, usize> {
+        let state = self.state.lock();
+        let mut done: BTreeMap<String, usize> = BTreeMap::new();
+        for task in state.oracle.done_tasks() {
+            *done.entry(step_of(task).to_owned()).or_default() += 1;
+        }
+        done
+    }
+
+    pub(super) fn now_ms(&self) -> u64 {
         self.begun.elapsed().as_millis() as u64
     }
 }
@@ -276,7 +324,7 @@
         let site = &self.sites[number];
         let earlier = site.earlier_cores.iter().filter(|(_, until)| now < *until);
         let most = earlier.map(|(cores, _)| *cores).max().unwrap_or(0).max(site.cores);
-        site.life.as_ref().is_some_and(|life| life.runs.len() > most)
+        site.life.as_ref().is_some_and(|life| life.used_cores() > most)
     }
 }
 
@@ -434,11 +482,11 @@
 
 fn start(state: &mut PoolState, call: &Call, now: u64) -> JsonResponse {
     let (order, number) = (&call.order, call.number);
-    let step = order.task.rsplit_once('.').map_or(order.task.as_str(), |(step, _)| step);
-    let span = span_of(step, &state.run_ms);
+    let span = span_of(step_of(&order.task), &state.run_ms);
     let Some(life) = &mut state.sites[number].life else { return status(StatusCode::NOT_FOUND) };
     let clock = life.clock.at(now);
-    if order.ticket.as_deref() != Some("ticket") {
+    let ticket = order.ticket.as_deref().unwrap_or_default();
+    if !advice::holds(ticket, &order.task, &life.name, now) {
         return refuse("ticket", clock);
     }
     if order.deadline_ms < clock {
@@ -462,7 +510,7 @@
     let PoolState { sites, oracle, .. } = state;
     let lives: Vec<&StandinLife> = sites.iter().flat_map(|site| &site.life).collect();
     oracle.note_start(&order.task, now, &told, &lives);
-    if order.spec == GANG_SPEC {
+    if order.spec == GANG_SPEC || order.spec.starts_with(WIDE_SPEC) {
         oracle.note_gangs(&order.task);
     }
     let crashes_at = crash_time(order).map(|after| now + after);
@@ -471,7 +519,8 @@
     }
     sites[number].starts += 1;
     if let Some(life) = &mut sites[number].life {
-        let run = StandinRun { run: order.run, begun: now, span, stops_at: None, crashes_at, told };
+        let (run, cores) = (order.run, cores_of(&order.spec));
+        let run = StandinRun { run, begun: now, span, cores, stops_at: None, crashes_at, told };
         life.runs.insert(order.task.clone(), run);
     }
     if state.is_over_size(number, now) {
@@ -495,3 +544,11 @@
 
 /// What jobs with gangs carry as their work.
 pub const GANG_SPEC: &str = "gang";
+
+/// What jobs with gangs of large members carry as their work, before the cores of a member.
+pub const WIDE_SPEC: &str = "wide ";
+
+/// The cores that a task needs.
+fn cores_of(spec: &str) -> usize {
+    spec.strip_prefix(WIDE_SPEC).and_then(|cores| cores.parse().ok()).unwrap_or(1)
+}
--- a/crates/sedgehill-standin/src/cell_process.rs
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -59,6 +59,12 @@
         self
     }
 
+    /// The same site with a way of its own to the advice service.
+    pub fn with_advice(mut self, advice: SocketAddr) -> CellSite {
+        self.advice = advice;
+        self
+    }
+
     /// Starts the box. Its settings and its log lie in `directory`; the log is appended to.
     pub fn start(&self, directory: &Path) -> std::io::Result<CellProcess> {
         let mut settings = json!({
--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -22,8 +22,10 @@
                  capacity: state, messages, time and memory at growing sizes
     soak         boxes in cell mode under random faults, their promises checked
                  [--seed N] [--seeds COUNT] [--seconds N] [--boxes N] [--workers N] [--keep DIR]
+                 [--wide] [--calm]
                  --seed is drawn where it is left out; COUNT seeds from it on are run; the logs of
-                 a run that breaks a promise stay in DIR
+                 a run that breaks a promise stay in DIR; --wide: larger workers, gangs as wide as half
+                 of the cell, dear advice, and a watch that no job stands; --calm: no faults but of advice
     log          --listen ADDRESS
     list         --listen ADDRESS --file LIST.json
     worker       --listen ADDRESS --id NAME [--cores N] [--memory SIZE] [--accelerators N]
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -15,8 +15,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::RUN_MS;
 use super::keys::SOAK_KEY;
+use super::{RUN_MS, SoakSize, SoakWorld, wide};
 use crate::cell_platform::{CRASH_SPEC, GANG_SPEC, span_of};
 
 /// How often a caller tries one job before it gives up.
@@ -52,6 +52,8 @@
     pub cancelled: BTreeSet<u64>,
     /// Each answer said that the job was not taken.
     pub refused: BTreeSet<u64>,
+    /// What was handed in for those that were accepted.
+    pub bodies: BTreeMap<u64, String>,
     /// Answers by status; 0 for none.
     pub answers: BTreeMap<u16, u64>,
 }
@@ -59,13 +61,14 @@
 /// What callers share.
 pub struct CallerPool {
     boxes: Vec<SocketAddr>,
+    size: SoakSize,
     told: Arc<Mutex<ToldJobs>>,
 }
 
 impl CallerPool {
     /// Callers of these boxes.
-    pub fn new(boxes: Vec<SocketAddr>) -> CallerPool {
-        CallerPool { boxes, told: Arc::default() }
+    pub fn new(boxes: Vec<SocketAddr>, size: SoakSize) -> CallerPool {
+        CallerPool { boxes, size, told: Arc::default() }
     }
 
     /// What they were told.
@@ -82,7 +85,10 @@
         let mut again = StdRng::seed_from_u64(seed ^ (caller << 32) ^ AGAIN_SALT);
         let mut accepted: VecDeque<(u64, String)> = VecDeque::new();
         for number in 0.. {
-            let id = (caller << 48) | number;
+            let id = match self.size.world {
+                SoakWorld::Narrow => (caller << 48) | number,
+                SoakWorld::Wide => wide::id_of(caller, number),
+            };
             if let Some(body) = self.hand_in(&client, &mut rng, id).await {
                 accepted.push_back((id, body));
             }
@@ -107,9 +113,11 @@
         id: u64,
     ) -> Option<String> {
         let body = draw_job(rng, id);
-        let crash = draw_crash(id);
+        // A crash a second takes a wide cell's room away in no calm that could be judged.
+        let crash = draw_crash(id).filter(|_| self.size.world == SoakWorld::Narrow);
         let body = match crash {
             Some(after) => crashing_job(after),
+            None if wide::is_wide(id) => wide::draw_wide(id, self.size.workers).to_string(),
             None => body,
         };
         let mut doubtful = false;
@@ -118,6 +126,7 @@
             match self.call(client, address, Method::POST, id, &body).await {
                 Some(StatusCode::OK) => {
                     self.told.lock().accepted.insert(id);
+                    self.told.lock().bodies.insert(id, body.clone());
                     if crash.is_some() {
                         self.told.lock().crashing.insert(id);
                     }
@@ -163,7 +172,7 @@
     ) -> Option<StatusCode> {
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{address}/checks/{id:016x}"))
+            .uri(format!("http://{address}{}", wide::path_of(id)))
             .header("host", "cell.example")
             .header("deadline-ms", "3000")
             .header("authorization", format!("Token {SOAK_KEY}"))
--- a/crates/sedgehill-standin/src/soak/faults.rs
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -5,9 +5,11 @@
 use nix::sys::signal::Signal;
 
 use super::Soak;
+use super::SoakWorld;
 use super::plan::SoakFault;
 use super::proxy::PathState;
-use crate::cell_platform::{CORES, PROGRESS_TOPIC, PathTrouble};
+use super::wide;
+use crate::cell_platform::{PROGRESS_TOPIC, PathTrouble};
 
 /// What ends a fault again.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +25,7 @@
     Size(usize),
     Appends,
     ReadProgress,
+    Advice(usize),
 }
 
 impl Soak<'_> {
@@ -45,6 +48,9 @@
         repairs: &mut Vec<(Instant, Repair)>,
     ) -> std::io::Result<()> {
         let after = |span: Duration| Instant::now() + span;
+        if !fault.is_of_advice() {
+            self.progress.note_fault();
+        }
         match fault {
             SoakFault::Kill(number, pause) => {
                 self.boxes[number].process = None;
@@ -71,7 +77,11 @@
                 self.platform.store.set_silent(true);
                 repairs.push((after(span), Repair::StoreSpeaks));
             }
-            SoakFault::Configure => self.keys.configure(&self.platform),
+            SoakFault::Configure => self.configure(),
+            SoakFault::Advice(number, trouble, span) => {
+                self.platform.advice.set_trouble(number + 1, Some(trouble));
+                repairs.push((after(span), Repair::Advice(number)));
+            }
             SoakFault::KillLead(pause) => {
                 let Some(number) = self.lead() else { return Ok(()) };
                 self.boxes[number].process = None;
@@ -117,7 +127,18 @@
         Ok(())
     }
 
+    /// Puts the next configuration into the store.
+    fn configure(&self) {
+        match self.size.world {
+            SoakWorld::Narrow => self.keys.configure(&self.platform),
+            SoakWorld::Wide => wide::configure(&self.platform, self.platform.next_version()),
+        }
+    }
+
     pub(super) fn repair(&mut self, repair: Repair) -> std::io::Result<()> {
+        if !matches!(repair, Repair::Advice(_)) {
+            self.progress.note_fault();
+        }
         match repair {
             Repair::Start(number) => self.start_box(number)?,
             Repair::Wake(number) => self.signal(number, Signal::SIGCONT),
@@ -127,9 +148,10 @@
             Repair::Revive(number) => self.revive(number),
             Repair::List(number) => self.platform.list_worker(number),
             Repair::Unlist(life) => self.platform.unlist_worker(&life),
-            Repair::Size(number) => self.platform.resize_worker(number, CORES),
+            Repair::Size(number) => self.platform.resize_worker(number, self.size.cores()),
             Repair::Appends => self.platform.store.set_trouble(None),
             Repair::ReadProgress => self.platform.store.hold_reads(None),
+            Repair::Advice(number) => self.platform.advice.set_trouble(number + 1, None),
         }
         Ok(())
     }
@@ -156,9 +178,10 @@
         for number in 0..self.size.workers {
             self.platform.workers.set_trouble(number, None);
             self.revive(number);
-            self.platform.resize_worker(number, CORES);
+            self.platform.resize_worker(number, self.size.cores());
         }
         for number in 0..self.boxes.len() {
+            self.platform.advice.set_trouble(number + 1, None);
             self.boxes[number].path.set(PathState::Open);
             self.signal(number, Signal::SIGCONT);
             self.start_box(number)?;
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -5,17 +5,21 @@
 mod faults;
 mod keys;
 mod plan;
+mod progress;
 mod proxy;
+mod wide;
 
 use std::path::Path;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use self::callers::CallerPool;
 use self::faults::Repair;
 use self::keys::{SOAK_KEY, SoakKeys};
 pub use self::plan::{SoakFault, SoakPlan, draw_plan};
+use self::progress::ProgressWatch;
 pub use self::proxy::{FaultyPath, PathState};
-use crate::cell_platform::CellPlatform;
+use crate::cell_platform::{CORES, CellPlatform};
 use crate::cell_process::{CellProcess, CellSite, call, call_with_key};
 
 /// How long tasks run, in milliseconds: many outlive their lead.
@@ -27,18 +31,55 @@
 /// Time between two looks.
 const TURN: Duration = Duration::from_millis(100);
 
-/// How large a cell is.
+/// What a cell of a soak is like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SoakWorld {
+    /// Workers of four cores, an organisation with keys and limits, jobs of a few tasks, an advice service that likes
+    /// every worker at once.
+    Narrow,
+    /// Workers of sixteen cores, jobs with gangs as wide as half of the cell among narrow ones, dear advice. It is
+    /// watched that no job stands while the load goes on.
+    Wide,
+}
+
+/// How large a cell is, and what it meets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SoakSize {
     /// Boxes.
     pub boxes: usize,
-    /// Workers; there are as many callers.
+    /// Workers; there are as many callers in a narrow world.
     pub workers: usize,
+    /// What it is like.
+    pub world: SoakWorld,
+    /// Boxes, paths, workers and the store are broken. Otherwise only questions to the advice service are.
+    pub faults: bool,
 }
 
 impl Default for SoakSize {
     fn default() -> SoakSize {
-        SoakSize { boxes: 3, workers: 6 }
+        SoakSize { boxes: 3, workers: 6, world: SoakWorld::Narrow, faults: true }
+    }
+}
+
+/// Callers of a wide world.
+const WIDE_CALLERS: u64 = 12;
+/// How long the load of a wide world goes on once all is well again.
+const CALM_LOAD: Duration = Duration::from_secs(12);
+
+impl SoakSize {
+    /// Cores of a worker.
+    pub fn cores(&self) -> usize {
+        match self.world {
+            SoakWorld::Narrow => CORES,
+            SoakWorld::Wide => wide::WIDE_CORES,
+        }
+    }
+
+    fn callers(&self) -> u64 {
+        match self.world {
+            SoakWorld::Narrow => self.workers as u64,
+            SoakWorld::Wide => WIDE_CALLERS,
+        }
     }
 }
 
@@ -55,6 +96,8 @@
     pub crashing: usize,
     /// Other jobs that were given up, each after two lives at least had ended under one of its tasks.
     pub given_up: usize,
+    /// The longest that a job stood in calm, where that is watched.
+    pub stood: Duration,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -70,9 +113,10 @@
 struct Soak<'a> {
     size: SoakSize,
     directory: &'a Path,
-    platform: CellPlatform,
+    platform: Rc<CellPlatform>,
     boxes: Vec<SoakBox>,
     keys: SoakKeys,
+    progress: Rc<ProgressWatch>,
 }
 
 /// Runs the faults of a seed for some seconds. Settings and logs of the boxes lie in `directory`.
@@ -87,19 +131,28 @@
     let mut soak = Soak::start(size, directory).await?;
     soak.platform.workers.seed(seed);
     soak.platform.store.seed(seed);
-    let callers = CallerPool::new(soak.boxes.iter().map(|one| one.site.callers).collect());
+    let callers = CallerPool::new(soak.boxes.iter().map(|one| one.site.callers).collect(), size);
     let mut report = SoakReport { faults: plan.len(), ..SoakReport::default() };
-    let load = futures_all((0..size.workers as u64).map(|caller| callers.run(seed, caller + 1)));
+    let load = futures_all((0..size.callers()).map(|caller| callers.run(seed, caller + 1)));
     let keys = soak.keys.clone();
     let addresses: Vec<_> = soak.boxes.iter().map(|one| one.site.callers).collect();
     let probing = keys.probe(&addresses, seed);
+    let (platform, progress) = (soak.platform.clone(), soak.progress.clone());
+    let watching = async {
+        match size.world {
+            SoakWorld::Narrow => std::future::pending().await,
+            SoakWorld::Wide => progress.run(&platform, callers.told()).await,
+        }
+    };
     tokio::select! {
         () = load => {}
         () = probing => {}
-        result = soak.carry_out(&plan, seconds) => result?,
+        () = watching => {}
+        result = soak.run(&plan, seconds) => result?,
     }
-    soak.heal()?;
     soak.check(&callers, &mut report).await;
+    report.stood = soak.progress.longest();
+    report.broken.extend(soak.progress.broken());
     Ok(report)
 }
 
@@ -118,19 +171,25 @@
 
 impl<'a> Soak<'a> {
     async fn start(size: SoakSize, directory: &'a Path) -> std::io::Result<Soak<'a>> {
-        let platform = CellPlatform::start(size.workers).await?;
+        let mut platform = CellPlatform::start_sized(size.workers, size.cores()).await?;
         platform.workers.set_run_ms(RUN_MS);
         platform.put_strays();
         let keys = SoakKeys::new(size.workers);
-        keys.configure(&platform);
+        match size.world {
+            SoakWorld::Narrow => keys.configure(&platform),
+            SoakWorld::Wide => wide::configure(&platform, 1),
+        }
         let mut boxes = Vec::new();
         for number in 0..size.boxes {
             let path = FaultyPath::open(platform.store_address).await?;
+            let advice = platform.open_advice().await?;
             let site = CellSite::new(&format!("box-{number}"), &platform, path.address, "0.25");
+            let site = site.with_advice(advice);
             let process = Some(site.start(directory)?);
             boxes.push(SoakBox { site, path, process });
         }
-        let mut soak = Soak { size, directory, platform, boxes, keys };
+        let (platform, progress) = (Rc::new(platform), Rc::new(ProgressWatch::new()));
+        let mut soak = Soak { size, directory, platform, boxes, keys, progress };
         soak.wait_ready().await?;
         Ok(soak)
     }
@@ -148,6 +207,19 @@
         Ok(())
     }
 
+    /// Carries out the plan and heals. In a wide world the load goes on for a calm time after that.
+    async fn run(&mut self, plan: &SoakPlan, seconds: u64) -> std::io::Result<()> {
+        self.carry_out(plan, seconds).await?;
+        self.heal()?;
+        if self.size.faults {
+            self.progress.note_fault();
+        }
+        if self.size.world == SoakWorld::Wide {
+            self.carry_out(&SoakPlan::new(), CALM_LOAD.as_secs()).await?;
+        }
+        Ok(())
+    }
+
     async fn carry_out(&mut self, plan: &SoakPlan, seconds: u64) -> std::io::Result<()> {
         let begun = Instant::now();
         let mut faults = plan.iter().peekable();
@@ -214,7 +286,7 @@
 
     /// Waits until a job is told as `wanted`. Tells what it is instead.
     async fn wait_until(&mut self, id: u64, wanted: &str, deadline: Instant) -> Option<String> {
-        let path = format!("/checks/{id:016x}");
+        let path = wide::path_of(id);
         let mut last = String::from("not known");
         loop {
             let is_last = Instant::now() >= deadline;
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -5,9 +5,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::SoakSize;
 use super::proxy::PathState;
-use crate::cell_platform::{CORES, CallTrouble, PathTrouble, TroubledLeads};
+use super::{SoakSize, SoakWorld};
+use crate::cell_platform::{AdviceTrouble, CORES, CallTrouble, PathTrouble, TroubledLeads};
 
 /// One thing that happens from outside.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -47,10 +47,19 @@
     Appends(PathTrouble, Duration),
     /// The store forgets the progress of jobs but for the newest of each key.
     Forget,
+    /// The questions of a box to the advice service meet trouble for a time.
+    Advice(usize, AdviceTrouble, Duration),
     /// The same the moment the next lead fences. For a time before it progress is not read.
     ForgetAtFence(Duration),
 }
 
+impl SoakFault {
+    /// Whether it only troubles the questions of one box, so that all jobs have to go on meanwhile.
+    pub fn is_of_advice(self) -> bool {
+        matches!(self, SoakFault::Advice(..))
+    }
+}
+
 /// When which fault begins, from the start of the load.
 pub type SoakPlan = Vec<(Duration, SoakFault)>;
 
@@ -59,6 +68,12 @@
 
 /// Connections of some box fall silent once in so many seconds.
 const SILENCE_EVERY_S: u64 = 3;
+/// Questions of some box meet trouble for so long, with so much time between.
+const ADVICE_SPAN_MS: std::ops::Range<u64> = 2_000..9_000;
+const ADVICE_GAP_MS: std::ops::Range<u64> = 200..3_000;
+/// Tells the generator of these faults from the others.
+const ADVICE_SALT: u64 = 0x6164_7669;
+
 /// Tells the generator of silences from that of the other faults.
 const SILENCE_SALT: u64 = 0x5113_7ce5;
 
@@ -93,10 +108,33 @@
     plan.extend(draw_worker_faults(seed, seconds, size.workers));
     plan.extend(draw_lead_faults(seed, seconds));
     plan.extend(draw_sizes(seed, seconds, size.workers));
+    if !size.faults {
+        plan.clear();
+    }
+    if size.world == SoakWorld::Wide {
+        plan.extend(draw_advice(seed, seconds, boxes));
+    }
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
 
+/// Draws trouble of the questions of one box after the other: all others can ask meanwhile.
+fn draw_advice(seed: u64, seconds: u64, boxes: usize) -> SoakPlan {
+    let mut rng = StdRng::seed_from_u64(seed ^ ADVICE_SALT);
+    let mut plan = Vec::new();
+    let mut at = rng.random_range(ADVICE_GAP_MS);
+    while at < seconds * 1_000 {
+        let kinds = [AdviceTrouble::Fails, AdviceTrouble::Silent, AdviceTrouble::Slow(8)];
+        let trouble = kinds[rng.random_range(0..kinds.len())];
+        let span = rng.random_range(ADVICE_SPAN_MS);
+        let number = rng.random_range(0..boxes);
+        let (begins, span) = (Duration::from_millis(at), Duration::from_millis(span));
+        plan.push((begins, SoakFault::Advice(number, trouble, span)));
+        at += span.as_millis() as u64 + rng.random_range(ADVICE_GAP_MS);
+    }
+    plan
+}
+
 /// Draws when connections fall silent: from a generator of its own, so that a seed keeps its other faults.
 fn draw_silences(seed: u64, seconds: u64, boxes: usize) -> SoakPlan {
     let mut rng = StdRng::seed_from_u64(seed ^ SILENCE_SALT);
--- /dev/null
+++ b/crates/sedgehill-standin/src/soak/progress.rs
@@ -0,0 +1,187 @@
+//! Watches that no job stands: that for 3 s of calm nothing of it runs though a task's turn has come, the workers that
+//! are good for it have room twice over, and under half of the cell is in use.
+//!
+//! It sees what callers were told and what workers run, while the load goes on: a job that ends at last has stood
+//! all the same.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+use super::callers::ToldJobs;
+use crate::cell_platform::{CellPlatform, WorkerSight};
+
+/// A job may stand for so long, as the users say.
+const STANDS_AFTER: Duration = Duration::from_secs(3);
+/// Faults that ended so long before have no part in it.
+const CALM_AFTER: Duration = Duration::from_secs(4);
+/// Time between two looks.
+const TURN: Duration = Duration::from_millis(100);
+/// Room for so many times what waits.
+const ROOM_TIMES: usize = 2;
+
+/// A step as its caller handed it in.
+#[derive(Debug, Clone)]
+struct WatchedStep {
+    id: String,
+    count: usize,
+    cores: usize,
+    gang: bool,
+    after: Vec<usize>,
+}
+
+#[derive(Debug, Default)]
+struct ProgressState {
+    jobs: BTreeMap<u64, Vec<WatchedStep>>,
+    /// Since when jobs stand.
+    standing: HashMap<u64, Instant>,
+    over: HashSet<u64>,
+    told: HashSet<u64>,
+    broken: Vec<String>,
+    /// The longest that a job has stood in calm.
+    longest: Duration,
+}
+
+/// What is watched.
+pub struct ProgressWatch {
+    /// No fault has been at work since then.
+    calm_from: Mutex<Instant>,
+    state: Mutex<ProgressState>,
+}
+
+impl ProgressWatch {
+    /// A watch of a cell at which no fault is at work.
+    pub fn new() -> ProgressWatch {
+        ProgressWatch { calm_from: Mutex::new(Instant::now()), state: Mutex::default() }
+    }
+
+    /// A fault has begun or ended.
+    pub fn note_fault(&self) {
+        *self.calm_from.lock() = Instant::now();
+    }
+
+    /// Jobs that stood.
+    pub fn broken(&self) -> Vec<String> {
+        self.state.lock().broken.clone()
+    }
+
+    /// The longest that a job stood in calm.
+    pub fn longest(&self) -> Duration {
+        self.state.lock().longest
+    }
+
+    /// Watches until it is dropped.
+    pub async fn run(&self, platform: &CellPlatform, told: &Mutex<ToldJobs>) {
+        loop {
+            tokio::time::sleep(TURN).await;
+            self.look(platform, told);
+        }
+    }
+
+    fn look(&self, platform: &CellPlatform, told: &Mutex<ToldJobs>) {
+        let sights = platform.workers.sights();
+        let done = platform.workers.done_tasks();
+        let now = Instant::now();
+        let state = &mut *self.state.lock();
+        {
+            let told = told.lock();
+            let accepted = told.accepted.iter().filter(|id| !told.crashing.contains(id));
+            for id in accepted {
+                if !state.over.contains(id) && !state.jobs.contains_key(id) {
+                    let body = told.bodies.get(id).map(String::as_str).unwrap_or_default();
+                    state.jobs.insert(*id, steps_of(*id, body));
+                }
+            }
+            state.jobs.retain(|id, _| told.accepted.contains(id));
+        }
+        let calm = now.duration_since(*self.calm_from.lock());
+        let over: Vec<u64> = state
+            .jobs
+            .iter()
+            .filter(|(_, steps)| steps.iter().all(|step| step.left(&done) == 0))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            state.jobs.remove(&id);
+            state.standing.remove(&id);
+            state.over.insert(id);
+        }
+        let used: usize = sights.iter().map(|one| one.used).sum();
+        let cores: usize = sights.iter().map(|one| one.cores).sum();
+        let ids: Vec<u64> = state.jobs.keys().copied().collect();
+        for id in ids {
+            let stands = match 2 * used < cores && calm >= CALM_AFTER {
+                true => standing_step(&state.jobs[&id], &sights, &done, platform),
+                false => None,
+            };
+            let Some(what) = stands else {
+                state.standing.remove(&id);
+                continue;
+            };
+            let since = *state.standing.entry(id).or_insert(now);
+            let stood = now.duration_since(since);
+            state.longest = state.longest.max(stood);
+            if stood >= STANDS_AFTER && state.told.insert(id) {
+                state.broken.push(format!("{what} stands for {} ms", stood.as_millis()));
+            }
+        }
+    }
+}
+
+impl WatchedStep {
+    fn left(&self, done: &BTreeMap<String, usize>) -> usize {
+        let done = done.get(&self.id).copied().unwrap_or(0);
+        // The members of a gang end together.
+        if self.gang && done > 0 { 0 } else { self.count.saturating_sub(done) }
+    }
+}
+
+fn steps_of(id: u64, body: &str) -> Vec<WatchedStep> {
+    let body: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    let steps = body["steps"].as_array().cloned().unwrap_or_default();
+    let number = |value: &serde_json::Value| value.as_u64().unwrap_or(0) as usize;
+    let step = |(place, step): (usize, &serde_json::Value)| WatchedStep {
+        id: format!("{id:016x}.0.{place}"),
+        count: number(&step["count"]),
+        cores: (number(&step["cpu"]) / 1_000).max(1),
+        gang: step["gang_scheduled"] == true,
+        after: step["after"].as_array().into_iter().flatten().map(number).collect(),
+    };
+    steps.iter().enumerate().map(step).collect()
+}
+
+/// The step of a job that could run though nothing of the job does.
+fn standing_step(
+    steps: &[WatchedStep],
+    sights: &[WorkerSight],
+    done: &BTreeMap<String, usize>,
+    platform: &CellPlatform,
+) -> Option<String> {
+    let runs = |step: &WatchedStep| sights.iter().any(|one| one.running.contains(&step.id));
+    if steps.iter().any(runs) {
+        return None;
+    }
+    for step in steps {
+        let left = step.left(done);
+        let due = step.after.iter().all(|before| steps[*before].left(done) == 0);
+        if left == 0 || !due {
+            continue;
+        }
+        let good = sights.iter().enumerate().filter(|(number, one)| {
+            let room = one.lives && one.cores >= one.used + step.cores;
+            room && platform.advice.is_good(&step.id, *number)
+        });
+        let places: usize = good.map(|(_, one)| (one.cores - one.used) / step.cores).sum();
+        let wanted = if step.gang { left } else { 1 };
+        if places >= ROOM_TIMES * wanted {
+            let what = if step.gang { "a gang of" } else { "single tasks," };
+            let cores = step.cores;
+            return Some(format!(
+                "{}, {what} {left} of {cores} cores with {places} places,",
+                step.id
+            ));
+        }
+    }
+    None
+}
--- a/crates/sedgehill-standin/src/soak_command.rs
+++ b/crates/sedgehill-standin/src/soak_command.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
-use sedgehill_standin::soak::{SoakSize, run_soak};
+use sedgehill_standin::soak::{SoakSize, SoakWorld, run_soak};
 
 use crate::commands::{CommandResult, finish};
 
@@ -21,6 +21,10 @@
     let mut size = SoakSize::default();
     size.boxes = args.opt_value_from_str("--boxes").map_err(text)?.unwrap_or(size.boxes);
     size.workers = args.opt_value_from_str("--workers").map_err(text)?.unwrap_or(size.workers);
+    if args.contains("--wide") {
+        size.world = SoakWorld::Wide;
+    }
+    size.faults = !args.contains("--calm");
     finish(args)?;
     // Seeds are short, so that they can be typed again.
     let first = first.unwrap_or_else(|| u64::from(rand::random::<u32>()));
@@ -47,12 +51,13 @@
         }
     };
     println!(
-        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, {} broken",
+        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, stood {} ms, {} broken",
         report.faults,
         report.accepted,
         report.crashing,
         report.refused,
         report.given_up,
+        report.stood.as_millis(),
         report.broken.len()
     );
     for broken in &report.broken {
