cell, naming: a gang for which too little room is expected asks once who may run it

Cause: the free room was multiplied by the share of workers that were good for other steps of the queue, and nobody was asked if that was less than the gang; nothing else could prove the belief wrong. Ruled out as the way: a share of each step's own (there is none before a question); a floor under the share (any floor stands for some gang). Change: if the room would do were all unknown workers good, these are asked about, each once. The test of the gang of 48 passes (failed with 0 of 48 and no question); the one of shunned workers is made stricter, since one member a worker had become enough.

--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -105,7 +105,7 @@
         let turn = (job.id.0 % self.workers.len() as u64) as usize;
         let mut rooms: Vec<(bool, Reverse<usize>, usize, WorkerKey)> = Vec::new();
         let mut usable = 0;
-        let mut asked = 0.0;
+        let (mut asked, mut asked_most) = (0.0, 0);
         let waiting = waiting_tasks(job, candidate.step, now);
         // Tickets for workers on which others run are of no use to tasks that want one of their own.
         let is_alone = split_alone(job, candidate.step, &waiting).1.is_empty();
@@ -124,6 +124,7 @@
             }
             if advice.is_asked(key) {
                 asked += room as f64 * if known.is_none() { share } else { 1.0 };
+                asked_most += room;
                 continue;
             }
             match known {
@@ -143,11 +144,21 @@
         let whole: f64 =
             rooms.iter().map(|(unknown, Reverse(room), ..)| expected(*unknown, *room)).sum();
         if spec.gang && whole + asked < needed as f64 {
-            let unknown = rooms.iter().any(|(unknown, ..)| *unknown) || asked > 0.0;
-            return Err(match unknown {
-                true => StandReason::ExpectedRoom,
-                false => self.lack_of_names(candidate, job, spec, now),
-            });
+            let unknown = rooms.iter().any(|(unknown, ..)| *unknown) || asked_most > 0;
+            let most: usize = rooms.iter().map(|(_, Reverse(room), ..)| room).sum();
+            if most + asked_most < needed {
+                return Err(match unknown {
+                    true => StandReason::GangRoom,
+                    false => self.lack_of_names(candidate, job, spec, now),
+                });
+            }
+            // The share is that of other steps, and nothing but a question about this one tells whether it holds
+            // here: gangs for which it expected too little stood to the end beside room for them twice over. Each
+            // worker is asked about once, so it costs the step one question for each hundred workers.
+            rooms.retain(|(unknown, ..)| *unknown);
+            if rooms.is_empty() {
+                return Err(StandReason::ExpectedRoom);
+            }
         }
         rooms.sort_unstable();
         let factor = if spec.gang { GANG_ROOM_FACTOR } else { ROOM_FACTOR };
--- a/crates/sedgehill-cell/tests/testsuite/standing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/standing.rs
@@ -170,8 +170,9 @@
         course.cell.cancel(&mut course.lead, round + 1);
         course.turn();
     }
-    course.submit(9, gang(48, 5));
-    course.assert_begins(9, 48, TimeSpan(15_000));
+    // More members than workers: one run for each of them is not enough.
+    course.submit(9, gang(60, 5));
+    course.assert_begins(9, 60, TimeSpan(6_000));
 }
 
 /// What was told of a step that stands.
