cell, desk: boxes that ask are known by what their questions did, and what is overdue is asked elsewhere

Cause: the next question went to whichever box was free. A box that fails each question at once is always free, and one that never answers held its step up for some 4 s a question, with nothing left to name meanwhile. Change: a box whose question failed rests for 0.25 to 2 s and then comes after all others; a question that takes half as long again as it and those before it cost, and 0.3 s, is overdue: the same workers may be asked about elsewhere, within the budget of a fifth that repeats of orders have; a late answer is still used; patience doubles with failures, and a box waits 20 s for the service, since the lead does not. Where no box that may ask long questions can, those kept for short ones do. Ruled out: asking two boxes each time (twice the price of each question).

--- a/crates/sedgehill-cell/src/scheduler/advice.rs
+++ b/crates/sedgehill-cell/src/scheduler/advice.rs
@@ -1,28 +1,11 @@
-//! Who may run a step: what the advice service said, and which box asks it next.
-//!
-//! The service answers one question at a time for each box that asks, and a question takes long for
-//! some queues. The lead therefore spreads its questions over all boxes, keeps the order of the
-//! questions itself, and keeps some boxes free of long questions so that short ones never wait.
+//! Who may run a step: what the advice service said.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::message::{HelperId, WorkerKey};
-use crate::ids::StepId;
-
-/// Questions that take at least this long go only to some boxes. Between the middle and the heavy
-/// queues of the users' sites, of 60 and 700 ms.
-const LONG_QUESTION: TimeSpan = TimeSpan(200);
-/// One box in this many is kept free of long questions.
-const SHORT_ONLY_SHARE: usize = 3;
-/// Short questions under way for one box: the second travels while the first is answered.
-const SHORT_AT_ONCE: usize = 2;
-/// A question without an answer is given up after this many times its cost ...
-const PATIENCE_FACTOR: u64 = 3;
-/// ... and this time.
-const PATIENCE: TimeSpan = TimeSpan(1_500);
 
 /// A ticket for one worker.
 #[derive(Debug, Clone)]
@@ -40,6 +23,8 @@
     pub helper: HelperId,
     /// The workers that it names.
     pub workers: Vec<WorkerKey>,
+    /// The answer is overdue: the same may be asked by way of another box.
+    pub late: bool,
 }
 
 /// What is known of one step. Which workers are good never changes; tickets end.
@@ -62,9 +47,20 @@
         (ticket.until > now.after(margin)).then_some(ticket)
     }
 
-    /// Whether a question under way names a worker.
+    /// Whether a question under way names a worker, and its answer can be expected.
     pub fn is_asked(&self, key: WorkerKey) -> bool {
-        self.asking.iter().any(|asked| asked.workers.contains(&key))
+        self.asking.iter().any(|asked| !asked.late && asked.workers.contains(&key))
+    }
+
+    /// Questions under way whose answers can be expected.
+    pub fn expected_answers(&self) -> usize {
+        self.asking.iter().filter(|asked| !asked.late).count()
+    }
+
+    /// The answer to the question of a box is overdue.
+    pub fn note_late(&mut self, helper: HelperId) {
+        let asked = self.asking.iter_mut().filter(|asked| asked.helper == helper);
+        asked.for_each(|asked| asked.late = true);
     }
 
     /// The question of a box is not under way any more.
@@ -83,89 +79,6 @@
     }
 }
 
-#[derive(Debug)]
-struct OpenQuestion {
-    step: StepId,
-    cost: TimeSpan,
-    sent: Moment,
-}
-
-/// Spreads questions over the boxes that can ask.
-#[derive(Debug)]
-pub struct AdviceDesk {
-    helpers: BTreeMap<HelperId, Vec<OpenQuestion>>,
-    keeps_short: bool,
-}
-
-impl AdviceDesk {
-    /// A desk without boxes. `keeps_short` says whether some of them are kept free of long questions.
-    pub fn new(keeps_short: bool) -> AdviceDesk {
-        AdviceDesk { helpers: BTreeMap::new(), keeps_short }
-    }
-
-    /// A box can ask from now on.
-    pub fn add_helper(&mut self, helper: HelperId) {
-        self.helpers.entry(helper).or_default();
-    }
-
-    /// A box cannot ask any more. Returns the steps that it was asking about.
-    pub fn remove_helper(&mut self, helper: HelperId) -> Vec<StepId> {
-        let open = self.helpers.remove(&helper).unwrap_or_default();
-        open.into_iter().map(|question| question.step).collect()
-    }
-
-    /// The box that should ask a question of this cost now, if one is free for it.
-    pub fn free_helper(&self, cost: TimeSpan) -> Option<HelperId> {
-        let count = self.helpers.len();
-        let short_only = match count {
-            0 | 1 => 0,
-            _ if !self.keeps_short => 0,
-            _ => (count / SHORT_ONLY_SHARE).max(1),
-        };
-        let is_long = |question: &OpenQuestion| question.cost >= LONG_QUESTION;
-        if cost >= LONG_QUESTION {
-            let long = self.helpers.iter().skip(short_only);
-            return long.filter(|(_, open)| open.is_empty()).map(|(helper, _)| *helper).next_back();
-        }
-        self.helpers
-            .iter()
-            .filter(|(_, open)| {
-                open.len() < SHORT_AT_ONCE && (count == 1 || !open.iter().any(is_long))
-            })
-            .min_by_key(|(_, open)| open.iter().map(|question| question.cost.0).sum::<u64>())
-            .map(|(helper, _)| *helper)
-    }
-
-    /// Notes that a box asks.
-    pub fn begin(&mut self, helper: HelperId, step: StepId, cost: TimeSpan, now: Moment) {
-        let open = self.helpers.entry(helper).or_default();
-        open.push(OpenQuestion { step, cost, sent: now });
-    }
-
-    /// Notes that a question was answered, or failed. Returns when it was asked.
-    pub fn finish(&mut self, helper: HelperId, step: StepId) -> Option<Moment> {
-        let open = self.helpers.get_mut(&helper)?;
-        let place = open.iter().position(|question| question.step == step)?;
-        Some(open.remove(place).sent)
-    }
-
-    /// Removes questions that were not answered in time. Returns who asked, and about which step.
-    pub fn expire(&mut self, now: Moment) -> Vec<(HelperId, StepId)> {
-        let mut expired = Vec::new();
-        for (helper, open) in &mut self.helpers {
-            open.retain(|question| {
-                let patience = TimeSpan(question.cost.0 * PATIENCE_FACTOR + PATIENCE.0);
-                let keep = now < question.sent.after(patience);
-                if !keep {
-                    expired.push((*helper, question.step));
-                }
-                keep
-            });
-        }
-        expired
-    }
-}
-
 /// What share of the workers is good for the steps of a queue, learned from answers.
 #[derive(Debug, Clone, Copy)]
 pub struct GoodShare {
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/desk.rs
@@ -0,0 +1,211 @@
+//! Which box asks the advice service next.
+//!
+//! The service answers one question at a time for each box that asks, and a question takes long for
+//! some queues. The lead therefore spreads its questions over all boxes, keeps the order of the
+//! questions itself, and keeps some boxes free of long questions so that short ones never wait.
+//!
+//! A box that cannot reach the service fails each question at once and is free again: it drew every question of a step
+//! to itself, 125 of 126. One that never answers held a step up for as long as questions went there. So boxes are known
+//! by what their questions did: those that fail rest and come last, and what is overdue is asked elsewhere.
+
+use std::collections::BTreeMap;
+
+use sedgehill_core::units::{Moment, TimeSpan};
+
+use super::message::HelperId;
+use crate::ids::StepId;
+use crate::patience::RepeatBudget;
+
+/// Questions that take at least this long go only to some boxes. Between the middle and the heavy
+/// queues of the users' sites, of 60 and 700 ms.
+const LONG_QUESTION: TimeSpan = TimeSpan(200);
+/// One box in this many is kept free of long questions.
+const SHORT_ONLY_SHARE: usize = 3;
+/// Short questions under way for one box: the second travels while the first is answered.
+const SHORT_AT_ONCE: usize = 2;
+/// A question is overdue after this many hundredths of what it and those before it cost ...
+const OVERDUE_PERCENT: u64 = 150;
+/// ... and this time: a box that stands still for a moment, and the way there and back.
+const OVERDUE_SLACK: TimeSpan = TimeSpan(300);
+/// A question without an answer is given up after this many times its cost ...
+const PATIENCE_FACTOR: u64 = 3;
+/// ... and this time, doubled with each failure of the box: a service that takes longer than that would otherwise be
+/// asked for ever and never heard.
+const PATIENCE: TimeSpan = TimeSpan(1_500);
+const PATIENCE_DOUBLINGS: u32 = 3;
+/// A box whose question failed asks nothing for so long, and twice as long with each further failure ...
+const REST: TimeSpan = TimeSpan(250);
+/// ... up to this: the service may be well again at any time, and no other box may be left.
+const REST_MOST: TimeSpan = TimeSpan(2_000);
+
+#[derive(Debug)]
+struct OpenQuestion {
+    step: StepId,
+    cost: TimeSpan,
+    sent: Moment,
+    overdue_at: Moment,
+    overdue: bool,
+}
+
+/// A box that asks.
+#[derive(Debug, Default)]
+struct AskingBox {
+    open: Vec<OpenQuestion>,
+    /// Questions in a row without an answer.
+    failures: u32,
+    /// It asks nothing before then.
+    rests_until: Moment,
+}
+
+impl AskingBox {
+    fn is_long(question: &OpenQuestion) -> bool {
+        question.cost >= LONG_QUESTION
+    }
+
+    /// Whether it can take a question now. Behind one that is overdue a further one would wait.
+    fn can_ask(&self, now: Moment) -> bool {
+        now >= self.rests_until && !self.open.iter().any(|question| question.overdue)
+    }
+
+    fn note_failure(&mut self, now: Moment) {
+        let rest = TimeSpan(REST.0 << self.failures.min(8)).min(REST_MOST);
+        self.rests_until = now.after(rest);
+        self.failures += 1;
+    }
+
+    fn patience(&self, cost: TimeSpan) -> TimeSpan {
+        let patience = cost.0 * PATIENCE_FACTOR + PATIENCE.0;
+        TimeSpan(patience << self.failures.min(PATIENCE_DOUBLINGS))
+    }
+
+    fn queued(&self) -> u64 {
+        self.open.iter().map(|question| question.cost.0).sum()
+    }
+}
+
+/// Spreads questions over the boxes that can ask.
+#[derive(Debug)]
+pub struct AdviceDesk {
+    helpers: BTreeMap<HelperId, AskingBox>,
+    keeps_short: bool,
+    /// How many questions may be asked a second time while the first is overdue.
+    repeats: RepeatBudget,
+}
+
+impl AdviceDesk {
+    /// A desk without boxes. `keeps_short` says whether some of them are kept free of long questions.
+    pub fn new(keeps_short: bool) -> AdviceDesk {
+        AdviceDesk { helpers: BTreeMap::new(), keeps_short, repeats: RepeatBudget::default() }
+    }
+
+    /// A box can ask from now on.
+    pub fn add_helper(&mut self, helper: HelperId) {
+        self.helpers.entry(helper).or_default();
+    }
+
+    /// A box cannot ask any more. Returns the steps that it was asking about.
+    pub fn remove_helper(&mut self, helper: HelperId) -> Vec<StepId> {
+        let open = self.helpers.remove(&helper).unwrap_or_default().open;
+        open.into_iter().map(|question| question.step).collect()
+    }
+
+    /// The box that should ask a question of this cost now, if one is free for it. Those whose last question failed
+    /// come after all others.
+    pub fn free_helper(&self, cost: TimeSpan, now: Moment) -> Option<HelperId> {
+        match cost >= LONG_QUESTION {
+            true => self.free_for_long(now),
+            false => self.free_for_short(now),
+        }
+    }
+
+    fn free_for_long(&self, now: Moment) -> Option<HelperId> {
+        let count = self.helpers.len();
+        let short_only = match count {
+            0 | 1 => 0,
+            _ if !self.keeps_short => 0,
+            _ => (count / SHORT_ONLY_SHARE).max(1),
+        };
+        let able = |(_, one): &(&HelperId, &AskingBox)| one.can_ask(now);
+        // Where none of the others can ask, those that are kept for short questions do.
+        let kept = match self.helpers.iter().skip(short_only).any(|entry| able(&entry)) {
+            true => short_only,
+            false => 0,
+        };
+        let free = self.helpers.iter().skip(kept).filter(able);
+        let free = free.filter(|(_, one)| one.open.is_empty());
+        free.rev().min_by_key(|(_, one)| one.failures).map(|(helper, _)| *helper)
+    }
+
+    fn free_for_short(&self, now: Moment) -> Option<HelperId> {
+        let alone = self.helpers.len() == 1;
+        self.helpers
+            .iter()
+            .filter(|(_, one)| {
+                let room = one.open.len() < SHORT_AT_ONCE;
+                room && one.can_ask(now) && (alone || !one.open.iter().any(AskingBox::is_long))
+            })
+            .min_by_key(|(_, one)| (one.failures, one.queued()))
+            .map(|(helper, _)| *helper)
+    }
+
+    /// Notes that a box asks.
+    pub fn begin(&mut self, helper: HelperId, step: StepId, cost: TimeSpan, now: Moment) {
+        let one = self.helpers.entry(helper).or_default();
+        let whole = one.queued() + cost.0;
+        let overdue_at = now.after(TimeSpan(whole * OVERDUE_PERCENT / 100 + OVERDUE_SLACK.0));
+        one.open.push(OpenQuestion { step, cost, sent: now, overdue_at, overdue: false });
+        self.repeats.note_first();
+    }
+
+    /// Notes that a question was answered, or failed. Returns when it was asked; none if it was given up.
+    pub fn finish(
+        &mut self,
+        helper: HelperId,
+        step: StepId,
+        answered: bool,
+        now: Moment,
+    ) -> Option<Moment> {
+        let one = self.helpers.get_mut(&helper)?;
+        if answered {
+            one.failures = 0;
+            one.rests_until = now;
+        }
+        let place = one.open.iter().position(|question| question.step == step)?;
+        let sent = one.open.remove(place).sent;
+        if !answered {
+            one.note_failure(now);
+        }
+        Some(sent)
+    }
+
+    /// Finds questions that have become overdue and may be asked elsewhere. Returns who asked, and about which step.
+    pub fn find_overdue(&mut self, now: Moment) -> Vec<(HelperId, StepId)> {
+        let mut overdue = Vec::new();
+        for (helper, one) in &mut self.helpers {
+            for question in one.open.iter_mut().filter(|question| !question.overdue) {
+                if now >= question.overdue_at && self.repeats.take() {
+                    question.overdue = true;
+                    overdue.push((*helper, question.step));
+                }
+            }
+        }
+        overdue
+    }
+
+    /// Removes questions that were not answered in time. Returns who asked, and about which step.
+    pub fn expire(&mut self, now: Moment) -> Vec<(HelperId, StepId)> {
+        let mut expired = Vec::new();
+        for (helper, one) in &mut self.helpers {
+            let asked = std::mem::take(&mut one.open);
+            let is_over =
+                |question: &OpenQuestion| now >= question.sent.after(one.patience(question.cost));
+            let (over, open): (Vec<_>, Vec<_>) = asked.into_iter().partition(is_over);
+            one.open = open;
+            if !over.is_empty() {
+                one.note_failure(now);
+            }
+            expired.extend(over.into_iter().map(|question| (*helper, question.step)));
+        }
+        expired
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -150,10 +150,19 @@
     Advised {
         /// The step.
         step: StepId,
+        /// Who asked.
+        helper: HelperId,
         /// Workers that may run the step; none without an answer.
         good: Option<usize>,
-        /// Since the question.
-        took: TimeSpan,
+        /// Since the question; none if it was given up before.
+        took: Option<TimeSpan>,
+    },
+    /// The answer of the advice service takes far longer than the question costs: it may be asked elsewhere.
+    AdviceOverdue {
+        /// The step.
+        step: StepId,
+        /// Who asked.
+        helper: HelperId,
     },
     /// Tasks of a step could run but for the limit of their organisation.
     Held {
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod advice;
 mod answers;
 mod background;
+mod desk;
 mod displacement;
 mod ends;
 mod event;
@@ -39,8 +40,9 @@
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
-pub use self::advice::{AdviceDesk, GoodShare};
+pub use self::advice::GoodShare;
 use self::background::CrashBackground;
+pub use self::desk::AdviceDesk;
 pub use self::event::*;
 use self::held::HeldStart;
 use self::loss::LossRate;
@@ -329,6 +331,9 @@
 
     /// Does what time asks for, and starts what can be started.
     pub fn schedule(&mut self, now: Moment) {
+        for (helper, step) in self.desk.find_overdue(now) {
+            self.note_overdue(helper, step);
+        }
         for (helper, step) in self.desk.expire(now) {
             self.forget_question(helper, step, now);
         }
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -50,14 +50,14 @@
         let Some(policy) = job.record.policy.advice else { return room };
         let advice = &job.steps[candidate.step].advice;
         let at_once = if spec.gang { GANG_QUESTIONS } else { 1 };
-        if advice.asking.len() >= at_once {
+        if advice.expected_answers() >= at_once {
             return StandReason::Asking;
         }
         if now < advice.not_before {
             return StandReason::AskedLately;
         }
         // Which workers to name takes far longer to find than whether anybody could ask.
-        if self.desk.free_helper(policy.cost(1)).is_none() {
+        if self.desk.free_helper(policy.cost(1), now).is_none() {
             return StandReason::NoHelper;
         }
         let named = match self.workers_to_name(candidate, job, spec, open, now) {
@@ -66,14 +66,14 @@
             Err(reason) => return reason,
         };
         let cost = policy.cost(named.len());
-        let Some(helper) = self.desk.free_helper(cost) else { return StandReason::NoHelper };
+        let Some(helper) = self.desk.free_helper(cost, now) else { return StandReason::NoHelper };
         let step = job.steps[candidate.step].id;
         self.desk.begin(helper, step, cost, now);
         self.events.push(CellEvent::Asked { step, named: named.len(), helper });
         let lives = named.iter().map(|key| self.workers[key.0].entry.life.clone()).collect();
         self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers: lives }));
         if let Some(job) = self.jobs.get_mut(&candidate.job) {
-            let asked = AskedWorkers { helper, workers: named };
+            let asked = AskedWorkers { helper, workers: named, late: false };
             let advice = &mut job.steps[candidate.step].advice;
             advice.asking.push(asked);
             advice.asked = Some(now);
@@ -249,12 +249,16 @@
         valid: TimeSpan,
         now: Moment,
     ) {
-        let Some(sent) = self.desk.finish(question.helper, question.step) else { return };
+        let (helper, step) = (question.helper, question.step);
+        let sent = self.desk.finish(helper, step, answer.is_some(), now);
         let good = answer.as_ref().map(Vec::len);
-        let took = now.since(sent);
-        self.events.push(CellEvent::Advised { step: question.step, good, took });
+        let took = sent.map(|sent| now.since(sent));
+        self.events.push(CellEvent::Advised { step, helper, good, took });
         let Some(answer) = answer else {
-            self.forget_question(question.helper, question.step, now);
+            // Of a question that was given up before, nothing is left to forget.
+            if sent.is_some() {
+                self.forget_question(helper, step, now);
+            }
             return;
         };
         let Some(job) = self.jobs.get_mut(&question.step.job) else { return };
@@ -278,6 +282,14 @@
         share.learn(good, new.len());
     }
 
+    /// The answer to a question is overdue.
+    pub(super) fn note_overdue(&mut self, helper: HelperId, step: StepId) {
+        self.events.push(CellEvent::AdviceOverdue { step, helper });
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(index) = job.step_index(&step) else { return };
+        job.steps[index].advice.note_late(helper);
+    }
+
     pub(super) fn forget_question(&mut self, helper: HelperId, step: StepId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let Some(index) = job.step_index(&step) else { return };
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -45,8 +45,11 @@
         CellEvent::Advised { good, took, .. } => {
             let detail = if good.is_some() { "answered" } else { "failed" };
             telemetry::count_cell_event("advised", detail);
-            telemetry::note_cell_time("sedgehill_cell_advice_seconds", took.0 as f64 / MILLIS);
+            if let Some(took) = took {
+                telemetry::note_cell_time("sedgehill_cell_advice_seconds", took.0 as f64 / MILLIS);
+            }
         }
+        CellEvent::AdviceOverdue { .. } => telemetry::count_cell_event("advice_overdue", ""),
         CellEvent::Held { .. } => telemetry::count_cell_event("held", "limit"),
         CellEvent::Stands { reason, .. } => telemetry::count_cell_event("stands", reason.name()),
         CellEvent::JobEnded { state, after, .. } => {
@@ -109,8 +112,12 @@
         CellEvent::Asked { step, named, helper } => {
             info!(log, "asked"; "step" => %step, "named" => named, "helper" => helper.0);
         }
-        CellEvent::Advised { step, good, took } => {
-            info!(log, "advised"; "step" => %step, "good" => good, "took_ms" => took.0);
+        CellEvent::Advised { step, helper, good, took } => {
+            info!(log, "advised"; "step" => %step, "good" => good, "helper" => helper.0,
+                "took_ms" => took.map(|took| took.0));
+        }
+        CellEvent::AdviceOverdue { step, helper } => {
+            info!(log, "advice overdue"; "step" => %step, "helper" => helper.0);
         }
         CellEvent::Held { step, organisation, running, limit, need } => {
             info!(log, "held back by a limit"; "step" => %step, "organisation" => %organisation,
--- a/crates/sedgehilld/src/cell/orders.rs
+++ b/crates/sedgehilld/src/cell/orders.rs
@@ -20,8 +20,9 @@
 use super::state::CellBox;
 use crate::clock;
 
-/// How long a question may take. The scheduler gives it up earlier, by what it costs.
-const ADVICE_LIMIT: Duration = Duration::from_millis(4_000);
+/// How long a question may take. The scheduler has it asked elsewhere and gives it up much earlier, by what it costs; a
+/// late answer is of use all the same, the only one where the service is slow for every box.
+const ADVICE_LIMIT: Duration = Duration::from_millis(20_000);
 
 /// Carries out an order without waiting for it.
 pub fn carry_out(host: &Rc<CellBox>, session: &Rc<LeadSession>, order: CellOrder) {
