cell, naming: answers that leave a step too few workers are doubted, ever more rarely

Cause: a worker that one answer did not name counted as not good for the step for good, so a step that a faulty service named nobody for stood to the end. Change: where the workers known as good could not hold the step though they were empty, and all others are known as not good, the others are asked about again after 0.5 s, and after twice as long each time, up to 16 s.

--- a/crates/sedgehill-cell/src/scheduler/advice.rs
+++ b/crates/sedgehill-cell/src/scheduler/advice.rs
@@ -7,6 +7,11 @@
 
 use super::message::{HelperId, WorkerKey};
 
+/// Answers that leave too few workers for a step are doubted after so long, and after twice as long each further time ...
+const DOUBT_AFTER: TimeSpan = TimeSpan(500);
+/// ... up to so many doublings: a step that truly has too few costs a question each 16 s.
+const DOUBT_DOUBLINGS: u32 = 5;
+
 /// A ticket for one worker.
 #[derive(Debug, Clone)]
 pub struct StepTicket {
@@ -38,6 +43,10 @@
     pub not_before: Moment,
     /// When the last question was sent.
     pub asked: Option<Moment>,
+    /// How often it was doubted that the others are not good, and when it may be the next time.
+    pub doubts: u32,
+    /// See above.
+    pub doubt_from: Moment,
 }
 
 impl StepAdvice {
@@ -63,6 +72,21 @@
         asked.for_each(|asked| asked.late = true);
     }
 
+    /// Nobody may run the step, or too few, by what was answered. That does not change, so an answer may have been wrong:
+    /// those that are not good are asked about again, the first time soon, and ever more rarely, since a step may
+    /// truly have too few. A step for which a service that was not itself named nobody once stood to the end.
+    pub fn doubt_others(&mut self, now: Moment) {
+        if now < self.doubt_from {
+            return;
+        }
+        if self.doubt_from != Moment(0) {
+            self.known.retain(|_, ticket| ticket.is_some());
+            self.doubts += 1;
+        }
+        let pause = TimeSpan(DOUBT_AFTER.0 << self.doubts.min(DOUBT_DOUBLINGS));
+        self.doubt_from = now.after(pause);
+    }
+
     /// The question of a box is not under way any more.
     pub fn forget_asked(&mut self, helper: HelperId) {
         self.asking.retain(|asked| asked.helper != helper);
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -63,7 +63,14 @@
         let named = match self.workers_to_name(candidate, job, spec, open, now) {
             Ok(named) => named,
             Err(_) if !advice.asking.is_empty() => return StandReason::Asking,
-            Err(reason) => return reason,
+            Err(reason) => {
+                if reason == StandReason::NobodyGood
+                    && let Some(job) = self.jobs.get_mut(&candidate.job)
+                {
+                    job.steps[candidate.step].advice.doubt_others(now);
+                }
+                return reason;
+            }
         };
         let cost = policy.cost(named.len());
         let Some(helper) = self.desk.free_helper(cost, now) else { return StandReason::NoHelper };
@@ -190,14 +197,27 @@
         now: Moment,
     ) -> StandReason {
         let known = &job.steps[candidate.step].advice.known;
-        let usable = |key: &WorkerKey| self.could_ever_run(*key, job, spec, now);
-        let mut usable = (0..self.workers.len()).map(WorkerKey).filter(usable).peekable();
-        if usable.peek().is_none() {
-            return StandReason::NoRoom;
+        let mut usable = 0;
+        let (mut unknown, mut places) = (0, 0);
+        for key in (0..self.workers.len()).map(WorkerKey) {
+            if !self.could_ever_run(key, job, spec, now) {
+                continue;
+            }
+            usable += 1;
+            let whole = self.workers[key.0].entry.capacity.capacity_for(&spec.need) as usize;
+            match known.get(&key) {
+                Some(Some(_)) => {
+                    places += whole.min(spec.max_per_worker.map_or(whole, usize::from))
+                }
+                Some(None) => {}
+                None => unknown += 1,
+            }
         }
-        match usable.all(|key| matches!(known.get(&key), Some(None))) {
-            true => StandReason::NobodyGood,
-            false => StandReason::KnownRoom,
+        let needed = if spec.gang { job.steps[candidate.step].left } else { 1 };
+        match usable {
+            0 => StandReason::NoRoom,
+            _ if unknown == 0 && places < needed => StandReason::NobodyGood,
+            _ => StandReason::KnownRoom,
         }
     }
 
@@ -278,6 +298,10 @@
             }
         }
         let good = new.iter().filter(|key| matches!(advice.known.get(key), Some(Some(_)))).count();
+        // Of answers that were doubted the same was learned before.
+        if advice.doubts > 0 {
+            return;
+        }
         let share = self.shares.entry(job.record.queue.clone()).or_default();
         share.learn(good, new.len());
     }
