cell, placement: the members of a gang try a worker that did badly together, and last

Cause: a worker that was shunned gets one run until one ends well there, so it counted as one place of a gang; where no other work came to try it again, no gang wider than the workers ever began. Change: for a gang such a worker has its whole room once its shun is over, or while nothing runs there on trial; it is named and chosen after all others. Ruled out: trust that comes back with time alone (work of other queues would go to workers that fail all that they start). The look at room for a question is a function of its own.

--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -35,6 +35,32 @@
 /// How long a question that failed is not repeated.
 const ASK_BACKOFF: TimeSpan = TimeSpan(60);
 
+/// Room on a worker that a question could name. The order is that in which workers are named.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct RoomToName {
+    /// The worker did badly, and the step would try it again.
+    tried: bool,
+    /// It was never asked about.
+    unknown: bool,
+    fullest: Reverse<usize>,
+    turn: usize,
+    /// Tasks that it has room for.
+    places: usize,
+    key: WorkerKey,
+}
+
+/// The room that tickets could open to a step.
+#[derive(Debug, Default)]
+struct AdviceRooms {
+    rooms: Vec<RoomToName>,
+    /// Places on workers with tickets.
+    usable: usize,
+    /// Places that questions under way are expected to open, and the most that they may.
+    asked: f64,
+    /// See above.
+    asked_most: usize,
+}
+
 impl Scheduler {
     /// Asks which workers may run a step, if there is room that an answer could open. Returns what the step waits
     /// for.
@@ -103,57 +129,20 @@
         open: &OpenWorkers,
         now: Moment,
     ) -> Result<Vec<WorkerKey>, StandReason> {
-        let share = self.share_of(&job.record.queue);
-        let advice = &job.steps[candidate.step].advice;
-        let displaces = job.record.policy.priority < open.least_urgent
-            && !spec.gang
-            && rank_job(job, &self.timing.policy, now).earns();
-        // Steps that ask at the same moment should not all name the same of many like workers.
-        let turn = (job.id.0 % self.workers.len() as u64) as usize;
-        let mut rooms: Vec<(bool, Reverse<usize>, usize, WorkerKey)> = Vec::new();
-        let mut usable = 0;
-        let (mut asked, mut asked_most) = (0.0, 0);
         let waiting = waiting_tasks(job, candidate.step, now);
-        // Tickets for workers on which others run are of no use to tasks that want one of their own.
-        let is_alone = split_alone(job, candidate.step, &waiting).1.is_empty();
-        for key in open.list.iter().copied() {
-            let known = advice.known.get(&key);
-            let of_use = !is_alone || self.workers[key.0].is_clear_for(job.id, now);
-            if matches!(known, Some(None)) || !of_use {
-                continue;
-            }
-            let room = match self.room_on(key, job, candidate.step, spec, now) {
-                0 if displaces && self.could_displace_on(key, job, candidate.step, spec, now) => 1,
-                room => room,
-            };
-            if room == 0 {
-                continue;
-            }
-            if advice.is_asked(key) {
-                asked += room as f64 * if known.is_none() { share } else { 1.0 };
-                asked_most += room;
-                continue;
-            }
-            match known {
-                Some(Some(ticket)) if ticket.until > now.after(self.timing.ticket_margin) => {
-                    usable += room;
-                }
-                _ => {
-                    let place = (key.0 + turn) % self.workers.len();
-                    rooms.push((known.is_none(), Reverse(room), place, key));
-                }
-            }
-        }
+        let share = self.share_of(&job.record.queue);
+        let AdviceRooms { mut rooms, usable, asked, asked_most } =
+            self.advice_rooms(candidate, job, spec, open, &waiting, now);
         let left = job.steps[candidate.step].left;
         let needed = waiting.len().saturating_sub(usable);
-        let expected =
-            |unknown: bool, room: usize| room.min(left) as f64 * if unknown { share } else { 1.0 };
-        let whole: f64 =
-            rooms.iter().map(|(unknown, Reverse(room), ..)| expected(*unknown, *room)).sum();
+        let expected = |room: &RoomToName| {
+            room.places.min(left) as f64 * if room.unknown { share } else { 1.0 }
+        };
+        let whole: f64 = rooms.iter().map(expected).sum();
         if spec.gang && whole + asked < needed as f64 {
-            let unknown = rooms.iter().any(|(unknown, ..)| *unknown) || asked_most > 0;
-            let most: usize = rooms.iter().map(|(_, Reverse(room), ..)| room).sum();
+            let most: usize = rooms.iter().map(|room| room.places).sum();
             if most + asked_most < needed {
+                let unknown = rooms.iter().any(|room| room.unknown) || asked_most > 0;
                 return Err(match unknown {
                     true => StandReason::GangRoom,
                     false => self.lack_of_names(candidate, job, spec, now),
@@ -162,7 +151,7 @@
             // The share is that of other steps, and nothing but a question about this one tells whether it holds
             // here: gangs for which it expected too little stood to the end beside room for them twice over. Each
             // worker is asked about once, so it costs the step one question for each hundred workers.
-            rooms.retain(|(unknown, ..)| *unknown);
+            rooms.retain(|room| room.unknown);
             if rooms.is_empty() {
                 return Err(StandReason::ExpectedRoom);
             }
@@ -172,12 +161,12 @@
         let wanted = needed as f64 * factor;
         let mut sum = asked;
         let mut named = Vec::new();
-        for (unknown, Reverse(room), _, key) in rooms.into_iter().take(NAMED_MOST) {
+        for room in rooms.into_iter().take(NAMED_MOST) {
             if sum >= wanted {
                 break;
             }
-            sum += expected(unknown, room);
-            named.push(key);
+            sum += expected(&room);
+            named.push(room.key);
         }
         if named.is_empty() {
             return Err(self.lack_of_names(candidate, job, spec, now));
@@ -188,6 +177,61 @@
         Ok(named)
     }
 
+    /// The room that tickets could open to a step.
+    fn advice_rooms(
+        &self,
+        candidate: &Candidate,
+        job: &JobWork,
+        spec: &StepSpec,
+        open: &OpenWorkers,
+        waiting: &[u16],
+        now: Moment,
+    ) -> AdviceRooms {
+        let share = self.share_of(&job.record.queue);
+        let advice = &job.steps[candidate.step].advice;
+        let displaces = job.record.policy.priority < open.least_urgent
+            && !spec.gang
+            && rank_job(job, &self.timing.policy, now).earns();
+        // Steps that ask at the same moment should not all name the same of many like workers.
+        let turn = (job.id.0 % self.workers.len() as u64) as usize;
+        // Tickets for workers on which others run are of no use to tasks that want one of their own.
+        let is_alone = split_alone(job, candidate.step, waiting).1.is_empty();
+        let mut sight = AdviceRooms::default();
+        for key in open.list.iter().copied() {
+            let known = advice.known.get(&key);
+            let of_use = !is_alone || self.workers[key.0].is_clear_for(job.id, now);
+            if matches!(known, Some(None)) || !of_use {
+                continue;
+            }
+            let places = match self.room_on(key, job, candidate.step, spec, now) {
+                0 if displaces && self.could_displace_on(key, job, candidate.step, spec, now) => 1,
+                places => places,
+            };
+            if places == 0 {
+                continue;
+            }
+            if advice.is_asked(key) {
+                sight.asked += places as f64 * if known.is_none() { share } else { 1.0 };
+                sight.asked_most += places;
+                continue;
+            }
+            match known {
+                Some(Some(ticket)) if ticket.until > now.after(self.timing.ticket_margin) => {
+                    sight.usable += places;
+                }
+                _ => sight.rooms.push(RoomToName {
+                    tried: self.is_tried_by(spec, key),
+                    unknown: known.is_none(),
+                    fullest: Reverse(places),
+                    turn: (key.0 + turn) % self.workers.len(),
+                    places,
+                    key,
+                }),
+            }
+        }
+        sight
+    }
+
     /// Why there is nobody to ask about.
     fn lack_of_names(
         &self,
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -230,12 +230,20 @@
         if fits == 0 || !self.admits(key, job, step, spec, now) {
             return 0;
         }
-        let fits = fits.min(worker.runs_allowed(now));
+        let fits = match spec.gang {
+            true => fits.min(worker.members_allowed(now)),
+            false => fits.min(worker.runs_allowed(now)),
+        };
         let Some(most) = spec.max_per_worker else { return fits };
         let probe = CellTask { step: step_id, index: 0 };
         fits.min(usize::from(most).saturating_sub(worker.runs_of_step(&probe)))
     }
 
+    /// Whether a step would try a worker that did badly: the members of a gang do so together, and last.
+    pub(super) fn is_tried_by(&self, spec: &StepSpec, key: WorkerKey) -> bool {
+        spec.gang && self.workers[key.0].trust != WorkerTrust::Sound
+    }
+
     /// Whether a worker is of a kind that may run the step, and holds fewer of its tasks than it may.
     pub(super) fn admits(
         &self,
@@ -276,7 +284,14 @@
                     true => pace_step(worker.pace.factor(), tight),
                     false => 0,
                 };
-                rooms.push((!near, pace, worker.free.cores, key, room));
+                rooms.push((
+                    self.is_tried_by(spec, key),
+                    !near,
+                    pace,
+                    worker.free.cores,
+                    key,
+                    room,
+                ));
             }
         };
         match job.record.policy.advice {
@@ -288,7 +303,7 @@
             None => open.list.iter().copied().for_each(&mut look_at),
         }
         rooms.sort();
-        rooms.into_iter().map(|(_, _, _, key, room)| (key, room)).collect()
+        rooms.into_iter().map(|(.., key, room)| (key, room)).collect()
     }
 
     fn assign_each(
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -325,6 +325,18 @@
         }
     }
 
+    /// The same for the members of a gang, which try a worker together: held to one run, workers that did badly long ago
+    /// and that nothing else tried again made up no gang wider than their number. They are chosen last.
+    pub fn members_allowed(&self, now: Moment) -> usize {
+        match self.trust {
+            WorkerTrust::Sound => usize::MAX,
+            WorkerTrust::Shunned(until) if now < until => 0,
+            WorkerTrust::Shunned(_) => usize::MAX,
+            WorkerTrust::Probed if self.runs.is_empty() => usize::MAX,
+            WorkerTrust::Probed => 0,
+        }
+    }
+
     /// Notes a bad sign. Returns whether the worker is shunned for it.
     pub fn note_bad_sign(&mut self, now: Moment, timing: &CellTiming) -> bool {
         self.bad_signs += 1;
