--- a/crates/sedgehill-cell/tests/testsuite/roster.rs
+++ b/crates/sedgehill-cell/tests/testsuite/roster.rs
@@ -50,6 +50,37 @@
     assert_eq!(cell.starts.len(), 3);
 }
 
+/// With entries in the list that name no worker, jobs of an earlier lead had nothing running for nine seconds after each
+/// change of the lead: `"msg":"take-over settled","by":"time","after_ms":8852,"heard":40,"unheard":3`, and
+/// `"msg":"step stands","reason":"earlier_lead","places":419,"waiting":3`. The roster held every listed life, whether it had
+/// ever answered or not, and a start goes only to one that has.
+#[test]
+fn an_entry_at_which_nobody_ever_answered_does_not_hold_up_a_later_lead() {
+    let mut cell = FakeCell::new(3, 16);
+    cell.workers[2].cut = true;
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(2, 1), after_first(step(2, 1))]));
+    turns_with_lists(&mut cell, &mut lead, 40);
+    assert_eq!(cell.starts.len(), 2);
+    let mut next = cell.lead(true);
+    cell.turns(&mut next, 10);
+    assert!(next.is_settled());
+}
+
+#[test]
+fn a_worker_that_answers_for_the_first_time_gets_work_at_once() {
+    let mut cell = FakeCell::new(2, 4);
+    cell.workers[1].cut = true;
+    let mut lead = cell.lead(false);
+    cell.submit(&mut lead, 1, job(vec![step(2, 4)]));
+    turns_with_lists(&mut cell, &mut lead, 20);
+    assert_eq!(cell.starts.len(), 1);
+    cell.workers[1].cut = false;
+    // The time for which a worker that did not answer is left alone, and some turns.
+    cell.turns(&mut lead, 20);
+    assert_eq!(cell.starts.len(), 2);
+}
+
 /// A cell whose lead is lost while a task runs on one of two workers; the store also lists an earlier life
 /// at the address of that worker.
 fn reused_address(earlier_first: bool) {
