cell, roster: only workers that have answered stand in it

Cause: the roster held each listed life, heard or not, and a later lead has to hear from all of it or wait 6.4 to 8.9 s. A start goes only to a life that has answered, so the others hold up for nothing. Change: a worker joins the roster with its first answer, which asks for a record at once.

--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -147,8 +147,8 @@
         self.workers[key.0].watched = false;
     }
 
-    /// Whether a worker may be given work, or may run something. One that leaves or is out of touch, and
-    /// runs nothing, would only hold up a later lead, which has to hear from the whole roster.
+    /// Whether a worker may be given work, or may run something. One that leaves or is out of touch, or that nobody ever
+    /// heard, and runs nothing, would only hold up a later lead, which has to hear from the whole roster.
     fn belongs_to_roster(&self, worker: &WorkerState, now: Moment) -> bool {
         if worker.dead {
             return false;
@@ -157,8 +157,8 @@
         if unsettled || !worker.runs.is_empty() {
             return true;
         }
-        let out_of_touch = worker.answered.is_some_and(|at| now >= at.after(OUT_OF_TOUCH));
-        worker.is_listed(now, &self.timing) && !worker.entry.draining && !out_of_touch
+        let in_touch = worker.answered.is_some_and(|at| now < at.after(OUT_OF_TOUCH));
+        worker.is_listed(now, &self.timing) && !worker.entry.draining && in_touch
     }
 
     /// The workers that are to stand in the roster. The others get no work from now on.
--- a/crates/sedgehill-cell/src/scheduler/sight.rs
+++ b/crates/sedgehill-cell/src/scheduler/sight.rs
@@ -82,6 +82,8 @@
                 after: now.since(self.take_over.since),
             };
             self.events.push(event);
+            // It gets work once it stands there.
+            self.roster_changed |= !worker.rostered;
         }
     }
 
