--- a/crates/sedgehill-standin/src/cell_platform/oracle.rs
+++ b/crates/sedgehill-standin/src/cell_platform/oracle.rs
@@ -22,6 +22,8 @@
     pub bounds: Vec<(String, usize)>,
     /// Tasks whose end somebody has noted, with that end.
     noted: BTreeMap<String, String>,
+    /// Tasks whose end a worker has listed.
+    listed: BTreeSet<String>,
     /// When each run of a task began, and what is told of it.
     begun: BTreeMap<String, Vec<(u64, String)>>,
     /// Lives that ended with a task on them.
@@ -85,9 +87,15 @@
         of_job.into_iter().any(|(_, count)| *count >= CRASHES_GIVEN_UP)
     }
 
-    /// Tasks whose end somebody has noted.
+    /// Tasks whose end a worker has listed to somebody, whether it was noted before the worker died or not.
     pub fn done_tasks(&self) -> impl Iterator<Item = &String> {
-        self.noted.keys()
+        self.listed.iter()
+    }
+
+    /// A worker lists ends.
+    pub fn note_listed(&mut self, ends: &[StandinEnd]) {
+        let done = ends.iter().filter(|end| end.how == "done");
+        self.listed.extend(done.map(|end| end.task.clone()));
     }
 
     /// Tells of a job with gangs.
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -454,6 +454,7 @@
                 return Obeyed::Waits;
             }
             let account = account(life, clock);
+            state.oracle.note_listed(&life.ends);
             let listed = match pool.delay_ms.load(Ordering::Relaxed) {
                 0 => Vec::new(),
                 _ => life.ends.clone(),
