cell, take-over: a cancelled job counts against its limit until earlier orders are settled

Cause: a new lead took a cancelled job with nothing placed as over, dropped it, and no longer counted what an unheard worker may run of it. Change: such a job is over once the take-over is settled. Until then a caller hears that it runs, which it may. Left: a job that fails while a take-over is not settled is dropped as before.

--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -294,9 +294,11 @@
     /// A job with a final state whose runs have all ended needs no further work.
     fn finish_if_over(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
+        // What an earlier lead started of a cancelled job may run on unheard, and counts against a limit until then.
+        let is_quiet = job.placed().is_empty() && !job.foreign_orders;
         if !job.state.is_final() && job.is_done() {
             job.state = JobState::Completed;
-        } else if !job.state.is_final() && job.cancelled && job.placed().is_empty() {
+        } else if !job.state.is_final() && job.cancelled && is_quiet {
             job.state = JobState::Cancelled;
         }
         if !job.state.is_final() {
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -68,6 +68,9 @@
                     job.foreign_orders = false;
                 }
                 self.stop_broken_gangs(id, now);
+                if self.jobs.get(&id).is_some_and(|job| job.cancelled && !job.state.is_final()) {
+                    self.finish_if_over(id, now);
+                }
             }
         }
     }
