--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -10,8 +10,8 @@
 
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
-use super::placement::Candidate;
 use super::rank::{latest_start, rank_job};
+use super::room::Candidate;
 use super::worker::WorkerRun;
 use super::*;
 use crate::ids::StepId;
--- a/crates/sedgehill-cell/src/scheduler/isolation.rs
+++ b/crates/sedgehill-cell/src/scheduler/isolation.rs
@@ -8,7 +8,8 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::displacement::WorkerClaim;
-use super::placement::{Assignment, Candidate, OpenWorkers};
+use super::placement::Assignment;
+use super::room::{Candidate, OpenWorkers};
 use super::*;
 use crate::job::StepSpec;
 use crate::suspicion::{SuspectStage, TaskSuspicion};
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod policy;
 mod rank;
 mod record;
+mod room;
 mod roster;
 mod sight;
 mod standing;
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -11,8 +11,9 @@
 
 use super::advice::AskedWorkers;
 use super::isolation::split_alone;
-use super::placement::{Candidate, OpenWorkers, waiting_tasks};
+use super::placement::waiting_tasks;
 use super::rank::rank_job;
+use super::room::{Candidate, OpenWorkers};
 use super::*;
 use crate::ids::StepId;
 use crate::job::StepSpec;
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -9,8 +9,8 @@
 
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
-use super::placement::Candidate;
 use super::rank::rank_job;
+use super::room::Candidate;
 use super::work::{JobWork, TaskPhase, TaskWork};
 use super::worker::{WorkerRun, WorkerState};
 use super::*;
--- a/crates/sedgehill-cell/src/scheduler/standing.rs
+++ b/crates/sedgehill-cell/src/scheduler/standing.rs
@@ -9,7 +9,8 @@
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
-use super::placement::{Candidate, OpenWorkers, waiting_tasks};
+use super::placement::waiting_tasks;
+use super::room::{Candidate, OpenWorkers};
 use super::worker::WorkerTrust;
 use super::*;
 
--- /dev/null
+++ b/crates/sedgehill-cell/tests/testsuite/fake/ends.rs
@@ -0,0 +1,95 @@
+//! How runs end.
+
+use sedgehill_cell::ids::CellTask;
+use sedgehill_cell::scheduler::{EndRow, RunEnd};
+use sedgehill_core::units::TimeSpan;
+
+use super::FakeCell;
+
+impl FakeCell {
+    /// Ends some run.
+    pub fn end_some(&mut self, pick: usize, end: RunEnd) {
+        let runs: Vec<(usize, CellTask)> = self.all_runs();
+        if let Some((number, task)) = runs.get(pick % runs.len().max(1)) {
+            self.end_gang_aware(*number, *task, end);
+        }
+    }
+
+    /// Ends all runs well.
+    pub fn end_all(&mut self) {
+        while let Some((number, task)) = self.all_runs().first().copied() {
+            self.end_gang_aware(number, task, RunEnd::Done);
+        }
+    }
+
+    /// Ends well what has run for so long.
+    pub fn end_old(&mut self, span: TimeSpan) {
+        let now = self.now;
+        let is_old = |(number, task): &(usize, CellTask)| {
+            now >= self.workers[*number].runs[task].since.after(span)
+        };
+        let old: Vec<(usize, CellTask)> = self.all_runs().into_iter().filter(is_old).collect();
+        for (number, task) in old {
+            // A member of a gang may have ended with another one.
+            if self.workers[number].runs.contains_key(&task) {
+                self.end_gang_aware(number, task, RunEnd::Done);
+            }
+        }
+    }
+
+    pub(super) fn all_runs(&self) -> Vec<(usize, CellTask)> {
+        let workers = self.workers.iter().enumerate();
+        workers
+            .flat_map(|(number, worker)| worker.runs.keys().map(move |task| (number, *task)))
+            .collect()
+    }
+
+    /// The members of a gang end together: all done, or the others broken. A gang that is not whole
+    /// does no work.
+    fn end_gang_aware(&mut self, number: usize, task: CellTask, end: RunEnd) {
+        let spec = &self.store[&task.step.job].0.spec.steps[usize::from(task.step.step)];
+        if !spec.gang {
+            return self.end(number, task, end);
+        }
+        let (count, run) = (usize::from(spec.count), self.workers[number].runs[&task].run);
+        let members: Vec<(usize, CellTask)> = self
+            .all_runs()
+            .into_iter()
+            .filter(|(at, member)| {
+                member.step == task.step && self.workers[*at].runs[member].run == run
+            })
+            .collect();
+        let end = if members.len() == count { end } else { RunEnd::Alone };
+        for (at, member) in members {
+            let own = match end {
+                RunEnd::Done => RunEnd::Done,
+                end if member == task => end,
+                _ => RunEnd::Broken,
+            };
+            self.end(at, member, own);
+        }
+    }
+
+    /// Ends a run.
+    pub fn end(&mut self, number: usize, task: CellTask, end: RunEnd) {
+        let worker = &mut self.workers[number];
+        let run = worker.runs.remove(&task).expect("the task runs there").run;
+        worker.floor.insert(task, run);
+        let row = EndRow { number: worker.next_end, task, run, end, checkpoint: String::new() };
+        worker.next_end += 1;
+        worker.ends.push(row);
+        match end {
+            RunEnd::Done => {
+                self.done.insert(task);
+            }
+            RunEnd::Failed => self.note_failed(task, run),
+            _ => {}
+        }
+    }
+
+    /// Ends a run wherever it is.
+    pub fn end_anywhere(&mut self, task: CellTask, end: RunEnd) {
+        let number = self.place(task).expect("the task runs somewhere");
+        self.end(number, task, end);
+    }
+}
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -7,6 +7,8 @@
 mod advice;
 mod life;
 mod oracle;
+mod sight;
+mod spec;
 mod store;
 mod strays;
 mod trouble;
@@ -20,6 +22,7 @@
 use sedgehill_cell::authority::LeadRecord;
 
 pub use self::advice::{AdviceTrouble, StandinAdvice, StepHabit};
+pub use self::sight::WorkerSight;
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
 pub use self::worker::{
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -1,6 +1,6 @@
 //! Workers that run tasks under leases, and count what must never happen.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -16,6 +16,7 @@
 use super::advice;
 use super::life::{StandinClock, StandinLife, StandinRun};
 use super::oracle::TaskOracle;
+use super::spec::{GANG_SPEC, WIDE_SPEC, cores_of, crash_time};
 use super::trouble::{CallFate, FateDrawer, PathTrouble};
 use crate::http_server::{JsonResponse, json, read_json, status};
 
@@ -45,16 +46,16 @@
 
 /// A place for a worker.
 #[derive(Debug)]
-struct WorkerSite {
+pub(super) struct WorkerSite {
     /// The life that is there; none while nothing is.
-    life: Option<StandinLife>,
+    pub(super) life: Option<StandinLife>,
     /// Lives that there were.
     lives: usize,
     trouble: Option<PathTrouble>,
     /// Runs that were begun there.
     starts: usize,
     /// What it has, and what it had before, with until when a lead may go by that.
-    cores: usize,
+    pub(super) cores: usize,
     earlier_cores: Vec<(usize, u64)>,
     /// When the next life begins after a task crashed the last one.
     back_at: Option<u64>,
@@ -63,9 +64,9 @@
 }
 
 #[derive(Debug)]
-struct PoolState {
-    sites: Vec<WorkerSite>,
-    oracle: TaskOracle,
+pub(super) struct PoolState {
+    pub(super) sites: Vec<WorkerSite>,
+    pub(super) oracle: TaskOracle,
     run_ms: Range<u64>,
 }
 
@@ -73,27 +74,14 @@
 #[derive(Debug)]
 pub struct StandinWorkers {
     begun: Instant,
-    state: Mutex<PoolState>,
+    pub(super) state: Mutex<PoolState>,
     fates: FateDrawer,
     /// How much later than they are given all answers arrive, in milliseconds.
     delay_ms: AtomicU64,
 }
 
-/// A worker as seen from outside.
-#[derive(Debug, Clone)]
-pub struct WorkerSight {
-    /// A life is there.
-    pub lives: bool,
-    /// What it has, in cores.
-    pub cores: usize,
-    /// What runs there takes so many of them.
-    pub used: usize,
-    /// The step of each task that runs there.
-    pub running: Vec<String>,
-}
-
 /// The step of a task.
-fn step_of(task: &str) -> &str {
+pub(super) fn step_of(task: &str) -> &str {
     task.rsplit_once('.').map_or(task, |(step, _)| step)
 }
 
@@ -263,35 +251,6 @@
         self.state.lock().oracle.begun_jobs.clone()
     }
 
-    /// What runs on each worker, as seen from outside.
-    pub fn sights(&self) -> Vec<WorkerSight> {
-        let now = self.now_ms();
-        let state = &mut *self.state.lock();
-        state.settle(now);
-        let sight = |site: &WorkerSite| WorkerSight {
-            lives: site.life.is_some(),
-            cores: site.cores,
-            used: site.life.as_ref().map_or(0, StandinLife::used_cores),
-            running: site
-                .life
-                .iter()
-                .flat_map(|life| life.runs.keys())
-                .map(|task| step_of(task).to_owned())
-                .collect(),
-        };
-        state.sites.iter().map(sight).collect()
-    }
-
-    /// How many tasks of each step have ended done.
-    pub fn done_tasks(&self) -> BTreeMap<String, usize> {
-        let state = self.state.lock();
-        let mut done: BTreeMap<String, usize> = BTreeMap::new();
-        for task in state.oracle.done_tasks() {
-            *done.entry(step_of(task).to_owned()).or_default() += 1;
-        }
-        done
-    }
-
     pub(super) fn now_ms(&self) -> u64 {
         self.begun.elapsed().as_millis() as u64
     }
@@ -304,7 +263,7 @@
 }
 
 impl PoolState {
-    fn settle(&mut self, now: u64) {
+    pub(super) fn settle(&mut self, now: u64) {
         for site in &mut self.sites {
             let Some(life) = &mut site.life else { continue };
             let crashed = life.crashed_by(now).map(|(task, at)| (task.clone(), at));
@@ -514,7 +473,7 @@
     if order.spec == GANG_SPEC || order.spec.starts_with(WIDE_SPEC) {
         oracle.note_gangs(&order.task);
     }
-    let crashes_at = crash_time(order).map(|after| now + after);
+    let crashes_at = crash_time(&order.task, &order.spec).map(|after| now + after);
     if crashes_at.is_some() && order.held.is_zero() {
         oracle.note_crashing_start(&order.task, &told);
     }
@@ -533,23 +492,3 @@
     oracle.check_bounds(&lives);
     json(&serde_json::json!({ "clock_ms": clock }))
 }
-
-/// What jobs carry as their work whose first task crashes its workers, before the time from its start in milliseconds.
-pub const CRASH_SPEC: &str = "crash ";
-
-/// How long after its start a task crashes its worker; none if it does not.
-fn crash_time(order: &Order) -> Option<u64> {
-    let after = order.spec.strip_prefix(CRASH_SPEC)?.parse().ok()?;
-    order.task.ends_with(".0.0.0").then_some(after)
-}
-
-/// What jobs with gangs carry as their work.
-pub const GANG_SPEC: &str = "gang";
-
-/// What jobs with gangs of large members carry as their work, before the cores of a member.
-pub const WIDE_SPEC: &str = "wide ";
-
-/// The cores that a task needs.
-fn cores_of(spec: &str) -> usize {
-    spec.strip_prefix(WIDE_SPEC).and_then(|cores| cores.parse().ok()).unwrap_or(1)
-}
