--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -23,11 +23,10 @@
 
 pub use self::advice::{AdviceTrouble, StandinAdvice, StepHabit};
 pub use self::sight::WorkerSight;
+pub use self::spec::{CRASH_SPEC, GANG_SPEC, WIDE_SPEC};
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
-pub use self::worker::{
-    CORES, CRASH_SPEC, GANG_SPEC, StandinWorkers, WIDE_SPEC, WorkerSight, span_of,
-};
+pub use self::worker::{CORES, StandinWorkers, span_of};
 use crate::http_server::{ServerGuard, serve};
 
 /// The stand-ins, which stop when dropped.
