--- a/crates/sedgehill-cell/src/scheduler/desk.rs
+++ b/crates/sedgehill-cell/src/scheduler/desk.rs
@@ -29,10 +29,8 @@
 const OVERDUE_SLACK: TimeSpan = TimeSpan(300);
 /// A question without an answer is given up after this many times its cost ...
 const PATIENCE_FACTOR: u64 = 3;
-/// ... and this time, doubled with each failure of the box: a service that takes longer than that would otherwise be
-/// asked for ever and never heard.
+/// ... and this time. Its answer is used all the same.
 const PATIENCE: TimeSpan = TimeSpan(1_500);
-const PATIENCE_DOUBLINGS: u32 = 3;
 /// A box whose question failed asks nothing for so long, and twice as long with each further failure ...
 const REST: TimeSpan = TimeSpan(250);
 /// ... up to this: the service may be well again at any time, and no other box may be left.
@@ -47,6 +45,18 @@
     overdue: bool,
 }
 
+impl OpenQuestion {
+    fn is_long(&self) -> bool {
+        self.cost >= LONG_QUESTION
+    }
+
+    /// Whether it is given up.
+    fn is_over(&self, now: Moment) -> bool {
+        let patience = TimeSpan(self.cost.0 * PATIENCE_FACTOR + PATIENCE.0);
+        now >= self.sent.after(patience)
+    }
+}
+
 /// A box that asks.
 #[derive(Debug, Default)]
 struct AskingBox {
@@ -58,10 +68,6 @@
 }
 
 impl AskingBox {
-    fn is_long(question: &OpenQuestion) -> bool {
-        question.cost >= LONG_QUESTION
-    }
-
     /// Whether it can take a question now. Behind one that is overdue a further one would wait.
     fn can_ask(&self, now: Moment) -> bool {
         now >= self.rests_until && !self.open.iter().any(|question| question.overdue)
@@ -73,11 +79,6 @@
         self.failures += 1;
     }
 
-    fn patience(&self, cost: TimeSpan) -> TimeSpan {
-        let patience = cost.0 * PATIENCE_FACTOR + PATIENCE.0;
-        TimeSpan(patience << self.failures.min(PATIENCE_DOUBLINGS))
-    }
-
     fn queued(&self) -> u64 {
         self.open.iter().map(|question| question.cost.0).sum()
     }
@@ -142,7 +143,7 @@
             .iter()
             .filter(|(_, one)| {
                 let room = one.open.len() < SHORT_AT_ONCE;
-                room && one.can_ask(now) && (alone || !one.open.iter().any(AskingBox::is_long))
+                room && one.can_ask(now) && (alone || !one.open.iter().any(OpenQuestion::is_long))
             })
             .min_by_key(|(_, one)| (one.failures, one.queued()))
             .map(|(helper, _)| *helper)
@@ -196,11 +197,7 @@
     pub fn expire(&mut self, now: Moment) -> Vec<(HelperId, StepId)> {
         let mut expired = Vec::new();
         for (helper, one) in &mut self.helpers {
-            let asked = std::mem::take(&mut one.open);
-            let is_over =
-                |question: &OpenQuestion| now >= question.sent.after(one.patience(question.cost));
-            let (over, open): (Vec<_>, Vec<_>) = asked.into_iter().partition(is_over);
-            one.open = open;
+            let over: Vec<_> = one.open.extract_if(.., |question| question.is_over(now)).collect();
             if !over.is_empty() {
                 one.note_failure(now);
             }
