--- a/crates/sedgehill-cell/tests/testsuite/standing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/standing.rs
@@ -142,6 +142,15 @@
     assert_eq!(failed.count(), 1, "of {} questions", course.service.asked.len());
 }
 
+#[test]
+fn a_box_that_is_kept_for_short_questions_asks_long_ones_while_no_other_can() {
+    let mut course = Course::new(|_| 2);
+    let fail = HelperTrouble::Fails;
+    course.service.troubles.extend((1..=HELPERS).map(|helper| (HelperId(helper), fail)));
+    course.submit(1, gang(24, 4));
+    course.assert_begins(1, 24, TimeSpan(1_500));
+}
+
 #[test]
 fn a_service_that_is_down_is_asked_ever_more_rarely_and_noticed_when_it_is_back() {
     let mut course = Course::new(|_| 2);
