standin, soak: a watch that stood still itself judges nothing of that time

Trace: the logs of all six boxes have gaps in the same spans (53.7 to 57.8, 71.9 to 76.8, 77.4 to 82.9, 86.4 to 90.2 s), and the service's answers came late by them: nothing on the machine had a turn. A look of the watch that is a second late counts as a fault of the machine, as the users count a suspended one; the bound of 3 s and the calm of 4 s are unchanged.

--- a/crates/sedgehill-standin/src/soak/progress.rs
+++ b/crates/sedgehill-standin/src/soak/progress.rs
@@ -18,6 +18,9 @@
 const CALM_AFTER: Duration = Duration::from_secs(4);
 /// Time between two looks.
 const TURN: Duration = Duration::from_millis(100);
+/// A look that comes so late tells that the stand-ins stood still themselves, and the boxes that wait for them: as when a
+/// machine is suspended, which the users count as a fault of it.
+const STOOD_STILL: Duration = Duration::from_secs(1);
 /// Room for so many times what waits.
 const ROOM_TIMES: usize = 2;
 
@@ -73,8 +76,13 @@
 
     /// Watches until it is dropped.
     pub async fn run(&self, platform: &CellPlatform, told: &Mutex<ToldJobs>) {
+        let mut looked = Instant::now();
         loop {
             tokio::time::sleep(TURN).await;
+            if looked.elapsed() >= STOOD_STILL {
+                self.note_fault();
+            }
+            looked = Instant::now();
             self.look(platform, told);
         }
     }
