--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -5,7 +5,7 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
-use super::standing::{StandBelief, StandReason};
+use super::stall::{StallBelief, StallReason};
 use super::suspects::CrashSign;
 use crate::ids::{CellTask, JobId, OrganisationName, RunNumber, StepId, WorkerLife};
 use crate::organisation::ResourceLimit;
@@ -178,15 +178,15 @@
         need: ResourceSet,
     },
     /// Nothing of a step runs, though its turn came long ago and there is room for it twice over.
-    Stands {
+    Stalled {
         /// The step.
         step: StepId,
         /// Where it was turned back last.
-        reason: StandReason,
+        reason: StallReason,
         /// For how long.
         stood: TimeSpan,
         /// What was believed then.
-        belief: StandBelief,
+        belief: StallBelief,
     },
     /// A job is over.
     JobEnded {
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -28,7 +28,7 @@
 mod room;
 mod roster;
 mod sight;
-mod standing;
+mod stall;
 mod stragglers;
 mod suspects;
 mod take_over;
@@ -52,7 +52,7 @@
 use self::pace::FactorAverage;
 pub use self::policy::{CellPolicy, LimitOrder, LimitOrderError, SharingError, SharingWay};
 pub use self::sight::TakeOverSight;
-pub use self::standing::{StandBelief, StandFigures, StandReason};
+pub use self::stall::{StallBelief, StallFigures, StallReason};
 pub use self::suspects::CrashSign;
 use self::suspects::OpenRuns;
 pub use self::timing::CellTiming;
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -71,27 +71,27 @@
         spec: &StepSpec,
         open: &OpenWorkers,
         now: Moment,
-    ) -> StandReason {
-        let Some(job) = self.jobs.get(&candidate.job) else { return StandReason::NoRoom };
-        let room = if spec.gang { StandReason::GangRoom } else { StandReason::NoRoom };
+    ) -> StallReason {
+        let Some(job) = self.jobs.get(&candidate.job) else { return StallReason::NoRoom };
+        let room = if spec.gang { StallReason::GangRoom } else { StallReason::NoRoom };
         let Some(policy) = job.record.policy.advice else { return room };
         let advice = &job.steps[candidate.step].advice;
         let at_once = if spec.gang { GANG_QUESTIONS } else { 1 };
         if advice.expected_answers() >= at_once {
-            return StandReason::Asking;
+            return StallReason::Asking;
         }
         if now < advice.not_before {
-            return StandReason::AskedLately;
+            return StallReason::AskedLately;
         }
         // Which workers to name takes far longer to find than whether anybody could ask.
         if self.desk.free_helper(policy.cost(1), now).is_none() {
-            return StandReason::NoHelper;
+            return StallReason::NoHelper;
         }
         let named = match self.workers_to_name(candidate, job, spec, open, now) {
             Ok(named) => named,
-            Err(_) if !advice.asking.is_empty() => return StandReason::Asking,
+            Err(_) if !advice.asking.is_empty() => return StallReason::Asking,
             Err(reason) => {
-                if reason == StandReason::NobodyGood
+                if reason == StallReason::NobodyGood
                     && let Some(job) = self.jobs.get_mut(&candidate.job)
                 {
                     job.steps[candidate.step].advice.doubt_others(now);
@@ -100,7 +100,7 @@
             }
         };
         let cost = policy.cost(named.len());
-        let Some(helper) = self.desk.free_helper(cost, now) else { return StandReason::NoHelper };
+        let Some(helper) = self.desk.free_helper(cost, now) else { return StallReason::NoHelper };
         let step = job.steps[candidate.step].id;
         self.desk.begin(helper, step, cost, now);
         self.events.push(CellEvent::Asked { step, named: named.len(), helper });
@@ -112,7 +112,7 @@
             advice.asking.push(asked);
             advice.asked = Some(now);
         }
-        StandReason::Asking
+        StallReason::Asking
     }
 
     /// What share of the workers is taken as good for a step of a queue that was not asked about.
@@ -129,7 +129,7 @@
         spec: &StepSpec,
         open: &OpenWorkers,
         now: Moment,
-    ) -> Result<Vec<WorkerKey>, StandReason> {
+    ) -> Result<Vec<WorkerKey>, StallReason> {
         let waiting = waiting_tasks(job, candidate.step, now);
         let share = self.share_of(&job.record.queue);
         let AdviceRooms { mut rooms, usable, asked, asked_most } =
@@ -145,7 +145,7 @@
             if most + asked_most < needed {
                 let unknown = rooms.iter().any(|room| room.unknown) || asked_most > 0;
                 return Err(match unknown {
-                    true => StandReason::GangRoom,
+                    true => StallReason::GangRoom,
                     false => self.lack_of_names(candidate, job, spec, now),
                 });
             }
@@ -154,7 +154,7 @@
             // worker is asked about once, so it costs the step one question for each hundred workers.
             rooms.retain(|room| room.unknown);
             if rooms.is_empty() {
-                return Err(StandReason::ExpectedRoom);
+                return Err(StallReason::ExpectedRoom);
             }
         }
         rooms.sort_unstable();
@@ -240,7 +240,7 @@
         job: &JobWork,
         spec: &StepSpec,
         now: Moment,
-    ) -> StandReason {
+    ) -> StallReason {
         let known = &job.steps[candidate.step].advice.known;
         let mut usable = 0;
         let (mut unknown, mut places) = (0, 0);
@@ -260,9 +260,9 @@
         }
         let needed = if spec.gang { job.steps[candidate.step].left } else { 1 };
         match usable {
-            0 => StandReason::NoRoom,
-            _ if unknown == 0 && places < needed => StandReason::NobodyGood,
-            _ => StandReason::KnownRoom,
+            0 => StallReason::NoRoom,
+            _ if unknown == 0 && places < needed => StallReason::NobodyGood,
+            _ => StallReason::KnownRoom,
         }
     }
 
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -33,9 +33,9 @@
         self.keep_nothing();
         for candidate in self.candidates(now) {
             let reason = self.place_step(&candidate, &open, now);
-            self.note_stand(&candidate, reason, now);
+            self.note_stall(&candidate, reason, now);
         }
-        self.tell_stands(&open, now);
+        self.report_stalls(&open, now);
     }
 
     fn candidates(&mut self, now: Moment) -> Vec<Candidate> {
@@ -49,8 +49,8 @@
             // A job that a later lead marked is that lead's alone: this one has not read yet that it was replaced,
             // and would start tasks beside its successor's on workers that have not heard of that.
             let bar = match job {
-                job if job.later_mark => Some(StandReason::LaterLead),
-                job if !settled && job.foreign_orders => Some(StandReason::EarlierLead),
+                job if job.later_mark => Some(StallReason::LaterLead),
+                job if !settled && job.foreign_orders => Some(StallReason::EarlierLead),
                 _ => None,
             };
             if job.is_over() {
@@ -76,7 +76,7 @@
             }
         }
         for (reason, candidate) in barred {
-            self.note_stand(&candidate, Some(reason), now);
+            self.note_stall(&candidate, Some(reason), now);
         }
         ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.job, candidate.step));
         ranked.into_iter().map(|(_, candidate)| candidate).collect()
@@ -88,7 +88,7 @@
         candidate: &Candidate,
         open: &OpenWorkers,
         now: Moment,
-    ) -> Option<StandReason> {
+    ) -> Option<StallReason> {
         if self.judge_step(candidate.job, candidate.step, now) {
             return None;
         }
@@ -99,7 +99,7 @@
         let isolates = |task: &work::TaskWork| task.suspicion.stage() == SuspectStage::Alone;
         let claims = self.suspects_seen && job.step_tasks(candidate.step).iter().any(isolates);
         if !open.most.fits(&spec.need) && !displaces && !claims {
-            return Some(StandReason::NoRoom);
+            return Some(StallReason::NoRoom);
         }
         let mut waiting = waiting_tasks(job, candidate.step, now);
         let ordered = job.ordered == OrderedMark::Recorded;
@@ -107,7 +107,7 @@
         let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, waiting.len());
         if allowed == 0 {
             self.keep_room(candidate, spec, waiting.len(), now);
-            return Some(StandReason::Limit);
+            return Some(StallReason::Limit);
         }
         waiting.truncate(allowed);
         if ordered {
@@ -125,8 +125,8 @@
         }
         let reason = self.ask_advice(candidate, spec, open, now);
         Some(match ordered {
-            false => StandReason::NotRecorded,
-            true if held => StandReason::Suspect,
+            false => StallReason::NotRecorded,
+            true if held => StallReason::Suspect,
             true => reason,
         })
     }
--- a/crates/sedgehill-cell/src/scheduler/standing.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -2,7 +2,7 @@
 //!
 //! Most steps that wait are passed over by one look: no room, no ticket, nobody to ask. Such a look leaves no line, so a
 //! job that stood for a minute left none at all. The scheduler therefore keeps for each step the gate at which it was
-//! last turned back and since when the step stands, shows them as figures, and says so once a step has stood for some
+//! last turned back and since when the step stalled, shows them as figures, and says so once a step has stood for some
 //! seconds beside room for it twice over.
 
 use std::fmt;
@@ -15,17 +15,17 @@
 use super::*;
 
 /// A step that has stood for so long with room is told of: as long as the users allow.
-const STANDS_AFTER: TimeSpan = TimeSpan(3_000);
-/// It is told of again so much later, if it still stands.
+const STALLED_AFTER: TimeSpan = TimeSpan(3_000);
+/// It is told of again so much later, if it is still stalled.
 const TOLD_AGAIN: TimeSpan = TimeSpan(10_000);
-/// Steps that are told of in one turn, at the most: a cell in which everything stands needs no more lines.
+/// Steps that are told of in one turn, at the most: a cell in which everything is stalled needs no more lines.
 const TOLD_AT_ONCE: usize = 4;
 /// Room for so many times what waits is no lack of room.
 const ROOM_TIMES: usize = 2;
 
 /// The gate at which a step was turned back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum StandReason {
+pub enum StallReason {
     /// The list of workers was read too long ago to start anything.
     OldList,
     /// An earlier lead may have something of the job running.
@@ -56,29 +56,29 @@
     Asking,
 }
 
-impl StandReason {
+impl StallReason {
     /// The name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            StandReason::OldList => "old_list",
-            StandReason::EarlierLead => "earlier_lead",
-            StandReason::LaterLead => "later_lead",
-            StandReason::NotRecorded => "not_recorded",
-            StandReason::Suspect => "suspect",
-            StandReason::Limit => "limit",
-            StandReason::NoRoom => "no_room",
-            StandReason::GangRoom => "gang_room",
-            StandReason::KnownRoom => "known_room",
-            StandReason::ExpectedRoom => "expected_room",
-            StandReason::NobodyGood => "nobody_good",
-            StandReason::NoHelper => "no_helper",
-            StandReason::AskedLately => "asked_lately",
-            StandReason::Asking => "asking",
+            StallReason::OldList => "old_list",
+            StallReason::EarlierLead => "earlier_lead",
+            StallReason::LaterLead => "later_lead",
+            StallReason::NotRecorded => "not_recorded",
+            StallReason::Suspect => "suspect",
+            StallReason::Limit => "limit",
+            StallReason::NoRoom => "no_room",
+            StallReason::GangRoom => "gang_room",
+            StallReason::KnownRoom => "known_room",
+            StallReason::ExpectedRoom => "expected_room",
+            StallReason::NobodyGood => "nobody_good",
+            StallReason::NoHelper => "no_helper",
+            StallReason::AskedLately => "asked_lately",
+            StallReason::Asking => "asking",
         }
     }
 }
 
-impl fmt::Display for StandReason {
+impl fmt::Display for StallReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.name())
     }
@@ -86,18 +86,18 @@
 
 /// A step that has nothing running though its turn has come.
 #[derive(Debug, Clone, Copy)]
-pub struct StepStand {
+pub struct StepStall {
     /// Since when.
     pub since: Moment,
     /// Where it was turned back last.
-    pub reason: StandReason,
+    pub reason: StallReason,
     /// When it was told of last.
     told: Option<Moment>,
 }
 
-/// What was believed when a step was told of as standing.
+/// What was believed when a step was told of as stalled.
 #[derive(Debug, Clone, PartialEq)]
-pub struct StandBelief {
+pub struct StallBelief {
     /// Tasks that wait.
     pub waiting: usize,
     /// Places for them on workers that take work, whoever may run the step.
@@ -120,11 +120,11 @@
     pub asked_ago: Option<TimeSpan>,
 }
 
-/// Steps that stand for one reason.
+/// Steps that are stalled for one reason.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StandFigures {
+pub struct StallFigures {
     /// The reason.
-    pub reason: StandReason,
+    pub reason: StallReason,
     /// How many.
     pub steps: usize,
     /// The longest time that one of them has stood.
@@ -148,65 +148,65 @@
 
 impl Scheduler {
     /// Notes at which gate a step was turned back; none if something of it was started.
-    pub(super) fn note_stand(
+    pub(super) fn note_stall(
         &mut self,
         candidate: &Candidate,
-        reason: Option<StandReason>,
+        reason: Option<StallReason>,
         now: Moment,
     ) {
         let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
-        let stands = reason.filter(|_| !job.has_placed(candidate.step));
-        let stand = &mut job.steps[candidate.step].stand;
-        *stand = stands.map(|reason| match *stand {
-            Some(stand) => StepStand { reason, ..stand },
-            None => StepStand { since: now, reason, told: None },
+        let stalls = reason.filter(|_| !job.has_placed(candidate.step));
+        let stall = &mut job.steps[candidate.step].stall;
+        *stall = stalls.map(|reason| match *stall {
+            Some(stall) => StepStall { reason, ..stall },
+            None => StepStall { since: now, reason, told: None },
         });
     }
 
     /// Tells of steps that have stood for long beside room for them.
-    pub(super) fn tell_stands(&mut self, open: &OpenWorkers, now: Moment) {
-        let is_long = |stand: &StepStand| {
-            let told = stand.told.is_some_and(|told| now < told.after(TOLD_AGAIN));
-            now >= stand.since.after(STANDS_AFTER) && !told
+    pub(super) fn report_stalls(&mut self, open: &OpenWorkers, now: Moment) {
+        let is_long = |stall: &StepStall| {
+            let told = stall.told.is_some_and(|told| now < told.after(TOLD_AGAIN));
+            now >= stall.since.after(STALLED_AFTER) && !told
         };
         let mut long: Vec<(Moment, Candidate)> = Vec::new();
         for job in self.jobs.values().filter(|job| !job.is_over()) {
             for (step, work) in job.steps.iter().enumerate() {
-                let Some(stand) = work.stand.filter(is_long) else { continue };
+                let Some(stall) = work.stall.filter(is_long) else { continue };
                 // It may have been taken over from an earlier lead since.
                 if !job.has_placed(step) {
-                    long.push((stand.since, Candidate { job: job.id, step }));
+                    long.push((stall.since, Candidate { job: job.id, step }));
                 }
             }
         }
         long.sort_by_key(|(since, candidate)| (*since, candidate.job, candidate.step));
         let mut told = 0;
         for (since, candidate) in long {
-            let Some(belief) = self.stand_belief(&candidate, open, now) else { continue };
+            let Some(belief) = self.stall_belief(&candidate, open, now) else { continue };
             let Some(job) = self.jobs.get_mut(&candidate.job) else { continue };
             let work = &mut job.steps[candidate.step];
-            let Some(stand) = &mut work.stand else { continue };
+            let Some(stall) = &mut work.stall else { continue };
             // Looked at again later, whether it is told of or not: the look goes over all workers.
-            stand.told = Some(now);
+            stall.told = Some(now);
             if belief.places < ROOM_TIMES * belief.waiting || told == TOLD_AT_ONCE {
                 continue;
             }
             told += 1;
-            let (step, reason) = (work.id, stand.reason);
-            self.events.push(CellEvent::Stands { step, reason, stood: now.since(since), belief });
+            let (step, reason) = (work.id, stall.reason);
+            self.events.push(CellEvent::Stalled { step, reason, stood: now.since(since), belief });
         }
     }
 
-    fn stand_belief(
+    fn stall_belief(
         &self,
         candidate: &Candidate,
         open: &OpenWorkers,
         now: Moment,
-    ) -> Option<StandBelief> {
+    ) -> Option<StallBelief> {
         let job = self.jobs.get(&candidate.job)?;
         let spec = job.step_spec(candidate.step);
         let advice = &job.steps[candidate.step].advice;
-        let mut belief = StandBelief {
+        let mut belief = StallBelief {
             waiting: waiting_tasks(job, candidate.step, now).len(),
             places: 0,
             places_good: 0,
@@ -234,18 +234,18 @@
         Some(belief)
     }
 
-    /// The steps that stand, by reason.
-    pub fn stand_figures(&self, now: Moment) -> Vec<StandFigures> {
-        let mut figures: BTreeMap<StandReason, StandFigures> = BTreeMap::new();
+    /// The steps that are stalled, by reason.
+    pub fn stall_figures(&self, now: Moment) -> Vec<StallFigures> {
+        let mut figures: BTreeMap<StallReason, StallFigures> = BTreeMap::new();
         let jobs = self.jobs.values().filter(|job| !job.is_over());
         let steps = jobs.flat_map(|job| (0..job.steps.len()).map(move |step| (job, step)));
-        let standing = steps.filter(|(job, step)| !job.has_placed(*step));
-        for stand in standing.filter_map(|(job, step)| job.steps[step].stand) {
-            let reason = if self.knows_sizes(now) { stand.reason } else { StandReason::OldList };
+        let stalled = steps.filter(|(job, step)| !job.has_placed(*step));
+        for stall in stalled.filter_map(|(job, step)| job.steps[step].stall) {
+            let reason = if self.knows_sizes(now) { stall.reason } else { StallReason::OldList };
             let one = figures.entry(reason);
-            let one = one.or_insert(StandFigures { reason, steps: 0, longest: TimeSpan(0) });
+            let one = one.or_insert(StallFigures { reason, steps: 0, longest: TimeSpan(0) });
             one.steps += 1;
-            one.longest = one.longest.max(now.since(stand.since));
+            one.longest = one.longest.max(now.since(stall.since));
         }
         figures.into_values().collect()
     }
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -7,7 +7,7 @@
 use super::advice::StepAdvice;
 use super::message::WorkerKey;
 use super::organisations::OrganisationKey;
-use super::standing::StepStand;
+use super::stall::StepStall;
 use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId};
 use crate::job::{JobRecord, RepeatSpec, StepSpec};
 use crate::progress::{JobProgress, JobState, TaskProgress};
@@ -67,7 +67,7 @@
     /// Whether it was last held back by the limit of its organisation.
     pub held: bool,
     /// Set while its turn has come and nothing of it runs.
-    pub stand: Option<StepStand>,
+    pub stall: Option<StepStall>,
 }
 
 /// Whether it is recorded that tasks of the job may run.
@@ -154,7 +154,7 @@
                     left: left.count(),
                     advice: StepAdvice::default(),
                     held: false,
-                    stand: None,
+                    stall: None,
                 });
                 first += count;
             }
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -23,5 +23,5 @@
 mod scheduler;
 mod sight;
 mod silence;
+mod stalled;
 mod standby;
-mod standing;
--- a/crates/sedgehill-cell/tests/testsuite/roster.rs
+++ b/crates/sedgehill-cell/tests/testsuite/roster.rs
@@ -52,7 +52,7 @@
 
 /// With entries in the list that name no worker, jobs of an earlier lead had nothing running for nine seconds after each
 /// change of the lead: `"msg":"take-over settled","by":"time","after_ms":8852,"heard":40,"unheard":3`, and
-/// `"msg":"step stands","reason":"earlier_lead","places":419,"waiting":3`. The roster held every listed life, whether it had
+/// `"msg":"step stalled","reason":"earlier_lead","places":419,"waiting":3`. The roster held every listed life, whether it had
 /// ever answered or not, and a start goes only to one that has.
 #[test]
 fn an_entry_at_which_nobody_ever_answered_does_not_hold_up_a_later_lead() {
--- a/crates/sedgehill-cell/tests/testsuite/standing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/stalled.rs
@@ -10,7 +10,7 @@
 
 use sedgehill_cell::ids::{JobId, StepId, WorkerLife};
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
-use sedgehill_cell::scheduler::{CellEvent, HelperId, RunEnd, Scheduler, StandReason};
+use sedgehill_cell::scheduler::{CellEvent, HelperId, RunEnd, Scheduler, StallReason};
 use sedgehill_core::units::TimeSpan;
 
 use crate::fake::{FakeCell, FakeService, HelperTrouble, job, step};
@@ -212,18 +212,18 @@
     course.assert_begins(9, 60, TimeSpan(6_000));
 }
 
-/// What was told of a step that stands.
-fn told(course: &mut Course) -> Vec<(StandReason, TimeSpan)> {
+/// What was told of stalled steps.
+fn told(course: &mut Course) -> Vec<(StallReason, TimeSpan)> {
     let events = course.lead.take_events().into_iter();
-    let stands = events.filter_map(|event| match event {
-        CellEvent::Stands { reason, stood, .. } => Some((reason, stood)),
+    let stalled = events.filter_map(|event| match event {
+        CellEvent::Stalled { reason, stood, .. } => Some((reason, stood)),
         _ => None,
     });
-    stands.collect()
+    stalled.collect()
 }
 
 #[test]
-fn a_step_that_stands_is_told_of_with_its_reason() {
+fn a_stalled_step_is_told_of_with_its_reason() {
     let mut course = Course::new(|_| 1);
     for helper in 0..=HELPERS {
         course.lead.remove_helper(HelperId(helper), course.cell.now);
@@ -233,9 +233,9 @@
     let told = told(&mut course);
     assert_eq!(told.len(), 1, "{told:?}");
     let (reason, stood) = told[0];
-    assert_eq!(reason, StandReason::NoHelper);
+    assert_eq!(reason, StallReason::NoHelper);
     assert!(stood >= TimeSpan(3_000) && stood < TimeSpan(3_100), "{stood}");
-    let figures = course.lead.stand_figures(course.cell.now);
+    let figures = course.lead.stall_figures(course.cell.now);
     assert_eq!(figures.iter().map(|one| one.steps).sum::<usize>(), 1, "{figures:?}");
 }
 
--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -25,7 +25,7 @@
                  [--wide] [--calm]
                  --seed is drawn where it is left out; COUNT seeds from it on are run; the logs of
                  a run that breaks a promise stay in DIR; --wide: larger workers, gangs as wide as half
-                 of the cell, dear advice, and a watch that no job stands; --calm: no faults but of advice
+                 of the cell, dear advice, and a watch that no job is stalled; --calm: no faults but of advice
     log          --listen ADDRESS
     list         --listen ADDRESS --file LIST.json
     worker       --listen ADDRESS --id NAME [--cores N] [--memory SIZE] [--accelerators N]
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -38,7 +38,7 @@
     /// every worker at once.
     Narrow,
     /// Workers of sixteen cores, jobs with gangs as wide as half of the cell among narrow ones, dear advice. It is
-    /// watched that no job stands while the load goes on.
+    /// watched that no job is stalled while the load goes on.
     Wide,
 }
 
@@ -96,8 +96,8 @@
     pub crashing: usize,
     /// Other jobs that were given up, each after two lives at least had ended under one of its tasks.
     pub given_up: usize,
-    /// The longest that a job stood in calm, where that is watched.
-    pub stood: Duration,
+    /// The longest that a job was stalled in calm, where that is watched.
+    pub stalled: Duration,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -151,7 +151,7 @@
         result = soak.run(&plan, seconds) => result?,
     }
     soak.check(&callers, &mut report).await;
-    report.stood = soak.progress.longest();
+    report.stalled = soak.progress.longest();
     report.broken.extend(soak.progress.broken());
     Ok(report)
 }
--- a/crates/sedgehill-standin/src/soak/progress.rs
+++ b/crates/sedgehill-standin/src/soak/progress.rs
@@ -1,7 +1,7 @@
-//! Watches that no job stands: that for 3 s of calm nothing of it runs though a task's turn has come, the workers that
+//! Watches that no job is stalled: that for 3 s of calm nothing of it runs though a task's turn has come, the workers that
 //! are good for it have room twice over, and under half of the cell is in use.
 //!
-//! It sees what callers were told and what workers run, while the load goes on: a job that ends at last has stood
+//! It sees what callers were told and what workers run, while the load goes on: a job that ends at last was stalled
 //! all the same.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -12,8 +12,8 @@
 use super::callers::ToldJobs;
 use crate::cell_platform::{CellPlatform, WorkerSight};
 
-/// A job may stand for so long, as the users say.
-const STANDS_AFTER: Duration = Duration::from_secs(3);
+/// A job may be stalled for so long, as the users say.
+const STALLED_AFTER: Duration = Duration::from_secs(3);
 /// Faults that ended so long before have no part in it.
 const CALM_AFTER: Duration = Duration::from_secs(4);
 /// Time between two looks.
@@ -37,12 +37,12 @@
 #[derive(Debug, Default)]
 struct ProgressState {
     jobs: BTreeMap<u64, Vec<WatchedStep>>,
-    /// Since when jobs stand.
-    standing: HashMap<u64, Instant>,
+    /// Since when jobs are stalled.
+    stalled: HashMap<u64, Instant>,
     over: HashSet<u64>,
     told: HashSet<u64>,
     broken: Vec<String>,
-    /// The longest that a job has stood in calm.
+    /// The longest that a job was stalled in calm.
     longest: Duration,
 }
 
@@ -64,12 +64,12 @@
         *self.calm_from.lock() = Instant::now();
     }
 
-    /// Jobs that stood.
+    /// Jobs that were stalled.
     pub fn broken(&self) -> Vec<String> {
         self.state.lock().broken.clone()
     }
 
-    /// The longest that a job stood in calm.
+    /// The longest that a job was stalled in calm.
     pub fn longest(&self) -> Duration {
         self.state.lock().longest
     }
@@ -112,26 +112,26 @@
             .collect();
         for id in over {
             state.jobs.remove(&id);
-            state.standing.remove(&id);
+            state.stalled.remove(&id);
             state.over.insert(id);
         }
         let used: usize = sights.iter().map(|one| one.used).sum();
         let cores: usize = sights.iter().map(|one| one.cores).sum();
         let ids: Vec<u64> = state.jobs.keys().copied().collect();
         for id in ids {
-            let stands = match 2 * used < cores && calm >= CALM_AFTER {
-                true => standing_step(&state.jobs[&id], &sights, &done, platform),
+            let stalled = match 2 * used < cores && calm >= CALM_AFTER {
+                true => stalled_step(&state.jobs[&id], &sights, &done, platform),
                 false => None,
             };
-            let Some(what) = stands else {
-                state.standing.remove(&id);
+            let Some(what) = stalled else {
+                state.stalled.remove(&id);
                 continue;
             };
-            let since = *state.standing.entry(id).or_insert(now);
+            let since = *state.stalled.entry(id).or_insert(now);
             let stood = now.duration_since(since);
             state.longest = state.longest.max(stood);
-            if stood >= STANDS_AFTER && state.told.insert(id) {
-                state.broken.push(format!("{what} stands for {} ms", stood.as_millis()));
+            if stood >= STALLED_AFTER && state.told.insert(id) {
+                state.broken.push(format!("{what} is stalled for {} ms", stood.as_millis()));
             }
         }
     }
@@ -160,7 +160,7 @@
 }
 
 /// The step of a job that could run though nothing of the job does.
-fn standing_step(
+fn stalled_step(
     steps: &[WatchedStep],
     sights: &[WorkerSight],
     done: &BTreeMap<String, usize>,
--- a/crates/sedgehill-standin/src/soak_command.rs
+++ b/crates/sedgehill-standin/src/soak_command.rs
@@ -51,13 +51,13 @@
         }
     };
     println!(
-        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, stood {} ms, {} broken",
+        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, stalled {} ms, {} broken",
         report.faults,
         report.accepted,
         report.crashing,
         report.refused,
         report.given_up,
-        report.stood.as_millis(),
+        report.stalled.as_millis(),
         report.broken.len()
     );
     for broken in &report.broken {
--- a/crates/sedgehill-standin/tests/testsuite/soak.rs
+++ b/crates/sedgehill-standin/tests/testsuite/soak.rs
@@ -35,9 +35,9 @@
 
 /// Gangs as wide as half of the cell among narrow jobs, dear advice, and boxes whose questions fail. Before gangs for which
 /// too little room was expected were asked about, some of them stood to the end here:
-/// `"msg":"step stands","reason":"expected_room","share_percent":30,"places":96,"waiting":43,"asked_ms_ago":null`.
+/// `"msg":"step stalled","reason":"expected_room","share_percent":30,"places":96,"waiting":43,"asked_ms_ago":null`.
 #[tokio::test(flavor = "multi_thread")]
-async fn no_job_stands_beside_wide_gangs_and_dear_advice() {
+async fn no_job_stalls_beside_wide_gangs_and_dear_advice() {
     let directory = tempfile::tempdir().unwrap();
     let size = SoakSize { boxes: 4, workers: 24, world: SoakWorld::Wide, faults: false };
     let report = run_soak(20_261_203, SECONDS, size, directory.path()).await.unwrap();
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -51,7 +51,7 @@
         }
         CellEvent::AdviceOverdue { .. } => telemetry::count_cell_event("advice_overdue", ""),
         CellEvent::Held { .. } => telemetry::count_cell_event("held", "limit"),
-        CellEvent::Stands { reason, .. } => telemetry::count_cell_event("stands", reason.name()),
+        CellEvent::Stalled { reason, .. } => telemetry::count_cell_event("stalled", reason.name()),
         CellEvent::JobEnded { state, after, .. } => {
             telemetry::count_cell_event("job_ended", state.name());
             telemetry::note_cell_time("sedgehill_cell_job_seconds", after.0 as f64 / MILLIS);
@@ -123,9 +123,9 @@
             info!(log, "held back by a limit"; "step" => %step, "organisation" => %organisation,
                 "running" => %running, "limit" => %limit, "need" => %need);
         }
-        CellEvent::Stands { step, reason, stood, belief } => {
-            warn!(log, "step stands"; "token" => %token, "step" => %step, "reason" => %reason,
-                "stood_ms" => stood.0, "waiting" => belief.waiting, "places" => belief.places,
+        CellEvent::Stalled { step, reason, stood, belief } => {
+            warn!(log, "step stalled"; "token" => %token, "step" => %step, "reason" => %reason,
+                "stalled_ms" => stood.0, "waiting" => belief.waiting, "places" => belief.places,
                 "places_good" => belief.places_good, "places_unknown" => belief.places_unknown,
                 "good" => belief.good, "not_good" => belief.not_good, "shunned" => belief.shunned,
                 "share_percent" => belief.share_percent, "asking" => belief.asking,
--- a/crates/sedgehilld/src/cell/figures.rs
+++ b/crates/sedgehilld/src/cell/figures.rs
@@ -1,9 +1,9 @@
-//! What the lead shows of organisations and of steps that stand, as metrics.
+//! What the lead shows of organisations and of stalled steps, as metrics.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sedgehill_cell::scheduler::{OrganisationFigures, StandFigures, StandReason};
+use sedgehill_cell::scheduler::{OrganisationFigures, StallFigures, StallReason};
 use sedgehill_core::units::{CoreCount, ResourceSet};
 
 use super::lead::LeadSession;
@@ -25,18 +25,18 @@
     loop {
         tokio::time::sleep(EVERY).await;
         write(&session.scheduler.borrow().organisation_figures());
-        write_stands(&session.scheduler.borrow().stand_figures(clock::now()), &mut shown);
+        write_stalls(&session.scheduler.borrow().stall_figures(clock::now()), &mut shown);
     }
 }
 
-/// Shows the steps that stand. Reasons that were shown and hold for none any more are set to nothing.
-fn write_stands(figures: &[StandFigures], shown: &mut BTreeSet<StandReason>) {
+/// Shows the stalled steps. Reasons that were shown and hold for none any more are set to nothing.
+fn write_stalls(figures: &[StallFigures], shown: &mut BTreeSet<StallReason>) {
     for one in figures {
         shown.insert(one.reason);
-        telemetry::set_standing(one.reason.name(), one.steps, one.longest.0 as f64 / MILLIS);
+        telemetry::set_stalled(one.reason.name(), one.steps, one.longest.0 as f64 / MILLIS);
     }
     for reason in shown.iter().filter(|reason| figures.iter().all(|one| one.reason != **reason)) {
-        telemetry::set_standing(reason.name(), 0, 0.0);
+        telemetry::set_stalled(reason.name(), 0, 0.0);
     }
 }
 
@@ -47,8 +47,8 @@
         (one.running, one.open_jobs) = (ResourceSet::default(), 0);
     }
     write(&figures);
-    let stands = session.scheduler.borrow().stand_figures(clock::now());
-    write_stands(&[], &mut stands.iter().map(|one| one.reason).collect());
+    let stalls = session.scheduler.borrow().stall_figures(clock::now());
+    write_stalls(&[], &mut stalls.iter().map(|one| one.reason).collect());
 }
 
 fn write(figures: &[OrganisationFigures]) {
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -157,8 +157,8 @@
     gauge!(metric, "organisation" => name.to_owned()).set(value);
 }
 
-/// Notes how many steps stand for a reason, and for how long the one that has stood the longest.
-pub fn set_standing(reason: &'static str, steps: usize, longest_seconds: f64) {
-    gauge!("sedgehill_cell_standing_steps", "reason" => reason).set(steps as f64);
-    gauge!("sedgehill_cell_standing_longest_seconds", "reason" => reason).set(longest_seconds);
+/// Notes how many steps are stalled for a reason, and for how long the one that has been so the longest.
+pub fn set_stalled(reason: &'static str, steps: usize, longest_seconds: f64) {
+    gauge!("sedgehill_cell_stalled_steps", "reason" => reason).set(steps as f64);
+    gauge!("sedgehill_cell_stalled_longest_seconds", "reason" => reason).set(longest_seconds);
 }
