--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -1,8 +1,8 @@
 //! Why a step whose turn has come has nothing running.
 //!
 //! Most steps that wait are passed over by one look: no room, no ticket, nobody to ask. Such a look leaves no line, so a
-//! job that stood for a minute left none at all. The scheduler therefore keeps for each step the gate at which it was
-//! last turned back and since when the step stalled, shows them as figures, and says so once a step has stood for some
+//! job that was stalled for a minute left none at all. The scheduler therefore keeps for each step the gate at which it was
+//! last turned back and since when the step is stalled, shows them as figures, and says so once that has lasted for some
 //! seconds beside room for it twice over.
 
 use std::fmt;
@@ -14,7 +14,7 @@
 use super::worker::WorkerTrust;
 use super::*;
 
-/// A step that has stood for so long with room is told of: as long as the users allow.
+/// A step that is stalled for so long beside room is told of: as long as the users allow.
 const STALLED_AFTER: TimeSpan = TimeSpan(3_000);
 /// It is told of again so much later, if it is still stalled.
 const TOLD_AGAIN: TimeSpan = TimeSpan(10_000);
@@ -127,7 +127,7 @@
     pub reason: StallReason,
     /// How many.
     pub steps: usize,
-    /// The longest time that one of them has stood.
+    /// The longest time that one of them has been.
     pub longest: TimeSpan,
 }
 
@@ -163,7 +163,7 @@
         });
     }
 
-    /// Tells of steps that have stood for long beside room for them.
+    /// Tells of steps that are stalled for long beside room for them.
     pub(super) fn report_stalls(&mut self, open: &OpenWorkers, now: Moment) {
         let is_long = |stall: &StepStall| {
             let told = stall.told.is_some_and(|told| now < told.after(TOLD_AGAIN));
@@ -182,13 +182,16 @@
         long.sort_by_key(|(since, candidate)| (*since, candidate.job, candidate.step));
         let mut told = 0;
         for (since, candidate) in long {
+            if told == TOLD_AT_ONCE {
+                return;
+            }
             let Some(belief) = self.stall_belief(&candidate, open, now) else { continue };
             let Some(job) = self.jobs.get_mut(&candidate.job) else { continue };
             let work = &mut job.steps[candidate.step];
             let Some(stall) = &mut work.stall else { continue };
             // Looked at again later, whether it is told of or not: the look goes over all workers.
             stall.told = Some(now);
-            if belief.places < ROOM_TIMES * belief.waiting || told == TOLD_AT_ONCE {
+            if belief.places < ROOM_TIMES * belief.waiting {
                 continue;
             }
             told += 1;
--- a/crates/sedgehill-standin/src/soak/progress.rs
+++ b/crates/sedgehill-standin/src/soak/progress.rs
@@ -91,48 +91,59 @@
         let sights = platform.workers.sights();
         let done = platform.workers.done_tasks();
         let now = Instant::now();
-        let state = &mut *self.state.lock();
-        {
-            let told = told.lock();
-            let accepted = told.accepted.iter().filter(|id| !told.crashing.contains(id));
-            for id in accepted {
-                if !state.over.contains(id) && !state.jobs.contains_key(id) {
-                    let body = told.bodies.get(id).map(String::as_str).unwrap_or_default();
-                    state.jobs.insert(*id, steps_of(*id, body));
-                }
-            }
-            state.jobs.retain(|id, _| told.accepted.contains(id));
-        }
         let calm = now.duration_since(*self.calm_from.lock());
-        let over: Vec<u64> = state
-            .jobs
-            .iter()
-            .filter(|(_, steps)| steps.iter().all(|step| step.left(&done) == 0))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in over {
-            state.jobs.remove(&id);
-            state.stalled.remove(&id);
-            state.over.insert(id);
-        }
         let used: usize = sights.iter().map(|one| one.used).sum();
         let cores: usize = sights.iter().map(|one| one.cores).sum();
+        let judged = 2 * used < cores && calm >= CALM_AFTER;
+        let state = &mut *self.state.lock();
+        state.take_in(&told.lock());
+        state.forget_over(&done);
         let ids: Vec<u64> = state.jobs.keys().copied().collect();
         for id in ids {
-            let stalled = match 2 * used < cores && calm >= CALM_AFTER {
+            let stalled = match judged {
                 true => stalled_step(&state.jobs[&id], &sights, &done, platform),
                 false => None,
             };
-            let Some(what) = stalled else {
-                state.stalled.remove(&id);
-                continue;
-            };
-            let since = *state.stalled.entry(id).or_insert(now);
-            let stood = now.duration_since(since);
-            state.longest = state.longest.max(stood);
-            if stood >= STALLED_AFTER && state.told.insert(id) {
-                state.broken.push(format!("{what} is stalled for {} ms", stood.as_millis()));
+            state.note(id, stalled, now);
+        }
+    }
+}
+
+impl ProgressState {
+    /// Takes in the jobs that were accepted, and drops those that were cancelled.
+    fn take_in(&mut self, told: &ToldJobs) {
+        for id in told.accepted.iter().filter(|id| !told.crashing.contains(id)) {
+            if !self.over.contains(id) && !self.jobs.contains_key(id) {
+                let body = told.bodies.get(id).map(String::as_str).unwrap_or_default();
+                self.jobs.insert(*id, steps_of(*id, body));
+            }
+        }
+        self.jobs.retain(|id, _| told.accepted.contains(id));
+    }
+
+    fn forget_over(&mut self, done: &BTreeMap<String, usize>) {
+        let (stalled, over) = (&mut self.stalled, &mut self.over);
+        self.jobs.retain(|id, steps| {
+            let is_over = steps.iter().all(|step| step.left(done) == 0);
+            if is_over {
+                stalled.remove(id);
+                over.insert(*id);
             }
+            !is_over
+        });
+    }
+
+    /// Notes what of a job could run and does not, or that nothing is amiss.
+    fn note(&mut self, id: u64, stalled: Option<String>, now: Instant) {
+        let Some(what) = stalled else {
+            self.stalled.remove(&id);
+            return;
+        };
+        let since = *self.stalled.entry(id).or_insert(now);
+        let lasted = now.duration_since(since);
+        self.longest = self.longest.max(lasted);
+        if lasted >= STALLED_AFTER && self.told.insert(id) {
+            self.broken.push(format!("{what} is stalled for {} ms", lasted.as_millis()));
         }
     }
 }
