--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -152,7 +152,11 @@
     }
     soak.check(&callers, &mut report).await;
     report.stalled = soak.progress.longest();
-    report.broken.extend(soak.progress.broken());
+    let stalled = soak.progress.broken();
+    if !stalled.is_empty() {
+        report.broken.extend(stalled);
+        report.broken.extend(soak.told_stalls());
+    }
     Ok(report)
 }
 
@@ -194,6 +198,17 @@
         Ok(soak)
     }
 
+    /// What boxes wrote of stalled steps: the reasons, where the logs are not kept.
+    fn told_stalls(&self) -> Vec<String> {
+        let logs = self.boxes.iter().map(|one| one.site.log_path(self.directory));
+        let texts = logs.filter_map(|log| std::fs::read_to_string(log).ok());
+        let told = |text: String| {
+            let lines = text.lines().filter(|line| line.contains("\"step stalled\""));
+            lines.map(str::to_owned).collect::<Vec<_>>()
+        };
+        texts.flat_map(told).collect()
+    }
+
     async fn wait_ready(&mut self) -> std::io::Result<()> {
         let deadline = Instant::now() + SETTLE_LIMIT;
         for one in &self.boxes {
