--- a/crates/sedgehill-cell/tests/testsuite/fake/crashes.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/crashes.rs
@@ -226,7 +226,10 @@
             self.crashes.returns.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, number) in back {
             self.workers[number].down = false;
-            self.begin_anew(number);
+            match self.keeps_ids {
+                true => self.start_again(number),
+                false => self.begin_anew(number),
+            }
         }
     }
 }
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod ends;
 mod entries;
+mod lives;
 mod organisations;
 mod service;
 
@@ -12,7 +13,7 @@
 use std::sync::Arc;
 
 use sedgehill_cell::ids::{
-    CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId, WorkerLife,
+    CellTask, FencingToken, JobId, LifeStart, OrganisationName, RunNumber, StepId, WorkerLife,
 };
 use sedgehill_cell::job::{JobRecord, JobSpec, QueuePolicy, StepSpec};
 use sedgehill_cell::organisation::OrganisationPolicy;
@@ -31,6 +32,8 @@
 
 /// A worker's clock is this far ahead of the lead's.
 const CLOCK_AHEAD: u64 = 100_000;
+/// The longest lease that a worker grants, in milliseconds.
+const HOLD_MOST: u64 = 6_000;
 
 #[derive(Debug, Clone)]
 struct FakeRun {
@@ -67,6 +70,10 @@
     token: FencingToken,
     floor: HashMap<CellTask, RunNumber>,
     lease_until: u64,
+    /// When its life began, where workers tell it.
+    start: Option<LifeStart>,
+    /// How far its clock is ahead of the lead's.
+    clock_ahead: u64,
 }
 
 /// A start that got no answer and is carried out later, under the token of its time.
@@ -102,6 +109,8 @@
     listed_at: Moment,
     /// The list of workers cannot be read.
     pub list_away: bool,
+    /// Workers that crash start again under their ids.
+    pub keeps_ids: bool,
 }
 
 /// Time between two readings of the list, as by a box.
@@ -171,6 +180,8 @@
             token: FencingToken(0),
             floor: HashMap::new(),
             lease_until: 0,
+            start: None,
+            clock_ahead: CLOCK_AHEAD,
         }
     }
 
@@ -205,6 +216,7 @@
             crashes: CrashLedger::default(),
             listed_at: Moment(0),
             list_away: false,
+            keeps_ids: false,
         }
     }
 
@@ -430,13 +442,13 @@
         }
     }
 
-    fn clock(&self) -> WorkerTime {
-        WorkerTime(self.now.0 + CLOCK_AHEAD)
+    fn clock(&self, number: usize) -> WorkerTime {
+        WorkerTime(self.now.0 + self.workers[number].clock_ahead)
     }
 
     /// Ends what runs on a worker whose lease is over.
     fn lapse(&mut self, number: usize) {
-        let clock = self.clock().0;
+        let clock = self.clock(number).0;
         let worker = &mut self.workers[number];
         if clock <= worker.lease_until {
             return;
@@ -484,7 +496,7 @@
         token: FencingToken,
     ) -> WorkerAnswer<WorkerTime> {
         self.lapse_all();
-        let clock = self.clock();
+        let clock = self.clock(number);
         let worker = &mut self.workers[number];
         if token < worker.token {
             return WorkerAnswer::NotDone(WorkerRefusal::Fenced);
@@ -499,7 +511,7 @@
         if worker.runs.get(&order.task).is_some_and(|run| run.run == order.run) {
             return WorkerAnswer::Done(clock);
         }
-        worker.lease_until = worker.lease_until.max(order.lease_until.0);
+        worker.lease_until = worker.lease_until.max(order.lease_until.0.min(clock.0 + HOLD_MOST));
         let spec = &order.record.spec.steps[usize::from(order.task.step.step)];
         worker
             .runs
@@ -533,7 +545,7 @@
         if runs == Some(order.run) {
             self.end(number, order.task, RunEnd::Stopped);
         }
-        let clock = self.clock();
+        let clock = self.clock(number);
         self.answer(number, WorkerAnswer::Done(clock))
     }
 
@@ -542,11 +554,11 @@
         if self.workers[number].cut {
             return WorkerAnswer::Unknown;
         }
-        let (clock, token) = (self.clock(), self.token);
+        let (clock, token) = (self.clock(number), self.token);
         let worker = &mut self.workers[number];
         worker.token = worker.token.max(token);
         if let Some(until) = order.lease_until {
-            worker.lease_until = worker.lease_until.max(until.0);
+            worker.lease_until = worker.lease_until.max(until.0.min(clock.0 + HOLD_MOST));
         }
         let excused = worker.excused;
         let forgotten = worker.ends.iter().filter(|end| end.number <= order.acknowledged);
@@ -561,7 +573,12 @@
             run: run.run,
             checkpoint: String::new(),
         });
-        let report = HoldReport { clock, running: running.collect(), ended: worker.ends.clone() };
+        let report = HoldReport {
+            start: worker.start,
+            clock,
+            running: running.collect(),
+            ended: worker.ends.clone(),
+        };
         self.answer(number, WorkerAnswer::Done(report))
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod entries;
 mod fake;
 mod led;
+mod lives;
 mod organisations;
 mod overlap;
 mod overlapping;
