cell, tests: random courses with workers that keep their ids; one handle for each life

Found by the courses, with entries that name a wrong address as well: a life that was looked for by its entry got a second handle when its predecessor's account told of it (over its size, a gang that never began); a size that an earlier reading of the list had told of a next life was taken as read; a worker under whose id another life was listed got work by the size of the earlier one. Change: the handle that is there is used; what a reading says of a next life holds until the next reading; while another life is listed under its id, a worker gets no work.

--- a/crates/sedgehill-cell/src/scheduler/held.rs
+++ b/crates/sedgehill-cell/src/scheduler/held.rs
@@ -63,6 +63,7 @@
         let worker = &mut self.workers[key.0];
         let usable = worker.is_listed(now, &self.timing)
             && !worker.is_over()
+            && worker.listed_next.is_none()
             && !worker.entry.draining
             && !worker.is_over_size();
         let Some(entry) = worker.runs.get_mut(&task) else { return };
--- a/crates/sedgehill-cell/src/scheduler/lives.rs
+++ b/crates/sedgehill-cell/src/scheduler/lives.rs
@@ -95,23 +95,7 @@
         let worker = &mut self.workers[key.0];
         worker.followed = Some(now);
         let life = WorkerLife { id: worker.entry.life.id.clone(), start };
-        let is_next = |entry: &WorkerEntry| entry.life == life;
-        let read = worker.listed_next.take().filter(is_next);
-        let size_read = read.is_some();
-        let entry = read.unwrap_or_else(|| WorkerEntry {
-            life: life.clone(),
-            draining: false,
-            ..worker.entry.clone()
-        });
-        // A life that was over by all signs may have been known under this start.
-        if let Some(known) = self.lives.get(&life).filter(|known| self.workers[known.0].dead) {
-            let known = *known;
-            self.lives.remove(&self.workers[known.0].entry.life.clone());
-        }
-        let next = self.add_life(entry, key, "started again", now);
-        if let Some(next) = next {
-            self.workers[next.0].size_read = size_read;
-        }
+        let next = self.listed_life(key, &life).or_else(|| self.meet_life(key, &life, now));
         let token = next.map(|next| self.workers[next.0].token);
         let worker = &self.workers[key.0];
         self.events.push(CellEvent::StartedAgain {
@@ -124,6 +108,38 @@
         });
     }
 
+    /// The handle of a life that answers at the address of `key`, if it is looked for there already. One that is looked
+    /// for elsewhere is not there.
+    fn listed_life(&mut self, key: WorkerKey, life: &WorkerLife) -> Option<WorkerKey> {
+        let known = self.lives.get(life).copied()?;
+        let is_here = self.workers[known.0].entry.address == self.workers[key.0].entry.address;
+        let other = &mut self.workers[known.0];
+        if is_here && !other.dead {
+            other.follows = true;
+            return Some(known);
+        }
+        other.dead = true;
+        None
+    }
+
+    /// A handle for a life that answers at the address of `key`: as its entry says, if that was read, or else like the
+    /// life before it, without work until it is read.
+    fn meet_life(&mut self, key: WorkerKey, life: &WorkerLife, now: Moment) -> Option<WorkerKey> {
+        let worker = &self.workers[key.0];
+        let is_here =
+            |entry: &WorkerEntry| entry.life == *life && entry.address == worker.entry.address;
+        let read = worker.listed_next.clone().filter(is_here);
+        let size_read = read.is_some();
+        let entry = read.unwrap_or_else(|| WorkerEntry {
+            life: life.clone(),
+            draining: false,
+            ..worker.entry.clone()
+        });
+        let next = self.add_life(entry, key, "started again", now)?;
+        self.workers[next.0].size_read = size_read;
+        Some(next)
+    }
+
     /// Another life under the id of `earlier`. None while the tokens for it are used up: it is not called then, and is
     /// found in the list once one is free.
     pub(super) fn add_life(
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -22,6 +22,8 @@
         now: Moment,
     ) -> Vec<WorkerKey> {
         let mut listed = BTreeSet::new();
+        // What an earlier reading said of a next life is of an earlier time.
+        self.workers.iter_mut().for_each(|worker| worker.listed_next = None);
         for entry in entries {
             let Some(key) = self.know_worker(entry.clone(), "listed", now) else { continue };
             self.read_entry(key, entry);
@@ -48,7 +50,6 @@
     fn read_entry(&mut self, key: WorkerKey, entry: WorkerEntry) {
         let WorkerEntry { pool, draining, capacity, labels, .. } = entry;
         let worker = &mut self.workers[key.0];
-        worker.listed_next = None;
         worker.entry.draining |= draining;
         if !std::mem::replace(&mut worker.size_read, true) {
             // A life that was met by its account was taken to be like the one before it.
@@ -137,8 +138,9 @@
         if worker.entry.life.may_be(&entry.life) {
             return Some(key);
         }
-        if !worker.dead && worker.entry.address == entry.address {
-            worker.listed_next = Some(entry);
+        let elsewhere = worker.entry.address != entry.address;
+        worker.listed_next = Some(entry.clone());
+        if !worker.dead && !elsewhere {
             return None;
         }
         self.add_life(entry, key, "listed after another life", now)
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -138,7 +138,7 @@
     pub follows: bool,
     /// When its last account arrived.
     pub accounted: Option<Moment>,
-    /// What the store lists under its id and address, if that is another life.
+    /// What the store lists under its id, if that is another life. It gets no work then: one of the two is not there.
     pub listed_next: Option<WorkerEntry>,
     /// It answered an order of this lead, so it refuses every earlier lead.
     pub fenced: bool,
@@ -301,6 +301,7 @@
         self.is_listed(now, timing)
             && self.size_read
             && self.rostered
+            && self.listed_next.is_none()
             && !self.is_over()
             && !self.entry.draining
             && self.fenced
--- a/crates/sedgehill-cell/tests/testsuite/fake/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/entries.rs
@@ -1,5 +1,6 @@
 //! What the store lists of a cell of fakes, and what calls meet at the address that it lists.
 
+use sedgehill_cell::ids::LifeStart;
 use sedgehill_cell::scheduler::{
     HoldOrder, HoldReport, Scheduler, WorkerAnswer, WorkerEntry, WorkerKey, WorkerRefusal,
 };
@@ -36,6 +37,7 @@
         let capacity = self.workers[number].entry.capacity.cores.0 / 1000;
         let mut next = FakeWorker::new(self.workers.len() as u16, capacity);
         next.entry.address = self.workers[number].entry.address;
+        next.entry.life.start = self.keeps_ids.then_some(LifeStart(self.now.0));
         self.workers[number].ended = true;
         self.lose_all(number);
         self.workers.push(next);
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -512,7 +512,8 @@
             worker.runs.values().fold(ResourceSet::default(), |sum, run| sum.plus(&run.need));
         // A lead may go by what was listed when it read the list last.
         let fits = worker.entry.capacity.fits(&used) || worker.listed_as.fits(&used);
-        assert!(fits, "{} is over its size", worker.entry.life);
+        let there = (worker.entry.capacity, worker.listed_as, &worker.runs);
+        assert!(fits, "{} is over its size: {there:?}", worker.entry.life);
         let life = worker.entry.life.clone();
         assert!(!self.noted.contains(&order.task), "{} starts after its end", order.task);
         if self.done.contains(&order.task) {
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod brief;
 mod cancelled;
 mod capacity;
+mod cases;
 mod crashing;
 mod displacement;
 mod entries;
--- a/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
@@ -65,6 +65,8 @@
         worker: usize,
         listed: u64,
         back: u64,
+        /// The next life has the same id, where workers tell when they began.
+        keeps_id: bool,
     },
     Unlist {
         worker: usize,
@@ -112,8 +114,9 @@
         2 => host.clone().prop_map(Event::Resign),
         2 => host.clone().prop_map(Event::Gone),
         1 => (host, any::<bool>()).prop_map(|(host, reachable)| Event::Link { host, reachable }),
-        1 => (worker.clone(), 0u64..4_000, 0u64..3_000)
-            .prop_map(|(worker, listed, back)| Event::WorkerDies { worker, listed, back }),
+        2 => (worker.clone(), 0u64..4_000, 0u64..3_000, prop::bool::weighted(0.7)).prop_map(
+            |(worker, listed, back, keeps_id)| Event::WorkerDies { worker, listed, back, keeps_id }
+        ),
         1 => (worker, any::<bool>())
             .prop_map(|(worker, unlisted)| Event::Unlist { worker, unlisted }),
         1 => Just(Event::Forget),
@@ -263,10 +266,10 @@
         Event::Resign(host) => world.resign(world.host(host)),
         Event::Gone(host) => world.take_as_gone(world.host(host)),
         Event::Link { host, reachable } => world.link(world.host(host), reachable),
-        Event::WorkerDies { worker, listed, back } => {
+        Event::WorkerDies { worker, listed, back, keeps_id } => {
             let at = |span| world.now.after(TimeSpan(span));
             let (listed, back, worker) = (at(listed), at(back), world.worker(worker));
-            world.die(worker, listed, back);
+            world.die(worker, listed, back, keeps_id);
         }
         Event::Unlist { worker, unlisted } => {
             let worker = world.worker(worker);
@@ -280,9 +283,12 @@
 }
 
 /// A world before a course: a lead, and workers some of whose clocks are slow.
-pub fn begin(slow: &[bool]) -> World {
+pub fn begin(slow: &[bool], keeps_ids: bool) -> World {
     let slow: Vec<u64> = slow.iter().map(|slow| if *slow { 20 } else { 0 }).collect();
     let mut world = World::new(HOSTS, &slow, CORES);
+    if keeps_ids {
+        world.keep_ids();
+    }
     world.run(TimeSpan(1_000), TimeSpan(20));
     world
 }
--- a/crates/sedgehill-cell/tests/testsuite/overlap/crashes.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/crashes.rs
@@ -68,18 +68,19 @@
             worker.lapse(now);
             if worker.runs.get(&task).is_some_and(|there| there.run == run) {
                 *self.crashes.entry(task).or_default() += 1;
-                self.die(place, now.after(LISTED), now.after(BACK));
+                let keeps_id = self.keeps_ids;
+                self.die(place, now.after(LISTED), now.after(BACK), keeps_id);
             }
         }
     }
 
     /// A worker ends. The other members of gangs that ran there end as well.
-    pub fn die(&mut self, place: usize, listed: Moment, back: Moment) {
+    pub fn die(&mut self, place: usize, listed: Moment, back: Moment, keeps_id: bool) {
         if self.workers[place].back_at.is_some() {
             return;
         }
         let lost = self.workers[place].runs.clone();
-        self.workers[place].die(listed, back);
+        self.workers[place].die(listed, back, keeps_id);
         for (at, member) in self.all_runs() {
             let spec = &self.jobs[&member.step.job].spec.steps[usize::from(member.step.step)];
             let run = self.workers[at].runs[&member].run;
--- a/crates/sedgehill-cell/tests/testsuite/overlap/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/mod.rs
@@ -79,6 +79,8 @@
     disturbed: Vec<Moment>,
     /// What each worker has at first.
     capacity: ResourceSet,
+    /// Workers that a task crashes start again under their ids.
+    keeps_ids: bool,
 }
 
 impl World {
@@ -108,6 +110,7 @@
             further: HashMap::new(),
             disturbed: vec![Moment(0); hosts],
             capacity: worker_entry(0, capacity).capacity,
+            keeps_ids: false,
         };
         for number in 0..hosts {
             let host = world.new_life(number);
@@ -116,6 +119,12 @@
         world
     }
 
+    /// All workers tell when their lives began, and may keep their ids.
+    pub fn keep_ids(&mut self) {
+        self.keeps_ids = true;
+        self.workers.iter_mut().for_each(SimWorker::tell_start);
+    }
+
     fn new_life(&mut self, number: usize) -> Host {
         self.lives += 1;
         Host::new(&format!("box {number}"), self.lives, number as u64, self.now)
--- a/crates/sedgehill-cell/tests/testsuite/overlap/worker.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/worker.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use sedgehill_cell::ids::{CellTask, FencingToken, RunNumber, WorkerLife};
+use sedgehill_cell::ids::{CellTask, FencingToken, LifeStart, RunNumber, WorkerLife};
 use sedgehill_cell::scheduler::{
     EndRow, HoldOrder, HoldReport, RunEnd, RunningRow, StartOrder, StopOrder, WorkerAnswer,
     WorkerEntry, WorkerRefusal, WorkerTime,
@@ -68,6 +68,8 @@
     number: u16,
     lives: u64,
     born: Moment,
+    /// The next life has the id of this one.
+    keeps_id: bool,
 }
 
 impl SimWorker {
@@ -90,15 +92,23 @@
             number,
             lives: 1,
             born: now,
+            keeps_id: false,
         }
     }
 
+    /// It tells when its life began.
+    pub fn tell_start(&mut self) {
+        self.entry.life.start = Some(LifeStart(self.born.0));
+    }
+
     /// The life ends. Its entry stays in the list until `listed`, and a new one begins at `back`.
-    pub fn die(&mut self, listed: Moment, back: Moment) {
+    pub fn die(&mut self, listed: Moment, back: Moment, keeps_id: bool) {
         if self.back_at.is_none() {
             self.ghost = Some((self.entry.clone(), listed));
             self.back_at = Some(back);
             self.runs.clear();
+            // Only who tells when its life began may have the same id.
+            self.keeps_id = keeps_id && self.entry.life.start.is_some();
         }
     }
 
@@ -108,23 +118,39 @@
             return;
         }
         let (number, lives, slow) = (self.number, self.lives, self.slow);
-        let life = WorkerLife::from(format!("w{number}-{lives}").as_str());
+        let life = match self.keeps_id {
+            true => self.entry.life.clone(),
+            false => WorkerLife::from(format!("w{number}-{lives}").as_str()),
+        };
+        let tells = self.entry.life.start.is_some();
         let entry = WorkerEntry { life, ..self.entry.clone() };
         let ghost = self.ghost.take();
         let fresh = SimWorker::new(number, 0, slow, now);
         *self = SimWorker { entry, ghost, lives: lives + 1, ..fresh };
+        if tells {
+            self.tell_start();
+        }
     }
 
     /// What the store lists of this place.
     pub fn listed(&self, now: Moment) -> Vec<WorkerEntry> {
         let living = (self.back_at.is_none() && !self.unlisted).then(|| self.entry.clone());
         let ghost = self.ghost.iter().filter(|(_, until)| now < *until);
-        ghost.map(|(entry, _)| entry.clone()).chain(living).collect()
+        let ghost = ghost.map(|(entry, _)| entry.clone());
+        // There is one entry to an id. That of an earlier life may stand for a time after the next began.
+        let hidden = |one: &WorkerEntry| {
+            self.ghost
+                .as_ref()
+                .is_some_and(|(ghost, until)| ghost.life.id == one.life.id && now < *until)
+        };
+        ghost.chain(living.filter(|one| !hidden(one))).collect()
     }
 
     fn clock(&self, now: Moment) -> WorkerTime {
         let since = now.since(self.born).0;
-        WorkerTime(self.lives * CLOCKS_APART + since - since * self.slow / 1000)
+        // Each life's clock begins anew, every other one behind that of the life before.
+        let begins = if self.lives.is_multiple_of(2) { 1 } else { self.lives + 1 };
+        WorkerTime(begins * CLOCKS_APART + since - since * self.slow / 1000)
     }
 
     /// Ends what runs if the lease is over.
@@ -227,7 +253,12 @@
             checkpoint: String::new(),
         };
         let running = self.runs.iter().map(row).collect();
-        WorkerAnswer::Done(HoldReport { start: None, clock: self.clock(now), running, ended })
+        WorkerAnswer::Done(HoldReport {
+            start: self.entry.life.start,
+            clock: self.clock(now),
+            running,
+            ended,
+        })
     }
 
     /// It has so much from now on.
--- a/crates/sedgehill-cell/tests/testsuite/overlapping.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlapping.rs
@@ -12,6 +12,7 @@
 };
 use sedgehill_core::units::{Moment, TimeSpan};
 
+use crate::cases::cases;
 use crate::fake::{FakeCell, job, step, task, worker_entry};
 use crate::overlap::course::{WORKERS, begin, course, take};
 
@@ -298,24 +299,16 @@
     assert!(rosters <= 40, "{rosters} rosters in {batches} batches");
 }
 
-/// As many courses as fit into a few seconds, or as many as are asked for.
-fn config() -> ProptestConfig {
-    let default = ProptestConfig::default();
-    match std::env::var_os("PROPTEST_CASES") {
-        Some(_) => default,
-        None => ProptestConfig { cases: 60, ..default },
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(60))]
 
     #[test]
     fn no_course_of_overlapping_leads_breaks_a_rule_and_every_job_ends(
         slow in prop::collection::vec(any::<bool>(), WORKERS),
+        keeps_ids in any::<bool>(),
         events in course(),
     ) {
-        let mut world = begin(&slow);
+        let mut world = begin(&slow, keeps_ids);
         for event in events {
             take(&mut world, event);
         }
@@ -327,7 +320,7 @@
 
 #[test]
 fn without_faults_jobs_run_and_the_lead_stays() {
-    let mut world = begin(&[false; WORKERS]);
+    let mut world = begin(&[false; WORKERS], false);
     for host in 0..2 {
         world.submit(host, job(vec![step(2, 1)]));
     }
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -9,6 +9,7 @@
 use sedgehill_cell::scheduler::{RunEnd, Scheduler};
 use sedgehill_core::units::{CoreCount, TimeSpan};
 
+use crate::cases::cases;
 use crate::fake::{CrashHabit, FakeCell, job, owned, step, task};
 
 const WORKERS: u16 = 4;
@@ -43,6 +44,8 @@
     Misplace(usize, usize),
     /// A life ends, and another one begins at its address.
     BeginAnew(usize),
+    /// A worker starts again under its id, where workers tell when they began.
+    StartAgain(usize),
     End {
         pick: usize,
         end: RunEnd,
@@ -94,7 +97,8 @@
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, gone)| Step::Unlist(number, gone)),
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, bad)| Step::Spoil(number, bad)),
         2 => (worker.clone(), worker.clone()).prop_map(|(number, at)| Step::Misplace(number, at)),
-        1 => worker.prop_map(Step::BeginAnew),
+        1 => worker.clone().prop_map(Step::BeginAnew),
+        2 => worker.prop_map(Step::StartAgain),
         6 => (0usize..16, end).prop_map(|(pick, end)| Step::End { pick, end }),
         8 => (1usize..40).prop_map(Step::Turns),
         1 => (200usize..500).prop_map(Step::Turns),
@@ -147,6 +151,8 @@
         Step::Spoil(number, bad) => cell.workers[number].unreadable = bad,
         Step::Misplace(number, at) => cell.misplace(number, at),
         Step::BeginAnew(number) => cell.begin_anew(number),
+        Step::StartAgain(number) if cell.keeps_ids => cell.start_again(number),
+        Step::StartAgain(_) => {}
         Step::End { pick, end } => cell.end_some(pick, end),
         Step::Turns(count) => {
             cell.list(lead);
@@ -165,11 +171,17 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+    #![proptest_config(cases(200))]
 
     #[test]
-    fn no_course_breaks_a_rule_and_every_job_ends(course in prop::collection::vec(steps(), 1..120)) {
-        let mut cell = FakeCell::new(WORKERS, CORES);
+    fn no_course_breaks_a_rule_and_every_job_ends(
+        keeps_ids in any::<bool>(),
+        course in prop::collection::vec(steps(), 1..120),
+    ) {
+        let mut cell = match keeps_ids {
+            true => FakeCell::with_lasting_ids(WORKERS, CORES),
+            false => FakeCell::new(WORKERS, CORES),
+        };
         let mut lead = cell.lead(false);
         for (name, most) in ORGANISATIONS {
             cell.limit(&mut lead, name, most);
