--- a/crates/sedgehill-cell/tests/testsuite/fake/service.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/service.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use sedgehill_cell::ids::{StepId, WorkerId};
+use sedgehill_cell::ids::{JobId, StepId, WorkerId};
 use sedgehill_cell::job::AdvicePolicy;
 use sedgehill_cell::scheduler::{
     AdviceQuestion, CellOrder, HelperId, Scheduler, StartOrder, WorkerAnswer, WorkerRefusal,
@@ -32,6 +32,8 @@
 /// The service.
 pub struct FakeService {
     policy: AdvicePolicy,
+    /// Jobs whose questions cost something else.
+    pub own_costs: HashMap<JobId, AdvicePolicy>,
     good: GoodRule,
     /// Boxes in trouble.
     pub troubles: HashMap<HelperId, HelperTrouble>,
@@ -52,6 +54,7 @@
     ) -> FakeService {
         FakeService {
             policy,
+            own_costs: HashMap::new(),
             good: Box::new(good),
             troubles: HashMap::new(),
             nobody_until: Moment(0),
@@ -79,7 +82,8 @@
 
     fn ask(&mut self, question: &AdviceQuestion, now: Moment) {
         self.asked.push((now, question.clone()));
-        let cost = self.policy.cost(question.workers.len()).0;
+        let policy = self.own_costs.get(&question.step.job).unwrap_or(&self.policy);
+        let cost = policy.cost(question.workers.len()).0;
         let (took, answered) = match self.troubles.get(&question.helper) {
             Some(HelperTrouble::Silent) => return,
             Some(HelperTrouble::Fails) => (0, false),
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -27,3 +27,4 @@
 mod silence;
 mod stalled;
 mod standby;
+mod unasked;
