cell, desk: a step that found no box to ask for long has one of those that are kept for short questions

Callers saw: two accepted jobs with wide gangs had nothing running for a minute and more, to the end, with most of the room free. Cause: steps that can earn nothing any more come last. Each box asks one dear question at a time, and whoever can still earn goes first, so as long as others came such a step found no box for good; what had gathered was then not asked about in time at the end. After losses in masses that was many steps. Ruled out: gangs that wait for workers of their own and keep them from each other (no crash was counted); gangs that are tried and broken again and again (one run, or none, and no line); no room (the reason was no_helper). Change: after three seconds, the step that found none for the longest time may have one of the boxes that are kept for short questions, at most half of which ask long ones at once. Steps that are asked about in vain take turns. Before: 0 of 24 members after 6 s beside questions that never pause; after: 24, and short questions still take less than 100 ms.

--- a/crates/sedgehill-cell/src/scheduler/desk.rs
+++ b/crates/sedgehill-cell/src/scheduler/desk.rs
@@ -21,6 +21,8 @@
 const LONG_QUESTION: TimeSpan = TimeSpan(200);
 /// One box in this many is kept free of long questions.
 const SHORT_ONLY_SHARE: usize = 3;
+/// Of those, one in this many, but one at least, asks long questions about steps that were not asked about for long.
+const LENT_ONE_IN: usize = 2;
 /// Short questions under way for one box: the second travels while the first is answered.
 const SHORT_AT_ONCE: usize = 2;
 /// A question is overdue after this many hundredths of what it and those before it cost ...
@@ -36,6 +38,15 @@
 /// ... up to this: the service may be well again at any time, and no other box may be left.
 const REST_MOST: TimeSpan = TimeSpan(2_000);
 
+/// For what kind of step a box is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AskerKind {
+    /// Any.
+    Usual,
+    /// The one that was not asked about for the longest time, and for long.
+    Unasked,
+}
+
 #[derive(Debug)]
 struct OpenQuestion {
     step: StepId,
@@ -111,21 +122,42 @@
     }
 
     /// The box that should ask a question of this cost now, if one is free for it. Those whose last question failed
-    /// come after all others.
-    pub fn free_helper(&self, cost: TimeSpan, now: Moment) -> Option<HelperId> {
+    /// come after all others. For a step that was not asked about for long, some of the boxes that are kept for short
+    /// questions ask as well.
+    pub fn free_helper(&self, cost: TimeSpan, asker: AskerKind, now: Moment) -> Option<HelperId> {
         match cost >= LONG_QUESTION {
-            true => self.free_for_long(now),
+            true => {
+                let free = self.free_for_long(now);
+                free.or_else(|| (asker == AskerKind::Unasked).then(|| self.free_kept(now))?)
+            }
             false => self.free_for_short(now),
         }
     }
 
-    fn free_for_long(&self, now: Moment) -> Option<HelperId> {
+    /// How many boxes are kept for short questions.
+    fn kept_count(&self) -> usize {
         let count = self.helpers.len();
-        let short_only = match count {
+        match count {
             0 | 1 => 0,
             _ if !self.keeps_short => 0,
             _ => (count / SHORT_ONLY_SHARE).max(1),
-        };
+        }
+    }
+
+    /// One of the boxes that are kept for short questions, as long as enough of them stay free for those.
+    fn free_kept(&self, now: Moment) -> Option<HelperId> {
+        let kept = || self.helpers.iter().take(self.kept_count());
+        let asks_long = |one: &AskingBox| one.open.iter().any(OpenQuestion::is_long);
+        let lent = kept().filter(|(_, one)| asks_long(one)).count();
+        if lent >= (self.kept_count() / LENT_ONE_IN).max(1) {
+            return None;
+        }
+        let free = kept().filter(|(_, one)| one.can_ask(now) && one.open.is_empty());
+        free.min_by_key(|(_, one)| one.failures).map(|(helper, _)| *helper)
+    }
+
+    fn free_for_long(&self, now: Moment) -> Option<HelperId> {
+        let short_only = self.kept_count();
         let able = |(_, one): &(&HelperId, &AskingBox)| one.can_ask(now);
         // Where none of the others can ask, those that are kept for short questions do.
         let kept = match self.helpers.iter().skip(short_only).any(|entry| able(&entry)) {
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -52,6 +52,7 @@
 pub use self::organisations::{OrganisationBook, OrganisationFigures, OrganisationKey};
 use self::pace::FactorAverage;
 pub use self::policy::{CellPolicy, LimitOrder, LimitOrderError, SharingError, SharingWay};
+use self::room::Candidate;
 pub use self::sight::TakeOverSight;
 pub use self::stall::{StallBelief, StallFigures, StallReason};
 pub use self::suspects::CrashSign;
@@ -127,6 +128,8 @@
     suspects_seen: bool,
     /// Starts that wait until they are recorded.
     held: Vec<HeldStart>,
+    /// The step that found no box to ask for the longest time, if that is long.
+    unasked: Option<Candidate>,
 }
 
 impl Scheduler {
@@ -177,6 +180,7 @@
             background: CrashBackground::default(),
             suspects_seen: false,
             held: Vec::new(),
+            unasked: None,
             timing,
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -10,6 +10,7 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::advice::AskedWorkers;
+use super::desk::AskerKind;
 use super::isolation::split_alone;
 use super::placement::waiting_tasks;
 use super::rank::rank_job;
@@ -84,7 +85,11 @@
             return StallReason::AskedLately;
         }
         // Which workers to name takes far longer to find than whether anybody could ask.
-        if self.desk.free_helper(policy.cost(1), now).is_none() {
+        let asker = match self.unasked == Some(*candidate) {
+            true => AskerKind::Unasked,
+            false => AskerKind::Usual,
+        };
+        if self.desk.free_helper(policy.cost(1), asker, now).is_none() {
             return StallReason::NoHelper;
         }
         let named = match self.workers_to_name(candidate, job, spec, open, now) {
@@ -100,7 +105,9 @@
             }
         };
         let cost = policy.cost(named.len());
-        let Some(helper) = self.desk.free_helper(cost, now) else { return StallReason::NoHelper };
+        let Some(helper) = self.desk.free_helper(cost, asker, now) else {
+            return StallReason::NoHelper;
+        };
         let step = job.steps[candidate.step].id;
         self.desk.begin(helper, step, cost, now);
         self.events.push(CellEvent::Asked { step, named: named.len(), helper });
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -31,7 +31,9 @@
             return;
         }
         self.keep_nothing();
-        for candidate in self.candidates(now) {
+        let candidates = self.candidates(now);
+        self.unasked = self.longest_unasked(&candidates, now);
+        for candidate in candidates {
             let reason = self.place_step(&candidate, &open, now);
             self.note_stall(&candidate, reason, now);
         }
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -12,6 +12,7 @@
 const PACE_BEARABLE: f64 = 1.6;
 
 /// A step that could use room now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Candidate {
     pub(super) job: JobId,
     pub(super) step: usize,
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -163,6 +163,24 @@
         });
     }
 
+    /// The step that found no box to ask for the longest time, if that is long. Steps that can earn nothing any more come
+    /// last, so as long as others come they would find none for good.
+    pub(super) fn longest_unasked(
+        &self,
+        candidates: &[Candidate],
+        now: Moment,
+    ) -> Option<Candidate> {
+        let unasked_since = |candidate: &Candidate| {
+            let step = &self.jobs.get(&candidate.job)?.steps[candidate.step];
+            let stall = step.stall.filter(|stall| stall.reason == StallReason::NoHelper)?;
+            // Steps that are asked about in vain take turns.
+            let since = step.advice.asked.map_or(stall.since, |asked| asked.max(stall.since));
+            (now >= since.after(STALLED_AFTER)).then_some((since, *candidate))
+        };
+        let unasked = candidates.iter().filter_map(unasked_since);
+        unasked.min_by_key(|(since, _)| *since).map(|(_, candidate)| candidate)
+    }
+
     /// Tells of steps that are stalled for long beside room for them.
     pub(super) fn report_stalls(&mut self, open: &OpenWorkers, now: Moment) {
         let is_long = |stall: &StepStall| {
