--- a/crates/sedgehill-standin/src/cell_platform/life.rs
+++ b/crates/sedgehill-standin/src/cell_platform/life.rs
@@ -62,6 +62,8 @@
 #[derive(Debug, Default)]
 pub struct StandinLife {
     pub name: String,
+    /// When it began, in milliseconds since 1970, if it tells.
+    pub born: Option<u64>,
     pub clock: StandinClock,
     pub token: u64,
     pub runs: BTreeMap<String, StandinRun>,
@@ -74,8 +76,8 @@
 
 impl StandinLife {
     /// A life that runs nothing.
-    pub fn new(name: String, clock: StandinClock) -> StandinLife {
-        StandinLife { name, clock, ..StandinLife::default() }
+    pub fn new(name: String, born: Option<u64>, clock: StandinClock) -> StandinLife {
+        StandinLife { name, born, clock, ..StandinLife::default() }
     }
 
     /// Lets all that runs go on until a time on this worker's clock.
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -120,6 +120,12 @@
         list_life(&self.workers, &self.store, self.worker_addresses[number], number);
     }
 
+    /// Has all workers tell when their lives began, and some that die start again under the ids that they had.
+    pub fn keep_worker_ids(&self, seed: u64) {
+        self.workers.keep_ids(seed);
+        (0..self.worker_addresses.len()).for_each(|number| self.list_worker(number));
+    }
+
     /// A worker has so many cores from now on, and its entry says so.
     pub fn resize_worker(&self, number: usize, cores: usize) {
         self.workers.resize(number, cores);
@@ -194,7 +200,10 @@
 }
 
 fn list_life(workers: &StandinWorkers, store: &StandinStore, address: SocketAddr, number: usize) {
-    let entry = worker::entry(address, workers.cores(number));
+    let mut entry = worker::entry(address, workers.cores(number));
+    if let Some(born) = workers.born(number) {
+        entry["born"] = born.into();
+    }
     store.put(WORKER_TOPIC, &workers.life_name(number), &entry);
 }
 
--- a/crates/sedgehill-standin/src/cell_platform/trouble.rs
+++ b/crates/sedgehill-standin/src/cell_platform/trouble.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use sedgehill_cell::ids::TOKENS_PER_LEAD;
 
 /// How much later a late call is carried out, in milliseconds: past the term of a lead and past leases.
 const LATE_MS: Range<u64> = 2_000..12_000;
@@ -53,6 +54,8 @@
 
 impl TroubledLeads {
     fn contain(self, token: u64) -> bool {
+        // Each lead has some tokens, for later lives of workers.
+        let token = token - token % TOKENS_PER_LEAD;
         match self {
             TroubledLeads::All => true,
             TroubledLeads::UpTo(last) => token <= last,
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -6,11 +6,13 @@
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde::Deserialize;
 
 use super::advice;
@@ -41,6 +43,10 @@
 const TURN: Duration = Duration::from_millis(5);
 /// How far apart the clocks of workers are, in milliseconds.
 const CLOCK_APART_MS: u64 = 100_000;
+/// How far ahead the clocks of the lives at one address begin, in turn, in milliseconds.
+const CLOCKS_BEGIN_MS: [u64; 3] = [50_000, 10_000, 90_000];
+/// How many of the lives that follow have the id of the one before.
+const KEPT_SHARE: f64 = 0.6;
 /// How slow the clocks of workers run in turn, in thousandths.
 const CLOCKS_SLOW: [u64; 3] = [0, 10, 20];
 
@@ -51,6 +57,8 @@
     pub(super) life: Option<StandinLife>,
     /// Lives that there were.
     lives: usize,
+    /// Ids that they had: a life may have the id of the one before it.
+    ids: usize,
     trouble: Option<PathTrouble>,
     /// Runs that were begun there.
     starts: usize,
@@ -68,6 +76,8 @@
     pub(super) sites: Vec<WorkerSite>,
     pub(super) oracle: TaskOracle,
     run_ms: Range<u64>,
+    /// Draws which lives keep the id of the one before; none if all have ids of their own and tell no starts.
+    keeping: Option<StdRng>,
 }
 
 /// All workers, which share one account of what must never happen.
@@ -85,11 +95,11 @@
     task.rsplit_once('.').map_or(task, |(step, _)| step)
 }
 
-/// The name of a life.
-pub fn name(number: usize, life: usize) -> String {
-    match life {
+/// An id of a worker.
+pub fn name(number: usize, id: usize) -> String {
+    match id {
         0 => format!("worker-{number}"),
-        life => format!("worker-{number}-{life}"),
+        id => format!("worker-{number}-{id}"),
     }
 }
 
@@ -105,8 +115,9 @@
     /// Workers of so many cores that run nothing.
     pub fn new(count: usize, cores: usize) -> StandinWorkers {
         let site = |number| WorkerSite {
-            life: Some(new_life(number, 0)),
+            life: Some(new_life(number, 0, 0, None)),
             lives: 1,
+            ids: 1,
             trouble: None,
             starts: 0,
             cores,
@@ -117,7 +128,12 @@
         let sites = (0..count).map(site).collect();
         StandinWorkers {
             begun: Instant::now(),
-            state: Mutex::new(PoolState { sites, oracle: TaskOracle::default(), run_ms: RUN_MS }),
+            state: Mutex::new(PoolState {
+                sites,
+                oracle: TaskOracle::default(),
+                run_ms: RUN_MS,
+                keeping: None,
+            }),
             fates: FateDrawer::default(),
             delay_ms: AtomicU64::new(0),
         }
@@ -149,6 +165,26 @@
         self.fates.seed(seed);
     }
 
+    /// Has all workers tell when their lives began, and some that die start again under the ids that they had.
+    pub fn keep_ids(&self, seed: u64) {
+        let state = &mut *self.state.lock();
+        state.keeping = Some(StdRng::seed_from_u64(seed));
+        for life in state.sites.iter_mut().flat_map(|site| &mut site.life) {
+            life.born = Some(unix_ms());
+        }
+    }
+
+    /// When the life at an address began, if it tells.
+    pub fn born(&self, number: usize) -> Option<u64> {
+        self.state.lock().sites[number].life.as_ref()?.born
+    }
+
+    /// Whether a life with this id is there.
+    pub fn lives_as(&self, id: &str) -> bool {
+        let state = self.state.lock();
+        state.sites.iter().flat_map(|site| &site.life).any(|life| life.name == id)
+    }
+
     /// Makes the path to a worker worse, or good again.
     pub fn set_trouble(&self, number: usize, trouble: Option<PathTrouble>) {
         self.state.lock().sites[number].trouble = trouble;
@@ -196,36 +232,31 @@
         let state = &mut *self.state.lock();
         state.settle(now);
         let (mut back, mut gone) = (Vec::new(), Vec::new());
-        for (number, site) in state.sites.iter_mut().enumerate() {
+        for number in 0..state.sites.len() {
+            let site = &mut state.sites[number];
             gone.extend(
                 site.listed.extract_if(.., |(_, until)| *until <= now).map(|(life, _)| life),
             );
             if site.back_at.is_some_and(|at| at <= now) {
                 site.back_at = None;
-                if site.life.is_none() {
-                    site.life = Some(new_life(number, site.lives));
-                    site.lives += 1;
-                    back.push(number);
-                }
+                back.extend(state.begin_life(number).then_some(number));
             }
         }
+        let lives: Vec<&StandinLife> = state.sites.iter().flat_map(|site| &site.life).collect();
+        // The entry of a life that has the same id is its own.
+        gone.retain(|id| lives.iter().all(|life| life.name != *id));
         (back, gone)
     }
 
     /// Another life begins at the address of one that died. Returns its name; none if one is there.
     pub fn revive(&self, number: usize) -> Option<String> {
-        let site = &mut self.state.lock().sites[number];
-        if site.life.is_some() {
-            return None;
-        }
-        site.life = Some(new_life(number, site.lives));
-        site.lives += 1;
-        Some(name(number, site.lives - 1))
+        let state = &mut *self.state.lock();
+        state.begin_life(number).then(|| name(number, state.sites[number].ids - 1))
     }
 
-    /// The name of the life at an address, or of the last one there.
+    /// The id of the life at an address, or of the last one there.
     pub fn life_name(&self, number: usize) -> String {
-        name(number, self.state.lock().sites[number].lives - 1)
+        name(number, self.state.lock().sites[number].ids - 1)
     }
 
     /// The worker on which a task runs.
@@ -256,13 +287,35 @@
     }
 }
 
-fn new_life(number: usize, life: usize) -> StandinLife {
+fn new_life(number: usize, life: usize, id: usize, born: Option<u64>) -> StandinLife {
     let slow_permille = CLOCKS_SLOW[number % CLOCKS_SLOW.len()];
-    let clock = StandinClock { begun: number as u64 * CLOCK_APART_MS, slow_permille };
-    StandinLife::new(name(number, life), clock)
+    // Each life's clock begins anew, before or behind that of the one before it.
+    let begun = number as u64 * CLOCK_APART_MS + CLOCKS_BEGIN_MS[life % CLOCKS_BEGIN_MS.len()];
+    StandinLife::new(name(number, id), born, StandinClock { begun, slow_permille })
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map(|since| since.as_millis() as u64).unwrap_or_default()
 }
 
 impl PoolState {
+    /// Begins the next life at an address. Returns whether there was none.
+    fn begin_life(&mut self, number: usize) -> bool {
+        let keeps = self.keeping.as_mut().map(|rng| rng.random_bool(KEPT_SHARE));
+        let site = &mut self.sites[number];
+        if site.life.is_some() {
+            return false;
+        }
+        if keeps != Some(true) {
+            site.ids += 1;
+        }
+        let born = keeps.map(|_| unix_ms());
+        site.life = Some(new_life(number, site.lives, site.ids - 1, born));
+        site.lives += 1;
+        true
+    }
+
     pub(super) fn settle(&mut self, now: u64) {
         for site in &mut self.sites {
             let Some(life) = &mut site.life else { continue };
@@ -437,7 +490,12 @@
         life.runs.iter().map(|(task, run)| (task.as_str(), run.run, "", 100)).collect();
     let ended: Vec<(u64, &str, u64, &str, &str)> =
         life.ends.iter().map(|end| (end.number, end.task.as_str(), end.run, end.how, "")).collect();
-    json(&serde_json::json!({ "clock_ms": clock, "running": running, "ended_at": ended }))
+    let mut account =
+        serde_json::json!({ "clock_ms": clock, "running": running, "ended_at": ended });
+    if let Some(born) = life.born {
+        account["born"] = born.into();
+    }
+    json(&account)
 }
 
 fn start(state: &mut PoolState, call: &Call, now: u64) -> JsonResponse {
@@ -484,7 +542,7 @@
         life.runs.insert(order.task.clone(), run);
     }
     if state.is_over_size(number, now) {
-        let name = name(number, state.sites[number].lives - 1);
+        let name = name(number, state.sites[number].ids - 1);
         state.oracle.violations.push(format!("{name} is over its size"));
     }
     let PoolState { sites, oracle, .. } = state;
--- a/crates/sedgehill-standin/src/soak/faults.rs
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -11,6 +11,14 @@
 use super::wide;
 use crate::cell_platform::{PROGRESS_TOPIC, PathTrouble};
 
+/// One in so many workers dies where many do at once, and they are back so far apart.
+const MANY_ONE_IN: usize = 3;
+const BACK_APART: Duration = Duration::from_millis(40);
+/// A worker that starts again under its id says so in the store after some of these: its entry is that of the earlier
+/// life meanwhile.
+const LISTED_LATER: Duration = Duration::from_millis(400);
+const LISTED_STEPS: usize = 4;
+
 /// What ends a fault again.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Repair {
@@ -35,11 +43,16 @@
         self.boxes.iter().position(|one| one.site.name == *holder.0)
     }
 
-    /// Another life begins at the address of a worker that died.
-    fn revive(&self, number: usize) {
-        if self.platform.workers.revive(number).is_some() {
-            self.platform.list_worker(number);
+    /// Another life begins at the address of a worker that died. One that has the id of the one before it is listed as
+    /// that for a time.
+    fn revive(&self, number: usize) -> Option<Duration> {
+        let earlier = self.platform.workers.life_name(number);
+        let next = self.platform.workers.revive(number)?;
+        if next == earlier {
+            return Some(LISTED_LATER * (number % LISTED_STEPS) as u32);
         }
+        self.platform.list_worker(number);
+        None
     }
 
     pub(super) fn cause(
@@ -105,6 +118,15 @@
                 repairs.push((after(pause), Repair::Revive(number)));
                 repairs.push((after(pause + listed), Repair::Unlist(gone)));
             }
+            SoakFault::ManyDie(first, pause) => {
+                let workers = self.size.workers;
+                for place in 0..(workers / MANY_ONE_IN).max(1) {
+                    let number = (first + place * MANY_ONE_IN) % workers;
+                    self.platform.workers.crash(number);
+                    let pause = pause + BACK_APART * place as u32;
+                    repairs.push((after(pause), Repair::Revive(number)));
+                }
+            }
             SoakFault::Unlisted(number, span) => {
                 self.platform.unlist_worker(&self.platform.workers.life_name(number));
                 repairs.push((after(span), Repair::List(number)));
@@ -135,7 +157,11 @@
         }
     }
 
-    pub(super) fn repair(&mut self, repair: Repair) -> std::io::Result<()> {
+    pub(super) fn repair(
+        &mut self,
+        repair: Repair,
+        repairs: &mut Vec<(Instant, Repair)>,
+    ) -> std::io::Result<()> {
         if !matches!(repair, Repair::Advice(_)) {
             self.progress.note_fault();
         }
@@ -145,9 +171,14 @@
             Repair::Open(number) => self.boxes[number].path.set(PathState::Open),
             Repair::StoreSpeaks => self.platform.store.set_silent(false),
             Repair::WorkerPath(number) => self.platform.workers.set_trouble(number, None),
-            Repair::Revive(number) => self.revive(number),
+            Repair::Revive(number) => {
+                if let Some(later) = self.revive(number) {
+                    repairs.push((Instant::now() + later, Repair::List(number)));
+                }
+            }
             Repair::List(number) => self.platform.list_worker(number),
-            Repair::Unlist(life) => self.platform.unlist_worker(&life),
+            Repair::Unlist(id) if self.platform.workers.lives_as(&id) => {}
+            Repair::Unlist(id) => self.platform.unlist_worker(&id),
             Repair::Size(number) => self.platform.resize_worker(number, self.size.cores()),
             Repair::Appends => self.platform.store.set_trouble(None),
             Repair::ReadProgress => self.platform.store.hold_reads(None),
@@ -178,6 +209,7 @@
         for number in 0..self.size.workers {
             self.platform.workers.set_trouble(number, None);
             self.revive(number);
+            self.platform.list_worker(number);
             self.platform.resize_worker(number, self.size.cores());
         }
         for number in 0..self.boxes.len() {
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -109,6 +109,9 @@
     process: Option<CellProcess>,
 }
 
+/// In one run of so many, each life of a worker has an id of its own and tells nothing of its start.
+const OTHER_IDS_ONE_IN: u64 = 4;
+
 /// A running soak.
 struct Soak<'a> {
     size: SoakSize,
@@ -128,7 +131,7 @@
 ) -> std::io::Result<SoakReport> {
     let plan = draw_plan(seed, seconds, size);
     std::fs::write(directory.join("plan.txt"), format!("{plan:#?}"))?;
-    let mut soak = Soak::start(size, directory).await?;
+    let mut soak = Soak::start(seed, size, directory).await?;
     soak.platform.workers.seed(seed);
     soak.platform.store.seed(seed);
     let callers = CallerPool::new(soak.boxes.iter().map(|one| one.site.callers).collect(), size);
@@ -174,9 +177,12 @@
 }
 
 impl<'a> Soak<'a> {
-    async fn start(size: SoakSize, directory: &'a Path) -> std::io::Result<Soak<'a>> {
+    async fn start(seed: u64, size: SoakSize, directory: &'a Path) -> std::io::Result<Soak<'a>> {
         let mut platform = CellPlatform::start_sized(size.workers, size.cores()).await?;
         platform.workers.set_run_ms(RUN_MS);
+        if !seed.is_multiple_of(OTHER_IDS_ONE_IN) {
+            platform.keep_worker_ids(seed);
+        }
         platform.put_strays();
         let keys = SoakKeys::new(size.workers);
         match size.world {
@@ -244,8 +250,9 @@
                 self.cause(*fault, &mut repairs)?;
             }
             let now = Instant::now();
-            for (_, repair) in repairs.extract_if(.., |(at, _)| *at <= now) {
-                self.repair(repair)?;
+            let due: Vec<_> = repairs.extract_if(.., |(at, _)| *at <= now).collect();
+            for (_, repair) in due {
+                self.repair(repair, &mut repairs)?;
             }
             self.restart_ended()?;
             tokio::time::sleep(TURN / 5).await;
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -39,6 +39,8 @@
     /// A worker dies; another life follows at its address after a pause. The store lists the old one for
     /// a time.
     WorkerDies(usize, Duration, Duration),
+    /// A third of all workers die at one moment, counted from some worker, and are back after about so long.
+    ManyDie(usize, Duration),
     /// The store does not list a worker for a time, though it lives.
     Unlisted(usize, Duration),
     /// A worker has so many cores for a time.
@@ -94,6 +96,11 @@
 /// A second lead may be lost so soon after the first one: within a lease of 4 s.
 const SECOND_LEAD_MS: std::ops::Range<u64> = 400..3_000;
 
+/// Many workers die together so far apart.
+const MANY_GAP_MS: std::ops::Range<u64> = 6_000..14_000;
+/// Tells the generator of these faults from the others.
+const MANY_SALT: u64 = 0x6d61_6e79;
+
 /// Draws the faults of a run of `seconds` seconds.
 pub fn draw_plan(seed: u64, seconds: u64, size: SoakSize) -> SoakPlan {
     let boxes = size.boxes;
@@ -108,6 +115,7 @@
     plan.extend(draw_worker_faults(seed, seconds, size.workers));
     plan.extend(draw_lead_faults(seed, seconds));
     plan.extend(draw_sizes(seed, seconds, size.workers));
+    plan.extend(draw_losses(seed, seconds, size.workers));
     if !size.faults {
         plan.clear();
     }
@@ -159,6 +167,20 @@
     (0..count).map(draw).collect()
 }
 
+/// Draws when many workers die together.
+fn draw_losses(seed: u64, seconds: u64, workers: usize) -> SoakPlan {
+    let mut rng = StdRng::seed_from_u64(seed ^ MANY_SALT);
+    let mut plan = Vec::new();
+    let mut at = rng.random_range(MANY_GAP_MS) / 2;
+    while at < seconds * 1_000 {
+        let down = Duration::from_millis(rng.random_range(100..3_000));
+        let fault = SoakFault::ManyDie(rng.random_range(0..workers), down);
+        plan.push((Duration::from_millis(at), fault));
+        at += rng.random_range(MANY_GAP_MS);
+    }
+    plan
+}
+
 fn draw_fault(rng: &mut StdRng, boxes: usize) -> SoakFault {
     let number = rng.random_range(0..boxes);
     let span = Duration::from_millis(rng.random_range(100..4_000));
