cell, suspects: workers that are lost together count against none of their tasks

Cause: each loss of a worker counted as a crash under each of its tasks, however many others went down at the same moment without them. Ruled out: that lives which keep their ids made it (the same with other ids); a rule by last accounts within 0.8 s (takes twelve guilty tasks on sixteen workers for one loss: five workers down under one task instead of three). Change: a crash counts as a doubt if five others at least, and a quarter of all, were lost at that moment with nothing of its job. A guilty gang and a guilty task among such losses are still given up after three.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -10,6 +10,7 @@
     pub(super) fn lose_runs(&mut self, key: WorkerKey, cause: LossCause, now: Moment) {
         let life = self.workers[key.0].entry.life.clone();
         let runs = self.runs_at_loss(key, now);
+        self.workers[key.0].lost_jobs = runs.iter().map(|lost| lost.task.step.job).collect();
         for lost in &runs {
             self.lose_run(key, lost.task, lost.run, &life, cause, now);
         }
--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -20,6 +20,7 @@
             self.losses.note(false);
         }
         worker.silent_calls += 1;
+        worker.silent_since.get_or_insert(now);
         worker.avoid_until = worker.avoid_until.max(now.after(self.timing.worker_backoff));
         if worker.silent_calls == 1 {
             self.note_worker(key, "silent");
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -112,6 +112,17 @@
         /// Workers that crashed under the task so far.
         count: usize,
     },
+    /// A worker crashed under a task together with others, so that it says nothing of the task.
+    LostTogether {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// The life that ended.
+        worker: WorkerLife,
+        /// Workers that were lost at that moment with nothing of the task's job on them.
+        others: usize,
+    },
     /// A task is taken as the cause of crashes, and its job fails.
     GivenUp {
         /// The task.
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -17,6 +17,12 @@
 /// was taken away, and a task should not wait for it any longer.
 const OPEN_MOST: TimeSpan = TimeSpan(20_000);
 
+/// So many others were lost with a worker, and one in so many of all, where that has a cause of its own. Tasks that crash
+/// their workers take down one each second or so.
+const LOST_LEAST: usize = 5;
+/// See above.
+const LOST_ONE_IN: usize = 4;
+
 /// What told that a worker crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashSign {
@@ -313,6 +319,11 @@
 
     fn count_crash(&mut self, crash: CrashUnder<'_>, now: Moment) {
         let CrashUnder { task, run, life, alone, seen, beside, sign } = crash;
+        if let Some(others) = self.lost_with(life, task.step.job) {
+            let worker = life.clone();
+            self.events.push(CellEvent::LostTogether { task, run, worker, others });
+            return self.doubt_run(&task, run, now);
+        }
         self.suspects_seen = true;
         self.close_run(&task, run);
         let at_unix_ms = self.unix_ms_at(now);
@@ -346,6 +357,23 @@
         self.judge(&task, now);
     }
 
+    /// How many other workers, on which nothing of a job was, were lost at the moment at which a life was; none if so few
+    /// that they may have been lost by themselves.
+    ///
+    /// A crash says something of a task only as far as it was unlikely without it. Workers that go down together have one
+    /// cause: a rack, a hall, power. It is none of the tasks on one of them, unless all had something of the same job.
+    fn lost_with(&self, life: &WorkerLife, job: JobId) -> Option<usize> {
+        let lost = self.workers[self.lives.get(life)?.0].lost_within()?;
+        let living = self.workers.iter().filter(|worker| worker.listed && !worker.dead).count();
+        let together = |worker: &&WorkerState| {
+            let overlaps = |span: (Moment, Moment)| span.0 <= lost.1 && lost.0 <= span.1;
+            worker.lost_within().is_some_and(overlaps) && !worker.had_job(job)
+        };
+        let others = self.workers.iter().filter(together).count();
+        let least = (living / LOST_ONE_IN).max(LOST_LEAST);
+        (others >= least).then_some(others)
+    }
+
     /// Counts the start of a task under which workers were lost.
     pub(super) fn note_suspect_start(&mut self, task: &CellTask) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -10,7 +10,7 @@
 use super::organisations::OrganisationKey;
 use super::pace::FactorAverage;
 use super::timing::CellTiming;
-use crate::ids::{CellTask, FencingToken, RunNumber, StepId};
+use crate::ids::{CellTask, FencingToken, JobId, RunNumber, StepId};
 
 /// How far an order to run is settled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -138,6 +138,8 @@
     pub follows: bool,
     /// When its last account arrived.
     pub accounted: Option<Moment>,
+    /// Jobs of which something was there when it was lost.
+    pub lost_jobs: Vec<JobId>,
     /// What the store lists under its id, if that is another life. It gets no work then: one of the two is not there.
     pub listed_next: Option<WorkerEntry>,
     /// It answered an order of this lead, so it refuses every earlier lead.
@@ -156,6 +158,8 @@
     pub account_asked: Moment,
     /// Calls in a row without an answer.
     pub silent_calls: u32,
+    /// When the first of them was given up.
+    pub silent_since: Option<Moment>,
     /// No new work before then.
     pub avoid_until: Moment,
     /// Bad signs in a row: failed ends, and runs that take far too long.
@@ -182,6 +186,7 @@
             followed: None,
             follows: false,
             accounted: None,
+            lost_jobs: Vec::new(),
             listed_next: None,
             free: entry.capacity,
             kept_alone: false,
@@ -201,6 +206,7 @@
             answered: None,
             account_asked: Moment(0),
             silent_calls: 0,
+            silent_since: None,
             avoid_until: Moment(0),
             bad_signs: 0,
             trust: WorkerTrust::Sound,
@@ -245,6 +251,7 @@
     fn note_touch(&mut self, now: Moment) {
         self.answered = Some(now);
         self.silent_calls = 0;
+        self.silent_since = None;
     }
 
     /// Takes in the clock of an answer of this life that was received at `now`.
@@ -282,6 +289,19 @@
         Some(LeaseReading { until: self.lease_until, clock, age: now.since(at), least })
     }
 
+    /// Between which moments it was lost, if it is away and was ever heard: its last account, and the first call that it
+    /// left unanswered.
+    pub fn lost_within(&self) -> Option<(Moment, Moment)> {
+        let away = self.silent_since.or(self.followed)?;
+        Some((self.accounted?, away))
+    }
+
+    /// Whether something of a job is there, or was when it was lost.
+    pub fn had_job(&self, job: JobId) -> bool {
+        let now = || self.runs.keys().any(|task| task.step.job == job);
+        self.lost_jobs.contains(&job) || now()
+    }
+
     /// Whether it has ended, or another life answers under its id.
     pub fn is_over(&self) -> bool {
         self.dead || self.followed.is_some()
--- a/crates/sedgehill-cell/tests/testsuite/outages.rs
+++ b/crates/sedgehill-cell/tests/testsuite/outages.rs
@@ -14,7 +14,7 @@
 const CORES: u64 = 16;
 const CUTS: usize = 3;
 /// Turns of 20 ms between two cuts, and until a worker is back.
-const APART: usize = 1_000;
+const APART: usize = 300;
 const BACK: TimeSpan = TimeSpan(500);
 
 fn gang(count: u16) -> JobRecord {
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -38,6 +38,7 @@
         CellEvent::LossOpen { .. } => telemetry::count_crash("open", ""),
         CellEvent::LossCleared { .. } => telemetry::count_crash("cleared", ""),
         CellEvent::CrashCounted { sign, .. } => telemetry::count_crash("counted", sign.name()),
+        CellEvent::LostTogether { .. } => telemetry::count_crash("together", ""),
         CellEvent::GivenUp { .. } => telemetry::count_crash("given_up", ""),
         CellEvent::Adopted { .. } => telemetry::count_run_found("adopted"),
         CellEvent::Unwanted { .. } => telemetry::count_run_found("unwanted"),
@@ -100,6 +101,10 @@
             info!(log, "crash counted"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker,
                 "alone" => alone, "seen" => seen, "beside" => beside, "told_by" => sign.name(), "count" => count);
         }
+        CellEvent::LostTogether { task, run, worker, others } => {
+            info!(log, "lost together"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker,
+                "others" => others);
+        }
         CellEvent::GivenUp { task, workers } => {
             let names: Vec<String> = workers.iter().map(WorkerLife::to_string).collect();
             warn!(log, "task given up"; "token" => %token, "task" => %task, "crashed" => names.join(" "));
