--- a/crates/sedgehill-cell/tests/testsuite/lives.rs
+++ b/crates/sedgehill-cell/tests/testsuite/lives.rs
@@ -14,8 +14,9 @@
 //! ```
 
 use sedgehill_cell::ids::{LifeStart, WorkerLife};
+use sedgehill_cell::job::AdvicePolicy;
 use sedgehill_cell::progress::JobState;
-use sedgehill_cell::scheduler::{WorkerEntry, WorkerRoster};
+use sedgehill_cell::scheduler::{CellOrder, WorkerEntry, WorkerRoster};
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
 use crate::fake::{CrashHabit, FakeCell, job, step, task, worker_entry};
@@ -68,6 +69,64 @@
     assert_eq!(cell.starts_of(task(1, 0, 0)), 2);
 }
 
+// The entry of the earlier life says that it leaves. Kept for the next one, that would get no work for good.
+#[test]
+fn a_worker_that_drained_and_started_again_gets_work() {
+    let mut cell = FakeCell::with_lasting_ids(1, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 30);
+    cell.workers[0].entry.draining = true;
+    cell.turns(&mut lead, 30);
+    cell.start_again(0);
+    cell.workers[0].entry.draining = false;
+    cell.turns(&mut lead, 60);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    cell.turns(&mut lead, 10);
+    assert_eq!(cell.starts_of(task(1, 0, 0)), 1);
+}
+
+// What the service says is of the life that is there. A worker starts again while it is asked about, and once it is known:
+// each time it is asked about anew, and no start brings a ticket of the earlier life.
+#[test]
+fn tickets_of_an_earlier_life_are_not_used() {
+    let policy = AdvicePolicy { decide_us: 5_600, each_us: 80, valid: TimeSpan(60_000) };
+    let mut cell = FakeCell::with_lasting_ids(1, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 30);
+    let mut record = job(vec![step(2, 3)]);
+    record.policy.advice = Some(policy);
+    cell.submit_led(&mut lead, 1, record);
+    let ticket = |orders: Vec<CellOrder>| {
+        orders.into_iter().find_map(|order| match order {
+            CellOrder::Start(start) => start.ticket,
+            _ => None,
+        })
+    };
+    let mut asked = None;
+    for _ in 0..5 {
+        cell.now.0 += 20;
+        cell.look(&mut lead);
+        cell.record(&mut lead);
+        lead.schedule(cell.now);
+        for order in lead.take_orders() {
+            if let CellOrder::Ask(question) = order {
+                asked = Some(question);
+            }
+        }
+    }
+    cell.start_again(0);
+    cell.now.0 += 20;
+    cell.look(&mut lead);
+    let answer = vec![("w0".into(), "of the earlier life".into())];
+    lead.advice_answered(&asked.unwrap(), Some(answer), policy.valid, cell.now);
+    let mut used = Vec::new();
+    for _ in 0..60 {
+        used.extend(ticket(cell.turn(&mut lead)));
+    }
+    assert_eq!(used.iter().map(|ticket| &**ticket).collect::<Vec<_>>(), ["ticket"]);
+    assert_eq!(cell.starts_of(task(1, 0, 0)), 1);
+}
+
 /// A roster with starts, and what it says without them.
 fn rosters() -> (WorkerRoster, WorkerRoster) {
     let life = WorkerLife { id: "w1".into(), start: Some(LifeStart(1_775_841_204_824)) };
