cell, suspects: a start that no worker carried out uses up nothing

Callers saw: a job shown as failed after one of its tasks had lost one worker. Cause: after crashes, known or doubtful, two further starts are allowed, and each that was sent counted. Starts that went unanswered and never began counted too, so a task with one known crash and a doubtful one was given up. Change: a start that was refused, withdrawn, or is listed neither as running nor as ended though it was never seen, is taken back. The same class in the lead that follows is open: it does not know which starts counted.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -192,19 +192,22 @@
     fn drop_unlisted(&mut self, key: WorkerKey, report: &HoldReport, sent: Moment, now: Moment) {
         let worker = &self.workers[key.0];
         let listed = |task: &CellTask| report.running.iter().any(|row| row.task == *task);
-        let gone: Vec<(CellTask, RunNumber, Moment)> = worker
+        let gone: Vec<(CellTask, RunNumber, Moment, bool)> = worker
             .runs
             .iter()
-            .filter_map(|(task, run)| Some((*task, run.run, run.listed_from?)))
-            .filter(|(task, _, from)| sent > *from && !listed(task))
+            .filter_map(|(task, run)| Some((*task, run.run, run.listed_from?, run.seen)))
+            .filter(|(task, _, from, _)| sent > *from && !listed(task))
             .collect();
         let life = worker.entry.life.clone();
-        for (task, run, from) in gone {
+        for (task, run, from, seen) in gone {
             let (asked, listed_from) = (now.since(sent), now.since(from));
             let acknowledged = self.workers[key.0].told;
             let cause = LossCause::NotListed { asked, listed_from, acknowledged };
             self.lose_run(key, task, run, &life, cause, now);
-            self.close_run(&task, run);
+            match seen {
+                true => self.close_run(&task, run),
+                false => self.note_never_begun(&task, run),
+            }
         }
     }
 
--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -117,7 +117,7 @@
             self.remove_run(key, task);
         }
         self.release_task(task, run, now.after(self.timing.start_backoff), None);
-        self.close_run(task, run);
+        self.note_never_begun(task, run);
         if refusal == WorkerRefusal::Ticket
             && let Some(job) = self.jobs.get_mut(&task.step.job)
             && let Some(step) = job.step_index(&task.step)
--- a/crates/sedgehill-cell/src/scheduler/held.rs
+++ b/crates/sedgehill-cell/src/scheduler/held.rs
@@ -39,7 +39,7 @@
         let (life, address) = (entry.life.clone(), entry.address);
         let open = OpenRun { run, life, address, alone, seen: false };
         self.open_run(&task, open, now);
-        self.note_suspect_start(&task);
+        self.note_suspect_start(&task, run);
         let batch = self.next_batch;
         self.held.push(HeldStart { batch, worker, task, run, checkpoint });
     }
@@ -97,7 +97,7 @@
     ) {
         self.remove_run(key, task);
         self.release_task(task, run, now, None);
-        self.close_run(task, run);
+        self.note_never_begun(task, run);
     }
 }
 
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -375,10 +375,23 @@
     }
 
     /// Counts the start of a task under which workers were lost.
-    pub(super) fn note_suspect_start(&mut self, task: &CellTask) {
+    pub(super) fn note_suspect_start(&mut self, task: &CellTask, run: RunNumber) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
-        if let Some(index) = job.task_index(task) {
-            job.tasks[index].suspicion.note_start();
+        let Some(index) = job.task_index(task) else { return };
+        let work = &mut job.tasks[index];
+        work.counted_start = work.suspicion.note_start().then_some(run);
+    }
+
+    /// No worker carried out a start: what users allow after crashes is not used up by it. Orders that went unanswered and
+    /// never began had a task given up that had lost one worker.
+    pub(super) fn note_never_begun(&mut self, task: &CellTask, run: RunNumber) {
+        self.close_run(task, run);
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(index) = job.task_index(task) else { return };
+        let work = &mut job.tasks[index];
+        if work.counted_start.take_if(|counted| *counted == run).is_some() {
+            work.suspicion.take_back_start();
+            self.dirty.insert(task.step.job);
         }
     }
 
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -38,6 +38,8 @@
     pub failed_at: Option<WorkerKey>,
     /// What is known of the workers that were lost under it.
     pub suspicion: TaskSuspicion,
+    /// The run under way, if its start counts among those that are allowed after crashes.
+    pub counted_start: Option<RunNumber>,
 }
 
 impl TaskWork {
@@ -129,6 +131,7 @@
                 kept,
                 failed_at: None,
                 suspicion: TaskSuspicion::default(),
+                counted_start: None,
             })
             .collect();
         for (place, suspicion) in &kept.suspects {
--- a/crates/sedgehill-cell/src/suspicion.rs
+++ b/crates/sedgehill-cell/src/suspicion.rs
@@ -150,11 +150,18 @@
         Some(self.open.remove(place))
     }
 
-    /// Notes a start.
-    pub fn note_start(&mut self) {
-        if self.crashes.len() + usize::from(self.doubts) >= GUILTY_FROM {
+    /// Notes a start. Returns whether it counts.
+    pub fn note_start(&mut self) -> bool {
+        let counts = self.crashes.len() + usize::from(self.doubts) >= GUILTY_FROM;
+        if counts {
             self.further = self.further.saturating_add(1);
         }
+        counts
+    }
+
+    /// A start that counted was carried out by no worker.
+    pub fn take_back_start(&mut self) {
+        self.further = self.further.saturating_sub(1);
     }
 
     /// Notes a run that may have been lost by a crash that nobody saw.
