--- a/crates/sedgehill-cell/tests/testsuite/lives.rs
+++ b/crates/sedgehill-cell/tests/testsuite/lives.rs
@@ -16,7 +16,9 @@
 use sedgehill_cell::ids::{LifeStart, WorkerLife};
 use sedgehill_cell::job::AdvicePolicy;
 use sedgehill_cell::progress::JobState;
-use sedgehill_cell::scheduler::{CellOrder, WorkerEntry, WorkerRoster};
+use sedgehill_cell::scheduler::{
+    CellOrder, Scheduler, StartOrder, WorkerAnswer, WorkerEntry, WorkerRoster,
+};
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
 use crate::fake::{CrashHabit, FakeCell, job, step, task, worker_entry};
@@ -127,6 +129,99 @@
     assert_eq!(cell.starts_of(task(1, 0, 0)), 1);
 }
 
+// An account that was asked of the earlier life is carried out by the next one, seconds late, after that has ended a run of its
+// own: it would forget an end that nobody has read.
+#[test]
+fn a_late_acknowledgement_is_refused_by_the_next_life() {
+    let mut cell = FakeCell::with_lasting_ids(1, 8);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, 1, job(vec![step(8, 1)]));
+    cell.turns(&mut lead, 3);
+    cell.end_all();
+    cell.turns(&mut lead, 3);
+    let earlier = cell.key_of(&lead, 0);
+    let late = lead.hold_order(earlier, true, cell.now);
+    assert_eq!(late.acknowledged, 8);
+    cell.start_again(0);
+    cell.turns(&mut lead, 60);
+    cell.submit_led(&mut lead, 2, job(vec![step(2, 1)]));
+    cell.turns(&mut lead, 3);
+    cell.end_all();
+    cell.hold(0, &late);
+    cell.turns(&mut lead, 20);
+    assert_eq!(cell.progress(2).state, JobState::Completed);
+    assert_eq!(cell.starts_of(task(2, 0, 0)), 1);
+}
+
+// A start that was sent to the earlier life and not answered is carried out by the next one, after the task was begun
+// elsewhere.
+#[test]
+fn a_late_start_is_refused_by_the_next_life() {
+    let mut cell = FakeCell::with_lasting_ids(2, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 30);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    let order = next_start(&mut cell, &mut lead);
+    lead.start_answered(&order, WorkerAnswer::Unknown, cell.now);
+    let number = cell.number(&lead, order.worker);
+    cell.start_again(number);
+    cell.turns(&mut lead, 100);
+    assert!(cell.place(task(1, 0, 0)).is_some());
+    cell.start(number, &order);
+    cell.turns(&mut lead, 20);
+    assert_eq!(cell.starts_of(task(1, 0, 0)), 1);
+}
+
+// The same, but the next life carries it out before it is heard: the run is taken over, not begun a second time.
+#[test]
+fn a_start_that_the_next_life_carries_out_before_it_is_heard_is_taken_over() {
+    let mut cell = FakeCell::with_lasting_ids(2, 4);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 30);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    let order = next_start(&mut cell, &mut lead);
+    let number = cell.number(&lead, order.worker);
+    cell.start_again(number);
+    // The lead learns of the next life, and is about to call it.
+    cell.look_at(&mut lead, order.worker);
+    cell.start(number, &order);
+    lead.start_answered(&order, WorkerAnswer::Unknown, cell.now);
+    cell.turns(&mut lead, 20);
+    cell.end_all();
+    cell.turns(&mut lead, 20);
+    assert_eq!(cell.progress(1).state, JobState::Completed);
+    assert_eq!(cell.starts_of(task(1, 0, 0)), 1);
+}
+
+// What a worker had says nothing of what it has when it starts again.
+#[test]
+fn a_worker_that_starts_again_smaller_gets_work_by_its_own_size() {
+    let mut cell = FakeCell::with_lasting_ids(1, 8);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 30);
+    cell.start_again(0);
+    cell.workers[0].entry.capacity = worker_entry(0, 2).capacity;
+    cell.submit_led(&mut lead, 1, job(vec![step(8, 1)]));
+    cell.turns(&mut lead, 60);
+    assert_eq!(cell.workers[0].run_count(), 2);
+}
+
+/// Turns until something is to be started; the order is not carried out.
+fn next_start(cell: &mut FakeCell, lead: &mut Scheduler) -> StartOrder {
+    for _ in 0..100 {
+        cell.now.0 += 20;
+        cell.look(lead);
+        cell.record(lead);
+        lead.schedule(cell.now);
+        for order in lead.take_orders() {
+            if let CellOrder::Start(order) = order {
+                return order;
+            }
+        }
+    }
+    panic!("nothing is started");
+}
+
 /// A roster with starts, and what it says without them.
 fn rosters() -> (WorkerRoster, WorkerRoster) {
     let life = WorkerLife { id: "w1".into(), start: Some(LifeStart(1_775_841_204_824)) };
