--- a/crates/sedgehill-cell/tests/testsuite/lives.rs
+++ b/crates/sedgehill-cell/tests/testsuite/lives.rs
@@ -27,10 +27,7 @@
 fn ends_of_a_worker_that_started_again_are_read() {
     let mut cell = FakeCell::with_lasting_ids(1, 8);
     let mut lead = cell.lead(false);
-    cell.submit_led(&mut lead, 1, job(vec![step(8, 1)]));
-    cell.turns(&mut lead, 3);
-    cell.end_all();
-    cell.turns(&mut lead, 3);
+    run_to_end(&mut cell, &mut lead, 1, 8);
     assert_eq!(cell.progress(1).state, JobState::Completed);
     cell.start_again(0);
     cell.turns(&mut lead, 60);
@@ -135,10 +132,7 @@
 fn a_late_acknowledgement_is_refused_by_the_next_life() {
     let mut cell = FakeCell::with_lasting_ids(1, 8);
     let mut lead = cell.lead(false);
-    cell.submit_led(&mut lead, 1, job(vec![step(8, 1)]));
-    cell.turns(&mut lead, 3);
-    cell.end_all();
-    cell.turns(&mut lead, 3);
+    run_to_end(&mut cell, &mut lead, 1, 8);
     let earlier = cell.key_of(&lead, 0);
     let late = lead.hold_order(earlier, true, cell.now);
     assert_eq!(late.acknowledged, 8);
@@ -182,8 +176,12 @@
     let order = next_start(&mut cell, &mut lead);
     let number = cell.number(&lead, order.worker);
     cell.start_again(number);
-    // The lead learns of the next life, and is about to call it.
+    // The lead learns of the next life, decides, and is about to call it.
     cell.look_at(&mut lead, order.worker);
+    lead.schedule(cell.now);
+    for order in lead.take_orders() {
+        cell.obey(&mut lead, &order);
+    }
     cell.start(number, &order);
     lead.start_answered(&order, WorkerAnswer::Unknown, cell.now);
     cell.turns(&mut lead, 20);
@@ -206,6 +204,14 @@
     assert_eq!(cell.workers[0].run_count(), 2);
 }
 
+/// Hands in a job, whose tasks begin and end, and which is heard of.
+fn run_to_end(cell: &mut FakeCell, lead: &mut Scheduler, id: u64, tasks: u16) {
+    cell.submit_led(lead, id, job(vec![step(tasks, 1)]));
+    cell.turns(lead, 3);
+    cell.end_all();
+    cell.turns(lead, 3);
+}
+
 /// Turns until something is to be started; the order is not carried out.
 fn next_start(cell: &mut FakeCell, lead: &mut Scheduler) -> StartOrder {
     for _ in 0..100 {
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod displacement;
 mod entries;
 mod fake;
+mod further_starts;
 mod led;
 mod lives;
 mod organisations;
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -13,6 +13,7 @@
 mod strays;
 mod trouble;
 mod worker;
+mod worker_calls;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -86,7 +87,7 @@
         let mut worker_addresses = Vec::new();
         for number in 0..workers {
             let serving = pool.clone();
-            let answer = move |request| worker::answer(serving.clone(), number, request);
+            let answer = move |request| worker_calls::answer(serving.clone(), number, request);
             let guard = serve(any, answer).await?;
             worker_addresses.push(guard.address);
             guards.push(guard);
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -9,13 +9,13 @@
 use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::http_client::HttpClient;
 use sedgehill_adapter::store::{StoreClient, StoreTopic};
-use sedgehill_adapter::worker::WorkerClient;
+use sedgehill_adapter::worker::{MalformedReport, WorkerClient};
 use sedgehill_cell::authority::LeadWatch;
 use sedgehill_cell::ids::{JobId, OrganisationName, QueueName};
 use sedgehill_cell::patience::{CallPatience, STORE_PATIENCE};
 use sedgehill_cell::replica::CellReplica;
 use sedgehill_core::units::{Moment, TimeSpan};
-use slog::Logger;
+use slog::{Logger, warn};
 use tokio::sync::Notify;
 
 use super::frames::StateAnswer;
@@ -216,6 +216,14 @@
 /// the strong ones about a second.
 const READING_DEFERRED: TimeSpan = TimeSpan(2_500);
 
+/// Tells of answers of workers that cannot be read.
+fn report_malformed(log: Logger) -> MalformedReport {
+    Rc::new(move |target, error| {
+        warn!(log, "worker's answer not readable"; "worker" => %target.life, "address" => %target.address,
+            "error" => %error);
+    })
+}
+
 impl CellBox {
     /// Shares the state of a box that knows nothing yet.
     pub fn new(settings: CellSettings, log: Logger) -> CellBox {
@@ -223,7 +231,7 @@
         let http = HttpClient::with_idle(settings.descriptors / IDLE_PART);
         let clients = PlatformClients {
             store: StoreClient::new(http.clone(), settings.store),
-            workers: WorkerClient::new(http.clone()),
+            workers: WorkerClient::new(http.clone(), report_malformed(log.clone())),
             advice: settings.advice.map(|address| AdviceClient::new(http.clone(), address)),
             http,
         };
