--- a/crates/sedgehill-cell/tests/testsuite/lives.rs
+++ b/crates/sedgehill-cell/tests/testsuite/lives.rs
@@ -204,6 +204,25 @@
     assert_eq!(cell.workers[0].run_count(), 2);
 }
 
+// The store lists another life under the id, and nobody has answered as that yet: one of the two is not there.
+#[test]
+fn a_worker_gets_no_work_while_another_life_is_listed_under_its_id() {
+    let mut cell = FakeCell::with_lasting_ids(1, 8);
+    let mut lead = cell.lead(false);
+    cell.turns(&mut lead, 30);
+    let entry = cell.workers[0].entry.clone();
+    let life = WorkerLife { start: Some(LifeStart(cell.now.0)), ..entry.life.clone() };
+    let other = WorkerEntry { life, ..entry.clone() };
+    lead.update_workers(vec![other], &[], cell.now);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    lead.schedule(cell.now);
+    assert!(lead.take_orders().is_empty());
+    // It was an entry of another writer.
+    lead.update_workers(vec![entry], &[], cell.now);
+    cell.turns(&mut lead, 5);
+    assert_eq!(cell.starts_of(task(1, 0, 0)), 1);
+}
+
 /// Hands in a job, whose tasks begin and end, and which is heard of.
 fn run_to_end(cell: &mut FakeCell, lead: &mut Scheduler, id: u64, tasks: u16) {
     cell.submit_led(lead, id, job(vec![step(tasks, 1)]));
