cell, suspects: losses that came together count for what users allow after three crashes

Cause: many of them are started in one turn, after a take-over or losses in masses, and their workers go down at one moment. Each loss was taken as one that came together with others, and counted as a doubt, of which two at the most are kept. Change: such losses are kept with their time beside the crashes. They prove nothing of a task, and it does not run alone for them, but from three possible crashes on starts count, and five, two of them known, give it up. Before: the new test fails (three starts after three crashes), committed with the mend; after: passes, and random courses in which all workers crash at one moment. Progress has a new field at its end, which boxes of earlier releases pass over.

--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -65,9 +65,11 @@
     pub tasks: Vec<TaskProgress>,
     /// Whose the job is, once it is over: what was accepted is dropped then.
     pub organisation: Option<OrganisationName>,
-    /// Tasks, by their place among all tasks, under which workers were lost. They stand last, where boxes of earlier
-    /// versions pass over them.
+    /// Tasks, by their place among all tasks, under which workers were lost.
     pub suspects: Vec<(u32, TaskSuspicion)>,
+    /// Those under which workers were lost together with others, with when, in milliseconds since 1970. They stand last,
+    /// where boxes of earlier versions pass over them.
+    pub together: Vec<(u32, Vec<u64>)>,
 }
 
 impl JobProgress {
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -93,7 +93,7 @@
     pub fn decode(key: &str, value: &[u8]) -> Result<(JobId, CellRecord), RecordError> {
         let (kind, id) = CellRecord::decode_key(key)?;
         let record = match kind {
-            CellRecord::PROGRESS_KEY => decode_grown(value, &[NO_SUSPECTS])?,
+            CellRecord::PROGRESS_KEY => decode_grown(value, &[NO_SUSPECTS, NONE_TOGETHER])?,
             _ => postcard::from_bytes(value)?,
         };
         Ok((id, record))
@@ -102,6 +102,8 @@
 
 /// The stored form of a list of none: progress of an earlier version ends before the suspects.
 const NO_SUSPECTS: u8 = 0;
+/// The same of those under which workers were lost together.
+const NONE_TOGETHER: u8 = 0;
 
 /// One job as every box knows it.
 #[derive(Debug, Clone, Default)]
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -322,7 +322,7 @@
         if let Some(others) = self.lost_with(life, task.step.job) {
             let worker = life.clone();
             self.events.push(CellEvent::LostTogether { task, run, worker, others });
-            return self.doubt_run(&task, run, now);
+            return self.note_together(&task, run, now);
         }
         self.suspects_seen = true;
         self.close_run(&task, run);
@@ -374,6 +374,22 @@
         (others >= least).then_some(others)
     }
 
+    fn note_together(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
+        self.suspects_seen = true;
+        self.close_run(task, run);
+        let at_unix_ms = self.unix_ms_at(now);
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
+            return;
+        };
+        let Some(index) = job.task_index(task) else { return };
+        let work = &mut job.tasks[index];
+        if !work.kept.done {
+            work.suspicion.note_together(at_unix_ms);
+            self.dirty.insert(task.step.job);
+            self.judge(task, now);
+        }
+    }
+
     /// Counts the start of a task under which workers were lost.
     pub(super) fn note_suspect_start(&mut self, task: &CellTask, run: RunNumber) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
@@ -408,7 +424,7 @@
 
     fn is_guilty(&self, job: &JobWork, step: usize, task: &work::TaskWork, now: Moment) -> bool {
         let suspicion = &task.suspicion;
-        if suspicion.crashes.is_empty() {
+        if suspicion.crashes.is_empty() && suspicion.together.is_empty() {
             return false;
         }
         let living = self.workers.iter().filter(|worker| !worker.dead && worker.listed).count();
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -139,6 +139,11 @@
                 task.suspicion = suspicion.clone();
             }
         }
+        for (place, together) in &kept.together {
+            if let Some(task) = tasks.get_mut(*place as usize) {
+                task.suspicion.together = together.clone();
+            }
+        }
         if kept.ordered {
             let first = u32::try_from(token.0 * RUNS_PER_LEAD).unwrap_or(u32::MAX - 1);
             for task in &mut tasks {
@@ -262,6 +267,7 @@
             tasks: kept,
             organisation: self.owner_once_over(),
             suspects: self.suspects(),
+            together: self.lost_together(),
         }
     }
 
@@ -280,6 +286,12 @@
     }
 
     /// What is kept of the tasks under which workers were lost; nothing once the job is over.
+    fn lost_together(&self) -> Vec<(u32, Vec<u64>)> {
+        let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
+        let lost = tasks.filter(|(_, task)| !task.suspicion.together.is_empty());
+        lost.map(|(place, task)| (place as u32, task.suspicion.together.clone())).collect()
+    }
+
     fn suspects(&self) -> Vec<(u32, TaskSuspicion)> {
         let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
         let suspects = tasks.filter(|(_, task)| !task.suspicion.is_clear());
--- a/crates/sedgehill-cell/src/suspicion.rs
+++ b/crates/sedgehill-cell/src/suspicion.rs
@@ -87,18 +87,29 @@
     pub doubts: u8,
     /// Starts since three workers had crashed under it, or may have.
     pub further: u8,
+    /// When workers crashed under it together with others, in milliseconds since 1970. Such a crash proves nothing of
+    /// the task, but it may have been the cause as well as any: it counts for what the users allow. Kept beside the
+    /// others ([`JobProgress::together`](crate::progress::JobProgress::together)).
+    #[serde(skip)]
+    pub together: Vec<u64>,
 }
 
 impl TaskSuspicion {
     /// Whether nothing is kept.
     pub fn is_clear(&self) -> bool {
-        self.crashes.is_empty() && self.open.is_empty() && self.doubts == 0
+        let none = self.crashes.is_empty() && self.open.is_empty() && self.together.is_empty();
+        none && self.doubts == 0
+    }
+
+    /// Workers that crashed under it, or may have.
+    fn possible(&self) -> usize {
+        self.crashes.len() + self.together.len() + usize::from(self.doubts)
     }
 
     /// How the task may be started while none of its runs is under way.
     pub fn stage(&self) -> SuspectStage {
         let lost = self.crashes.len() + self.open.len();
-        let most = lost + usize::from(self.doubts);
+        let most = self.possible() + self.open.len();
         match lost {
             _ if most >= HELD_FROM && !self.open.is_empty() => SuspectStage::Held,
             0 => SuspectStage::Clear,
@@ -113,10 +124,10 @@
         let seen = || self.crashes.iter().filter(|crash| crash.seen);
         let proven =
             seen().count() >= GUILTY_FROM && seen().filter(|crash| crash.alone).count() >= alone;
-        let count = self.crashes.len();
+        let count = self.crashes.len() + self.together.len();
         // Any of these may have been another's doing, but the users allow no further start.
         let used_up = self.further >= FURTHER_STARTS
-            || count + usize::from(self.doubts) >= GUILTY_FROM + usize::from(FURTHER_STARTS);
+            || self.possible() >= GUILTY_FROM + usize::from(FURTHER_STARTS);
         proven || (count >= GIVEN_UP_FROM && used_up)
     }
 
@@ -152,7 +163,7 @@
 
     /// Notes a start. Returns whether it counts.
     pub fn note_start(&mut self) -> bool {
-        let counts = self.crashes.len() + usize::from(self.doubts) >= GUILTY_FROM;
+        let counts = self.possible() >= GUILTY_FROM;
         if counts {
             self.further = self.further.saturating_add(1);
         }
@@ -169,6 +180,12 @@
         self.doubts = self.doubts.saturating_add(1).min(DOUBTS_MOST);
     }
 
+    /// Notes a crash that came together with those of others.
+    pub fn note_together(&mut self, at_unix_ms: u64) {
+        self.together.retain(|at| at_unix_ms.saturating_sub(*at) < MEMORY_MS);
+        self.together.push(at_unix_ms);
+    }
+
     /// Counts a crash. Returns whether it was not counted before.
     pub fn count(&mut self, crash: WorkerCrash) -> bool {
         self.crashes.retain(|old| crash.at_unix_ms.saturating_sub(old.at_unix_ms) < MEMORY_MS);
--- a/crates/sedgehill-cell/tests/testsuite/outages.rs
+++ b/crates/sedgehill-cell/tests/testsuite/outages.rs
@@ -6,6 +6,7 @@
 
 use sedgehill_cell::job::{JobRecord, StepSpec};
 use sedgehill_cell::progress::JobState;
+use sedgehill_cell::scheduler::RunEnd;
 use sedgehill_core::units::TimeSpan;
 
 use crate::fake::{CrashHabit, FakeCell, job, step, task};
@@ -127,3 +128,46 @@
         assert_eq!(cell.progress(1).state, JobState::Failed);
     }
 }
+
+// Many tasks that crash their workers are started in one turn, so that these go down together as in a loss of power. What
+// users allow after three crashes is kept all the same; the fakes count the starts.
+#[test]
+fn tasks_that_crash_their_workers_at_one_moment_are_given_up_in_time() {
+    for keeps_ids in [false, true] {
+        let mut cell = match keeps_ids {
+            true => FakeCell::with_lasting_ids(24, 4),
+            false => FakeCell::new(24, 4),
+        };
+        let mut lead = cell.lead(false);
+        turns(&mut cell, &mut lead, 20);
+        let habit = CrashHabit { back: TimeSpan(1_500), ..CrashHabit::default() };
+        for id in 0..16 {
+            cell.make_crash(task(id, 0, 0), habit);
+            cell.submit_led(&mut lead, id, job(vec![step(1, 4)]));
+        }
+        turns(&mut cell, &mut lead, 1_500);
+        for id in 0..16 {
+            assert_eq!(cell.progress(id).state, JobState::Failed);
+        }
+    }
+}
+
+// A lead that follows knows of workers that were lost together.
+#[test]
+fn losses_of_all_workers_are_remembered_by_the_next_lead() {
+    let mut cell = FakeCell::with_lasting_ids(24, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    turns(&mut cell, &mut lead, 50);
+    for number in 0..cell.workers.len() {
+        cell.crash(number, BACK);
+    }
+    turns(&mut cell, &mut lead, 100);
+    assert_eq!(cell.progress(1).together.len(), 1);
+    let mut next = cell.lead(true);
+    next.note_fenced(cell.now);
+    turns(&mut cell, &mut next, 100);
+    cell.end_anywhere(task(1, 0, 0), RunEnd::Failed);
+    turns(&mut cell, &mut next, 10);
+    assert_eq!(cell.progress(1).together.len(), 1);
+}
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -30,6 +30,8 @@
     },
     /// A worker crashes by itself, and is back after so long.
     Crash(usize, u64),
+    /// All workers crash at one moment, and are back after so long.
+    CrashAll(u64),
     /// A worker has so many cores from now on.
     Resize(usize, u64),
     Cancel(u64),
@@ -89,6 +91,7 @@
             }
         ),
         1 => (worker.clone(), 20u64..9_000).prop_map(|(number, back)| Step::Crash(number, back)),
+        1 => (20u64..4_000).prop_map(Step::CrashAll),
         2 => (worker.clone(), 0u64..6).prop_map(|(number, cores)| Step::Resize(number, cores)),
         1 => (0usize..2, 3u64..16).prop_map(|(owner, most)| Step::Limit(owner, most)),
         1 => (0u64..12).prop_map(Step::Cancel),
@@ -139,6 +142,9 @@
             let number = cell.living(number);
             cell.crash(number, TimeSpan(back));
         }
+        Step::CrashAll(back) => {
+            (0..cell.workers.len()).for_each(|number| cell.crash(number, TimeSpan(back)));
+        }
         Step::Resize(number, cores) => {
             let number = cell.living(number);
             cell.workers[number].entry.capacity.cores = CoreCount(cores * 1_000);
