standin: calls that wait at a worker end with its life

Cause: an account that waited at a worker when that died was carried out again every 5 ms by the next life under the same id, with the acknowledgement of the earlier one. A process that ends takes its connections along. Late calls, which are carried out once, still reach the next life.

--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -172,6 +172,11 @@
         self.state.lock().sites[number].life.as_ref()?.born
     }
 
+    /// How many lives there were at an address.
+    pub(super) fn lives(&self, number: usize) -> usize {
+        self.state.lock().sites[number].lives
+    }
+
     /// Whether a life with this id is there.
     pub fn lives_as(&self, id: &str) -> bool {
         let state = self.state.lock();
--- a/crates/sedgehill-standin/src/cell_platform/worker_calls.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker_calls.rs
@@ -81,8 +81,13 @@
 
 async fn obey(pool: &StandinWorkers, call: &Call) -> JsonResponse {
     let deadline = Instant::now() + Duration::from_millis(call.order.wait_ms);
+    let lives = pool.lives(call.number);
     loop {
         let waits = Instant::now() < deadline;
+        // A process that ends takes along the calls that wait there: the next one does not carry them out again.
+        if pool.lives(call.number) != lives {
+            return std::future::pending().await;
+        }
         match try_obey(pool, call, waits) {
             Obeyed::Answer(response) => return response,
             // A machine without a process says nothing.
