--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -339,8 +339,12 @@
         // What is said of an id is of the life that was there when it was asked about.
         let asked = advice.asked_of(question.helper);
         let key_of = |id: &WorkerId| {
-            let asked = asked.iter().find(|key| self.workers[key.0].entry.life.id == *id);
-            asked.or_else(|| self.ids.get(id)).copied()
+            let newest = self.ids.get(id).copied();
+            if newest.is_some_and(|key| asked.contains(&key)) {
+                return newest;
+            }
+            let earlier = asked.iter().find(|key| self.workers[key.0].entry.life.id == *id);
+            earlier.copied().or(newest)
         };
         advice.forget_asked(question.helper);
         let keys: Vec<WorkerKey> = question.workers.iter().filter_map(&key_of).collect();
