--- a/crates/sedgehill-cell/src/scheduler/lives.rs
+++ b/crates/sedgehill-cell/src/scheduler/lives.rs
@@ -128,7 +128,7 @@
         let worker = &self.workers[key.0];
         let is_here =
             |entry: &WorkerEntry| entry.life == *life && entry.address == worker.entry.address;
-        let read = worker.listed_next.clone().filter(is_here);
+        let read = worker.listed_next.as_deref().filter(|entry| is_here(entry)).cloned();
         let size_read = read.is_some();
         let entry = read.unwrap_or_else(|| WorkerEntry {
             life: life.clone(),
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -130,6 +130,8 @@
     held: Vec<HeldStart>,
     /// The step that found no box to ask for the longest time, if that is long.
     unasked: Option<Candidate>,
+    /// When that is looked for next.
+    unasked_from: Moment,
 }
 
 impl Scheduler {
@@ -181,6 +183,7 @@
             suspects_seen: false,
             held: Vec::new(),
             unasked: None,
+            unasked_from: now,
             timing,
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -110,6 +110,9 @@
         };
         let step = job.steps[candidate.step].id;
         self.desk.begin(helper, step, cost, now);
+        if asker == AskerKind::Unasked {
+            self.unasked = None;
+        }
         self.events.push(CellEvent::Asked { step, named: named.len(), helper });
         let ids = named.iter().map(|key| self.workers[key.0].entry.life.id.clone()).collect();
         self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers: ids }));
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -32,7 +32,7 @@
         }
         self.keep_nothing();
         let candidates = self.candidates(now);
-        self.unasked = self.longest_unasked(&candidates, now);
+        self.find_unasked(&candidates, now);
         for candidate in candidates {
             let reason = self.place_step(&candidate, &open, now);
             self.note_stall(&candidate, reason, now);
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -139,7 +139,7 @@
             return Some(key);
         }
         let elsewhere = worker.entry.address != entry.address;
-        worker.listed_next = Some(entry.clone());
+        worker.listed_next = Some(Box::new(entry.clone()));
         if !worker.dead && !elsewhere {
             return None;
         }
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -18,6 +18,8 @@
 const STALLED_AFTER: TimeSpan = TimeSpan(3_000);
 /// It is told of again so much later, if it is still stalled.
 const TOLD_AGAIN: TimeSpan = TimeSpan(10_000);
+/// The step that found no box to ask for the longest time is looked for this often: the look goes over all that wait.
+const UNASKED_EVERY: TimeSpan = TimeSpan(100);
 /// Steps that are told of in one turn, at the most: a cell in which everything is stalled needs no more lines.
 const TOLD_AT_ONCE: usize = 4;
 /// Room for so many times what waits is no lack of room.
@@ -163,13 +165,16 @@
         });
     }
 
-    /// The step that found no box to ask for the longest time, if that is long. Steps that can earn nothing any more come
-    /// last, so as long as others come they would find none for good.
-    pub(super) fn longest_unasked(
-        &self,
-        candidates: &[Candidate],
-        now: Moment,
-    ) -> Option<Candidate> {
+    /// Looks for the step that found no box to ask for the longest time, if that is long. Steps that can earn nothing any
+    /// more come last, so as long as others come they would find none for good.
+    pub(super) fn find_unasked(&mut self, candidates: &[Candidate], now: Moment) {
+        if now >= self.unasked_from {
+            self.unasked = self.longest_unasked(candidates, now);
+            self.unasked_from = now.after(UNASKED_EVERY);
+        }
+    }
+
+    fn longest_unasked(&self, candidates: &[Candidate], now: Moment) -> Option<Candidate> {
         let unasked_since = |candidate: &Candidate| {
             let step = &self.jobs.get(&candidate.job)?.steps[candidate.step];
             let stall = step.stall.filter(|stall| stall.reason == StallReason::NoHelper)?;
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -141,7 +141,7 @@
     /// Jobs of which something was there when it was lost.
     pub lost_jobs: Vec<JobId>,
     /// What the store lists under its id, if that is another life. It gets no work then: one of the two is not there.
-    pub listed_next: Option<WorkerEntry>,
+    pub listed_next: Option<Box<WorkerEntry>>,
     /// It answered an order of this lead, so it refuses every earlier lead.
     pub fenced: bool,
     /// What runs there, or may.
