--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -93,7 +93,7 @@
         worker.accounted = Some(now);
         worker.note_answer(report.clock, now, &self.timing);
         if is_first {
-            self.end_earlier_lives(key, WorkerCall::Account, now);
+            self.end_earlier_lives(key, now);
             self.settle_followed(key, now);
         }
         for end in &report.ended {
--- a/crates/sedgehill-cell/src/scheduler/lives.rs
+++ b/crates/sedgehill-cell/src/scheduler/lives.rs
@@ -181,7 +181,7 @@
 
     /// A life was heard under its own token: those before it under its id have ended, and what was sent to them is
     /// refused from now on. What it has of it already, its account lists.
-    pub(super) fn end_earlier_lives(&mut self, key: WorkerKey, call: WorkerCall, now: Moment) {
+    pub(super) fn end_earlier_lives(&mut self, key: WorkerKey, now: Moment) {
         if !std::mem::take(&mut self.workers[key.0].follows) {
             return;
         }
@@ -195,18 +195,12 @@
             })
             .collect();
         for earlier in earlier {
-            self.end_life(earlier, call, CrashSign::OtherLife, now);
+            self.end_life(earlier, WorkerCall::Account, now);
         }
     }
 
     /// A life has ended: nothing runs there any more.
-    pub(super) fn end_life(
-        &mut self,
-        key: WorkerKey,
-        call: WorkerCall,
-        sign: CrashSign,
-        now: Moment,
-    ) {
+    pub(super) fn end_life(&mut self, key: WorkerKey, call: WorkerCall, now: Moment) {
         let worker = &self.workers[key.0];
         let (life, address) = (worker.entry.life.clone(), worker.entry.address);
         if worker.fenced && !worker.is_leaving() {
@@ -217,21 +211,20 @@
         worker.dead = true;
         worker.followed.get_or_insert(now);
         self.lose_runs(key, LossCause::WorkerEnded { address, call }, now);
-        self.settle_crashed(&life, address, sign, now);
+        self.settle_crashed(&life, address, CrashSign::OtherLife, now);
     }
 
     /// A life that was followed by another one, which is not heard: what was sent to the one may run on the other for as
     /// long as a lease lasts.
     pub(super) fn expire_followed(&mut self, key: WorkerKey, since: Moment, now: Moment) {
-        let lease = self.timing.lease_most.0;
-        let drift = lease * self.timing.clock_drift_permille / 1000;
-        let end = since.after(TimeSpan(lease + drift)).after(self.timing.lapse_margin);
+        let lease = self.timing.lease_most;
+        let end = since.after(lease).after(self.drift_of(lease)).after(self.timing.lapse_margin);
         if now > end && self.is_confirmed(end) {
             let next = self.ids.get(&self.workers[key.0].entry.life.id).copied();
             if let Some(next) = next {
                 self.workers[next.0].follows = false;
             }
-            self.end_life(key, WorkerCall::Account, CrashSign::OtherLife, now);
+            self.end_life(key, WorkerCall::Account, now);
         }
     }
 }
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -256,7 +256,7 @@
             return;
         }
         if worker.fenced {
-            return self.end_life(key, call, CrashSign::OtherLife, now);
+            return self.end_life(key, call, now);
         }
         let (life, address) = (worker.entry.life.clone(), worker.entry.address);
         self.note_worker(key, "not at its address");
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -36,7 +36,7 @@
         self.take_over.since.after(term).after(self.drift_of(term))
     }
 
-    fn drift_of(&self, span: TimeSpan) -> TimeSpan {
+    pub(super) fn drift_of(&self, span: TimeSpan) -> TimeSpan {
         TimeSpan(span.0 * self.timing.clock_drift_permille / 1000)
     }
 
