--- a/crates/sedgehill-cell/tests/testsuite/fake/ends.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/ends.rs
@@ -22,11 +22,13 @@
         }
     }
 
-    /// Ends well what has run for so long.
+    /// Ends well what has run for so long. Long-running tasks have no end of their own.
     pub fn end_old(&mut self, span: TimeSpan) {
         let now = self.now;
         let is_old = |(number, task): &(usize, CellTask)| {
-            now >= self.workers[*number].runs[task].since.after(span)
+            let spec = &self.store[&task.step.job].0.spec.steps[usize::from(task.step.step)];
+            let old = now >= self.workers[*number].runs[task].since.after(span);
+            old && !spec.long_running
         };
         let old: Vec<(usize, CellTask)> = self.all_runs().into_iter().filter(is_old).collect();
         for (number, task) in old {
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod progress;
 mod random;
 mod replica;
+mod restarts;
 mod roster;
 mod scheduler;
 mod sight;
