cell, sight: long-running tasks without a run are counted and told of

Logs could not tell the hypotheses apart: a task that waits while others of its step run left no line. Each such task is kept from the loss of its run to the next: what took it, the gate that turned it back, how many steps were ranked before it, its tickets. No decision changes.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -31,6 +31,9 @@
         let removed = self.remove_run(key, &task);
         self.events.push(CellEvent::RunLost { task, run, worker: life.clone(), cause });
         self.release_task(&task, run, now, None);
+        if removed.as_ref().is_some_and(|entry| entry.seen) {
+            self.note_run_over(&task, RestartCause::WorkerLost, now);
+        }
         if removed.is_some_and(|entry| entry.phase == RunPhase::Recording) {
             self.abort_gang(&task, run, now);
         }
@@ -120,7 +123,9 @@
         let job = row.task.step.job;
         if let Some(entry) = self.workers[key.0].runs.get_mut(&row.task) {
             if entry.run == row.run {
-                entry.confirm(now);
+                if entry.confirm(now) {
+                    self.note_running(&row.task);
+                }
                 self.note_checkpoint(&row.task, row.run, &row.checkpoint);
                 self.note_begun(job, now);
             }
@@ -145,6 +150,7 @@
         match wanted {
             true => {
                 self.note_adopted(key, row);
+                self.note_running(&row.task);
                 self.note_checkpoint(&row.task, row.run, &row.checkpoint);
                 self.note_begun(job, now);
             }
--- a/crates/sedgehill-cell/src/scheduler/ends.rs
+++ b/crates/sedgehill-cell/src/scheduler/ends.rs
@@ -27,6 +27,14 @@
             return false;
         }
         self.close_run(&row.task, row.run);
+        self.take_end_of(key, row, now);
+        self.note_run_over(&row.task, RestartCause::Ended(row.end), now);
+        self.dirty.insert(id);
+        self.finish_if_over(id, now);
+        true
+    }
+
+    fn take_end_of(&mut self, key: WorkerKey, row: &EndRow, now: Moment) {
         match row.end {
             RunEnd::Done => self.take_done(&row.task, now),
             RunEnd::Failed => self.take_failed(key, row, now),
@@ -34,9 +42,6 @@
                 self.release_task(&row.task, row.run, now, Some(&row.checkpoint));
             }
         }
-        self.dirty.insert(id);
-        self.finish_if_over(id, now);
-        true
     }
 
     fn take_done(&mut self, task: &CellTask, now: Moment) {
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -5,6 +5,7 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
+use super::restart::RestartCause;
 use super::stall::{StallBelief, StallReason};
 use super::suspects::CrashSign;
 use crate::ids::{
@@ -30,6 +31,8 @@
         ticket_left: Option<TimeSpan>,
         /// What settled the orders of earlier leads, if one of them may have begun the job.
         earlier: Option<EarlierSettled>,
+        /// How long a long-running task has had no run; none for any other, and for its first one.
+        without_run: Option<TimeSpan>,
     },
     /// A start was refused or went unanswered.
     StartFailed {
@@ -201,6 +204,21 @@
         /// What was believed then.
         belief: StallBelief,
     },
+    /// A long-running task lost its run a while ago and does not run again yet.
+    RestartLate {
+        /// The task.
+        task: CellTask,
+        /// What took its run.
+        cause: RestartCause,
+        /// For how long it has had none.
+        without_run: TimeSpan,
+        /// The gate that turned it back last.
+        gate: StallReason,
+        /// Steps that were ranked before it then.
+        ahead: usize,
+        /// What is believed of its step.
+        belief: StallBelief,
+    },
     /// A job is over.
     JobEnded {
         /// The job.
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod policy;
 mod rank;
 mod record;
+mod restart;
 mod room;
 mod roster;
 mod sight;
@@ -52,6 +53,8 @@
 pub use self::organisations::{OrganisationBook, OrganisationFigures, OrganisationKey};
 use self::pace::FactorAverage;
 pub use self::policy::{CellPolicy, LimitOrder, LimitOrderError, SharingError, SharingWay};
+use self::restart::RestartBook;
+pub use self::restart::{RestartCause, RestartDue, RestartFigures};
 use self::room::Candidate;
 pub use self::sight::TakeOverSight;
 pub use self::stall::{StallBelief, StallFigures, StallReason};
@@ -60,7 +63,9 @@
 pub use self::timing::CellTiming;
 use self::work::{JobWork, OrderedMark, TaskPhase};
 use self::worker::{RunPhase, StopTry, WorkerState, WorkerTrust};
-use crate::ids::{CellTask, FencingToken, JobId, QueueName, RunNumber, WorkerId, WorkerLife};
+use crate::ids::{
+    CellTask, FencingToken, JobId, QueueName, RunNumber, StepId, WorkerId, WorkerLife,
+};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
 
@@ -128,6 +133,8 @@
     suspects_seen: bool,
     /// Starts that wait until they are recorded.
     held: Vec<HeldStart>,
+    /// Long-running tasks that lost their run.
+    restarts: RestartBook,
     /// The step that found no box to ask for the longest time, if that is long.
     unasked: Option<Candidate>,
     /// When that is looked for next.
@@ -182,6 +189,7 @@
             background: CrashBackground::default(),
             suspects_seen: false,
             held: Vec::new(),
+            restarts: RestartBook::default(),
             unasked: None,
             unasked_from: now,
             timing,
@@ -365,6 +373,7 @@
         if self.knows_sizes(now) {
             self.place_all(now);
         }
+        self.report_restarts(now);
     }
 
     fn stop_run(
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -33,9 +33,10 @@
         self.keep_nothing();
         let candidates = self.candidates(now);
         self.find_unasked(&candidates, now);
-        for candidate in candidates {
+        for (ahead, candidate) in candidates.into_iter().enumerate() {
             let reason = self.place_step(&candidate, &open, now);
             self.note_stall(&candidate, reason, now);
+            self.note_restart_gate(&candidate, reason, ahead);
         }
         self.report_stalls(&open, now);
     }
@@ -79,6 +80,7 @@
         }
         for (reason, candidate) in barred {
             self.note_stall(&candidate, Some(reason), now);
+            self.note_restart_gate(&candidate, Some(reason), 0);
         }
         ranked.sort_by_key(|(rank, candidate)| (*rank, candidate.job, candidate.step));
         ranked.into_iter().map(|(_, candidate)| candidate).collect()
@@ -329,6 +331,7 @@
             waited: now.since(job.accepted),
             ticket_left: ticket.map(|ticket| ticket.until.since(now)),
             earlier,
+            without_run: self.restarts.get(&task).map(|due| now.since(due.since)),
         });
         self.orders.push(CellOrder::Start(StartOrder {
             worker: key,
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -0,0 +1,194 @@
+//! Tasks of long-running steps that lost their run.
+//!
+//! Such a task serves users for as long as its job lives, and has to run again within seconds of losing its run. What is kept of a
+//! step does not tell of it: the step has other tasks running, and its job was accepted long ago. Each such task is kept
+//! here from the loss of its run until a worker says that the next one is there.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use sedgehill_core::units::{Moment, TimeSpan};
+
+use super::stall::StallReason;
+use super::*;
+
+/// A task that has had no run for so long is told of.
+const TOLD_AFTER: TimeSpan = TimeSpan(3_000);
+/// It is told of again so much later.
+const TOLD_AGAIN: TimeSpan = TimeSpan(3_000);
+/// Tasks that are told of in one turn, at the most.
+const TOLD_AT_ONCE: usize = 4;
+
+/// What took the last run of a long-running task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RestartCause {
+    /// It ended.
+    Ended(RunEnd),
+    /// Its worker was lost, or did not list it any more.
+    WorkerLost,
+    /// It had begun under an earlier lead, and no worker has it.
+    EarlierLead,
+}
+
+impl RestartCause {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RestartCause::Ended(end) => end.name(),
+            RestartCause::WorkerLost => "worker_lost",
+            RestartCause::EarlierLead => "earlier_lead",
+        }
+    }
+}
+
+impl fmt::Display for RestartCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// A long-running task without a run.
+#[derive(Debug, Clone, Copy)]
+pub struct RestartDue {
+    /// Since when.
+    pub since: Moment,
+    /// What took its last run.
+    pub cause: RestartCause,
+    /// The gate that turned it back last.
+    gate: Option<StallReason>,
+    /// Steps that were ranked before it then.
+    ahead: usize,
+    told: Option<Moment>,
+}
+
+/// All long-running tasks without a run.
+#[derive(Debug, Default)]
+pub struct RestartBook {
+    due: BTreeMap<CellTask, RestartDue>,
+}
+
+impl RestartBook {
+    /// A task lost its run. One that was due already stays due since then.
+    fn add(&mut self, task: CellTask, cause: RestartCause, now: Moment) {
+        let due = RestartDue { since: now, cause, gate: None, ahead: 0, told: None };
+        self.due.entry(task).or_insert(due);
+    }
+
+    fn remove(&mut self, task: &CellTask) {
+        self.due.remove(task);
+    }
+
+    /// What is known of a task that is due.
+    pub fn get(&self, task: &CellTask) -> Option<&RestartDue> {
+        self.due.get(task)
+    }
+
+    fn of_step(&mut self, step: StepId) -> impl Iterator<Item = &mut RestartDue> {
+        let (first, last) = (CellTask { step, index: 0 }, CellTask { step, index: u16::MAX });
+        self.due.range_mut(first..=last).map(|(_, due)| due)
+    }
+}
+
+/// Long-running tasks without a run, as shown to operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RestartFigures {
+    /// How many.
+    pub tasks: usize,
+    /// The longest time that one of them has had none.
+    pub longest: TimeSpan,
+}
+
+impl Scheduler {
+    /// A run that was there is over. A long-running task is due to run again.
+    pub(super) fn note_run_over(&mut self, task: &CellTask, cause: RestartCause, now: Moment) {
+        let Some(job) = self.jobs.get(&task.step.job).filter(|job| !job.is_over()) else { return };
+        let Some(step) = job.step_index(&task.step) else { return };
+        let Some(index) = job.task_index(task) else { return };
+        if job.step_spec(step).long_running && job.tasks[index].waits() {
+            self.restarts.add(*task, cause, now);
+        }
+    }
+
+    /// What earlier leads did is settled: long-running tasks that one of them started, and that no worker has, lost their
+    /// run before or during the change of leads.
+    pub(super) fn note_lost_restarts(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.foreign_orders) else { return };
+        let lost = |(_, task): &(CellTask, &work::TaskWork)| task.started_earlier && task.waits();
+        let lost: Vec<CellTask> = job.all_tasks().filter(lost).map(|(task, _)| task).collect();
+        let since = self.take_over.since;
+        for task in lost {
+            self.note_run_over(&task, RestartCause::EarlierLead, since);
+        }
+    }
+
+    /// A worker says that a run is there.
+    pub(super) fn note_running(&mut self, task: &CellTask) {
+        self.restarts.remove(task);
+    }
+
+    /// Notes at which gate the tasks of a step were turned back that are due to run again.
+    pub(super) fn note_restart_gate(
+        &mut self,
+        candidate: &Candidate,
+        gate: Option<StallReason>,
+        ahead: usize,
+    ) {
+        if self.restarts.due.is_empty() {
+            return;
+        }
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let step = job.steps[candidate.step].id;
+        for due in self.restarts.of_step(step) {
+            (due.gate, due.ahead) = (gate, ahead);
+        }
+    }
+
+    /// Drops tasks of jobs that are over, and tells of those that have had no run for long.
+    pub(super) fn report_restarts(&mut self, now: Moment) {
+        if self.restarts.due.is_empty() {
+            return;
+        }
+        let jobs = &self.jobs;
+        let lives = |task: &CellTask| jobs.get(&task.step.job).is_some_and(|job| !job.is_over());
+        self.restarts.due.retain(|task, _| lives(task));
+        let late = |due: &RestartDue| match due.told {
+            None => now >= due.since.after(TOLD_AFTER),
+            Some(told) => now >= told.after(TOLD_AGAIN),
+        };
+        let due = self.restarts.due.iter().filter(|(_, due)| late(due));
+        let mut late: Vec<(Moment, CellTask)> = due.map(|(task, due)| (due.since, *task)).collect();
+        late.sort();
+        if late.is_empty() {
+            return;
+        }
+        let open = self.open_workers(now);
+        for (_, task) in late.into_iter().take(TOLD_AT_ONCE) {
+            self.tell_restart(task, &open, now);
+        }
+    }
+
+    fn tell_restart(&mut self, task: CellTask, open: &room::OpenWorkers, now: Moment) {
+        let Some(step) = self.jobs.get(&task.step.job).and_then(|job| job.step_index(&task.step))
+        else {
+            return;
+        };
+        let candidate = Candidate { job: task.step.job, step };
+        let Some(belief) = self.stall_belief(&candidate, open, now) else { return };
+        let knows_sizes = self.knows_sizes(now);
+        let Some(due) = self.restarts.due.get_mut(&task) else { return };
+        due.told = Some(now);
+        // Where no worker is open at all, no step is looked at.
+        let gate = match knows_sizes {
+            true => due.gate.unwrap_or(StallReason::NoRoom),
+            false => StallReason::OldList,
+        };
+        let (cause, ahead, without_run) = (due.cause, due.ahead, now.since(due.since));
+        self.events.push(CellEvent::RestartLate { task, cause, without_run, gate, ahead, belief });
+    }
+
+    /// The long-running tasks without a run.
+    pub fn restart_figures(&self, now: Moment) -> RestartFigures {
+        let spans = self.restarts.due.values().map(|due| now.since(due.since));
+        RestartFigures { tasks: self.restarts.due.len(), longest: spans.max().unwrap_or_default() }
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -112,6 +112,8 @@
     pub good: usize,
     /// See above.
     pub not_good: usize,
+    /// Workers with a ticket that can be used.
+    pub tickets: usize,
     /// Workers that get at most one run since they did badly.
     pub shunned: usize,
     /// The share of workers that is taken as good in the queue, in hundredths.
@@ -223,7 +225,7 @@
         }
     }
 
-    fn stall_belief(
+    pub(super) fn stall_belief(
         &self,
         candidate: &Candidate,
         open: &OpenWorkers,
@@ -239,6 +241,7 @@
             places_unknown: 0,
             good: advice.known.values().filter(|known| known.is_some()).count(),
             not_good: advice.known.values().filter(|known| known.is_none()).count(),
+            tickets: advice.ticketed(now, self.timing.ticket_margin).count(),
             shunned: self.workers.iter().filter(|one| one.is_distrusted()).count(),
             share_percent: (self.share_of(&job.record.queue) * 100.0) as u64,
             asking: advice.asking.len(),
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -64,6 +64,7 @@
             let ids: Vec<JobId> = self.jobs.keys().copied().collect();
             for id in ids {
                 self.doubt_unseen(id, now);
+                self.note_lost_restarts(id);
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.foreign_orders = false;
                 }
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -40,6 +40,8 @@
     pub suspicion: TaskSuspicion,
     /// The run under way, if its start counts among those that are allowed after crashes.
     pub counted_start: Option<RunNumber>,
+    /// A start of it was recorded by an earlier lead.
+    pub started_earlier: bool,
 }
 
 impl TaskWork {
@@ -128,6 +130,7 @@
             .into_iter()
             .map(|kept| TaskWork {
                 phase: TaskPhase::Waiting(Moment(0)),
+                started_earlier: kept.run.0 > 0,
                 kept,
                 failed_at: None,
                 suspicion: TaskSuspicion::default(),
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -84,13 +84,14 @@
 }
 
 impl WorkerRun {
-    /// The worker said that it runs.
-    pub fn confirm(&mut self, now: Moment) {
-        self.seen = true;
+    /// The worker said that it runs. Returns whether that is news.
+    pub fn confirm(&mut self, now: Moment) -> bool {
+        let is_news = !std::mem::replace(&mut self.seen, true);
         if self.phase == RunPhase::Ordered {
             self.phase = RunPhase::Confirmed;
             self.listed_from = Some(now);
         }
+        is_news
     }
 }
 
--- a/crates/sedgehill-cell/tests/testsuite/restarts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/restarts.rs
@@ -5,10 +5,12 @@
 
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
-use sedgehill_cell::scheduler::{HelperId, RunEnd, Scheduler};
+use sedgehill_cell::scheduler::{
+    CellEvent, HelperId, RestartCause, RunEnd, Scheduler, StallReason,
+};
 use sedgehill_core::units::{Moment, TimeSpan};
 
-use crate::fake::{FakeCell, FakeService, job, step, task};
+use crate::fake::{FakeCell, FakeService, cores, job, step, task};
 
 const WORKERS: u16 = 24;
 const CORES: u64 = 16;
@@ -54,11 +56,17 @@
     Silent,
 }
 
+fn long_running(count: u16, need: u64) -> StepSpec {
+    StepSpec { long_running: true, estimate: TimeSpan(500), ..step(count, need) }
+}
+
 struct Course {
     cell: FakeCell,
     lead: Scheduler,
     service: FakeService,
     load: Load,
+    /// The load has begun.
+    loaded: bool,
     advice: Advice,
     others: u64,
     seen_starts: usize,
@@ -75,8 +83,9 @@
             let number: u64 = life.0.trim_start_matches('w').parse().unwrap();
             step.job != JobId(LONG_RUNNING) || number.is_multiple_of(3)
         });
-        let (others, seen_starts, waiting) = (0, 0, 0);
-        let mut course = Course { cell, lead, service, load, advice, others, seen_starts, waiting };
+        let (loaded, others, seen_starts, waiting) = (false, 0, 0, 0);
+        let mut course =
+            Course { cell, lead, service, load, loaded, advice, others, seen_starts, waiting };
         course.turn();
         let mut record =
             job(vec![StepSpec { long_running: true, estimate: TimeSpan(500), ..step(4, 4) }]);
@@ -115,7 +124,7 @@
         self.cell.end_old(TimeSpan(length));
         // A third of what fits waits at all times.
         let places = usize::from(WORKERS) * CORES as usize / 4;
-        while self.load != Load::None && self.waiting < places / 3 {
+        while self.loaded && self.load != Load::None && self.waiting < places / 3 {
             self.others += 1;
             let (id, record) = (OTHERS + self.others, self.filler());
             if record.policy.advice == Some(CHEAP) {
@@ -148,6 +157,7 @@
             assert!(self.cell.now < begun.after(TimeSpan(10_000)), "it never began");
             self.turn();
         }
+        self.loaded = true;
         self.run_until(begun.after(age));
         let lost = self.cell.now;
         let number = self.cell.place(task(LONG_RUNNING, 0, 0)).unwrap();
@@ -168,6 +178,16 @@
         }
         Some(self.cell.now.since(lost))
     }
+
+    /// What was told first of a task without a run: the gate, steps ahead, tickets.
+    fn told(&mut self) -> Option<(StallReason, usize, usize)> {
+        self.lead.take_events().into_iter().find_map(|event| match event {
+            CellEvent::RestartLate { gate, ahead, belief, .. } => {
+                Some((gate, ahead, belief.tickets))
+            }
+            _ => None,
+        })
+    }
 }
 
 #[track_caller]
@@ -175,13 +195,14 @@
     let mut late = Vec::new();
     for advice in advices {
         for age in [1_000, 20_000, 60_000] {
-            let took = Course::new(load, *advice).restart(TimeSpan(age), loss);
+            let mut course = Course::new(load, *advice);
+            let took = course.restart(TimeSpan(age), loss);
             if took.is_none_or(|took| took > RESTART_WITHIN) {
-                late.push((*advice, age, took));
+                late.push(format!("{advice:?}, age {age}, {took:?}; told: {:?}", course.told()));
             }
         }
     }
-    assert!(late.is_empty(), "advice, age, time to the next run: {late:?}");
+    assert!(late.is_empty(), "time to the next run: {late:#?}");
 }
 
 const ALL: [Advice; 3] = [Advice::Nobody, Advice::OthersCheap, Advice::AllDear];
@@ -215,3 +236,75 @@
 fn a_silent_worker_s_run_is_followed_by_the_next_beside_saved_work() {
     assert_restarts(Load::Saved, &ALL, Loss::Silent);
 }
+
+/// What is told of tasks without a run.
+fn told(lead: &mut Scheduler) -> Vec<(RestartCause, TimeSpan, StallReason)> {
+    let events = lead.take_events().into_iter();
+    let late = events.filter_map(|event| match event {
+        CellEvent::RestartLate { cause, without_run, gate, .. } => Some((cause, without_run, gate)),
+        _ => None,
+    });
+    late.collect()
+}
+
+#[test]
+fn a_task_that_no_worker_can_run_is_told_of_with_what_took_its_run() {
+    let mut cell = FakeCell::new(1, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, LONG_RUNNING, job(vec![long_running(1, 4)]));
+    cell.turns(&mut lead, 5);
+    assert_eq!(lead.restart_figures(cell.now).tasks, 0);
+    // The worker has shrunk to less than the task needs.
+    cell.workers[0].entry.capacity = cores(2);
+    cell.turns(&mut lead, 30);
+    cell.end(0, task(LONG_RUNNING, 0, 0), RunEnd::Failed);
+    cell.turns(&mut lead, 2);
+    assert_eq!(told(&mut lead), []);
+    cell.turns(&mut lead, 150);
+    let told = told(&mut lead);
+    assert_eq!(told.len(), 1, "{told:?}");
+    let (cause, without_run, gate) = told[0];
+    assert_eq!((cause, gate), (RestartCause::Ended(RunEnd::Failed), StallReason::NoRoom));
+    assert!((3_000..3_100).contains(&without_run.0), "{without_run}");
+    let figures = lead.restart_figures(cell.now);
+    assert_eq!(figures.tasks, 1);
+    assert!(figures.longest >= without_run);
+    cell.cancel(&mut lead, LONG_RUNNING);
+    cell.turns(&mut lead, 2);
+    assert_eq!(lead.restart_figures(cell.now).tasks, 0);
+}
+
+#[test]
+fn the_next_run_tells_how_long_there_was_none() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, LONG_RUNNING, job(vec![long_running(1, 4)]));
+    cell.turns(&mut lead, 5);
+    cell.end_anywhere(task(LONG_RUNNING, 0, 0), RunEnd::Failed);
+    cell.turns(&mut lead, 5);
+    let events = lead.take_events().into_iter();
+    let spans = events.filter_map(|event| match event {
+        CellEvent::Placed { without_run, .. } => Some(without_run.is_some()),
+        _ => None,
+    });
+    assert_eq!(spans.collect::<Vec<_>>(), [false, true]);
+    assert_eq!(lead.restart_figures(cell.now).tasks, 0);
+}
+
+#[test]
+fn a_new_lead_finds_tasks_that_lost_their_run_meanwhile() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, LONG_RUNNING, job(vec![long_running(2, 4)]));
+    cell.turns(&mut lead, 30);
+    cell.end_anywhere(task(LONG_RUNNING, 0, 0), RunEnd::Failed);
+    let mut next = cell.lead(false);
+    cell.turns(&mut next, 5);
+    assert!(cell.place(task(LONG_RUNNING, 0, 0)).is_some());
+    let restarted = next
+        .take_events()
+        .into_iter()
+        .filter(|event| matches!(event, CellEvent::Placed { without_run: Some(_), .. }));
+    assert_eq!(restarted.count(), 1);
+    assert_eq!(next.restart_figures(cell.now).tasks, 0);
+}
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -18,8 +18,11 @@
 
 fn count(event: &CellEvent) {
     match event {
-        CellEvent::Placed { waited, earlier, .. } => {
+        CellEvent::Placed { waited, earlier, without_run, .. } => {
             telemetry::count_cell_event("placed", "");
+            if let Some(span) = without_run {
+                telemetry::note_cell_time("sedgehill_cell_restart_seconds", span.0 as f64 / MILLIS);
+            }
             if let Some(earlier) = earlier {
                 telemetry::count_earlier_start(earlier.name());
             }
@@ -53,6 +56,9 @@
         CellEvent::AdviceOverdue { .. } => telemetry::count_cell_event("advice_overdue", ""),
         CellEvent::Held { .. } => telemetry::count_cell_event("held", "limit"),
         CellEvent::Stalled { reason, .. } => telemetry::count_cell_event("stalled", reason.name()),
+        CellEvent::RestartLate { gate, .. } => {
+            telemetry::count_cell_event("restart_late", gate.name());
+        }
         CellEvent::JobEnded { state, after, .. } => {
             telemetry::count_cell_event("job_ended", state.name());
             telemetry::note_cell_time("sedgehill_cell_job_seconds", after.0 as f64 / MILLIS);
@@ -70,10 +76,11 @@
 
 fn write(log: &Logger, token: FencingToken, event: &CellEvent) {
     match event {
-        CellEvent::Placed { task, run, worker, waited, ticket_left, earlier } => {
+        CellEvent::Placed { task, run, worker, waited, ticket_left, earlier, without_run } => {
             info!(log, "placed"; Earlier(*earlier), "token" => %token,
                 "task" => %task, "run" => run.0, "worker" => %worker,
-                "waited_ms" => waited.0, "ticket_left_ms" => ticket_left.map(|left| left.0));
+                "waited_ms" => waited.0, "ticket_left_ms" => ticket_left.map(|left| left.0),
+                "without_run_ms" => without_run.map(|span| span.0));
         }
         CellEvent::StartFailed { task, run, worker, refusal } => {
             info!(log, "start failed"; "task" => %task, "run" => run.0, "worker" => %worker,
@@ -134,10 +141,19 @@
             warn!(log, "step stalled"; "token" => %token, "step" => %step, "reason" => %reason,
                 "stalled_ms" => stood.0, "waiting" => belief.waiting, "places" => belief.places,
                 "places_good" => belief.places_good, "places_unknown" => belief.places_unknown,
-                "good" => belief.good, "not_good" => belief.not_good, "shunned" => belief.shunned,
+                "good" => belief.good, "not_good" => belief.not_good, "tickets" => belief.tickets,
+                "shunned" => belief.shunned,
                 "share_percent" => belief.share_percent, "asking" => belief.asking,
                 "asked_ms_ago" => belief.asked_ago.map(|ago| ago.0));
         }
+        CellEvent::RestartLate { task, cause, without_run, gate, ahead, belief } => {
+            warn!(log, "task without a run"; "token" => %token, "task" => %task, "cause" => %cause,
+                "without_run_ms" => without_run.0, "reason" => %gate, "ahead" => ahead,
+                "places" => belief.places, "places_good" => belief.places_good,
+                "places_unknown" => belief.places_unknown, "good" => belief.good,
+                "not_good" => belief.not_good, "tickets" => belief.tickets, "asking" => belief.asking,
+                "asked_ms_ago" => belief.asked_ago.map(|ago| ago.0));
+        }
         CellEvent::JobEnded { job, state, after } => {
             info!(log, "job ended"; "job" => %job, "state" => ?state, "after_ms" => after.0);
         }
--- a/crates/sedgehilld/src/cell/figures.rs
+++ b/crates/sedgehilld/src/cell/figures.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sedgehill_cell::scheduler::{OrganisationFigures, StallFigures, StallReason};
+use sedgehill_cell::scheduler::{OrganisationFigures, RestartFigures, StallFigures, StallReason};
 use sedgehill_core::units::{CoreCount, ResourceSet};
 
 use super::lead::LeadSession;
@@ -26,6 +26,7 @@
         tokio::time::sleep(EVERY).await;
         write(&session.scheduler.borrow().organisation_figures());
         write_stalls(&session.scheduler.borrow().stall_figures(clock::now()), &mut shown);
+        write_restarts(session.scheduler.borrow().restart_figures(clock::now()));
     }
 }
 
@@ -40,6 +41,11 @@
     }
 }
 
+/// Shows the long-running tasks without a run.
+fn write_restarts(figures: RestartFigures) {
+    telemetry::set_restarts(figures.tasks, figures.longest.0 as f64 / MILLIS);
+}
+
 /// Shows that nothing runs by the orders of a lead that is over.
 pub fn clear(session: &LeadSession) {
     let mut figures = session.scheduler.borrow().organisation_figures();
@@ -49,6 +55,7 @@
     write(&figures);
     let stalls = session.scheduler.borrow().stall_figures(clock::now());
     write_stalls(&[], &mut stalls.iter().map(|one| one.reason).collect());
+    write_restarts(RestartFigures::default());
 }
 
 fn write(figures: &[OrganisationFigures]) {
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -162,3 +162,9 @@
     gauge!("sedgehill_cell_stalled_steps", "reason" => reason).set(steps as f64);
     gauge!("sedgehill_cell_stalled_longest_seconds", "reason" => reason).set(longest_seconds);
 }
+
+/// Notes how many long-running tasks have no run, and for how long the one that has had none the longest.
+pub fn set_restarts(tasks: usize, longest_seconds: f64) {
+    gauge!("sedgehill_cell_restarts_due").set(tasks as f64);
+    gauge!("sedgehill_cell_restart_longest_seconds").set(longest_seconds);
+}
