cell: a long-running task that lost its run is ranked by when it lost it

What callers saw: a task of a long-running job that had lost its run was not started again for as long as more work waited than fits. Cause: a step is ranked by the age of its job against the objective; a long-running job that has lived for longer than three objectives counted as one that earns nothing any more, and came after everything, for room and for questions, as long as it lived. Why the mend holds: tasks that lost their run stand for themselves, before all other steps, by when they lost it; they take no more room than they had. Others of their step are ranked as before.

--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -12,8 +12,6 @@
 use super::advice::AskedWorkers;
 use super::desk::AskerKind;
 use super::isolation::split_alone;
-use super::placement::waiting_tasks;
-use super::rank::rank_job;
 use super::room::{Candidate, OpenWorkers};
 use super::*;
 use crate::ids::StepId;
@@ -140,7 +138,7 @@
         open: &OpenWorkers,
         now: Moment,
     ) -> Result<Vec<WorkerKey>, StallReason> {
-        let waiting = waiting_tasks(job, candidate.step, now);
+        let waiting = self.waiting_of(candidate, job, now);
         let share = self.share_of(&job.record.queue);
         let AdviceRooms { mut rooms, usable, asked, asked_most } =
             self.advice_rooms(candidate, job, spec, open, &waiting, now);
@@ -202,7 +200,7 @@
         let advice = &job.steps[candidate.step].advice;
         let displaces = job.record.policy.priority < open.least_urgent
             && !spec.gang
-            && rank_job(job, &self.timing.policy, now).earns();
+            && self.earns(candidate, job, now);
         // Steps that ask at the same moment should not all name the same of many like workers.
         let turn = (job.id.0 % self.workers.len() as u64) as usize;
         // Tickets for workers on which others run are of no use to tasks that want one of their own.
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -9,7 +9,6 @@
 
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
-use super::rank::rank_job;
 use super::room::Candidate;
 use super::work::{JobWork, TaskPhase, TaskWork};
 use super::worker::{WorkerRun, WorkerState};
@@ -299,7 +298,7 @@
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let Some(key) = job.owner else { return };
         let keeps = self.timing.policy.limit_order == LimitOrder::InOrder;
-        if keeps && left > 0 && rank_job(job, &self.timing.policy, now).earns() {
+        if keeps && left > 0 && self.earns(candidate, job, now) {
             self.organisations.keep(key, &spec.need.times(left as u32));
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -2,7 +2,7 @@
 
 use super::held::StartPlan;
 use super::isolation::{split_alone, stage_of};
-use super::rank::rank_job;
+use super::rank::{StepRank, rank_job};
 use super::room::{Candidate, OpenWorkers};
 use super::worker::{WorkerRun, WorkerTrust};
 use super::*;
@@ -61,19 +61,22 @@
             }
             let mut rank = None;
             for step in 0..job.steps.len() {
-                if job.steps[step].left > 0
-                    && job.is_due(step, unix_ms)
-                    && wants_room(job, step, now)
-                {
-                    let candidate = Candidate { job: job.id, step };
+                if job.steps[step].left == 0 || !job.is_due(step, unix_ms) {
+                    continue;
+                }
+                let waiting = self.waiting_parts(job, step, now);
+                for candidate in waiting.candidates(job.id, step) {
                     if let Some(reason) = bar {
                         barred.push((reason, candidate));
                         continue;
                     }
-                    let rank = *rank.get_or_insert_with(|| {
-                        let beyond_due = self.is_beyond_due(job);
-                        rank_job(job, &self.timing.policy, now).with_beyond_due(beyond_due)
-                    });
+                    let rank = match waiting.restart_due {
+                        Some(since) if candidate.restarts => StepRank::Restart(since),
+                        _ => StepRank::Job(*rank.get_or_insert_with(|| {
+                            let beyond_due = self.is_beyond_due(job);
+                            rank_job(job, &self.timing.policy, now).with_beyond_due(beyond_due)
+                        })),
+                    };
                     ranked.push((rank, candidate));
                 }
             }
@@ -105,7 +108,7 @@
         if !open.most.fits(&spec.need) && !displaces && !claims {
             return Some(StallReason::NoRoom);
         }
-        let mut waiting = waiting_tasks(job, candidate.step, now);
+        let mut waiting = self.waiting_of(candidate, job, now);
         let ordered = job.ordered == OrderedMark::Recorded;
         let held = spec.gang && waiting.len() < job.steps[candidate.step].left;
         let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, waiting.len());
@@ -356,10 +359,6 @@
     key
 }
 
-fn wants_room(job: &JobWork, step: usize, now: Moment) -> bool {
-    job.step_tasks(step).iter().any(|task| task.is_ready(now))
-}
-
 pub(super) fn waiting_tasks(job: &JobWork, step: usize, now: Moment) -> Vec<u16> {
     let tasks = job.step_tasks(step).iter().enumerate();
     tasks.filter(|(_, task)| task.is_ready(now)).map(|(index, _)| index as u16).collect()
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -26,6 +26,17 @@
     Lost,
 }
 
+/// The place of a step among those that wait; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StepRank {
+    /// Long-running tasks that lost their run, by when. Their job is not judged by its age: it has no end of its own, and
+    /// one that lives for longer than its objective would come after everything else for good. They take no more
+    /// room than they had.
+    Restart(Moment),
+    /// Any other step, as its job.
+    Job(JobRank),
+}
+
 /// The place of a job among those that wait; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobRank {
--- a/crates/sedgehill-cell/src/scheduler/restart.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -9,6 +9,8 @@
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
+use super::placement::waiting_tasks;
+use super::rank::rank_job;
 use super::stall::StallReason;
 use super::*;
 
@@ -89,6 +91,23 @@
     }
 }
 
+/// What waits of a step.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct WaitingParts {
+    /// Since when the first of the tasks was due that lost their run; none if no such task waits.
+    pub(super) restart_due: Option<Moment>,
+    /// Others wait.
+    others: bool,
+}
+
+impl WaitingParts {
+    pub(super) fn candidates(self, job: JobId, step: usize) -> impl Iterator<Item = Candidate> {
+        let restarts = self.restart_due.map(|_| Candidate { job, step, restarts: true });
+        let others = self.others.then_some(Candidate { job, step, restarts: false });
+        restarts.into_iter().chain(others)
+    }
+}
+
 /// Long-running tasks without a run, as shown to operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct RestartFigures {
@@ -126,6 +145,47 @@
         self.restarts.remove(task);
     }
 
+    /// What waits of a step now. The members of a gang stay together.
+    pub(super) fn waiting_parts(&self, job: &JobWork, step: usize, now: Moment) -> WaitingParts {
+        let tasks = job.step_tasks(step);
+        let ready = |task: &work::TaskWork| task.is_ready(now);
+        if !job.step_spec(step).long_running || self.restarts.due.is_empty() {
+            return WaitingParts { restart_due: None, others: tasks.iter().any(ready) };
+        }
+        let id = job.steps[step].id;
+        let mut parts = WaitingParts::default();
+        for (index, _) in tasks.iter().enumerate().filter(|(_, task)| ready(task)) {
+            match self.restarts.get(&CellTask { step: id, index: index as u16 }) {
+                Some(due) => {
+                    let since = parts.restart_due.unwrap_or(due.since);
+                    parts.restart_due = Some(since.min(due.since));
+                }
+                None => parts.others = true,
+            }
+        }
+        if job.step_spec(step).gang && parts.restart_due.is_some() {
+            parts.others = false;
+        }
+        parts
+    }
+
+    /// The tasks that a candidate stands for.
+    pub(super) fn waiting_of(&self, candidate: &Candidate, job: &JobWork, now: Moment) -> Vec<u16> {
+        let step = job.steps[candidate.step].id;
+        let spec = job.step_spec(candidate.step);
+        let mut waiting = waiting_tasks(job, candidate.step, now);
+        if spec.long_running && !spec.gang {
+            let is_due = |index: u16| self.restarts.get(&CellTask { step, index }).is_some();
+            waiting.retain(|index| is_due(*index) == candidate.restarts);
+        }
+        waiting
+    }
+
+    /// Whether what a candidate stands for still earns something.
+    pub(super) fn earns(&self, candidate: &Candidate, job: &JobWork, now: Moment) -> bool {
+        candidate.restarts || rank_job(job, &self.timing.policy, now).earns()
+    }
+
     /// Notes at which gate the tasks of a step were turned back that are due to run again.
     pub(super) fn note_restart_gate(
         &mut self,
@@ -133,7 +193,7 @@
         gate: Option<StallReason>,
         ahead: usize,
     ) {
-        if self.restarts.due.is_empty() {
+        if !candidate.restarts {
             return;
         }
         let Some(job) = self.jobs.get(&candidate.job) else { return };
@@ -172,7 +232,7 @@
         else {
             return;
         };
-        let candidate = Candidate { job: task.step.job, step };
+        let candidate = Candidate { job: task.step.job, step, restarts: true };
         let Some(belief) = self.stall_belief(&candidate, open, now) else { return };
         let knows_sizes = self.knows_sizes(now);
         let Some(due) = self.restarts.due.get_mut(&task) else { return };
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -16,6 +16,8 @@
 pub(super) struct Candidate {
     pub(super) job: JobId,
     pub(super) step: usize,
+    /// It stands for the tasks of the step that lost their run and are due to run again; otherwise for the others.
+    pub(super) restarts: bool,
 }
 
 /// The workers that may be given work in this turn. Found once a turn, since most workers of a busy
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -200,7 +200,7 @@
                 let Some(stall) = work.stall.filter(is_long) else { continue };
                 // It may have been taken over from an earlier lead since.
                 if !job.has_placed(step) {
-                    long.push((stall.since, Candidate { job: job.id, step }));
+                    long.push((stall.since, Candidate { job: job.id, step, restarts: false }));
                 }
             }
         }
