cell: a long-running task that is due to run again reserves a worker and asks for its ticket meanwhile

Cause: a step without room asks nobody, and by the time that it has a ticket others with tickets have taken what came free; large tasks never found enough at once. Why the mend holds: each such task reserves one worker that is known as good, where enough comes free the soonest, others leave that room, and a ticket is asked for while it waits.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -173,10 +173,16 @@
             overdue: false,
             alone: false,
             seen: true,
+            long_running: self.is_long_running(&row.task),
         };
         self.add_run(key, row.task, run);
     }
 
+    fn is_long_running(&self, task: &CellTask) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else { return false };
+        job.step_index(&task.step).is_some_and(|step| job.step_spec(step).long_running)
+    }
+
     /// A run of a job that is over and forgotten: it is stopped, and until it is gone the worker
     /// takes no work, since its need is not known.
     fn adopt_foreign(&mut self, key: WorkerKey, row: &RunningRow, now: Moment) {
--- a/crates/sedgehill-cell/src/scheduler/desk.rs
+++ b/crates/sedgehill-cell/src/scheduler/desk.rs
@@ -43,8 +43,8 @@
 pub enum AskerKind {
     /// Any.
     Usual,
-    /// The one that was not asked about for the longest time, and for long.
-    Unasked,
+    /// One that is asked about before all others: it was not asked about for long, or lost its run.
+    Pressing,
 }
 
 #[derive(Debug)]
@@ -122,13 +122,12 @@
     }
 
     /// The box that should ask a question of this cost now, if one is free for it. Those whose last question failed
-    /// come after all others. For a step that was not asked about for long, some of the boxes that are kept for short
-    /// questions ask as well.
+    /// come after all others. For a pressing step, some of the boxes that are kept for short questions ask as well.
     pub fn free_helper(&self, cost: TimeSpan, asker: AskerKind, now: Moment) -> Option<HelperId> {
         match cost >= LONG_QUESTION {
             true => {
                 let free = self.free_for_long(now);
-                free.or_else(|| (asker == AskerKind::Unasked).then(|| self.free_kept(now))?)
+                free.or_else(|| (asker == AskerKind::Pressing).then(|| self.free_kept(now))?)
             }
             false => self.free_for_short(now),
         }
--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -45,6 +45,45 @@
     weight: u64,
 }
 
+impl WorkerState {
+    /// Those of the runs that may be stopped whose end makes room for a task, with what they use; few and large ones.
+    pub(super) fn runs_to_stop(
+        &self,
+        wanted: &ResourceSet,
+        may_stop: impl Fn(&CellTask, &WorkerRun) -> bool,
+    ) -> Option<Vec<(CellTask, RunNumber, ResourceSet)>> {
+        let mut runs: Vec<(CellTask, RunNumber, ResourceSet)> = self
+            .runs
+            .iter()
+            .filter(|(task, run)| may_stop(task, run))
+            .filter_map(|(task, run)| Some((*task, run.run, run.need?)))
+            .collect();
+        // The largest first: few stops disturb less than many.
+        runs.sort_by_key(|(task, _, need)| (Reverse((need.accelerators, need.cores)), *task));
+        let mut free = self.free;
+        let mut chosen = Vec::new();
+        for (task, run, need) in runs {
+            if free.fits(wanted) {
+                break;
+            }
+            free = free.plus(&need);
+            chosen.push((task, run, need));
+        }
+        if !free.fits(wanted) {
+            return None;
+        }
+        // What turned out not to be needed goes on.
+        chosen.retain(|(_, _, need)| match free.minus(need) {
+            Some(rest) if rest.fits(wanted) => {
+                free = rest;
+                false
+            }
+            _ => true,
+        });
+        Some(chosen)
+    }
+}
+
 impl Scheduler {
     /// Stops less urgent runs for the tasks of a step that found no room though workers with tickets
     /// could run them. `left` tasks still wait.
@@ -123,34 +162,8 @@
         if !fits {
             return None;
         }
-        let mut runs: Vec<(CellTask, RunNumber, ResourceSet)> = worker
-            .runs
-            .iter()
-            .filter(|(task, run)| self.is_displaceable(task, run, job, now))
-            .filter_map(|(task, run)| Some((*task, run.run, run.need?)))
-            .collect();
-        // The largest first: few stops disturb less than many.
-        runs.sort_by_key(|(task, _, need)| (Reverse((need.accelerators, need.cores)), *task));
-        let mut free = worker.free;
-        let mut chosen = Vec::new();
-        for (task, run, need) in runs {
-            if free.fits(&spec.need) {
-                break;
-            }
-            free = free.plus(&need);
-            chosen.push((task, run, need));
-        }
-        if !free.fits(&spec.need) {
-            return None;
-        }
-        // What turned out not to be needed goes on.
-        chosen.retain(|(_, _, need)| match free.minus(need) {
-            Some(rest) if rest.fits(&spec.need) => {
-                free = rest;
-                false
-            }
-            _ => true,
-        });
+        let chosen = worker
+            .runs_to_stop(&spec.need, |task, run| self.is_displaceable(task, run, job, now))?;
         let weight = chosen.iter().map(|(_, _, need)| weight_of(need)).sum();
         let runs = chosen.into_iter().map(|(task, run, _)| (task, run)).collect();
         Some(Displacement { worker: key, runs, weight })
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -27,6 +27,7 @@
 mod rank;
 mod record;
 mod restart;
+mod restart_room;
 mod room;
 mod roster;
 mod sight;
--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -19,7 +19,7 @@
 
 /// Workers named in one question, at the most, as the advice service allows. The widest gangs of the
 /// users need some 30 good workers at once, of which one in three is good.
-const NAMED_MOST: usize = 100;
+pub(super) const NAMED_MOST: usize = 100;
 /// Room to ask for, as a multiple of what the step needs: others take some of it meanwhile.
 const ROOM_FACTOR: f64 = 1.6;
 /// The same for gangs, which need all of it at once: what is missing costs another question.
@@ -32,6 +32,8 @@
 /// three members, and a wide gang needs more before the first tickets end. Gangs of 20 tasks on the mean earned 0.80
 /// of their worth instead of 0.74 by it, the mean of five days with 540 workers.
 const GANG_QUESTIONS: usize = 3;
+/// Questions for a step at once that has long-running tasks which lost their run.
+const RESTART_QUESTIONS: usize = 2;
 /// How long a question that failed is not repeated.
 const ASK_BACKOFF: TimeSpan = TimeSpan(60);
 
@@ -75,7 +77,12 @@
         let room = if spec.gang { StallReason::GangRoom } else { StallReason::NoRoom };
         let Some(policy) = job.record.policy.advice else { return room };
         let advice = &job.steps[candidate.step].advice;
-        let at_once = if spec.gang { GANG_QUESTIONS } else { 1 };
+        let at_once = match spec.gang {
+            true => GANG_QUESTIONS,
+            // One for tasks that never ran may be under way.
+            false if candidate.restarts => RESTART_QUESTIONS,
+            false => 1,
+        };
         if advice.expected_answers() >= at_once {
             return StallReason::Asking;
         }
@@ -83,14 +90,18 @@
             return StallReason::AskedLately;
         }
         // Which workers to name takes far longer to find than whether anybody could ask.
-        let asker = match self.unasked == Some(*candidate) {
-            true => AskerKind::Unasked,
+        let asker = match candidate.restarts || self.unasked == Some(*candidate) {
+            true => AskerKind::Pressing,
             false => AskerKind::Usual,
         };
         if self.desk.free_helper(policy.cost(1), asker, now).is_none() {
             return StallReason::NoHelper;
         }
-        let named = match self.workers_to_name(candidate, job, spec, open, now) {
+        let named = match candidate.restarts && !spec.gang {
+            true => self.restart_names(candidate, job, spec, now),
+            false => self.workers_to_name(candidate, job, spec, open, now),
+        };
+        let named = match named {
             Ok(named) => named,
             Err(_) if !advice.asking.is_empty() => return StallReason::Asking,
             Err(reason) => {
@@ -108,9 +119,7 @@
         };
         let step = job.steps[candidate.step].id;
         self.desk.begin(helper, step, cost, now);
-        if asker == AskerKind::Unasked {
-            self.unasked = None;
-        }
+        self.unasked.take_if(|unasked| *unasked == *candidate);
         self.events.push(CellEvent::Asked { step, named: named.len(), helper });
         let ids = named.iter().map(|key| self.workers[key.0].entry.life.id.clone()).collect();
         self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers: ids }));
@@ -242,7 +251,7 @@
     }
 
     /// Why there is nobody to ask about.
-    fn lack_of_names(
+    pub(super) fn lack_of_names(
         &self,
         candidate: &Candidate,
         job: &JobWork,
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -27,7 +27,8 @@
         self.suspects_seen = self.suspects_seen && self.jobs.values().any(JobWork::has_suspects);
         let open = self.open_workers(now);
         let claims = || self.suspects_seen && self.jobs.values().any(JobWork::wants_alone);
-        if open.list.is_empty() && open.least_urgent == 0 && !claims() {
+        let waits = || self.restarts.is_empty() && !claims();
+        if open.list.is_empty() && open.least_urgent == 0 && waits() {
             return;
         }
         self.keep_nothing();
@@ -105,7 +106,7 @@
         let displaces = record.policy.priority < open.least_urgent;
         let isolates = |task: &work::TaskWork| task.suspicion.stage() == SuspectStage::Alone;
         let claims = self.suspects_seen && job.step_tasks(candidate.step).iter().any(isolates);
-        if !open.most.fits(&spec.need) && !displaces && !claims {
+        if !open.most.fits(&spec.need) && !displaces && !claims && !candidate.restarts {
             return Some(StallReason::NoRoom);
         }
         let mut waiting = self.waiting_of(candidate, job, now);
@@ -126,7 +127,9 @@
             if left.alone > 0 {
                 self.claim_alone(candidate, spec, left.alone, now);
             }
-            if displaces && left.others > 0 {
+            if candidate.restarts && !spec.gang {
+                self.reserve_restarts(candidate, spec, left.others, now);
+            } else if displaces && left.others > 0 {
                 self.displace_for(candidate, spec, left.others, now);
             }
         }
@@ -294,6 +297,7 @@
             overdue: false,
             alone: start.alone,
             seen: false,
+            long_running: job.step_spec(step).long_running,
         };
         if worker.claim.is_some_and(|claim| claim.step == task.step) {
             worker.claim = None;
--- a/crates/sedgehill-cell/src/scheduler/restart.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -80,6 +80,11 @@
         self.due.remove(task);
     }
 
+    /// Whether no task is due.
+    pub fn is_empty(&self) -> bool {
+        self.due.is_empty()
+    }
+
     /// What is known of a task that is due.
     pub fn get(&self, task: &CellTask) -> Option<&RestartDue> {
         self.due.get(task)
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -81,6 +81,8 @@
     pub alone: bool,
     /// The worker has said that it is there.
     pub seen: bool,
+    /// It has no end of its own.
+    pub long_running: bool,
 }
 
 impl WorkerRun {
