cell: room and tickets for a restart are found while the lease of a silent worker runs out

What callers saw: 7 to 10 s without a run after a worker had fallen silent, in a full cell. Cause: the search for the next worker began when the lease had ended, 4.3 to 5.8 s after the last answer; then came the question (0.6 to 1.4 s), and after it the wait for room. Why the mend holds: 1.5 s before the lease ends the task reserves a worker and its ticket is asked for, and time is counted from the last answer. Where nothing else makes room in 3 s, runs that save their state are stopped whatever their priority, and less urgent ones that do not; a run that is as urgent and saves nothing is never stopped.

Tests of each way in which room is made.

--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -32,7 +32,9 @@
         self.events.push(CellEvent::RunLost { task, run, worker: life.clone(), cause });
         self.release_task(&task, run, now, None);
         if removed.as_ref().is_some_and(|entry| entry.seen) {
-            self.note_run_over(&task, RestartCause::WorkerLost, now);
+            // It may have ended at any time since then.
+            let heard = self.workers[key.0].answered.unwrap_or(now);
+            self.note_run_over(&task, RestartCause::WorkerLost, heard);
         }
         if removed.is_some_and(|entry| entry.phase == RunPhase::Recording) {
             self.abort_gang(&task, run, now);
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -24,6 +24,7 @@
 impl Scheduler {
     /// Starts what can be started, and asks for the advice that is missing, best ranked first.
     pub(super) fn place_all(&mut self, now: Moment) {
+        self.expect_restarts(now);
         self.suspects_seen = self.suspects_seen && self.jobs.values().any(JobWork::has_suspects);
         let open = self.open_workers(now);
         let claims = || self.suspects_seen && self.jobs.values().any(JobWork::wants_alone);
@@ -109,9 +110,18 @@
         if !open.most.fits(&spec.need) && !displaces && !claims && !candidate.restarts {
             return Some(StallReason::NoRoom);
         }
+        let step_id = job.steps[candidate.step].id;
         let mut waiting = self.waiting_of(candidate, job, now);
         let ordered = job.ordered == OrderedMark::Recorded;
         let held = spec.gang && waiting.len() < job.steps[candidate.step].left;
+        let expected = match candidate.restarts {
+            true => self.restarts.expected(step_id),
+            false => 0,
+        };
+        if waiting.is_empty() && expected > 0 {
+            self.reserve_restarts(candidate, spec, expected, now);
+            return Some(self.ask_advice(candidate, spec, open, now));
+        }
         let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, waiting.len());
         if allowed == 0 {
             self.keep_room(candidate, spec, waiting.len(), now);
@@ -128,7 +138,7 @@
                 self.claim_alone(candidate, spec, left.alone, now);
             }
             if candidate.restarts && !spec.gang {
-                self.reserve_restarts(candidate, spec, left.others, now);
+                self.reserve_restarts(candidate, spec, left.others + expected, now);
             } else if displaces && left.others > 0 {
                 self.displace_for(candidate, spec, left.others, now);
             }
--- a/crates/sedgehill-cell/src/scheduler/restart.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -18,6 +18,9 @@
 const TOLD_AFTER: TimeSpan = TimeSpan(3_000);
 /// It is told of again so much later.
 const TOLD_AGAIN: TimeSpan = TimeSpan(3_000);
+/// Room and tickets are looked for so long before the lease of a silent worker ends: a dear question takes about as long, and
+/// tickets are valid for longer.
+const EXPECTED_AHEAD: TimeSpan = TimeSpan(1_500);
 /// Tasks that are told of in one turn, at the most.
 const TOLD_AT_ONCE: usize = 4;
 
@@ -67,6 +70,18 @@
 #[derive(Debug, Default)]
 pub struct RestartBook {
     due: BTreeMap<CellTask, RestartDue>,
+    /// Steps with tasks on silent workers whose leases are about to end, in this turn.
+    expected: BTreeMap<StepId, ExpectedRestarts>,
+}
+
+/// Tasks of a step that are about to be due.
+#[derive(Debug, Clone, Copy)]
+struct ExpectedRestarts {
+    tasks: usize,
+    /// Since when the first of them may have had no run: its worker was last heard then.
+    from: Moment,
+    /// How long the first of their leases lasts at the most.
+    left: TimeSpan,
 }
 
 impl RestartBook {
@@ -80,9 +95,14 @@
         self.due.remove(task);
     }
 
-    /// Whether no task is due.
+    /// Whether no task is due, or about to be.
     pub fn is_empty(&self) -> bool {
-        self.due.is_empty()
+        self.due.is_empty() && self.expected.is_empty()
+    }
+
+    /// How many tasks of a step are about to be due.
+    pub fn expected(&self, step: StepId) -> usize {
+        self.expected.get(&step).map_or(0, |expected| expected.tasks)
     }
 
     /// What is known of a task that is due.
@@ -90,6 +110,14 @@
         self.due.get(task)
     }
 
+    /// Since when a task of a step has had no run that is due, or is due once a stop is over.
+    pub fn due_since(&self, step: StepId, stop: TimeSpan) -> Option<Moment> {
+        let (first, last) = (CellTask { step, index: 0 }, CellTask { step, index: u16::MAX });
+        let due = self.due.range(first..=last).map(|(_, due)| due.since);
+        let expected = self.expected.get(&step).filter(|expected| expected.left <= stop);
+        due.chain(expected.map(|expected| expected.from)).min()
+    }
+
     fn of_step(&mut self, step: StepId) -> impl Iterator<Item = &mut RestartDue> {
         let (first, last) = (CellTask { step, index: 0 }, CellTask { step, index: u16::MAX });
         self.due.range_mut(first..=last).map(|(_, due)| due)
@@ -97,9 +125,9 @@
 }
 
 /// What waits of a step.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct WaitingParts {
-    /// Since when the first of the tasks was due that lost their run; none if no such task waits.
+    /// Since when the first of the tasks is due that lost their run, or are about to; none if there is none.
     pub(super) restart_due: Option<Moment>,
     /// Others wait.
     others: bool,
@@ -150,15 +178,51 @@
         self.restarts.remove(task);
     }
 
+    /// Finds the tasks that are about to be due: room and tickets for them are looked for before the lease of their silent
+    /// worker has ended, since the lease alone takes most of the time that users allow.
+    pub(super) fn expect_restarts(&mut self, now: Moment) {
+        self.restarts.expected.clear();
+        for worker in self.workers.iter().filter(|worker| worker.silent_calls > 0) {
+            if worker.is_over() || !worker.runs.values().any(|run| run.long_running) {
+                continue;
+            }
+            let Some(left) = worker.lease_left(now, &self.timing) else { continue };
+            if left > EXPECTED_AHEAD {
+                continue;
+            }
+            let from = worker.answered.unwrap_or(now);
+            for task in self.long_running_on(worker) {
+                let new = ExpectedRestarts { tasks: 0, from, left };
+                let expected = self.restarts.expected.entry(task.step).or_insert(new);
+                expected.tasks += 1;
+                expected.from = expected.from.min(from);
+                expected.left = expected.left.min(left);
+            }
+        }
+    }
+
+    /// Long-running tasks on a worker that run for themselves and are wanted.
+    fn long_running_on(&self, worker: &WorkerState) -> Vec<CellTask> {
+        let tasks = worker.runs.iter().filter(|(_, run)| run.long_running);
+        let wanted = |task: &&CellTask| {
+            let Some(job) = self.jobs.get(&task.step.job).filter(|job| !job.is_over()) else {
+                return false;
+            };
+            job.step_index(&task.step).is_some_and(|step| !job.step_spec(step).gang)
+        };
+        tasks.map(|(task, _)| task).filter(wanted).copied().collect()
+    }
+
     /// What waits of a step now. The members of a gang stay together.
     pub(super) fn waiting_parts(&self, job: &JobWork, step: usize, now: Moment) -> WaitingParts {
         let tasks = job.step_tasks(step);
         let ready = |task: &work::TaskWork| task.is_ready(now);
-        if !job.step_spec(step).long_running || self.restarts.due.is_empty() {
+        if !job.step_spec(step).long_running || self.restarts.is_empty() {
             return WaitingParts { restart_due: None, others: tasks.iter().any(ready) };
         }
         let id = job.steps[step].id;
-        let mut parts = WaitingParts::default();
+        let expected = self.restarts.expected.get(&id).map(|expected| expected.from);
+        let mut parts = WaitingParts { restart_due: expected, others: false };
         for (index, _) in tasks.iter().enumerate().filter(|(_, task)| ready(task)) {
             match self.restarts.get(&CellTask { step: id, index: index as u16 }) {
                 Some(due) => {
--- a/crates/sedgehill-cell/src/scheduler/restart_room.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart_room.rs
@@ -18,8 +18,11 @@
 const BEARABLE_WAIT: TimeSpan = TimeSpan(1_000);
 /// A worker where less urgent runs would have to be stopped counts as having room so much later.
 const STOP_WAIT: TimeSpan = TimeSpan(1_200);
-/// Less urgent runs that save nothing are stopped for a task that has had no run for so long.
-const UNSAVED_STOPPED_AFTER: TimeSpan = TimeSpan(3_000);
+/// A task that has had no run for so long has other runs stopped as well: less urgent ones that save nothing, and any that
+/// save their state. Callers are promised its next run however full the cell is.
+const LAST_RESORT_AFTER: TimeSpan = TimeSpan(3_000);
+/// A worker where such runs would have to be stopped counts as having room so much later.
+const LAST_RESORT_WAIT: TimeSpan = TimeSpan(2_000);
 /// What is taken as left of a run that takes longer than expected, or of which that is not known.
 const UNKNOWN_LEFT: TimeSpan = TimeSpan(1_000);
 /// A worker where the last run failed is chosen if it has room so much sooner than others.
@@ -38,11 +41,18 @@
     is_new: bool,
     /// Until there is room, by the estimates of what runs there or once less urgent runs are stopped.
     wait: TimeSpan,
-    /// Less urgent runs have to be stopped for that.
+    /// Runs have to be stopped for that.
     stops: bool,
     key: WorkerKey,
 }
 
+/// Runs that are stopped for a task that is due to run again.
+struct RestartStops {
+    runs: Vec<(CellTask, RunNumber, ResourceSet)>,
+    /// As how late room on their worker counts.
+    wait: TimeSpan,
+}
+
 impl WorkerState {
     /// How long it takes until a task fits; none if what runs there has no end.
     fn wait_for(&self, need: &ResourceSet, stop: TimeSpan, now: Moment) -> Option<TimeSpan> {
@@ -106,7 +116,7 @@
         }
     }
 
-    /// Stops less urgent runs on a reserved worker, once the task may be started there.
+    /// Stops runs on a reserved worker, once the task may be started there.
     fn stop_for_restart(
         &mut self,
         key: WorkerKey,
@@ -120,37 +130,43 @@
         if job.record.policy.advice.is_some() && advice.ticket(key, now, margin).is_none() {
             return;
         }
-        let Some(runs) = self.runs_to_stop_for_restart(key, candidate, job, spec, now) else {
-            return;
-        };
-        for (task, run, _) in runs {
+        let Some(stops) = self.stops_for_restart(key, candidate, job, spec, now) else { return };
+        for (task, run, _) in stops.runs {
             self.stop_run(key, task, run, "displaced", now);
         }
     }
 
-    /// Less urgent runs whose end makes room on a worker for a task that is due to run again.
-    fn runs_to_stop_for_restart(
+    /// Runs whose end makes room on a worker for a task that is due to run again.
+    fn stops_for_restart(
         &self,
         key: WorkerKey,
         candidate: &Candidate,
         job: &JobWork,
         spec: &StepSpec,
         now: Moment,
-    ) -> Option<Vec<(CellTask, RunNumber, ResourceSet)>> {
-        let due = self.waiting_parts(job, candidate.step, now).restart_due;
-        let unsaved = due.is_some_and(|since| now >= since.after(UNSAVED_STOPPED_AFTER));
+    ) -> Option<RestartStops> {
         let priority = job.record.policy.priority;
-        let may_stop = |task: &CellTask, run: &WorkerRun| {
-            let Some(job) = self.jobs.get(&task.step.job) else { return false };
-            let Some(step) = job.step_index(&task.step) else { return false };
-            let spec = job.step_spec(step);
-            run.phase == RunPhase::Confirmed
-                && job.record.policy.priority > priority
-                && (spec.checkpointing || unsaved)
-                && !spec.gang
-                && !spec.long_running
+        let stops = |is_last: bool| {
+            let may_stop = |task: &CellTask, run: &WorkerRun| {
+                let Some(job) = self.jobs.get(&task.step.job) else { return false };
+                let Some(step) = job.step_index(&task.step) else { return false };
+                let spec = job.step_spec(step);
+                let less_urgent = job.record.policy.priority > priority;
+                let bearable = match is_last {
+                    true => spec.checkpointing || less_urgent,
+                    false => spec.checkpointing && less_urgent,
+                };
+                run.phase == RunPhase::Confirmed && bearable && !spec.gang && !spec.long_running
+            };
+            self.workers[key.0].runs_to_stop(&spec.need, may_stop)
         };
-        self.workers[key.0].runs_to_stop(&spec.need, may_stop)
+        if let Some(runs) = stops(false) {
+            return Some(RestartStops { runs, wait: STOP_WAIT });
+        }
+        let due = self.restarts.due_since(job.steps[candidate.step].id, self.timing.stop);
+        let is_last = due.is_some_and(|since| now >= since.after(LAST_RESORT_AFTER));
+        let runs = is_last.then(|| stops(true))??;
+        Some(RestartStops { runs, wait: LAST_RESORT_WAIT })
     }
 
     /// The workers that may take a task of a step once they have room, apart from advice; the best first.
@@ -178,9 +194,14 @@
                 return None;
             }
             let own = worker.wait_for(&spec.need, self.timing.stop, now);
-            let stops = own.is_none_or(|wait| wait > BEARABLE_WAIT)
-                && self.runs_to_stop_for_restart(key, candidate, job, spec, now).is_some();
-            let wait = if stops { STOP_WAIT } else { own? };
+            let stops = match own {
+                Some(wait) if wait <= BEARABLE_WAIT => None,
+                _ => self.stops_for_restart(key, candidate, job, spec, now),
+            };
+            let sooner =
+                stops.map(|stops| stops.wait).filter(|wait| own.is_none_or(|own| *wait < own));
+            let stops = sooner.is_some();
+            let wait = sooner.or(own)?;
             let penalty = if failed_at(key) { FAILED_THERE_PENALTY } else { TimeSpan(0) };
             let wait = TimeSpan(wait.0 + penalty.0);
             Some(RestartPlace { is_new: claim.is_none(), wait, stops, key })
@@ -199,7 +220,8 @@
         spec: &StepSpec,
         now: Moment,
     ) -> Result<Vec<WorkerKey>, StallReason> {
-        let wanted = self.waiting_of(candidate, job, now).len();
+        let expected = self.restarts.expected(job.steps[candidate.step].id);
+        let wanted = self.waiting_of(candidate, job, now).len() + expected;
         let advice = &job.steps[candidate.step].advice;
         let places = self.restart_places(candidate, job, spec, now);
         let keys = || places.iter().map(|place| place.key);
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -288,6 +288,13 @@
         reading.filter(|reading| reading.least > reading.until.after(timing.lapse_margin))
     }
 
+    /// How long its leases last at the most; none before its first answer.
+    pub fn lease_left(&self, now: Moment, timing: &CellTiming) -> Option<TimeSpan> {
+        let reading = self.lease_reading(now, timing)?;
+        let end = reading.until.after(timing.lapse_margin);
+        Some(TimeSpan(end.0.saturating_sub(reading.least.0)))
+    }
+
     /// What is known of the end of its leases; none before its first answer.
     fn lease_reading(&self, now: Moment, timing: &CellTiming) -> Option<LeaseReading> {
         let (clock, at) = self.clock?;
