cell: long-running tasks are never overdue

What callers saw: nothing directly; found while each decision that reckons by an estimate was gone through. Cause: the estimate of a long-running task is the time that its start takes. Taken as the time of a run, each run counted after 1.9 s as one that takes far too long, three of them shunned their worker for 2.5 s, and from then on it got one run at a time until one ended well. Why the mend holds: such a run has no expected time. Before: of six tasks of one core beside four long-running ones on 16 cores one began; now all six.

--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -296,6 +296,7 @@
         assert!(allowed, "{task} would take its organisation past its limit");
         let estimate = job.step_spec(step).estimate.0 as f64;
         let factor = self.estimates.get(&job.record.queue).map_or(1.0, FactorAverage::factor);
+        let long_running = job.step_spec(step).long_running;
         let entry = WorkerRun {
             run,
             need: Some(need),
@@ -303,11 +304,12 @@
             phase: if ahead { RunPhase::Recording } else { RunPhase::Ordered },
             listed_from: None,
             since: now,
-            expected: Some(TimeSpan((estimate * factor) as u64)),
+            // A long-running task is never overdue: its estimate is the time that its start takes.
+            expected: (!long_running).then_some(TimeSpan((estimate * factor) as u64)),
             overdue: false,
             alone: start.alone,
             seen: false,
-            long_running: job.step_spec(step).long_running,
+            long_running,
         };
         if worker.claim.is_some_and(|claim| claim.step == task.step) {
             worker.claim = None;
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -73,7 +73,7 @@
     pub listed_from: Option<Moment>,
     /// When it was ordered, or first seen.
     pub since: Moment,
-    /// How long it should take on a sound worker; none if it was first seen when it ran already.
+    /// How long it should take on a sound worker; none if it was first seen when it ran already, or has no end.
     pub expected: Option<TimeSpan>,
     /// It has taken so much longer that it counted against the worker.
     pub overdue: bool,
--- a/crates/sedgehill-cell/tests/testsuite/restarts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/restarts.rs
@@ -429,3 +429,17 @@
     assert!(question.0 < lease_ended, "asked {} after", question.0.since(lost));
     assert!(course.cell.now < lost.after(TimeSpan(4_700)), "{}", course.cell.now.since(lost));
 }
+
+/// The estimate of a long-running task is the time that its start takes. Taken as the time of a run, each such run counted as
+/// one that takes far too long: three of them had their worker shunned after 1.9 s ("worker … is slow"), and it got one
+/// run at a time until one ended well, which long-running ones never do.
+#[test]
+fn long_running_tasks_do_not_count_against_their_worker() {
+    let mut cell = FakeCell::new(1, 16);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, LONG_RUNNING, job(vec![long_running(4, 1)]));
+    cell.turns(&mut lead, 300);
+    cell.submit_led(&mut lead, OTHERS, job(vec![step(6, 1)]));
+    cell.turns(&mut lead, 3);
+    assert_eq!(cell.workers[0].run_count(), 10);
+}
