--- a/crates/sedgehill-standin/src/cell_platform/life.rs
+++ b/crates/sedgehill-standin/src/cell_platform/life.rs
@@ -39,6 +39,8 @@
     pub stops_at: Option<u64>,
     /// When it crashes its worker; none if it does not.
     pub crashes_at: Option<u64>,
+    /// When it fails; none if it ends done. It then has no end but that.
+    pub fails_at: Option<u64>,
     /// Who ordered it and how, for whoever reads of it.
     pub told: String,
 }
@@ -101,7 +103,7 @@
     pub fn settle(&mut self, now: u64) {
         let lapse = self.clock.passed(self.lease_until);
         let end_of = |run: &StandinRun| {
-            let done = (run.begun + run.span, "done");
+            let done = run.fails_at.map_or((run.begun + run.span, "done"), |at| (at, "failed"));
             let stopped = run.stops_at.map(|at| (at, "stopped"));
             [Some(done), stopped, Some((lapse.max(run.begun), "lapsed"))]
                 .into_iter()
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -24,7 +24,9 @@
 
 pub use self::advice::{AdviceTrouble, StandinAdvice, StepHabit};
 pub use self::sight::WorkerSight;
-pub use self::spec::{CRASH_SPEC, GANG_SPEC, WIDE_SPEC};
+pub use self::spec::{
+    CRASH_SPEC, GANG_SPEC, LONG_RUNNING_SPEC, SIZED_SPEC, WIDE_SPEC, is_long_running,
+};
 pub use self::store::StandinStore;
 pub use self::trouble::{CallTrouble, PathTrouble, TroubledLeads};
 pub use self::worker::{CORES, StandinWorkers, span_of};
--- a/crates/sedgehill-standin/src/cell_platform/sight.rs
+++ b/crates/sedgehill-standin/src/cell_platform/sight.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::life::StandinLife;
+use super::life::{StandinLife, StandinRun};
 use super::worker::{StandinWorkers, WorkerSite, step_of};
 
 /// A worker as seen from outside.
@@ -38,6 +38,16 @@
         state.sites.iter().map(sight).collect()
     }
 
+    /// The tasks of all runs that are chosen.
+    pub fn running_tasks(&self, chosen: impl Fn(&StandinRun) -> bool) -> Vec<String> {
+        let now = self.now_ms();
+        let state = &mut *self.state.lock();
+        state.settle(now);
+        let lives = state.sites.iter().flat_map(|site| &site.life);
+        let runs = lives.flat_map(|life| &life.runs).filter(|(_, run)| chosen(run));
+        runs.map(|(task, _)| task.clone()).collect()
+    }
+
     /// How many tasks of each step have ended done.
     pub fn done_tasks(&self) -> BTreeMap<String, usize> {
         let state = self.state.lock();
--- a/crates/sedgehill-standin/src/cell_platform/worker_calls.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker_calls.rs
@@ -10,7 +10,7 @@
 
 use super::advice;
 use super::life::{StandinLife, StandinRun};
-use super::spec::{GANG_SPEC, WIDE_SPEC, cores_of, crash_time};
+use super::spec::{GANG_SPEC, WIDE_SPEC, cores_of, crash_time, failure_time};
 use super::trouble::CallFate;
 use super::worker::{PoolState, STOP_MS, StandinWorkers, TURN, name, span_of, step_of};
 use crate::http_server::{JsonResponse, json, read_json, status};
@@ -204,7 +204,9 @@
     sites[number].starts += 1;
     if let Some(life) = &mut sites[number].life {
         let (run, cores) = (order.run, cores_of(&order.spec));
-        let run = StandinRun { run, begun: now, span, cores, stops_at: None, crashes_at, told };
+        let fails_at = failure_time(&order.task, run, &order.spec).map(|after| now + after);
+        let stops_at = None;
+        let run = StandinRun { run, begun: now, span, cores, stops_at, crashes_at, fails_at, told };
         life.runs.insert(order.task.clone(), run);
     }
     if state.is_over_size(number, now) {
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -50,6 +50,8 @@
     pub crashing: BTreeSet<u64>,
     /// Accepted, and then cancelled.
     pub cancelled: BTreeSet<u64>,
+    /// Accepted, with tasks that run until the job is cancelled.
+    pub long_running: BTreeSet<u64>,
     /// Each answer said that the job was not taken.
     pub refused: BTreeSet<u64>,
     /// What was handed in for those that were accepted.
@@ -76,20 +78,24 @@
         &self.told
     }
 
+    /// A client of its own for each caller.
+    pub fn client() -> Client<HttpConnector, Full<Bytes>> {
+        Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http()
+    }
+
     /// One caller that hands in jobs until it is dropped. Its connections are kept for as long as boxes
     /// keep them.
     pub async fn run(&self, seed: u64, caller: u64) {
-        let client: Client<HttpConnector, Full<Bytes>> =
-            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http();
+        let client = CallerPool::client();
         let mut rng = StdRng::seed_from_u64(seed ^ (caller << 32));
         let mut again = StdRng::seed_from_u64(seed ^ (caller << 32) ^ AGAIN_SALT);
         let mut accepted: VecDeque<(u64, String)> = VecDeque::new();
         for number in 0.. {
             let id = match self.size.world {
                 SoakWorld::Narrow => (caller << 48) | number,
-                SoakWorld::Wide => wide::id_of(caller, number),
+                SoakWorld::Wide | SoakWorld::Full => wide::id_of(caller, number),
             };
-            if let Some(body) = self.hand_in(&client, &mut rng, id).await {
+            if let Some(body) = self.hand_in_drawn(&client, &mut rng, id).await {
                 accepted.push_back((id, body));
             }
             if accepted.len() > AGAIN_AMONG {
@@ -105,8 +111,8 @@
         }
     }
 
-    /// Hands a job in until it is accepted. Returns what was, unless it was cancelled then.
-    async fn hand_in(
+    /// Draws a job and hands it in. Returns what was, unless it was cancelled then.
+    async fn hand_in_drawn(
         &self,
         client: &Client<HttpConnector, Full<Bytes>>,
         rng: &mut StdRng,
@@ -120,22 +126,56 @@
             None if wide::is_wide(id) => wide::draw_wide(id, self.size.workers).to_string(),
             None => body,
         };
+        if crash.is_some() {
+            self.told.lock().crashing.insert(id);
+        }
+        self.hand_in(client, rng, id, &body).await.then_some(body)
+    }
+
+    /// Hands a job in until it is accepted. Returns whether it was, and was not cancelled then.
+    pub async fn hand_in(
+        &self,
+        client: &Client<HttpConnector, Full<Bytes>>,
+        rng: &mut StdRng,
+        id: u64,
+        body: &str,
+    ) -> bool {
+        let Some(address) = self.submit(client, rng, id, body).await else { return false };
+        self.told.lock().accepted.insert(id);
+        self.told.lock().bodies.insert(id, body.to_owned());
+        let cancels = rng.random_ratio(1, CANCEL_ONE_IN);
+        if cancels {
+            self.cancel(client, address, id).await;
+        }
+        !cancels
+    }
+
+    /// Hands a long-running job in until it is accepted.
+    pub async fn hand_in_long_running(
+        &self,
+        client: &Client<HttpConnector, Full<Bytes>>,
+        rng: &mut StdRng,
+        id: u64,
+        body: &str,
+    ) {
+        if self.submit(client, rng, id, body).await.is_some() {
+            self.told.lock().long_running.insert(id);
+        }
+    }
+
+    /// Tries until a box accepts a job, and returns its address.
+    async fn submit(
+        &self,
+        client: &Client<HttpConnector, Full<Bytes>>,
+        rng: &mut StdRng,
+        id: u64,
+        body: &str,
+    ) -> Option<SocketAddr> {
         let mut doubtful = false;
         for _ in 0..TRIES {
             let address = self.boxes[rng.random_range(0..self.boxes.len())];
-            match self.call(client, address, Method::POST, id, &body).await {
-                Some(StatusCode::OK) => {
-                    self.told.lock().accepted.insert(id);
-                    self.told.lock().bodies.insert(id, body.clone());
-                    if crash.is_some() {
-                        self.told.lock().crashing.insert(id);
-                    }
-                    if rng.random_ratio(1, CANCEL_ONE_IN) {
-                        self.cancel(client, address, id).await;
-                        return None;
-                    }
-                    return Some(body);
-                }
+            match self.call(client, address, Method::POST, id, body).await {
+                Some(StatusCode::OK) => return Some(address),
                 Some(StatusCode::SERVICE_UNAVAILABLE) => {}
                 Some(_) | None => doubtful = true,
             }
--- a/crates/sedgehill-standin/src/soak/faults.rs
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -8,7 +8,7 @@
 use super::SoakWorld;
 use super::plan::SoakFault;
 use super::proxy::PathState;
-use super::wide;
+use super::{full, wide};
 use crate::cell_platform::{PROGRESS_TOPIC, PathTrouble};
 
 /// One in so many workers dies where many do at once, and they are back so far apart.
@@ -62,7 +62,7 @@
     ) -> std::io::Result<()> {
         let after = |span: Duration| Instant::now() + span;
         if !fault.is_of_advice() {
-            self.progress.note_fault();
+            self.note_fault();
         }
         match fault {
             SoakFault::Kill(number, pause) => {
@@ -154,6 +154,7 @@
         match self.size.world {
             SoakWorld::Narrow => self.keys.configure(&self.platform),
             SoakWorld::Wide => wide::configure(&self.platform, self.platform.next_version()),
+            SoakWorld::Full => full::configure(&self.platform, self.platform.next_version()),
         }
     }
 
@@ -163,7 +164,7 @@
         repairs: &mut Vec<(Instant, Repair)>,
     ) -> std::io::Result<()> {
         if !matches!(repair, Repair::Advice(_)) {
-            self.progress.note_fault();
+            self.note_fault();
         }
         match repair {
             Repair::Start(number) => self.start_box(number)?,
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod faults;
+mod full;
 mod keys;
 mod plan;
 mod progress;
@@ -15,6 +16,7 @@
 
 use self::callers::CallerPool;
 use self::faults::Repair;
+use self::full::{FULL_RUN_MS, RestartWatch};
 use self::keys::{SOAK_KEY, SoakKeys};
 pub use self::plan::{SoakFault, SoakPlan, draw_plan};
 use self::progress::ProgressWatch;
@@ -40,6 +42,9 @@
     /// Workers of sixteen cores, jobs with gangs as wide as half of the cell among narrow ones, dear advice. It is
     /// watched that no job is stalled while the load goes on.
     Wide,
+    /// Workers of sixteen cores that narrow jobs fill, and long-running jobs with dear advice whose runs fail. It is
+    /// watched that their tasks run again in time.
+    Full,
 }
 
 /// How large a cell is, and what it meets.
@@ -71,14 +76,14 @@
     pub fn cores(&self) -> usize {
         match self.world {
             SoakWorld::Narrow => CORES,
-            SoakWorld::Wide => wide::WIDE_CORES,
+            SoakWorld::Wide | SoakWorld::Full => wide::WIDE_CORES,
         }
     }
 
     fn callers(&self) -> u64 {
         match self.world {
             SoakWorld::Narrow => self.workers as u64,
-            SoakWorld::Wide => WIDE_CALLERS,
+            SoakWorld::Wide | SoakWorld::Full => WIDE_CALLERS,
         }
     }
 }
@@ -98,6 +103,10 @@
     pub given_up: usize,
     /// The longest that a job was stalled in calm, where that is watched.
     pub stalled: Duration,
+    /// The longest that a long-running task was without a run in calm, where that is watched.
+    pub without_run: Duration,
+    /// Long-running tasks that ever ran.
+    pub long_running: usize,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -120,6 +129,7 @@
     boxes: Vec<SoakBox>,
     keys: SoakKeys,
     progress: Rc<ProgressWatch>,
+    restarts: Rc<RestartWatch>,
 }
 
 /// Runs the faults of a seed for some seconds. Settings and logs of the boxes lie in `directory`.
@@ -136,15 +146,25 @@
     soak.platform.store.seed(seed);
     let callers = CallerPool::new(soak.boxes.iter().map(|one| one.site.callers).collect(), size);
     let mut report = SoakReport { faults: plan.len(), ..SoakReport::default() };
-    let load = futures_all((0..size.callers()).map(|caller| callers.run(seed, caller + 1)));
+    let platform = soak.platform.clone();
+    let load = futures_all((0..size.callers()).map(|caller| {
+        let (callers, platform) = (&callers, &platform);
+        async move {
+            match size.world {
+                SoakWorld::Full => full::load(callers, platform, seed, caller + 1).await,
+                SoakWorld::Narrow | SoakWorld::Wide => callers.run(seed, caller + 1).await,
+            }
+        }
+    }));
     let keys = soak.keys.clone();
     let addresses: Vec<_> = soak.boxes.iter().map(|one| one.site.callers).collect();
     let probing = keys.probe(&addresses, seed);
-    let (platform, progress) = (soak.platform.clone(), soak.progress.clone());
+    let (progress, restarts) = (soak.progress.clone(), soak.restarts.clone());
     let watching = async {
         match size.world {
             SoakWorld::Narrow => std::future::pending().await,
             SoakWorld::Wide => progress.run(&platform, callers.told()).await,
+            SoakWorld::Full => restarts.run(&platform).await,
         }
     };
     tokio::select! {
@@ -153,12 +173,18 @@
         () = watching => {}
         result = soak.run(&plan, seconds) => result?,
     }
+    soak.check_long_running(&callers, &mut report).await;
     soak.check(&callers, &mut report).await;
     report.stalled = soak.progress.longest();
-    let stalled = soak.progress.broken();
-    if !stalled.is_empty() {
-        report.broken.extend(stalled);
-        report.broken.extend(soak.told_stalls());
+    report.without_run = soak.restarts.longest();
+    report.long_running = soak.restarts.seen();
+    let watched = [
+        (soak.progress.broken(), "\"step stalled\""),
+        (soak.restarts.broken(), "\"task without a run\""),
+    ];
+    for (broken, line) in watched.into_iter().filter(|(broken, _)| !broken.is_empty()) {
+        report.broken.extend(broken);
+        report.broken.extend(soak.told_lines(line));
     }
     Ok(report)
 }
@@ -179,7 +205,10 @@
 impl<'a> Soak<'a> {
     async fn start(seed: u64, size: SoakSize, directory: &'a Path) -> std::io::Result<Soak<'a>> {
         let mut platform = CellPlatform::start_sized(size.workers, size.cores()).await?;
-        platform.workers.set_run_ms(RUN_MS);
+        platform.workers.set_run_ms(match size.world {
+            SoakWorld::Narrow | SoakWorld::Wide => RUN_MS,
+            SoakWorld::Full => FULL_RUN_MS,
+        });
         if !seed.is_multiple_of(OTHER_IDS_ONE_IN) {
             platform.keep_worker_ids(seed);
         }
@@ -188,6 +217,7 @@
         match size.world {
             SoakWorld::Narrow => keys.configure(&platform),
             SoakWorld::Wide => wide::configure(&platform, 1),
+            SoakWorld::Full => full::configure(&platform, 1),
         }
         let mut boxes = Vec::new();
         for number in 0..size.boxes {
@@ -199,17 +229,18 @@
             boxes.push(SoakBox { site, path, process });
         }
         let (platform, progress) = (Rc::new(platform), Rc::new(ProgressWatch::new()));
-        let mut soak = Soak { size, directory, platform, boxes, keys, progress };
+        let restarts = Rc::new(RestartWatch::new());
+        let mut soak = Soak { size, directory, platform, boxes, keys, progress, restarts };
         soak.wait_ready().await?;
         Ok(soak)
     }
 
-    /// What boxes wrote of stalled steps: the reasons, where the logs are not kept.
-    fn told_stalls(&self) -> Vec<String> {
+    /// Lines of a kind that boxes wrote: the reasons, where the logs are not kept.
+    fn told_lines(&self, kind: &str) -> Vec<String> {
         let logs = self.boxes.iter().map(|one| one.site.log_path(self.directory));
         let texts = logs.filter_map(|log| std::fs::read_to_string(log).ok());
         let told = |text: String| {
-            let lines = text.lines().filter(|line| line.contains("\"step stalled\""));
+            let lines = text.lines().filter(|line| line.contains(kind));
             lines.map(str::to_owned).collect::<Vec<_>>()
         };
         texts.flat_map(told).collect()
@@ -233,9 +264,9 @@
         self.carry_out(plan, seconds).await?;
         self.heal()?;
         if self.size.faults {
-            self.progress.note_fault();
+            self.note_fault();
         }
-        if self.size.world == SoakWorld::Wide {
+        if self.size.world != SoakWorld::Narrow {
             self.carry_out(&SoakPlan::new(), CALM_LOAD.as_secs()).await?;
         }
         Ok(())
@@ -260,6 +291,12 @@
         Ok(())
     }
 
+    /// A fault has begun or ended.
+    fn note_fault(&self) {
+        self.progress.note_fault();
+        self.restarts.note_fault();
+    }
+
     /// Boxes that ended after a planned stop start again.
     fn restart_ended(&mut self) -> std::io::Result<()> {
         for number in 0..self.boxes.len() {
@@ -272,6 +309,25 @@
         Ok(())
     }
 
+    /// Long-running jobs are known as running, and end once they are cancelled.
+    async fn check_long_running(&mut self, callers: &CallerPool, report: &mut SoakReport) {
+        let ids = callers.told().lock().long_running.clone();
+        let deadline = Instant::now() + SETTLE_LIMIT;
+        for id in ids {
+            if let Some(state) = self.wait_until(id, "running", deadline).await {
+                report.broken.push(format!("{id:016x} was accepted and is {state}"));
+                continue;
+            }
+            let path = wide::path_of(id);
+            for one in &self.boxes {
+                call_with_key(one.site.callers, "DELETE", &path, "", Some(SOAK_KEY)).await;
+            }
+            if let Some(state) = self.wait_until(id, "cancelled", deadline).await {
+                report.broken.push(format!("{id:016x} was cancelled and is {state}"));
+            }
+        }
+    }
+
     /// Checks what must hold once all is well again.
     async fn check(&mut self, callers: &CallerPool, report: &mut SoakReport) {
         let accepted = callers.told().lock().accepted.clone();
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -76,6 +76,11 @@
 /// Tells the generator of these faults from the others.
 const ADVICE_SALT: u64 = 0x6164_7669;
 
+/// Faults of a full cell are so far apart.
+const SPARSE_GAP_MS: std::ops::Range<u64> = 12_000..18_000;
+/// Tells the generator of these faults from the others.
+const SPARSE_SALT: u64 = 0x7370_6172;
+
 /// Tells the generator of silences from that of the other faults.
 const SILENCE_SALT: u64 = 0x5113_7ce5;
 
@@ -104,6 +109,14 @@
 /// Draws the faults of a run of `seconds` seconds.
 pub fn draw_plan(seed: u64, seconds: u64, size: SoakSize) -> SoakPlan {
     let boxes = size.boxes;
+    if size.world == SoakWorld::Full {
+        let mut plan = draw_advice(seed, seconds, boxes);
+        if size.faults {
+            plan.extend(draw_sparse(seed, seconds, size));
+        }
+        plan.sort_by_key(|(at, _)| *at);
+        return plan;
+    }
     let mut rng = StdRng::seed_from_u64(seed);
     let mut plan = Vec::new();
     let mut at = 500;
@@ -143,6 +156,37 @@
     plan
 }
 
+/// Draws faults, some of them two at once, with calm between them in which long-running tasks have to run again.
+fn draw_sparse(seed: u64, seconds: u64, size: SoakSize) -> SoakPlan {
+    let mut rng = StdRng::seed_from_u64(seed ^ SPARSE_SALT);
+    let mut plan = Vec::new();
+    let mut at = SPARSE_GAP_MS.start;
+    while at < seconds * 1_000 {
+        let begins = Duration::from_millis(at);
+        let mut span = |range: std::ops::Range<u64>| Duration::from_millis(rng.random_range(range));
+        let (pause, down, cut) = (span(20..1_500), span(20..3_000), span(500..4_500));
+        let number = rng.random_range(0..size.workers);
+        let trouble = draw_trouble(&mut rng);
+        let lead = match rng.random_range(0..3) {
+            0 => SoakFault::KillLead(pause),
+            1 => SoakFault::PauseLead(cut),
+            _ => SoakFault::Stop(rng.random_range(0..size.boxes)),
+        };
+        let worker = match rng.random_range(0..3) {
+            0 => SoakFault::WorkerDies(number, down, down),
+            1 => SoakFault::WorkerPath(number, trouble, cut),
+            _ => SoakFault::ManyDie(number, down),
+        };
+        match rng.random_range(0..3) {
+            0 => plan.push((begins, lead)),
+            1 => plan.push((begins, worker)),
+            _ => plan.extend([(begins, lead), (begins + pause / 4, worker)]),
+        }
+        at += rng.random_range(SPARSE_GAP_MS);
+    }
+    plan
+}
+
 /// Draws when connections fall silent: from a generator of its own, so that a seed keeps its other faults.
 fn draw_silences(seed: u64, seconds: u64, boxes: usize) -> SoakPlan {
     let mut rng = StdRng::seed_from_u64(seed ^ SILENCE_SALT);
--- a/crates/sedgehill-standin/src/soak/wide.rs
+++ b/crates/sedgehill-standin/src/soak/wide.rs
@@ -45,6 +45,11 @@
     if rng.random_ratio(1, WIDE_ONE_IN) { id | WIDE_BIT } else { id }
 }
 
+/// The id of a job that is marked as one with wide gangs, by its number.
+pub fn wide_id(caller: u64, number: u64) -> u64 {
+    (caller << 48) | number | WIDE_BIT
+}
+
 /// Whether a job has wide gangs.
 pub fn is_wide(id: u64) -> bool {
     id & WIDE_BIT != 0
--- a/crates/sedgehill-standin/src/soak_command.rs
+++ b/crates/sedgehill-standin/src/soak_command.rs
@@ -24,6 +24,9 @@
     if args.contains("--wide") {
         size.world = SoakWorld::Wide;
     }
+    if args.contains("--full") {
+        size.world = SoakWorld::Full;
+    }
     size.faults = !args.contains("--calm");
     finish(args)?;
     // Seeds are short, so that they can be typed again.
@@ -51,13 +54,15 @@
         }
     };
     println!(
-        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, stalled {} ms, {} broken",
+        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, stalled {} ms, {} long-running tasks, without a run {} ms, {} broken",
         report.faults,
         report.accepted,
         report.crashing,
         report.refused,
         report.given_up,
         report.stalled.as_millis(),
+        report.long_running,
+        report.without_run.as_millis(),
         report.broken.len()
     );
     for broken in &report.broken {
--- a/crates/sedgehill-standin/tests/testsuite/soak.rs
+++ b/crates/sedgehill-standin/tests/testsuite/soak.rs
@@ -45,6 +45,19 @@
     assert!(report.broken.is_empty(), "{report:?}");
 }
 
+/// Long-running jobs whose runs fail, in a cell that narrow jobs fill, with dear advice. Ranked by the age of their job their tasks
+/// came behind all that waited, and were without a run for up to 48 s here:
+/// `"msg":"task without a run","cause":"failed","reason":"no_room","ahead":5,"tickets":0`.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_running_tasks_run_again_in_a_full_cell() {
+    let directory = tempfile::tempdir().unwrap();
+    let size = SoakSize { boxes: 4, workers: 12, world: SoakWorld::Full, faults: false };
+    let report = run_soak(20_261_204, 2 * SECONDS, size, directory.path()).await.unwrap();
+    assert!(report.long_running >= 6, "{report:?}");
+    assert!(report.accepted > 50, "{report:?}");
+    assert!(report.broken.is_empty(), "{report:?}");
+}
+
 #[test]
 fn a_seed_gives_the_same_faults_each_time() {
     let size = SoakSize::default();
