cell: a long-running job is never late

A long-running job that had not begun within three objectives counted as one that earns nothing any more, and came after all others for good; some never began in the full cell of the soak. Why the mend holds: it earns from whenever it begins, so its priority alone counts. Test: beside a younger job of the same and of a lower priority it goes first (before: last), beside a more urgent one it does not.

--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -75,9 +75,10 @@
     let end = now.0 + chain;
     let accepted = job.accepted.0;
     let latest_start = latest_start(job);
-    let prospect = if policy.patience && latest_start > now.0 + PATIENT_SLACK.0 {
+    let prospect = if policy.patience && !job.lasts() && latest_start > now.0 + PATIENT_SLACK.0 {
         Prospect::Patient
-    } else if end <= accepted + objective {
+    } else if end <= accepted + objective || job.lasts() {
+        // A long-running job earns from whenever it begins, for as long as it lives: it is never late.
         Prospect::OnTime
     } else if end <= accepted + LATE_FACTOR * objective {
         Prospect::Late
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -245,6 +245,11 @@
         TimeSpan(ends.into_iter().max().unwrap_or(0))
     }
 
+    /// Whether it has tasks that run until it is cancelled.
+    pub fn lasts(&self) -> bool {
+        self.record.spec.steps.iter().any(|step| step.long_running)
+    }
+
     /// Whether every task is done.
     pub fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.left == 0)
--- a/crates/sedgehill-cell/tests/testsuite/restarts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/restarts.rs
@@ -443,3 +443,27 @@
     cell.turns(&mut lead, 3);
     assert_eq!(cell.workers[0].run_count(), 10);
 }
+
+/// A job that has long-running tasks which never began counted as one that earns nothing any more once it had waited for three
+/// objectives, and came after all others for good. It earns from whenever it begins, so its priority alone counts.
+#[test]
+fn a_long_running_job_that_waits_for_long_keeps_its_place_by_priority() {
+    for (priority, goes_first) in [(2, true), (1, true), (0, false)] {
+        let mut cell = FakeCell::new(1, 4);
+        let mut lead = cell.lead(false);
+        let filling = StepSpec { estimate: TimeSpan(60_000), ..step(4, 1) };
+        cell.submit_led(&mut lead, OTHERS, job(vec![filling]));
+        cell.turns(&mut lead, 3);
+        let mut record = job(vec![long_running(1, 4)]);
+        record.policy.priority = 1;
+        cell.submit_led(&mut lead, LONG_RUNNING, record);
+        cell.turns(&mut lead, 1_000);
+        let mut young = job(vec![step(1, 4)]);
+        young.policy.priority = priority;
+        cell.submit_led(&mut lead, OTHERS + 1, young);
+        cell.end_all();
+        cell.turns(&mut lead, 3);
+        let first = cell.place(task(LONG_RUNNING, 0, 0)).is_some();
+        assert_eq!(first, goes_first, "beside priority {priority}");
+    }
+}
