cell: a start of a long-running task is recorded; room for restarts is searched each 100 ms

A later lead tells by the recorded run that a waiting task lost one: of a job whose tasks began one after the other only the first were known. The search goes over all runs of all workers, at 350 workers some ms on a small box, so it is made at most each 100 ms a step; tickets and room that are there are used at once as before.

--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -119,8 +119,7 @@
             false => 0,
         };
         if waiting.is_empty() && expected > 0 {
-            self.reserve_restarts(candidate, spec, expected, now);
-            return Some(self.ask_advice(candidate, spec, open, now));
+            return Some(self.find_restart_room(candidate, spec, expected, open, now));
         }
         let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, waiting.len());
         if allowed == 0 {
@@ -138,8 +137,10 @@
                 self.claim_alone(candidate, spec, left.alone, now);
             }
             if candidate.restarts && !spec.gang {
-                self.reserve_restarts(candidate, spec, left.others + expected, now);
-            } else if displaces && left.others > 0 {
+                let wanted = left.others + expected;
+                return Some(self.find_restart_room(candidate, spec, wanted, open, now));
+            }
+            if displaces && left.others > 0 {
                 self.displace_for(candidate, spec, left.others, now);
             }
         }
--- a/crates/sedgehill-cell/src/scheduler/restart.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::ops::RangeInclusive;
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
@@ -21,6 +22,8 @@
 /// Room and tickets are looked for so long before the lease of a silent worker ends: a dear question takes about as long, and
 /// tickets are valid for longer.
 const EXPECTED_AHEAD: TimeSpan = TimeSpan(1_500);
+/// Room for the tasks of a step is looked for this often: the look goes over all that runs.
+const SEARCH_EVERY: TimeSpan = TimeSpan(100);
 /// Tasks that are told of in one turn, at the most.
 const TOLD_AT_ONCE: usize = 4;
 
@@ -72,6 +75,8 @@
     due: BTreeMap<CellTask, RestartDue>,
     /// Steps with tasks on silent workers whose leases are about to end, in this turn.
     expected: BTreeMap<StepId, ExpectedRestarts>,
+    /// When room was last looked for on all workers, by step.
+    searched: BTreeMap<StepId, Moment>,
 }
 
 /// Tasks of a step that are about to be due.
@@ -112,18 +117,35 @@
 
     /// Since when a task of a step has had no run that is due, or is due once a stop is over.
     pub fn due_since(&self, step: StepId, stop: TimeSpan) -> Option<Moment> {
-        let (first, last) = (CellTask { step, index: 0 }, CellTask { step, index: u16::MAX });
-        let due = self.due.range(first..=last).map(|(_, due)| due.since);
+        let due = self.due.range(tasks_of(step)).map(|(_, due)| due.since);
         let expected = self.expected.get(&step).filter(|expected| expected.left <= stop);
         due.chain(expected.map(|expected| expected.from)).min()
     }
 
+    /// The gate that turned a step back last.
+    pub fn last_gate(&self, step: StepId) -> Option<StallReason> {
+        self.due.range(tasks_of(step)).find_map(|(_, due)| due.gate)
+    }
+
+    /// Whether room may be looked for on all workers now; it counts as looked for then.
+    pub fn may_search(&mut self, step: StepId, now: Moment) -> bool {
+        let searched = self.searched.get(&step);
+        let may = searched.is_none_or(|searched| now >= searched.after(SEARCH_EVERY));
+        if may {
+            self.searched.insert(step, now);
+        }
+        may
+    }
+
     fn of_step(&mut self, step: StepId) -> impl Iterator<Item = &mut RestartDue> {
-        let (first, last) = (CellTask { step, index: 0 }, CellTask { step, index: u16::MAX });
-        self.due.range_mut(first..=last).map(|(_, due)| due)
+        self.due.range_mut(tasks_of(step)).map(|(_, due)| due)
     }
 }
 
+fn tasks_of(step: StepId) -> RangeInclusive<CellTask> {
+    CellTask { step, index: 0 }..=CellTask { step, index: u16::MAX }
+}
+
 /// What waits of a step.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WaitingParts {
@@ -173,15 +195,23 @@
         }
     }
 
-    /// A worker says that a run is there.
-    pub(super) fn note_running(&mut self, task: &CellTask) {
+    /// A worker says that a run is there. That a long-running task has run is recorded, so that a later lead knows what it has
+    /// lost.
+    pub(super) fn note_running(&mut self, task: &CellTask, now: Moment) {
         self.restarts.remove(task);
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let step = job.step_index(&task.step);
+        if step.is_some_and(|step| job.step_spec(step).long_running) {
+            self.lazy.insert(task.step.job);
+            self.lazy_since.get_or_insert(now);
+        }
     }
 
     /// Finds the tasks that are about to be due: room and tickets for them are looked for before the lease of their silent
     /// worker has ended, since the lease alone takes most of the time that users allow.
     pub(super) fn expect_restarts(&mut self, now: Moment) {
         self.restarts.expected.clear();
+        self.restarts.searched.retain(|_, searched| now < searched.after(SEARCH_EVERY));
         for worker in self.workers.iter().filter(|worker| worker.silent_calls > 0) {
             if worker.is_over() || !worker.runs.values().any(|run| run.long_running) {
                 continue;
--- a/crates/sedgehill-cell/src/scheduler/restart_room.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart_room.rs
@@ -8,6 +8,7 @@
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
 use super::displacement::WorkerClaim;
+use super::room::OpenWorkers;
 use super::worker::{WorkerRun, WorkerState};
 use super::*;
 use crate::job::StepSpec;
@@ -89,9 +90,27 @@
 }
 
 impl Scheduler {
+    /// Has `wanted` tasks that found no room reserve some and asks for their tickets. Returns what they wait for.
+    pub(super) fn find_restart_room(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        wanted: usize,
+        open: &OpenWorkers,
+        now: Moment,
+    ) -> StallReason {
+        let Some(job) = self.jobs.get(&candidate.job) else { return StallReason::NoRoom };
+        let step = job.steps[candidate.step].id;
+        if !self.restarts.may_search(step, now) {
+            return self.restarts.last_gate(step).unwrap_or(StallReason::NoRoom);
+        }
+        self.reserve_restarts(candidate, spec, wanted, now);
+        self.ask_advice(candidate, spec, open, now)
+    }
+
     /// Keeps room for `wanted` tasks that found none: each reserves one worker. Where it would take long to come free,
     /// less urgent runs are stopped.
-    pub(super) fn reserve_restarts(
+    fn reserve_restarts(
         &mut self,
         candidate: &Candidate,
         spec: &StepSpec,
--- a/crates/sedgehill-cell/tests/testsuite/restarts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/restarts.rs
@@ -430,6 +430,29 @@
     assert!(course.cell.now < lost.after(TimeSpan(4_700)), "{}", course.cell.now.since(lost));
 }
 
+#[test]
+fn a_new_lead_knows_of_tasks_that_began_after_others_of_their_job() {
+    let mut cell = FakeCell::new(2, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, OTHERS, job(vec![step(1, 4)]));
+    cell.turns(&mut lead, 3);
+    cell.submit_led(&mut lead, LONG_RUNNING, job(vec![long_running(2, 4)]));
+    cell.turns(&mut lead, 30);
+    cell.end_anywhere(task(OTHERS, 0, 0), RunEnd::Done);
+    cell.turns(&mut lead, 30);
+    let late = (0..2).map(|index| task(LONG_RUNNING, 0, index));
+    let late = late.into_iter().max_by_key(|one| cell.starts.iter().position(|(t, ..)| t == one));
+    let number = cell.place(late.unwrap()).unwrap();
+    cell.begin_anew(number);
+    let mut next = cell.lead(false);
+    cell.turns(&mut next, 5);
+    let restarted = next
+        .take_events()
+        .into_iter()
+        .any(|event| matches!(event, CellEvent::Placed { without_run: Some(_), .. }));
+    assert!(restarted);
+}
+
 /// The estimate of a long-running task is the time that its start takes. Taken as the time of a run, each such run counted as
 /// one that takes far too long: three of them had their worker shunned after 1.9 s ("worker … is slow"), and it got one
 /// run at a time until one ended well, which long-running ones never do.
