cell: each repetition is ranked from the time at which it is due

What callers saw: nothing in the record; the same cause elsewhere: a rank by the age of a job where that is not what counts. The repetitions of a timed job that are due later than three objectives after its acceptance came after all other work. Why the mend holds: the objective of a repetition counts from its own time, and its chain is that of its own steps; a job without times is ranked as before. Test: beside a less urgent job the third repetition goes first (before: last).

--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -10,7 +10,7 @@
 
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
-use super::rank::{latest_start, rank_job};
+use super::rank::latest_start;
 use super::room::Candidate;
 use super::worker::WorkerRun;
 use super::*;
@@ -95,7 +95,7 @@
         now: Moment,
     ) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
-        if spec.gang || spec.long_running || !rank_job(job, &self.timing.policy, now).earns() {
+        if spec.gang || spec.long_running || !self.earns(candidate, job, now) {
             return;
         }
         let step = job.steps[candidate.step].id;
@@ -184,7 +184,7 @@
             && spec.checkpointing
             && !spec.gang
             && !spec.long_running
-            && latest_start(job) > now.after(DISPLACED_SLACK).0
+            && latest_start(job, step, self.unix_ms_at(now), now) > now.after(DISPLACED_SLACK).0
     }
 }
 
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -2,7 +2,7 @@
 
 use super::held::StartPlan;
 use super::isolation::{split_alone, stage_of};
-use super::rank::{StepRank, rank_job};
+use super::rank::{JobRank, StepRank, rank_job};
 use super::room::{Candidate, OpenWorkers};
 use super::worker::{WorkerRun, WorkerTrust};
 use super::*;
@@ -61,7 +61,7 @@
             if job.is_over() {
                 continue;
             }
-            let mut rank = None;
+            let mut ranks = RepetitionRanks::default();
             for step in 0..job.steps.len() {
                 if job.steps[step].left == 0 || !job.is_due(step, unix_ms) {
                     continue;
@@ -74,9 +74,9 @@
                     }
                     let rank = match waiting.restart_due {
                         Some(since) if candidate.restarts => StepRank::Restart(since),
-                        _ => StepRank::Job(*rank.get_or_insert_with(|| {
+                        _ => StepRank::Job(ranks.get(job.steps[step].id.repetition, || {
                             let beyond_due = self.is_beyond_due(job);
-                            rank_job(job, &self.timing.policy, now).with_beyond_due(beyond_due)
+                            self.rank_of(job, step, now).with_beyond_due(beyond_due)
                         })),
                     };
                     ranked.push((rank, candidate));
@@ -91,6 +91,11 @@
         ranked.into_iter().map(|(_, candidate)| candidate).collect()
     }
 
+    /// The rank of a step by its job.
+    pub(super) fn rank_of(&self, job: &JobWork, step: usize, now: Moment) -> JobRank {
+        rank_job(job, step, &self.timing.policy, self.unix_ms_at(now), now)
+    }
+
     /// Starts what can be started of a step, and asks for advice that is missing. Returns what the others wait for.
     fn place_step(
         &mut self,
@@ -366,6 +371,21 @@
     }
 }
 
+/// The rank that the steps of one repetition share, kept while the steps of a job are gone through.
+#[derive(Default)]
+struct RepetitionRanks {
+    last: Option<(u32, JobRank)>,
+}
+
+impl RepetitionRanks {
+    fn get(&mut self, repetition: u32, rank: impl FnOnce() -> JobRank) -> JobRank {
+        match self.last {
+            Some((known, rank)) if known == repetition => rank,
+            _ => self.last.insert((repetition, rank())).1,
+        }
+    }
+}
+
 /// Takes room for one task from the list.
 fn take_slot(rooms: &mut Vec<(WorkerKey, usize)>, choice: usize) -> WorkerKey {
     let key = rooms[choice].0;
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -61,20 +61,29 @@
     }
 }
 
-/// The latest moment at which what is left of a job can begin and meet the objective, by its estimates.
-pub fn latest_start(job: &JobWork) -> u64 {
+/// The latest moment at which what is left of a step's repetition can begin and meet the objective, by its estimates.
+/// `unix_ms` is the time of day at `now`.
+pub fn latest_start(job: &JobWork, step: usize, unix_ms: u64, now: Moment) -> u64 {
     let objective = job.record.objective().as_millis();
-    (job.accepted.0 + objective).saturating_sub(job.remaining_chain().as_millis())
+    let asked = job.asked_at(step, unix_ms, now);
+    (asked.0 + objective).saturating_sub(job.remaining_chain(step).as_millis())
 }
 
-/// Ranks a job: what can still earn first, then by priority, then by the latest start that would
-/// meet the objective.
-pub fn rank_job(job: &JobWork, policy: &CellPolicy, now: Moment) -> JobRank {
+/// Ranks a step by its job: what can still earn first, then by priority, then by the latest start that would
+/// meet the objective. Each repetition is judged from the time at which it is due: from the acceptance of the job, the later ones
+/// would be late before their time has come.
+pub fn rank_job(
+    job: &JobWork,
+    step: usize,
+    policy: &CellPolicy,
+    unix_ms: u64,
+    now: Moment,
+) -> JobRank {
     let objective = job.record.objective().as_millis();
-    let chain = job.remaining_chain().as_millis();
+    let chain = job.remaining_chain(step).as_millis();
     let end = now.0 + chain;
-    let accepted = job.accepted.0;
-    let latest_start = latest_start(job);
+    let accepted = job.asked_at(step, unix_ms, now).0;
+    let latest_start = latest_start(job, step, unix_ms, now);
     let prospect = if policy.patience && !job.lasts() && latest_start > now.0 + PATIENT_SLACK.0 {
         Prospect::Patient
     } else if end <= accepted + objective || job.lasts() {
--- a/crates/sedgehill-cell/src/scheduler/restart.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -11,7 +11,6 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::placement::waiting_tasks;
-use super::rank::rank_job;
 use super::stall::StallReason;
 use super::*;
 
@@ -281,7 +280,7 @@
 
     /// Whether what a candidate stands for still earns something.
     pub(super) fn earns(&self, candidate: &Candidate, job: &JobWork, now: Moment) -> bool {
-        candidate.restarts || rank_job(job, &self.timing.policy, now).earns()
+        candidate.restarts || self.rank_of(job, candidate.step, now).earns()
     }
 
     /// Notes at which gate the tasks of a step were turned back that are due to run again.
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -216,11 +216,24 @@
         &self.tasks[first..first + usize::from(self.step_spec(step).count)]
     }
 
-    /// Whether the time of the step has come, and the steps before it are done.
-    pub fn is_due(&self, step: usize, unix_ms: u64) -> bool {
+    /// When the repetition of a step is due, in milliseconds since 1970; none if the job has no times.
+    fn due_unix_ms(&self, step: usize) -> Option<u64> {
         let repetition = u64::from(self.steps[step].id.repetition);
         let due = |repeat: RepeatSpec| repeat.start_at_ms + repetition * repeat.interval.0;
-        if self.record.spec.repeat.is_some_and(|repeat| unix_ms < due(repeat)) {
+        self.record.spec.repeat.map(due)
+    }
+
+    /// From when the objective of a step counts: the acceptance of the job, or the time of the repetition if that is
+    /// later. `unix_ms` is the time of day at `now`.
+    pub fn asked_at(&self, step: usize, unix_ms: u64, now: Moment) -> Moment {
+        let Some(due) = self.due_unix_ms(step) else { return self.accepted };
+        let due = Moment((now.0 + due).saturating_sub(unix_ms));
+        due.max(self.accepted)
+    }
+
+    /// Whether the time of the step has come, and the steps before it are done.
+    pub fn is_due(&self, step: usize, unix_ms: u64) -> bool {
+        if self.due_unix_ms(step).is_some_and(|due| unix_ms < due) {
             return false;
         }
         let each = self.record.spec.steps.len();
@@ -229,10 +242,10 @@
         after.iter().all(|before| self.steps[base + usize::from(*before)].left == 0)
     }
 
-    /// The longest chain of estimates over steps that are not done.
-    pub fn remaining_chain(&self) -> TimeSpan {
+    /// The longest chain of estimates over steps that are not done, in the repetition of a step.
+    pub fn remaining_chain(&self, step: usize) -> TimeSpan {
         let each = self.record.spec.steps.len();
-        let base = self.steps.len() - each;
+        let base = step - step % each;
         let mut ends: Vec<u64> = Vec::with_capacity(each);
         for (number, spec) in self.record.spec.steps.iter().enumerate() {
             let begin = spec.after.iter().map(|before| ends[usize::from(*before)]).max();
