cell: where long-running tasks run is recorded ahead, so a lost worker holds up only its own after a change of leads

Cause: a new lead starts nothing of earlier jobs before every worker of the roster was heard or time has passed, since it does not know where tasks were started; one worker that was gone for good held up 68 jobs (take-over settled by=time after_ms=13023 heard=36 ended=12 unheard=1). Why the mend holds: a start of a long-running task is recorded with its worker before it is sent, as starts of suspects are, and a run that is found at a worker as well. The next lead starts such a task as soon as that one worker was heard or has ended. A place that the lead just before did not write proves nothing: a lead of an earlier release records none. The place stands last in the progress, where earlier releases pass over it.

Two tests: the first fails on the code before; the second holds that a lead between is waited for.

--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{OrganisationName, RunNumber};
+use crate::ids::{FencingToken, OrganisationName, RunNumber, WorkerLife};
 use crate::job::JobSpec;
 use crate::suspicion::TaskSuspicion;
 
@@ -67,9 +67,23 @@
     pub organisation: Option<OrganisationName>,
     /// Tasks, by their place among all tasks, under which workers were lost.
     pub suspects: Vec<(u32, TaskSuspicion)>,
-    /// Those under which workers were lost together with others, with when, in milliseconds since 1970. They stand last,
-    /// where boxes of earlier versions pass over them.
+    /// Those under which workers were lost together with others, with when, in milliseconds since 1970. They and what
+    /// follows stand last, where boxes of earlier versions pass over them.
     pub together: Vec<(u32, Vec<u64>)>,
+    /// Where long-running tasks run, or ran last.
+    pub places: Vec<TaskPlace>,
+}
+
+/// The only worker that may have a run of a task: a later start elsewhere is recorded before it is sent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TaskPlace {
+    /// The place of the task among all tasks.
+    pub task: u32,
+    /// The life of the worker.
+    pub life: WorkerLife,
+    /// The lead that knows so. After another lead, which may be of a release that does not record starts ahead, it proves
+    /// nothing.
+    pub by: FencingToken,
 }
 
 impl JobProgress {
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -93,7 +93,9 @@
     pub fn decode(key: &str, value: &[u8]) -> Result<(JobId, CellRecord), RecordError> {
         let (kind, id) = CellRecord::decode_key(key)?;
         let record = match kind {
-            CellRecord::PROGRESS_KEY => decode_grown(value, &[NO_SUSPECTS, NONE_TOGETHER])?,
+            CellRecord::PROGRESS_KEY => {
+                decode_grown(value, &[NO_SUSPECTS, NONE_TOGETHER, NO_PLACES])?
+            }
             _ => postcard::from_bytes(value)?,
         };
         Ok((id, record))
@@ -104,6 +106,8 @@
 const NO_SUSPECTS: u8 = 0;
 /// The same of those under which workers were lost together.
 const NONE_TOGETHER: u8 = 0;
+/// The same of the places of long-running tasks.
+const NO_PLACES: u8 = 0;
 
 /// One job as every box knows it.
 #[derive(Debug, Clone, Default)]
--- a/crates/sedgehill-cell/src/scheduler/accounts.rs
+++ b/crates/sedgehill-cell/src/scheduler/accounts.rs
@@ -133,6 +133,7 @@
             }
             return;
         }
+        let place = (self.workers[key.0].entry.life.clone(), self.token);
         let Some(work) = self.jobs.get_mut(&job) else {
             return self.adopt_foreign(key, row, now);
         };
@@ -141,12 +142,14 @@
         };
         let step = work.step_index(&row.task.step).expect("a task that exists has a step");
         let need = work.step_spec(step).need;
+        let long_running = work.step_spec(step).long_running;
         let over = work.is_over();
         let task: &mut TaskWork = &mut work.tasks[index];
         task.kept.run = task.kept.run.max(row.run);
         let wanted = !over && !task.kept.done && matches!(task.phase, TaskPhase::Waiting(_));
         if wanted {
             task.phase = TaskPhase::Placed(key, row.run);
+            task.place = long_running.then_some(place);
         }
         self.adopt(key, row, Some(need), now);
         match wanted {
--- a/crates/sedgehill-cell/src/scheduler/held.rs
+++ b/crates/sedgehill-cell/src/scheduler/held.rs
@@ -3,7 +3,8 @@
 //! A crash is counted by the lead that knows what ran on the worker. If that lead is lost with the worker, the next
 //! one finds a task that runs nowhere, and would start it as if nothing had happened. So where a task was started is
 //! recorded before each start that could be one crash too many: of a task under which a worker was lost already, and
-//! after a change of leads in which a worker was lost. It costs such a start the time of one append.
+//! after a change of leads in which a worker was lost. It costs such a start the time of one append. So are the starts of
+//! long-running tasks, which have to run again soon though the lead was lost as well.
 
 use sedgehill_core::units::Moment;
 
@@ -34,12 +35,15 @@
 
     /// Has a start recorded.
     pub(super) fn hold_start(&mut self, start: StartPlan, now: Moment) {
-        let StartPlan { worker, task, run, checkpoint, alone } = start;
-        let entry = &self.workers[worker.0].entry;
-        let (life, address) = (entry.life.clone(), entry.address);
-        let open = OpenRun { run, life, address, alone, seen: false };
-        self.open_run(&task, open, now);
-        self.note_suspect_start(&task, run);
+        let StartPlan { worker, task, run, checkpoint, alone, record } = start;
+        if record == StartRecord::Suspect {
+            let entry = &self.workers[worker.0].entry;
+            let (life, address) = (entry.life.clone(), entry.address);
+            let open = OpenRun { run, life, address, alone, seen: false };
+            self.open_run(&task, open, now);
+            self.note_suspect_start(&task, run);
+        }
+        self.dirty.insert(task.step.job);
         let batch = self.next_batch;
         self.held.push(HeldStart { batch, worker, task, run, checkpoint });
     }
@@ -108,4 +112,16 @@
     pub(super) run: RunNumber,
     pub(super) checkpoint: String,
     pub(super) alone: bool,
+    pub(super) record: StartRecord,
+}
+
+/// What of a start is recorded before it is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StartRecord {
+    /// Nothing.
+    None,
+    /// Where it goes, so that a later lead need not hear from any other worker before the next start.
+    Place,
+    /// That, and that a worker may be lost under it.
+    Suspect,
 }
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -94,6 +94,8 @@
 pub struct Scheduler {
     timing: CellTiming,
     token: FencingToken,
+    /// The lead before this one; none if that is not known.
+    follows: Option<FencingToken>,
     workers: Vec<WorkerState>,
     /// All lives that were ever known.
     lives: HashMap<WorkerLife, WorkerKey>,
@@ -153,6 +155,7 @@
     ) -> Scheduler {
         Scheduler {
             token,
+            follows: None,
             workers: Vec::new(),
             lives: HashMap::new(),
             ids: HashMap::new(),
@@ -197,6 +200,11 @@
         }
     }
 
+    /// Tells which lead was the last one before this.
+    pub fn note_follows(&mut self, token: FencingToken) {
+        self.follows = Some(token);
+    }
+
     /// Tells the time of day, in milliseconds since 1970. Jobs with times need it; it may jump.
     pub fn set_wall_clock(&mut self, unix_ms: u64, now: Moment) {
         self.wall_clock = (unix_ms, now);
@@ -367,6 +375,7 @@
         self.expire_leases(now);
         self.repeat_stops(now);
         self.find_stragglers(now);
+        self.find_settled_restarts();
         self.settle_take_over(now);
         self.expire_open_runs(now);
         self.release_held(now);
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -1,6 +1,6 @@
 //! Which waiting steps get room and advice.
 
-use super::held::StartPlan;
+use super::held::{StartPlan, StartRecord};
 use super::isolation::{split_alone, stage_of};
 use super::rank::{JobRank, StepRank, rank_job};
 use super::room::{Candidate, OpenWorkers};
@@ -68,7 +68,11 @@
                 }
                 let waiting = self.waiting_parts(job, step, now);
                 for candidate in waiting.candidates(job.id, step) {
-                    if let Some(reason) = bar {
+                    // Of the long-running tasks that stand for themselves it is known where they may run.
+                    let known = candidate.restarts && !job.step_spec(step).gang;
+                    if let Some(reason) = bar
+                        && !(known && reason == StallReason::EarlierLead)
+                    {
                         barred.push((reason, candidate));
                         continue;
                     }
@@ -266,13 +270,17 @@
         let gang_checkpoint =
             saved.filter(|text| !text.is_empty()).max().cloned().unwrap_or_default();
         let Some(job) = self.jobs.get(&candidate.job) else { return };
-        let is_ahead = |index: u16| self.is_recorded_ahead(job, first + usize::from(index));
-        let gang_ahead = spec.gang && assignment.iter().any(|(index, _)| is_ahead(*index));
-        let starts: Vec<(u16, WorkerKey, bool)> = assignment
-            .into_iter()
-            .map(|(index, key)| (index, key, gang_ahead || is_ahead(index)))
-            .collect();
-        for (index, key, ahead) in starts {
+        let is_suspect = |index: u16| self.is_recorded_ahead(job, first + usize::from(index));
+        let gang_suspect = spec.gang && assignment.iter().any(|(index, _)| is_suspect(*index));
+        let record = |index: u16| match gang_suspect || is_suspect(index) {
+            true => StartRecord::Suspect,
+            false if spec.long_running => StartRecord::Place,
+            false => StartRecord::None,
+        };
+        let starts: Vec<(u16, WorkerKey, StartRecord)> =
+            assignment.into_iter().map(|(index, key)| (index, key, record(index))).collect();
+        for (index, key, record) in starts {
+            let place = (self.workers[key.0].entry.life.clone(), self.token);
             let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
             let task = CellTask { step: step_id, index };
             let work = &mut job.tasks[first + usize::from(index)];
@@ -281,18 +289,20 @@
             let run = if spec.gang { gang_run } else { work.kept.run.next() };
             work.kept.run = run;
             work.phase = TaskPhase::Placed(key, run);
+            work.place = spec.long_running.then_some(place);
             let checkpoint = match spec.gang {
                 true => gang_checkpoint.clone(),
                 false => work.kept.checkpoint.clone(),
             };
             let alone = stage_of(job, candidate.step, index) == SuspectStage::Alone;
-            let start = StartPlan { worker: key, task, run, checkpoint, alone };
-            self.order_start(start, spec.need, ahead, now);
+            let start = StartPlan { worker: key, task, run, checkpoint, alone, record };
+            self.order_start(start, spec.need, now);
         }
     }
 
     /// Puts a run on a worker, and orders its start at once or when it is recorded.
-    fn order_start(&mut self, start: StartPlan, need: ResourceSet, ahead: bool, now: Moment) {
+    fn order_start(&mut self, start: StartPlan, need: ResourceSet, now: Moment) {
+        let ahead = start.record != StartRecord::None;
         let (key, task, run) = (start.worker, start.task, start.run);
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
--- a/crates/sedgehill-cell/src/scheduler/restart.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -182,6 +182,37 @@
         }
     }
 
+    /// Before all that earlier leads did is settled: finds long-running tasks that lost their run, since the only worker that may have
+    /// had it was heard or has ended. One worker that is gone for good would hold up all of them otherwise.
+    pub(super) fn find_settled_restarts(&mut self) {
+        if self.take_over.settled || self.surveyed.is_none() {
+            return;
+        }
+        let since = self.take_over.since;
+        let jobs = self.jobs.values().filter(|job| job.foreign_orders && job.lasts());
+        let lost = |(_, task): &(CellTask, &work::TaskWork)| {
+            task.started_earlier && task.waits() && self.is_place_settled(task)
+        };
+        let lost: Vec<CellTask> =
+            jobs.flat_map(|job| job.all_tasks().filter(lost)).map(|(task, _)| task).collect();
+        for task in lost {
+            self.note_run_over(&task, RestartCause::EarlierLead, since);
+        }
+    }
+
+    /// Whether the only worker that may have a run of a task was heard by this lead, so that it refuses orders of earlier
+    /// ones and what it runs is known, or has ended.
+    fn is_place_settled(&self, task: &work::TaskWork) -> bool {
+        let Some((life, by)) = &task.place else { return false };
+        let worker = self.lives.get(life).map(|key| &self.workers[key.0]);
+        Some(*by) == self.follows && worker.is_some_and(|one| one.dead || one.accounted.is_some())
+    }
+
+    /// Whether a task may be started, as far as it may run by the orders of an earlier lead.
+    fn is_settled_task(&self, job: &JobWork, task: &work::TaskWork) -> bool {
+        self.take_over.settled || !job.foreign_orders || self.is_place_settled(task)
+    }
+
     /// What earlier leads did is settled: long-running tasks that one of them started, and that no worker has, lost their
     /// run before or during the change of leads.
     pub(super) fn note_lost_restarts(&mut self, id: JobId) {
@@ -253,6 +284,7 @@
         let mut parts = WaitingParts { restart_due: expected, others: false };
         for (index, _) in tasks.iter().enumerate().filter(|(_, task)| ready(task)) {
             match self.restarts.get(&CellTask { step: id, index: index as u16 }) {
+                Some(_) if !self.is_settled_task(job, &tasks[index]) => parts.others = true,
                 Some(due) => {
                     let since = parts.restart_due.unwrap_or(due.since);
                     parts.restart_due = Some(since.min(due.since));
@@ -272,7 +304,11 @@
         let spec = job.step_spec(candidate.step);
         let mut waiting = waiting_tasks(job, candidate.step, now);
         if spec.long_running && !spec.gang {
-            let is_due = |index: u16| self.restarts.get(&CellTask { step, index }).is_some();
+            let tasks = job.step_tasks(candidate.step);
+            let is_due = |index: u16| {
+                let due = self.restarts.get(&CellTask { step, index }).is_some();
+                due && self.is_settled_task(job, &tasks[usize::from(index)])
+            };
             waiting.retain(|index| is_due(*index) == candidate.restarts);
         }
         waiting
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -8,9 +8,9 @@
 use super::message::WorkerKey;
 use super::organisations::OrganisationKey;
 use super::stall::StepStall;
-use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId};
+use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId, WorkerLife};
 use crate::job::{JobRecord, RepeatSpec, StepSpec};
-use crate::progress::{JobProgress, JobState, TaskProgress};
+use crate::progress::{JobProgress, JobState, TaskPlace, TaskProgress};
 use crate::suspicion::{SuspectStage, TaskSuspicion};
 
 /// Runs of a task that one lead may order without recording any of them. Each lead counts from its
@@ -42,6 +42,8 @@
     pub counted_start: Option<RunNumber>,
     /// A start of it was recorded by an earlier lead.
     pub started_earlier: bool,
+    /// The only worker that may have a run of it, with the lead that knows so; none if that is not known.
+    pub place: Option<(WorkerLife, FencingToken)>,
 }
 
 impl TaskWork {
@@ -135,8 +137,14 @@
                 failed_at: None,
                 suspicion: TaskSuspicion::default(),
                 counted_start: None,
+                place: None,
             })
             .collect();
+        for place in &kept.places {
+            if let Some(task) = tasks.get_mut(place.task as usize) {
+                task.place = Some((place.life.clone(), place.by));
+            }
+        }
         for (place, suspicion) in &kept.suspects {
             if let Some(task) = tasks.get_mut(*place as usize) {
                 task.suspicion = suspicion.clone();
@@ -289,9 +297,20 @@
             organisation: self.owner_once_over(),
             suspects: self.suspects(),
             together: self.lost_together(),
+            places: self.places(),
         }
     }
 
+    /// Where its tasks run, or ran last, as far as that is kept; nothing once the job is over.
+    fn places(&self) -> Vec<TaskPlace> {
+        let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
+        let place = |(number, task): (usize, &TaskWork)| {
+            let (life, by) = task.place.clone()?;
+            Some(TaskPlace { task: number as u32, life, by })
+        };
+        tasks.filter_map(place).collect()
+    }
+
     /// Whether workers were lost under one of its tasks, or may have been.
     pub fn has_suspects(&self) -> bool {
         self.tasks.iter().any(|task| !task.suspicion.is_clear())
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -218,9 +218,11 @@
 
     /// A new lead that has read the store.
     pub fn lead(&mut self, predecessor: bool) -> Scheduler {
-        self.token = self.token.next_lead();
+        let earlier = self.token;
+        self.token = earlier.next_lead();
         let mut scheduler =
             Scheduler::take_over(CellTiming::default(), self.token, predecessor, self.now);
+        scheduler.note_follows(earlier);
         scheduler.add_helper(OWN_BOX);
         scheduler.set_organisations(&self.organisations, self.now);
         for (id, (record, progress)) in &self.store {
--- a/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use sedgehill_cell::authority::LeadWatch;
-use sedgehill_cell::ids::{FencingToken, JobId};
+use sedgehill_cell::ids::{FencingToken, JobId, TOKENS_PER_LEAD};
 use sedgehill_cell::job::JobRecord;
 use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::{
@@ -69,9 +69,11 @@
 
 impl Session {
     pub fn new(token: FencingToken, predecessor: bool, renew_at: Moment, now: Moment) -> Session {
+        let mut scheduler = Scheduler::take_over(CellTiming::default(), token, predecessor, now);
+        scheduler.note_follows(FencingToken(token.0.saturating_sub(TOKENS_PER_LEAD)));
         Session {
             token,
-            scheduler: Scheduler::take_over(CellTiming::default(), token, predecessor, now),
+            scheduler,
             stage: Stage::Fencing,
             renew_at,
             renewing: false,
--- a/crates/sedgehill-cell/tests/testsuite/restarts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/restarts.rs
@@ -523,3 +523,47 @@
         assert_eq!(first, goes_first, "beside priority {priority}");
     }
 }
+
+/// The lead was killed half a second after a third of the workers had crashed, one of which was gone for good. The next lead
+/// waited for that one by time, and no task of an earlier job was started meanwhile:
+/// `"msg":"take-over settled","by":"time","after_ms":13023,"heard":36,"ended":12,"unheard":1,"jobs":68`. Long-running tasks of
+/// workers that were known to have ended had no run for 14 s.
+#[test]
+fn a_worker_that_is_gone_for_good_does_not_hold_up_tasks_of_others_after_a_change_of_leads() {
+    let mut cell = FakeCell::new(4, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, LONG_RUNNING, job(vec![long_running(2, 4)]));
+    cell.turns(&mut lead, 30);
+    let places = [0, 1].map(|index| cell.place(task(LONG_RUNNING, 0, index)).unwrap());
+    // One worker starts again with nothing, the other is gone.
+    cell.begin_anew(places[0]);
+    cell.workers[places[1]].cut = true;
+    let mut next = cell.lead(true);
+    next.note_fenced(cell.now);
+    cell.turns(&mut next, 30);
+    assert!(!next.is_settled());
+    assert!(cell.place(task(LONG_RUNNING, 0, 0)).is_some_and(|number| number != places[1]));
+    assert_eq!(cell.place(task(LONG_RUNNING, 0, 1)), Some(places[1]), "it may run there");
+}
+
+#[test]
+fn a_task_is_waited_for_if_a_lead_between_may_have_started_it_elsewhere() {
+    let mut cell = FakeCell::new(4, 4);
+    let mut lead = cell.lead(false);
+    cell.submit_led(&mut lead, LONG_RUNNING, job(vec![long_running(2, 4)]));
+    cell.turns(&mut lead, 30);
+    let places = [0, 1].map(|index| cell.place(task(LONG_RUNNING, 0, index)).unwrap());
+    cell.begin_anew(places[0]);
+    cell.workers[places[1]].cut = true;
+    // Another lead has claimed, and recorded nothing.
+    drop(cell.lead(true));
+    let mut next = cell.lead(true);
+    next.note_fenced(cell.now);
+    let starts = cell.starts.len();
+    cell.turns(&mut next, 300);
+    assert!(!next.is_settled());
+    assert_eq!(cell.starts.len(), starts);
+    cell.turns(&mut next, 200);
+    assert!(next.is_settled());
+    assert!(cell.place(task(LONG_RUNNING, 0, 0)).is_some());
+}
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -259,7 +259,10 @@
     info!(host.log, "leading"; "token" => %token, "predecessor" => predecessor);
     host.set_asking(false);
     let began = clock::now();
-    let scheduler = Scheduler::take_over(host.settings.cell.clone(), token, predecessor, began);
+    let mut scheduler = Scheduler::take_over(host.settings.cell.clone(), token, predecessor, began);
+    if let Some(earlier) = followed.token() {
+        scheduler.note_follows(earlier);
+    }
     let session = Rc::new(LeadSession {
         token,
         scheduler: RefCell::new(scheduler),
--- a/crates/sedgehilld/src/cell/sight.rs
+++ b/crates/sedgehilld/src/cell/sight.rs
@@ -104,6 +104,11 @@
         FollowedLead { record, sign, reason, at, gaps: gaps(host) }
     }
 
+    /// The token of the lead that is followed; none if there was none.
+    pub fn token(&self) -> Option<FencingToken> {
+        self.record.as_ref().map(|record| record.token)
+    }
+
     /// Counts the claim.
     pub fn count(&self) {
         telemetry::count_lead("begun", self.reason.name());
