--- a/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/course.rs
@@ -231,7 +231,8 @@
             if let Some(after) = crashes {
                 world.crash_next(TimeSpan(after));
             }
-            let spec = StepSpec { gang, ..step(count, need) };
+            let long_running = world.long_running && !gang;
+            let spec = StepSpec { gang, long_running, ..step(count, need) };
             world.submit(world.host(host), job(vec![spec]));
         }
         Event::End { pick, end } => world.end_some(pick, end),
--- a/crates/sedgehill-cell/tests/testsuite/overlap/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/mod.rs
@@ -81,6 +81,8 @@
     capacity: ResourceSet,
     /// Workers that a task crashes start again under their ids.
     keeps_ids: bool,
+    /// Single tasks run until they fail.
+    pub long_running: bool,
 }
 
 impl World {
@@ -111,6 +113,7 @@
             disturbed: vec![Moment(0); hosts],
             capacity: worker_entry(0, capacity).capacity,
             keeps_ids: false,
+            long_running: false,
         };
         for number in 0..hosts {
             let host = world.new_life(number);
@@ -275,6 +278,7 @@
     fn end(&mut self, place: usize, task: CellTask, end: RunEnd) {
         let spec = &self.jobs[&task.step.job].spec.steps[usize::from(task.step.step)];
         let (gang, count) = (spec.gang, usize::from(spec.count));
+        let end = if spec.long_running { RunEnd::Failed } else { end };
         let run = self.workers[place].runs[&task].run;
         let mut members = self.all_runs();
         members.retain(|(at, member)| match gang {
--- a/crates/sedgehill-cell/tests/testsuite/overlapping.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlapping.rs
@@ -318,6 +318,26 @@
     }
 }
 
+proptest! {
+    #![proptest_config(cases(60))]
+
+    /// Single tasks run until they fail: where they run is recorded ahead, and a next lead goes by that.
+    #[test]
+    fn no_course_of_overlapping_leads_with_long_running_tasks_breaks_a_rule(
+        slow in prop::collection::vec(any::<bool>(), WORKERS),
+        keeps_ids in any::<bool>(),
+        events in course(),
+    ) {
+        let mut world = begin(&slow, keeps_ids);
+        world.long_running = true;
+        for event in events {
+            take(&mut world, event);
+        }
+        world.heal();
+        world.settle(TimeSpan(20_000));
+    }
+}
+
 #[test]
 fn without_faults_jobs_run_and_the_lead_stays() {
     let mut world = begin(&[false; WORKERS], false);
