--- a/crates/sedgehill-cell/tests/testsuite/restart_courses.rs
+++ b/crates/sedgehill-cell/tests/testsuite/restart_courses.rs
@@ -74,7 +74,7 @@
 }
 
 proptest! {
-    #![proptest_config(cases(48))]
+    #![proptest_config(cases(24))]
 
     #[test]
     fn every_long_running_task_runs_again_once_all_is_well(
