--- a/crates/sedgehill-standin/tests/testsuite/soak.rs
+++ b/crates/sedgehill-standin/tests/testsuite/soak.rs
@@ -58,6 +58,38 @@
     assert!(report.broken.is_empty(), "{report:?}");
 }
 
+/// A lead is lost while many steps wait for advice: of six boxes two answer short questions alone and one is silent, and
+/// gangs stall for 3.1 to 5.0 s in calm: `"msg":"step stalled","reason":"no_helper"`.
+#[tokio::test(flavor = "multi_thread")]
+async fn wide_gangs_find_a_box_to_ask_after_a_lost_lead_seed_205() {
+    let directory = tempfile::tempdir().unwrap();
+    let size = SoakSize { boxes: 6, workers: 48, world: SoakWorld::Wide, faults: true };
+    let report = run_soak(205, 10, size, directory.path()).await.unwrap();
+    assert!(report.accepted > 100, "{report:?}");
+    assert!(report.broken.is_empty(), "{report:?}");
+}
+
+async fn assert_innocent_jobs_kept(seed: u64) {
+    let directory = tempfile::tempdir().unwrap();
+    let size = SoakSize { boxes: 6, workers: 24, ..SoakSize::default() };
+    let report = run_soak(seed, 6, size, directory.path()).await.unwrap();
+    assert!(report.accepted > 20, "{report:?}");
+    assert!(report.broken.is_empty(), "seed {seed}: {report:?}");
+}
+
+/// Starts that went unanswered while their workers ended count against their task, and its job is shown as failed:
+/// "was accepted and is failed".
+#[tokio::test(flavor = "multi_thread")]
+async fn unanswered_starts_give_up_no_innocent_job_seed_505() {
+    assert_innocent_jobs_kept(505).await;
+}
+
+/// The same with other moments.
+#[tokio::test(flavor = "multi_thread")]
+async fn unanswered_starts_give_up_no_innocent_job_seed_426() {
+    assert_innocent_jobs_kept(426).await;
+}
+
 #[test]
 fn a_seed_gives_the_same_faults_each_time() {
     let size = SoakSize::default();
