requests: a refusal speaks for other boxes only by a view as new as the request

Callers saw: a once-only request that had run at one box was answered "not-run", "no-such-service" by another, so a caller could make a new key and run it twice. Cause: what a box lacks was refused by what it had read so far, and a refusal before the claim of a key said nothing of other boxes. Evidence (the request line now tells the age of the view): box-2 view_age_ms 197, applied 4, answered after 1.3 ms, while box-1 had applied 11. Ruled out: a wait for a fresh view that ran out (the answer came at once). Change: such a refusal waits for a read of the log begun after the request arrived; a request with a key is looked up among the claims, and at the other boxes while the log is away. "Not run" is said only if no box may have run it.

--- a/crates/sedgehill-peer/src/message.rs
+++ b/crates/sedgehill-peer/src/message.rs
@@ -1,5 +1,6 @@
 //! What boxes say to each other.
 
+use sedgehill_core::ids::{IdempotencyKey, OrgName};
 use sedgehill_core::member::BoxHeartbeat;
 use serde::{Deserialize, Serialize};
 
@@ -12,6 +13,26 @@
     SnapshotRequest,
     /// The state of the cluster as JSON, as in a snapshot record; none if the box has none.
     SnapshotReply(Option<Vec<u8>>),
+    /// Asks whether a key is claimed.
+    ClaimRequest {
+        /// The organisation of the caller.
+        organisation: OrgName,
+        /// The key.
+        key: IdempotencyKey,
+    },
+    /// What the box knows of a key.
+    ClaimReply(ClaimSight),
+}
+
+/// What is known of a key of a once-only request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimSight {
+    /// It is claimed, or a claim is on its way: its request may have run.
+    Claimed,
+    /// No request ran under it.
+    Free,
+    /// This cannot be told.
+    Untold,
 }
 
 impl PeerMessage {
--- a/crates/sedgehill-standin/tests/testsuite/once_only.rs
+++ b/crates/sedgehill-standin/tests/testsuite/once_only.rs
@@ -131,3 +131,51 @@
     assert_ne!(report.outcome, ToldOutcome::NotRun, "{report:?}");
     cluster.assert_no_violation();
 }
+
+/// The log is down, and box 2 was paused when box 1 claimed the key, so that it cannot have read the claim. It said
+/// `"reason":"log-unavailable","outcome":"not-run"` of a request that had run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn while_the_log_is_down_a_box_that_missed_a_claim_asks_the_others() {
+    let cluster = start_published(&small_plan()).await;
+    let plan = run_beside_a_paused_box(&cluster).await;
+    let report = cluster.caller().call(cluster.boxes[1].addresses.traffic, &plan, false).await;
+    assert_eq!((report.outcome, report.reason.as_str()), (ToldOutcome::Unknown, "key-claimed"));
+    cluster.assert_no_violation();
+}
+
+/// The log is down and the other boxes are gone: one of them may have claimed the key, and nobody is left who knows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn while_the_log_is_down_a_key_that_a_lost_box_may_have_claimed_is_unknown() {
+    let mut cluster = start_published(&small_plan()).await;
+    let plan = CallPlan::once_only(OFFER, Duration::from_millis(5));
+    cluster.log.set_faults(LogFaults { down: true, ..LogFaults::default() });
+    cluster.boxes[0].kill();
+    cluster.boxes[2].kill();
+    let report = cluster.caller().call(cluster.boxes[1].addresses.traffic, &plan, false).await;
+    assert_eq!((report.outcome, report.reason.as_str()), (ToldOutcome::Unknown, "key-unread"));
+    cluster.assert_no_violation();
+}
+
+/// Runs a request at the first box while the second is paused, takes the log down, and wakes the second.
+async fn run_beside_a_paused_box(cluster: &TestCluster) -> CallPlan {
+    cluster.boxes[1].signal(Signal::SIGSTOP);
+    let plan = CallPlan::once_only(OFFER, Duration::from_millis(5));
+    let report = cluster.caller().call(cluster.boxes[0].addresses.traffic, &plan, false).await;
+    assert_eq!(report.outcome, ToldOutcome::Answered, "{report:?}");
+    cluster.log.set_faults(LogFaults { down: true, ..LogFaults::default() });
+    cluster.boxes[1].signal(Signal::SIGCONT);
+    plan
+}
+
+/// A refusal that needs no key speaks for its own attempt alone: the request under this key has run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_for_other_reasons_does_not_say_that_a_key_has_not_run() {
+    let cluster = start_published(&small_plan()).await;
+    let plan = CallPlan::once_only(OFFER, Duration::from_millis(5));
+    let report = cluster.caller().call(cluster.boxes[0].addresses.traffic, &plan, true).await;
+    assert_eq!(report.outcome, ToldOutcome::Answered, "{report:?}");
+    let elsewhere = CallPlan { path: "inkaso/windyk/no-such-kind".to_owned(), ..plan.clone() };
+    let report = cluster.caller().call(cluster.boxes[1].addresses.traffic, &elsewhere, false).await;
+    assert_eq!((report.outcome, report.reason.as_str()), (ToldOutcome::Unknown, "key-claimed"));
+    assert_eq!(cluster.ledger.request_runs(&plan.token), 1);
+}
--- a/crates/sedgehilld/src/controllers/log_reader.rs
+++ b/crates/sedgehilld/src/controllers/log_reader.rs
@@ -38,7 +38,7 @@
         match result {
             Ok(reply) => {
                 let idle = reply.entries.is_empty() && !has_state;
-                take_reply(&context, reply);
+                take_reply(&context, reply, began);
                 if idle && context.state.borrow().cluster().is_none() {
                     // The log has forgotten its beginning and shows no snapshot yet.
                     ask_peers(&context).await;
@@ -57,7 +57,7 @@
     }
 }
 
-fn take_reply(context: &ControlContext, reply: ReadReply) {
+pub fn take_reply(context: &ControlContext, reply: ReadReply, began: Moment) {
     let now = clock::now();
     let changed = !reply.entries.is_empty();
     {
@@ -69,6 +69,9 @@
         for entry in reply.entries {
             fold_entry(&mut state, entry, now);
         }
+        if state.cluster().is_some_and(|cluster| cluster.next >= reply.next) {
+            state.log_proven = state.log_proven.max(began);
+        }
         consider_snapshot(&mut state);
     }
     if changed {
--- a/crates/sedgehilld/src/controllers/log_writer.rs
+++ b/crates/sedgehilld/src/controllers/log_writer.rs
@@ -109,9 +109,12 @@
 
     /// Whether a snapshot is on its way.
     pub fn has_snapshot(&self) -> bool {
-        let is_snapshot =
-            |pending: &PendingRecord| matches!(pending.record.body, RecordBody::Snapshot { .. });
-        self.pending.values().any(is_snapshot)
+        self.has_pending(|body| matches!(body, RecordBody::Snapshot { .. }))
+    }
+
+    /// Whether a record on its way fits a check.
+    pub fn has_pending(&self, check: impl Fn(&RecordBody) -> bool) -> bool {
+        self.pending.values().any(|pending| check(&pending.record.body))
     }
 
     /// Records on their way.
--- a/crates/sedgehilld/src/controllers/members.rs
+++ b/crates/sedgehilld/src/controllers/members.rs
@@ -11,7 +11,7 @@
 use sedgehill_platform::list::ListClient;
 use tokio::sync::mpsc;
 
-use super::{ControlContext, ControlState, publish};
+use super::{ControlContext, ControlState, proof, publish};
 use crate::clock;
 use crate::shared::PAUSE_LIMIT;
 
@@ -89,7 +89,7 @@
     leaving.map(|endpoint| endpoint.id.clone())
 }
 
-fn peer_addresses(state: &ControlState) -> Vec<(BoxId, SocketAddr)> {
+pub fn peer_addresses(state: &ControlState) -> Vec<(BoxId, SocketAddr)> {
     state
         .list
         .boxes
@@ -140,7 +140,14 @@
                     let _ = reply.send(PeerMessage::SnapshotReply(bytes));
                 }
             }
-            PeerMessage::SnapshotReply(_) => {}
+            PeerMessage::ClaimRequest { organisation, key } => {
+                let sight = proof::own_sight(&context.state.borrow(), &organisation, key);
+                if let Some(reply) = request.reply {
+                    // The box that asked may have gone.
+                    let _ = reply.send(PeerMessage::ClaimReply(sight));
+                }
+            }
+            PeerMessage::SnapshotReply(_) | PeerMessage::ClaimReply(_) => {}
         }
     }
 }
--- a/crates/sedgehilld/src/controllers/mod.rs
+++ b/crates/sedgehilld/src/controllers/mod.rs
@@ -7,6 +7,7 @@
 mod members;
 mod operators;
 mod placement;
+mod proof;
 mod publish;
 mod reports;
 mod shutdown;
@@ -22,7 +23,7 @@
 use sedgehill_core::place::HallPlacer;
 use sedgehill_core::state::{ClusterState, LogFold, VoidReason};
 use sedgehill_core::units::{Moment, TimeSpan};
-use sedgehill_peer::{PeerLink, PeerRequest};
+use sedgehill_peer::{ClaimSight, PeerLink, PeerRequest};
 use sedgehill_platform::admin::{ChangeReply, ChangeRequest, DecisionRecord};
 use sedgehill_platform::caller::JsonCaller;
 use sedgehill_platform::list::PlatformList;
@@ -53,6 +54,24 @@
         /// Where the answer goes.
         reply: oneshot::Sender<ClaimReply>,
     },
+    /// Bring the view up to date with all that was in the log at a moment.
+    ProveView {
+        /// The moment.
+        since: Moment,
+        /// Where the answer goes: whether it worked.
+        reply: oneshot::Sender<bool>,
+    },
+    /// Find out whether a key is claimed.
+    FindClaim {
+        /// The organisation of the caller.
+        organisation: OrgName,
+        /// The key.
+        key: IdempotencyKey,
+        /// When its request came.
+        since: Moment,
+        /// Where the answer goes.
+        reply: oneshot::Sender<ClaimSight>,
+    },
     /// Give a claim back.
     ReleaseKey {
         /// The organisation of the caller.
@@ -111,6 +130,28 @@
         replied.await.unwrap_or(ClaimReply::NotRecorded)
     }
 
+    /// Brings the view up to date with all that was in the log at `since`. Returns whether that worked in time.
+    pub async fn prove_view(&self, since: Moment) -> bool {
+        let (reply, replied) = oneshot::channel();
+        let sent = self.sender.try_send(ControlRequest::ProveView { since, reply });
+        sent.is_ok() && replied.await.unwrap_or(false)
+    }
+
+    /// Finds out whether the key of a request that came at `since` is claimed.
+    pub async fn find_claim(
+        &self,
+        organisation: OrgName,
+        key: IdempotencyKey,
+        since: Moment,
+    ) -> ClaimSight {
+        let (reply, replied) = oneshot::channel();
+        let request = ControlRequest::FindClaim { organisation, key, since, reply };
+        match self.sender.try_send(request) {
+            Ok(()) => replied.await.unwrap_or(ClaimSight::Untold),
+            Err(_) => ClaimSight::Untold,
+        }
+    }
+
     /// Gives a claim back. If the control thread is too busy the claim stays, which is safe.
     pub fn release_key(&self, organisation: OrgName, key: IdempotencyKey, claim: RecordId) {
         let _ = self.sender.try_send(ControlRequest::ReleaseKey { organisation, key, claim });
@@ -154,6 +195,9 @@
     list_read: bool,
     /// When the last look at the log that has ended was begun.
     log_looked: Moment,
+    /// When the last read was begun that reached the end of the log.
+    log_proven: Moment,
+    proofs: proof::ProofQueue,
     /// When the last look at the list that has ended was begun.
     list_looked: Moment,
     last_published: Moment,
@@ -182,6 +226,8 @@
             list: PlatformList::default(),
             list_read: false,
             log_looked: Moment(0),
+            log_proven: Moment(0),
+            proofs: proof::ProofQueue::default(),
             list_looked: Moment(0),
             last_published: now,
             woke: None,
@@ -233,6 +279,8 @@
     write_wanted: Rc<Notify>,
     /// Wakes the placement controller.
     place_wanted: Rc<Notify>,
+    /// Wakes the reader that proves that the state is new.
+    proof_wanted: Rc<Notify>,
     /// Bounds the orders under way to workers: each needs memory for its connection.
     orders: Rc<Semaphore>,
 }
@@ -251,9 +299,11 @@
         caller: JsonCaller::new(),
         write_wanted: Rc::default(),
         place_wanted: Rc::default(),
+        proof_wanted: Rc::default(),
         orders: Rc::new(Semaphore::new(ORDERS_AT_ONCE)),
     };
     tokio::task::spawn_local(log_reader::run(context.clone()));
+    tokio::task::spawn_local(proof::run(context.clone()));
     tokio::task::spawn_local(log_writer::run(context.clone()));
     tokio::task::spawn_local(members::read_list(context.clone()));
     tokio::task::spawn_local(members::send_heartbeats(context.clone()));
--- a/crates/sedgehilld/src/controllers/operators.rs
+++ b/crates/sedgehilld/src/controllers/operators.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::log_writer::LogWriter;
-use super::{ClaimReply, ControlContext, ControlRequest, ControlState};
+use super::{ClaimReply, ControlContext, ControlRequest, ControlState, proof};
 use crate::clock;
 
 /// How long a change is tried before its outcome is reported as unknown.
@@ -26,6 +26,21 @@
             ControlRequest::ClaimKey { organisation, key, deadline, reply } => {
                 start_claim(&context, organisation, key, deadline, reply);
             }
+            ControlRequest::ProveView { since, reply } => {
+                let context = context.clone();
+                tokio::task::spawn_local(async move {
+                    // Whoever asked may have gone.
+                    let _ = reply.send(proof::prove(&context, since).await);
+                });
+            }
+            ControlRequest::FindClaim { organisation, key, since, reply } => {
+                let context = context.clone();
+                tokio::task::spawn_local(async move {
+                    let sight = proof::find_claim(&context, &organisation, key, since).await;
+                    // Whoever asked may have gone.
+                    let _ = reply.send(sight);
+                });
+            }
             ControlRequest::ReleaseKey { organisation, key, claim } => {
                 release_key(&context, organisation, key, claim);
             }
--- a/crates/sedgehilld/src/controllers/publish.rs
+++ b/crates/sedgehilld/src/controllers/publish.rs
@@ -49,6 +49,7 @@
         if context.shared.view.load().applied != cluster.next {
             context.shared.view.store(Arc::new(TrafficView::of(cluster)));
         }
+        context.shared.set_proven(state.log_proven);
         let view = context.shared.view.load_full();
         context.shared.ensure_queues(view.services.keys());
         for (service, queue) in context.shared.queues().iter() {
--- a/crates/sedgehilld/src/filters/claim.rs
+++ b/crates/sedgehilld/src/filters/claim.rs
@@ -1,7 +1,9 @@
 //! Once-only requests: the right to run one is claimed in the log before it goes anywhere.
 
-use sedgehill_core::ids::RecordId;
+use sedgehill_core::ids::{IdempotencyKey, OrgName, RecordId};
 use sedgehill_core::state::VoidReason;
+use sedgehill_core::units::Moment;
+use sedgehill_peer::ClaimSight;
 
 use super::identify::RequestContext;
 use super::outcome::{NotRunReason, RequestOutcome, UnknownReason};
@@ -24,6 +26,24 @@
     }
 }
 
+/// What a refused caller is told whose request has a key. A box that refuses by itself knows of its own attempt alone;
+/// under the same key the request may have run at another.
+pub async fn check_refusal(
+    handle: &ControlHandle,
+    key: Option<(OrgName, IdempotencyKey)>,
+    arrived: Moment,
+    outcome: RequestOutcome,
+) -> RequestOutcome {
+    let (RequestOutcome::NotRun(_), Some((organisation, key))) = (&outcome, key) else {
+        return outcome;
+    };
+    match handle.find_claim(organisation, key, arrived).await {
+        ClaimSight::Free => outcome,
+        ClaimSight::Claimed => RequestOutcome::Unknown(UnknownReason::KeyClaimed),
+        ClaimSight::Untold => RequestOutcome::Unknown(UnknownReason::KeyUnread),
+    }
+}
+
 /// Gives the claim back if the request surely did not run, so that the caller may try again.
 pub fn settle(
     handle: &ControlHandle,
--- a/crates/sedgehilld/src/filters/identify.rs
+++ b/crates/sedgehilld/src/filters/identify.rs
@@ -7,14 +7,15 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Request};
-use sedgehill_core::ids::{IdempotencyKey, KindName, RequestId, TemplateName};
+use sedgehill_core::ids::{IdempotencyKey, KindName, OrgName, RequestId, TemplateName};
 use sedgehill_core::spec::{KindShape, OrgParameters};
 use sedgehill_core::units::{Moment, TimeSpan};
 use sedgehill_platform::admin::BoxHealth;
 
 use super::outcome::{NotRunReason, RequestOutcome};
 use crate::clock;
-use crate::shared::SharedState;
+use crate::controllers::ControlHandle;
+use crate::shared::{SharedState, TrafficView};
 
 /// The header that carries the key of a once-only request.
 pub const KEY_HEADER: &str = "idempotency-key";
@@ -51,13 +52,21 @@
     pub body: Bytes,
 }
 
-/// Reads a request and checks it against what is in force.
+/// The key of a request and whose it is, if it has a readable one.
+pub fn find_key(request: &Request<Incoming>) -> Option<(OrgName, IdempotencyKey)> {
+    let path = RequestPath::parse(request.uri().path())?;
+    let key = parse_header::<IdempotencyKey>(request.headers(), KEY_HEADER).ok()??;
+    Some((path.organisation, key))
+}
+
+/// Reads a request that arrived at `arrived` and checks it against what is in force.
 pub async fn identify(
     shared: &SharedState,
+    handle: &ControlHandle,
     id: RequestId,
+    arrived: Moment,
     request: Request<Incoming>,
 ) -> Result<RequestContext, RequestOutcome> {
-    let arrived = clock::now();
     wait_fresh(shared, arrived).await;
     if shared.health.load().health == BoxHealth::NotReady {
         return Err(RequestOutcome::NotRun(NotRunReason::NotReady));
@@ -65,14 +74,7 @@
     let (parts, body) = request.into_parts();
     let path =
         RequestPath::parse(parts.uri.path()).ok_or_else(|| not_run(NotRunReason::BadPath))?;
-    let view = shared.view.load_full();
-    let shape =
-        view.services.get(&path.service).ok_or_else(|| not_run(NotRunReason::NoSuchService))?;
-    let kind = shape.kinds.get(&path.kind).ok_or_else(|| not_run(NotRunReason::NoSuchService))?;
-    let parameters = view
-        .parameters
-        .get(&(path.organisation.clone(), path.service.clone()))
-        .ok_or_else(|| not_run(NotRunReason::NoParameters))?;
+    let (kind, parameters) = find_kind(shared, handle, &path, arrived).await?;
     let key = parse_header::<IdempotencyKey>(&parts.headers, KEY_HEADER)?;
     if kind.once_only && key.is_none() {
         return Err(not_run(NotRunReason::KeyMissing));
@@ -83,8 +85,8 @@
     Ok(RequestContext {
         id,
         service: path.service,
-        parameters: parameters.clone(),
-        kind: kind.clone(),
+        parameters,
+        kind,
         key,
         arrived,
         deadline: arrived.after(patience),
@@ -96,6 +98,24 @@
     })
 }
 
+/// Finds what a path asks for. What this box lacks may be in force all the same, so it is refused only by a view that
+/// is as new as the request.
+async fn find_kind(
+    shared: &SharedState,
+    handle: &ControlHandle,
+    path: &RequestPath,
+    arrived: Moment,
+) -> Result<(KindShape, Arc<OrgParameters>), RequestOutcome> {
+    if let Ok(found) = path.find(&shared.view.load_full()) {
+        return Ok(found);
+    }
+    if shared.proven_at() < arrived && !handle.prove_view(arrived).await {
+        return Err(not_run(NotRunReason::ViewUnproven));
+    }
+    wait_fresh(shared, arrived).await;
+    path.find(&shared.view.load_full()).map_err(not_run)
+}
+
 /// Holds a request that arrives at a box just woken from a pause, until its controllers have looked
 /// at what changed meanwhile.
 async fn wait_fresh(shared: &SharedState, arrived: Moment) {
@@ -111,7 +131,7 @@
 
 /// The parts of `/ORGANISATION/SERVICE/KIND[/REST]`.
 struct RequestPath {
-    organisation: sedgehill_core::ids::OrgName,
+    organisation: OrgName,
     service: TemplateName,
     kind: KindName,
     target: String,
@@ -126,6 +146,14 @@
         let kind = tail.split('/').next()?.parse().ok()?;
         Some(RequestPath { organisation, service, kind, target: format!("/{tail}") })
     }
+
+    fn find(&self, view: &TrafficView) -> Result<(KindShape, Arc<OrgParameters>), NotRunReason> {
+        let shape = view.services.get(&self.service).ok_or(NotRunReason::NoSuchService)?;
+        let kind = shape.kinds.get(&self.kind).ok_or(NotRunReason::NoSuchService)?;
+        let owner = (self.organisation.clone(), self.service.clone());
+        let parameters = view.parameters.get(&owner).ok_or(NotRunReason::NoParameters)?;
+        Ok((kind.clone(), parameters.clone()))
+    }
 }
 
 fn parse_header<T: std::str::FromStr>(
--- a/crates/sedgehilld/src/filters/mod.rs
+++ b/crates/sedgehilld/src/filters/mod.rs
@@ -17,8 +17,9 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response};
 use parking_lot::Mutex;
-use sedgehill_core::ids::RequestId;
+use sedgehill_core::ids::{RecordId, RequestId};
 use sedgehill_core::limit::RetryBudget;
+use sedgehill_core::units::Moment;
 use slog::info;
 use uuid::Uuid;
 
@@ -71,9 +72,14 @@
     request: Request<Incoming>,
     record: &mut RequestRecord,
 ) -> Result<RequestOutcome, RequestOutcome> {
-    let context = identify::identify(&chain.shared, id, request).await?;
-    limit::check(&chain.shared, &context)?;
-    let claim = claim::claim(&chain.handle, &context).await?;
+    let arrived = clock::now();
+    let key = identify::find_key(&request);
+    let (context, claim) = match admit(chain, id, arrived, request).await {
+        Ok(admitted) => admitted,
+        Err(outcome) => {
+            return Err(claim::check_refusal(&chain.handle, key, arrived, outcome).await);
+        }
+    };
     let outcome = run_attempts(chain, &context, record).await;
     if let Some(claim) = claim {
         claim::settle(&chain.handle, &context, claim, &outcome);
@@ -81,6 +87,19 @@
     Ok(outcome)
 }
 
+/// Everything before a request may go to an endpoint. Nothing of a refused one was claimed.
+async fn admit(
+    chain: &FilterChain,
+    id: RequestId,
+    arrived: Moment,
+    request: Request<Incoming>,
+) -> Result<(RequestContext, Option<RecordId>), RequestOutcome> {
+    let context = identify::identify(&chain.shared, &chain.handle, id, arrived, request).await?;
+    limit::check(&chain.shared, &context)?;
+    let claim = claim::claim(&chain.handle, &context).await?;
+    Ok((context, claim))
+}
+
 async fn run_attempts(
     chain: &FilterChain,
     context: &RequestContext,
@@ -133,6 +152,7 @@
             "outcome" => name,
             "reason" => reason,
             "applied" => applied.0,
+            "view_age_ms" => clock::now().since(chain.shared.proven_at()).0,
         );
     }
     chain.shared.remember(RequestTrace {
--- a/crates/sedgehilld/src/filters/outcome.rs
+++ b/crates/sedgehilld/src/filters/outcome.rs
@@ -85,6 +85,8 @@
         KeyOutsideWindow = "key-outside-window", 409;
         /// The claim could not be recorded, since the log does not answer.
         LogUnavailable = "log-unavailable", 503;
+        /// The box could not read what is in force now, and knows no such service or parameters.
+        ViewUnproven = "view-unproven", 503;
         /// The box does not take requests.
         NotReady = "not-ready", 503;
         /// The organisation sends more than its rate.
@@ -113,6 +115,8 @@
         TimedOut = "timed-out", 504;
         /// Another request with the same key was sent before, and its answer is not kept.
         KeyClaimed = "key-claimed", 409;
+        /// The request was not begun here, and whether it ran elsewhere under its key cannot be told.
+        KeyUnread = "key-unread", 504;
     }
 }
 
@@ -127,7 +131,9 @@
             | NotRunReason::QueueFull
             | NotRunReason::Deadline
             | NotRunReason::EndpointsRefused => Some(SOON),
-            NotRunReason::LogUnavailable | NotRunReason::NotReady => Some(LATER),
+            NotRunReason::LogUnavailable | NotRunReason::ViewUnproven | NotRunReason::NotReady => {
+                Some(LATER)
+            }
             _ => None,
         }
     }
--- a/crates/sedgehilld/src/shared.rs
+++ b/crates/sedgehilld/src/shared.rs
@@ -154,6 +154,8 @@
     in_flight: std::sync::atomic::AtomicUsize,
     /// When the controllers last found the view to be fresh.
     fresh_at: std::sync::atomic::AtomicU64,
+    /// When the read of the log was begun that the view is known to reach to the end of.
+    proven_at: std::sync::atomic::AtomicU64,
     stop: tokio::sync::watch::Sender<bool>,
 }
 
@@ -175,6 +177,7 @@
             traces: Mutex::default(),
             in_flight: std::sync::atomic::AtomicUsize::new(0),
             fresh_at: std::sync::atomic::AtomicU64::new(0),
+            proven_at: std::sync::atomic::AtomicU64::new(0),
             stop: tokio::sync::watch::Sender::new(false),
         }
     }
@@ -246,6 +249,16 @@
         now.since(fresh_at) <= PAUSE_LIMIT
     }
 
+    /// Notes that the view holds all that was in the log at `moment`.
+    pub fn set_proven(&self, moment: Moment) {
+        self.proven_at.fetch_max(moment.0, std::sync::atomic::Ordering::AcqRel);
+    }
+
+    /// The last moment of which the view is known to hold all that was in the log.
+    pub fn proven_at(&self) -> Moment {
+        Moment(self.proven_at.load(std::sync::atomic::Ordering::Acquire))
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(std::sync::atomic::Ordering::SeqCst)
