stops: a planned stop ends connections without cutting off a call, in one way for both modes

Callers saw: at a planned stop in cell mode the connection ended after the call was written, 6,389 of 2,743,380 calls without pauses, 340 of 39,499 with pauses of 1 to 64 ms, 1 of 538 with 1 to 3 s (cargo measure stops, three stops a row, 64 callers). Cause: idle connections were closed at a moment of the box's own, together; connections taken later were closed before their first call was read; closing the listener reset those in its queue. Ruled out: a longer notice (it only moves the moment). Change: connection.rs serves and ends connections in both modes; answers after the signal end their connection, idle ones end after 3.5 s with an answer in advance, sockets close after the caller or a second; sedgehill_net::listener has the machine ignore new connections before its queue runs empty. A line and a counter for each connection on which a call may have been under way.

--- /dev/null
+++ b/crates/sedgehill-net/src/lib.rs
@@ -0,0 +1,3 @@
+//! What boxes need of sockets beyond what the libraries do.
+
+pub mod listener;
--- /dev/null
+++ b/crates/sedgehill-net/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Sockets of this machine, under callers that connect without a pause.
+
+mod listener;
--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -17,9 +17,10 @@
 commands:
     demo         bring up a whole cell, send load, break things and count broken promises
                  [--seconds N] [--json FILE]
-    measure      path|capacity [--json FILE]
+    measure      path|capacity|organisations|stops [--json FILE] [--stops N]
                  path: what a box adds to a request, against the direct way
                  capacity: state, messages, time and memory at growing sizes
+                 stops: calls that planned stops cut off, N stops a row
     soak         boxes in cell mode under random faults, their promises checked
                  [--seed N] [--seeds COUNT] [--seconds N] [--boxes N] [--workers N] [--keep DIR]
                  [--wide] [--calm]
--- a/crates/sedgehill-standin/src/measure/mod.rs
+++ b/crates/sedgehill-standin/src/measure/mod.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod organisations;
 mod path;
+mod stops;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -17,6 +18,8 @@
 pub async fn run(mut args: Arguments) -> CommandResult {
     let json: Option<PathBuf> =
         args.opt_value_from_str("--json").map_err(|error| error.to_string())?;
+    let stops: usize =
+        args.opt_value_from_str("--stops").map_err(|error| error.to_string())?.unwrap_or(1);
     let name: String = args.free_from_str().map_err(|error| error.to_string())?;
     finish(args)?;
     match name.as_str() {
@@ -25,8 +28,9 @@
         "organisations" => {
             show(json, &organisations::measure(), organisations::OrganisationReport::render)
         }
+        "stops" => show(json, &stops::measure(stops).await, stops::StopReport::render),
         other => Err(format!(
-            "there is no measurement `{other}`, expected: path, capacity, organisations"
+            "there is no measurement `{other}`, expected: path, capacity, organisations, stops"
         )),
     }
 }
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod organisations;
 mod peers;
 mod placement;
+mod planned_stops;
 mod replaced_lead;
 mod shared_token;
 mod sight;
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
 use sedgehill_adapter::api_key::decode_key;
 use sedgehill_adapter::caller::{
@@ -24,11 +24,12 @@
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::CellRecord;
 use slog::{debug, info};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use super::accept::{AcceptHandle, AcceptOutcome};
 use super::frames::StateAnswer;
 use super::state::CellBox;
+use crate::connection::{CallerConnection, ConnectionLimits};
 use crate::{clock, telemetry};
 
 /// The most header bytes of a call. A connection's buffer begins small and grows up to it.
@@ -53,45 +54,29 @@
     accept: AcceptHandle,
 }
 
-/// Serves callers until the box ends.
-pub async fn serve(host: Rc<CellBox>, accept: AcceptHandle, listener: TcpListener) {
-    let desk = Rc::new(CallerDesk { host, accept });
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(desk.clone(), stream));
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
+/// The bounds of a caller's connection.
+pub const CONNECTION_LIMITS: ConnectionLimits =
+    ConnectionLimits { header_bytes: HEADER_BYTES, headers: None, head_time: None };
+
+/// What a caller is told whose call may cross the end of its idle connection.
+pub fn answer_in_advance() -> Response<Full<Bytes>> {
+    encode_answer(&CallerAnswer::NotDone(RETRY_AFTER))
 }
 
-async fn serve_connection(desk: Rc<CallerDesk>, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let host = desk.host.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
+/// Serves callers until the stop has come to its end.
+pub async fn serve(host: Rc<CellBox>, accept: AcceptHandle, listener: TcpListener) {
+    let desk = Rc::new(CallerDesk { host: host.clone(), accept });
+    let spawn = |connection: CallerConnection| {
         let desk = desk.clone();
-        async move {
-            let answer = answer_call(&desk, request).await;
-            Ok::<Response<Full<Bytes>>, Infallible>(encode_answer(&answer))
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(HEADER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    host.connections.set(host.connections.get() + 1);
-    tokio::select! {
-        _ = connection.as_mut() => {}
-        () = host.closing.notified() => {
-            connection.as_mut().graceful_shutdown();
-            // The caller ended the connection, or has the last answer.
-            let _ = connection.await;
-        }
-    }
-    host.connections.set(host.connections.get() - 1);
+        tokio::task::spawn_local(async move {
+            let handle = |request| {
+                let desk = desk.clone();
+                async move { encode_answer(&answer_call(&desk, request).await) }
+            };
+            connection.serve(handle).await;
+        });
+    };
+    host.connections.accept(listener, spawn).await;
 }
 
 async fn answer_call(desk: &CallerDesk, request: Request<Incoming>) -> CallerAnswer {
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use sedgehill_adapter::advice::AdviceClient;
@@ -18,11 +19,13 @@
 use slog::{Logger, warn};
 use tokio::sync::Notify;
 
+use super::callers;
 use super::frames::StateAnswer;
 use super::lead::LeadSession;
 use super::lead_link::LeadLink;
 use super::settings::CellSettings;
 use crate::clock;
+use crate::connection::ConnectionDesk;
 
 /// A view of the store that was last proved complete longer ago is not taken as fresh. Reads wait
 /// half a second at the most, so a box in touch proves it more often.
@@ -197,10 +200,8 @@
     pub stopping: Cell<bool>,
     /// Rung when the box begins to stop.
     pub stop: Notify,
-    /// Rung when connections of callers are to end after the call under way.
-    pub closing: Notify,
-    /// Open connections of callers.
-    pub connections: Cell<usize>,
+    /// The connections of callers.
+    pub connections: Arc<ConnectionDesk>,
     /// Distinguishes this process from earlier ones of the box.
     pub life: u64,
     /// When it started.
@@ -235,6 +236,11 @@
             advice: settings.advice.map(|address| AdviceClient::new(http.clone(), address)),
             http,
         };
+        let connections = ConnectionDesk::new(
+            log.clone(),
+            callers::CONNECTION_LIMITS,
+            callers::answer_in_advance,
+        );
         let watch = LeadWatch::new(settings.name.clone(), life, settings.strength, clock::now());
         CellBox {
             settings,
@@ -258,8 +264,7 @@
             link: RefCell::default(),
             stopping: Cell::new(false),
             stop: Notify::new(),
-            closing: Notify::new(),
-            connections: Cell::new(0),
+            connections,
             life,
             begun: clock::now(),
         }
--- a/crates/sedgehilld/src/cell/stop.rs
+++ b/crates/sedgehilld/src/cell/stop.rs
@@ -2,16 +2,21 @@
 
 use std::time::Duration;
 
-use sedgehill_core::units::TimeSpan;
+use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use super::settings::StopTiming;
 use super::state::CellBox;
 use crate::clock;
+use crate::connection::StopPhase;
 
 /// Time between two looks at what is still open.
 const TURN: Duration = Duration::from_millis(50);
 
+/// Kept of the time for a stop, to end the connections that are idle by then.
+const CLOSING_TIME: Duration = Duration::from_millis(1_100);
+
 /// Waits for the signal to stop, and stops. A signal to reload changes nothing by itself.
 pub async fn wait(host: &CellBox) {
     let stop = signal(SignalKind::terminate());
@@ -37,21 +42,27 @@
 }
 
 async fn finish(host: &CellBox) {
-    info!(host.log, "stopping"; "connections" => host.connections.get());
+    let StopTiming { linger, limit } = host.settings.stop;
+    let connections = &host.connections;
+    info!(host.log, "stopping"; "connections" => connections.open());
     host.stopping.set(true);
     host.stop.notify_waiters();
     let begun = clock::now();
-    tokio::time::sleep(host.settings.stop.linger).await;
-    let limit = TimeSpan(host.settings.stop.limit.as_millis() as u64);
-    loop {
-        // Connections that came meanwhile are closed after their call as well.
-        host.closing.notify_waiters();
-        let idle = host.connections.get() == 0;
-        if (idle && host.session.borrow().is_none()) || clock::now().since(begun) >= limit {
-            break;
-        }
+    connections.begin(StopPhase::Noticing);
+    tokio::time::sleep(linger).await;
+    connections.begin(StopPhase::Ending);
+    let is_over = || connections.open() == 0 && host.session.borrow().is_none();
+    wait_until(begun, limit.saturating_sub(CLOSING_TIME), is_over).await;
+    connections.begin(StopPhase::Closing);
+    wait_until(begun, limit, is_over).await;
+    info!(host.log, "stopped"; "connections" => connections.open(),
+        "ended_idle" => connections.ended_idle(), "took_ms" => clock::now().since(begun).as_millis());
+}
+
+/// Waits until a check holds, but not longer than `limit` after `begun`.
+async fn wait_until(begun: Moment, limit: Duration, check: impl Fn() -> bool) {
+    let limit = TimeSpan(limit.as_millis() as u64);
+    while !check() && clock::now().since(begun) < limit {
         tokio::time::sleep(TURN).await;
     }
-    info!(host.log, "stopped"; "connections" => host.connections.get(),
-        "took_ms" => clock::now().since(begun).as_millis());
 }
--- /dev/null
+++ b/crates/sedgehilld/src/connection.rs
@@ -0,0 +1,330 @@
+//! Callers' connections over HTTP/1.1, and how a planned stop ends them without cutting off a call.
+//!
+//! A server cannot take a kept connection back: the caller may send its next call at the moment at which the server
+//! closes. So a stop goes in phases. While [`StopPhase::Noticing`], each answer says that its connection ends with it.
+//! While [`StopPhase::Ending`], no connection is taken any more, and one on which nothing came for [`IDLE_LIMIT`] ends
+//! with an answer in advance, which says that nothing was done. A call that crosses it is answered by that, wholly and
+//! truly. The socket is closed only when the caller has closed, or has had time to read: closing one with unread bytes
+//! resets the connection and may destroy an answer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sedgehill_core::units::{Moment, TimeSpan};
+use sedgehill_net::listener;
+use slog::{Logger, info, warn};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::{clock, telemetry};
+
+/// A caller that pauses for longer between two calls on one connection may meet the answer in advance.
+const IDLE_LIMIT: TimeSpan = TimeSpan(3_500);
+/// How long a caller has to read the last answer and to close.
+const READING_LIMIT: Duration = Duration::from_millis(1_000);
+/// Between two looks at a connection on which a call is under way.
+const TURN: Duration = Duration::from_millis(50);
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// The box is not stopping.
+    Serving,
+    /// Each answer says that its connection ends.
+    Noticing,
+    /// No connection is taken, and idle ones are ended.
+    Ending,
+    /// The process is about to end: what is idle is ended at once.
+    Closing,
+}
+
+/// Bounds of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionLimits {
+    /// The most header bytes of a call. A buffer begins small and grows up to it.
+    pub header_bytes: usize,
+    /// The most headers of a call; the library's bound if none.
+    pub headers: Option<usize>,
+    /// How long the head of a call may take to arrive; any time if none.
+    pub head_time: Option<Duration>,
+}
+
+/// What all connections of callers share.
+pub struct ConnectionDesk {
+    log: Logger,
+    limits: ConnectionLimits,
+    advance: fn() -> Response<Full<Bytes>>,
+    phase: watch::Sender<StopPhase>,
+    open: AtomicUsize,
+    ended_idle: AtomicUsize,
+}
+
+impl ConnectionDesk {
+    /// A desk without connections. `advance` makes the answer in advance.
+    pub fn new(
+        log: Logger,
+        limits: ConnectionLimits,
+        advance: fn() -> Response<Full<Bytes>>,
+    ) -> Arc<ConnectionDesk> {
+        Arc::new(ConnectionDesk {
+            log,
+            limits,
+            advance,
+            phase: watch::Sender::new(StopPhase::Serving),
+            open: AtomicUsize::new(0),
+            ended_idle: AtomicUsize::new(0),
+        })
+    }
+
+    /// Begins a phase of the stop.
+    pub fn begin(&self, phase: StopPhase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Open connections, and listeners that take further ones.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Connections that were ended by an answer in advance.
+    pub fn ended_idle(&self) -> usize {
+        self.ended_idle.load(Ordering::SeqCst)
+    }
+
+    fn enter(self: &Arc<Self>) -> OpenGuard {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        OpenGuard { desk: self.clone() }
+    }
+
+    /// Takes connections until the stop has come to its end, and hands each to `spawn`.
+    pub async fn accept(self: &Arc<Self>, listener: TcpListener, spawn: impl Fn(CallerConnection)) {
+        let _guard = self.enter();
+        let mut phase = self.phase.subscribe();
+        let spawn = |stream| spawn(CallerConnection { stream, guard: self.enter() });
+        tokio::select! {
+            () = listener::accept_all(&listener, &spawn) => {}
+            () = reached(&mut phase, StopPhase::Ending) => {}
+        }
+        listener::close(&self.log, listener, spawn).await;
+    }
+}
+
+/// Resolves once a phase has begun.
+async fn reached(phase: &mut watch::Receiver<StopPhase>, wanted: StopPhase) {
+    // An error means that the box is gone, which is the end of all phases.
+    let _ = phase.wait_for(|now| *now >= wanted).await;
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenGuard {
+    desk: Arc<ConnectionDesk>,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.desk.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// When calls were under way on a connection.
+struct CallClock {
+    opened: Moment,
+    calls: AtomicUsize,
+    under_way: AtomicBool,
+    last: AtomicU64,
+}
+
+impl CallClock {
+    fn new() -> CallClock {
+        let now = clock::now();
+        CallClock {
+            opened: now,
+            calls: AtomicUsize::new(0),
+            under_way: AtomicBool::new(false),
+            last: AtomicU64::new(now.0),
+        }
+    }
+
+    fn begin(&self) {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        self.under_way.store(true, Ordering::SeqCst);
+    }
+
+    fn end(&self) {
+        self.last.store(clock::now().0, Ordering::SeqCst);
+        self.under_way.store(false, Ordering::SeqCst);
+    }
+
+    /// How long nothing was under way; none while a call is.
+    fn idle(&self, now: Moment) -> Option<TimeSpan> {
+        let last = Moment(self.last.load(Ordering::SeqCst));
+        (!self.under_way.load(Ordering::SeqCst)).then(|| now.since(last))
+    }
+}
+
+/// A connection that was taken and not served yet.
+pub struct CallerConnection {
+    stream: TcpStream,
+    guard: OpenGuard,
+}
+
+impl CallerConnection {
+    /// Serves calls until the connection ends.
+    pub async fn serve<F>(self, handle: impl Fn(Request<Incoming>) -> F)
+    where
+        F: Future<Output = Response<Full<Bytes>>>,
+    {
+        let CallerConnection { stream, guard } = self;
+        let desk = &guard.desk;
+        // A connection that ended already is noticed by the first read.
+        let _ = stream.set_nodelay(true);
+        let calls = Arc::new(CallClock::new());
+        let phase = desk.phase.subscribe();
+        let service = service_fn(|request: Request<Incoming>| {
+            calls.begin();
+            let answering = handle(request);
+            let (calls, phase) = (calls.clone(), phase.clone());
+            Box::pin(async move {
+                let mut response = answering.await;
+                if *phase.borrow() > StopPhase::Serving {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                calls.end();
+                Ok::<_, Infallible>(response)
+            })
+        });
+        let mut connection = desk.builder().serve_connection(TokioIo::new(stream), service);
+        loop {
+            let mut phase = phase.clone();
+            tokio::select! {
+                // A call that came while the process stood still is read before its time is taken as over.
+                biased;
+                result = std::future::poll_fn(|context| connection.poll_without_shutdown(context)) => {
+                    let stream = connection.into_parts().io.into_inner();
+                    if result.is_ok() {
+                        desk.close(stream).await;
+                    }
+                    return;
+                }
+                () = idle_too_long(&calls, &mut phase) => {}
+            }
+            if calls.idle(clock::now()).is_some() {
+                break;
+            }
+        }
+        let parts = connection.into_parts();
+        desk.end_idle(parts.io.into_inner(), parts.read_buf.len(), &calls).await;
+    }
+}
+
+/// Resolves once a stop is to end a connection on which no call is under way.
+async fn idle_too_long(calls: &CallClock, phase: &mut watch::Receiver<StopPhase>) {
+    reached(phase, StopPhase::Ending).await;
+    loop {
+        let is_last = *phase.borrow() == StopPhase::Closing;
+        let pause = match calls.idle(clock::now()) {
+            Some(idle) if is_last || idle >= IDLE_LIMIT => return,
+            Some(idle) => Duration::from_millis(IDLE_LIMIT.0 - idle.0),
+            None => TURN,
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = reached(phase, StopPhase::Closing), if !is_last => {}
+        }
+    }
+}
+
+impl ConnectionDesk {
+    fn builder(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.head_time)
+            .max_buf_size(self.limits.header_bytes);
+        if let Some(headers) = self.limits.headers {
+            builder.max_headers(headers);
+        }
+        builder
+    }
+
+    /// Closes a connection after its last answer.
+    async fn close(&self, mut stream: TcpStream) {
+        // An error means that the caller is gone.
+        let _ = stream.shutdown().await;
+        if *self.phase.borrow() > StopPhase::Serving {
+            read_to_end(&mut stream).await;
+        }
+    }
+
+    /// Ends a connection on which nothing came for long.
+    async fn end_idle(&self, mut stream: TcpStream, unread: usize, calls: &CallClock) {
+        let idle = calls.idle(clock::now()).unwrap_or_default();
+        let advance = encode((self.advance)()).await;
+        let written = tokio::time::timeout(READING_LIMIT, stream.write_all(&advance)).await;
+        // An error means that the caller is gone.
+        let _ = stream.shutdown().await;
+        let crossed = unread + read_to_end(&mut stream).await;
+        self.ended_idle.fetch_add(1, Ordering::SeqCst);
+        let cause = if crossed > 0 { "idle_call_crossed" } else { "idle" };
+        telemetry::count_connection_end(cause);
+        if crossed > 0 {
+            let is_written = matches!(written, Ok(Ok(())));
+            info!(self.log, "connection ended while a call was on its way";
+                "age_ms" => clock::now().since(calls.opened).0,
+                "calls" => calls.calls.load(Ordering::SeqCst), "idle_ms" => idle.0,
+                "unread_bytes" => crossed, "answered" => is_written);
+        }
+    }
+}
+
+/// Reads until the caller closes, for as long as it has time to; how many bytes came.
+async fn read_to_end(stream: &mut TcpStream) -> usize {
+    let mut count = 0;
+    let reading = async {
+        let mut bytes = [0; 1_024];
+        // An error ends the connection as well.
+        while let Ok(read @ 1..) = stream.read(&mut bytes).await {
+            count += read;
+        }
+    };
+    // A caller that does not close has had time to read.
+    let _ = tokio::time::timeout(READING_LIMIT, reading).await;
+    count
+}
+
+/// An answer as bytes, for a connection that the library serves no longer.
+async fn encode(response: Response<Full<Bytes>>) -> Vec<u8> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.unwrap_or_else(|never| match never {}).to_bytes();
+    let reason = parts.status.canonical_reason().unwrap_or_default();
+    let mut bytes = format!("HTTP/1.1 {} {reason}\r\n", parts.status.as_u16()).into_bytes();
+    for (name, value) in parts.headers.iter().filter(|(name, _)| **name != CONNECTION) {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let end = format!("connection: close\r\ncontent-length: {}\r\n\r\n", body.len());
+    bytes.extend_from_slice(end.as_bytes());
+    bytes.extend_from_slice(&body);
+    bytes
+}
+
+impl Drop for ConnectionDesk {
+    fn drop(&mut self) {
+        let open = self.open();
+        if open > 0 {
+            warn!(self.log, "connections were open at the end"; "count" => open);
+        }
+    }
+}
--- a/crates/sedgehilld/src/controllers/shutdown.rs
+++ b/crates/sedgehilld/src/controllers/shutdown.rs
@@ -9,9 +9,11 @@
 
 use super::{ControlContext, publish};
 use crate::clock;
-use crate::traffic::CLOSING_NOTICE;
+use crate::connection::StopPhase;
 
 const TURN: Duration = Duration::from_millis(50);
+/// Kept of the time for what is in flight, to end the connections that are idle by then.
+const CLOSING_TIME: TimeSpan = TimeSpan(1_200);
 /// How long handing over the leads may take.
 const HAND_OVER_LIMIT: TimeSpan = TimeSpan(3_000);
 
@@ -37,17 +39,20 @@
     info!(context.shared.log.logger, "stopping");
     context.state.borrow_mut().stopping = true;
     publish::publish(&context);
+    let connections = &context.shared.connections;
+    connections.begin(StopPhase::Noticing);
     hand_over(&context).await;
     let drain = &context.shared.settings.drain;
     let lag = Duration::from_millis(drain.balancer_lag.as_millis());
     tokio::time::sleep(lag).await;
-    context.shared.stop_traffic();
-    tokio::time::sleep(CLOSING_NOTICE + TURN).await;
+    connections.begin(StopPhase::Ending);
     let end = clock::now().after(drain.limit);
-    wait_while(end, || context.shared.in_flight() > 0).await;
-    info!(context.shared.log.logger, "stopped"; "cut_off" => context.shared.in_flight());
-    // Answers that were just written leave before the process ends.
-    tokio::time::sleep(TURN).await;
+    let closing = clock::now().after(TimeSpan(drain.limit.0.saturating_sub(CLOSING_TIME.0)));
+    wait_while(closing, || connections.open() > 0).await;
+    connections.begin(StopPhase::Closing);
+    wait_while(end, || connections.open() > 0).await;
+    info!(context.shared.log.logger, "stopped"; "cut_off" => context.shared.in_flight(),
+        "connections" => connections.open(), "ended_idle" => connections.ended_idle());
 }
 
 async fn wait_for_signal() {
--- a/crates/sedgehilld/src/filters/mod.rs
+++ b/crates/sedgehilld/src/filters/mod.rs
@@ -28,9 +28,12 @@
 use crate::shared::{RequestTrace, SharedState};
 use crate::telemetry::{self, RequestMetrics};
 use identify::RequestContext;
-use outcome::{RequestOutcome, RequestRecord};
+use outcome::RequestRecord;
 use pool::EndpointPool;
 
+pub use answer::build as build_answer;
+pub use outcome::{RequestOutcome, UnknownReason};
+
 /// What the filters of one box share.
 pub struct FilterChain {
     shared: Arc<SharedState>,
@@ -54,15 +57,18 @@
 }
 
 /// Runs one request through the filters and answers it.
-pub async fn run_chain(chain: &FilterChain, request: Request<Incoming>) -> Response<Full<Bytes>> {
+pub async fn run_chain(
+    chain: Arc<FilterChain>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let _guard = chain.shared.enter();
     let id = RequestId(Uuid::now_v7());
     let mut record = RequestRecord::default();
     let path = request.uri().path().to_owned();
-    let outcome = match run_filters(chain, id, request, &mut record).await {
+    let outcome = match run_filters(&chain, id, request, &mut record).await {
         Ok(outcome) | Err(outcome) => outcome,
     };
-    note_outcome(chain, id, &path, &record, &outcome);
+    note_outcome(&chain, id, &path, &record, &outcome);
     answer::build(id, outcome, chain.shared.is_draining())
 }
 
--- a/crates/sedgehilld/src/filters/outcome.rs
+++ b/crates/sedgehilld/src/filters/outcome.rs
@@ -115,6 +115,8 @@
         TimedOut = "timed-out", 504;
         /// Another request with the same key was sent before, and its answer is not kept.
         KeyClaimed = "key-claimed", 409;
+        /// The box ended the connection, and has read nothing of the request.
+        ConnectionEnded = "connection-ended", 408;
         /// The request was not begun here, and whether it ran elsewhere under its key cannot be told.
         KeyUnread = "key-unread", 504;
     }
--- a/crates/sedgehilld/src/main.rs
+++ b/crates/sedgehilld/src/main.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod cell;
 mod clock;
+mod connection;
 mod controllers;
 mod filters;
 mod logging;
--- a/crates/sedgehilld/src/shared.rs
+++ b/crates/sedgehilld/src/shared.rs
@@ -18,8 +18,10 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::connection::ConnectionDesk;
 use crate::logging::LogSink;
 use crate::settings::BoxSettings;
+use crate::traffic::{answer_in_advance, connection_limits};
 
 /// Requests whose way is remembered for reading back.
 const KEPT_TRACES: usize = 8_192;
@@ -156,7 +158,8 @@
     fresh_at: std::sync::atomic::AtomicU64,
     /// When the read of the log was begun that the view is known to reach to the end of.
     proven_at: std::sync::atomic::AtomicU64,
-    stop: tokio::sync::watch::Sender<bool>,
+    /// The connections of callers.
+    pub connections: Arc<ConnectionDesk>,
 }
 
 impl SharedState {
@@ -166,6 +169,11 @@
             health: BoxHealth::NotReady,
             reason: "has not read the log yet".to_owned(),
         };
+        let connections = ConnectionDesk::new(
+            log.logger.clone(),
+            connection_limits(&settings),
+            answer_in_advance,
+        );
         SharedState {
             settings,
             log,
@@ -178,7 +186,7 @@
             in_flight: std::sync::atomic::AtomicUsize::new(0),
             fresh_at: std::sync::atomic::AtomicU64::new(0),
             proven_at: std::sync::atomic::AtomicU64::new(0),
-            stop: tokio::sync::watch::Sender::new(false),
+            connections,
         }
     }
 
@@ -264,16 +272,6 @@
         self.in_flight.load(std::sync::atomic::Ordering::SeqCst)
     }
 
-    /// Asks the traffic threads to take no further connections and to finish what they have.
-    pub fn stop_traffic(&self) {
-        self.stop.send_replace(true);
-    }
-
-    /// Resolves once traffic is to stop.
-    pub fn stopped(&self) -> tokio::sync::watch::Receiver<bool> {
-        self.stop.subscribe()
-    }
-
     /// Whether the box is draining.
     pub fn is_draining(&self) -> bool {
         self.health.load().health == BoxHealth::Draining
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -65,6 +65,11 @@
     counter!("sedgehill_request_retries_total").increment(1);
 }
 
+/// Counts a connection of a caller that a stop ended, by why.
+pub fn count_connection_end(cause: &'static str) {
+    counter!("sedgehill_connections_ended_total", "cause" => cause).increment(1);
+}
+
 /// Counts a placement decision.
 pub fn count_placement(result: &'static str) {
     counter!("sedgehill_placements_total", "result" => result).increment(1);
