platform, hedge: a call is doubted before it is made again

Seen: a test of silent connections failed once in five runs of the suite; the lead took its own path to the store as cut for 1.6 s. Cause: the client doubts a call, and closes idle connections as old, by one timer, and whoever sends again waited by another: where that was first, the second copy went out on an idle connection as silent as the first. Evidence (scratch lines, 8 of 160 plays failed eight at once): 687 reuse, made 2, proven 53; then 687 doubt, sent 536; no connection was made until 2549. Ruled out: a log line that came late (it came 1.6 s later), a slow answer on a new connection (none was made).

--- a/crates/sedgehilld/src/cell/follow.rs
+++ b/crates/sedgehilld/src/cell/follow.rs
@@ -255,7 +255,7 @@
     let outcome = match &relayed {
         Some(session) => session.read_relayed(topic, offset).await?,
         None => {
-            let limits = CallLimits { doubt: limit.min(read_doubt(host)), whole: limit };
+            let limits = CallLimits::new(limit.min(read_doubt(host)), limit);
             let reading = host.clients.store.read(topic, offset, wait, limits);
             let outcome = tokio::select! {
                 outcome = host.store_contact.unless_regained(reading) => outcome?,
--- a/crates/sedgehilld/src/cell/hedge.rs
+++ b/crates/sedgehilld/src/cell/hedge.rs
@@ -55,12 +55,24 @@
 /// What came of an append, and which copy told it.
 pub type HedgedResult = (AnsweredCopy, Result<AppendOutcome, CallError>);
 
+/// Limits of a copy that is sent from this box now.
+fn copy_limits(host: &CellBox) -> CallLimits {
+    let doubt = host.store_patience.borrow().limit();
+    CallLimits::new(doubt, ANSWER_LIMIT.max(doubt))
+}
+
 /// Sends one copy from this box, without a second.
 pub async fn append_once(host: &CellBox, call: AppendCall<'_>) -> Result<AppendOutcome, CallError> {
+    append_within(host, call, copy_limits(host)).await
+}
+
+async fn append_within(
+    host: &CellBox,
+    call: AppendCall<'_>,
+    limits: CallLimits,
+) -> Result<AppendOutcome, CallError> {
     let sent = Instant::now();
     let store = &host.clients.store;
-    let doubt = host.store_patience.borrow().limit();
-    let limits = CallLimits { doubt, whole: ANSWER_LIMIT.max(doubt) };
     let appending = store.append(call.topic, call.records, call.condition, limits);
     let result = host.store_contact.unless_regained(appending).await;
     if result.is_ok() {
@@ -84,8 +96,9 @@
     F: Future<Output = Result<AppendOutcome, CallError>>,
 {
     let limit = host.store_patience.borrow().limit();
-    let mut first = std::pin::pin!(append_once(host, call));
-    if let Ok(result) = tokio::time::timeout(limit, first.as_mut()).await {
+    let limits = copy_limits(host);
+    let mut first = std::pin::pin!(append_within(host, call, limits));
+    if let Ok(result) = tokio::time::timeout_at(limits.doubt_at(), first.as_mut()).await {
         return (AnsweredCopy::First, result);
     }
     let usual = host.store_patience.borrow().usual();
--- a/crates/sedgehilld/src/cell/late.rs
+++ b/crates/sedgehilld/src/cell/late.rs
@@ -15,18 +15,18 @@
 
 /// The limits of a call of which `limit` is waited for.
 pub fn limits_for(limit: Duration) -> CallLimits {
-    CallLimits { doubt: limit, whole: limit + LATE_LIMIT }
+    CallLimits::new(limit, limit + LATE_LIMIT)
 }
 
-/// Waits for a call for at most `limit`. If there is no answer by then, the call goes on, and `late` is
+/// Waits for a call until it is doubted. If there is no answer by then, the call goes on, and `late` is
 /// told its answer.
 pub async fn wait_for<T: 'static>(
     call: impl Future<Output = T> + 'static,
-    limit: Duration,
+    limits: CallLimits,
     late: impl FnOnce(T) + 'static,
 ) -> Option<T> {
     let mut call = Box::pin(call);
-    match tokio::time::timeout(limit, call.as_mut()).await {
+    match tokio::time::timeout_at(limits.doubt_at(), call.as_mut()).await {
         Ok(answer) => Some(answer),
         Err(_) => {
             tokio::task::spawn_local(async move { late(call.await) });
--- a/crates/sedgehilld/src/cell/orders.rs
+++ b/crates/sedgehilld/src/cell/orders.rs
@@ -86,7 +86,8 @@
 {
     let limit = session.order_patience.borrow().limit();
     let sent = Instant::now();
-    let answering = calling(late::limits_for(limit));
+    let limits = late::limits_for(limit);
+    let answering = calling(limits);
     let learning = {
         let session = session.clone();
         async move {
@@ -98,7 +99,7 @@
         }
     };
     // A late answer has told all it can once it was learned from.
-    let answer = late::wait_for(learning, limit, drop).await;
+    let answer = late::wait_for(learning, limits, drop).await;
     answer.unwrap_or(WorkerAnswer::Unknown)
 }
 
--- a/crates/sedgehilld/src/cell/roster.rs
+++ b/crates/sedgehilld/src/cell/roster.rs
@@ -146,10 +146,10 @@
 ) -> bool {
     let sent = clock::now();
     let usual = session.order_patience.borrow().limit();
-    let limit = usual + Duration::from_millis(order.wait.as_millis());
+    let limits = late::limits_for(usual);
+    let waiting_limits = limits.with_wait(Duration::from_millis(order.wait.as_millis()));
     let calling = {
         let (host, target) = (host.clone(), target.clone());
-        let limits = late::limits_for(usual);
         let order = order.clone();
         async move { host.clients.workers.hold(&target, &order, limits).await }
     };
@@ -166,7 +166,7 @@
         }
     };
     let answer = tokio::select! {
-        answer = late::wait_for(calling, limit, take_late) => answer,
+        answer = late::wait_for(calling, waiting_limits, take_late) => answer,
         // Asked again on a new connection, the worker may answer at once.
         () = host.clients.http.wait_for_silence(target.address) => return true,
     };
