cell, suspects: starts that this lead knows to be unanswered are told from crashes under a task

Cause: a crash counted alike whether the lead knew that the start there had gone unanswered or could not know, since an earlier lead had sent it. The answer to a start comes before a task can do harm, so such a start most likely met a worker that was down. Trace: "crash counted" with seen false three times, two more starts that ended otherwise, "task given up". Ruled out: counting only runs that were seen (a guilty task is started too often over lost leads), doubts (bounded at two, so a guilty task whose answers are lost would be started without end). Change: unanswered losses are an evidence of their own, kept last in the progress of the job; they ask for the same caution and use up the same starts, but give a task up only when five starts in all were lost.

--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::{FencingToken, OrganisationName, RunNumber, WorkerLife};
 use crate::job::JobSpec;
-use crate::suspicion::TaskSuspicion;
+use crate::suspicion::{TaskSuspicion, WorkerCrash};
 
 /// How far a job is, as callers see it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,6 +72,8 @@
     pub together: Vec<(u32, Vec<u64>)>,
     /// Where long-running tasks run, or ran last.
     pub places: Vec<TaskPlace>,
+    /// Tasks of which starts went unanswered on workers that crashed.
+    pub unanswered: Vec<(u32, Vec<WorkerCrash>)>,
 }
 
 /// The only worker that may have a run of a task: a later start elsewhere is recorded before it is sent.
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -94,7 +94,7 @@
         let (kind, id) = CellRecord::decode_key(key)?;
         let record = match kind {
             CellRecord::PROGRESS_KEY => {
-                decode_grown(value, &[NO_SUSPECTS, NONE_TOGETHER, NO_PLACES])?
+                decode_grown(value, &[NO_SUSPECTS, NONE_TOGETHER, NO_PLACES, NONE_UNANSWERED])?
             }
             _ => postcard::from_bytes(value)?,
         };
@@ -108,6 +108,8 @@
 const NONE_TOGETHER: u8 = 0;
 /// The same of the places of long-running tasks.
 const NO_PLACES: u8 = 0;
+/// The same of starts that went unanswered.
+const NONE_UNANSWERED: u8 = 0;
 
 /// One job as every box knows it.
 #[derive(Debug, Clone, Default)]
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -126,6 +126,17 @@
         /// Workers that were lost at that moment with nothing of the task's job on them.
         others: usize,
     },
+    /// A worker crashed on which a start went unanswered, which most likely came to a worker that was down.
+    UnansweredLost {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// The life that ended.
+        worker: WorkerLife,
+        /// Such losses of the task that are remembered.
+        count: usize,
+    },
     /// A task is taken as the cause of crashes, and its job fails.
     GivenUp {
         /// The task.
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -49,6 +49,8 @@
     run: RunNumber,
     address: SocketAddr,
     since: Moment,
+    /// An earlier lead ordered it: whether its start was answered is not known.
+    inherited: bool,
 }
 
 /// All such runs, by the life on which they were started.
@@ -91,11 +93,32 @@
     run: RunNumber,
     life: &'a WorkerLife,
     alone: bool,
-    seen: bool,
+    evidence: RunEvidence,
     beside: usize,
     sign: CrashSign,
 }
 
+/// What is known of whether a run was there when its worker crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunEvidence {
+    /// The worker had said so.
+    Seen,
+    /// This lead sent the start, and no answer came.
+    Unanswered,
+    /// An earlier lead was to send the start.
+    Unknown,
+}
+
+impl RunEvidence {
+    fn of(seen: bool, inherited: bool) -> RunEvidence {
+        match (seen, inherited) {
+            (true, _) => RunEvidence::Seen,
+            (false, true) => RunEvidence::Unknown,
+            (false, false) => RunEvidence::Unanswered,
+        }
+    }
+}
+
 impl Scheduler {
     /// What runs on a worker that is lost.
     pub(super) fn runs_at_loss(&self, key: WorkerKey, now: Moment) -> Vec<LostRun> {
@@ -133,7 +156,10 @@
             LossCause::WorkerEnded { .. } => {
                 let LostRun { task, run, alone, seen, beside, .. } = *lost;
                 let (life, sign) = (&life, CrashSign::OtherLife);
-                self.count_crash(CrashUnder { task, run, life, alone, seen, beside, sign }, now);
+                // What an earlier lead ordered is known here only once the worker has said that it runs.
+                let evidence = RunEvidence::of(seen, false);
+                let crash = CrashUnder { task, run, life, alone, evidence, beside, sign };
+                self.count_crash(crash, now);
             }
             LossCause::LeaseEnded(_) => {
                 let LostRun { run, alone, seen, .. } = *lost;
@@ -157,7 +183,8 @@
         let Some(index) = job.task_index(task) else { return };
         let (run, life, address) = (open.run, open.life.clone(), open.address);
         if job.tasks[index].suspicion.open(open) {
-            self.open_runs.add(life, OpenMark { task: *task, run, address, since: now });
+            let inherited = false;
+            self.open_runs.add(life, OpenMark { task: *task, run, address, since: now, inherited });
             self.suspects_seen = true;
             self.dirty.insert(task.step.job);
         }
@@ -218,7 +245,9 @@
         let open: Vec<(CellTask, OpenRun)> = job.all_tasks().flat_map(open_of).collect();
         for (task, open) in open {
             let OpenRun { run, life, address, .. } = open;
-            self.open_runs.add(life.clone(), OpenMark { task, run, address, since: now });
+            let inherited = true;
+            self.open_runs
+                .add(life.clone(), OpenMark { task, run, address, since: now, inherited });
             let followed = |worker: &WorkerState| {
                 let other = !worker.entry.life.may_be(&life) && worker.entry.address == address;
                 other && worker.fenced && !worker.dead
@@ -247,7 +276,7 @@
             |mark: &&OpenMark| worker.is_none_or(|worker| !worker.has_run(&mark.task, mark.run));
         let was_here = |mark: &&OpenMark| mark.address == address;
         let marks: Vec<OpenMark> = marks.iter().filter(was_here).filter(is_lost).cloned().collect();
-        for OpenMark { task, run, .. } in marks {
+        for OpenMark { task, run, inherited, .. } in marks {
             let Some(open) = self.find_open(&task, run) else {
                 self.open_runs.remove(life, &task, run);
                 continue;
@@ -256,11 +285,10 @@
                 true => self.doubt_run(&task, run, now),
                 false => {
                     let OpenRun { alone, seen, .. } = open;
+                    let evidence = RunEvidence::of(seen, inherited);
                     let beside = 0;
-                    self.count_crash(
-                        CrashUnder { task, run, life, alone, seen, beside, sign },
-                        now,
-                    );
+                    let crash = CrashUnder { task, run, life, alone, evidence, beside, sign };
+                    self.count_crash(crash, now);
                 }
             }
         }
@@ -318,7 +346,10 @@
     }
 
     fn count_crash(&mut self, crash: CrashUnder<'_>, now: Moment) {
-        let CrashUnder { task, run, life, alone, seen, beside, sign } = crash;
+        let CrashUnder { task, run, life, alone, evidence, beside, sign } = crash;
+        if evidence == RunEvidence::Unanswered {
+            return self.note_unanswered(&crash, now);
+        }
         if let Some(others) = self.lost_with(life, task.step.job) {
             let worker = life.clone();
             self.events.push(CellEvent::LostTogether { task, run, worker, others });
@@ -332,6 +363,7 @@
         };
         let Some(index) = job.task_index(&task) else { return };
         let work = &mut job.tasks[index];
+        let seen = evidence == RunEvidence::Seen;
         let counted = WorkerCrash { life: life.clone(), alone, seen, at_unix_ms };
         if work.kept.done || !work.suspicion.count(counted) {
             return;
@@ -357,6 +389,28 @@
         self.judge(&task, now);
     }
 
+    /// A worker crashed on which a start went unanswered.
+    fn note_unanswered(&mut self, crash: &CrashUnder<'_>, now: Moment) {
+        let CrashUnder { task, run, life, alone, .. } = *crash;
+        self.suspects_seen = true;
+        self.close_run(&task, run);
+        let at_unix_ms = self.unix_ms_at(now);
+        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
+            return;
+        };
+        let Some(index) = job.task_index(&task) else { return };
+        let work = &mut job.tasks[index];
+        let worker = life.clone();
+        let lost = WorkerCrash { life: worker.clone(), alone, seen: false, at_unix_ms };
+        if work.kept.done || !work.suspicion.note_unanswered(lost) {
+            return;
+        }
+        let count = work.suspicion.unanswered.len();
+        self.dirty.insert(task.step.job);
+        self.events.push(CellEvent::UnansweredLost { task, run, worker, count });
+        self.judge(&task, now);
+    }
+
     /// How many other workers, on which nothing of a job was, were lost at the moment at which a life was; none if so few
     /// that they may have been lost by themselves.
     ///
@@ -424,7 +478,7 @@
 
     fn is_guilty(&self, job: &JobWork, step: usize, task: &work::TaskWork, now: Moment) -> bool {
         let suspicion = &task.suspicion;
-        if suspicion.crashes.is_empty() && suspicion.together.is_empty() {
+        if suspicion.is_clear() {
             return false;
         }
         let living = self.workers.iter().filter(|worker| !worker.dead && worker.listed).count();
--- a/crates/sedgehill-cell/src/scheduler/work.rs
+++ b/crates/sedgehill-cell/src/scheduler/work.rs
@@ -155,6 +155,11 @@
                 task.suspicion.together = together.clone();
             }
         }
+        for (place, unanswered) in &kept.unanswered {
+            if let Some(task) = tasks.get_mut(*place as usize) {
+                task.suspicion.unanswered = unanswered.clone();
+            }
+        }
         if kept.ordered {
             let first = u32::try_from(token.0 * RUNS_PER_LEAD).unwrap_or(u32::MAX - 1);
             for task in &mut tasks {
@@ -296,8 +301,9 @@
             tasks: kept,
             organisation: self.owner_once_over(),
             suspects: self.suspects(),
-            together: self.lost_together(),
+            together: self.kept_suspicion(|suspicion| &suspicion.together),
             places: self.places(),
+            unanswered: self.kept_suspicion(|suspicion| &suspicion.unanswered),
         }
     }
 
@@ -325,13 +331,17 @@
         })
     }
 
-    /// What is kept of the tasks under which workers were lost; nothing once the job is over.
-    fn lost_together(&self) -> Vec<(u32, Vec<u64>)> {
+    /// A list of what is known of each task under which workers were lost; nothing once the job is over.
+    fn kept_suspicion<T: Clone>(
+        &self,
+        list: impl Fn(&TaskSuspicion) -> &Vec<T>,
+    ) -> Vec<(u32, Vec<T>)> {
         let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
-        let lost = tasks.filter(|(_, task)| !task.suspicion.together.is_empty());
-        lost.map(|(place, task)| (place as u32, task.suspicion.together.clone())).collect()
+        let kept = tasks.filter(|(_, task)| !list(&task.suspicion).is_empty());
+        kept.map(|(place, task)| (place as u32, list(&task.suspicion).clone())).collect()
     }
 
+    /// What is kept of the tasks under which workers were lost; nothing once the job is over.
     fn suspects(&self) -> Vec<(u32, TaskSuspicion)> {
         let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
         let suspects = tasks.filter(|(_, task)| !task.suspicion.is_clear());
--- a/crates/sedgehill-cell/src/suspicion.rs
+++ b/crates/sedgehill-cell/src/suspicion.rs
@@ -92,23 +92,33 @@
     /// others ([`JobProgress::together`](crate::progress::JobProgress::together)).
     #[serde(skip)]
     pub together: Vec<u64>,
+    /// Workers that crashed and on which a start of the lead that counts here went unanswered: the answer comes before the
+    /// task can do any harm, so most likely they were down by then. Kept beside the others
+    /// ([`JobProgress::unanswered`](crate::progress::JobProgress::unanswered)).
+    #[serde(skip)]
+    pub unanswered: Vec<WorkerCrash>,
 }
 
 impl TaskSuspicion {
     /// Whether nothing is kept.
     pub fn is_clear(&self) -> bool {
         let none = self.crashes.is_empty() && self.open.is_empty() && self.together.is_empty();
-        none && self.doubts == 0
+        none && self.unanswered.is_empty() && self.doubts == 0
     }
 
     /// Workers that crashed under it, or may have.
     fn possible(&self) -> usize {
-        self.crashes.len() + self.together.len() + usize::from(self.doubts)
+        self.counted() + self.unanswered.len() + usize::from(self.doubts)
+    }
+
+    /// Workers of which it is known that they crashed while it may have been there.
+    fn counted(&self) -> usize {
+        self.crashes.len() + self.together.len()
     }
 
     /// How the task may be started while none of its runs is under way.
     pub fn stage(&self) -> SuspectStage {
-        let lost = self.crashes.len() + self.open.len();
+        let lost = self.crashes.len() + self.unanswered.len() + self.open.len();
         let most = self.possible() + self.open.len();
         match lost {
             _ if most >= HELD_FROM && !self.open.is_empty() => SuspectStage::Held,
@@ -124,11 +134,12 @@
         let seen = || self.crashes.iter().filter(|crash| crash.seen);
         let proven =
             seen().count() >= GUILTY_FROM && seen().filter(|crash| crash.alone).count() >= alone;
-        let count = self.crashes.len() + self.together.len();
+        let most = GUILTY_FROM + usize::from(FURTHER_STARTS);
         // Any of these may have been another's doing, but the users allow no further start.
-        let used_up = self.further >= FURTHER_STARTS
-            || self.possible() >= GUILTY_FROM + usize::from(FURTHER_STARTS);
-        proven || (count >= GIVEN_UP_FROM && used_up)
+        let used_up = self.further >= FURTHER_STARTS || self.possible() >= most;
+        // Starts that went unanswered give it up only if each start that the users allow was lost.
+        let all_lost = self.counted() + self.unanswered.len() >= most;
+        proven || (self.counted() >= GIVEN_UP_FROM && used_up) || all_lost
     }
 
     /// Whether a life was lost under both tasks.
@@ -137,7 +148,7 @@
     }
 
     fn lives(&self) -> impl Iterator<Item = &WorkerLife> {
-        let crashed = self.crashes.iter().map(|crash| &crash.life);
+        let crashed = self.crashes.iter().chain(&self.unanswered).map(|crash| &crash.life);
         crashed.chain(self.open.iter().map(|open| &open.life))
     }
 
@@ -188,11 +199,21 @@
 
     /// Counts a crash. Returns whether it was not counted before.
     pub fn count(&mut self, crash: WorkerCrash) -> bool {
-        self.crashes.retain(|old| crash.at_unix_ms.saturating_sub(old.at_unix_ms) < MEMORY_MS);
-        let new = self.crashes.iter().all(|known| known.life != crash.life);
-        if new {
-            self.crashes.push(crash);
-        }
-        new
+        add_crash(&mut self.crashes, crash)
+    }
+
+    /// Notes a crash of a worker on which a start went unanswered. Returns whether it was not noted before.
+    pub fn note_unanswered(&mut self, crash: WorkerCrash) -> bool {
+        add_crash(&mut self.unanswered, crash)
+    }
+}
+
+/// Adds a crash to those that are remembered, unless its life is among them.
+fn add_crash(crashes: &mut Vec<WorkerCrash>, crash: WorkerCrash) -> bool {
+    crashes.retain(|old| crash.at_unix_ms.saturating_sub(old.at_unix_ms) < MEMORY_MS);
+    let new = crashes.iter().all(|known| known.life != crash.life);
+    if new {
+        crashes.push(crash);
     }
+    new
 }
--- a/crates/sedgehill-cell/tests/testsuite/crashing.rs
+++ b/crates/sedgehill-cell/tests/testsuite/crashing.rs
@@ -16,7 +16,7 @@
 use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::progress::{JobProgress, JobState};
 use sedgehill_cell::replica::CellRecord;
-use sedgehill_cell::scheduler::{RunEnd, Scheduler};
+use sedgehill_cell::scheduler::{CellOrder, RunEnd, Scheduler};
 use sedgehill_cell::suspicion::{TaskSuspicion, WorkerCrash};
 use sedgehill_core::units::TimeSpan;
 
@@ -468,3 +468,80 @@
     turns(&mut cell, &mut next, 50);
     assert_eq!(counted(&cell, 1), 0);
 }
+
+/// Has a start go to a worker that is down already, unheard of, and learn of the next life there.
+fn lose_unanswered_start(cell: &mut FakeCell, lead: &mut Scheduler) {
+    let order = loop {
+        cell.now.0 += 20;
+        cell.look(lead);
+        cell.record(lead);
+        lead.schedule(cell.now);
+        let orders = lead.take_orders();
+        let start = orders.into_iter().find(|order| matches!(order, CellOrder::Start(_)));
+        if let Some(order) = start {
+            break order;
+        }
+    };
+    let CellOrder::Start(start) = &order else { unreachable!() };
+    let place = cell.number(lead, start.worker);
+    cell.workers[place].cut = true;
+    cell.obey(lead, &order);
+    cell.forget_late();
+    cell.crash(place, TimeSpan(500));
+    cell.workers[place].cut = false;
+    turns(cell, lead, 60);
+}
+
+// Three starts of a task came to workers that were down already. Each went unanswered, the next life at the address showed that the
+// worker had crashed, and the task was held for it: `"msg":"crash counted","seen":false,"count":3`, and after two more
+// starts that ended otherwise `"msg":"task given up"`. Its caller was told that the job had failed; no worker ever had
+// crashed under it.
+#[test]
+fn starts_that_went_unanswered_give_up_no_task() {
+    let mut cell = FakeCell::new(8, 4);
+    let mut lead = cell.lead(false);
+    turns(&mut cell, &mut lead, 5);
+    cell.submit_led(&mut lead, 1, job(vec![step(1, 1)]));
+    for _ in 0..3 {
+        lose_unanswered_start(&mut cell, &mut lead);
+        if cell.place(task(1, 0, 0)).is_some() {
+            cell.end_anywhere(task(1, 0, 0), RunEnd::Lapsed);
+        }
+    }
+    for _ in 0..4 {
+        turns(&mut cell, &mut lead, 60);
+        assert_eq!(cell.progress(1).state, JobState::Running);
+        cell.end_anywhere(task(1, 0, 0), RunEnd::Lapsed);
+    }
+    turns(&mut cell, &mut lead, 60);
+    cell.end_all();
+    turns(&mut cell, &mut lead, 5);
+    assert_eq!(cell.progress(1).state, JobState::Completed);
+}
+
+// Whatever part of its starts goes unanswered, a task that crashes each of its workers is given up when the starts that users
+// allow are used up: three crashes and two further starts.
+#[test]
+fn a_task_that_crashes_each_worker_is_given_up_however_many_answers_are_lost() {
+    const LOSSES: u32 = 5;
+    for course in 0..1_u32 << LOSSES {
+        let mut suspicion = TaskSuspicion::default();
+        let mut losses = 0;
+        while !suspicion.is_guilty(1) {
+            assert!(losses < LOSSES, "course {course:05b} goes on after {losses} crashes");
+            suspicion.note_start();
+            let answered = course & (1 << losses) != 0;
+            let crash = WorkerCrash {
+                life: format!("w{losses}").as_str().into(),
+                alone: true,
+                seen: answered,
+                at_unix_ms: u64::from(losses),
+            };
+            match answered {
+                true => suspicion.count(crash),
+                false => suspicion.note_unanswered(crash),
+            };
+            losses += 1;
+        }
+    }
+}
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -417,6 +417,11 @@
         }
     }
 
+    /// Drops the starts that are on their way.
+    pub fn forget_late(&mut self) {
+        self.late.clear();
+    }
+
     /// Carries out the starts that were lost on the way.
     pub fn carry_out_late(&mut self) {
         for late in std::mem::take(&mut self.late) {
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -42,6 +42,7 @@
         CellEvent::LossCleared { .. } => telemetry::count_crash("cleared", ""),
         CellEvent::CrashCounted { sign, .. } => telemetry::count_crash("counted", sign.name()),
         CellEvent::LostTogether { .. } => telemetry::count_crash("together", ""),
+        CellEvent::UnansweredLost { .. } => telemetry::count_crash("unanswered", ""),
         CellEvent::GivenUp { .. } => telemetry::count_crash("given_up", ""),
         CellEvent::Adopted { .. } => telemetry::count_run_found("adopted"),
         CellEvent::Unwanted { .. } => telemetry::count_run_found("unwanted"),
@@ -112,6 +113,10 @@
             info!(log, "lost together"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker,
                 "others" => others);
         }
+        CellEvent::UnansweredLost { task, run, worker, count } => {
+            info!(log, "lost unanswered"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker,
+                "count" => count);
+        }
         CellEvent::GivenUp { task, workers } => {
             let names: Vec<String> = workers.iter().map(WorkerLife::to_string).collect();
             warn!(log, "task given up"; "token" => %token, "task" => %task, "crashed" => names.join(" "));
