--- a/crates/sedgehill-cell/src/scheduler/naming.rs
+++ b/crates/sedgehill-cell/src/scheduler/naming.rs
@@ -186,8 +186,7 @@
         if named.is_empty() {
             return Err(self.lack_of_names(candidate, job, spec, now));
         }
-        // While steps stand for want of a box, each question is kept as short as it can be.
-        if self.timing.policy.fill_questions && self.unasked.is_none() {
+        if self.timing.policy.fill_questions {
             self.fill_question(candidate, job, spec, &mut named, now);
         }
         Ok(named)
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -16,9 +16,6 @@
 
 /// A step that is stalled for so long beside room is told of: as long as the users allow.
 const STALLED_AFTER: TimeSpan = TimeSpan(3_000);
-/// A step that found no box to ask for so long gets help of those that are kept for short questions: it leaves time for
-/// several dear questions, since users allow three seconds in all.
-const UNASKED_AFTER: TimeSpan = TimeSpan(500);
 /// It is told of again so much later, if it is still stalled.
 const TOLD_AGAIN: TimeSpan = TimeSpan(10_000);
 /// The step that found no box to ask for the longest time is looked for this often: the look goes over all that wait.
@@ -185,7 +182,7 @@
             let stall = step.stall.filter(|stall| stall.reason == StallReason::NoHelper)?;
             // Steps that are asked about in vain take turns.
             let since = step.advice.asked.map_or(stall.since, |asked| asked.max(stall.since));
-            (now >= since.after(UNASKED_AFTER)).then_some((since, *candidate))
+            (now >= since.after(STALLED_AFTER)).then_some((since, *candidate))
         };
         let unasked = candidates.iter().filter_map(unasked_since);
         unasked.min_by_key(|(since, _)| *since).map(|(_, candidate)| candidate)
