--- a/crates/sedgehill-cell/src/ids.rs
+++ b/crates/sedgehill-cell/src/ids.rs
@@ -1,4 +1,4 @@
-//! Identifiers of jobs, tasks, runs, workers, boxes, queues and organisations.
+//! Identifiers of jobs, tasks, runs, workers, boxes, queues, organisations and data halls.
 
 use std::fmt;
 use std::str::FromStr;
@@ -309,3 +309,19 @@
         PoolName(Arc::from(text))
     }
 }
+
+/// The name of a data hall: a part of the cell that operators can empty as a whole.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct HallName(pub Arc<str>);
+
+impl fmt::Display for HallName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<&str> for HallName {
+    fn from(text: &str) -> HallName {
+        HallName(Arc::from(text))
+    }
+}
--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`job`] describes submitted jobs and the policy of the queue that they came through.
 //! - [`organisation`] holds the API keys of callers and the resource limits of each organisation.
+//! - [`halls`] holds the data halls that operators have emptied.
 //! - [`progress`] is the part of a job's state that is stored.
 //! - [`replica`] builds the set of known jobs from the records of the cell; every box keeps one.
 //! - [`summary`] is the short form of a job that the lead sends to boxes that do not stand by.
@@ -18,6 +19,7 @@
 
 pub mod authority;
 pub mod crash_history;
+pub mod halls;
 pub mod ids;
 pub mod job;
 pub mod organisation;
--- a/crates/sedgehill-cell/src/scheduler/message.rs
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{
-    CellTask, FencingToken, JobId, LifeStart, PoolName, RunNumber, StepId, WorkerId, WorkerLife,
+    CellTask, FencingToken, HallName, JobId, LifeStart, PoolName, RunNumber, StepId, WorkerId,
+    WorkerLife,
 };
 use crate::job::JobRecord;
 use crate::progress::JobProgress;
@@ -53,6 +54,9 @@
     pub capacity: ResourceSet,
     /// Labels of its kind and of its rack.
     pub labels: Vec<Arc<str>>,
+    /// Its data hall; none if the entry names none. Rosters do not store it, since a worker gets
+    /// work only once its entry has been read.
+    pub hall: Option<HallName>,
 }
 
 /// An order to start a run.
@@ -332,7 +336,7 @@
 impl From<&WorkerRoster> for StoredRoster {
     fn from(roster: &WorkerRoster) -> StoredRoster {
         let stored = |entry: &WorkerEntry| {
-            let WorkerEntry { life, address, pool, draining, capacity, labels } = entry.clone();
+            let WorkerEntry { life, address, pool, draining, capacity, labels, .. } = entry.clone();
             StoredEntry { id: life.id, address, pool, draining, capacity, labels }
         };
         let numbered = (0u32..).zip(&roster.workers);
@@ -349,7 +353,7 @@
     fn from(stored: StoredRoster) -> WorkerRoster {
         let entry = |entry: StoredEntry| {
             let StoredEntry { id, address, pool, draining, capacity, labels } = entry;
-            WorkerEntry { life: id.into(), address, pool, draining, capacity, labels }
+            WorkerEntry { life: id.into(), address, pool, draining, capacity, labels, hall: None }
         };
         let mut workers: Vec<WorkerEntry> = stored.workers.into_iter().map(entry).collect();
         for (place, start) in stored.starts {
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod call_loss;
 mod diagnostics;
 mod displacement;
+mod emptied_halls;
 mod ends;
 mod event;
 mod isolation;
@@ -54,6 +55,8 @@
 use self::background_crashes::BackgroundCrashes;
 use self::call_loss::CallLossRate;
 pub use self::diagnostics::TakeOverStatus;
+pub use self::emptied_halls::HallStats;
+use self::emptied_halls::HallView;
 pub use self::event::*;
 pub use self::message::*;
 pub use self::organisations::{OrganisationKey, OrganisationStats, OrganisationTable};
@@ -119,6 +122,8 @@
     take_over: TakeOver,
     /// When the list of workers was last read from the store; none if it never was.
     workers_listed_at: Option<Moment>,
+    /// The halls in which nothing new may start.
+    emptied_halls: HallView,
     orders: Vec<CellOrder>,
     events: Vec<CellEvent>,
     /// Jobs whose progress goes into the next batch.
@@ -192,6 +197,7 @@
                 lost_workers: false,
             },
             workers_listed_at: None,
+            emptied_halls: HallView::default(),
             orders: Vec::new(),
             events: Vec::new(),
             dirty: BTreeSet::new(),
@@ -401,7 +407,7 @@
         self.expire_unresolved_runs(now);
         self.send_recorded_starts(now);
         self.count_unconfirmed(self.unix_ms_at(now));
-        if self.has_fresh_worker_list(now) {
+        if self.has_fresh_worker_list(now) && self.has_fresh_hall_view(now) {
             self.place_all(now);
         }
         self.report_late_restarts(now);
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -31,7 +31,8 @@
         let needs_alone_worker =
             || self.suspects_seen && self.jobs.values().any(ActiveJob::wants_alone);
         let nothing_urgent = || self.restarts.is_empty() && !needs_alone_worker();
-        if open.list.is_empty() && open.least_urgent == 0 && nothing_urgent() {
+        let hall_emptied = !open.max_free_emptied.is_empty();
+        if open.list.is_empty() && open.least_urgent == 0 && nothing_urgent() && !hall_emptied {
             return;
         }
         self.clear_limit_reservations();
@@ -130,7 +131,10 @@
             && !needs_alone_worker
             && !candidate.restarts
         {
-            return Some(StallReason::NoRoom);
+            return Some(match open.max_free_emptied.fits(&spec.need) {
+                true => StallReason::HallEmptied,
+                false => StallReason::NoRoom,
+            });
         }
         let step_id = job.steps[candidate.step].id;
         let mut waiting = self.waiting_in_group(candidate, job, now);
@@ -170,6 +174,9 @@
         Some(match may_start {
             false => StallReason::NotRecorded,
             true if is_deferred => StallReason::StartDeferred,
+            true if reason.lacks_room() && open.max_free_emptied.fits(&spec.need) => {
+                StallReason::HallEmptied
+            }
             true => reason,
         })
     }
@@ -374,6 +381,11 @@
         let earlier = self.settlement_of(job);
         let ticket = job.steps[step].advice.ticket(key, now, TimeSpan(0));
         let worker = &mut self.workers[key.0];
+        assert!(
+            !worker.hall_emptied,
+            "{}: {task} would start in an emptied hall",
+            worker.entry.life
+        );
         let (life, token) = (worker.entry.life.clone(), worker.token);
         worker.start_activity_at = now;
         let lease_until = worker
--- a/crates/sedgehill-cell/src/scheduler/restart.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -386,15 +386,12 @@
         };
         let candidate = Candidate { job: task.step.job, step, restarts: true };
         let Some(details) = self.stall_details(&candidate, open, now) else { return };
-        let has_fresh_worker_list = self.has_fresh_worker_list(now);
+        let stale_view = self.stale_view(now);
         let Some(due) = self.restarts.due.get_mut(&task) else { return };
         due.reported_at = Some(now);
         // There is no reason if the step was not examined since the task lost its run, or if nothing
         // prevented its starts last time: the worker may not have confirmed the run yet.
-        let reason = match has_fresh_worker_list {
-            true => due.reason.unwrap_or(StallReason::NoRoom),
-            false => StallReason::StaleWorkerList,
-        };
+        let reason = stale_view.or(due.reason).unwrap_or(StallReason::NoRoom);
         let (cause, ahead, without_run) = (due.cause, due.ahead, now.since(due.since));
         self.events.push(CellEvent::RestartLate {
             task,
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -29,6 +29,8 @@
     is_open: Vec<bool>,
     /// The largest free amount of each resource on any worker.
     pub(super) max_free: ResourceSet,
+    /// The largest free amount of each resource on any worker whose hall is emptied.
+    pub(super) max_free_emptied: ResourceSet,
     /// The priority of the least urgent running job; 0, the most urgent, if displacement is
     /// switched off. A step of this priority or a less urgent one finds no work to displace.
     pub(super) least_urgent: u32,
@@ -39,6 +41,7 @@
         let mut is_open = vec![false; self.workers.len()];
         let mut list = Vec::new();
         let mut max_free = ResourceSet::default();
+        let mut max_free_emptied = ResourceSet::default();
         for (number, worker) in self.workers.iter().enumerate() {
             let free = &worker.free;
             if free.is_empty() || worker.runs_allowed(now) == 0 {
@@ -47,16 +50,16 @@
             if worker.takes_work(now, &self.timing) {
                 is_open[number] = true;
                 list.push(WorkerKey(number));
-                max_free.cores = max_free.cores.max(free.cores);
-                max_free.memory = max_free.memory.max(free.memory);
-                max_free.accelerators = max_free.accelerators.max(free.accelerators);
+                max_free = largest_of_each(&max_free, free);
+            } else if worker.hall_emptied && !worker.is_over() {
+                max_free_emptied = largest_of_each(&max_free_emptied, free);
             }
         }
         let least_urgent = match self.timing.policy.displacement {
             true => self.least_urgent(),
             false => 0,
         };
-        OpenWorkers { list, is_open, max_free, least_urgent }
+        OpenWorkers { list, is_open, max_free, max_free_emptied, least_urgent }
     }
 
     /// Returns the priority of the least urgent running job of any pool.
@@ -161,6 +164,15 @@
     }
 }
 
+/// Returns the larger amount of each resource.
+fn largest_of_each(one: &ResourceSet, other: &ResourceSet) -> ResourceSet {
+    ResourceSet {
+        cores: one.cores.max(other.cores),
+        memory: one.memory.max(other.memory),
+        accelerators: one.accelerators.max(other.accelerators),
+    }
+}
+
 /// Returns the sort key of a worker's pace, in steps of an eighth. Tight jobs prefer the fastest
 /// workers. Others prefer the slowest that are not much slower than usual, so that fast workers
 /// stay free.
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -52,8 +52,12 @@
 
     /// Updates a worker from its entry in the store.
     fn read_entry(&mut self, key: WorkerKey, entry: WorkerEntry) {
-        let WorkerEntry { pool, draining, capacity, labels, .. } = entry;
+        let WorkerEntry { pool, draining, capacity, labels, hall, .. } = entry;
         let worker = &mut self.workers[key.0];
+        if hall.is_some() {
+            worker.entry.hall = hall;
+        }
+        worker.hall_emptied = self.emptied_halls.excludes(worker.entry.hall.as_ref());
         worker.entry.draining |= draining;
         if !std::mem::replace(&mut worker.capacity_read, true) {
             // A life that was first known from its report was assumed to be like the one before it.
@@ -164,7 +168,9 @@
         let key = WorkerKey(self.workers.len());
         self.lives.insert(entry.life.clone(), key);
         self.ids.insert(entry.life.id.clone(), key);
+        let hall_emptied = self.emptied_halls.excludes(entry.hall.as_ref());
         self.workers.push(WorkerState::new(entry, token, now));
+        self.workers[key.0].hall_emptied = hall_emptied;
         self.report_worker_change(key, change);
         key
     }
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -33,6 +33,8 @@
 pub enum StallReason {
     /// The list of workers is too old to start anything by it.
     StaleWorkerList,
+    /// The operators' requests to empty halls have not been read for too long.
+    StaleHallView,
     /// An earlier lead may have started tasks of the job.
     EarlierLead,
     /// A later lead seems to be responsible for the job.
@@ -43,6 +45,8 @@
     StartDeferred,
     /// The limit of the organisation is reached.
     OrganisationLimit,
+    /// There is room, but only in halls that operators have emptied.
+    HallEmptied,
     /// No worker that takes work has room for a single task.
     NoRoom,
     /// There is room for some members of the gang, but not for all.
@@ -66,6 +70,8 @@
     pub fn name(self) -> &'static str {
         match self {
             StallReason::StaleWorkerList => "old_list",
+            StallReason::StaleHallView => "old_halls",
+            StallReason::HallEmptied => "hall_emptied",
             StallReason::EarlierLead => "earlier_lead",
             StallReason::LaterLead => "later_lead",
             StallReason::NotRecorded => "not_recorded",
@@ -81,6 +87,18 @@
             StallReason::AwaitingAdvice => "asking",
         }
     }
+
+    /// Whether the step found too little room on workers that may run it.
+    pub(super) fn lacks_room(self) -> bool {
+        matches!(
+            self,
+            StallReason::NoRoom
+                | StallReason::PartialGangRoom
+                | StallReason::NoAllowedRoom
+                | StallReason::TooLittleExpectedRoom
+                | StallReason::NoneAllowed
+        )
+    }
 }
 
 impl fmt::Display for StallReason {
@@ -275,6 +293,15 @@
         Some(details)
     }
 
+    /// Returns which of the views that every start depends on is too old; none if none is.
+    pub(super) fn stale_view(&self, now: Moment) -> Option<StallReason> {
+        match (self.has_fresh_worker_list(now), self.has_fresh_hall_view(now)) {
+            (false, _) => Some(StallReason::StaleWorkerList),
+            (true, false) => Some(StallReason::StaleHallView),
+            (true, true) => None,
+        }
+    }
+
     /// Returns figures about stalled steps by reason.
     pub fn stall_stats(&self, now: Moment) -> Vec<StallStats> {
         let mut by_reason: BTreeMap<StallReason, StallStats> = BTreeMap::new();
@@ -282,11 +309,7 @@
         let steps = jobs.flat_map(|job| (0..job.steps.len()).map(move |step| (job, step)));
         let stalled = steps.filter(|(job, step)| !job.has_placed(*step));
         for stall in stalled.filter_map(|(job, step)| job.steps[step].stall) {
-            let reason = if self.has_fresh_worker_list(now) {
-                stall.reason
-            } else {
-                StallReason::StaleWorkerList
-            };
+            let reason = self.stale_view(now).unwrap_or(stall.reason);
             let stats = by_reason.entry(reason);
             let stats = stats.or_insert(StallStats { reason, steps: 0, longest: TimeSpan(0) });
             stats.steps += 1;
--- a/crates/sedgehill-cell/src/scheduler/timing.rs
+++ b/crates/sedgehill-cell/src/scheduler/timing.rs
@@ -54,6 +54,9 @@
     /// not get starts beyond its new size from 3 s after it was listed so, less the time that an
     /// order takes to arrive.
     pub max_list_age: TimeSpan,
+    /// Nothing is started while the operators' requests to empty halls have not been read for longer
+    /// than this, so that a request is in force within a few seconds whatever cannot be reached.
+    pub max_hall_view_age: TimeSpan,
     /// How long progress that is not urgent may wait to be recorded.
     pub max_record_delay: TimeSpan,
     /// The policies that are switched on.
@@ -82,6 +85,7 @@
             overdue_slack: TimeSpan(600),
             ticket_margin: TimeSpan(120),
             max_list_age: TimeSpan(2_800),
+            max_hall_view_age: TimeSpan(4_000),
             max_record_delay: TimeSpan(300),
             policy: CellPolicy::default(),
         }
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -124,6 +124,8 @@
     pub unlisted_since: Moment,
     /// Its newest entry in the store could not be read.
     pub unreadable: bool,
+    /// Nothing new may start there, because operators emptied its hall.
+    pub hall_emptied: bool,
     /// When it was added at its address.
     pub added_at: Moment,
     /// Whether it is in the recorded roster.
@@ -210,6 +212,7 @@
             capacity_read: false,
             unlisted_since: now,
             unreadable: false,
+            hall_emptied: false,
             added_at: now,
             in_roster: false,
             inherited: false,
@@ -348,6 +351,7 @@
             && self.other_listed_entry.is_none()
             && !self.is_over()
             && !self.entry.draining
+            && !self.hall_emptied
             && self.fenced
             && answered_recently
             && self.silent_calls == 0
@@ -439,6 +443,12 @@
         suspended
     }
 
+    /// Forgets how fast the worker was: after its hall was emptied it may be slow at first.
+    pub fn forget_pace(&mut self) {
+        self.pace = FactorAverage::default();
+        self.consecutive_faults = 0;
+    }
+
     /// Notes that a run ended well.
     pub fn note_success(&mut self) {
         self.consecutive_faults = 0;
--- a/crates/sedgehill-cell/src/scheduler/write_ahead.rs
+++ b/crates/sedgehill-cell/src/scheduler/write_ahead.rs
@@ -52,7 +52,7 @@
 
     /// Sends the starts that have been recorded.
     pub(super) fn send_recorded_starts(&mut self, now: Moment) {
-        if !self.has_fresh_worker_list(now) {
+        if !self.has_fresh_worker_list(now) || !self.has_fresh_hall_view(now) {
             return;
         }
         let recorded = self.recorded;
@@ -73,6 +73,7 @@
             && !worker.is_over()
             && worker.other_listed_entry.is_none()
             && !worker.entry.draining
+            && !worker.hall_emptied
             && !worker.is_over_size();
         let Some(entry) = worker.runs.get_mut(&task) else { return };
         if entry.run != run || entry.phase != RunPhase::Recording {
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod ends;
 mod entries;
+mod halls;
 mod lives;
 mod orders;
 mod organisations;
@@ -13,6 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use sedgehill_cell::halls::EmptiedHalls;
 use sedgehill_cell::ids::{
     CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId, WorkerId, WorkerLife,
 };
@@ -27,6 +29,7 @@
 
 use self::crashes::CrashLedger;
 pub use self::crashes::CrashRule;
+pub use self::halls::hall_of;
 pub use self::organisations::owned;
 pub use self::service::{FakeService, HelperFault};
 
@@ -113,6 +116,10 @@
     pub list_unreadable: bool,
     /// Whether workers that crash restart with the same id.
     pub keeps_ids: bool,
+    /// The halls that operators have emptied.
+    pub emptied_halls: EmptiedHalls,
+    /// Whether the lead cannot read the operators' requests.
+    pub halls_unreadable: bool,
 }
 
 /// Time between two reads of the list of workers, as on a box.
@@ -130,6 +137,7 @@
         draining: false,
         capacity: ResourceSet { memory: MemorySize(64 << 30), ..cores(capacity) },
         labels: Vec::new(),
+        hall: None,
     }
 }
 
@@ -164,7 +172,7 @@
 
 impl FakeWorker {
     fn new(number: u16, capacity: u64) -> FakeWorker {
-        let entry = worker_entry(number, capacity);
+        let entry = WorkerEntry { hall: Some(hall_of(number)), ..worker_entry(number, capacity) };
         FakeWorker {
             listed_as: entry.capacity,
             entry,
@@ -218,6 +226,8 @@
             listed_at: Moment(0),
             list_unreadable: false,
             keeps_ids: false,
+            emptied_halls: EmptiedHalls::default(),
+            halls_unreadable: false,
         }
     }
 
@@ -240,6 +250,7 @@
         let roster = self.roster.clone();
         self.watched = scheduler.add_roster(&roster, self.now);
         self.list(&mut scheduler);
+        self.read_halls(&mut scheduler);
         scheduler
     }
 
@@ -290,6 +301,7 @@
         if !self.list_unreadable && self.now >= self.listed_at.after(LIST_INTERVAL) {
             self.list(scheduler);
         }
+        self.read_halls(scheduler);
     }
 
     /// Runs one turn: polls workers, records progress, schedules and carries out the orders. Returns the orders.
@@ -361,6 +373,12 @@
         }
     }
 
+    /// Returns the scheduler's key of a worker that is polled.
+    pub fn worker_key(&self, scheduler: &Scheduler, number: usize) -> WorkerKey {
+        let key = self.watched.iter().find(|key| self.number(scheduler, **key) == number);
+        *key.expect("the worker is polled")
+    }
+
     /// Returns the number of the worker that a scheduler's key stands for.
     pub fn number(&self, scheduler: &Scheduler, key: WorkerKey) -> usize {
         let id = &scheduler.entry(key).life.id;
--- a/crates/sedgehill-cell/tests/testsuite/fake/orders.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/orders.rs
@@ -45,6 +45,7 @@
 
     /// Carries out a start, or keeps it as a delayed one if the worker cannot be reached.
     pub fn start(&mut self, number: usize, order: &StartOrder) -> WorkerAnswer<WorkerTime> {
+        self.check_hall(number);
         if self.workers[number].cut {
             self.late.push(LateStart { number, order: order.clone() });
             return WorkerAnswer::Unknown;
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod entries;
 mod fake;
 mod further_starts;
+mod halls;
 mod lead_jobs;
 mod lives;
 mod low_rank_steps;
--- a/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use sedgehill_cell::authority::LeadWatch;
+use sedgehill_cell::halls::EmptiedHalls;
 use sedgehill_cell::ids::{FencingToken, JobId, TOKENS_PER_LEAD};
 use sedgehill_cell::job::JobRecord;
 use sedgehill_cell::replica::{CellRecord, CellReplica};
@@ -134,6 +135,7 @@
         self.list_at = now.after(LIST_INTERVAL);
         if let Some(entries) = entries {
             let keys = self.scheduler.update_workers(entries, &[], now);
+            self.scheduler.set_emptied_halls(&EmptiedHalls::default(), now);
             self.schedule_polls(keys, now);
         }
     }
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -1,7 +1,8 @@
 //! Random sequences of faults in a cell: lost leads, workers that are cut off, mute, unlisted or listed wrongly, runs
-//! with any kind of end, orders that are carried out late, tasks that crash their workers, and workers that crash by
-//! themselves, shrink or grow. The fakes panic when a task runs twice or after its end, or when runs exceed the
-//! capacity of a worker or the highest limit that their organisation has had.
+//! with any kind of end, orders that are carried out late, tasks that crash their workers, workers that crash by
+//! themselves, shrink or grow, and halls that are emptied and taken back. The fakes panic when a task runs twice or
+//! after its end, when runs exceed the capacity of a worker or the highest limit that their organisation has had, or
+//! when a start is sent into a hall that was emptied seconds ago.
 
 use proptest::prelude::*;
 use sedgehill_cell::ids::JobId;
@@ -10,7 +11,7 @@
 use sedgehill_core::units::{CoreCount, TimeSpan};
 
 use crate::cases::cases;
-use crate::fake::{CrashRule, FakeCell, job, owned, step, task};
+use crate::fake::{CrashRule, FakeCell, hall_of, job, owned, step, task};
 
 const WORKERS: u16 = 4;
 const CORES: u64 = 4;
@@ -44,6 +45,10 @@
     SetUnreadable(usize, bool),
     /// Lists a worker at the address of another worker or at its own.
     Misplace(usize, usize),
+    /// Empties the hall of a worker, or takes it back.
+    EmptyHall(u16, bool),
+    /// The lead cannot read the operators' requests to empty halls, or can again.
+    SetHallsUnreadable(bool),
     /// A life ends, and another life starts at its address.
     ReplaceWorker(usize),
     /// A worker restarts under its id, in cells whose workers keep their ids.
@@ -101,6 +106,8 @@
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, set)| Move::SetUnlisted(number, set)),
         2 => (worker.clone(), any::<bool>()).prop_map(|(number, set)| Move::SetUnreadable(number, set)),
         2 => (worker.clone(), worker.clone()).prop_map(|(number, at)| Move::Misplace(number, at)),
+        2 => (0..WORKERS, any::<bool>()).prop_map(|(number, emptied)| Move::EmptyHall(number, emptied)),
+        1 => any::<bool>().prop_map(Move::SetHallsUnreadable),
         1 => worker.clone().prop_map(Move::ReplaceWorker),
         2 => worker.prop_map(Move::RestartWorker),
         6 => (0usize..16, end).prop_map(|(pick, end)| Move::End { pick, end }),
@@ -157,6 +164,9 @@
         Move::SetUnlisted(number, unlisted) => cell.workers[number].unlisted = unlisted,
         Move::SetUnreadable(number, unreadable) => cell.workers[number].unreadable = unreadable,
         Move::Misplace(number, at) => cell.misplace(number, at),
+        Move::EmptyHall(number, true) => cell.empty_hall(&hall_of(number)),
+        Move::EmptyHall(number, false) => cell.take_back_hall(&hall_of(number)),
+        Move::SetHallsUnreadable(unreadable) => cell.halls_unreadable = unreadable,
         Move::ReplaceWorker(number) => cell.replace_worker(number),
         Move::RestartWorker(number) if cell.keeps_ids => cell.restart_worker(number),
         Move::RestartWorker(_) => {}
@@ -196,6 +206,8 @@
         (worker.unreadable, worker.shown) = (false, None);
         worker.entry.capacity.cores = CoreCount(CORES * 1_000);
     }
+    cell.halls_unreadable = false;
+    (0..WORKERS).for_each(|number| cell.take_back_hall(&hall_of(number)));
     // The widest gang needs twelve cores.
     for (name, _) in ORGANISATIONS {
         cell.limit(&mut lead, name, 12);
--- a/crates/sedgehill-cell/tests/testsuite/scheduler.rs
+++ b/crates/sedgehill-cell/tests/testsuite/scheduler.rs
@@ -139,6 +139,7 @@
     while cell.starts.len() == 1 {
         cell.now.0 += 20;
         cell.list(&mut lead);
+        cell.read_halls(&mut lead);
         for number in 0..2 {
             if cell.now.0 - begin.0 > 4_000 {
                 cell.workers[number].expire_for_test();
--- a/crates/sedgehill-standin/src/cell_platform/foreign_entries.rs
+++ b/crates/sedgehill-standin/src/cell_platform/foreign_entries.rs
@@ -15,7 +15,7 @@
 
 /// Returns the entry of a worker with one field replaced or added.
 fn entry_with(address: SocketAddr, field: &str, value: Value) -> Value {
-    let mut entry = worker::entry(address, worker::CORES);
+    let mut entry = worker::entry(address, 0, worker::CORES);
     entry[field] = value;
     entry
 }
@@ -38,15 +38,15 @@
         let (first, last) = (workers[0], workers[workers.len() - 1]);
         let unused = SocketAddr::from(([127, 0, 0, 1], UNUSED_PORT));
         let undetectable = [
-            ("a-twin", worker::entry(first, worker::CORES)),
-            ("z-twin", worker::entry(last, worker::CORES)),
-            ("dead", worker::entry(unused, worker::CORES)),
+            ("a-twin", worker::entry(first, 0, worker::CORES)),
+            ("z-twin", worker::entry(last, 0, worker::CORES)),
+            ("dead", worker::entry(unused, 0, worker::CORES)),
             ("other-service", entry_with(first, "service", json!("unheard-of"))),
         ];
         // A box recognizes the addresses of the store and of the advice service, unless it reaches them at other ones.
         let detectable = [
-            ("advice", worker::entry(self.advice_address, worker::CORES)),
-            ("store", worker::entry(self.store_address, worker::CORES)),
+            ("advice", worker::entry(self.advice_address, 0, worker::CORES)),
+            ("store", worker::entry(self.store_address, 0, worker::CORES)),
         ];
         for (key, entry) in undetectable.iter().chain(&detectable) {
             self.store.put(ENTRY_TOPIC, key, entry);
@@ -66,8 +66,8 @@
             ("d-size", entry_with(address, "capacity", json!({})).to_string().into()),
             ("e-list", array.to_string().into()),
             ("f-long", entry_with(address, "padding", padding).to_string().into()),
-            ("g-naïve", worker::entry(address, worker::CORES).to_string().into()),
-            ("h\nlines", worker::entry(address, worker::CORES).to_string().into()),
+            ("g-naïve", worker::entry(address, 0, worker::CORES).to_string().into()),
+            ("h\nlines", worker::entry(address, 0, worker::CORES).to_string().into()),
         ];
         for (key, value) in &values {
             self.store.put_bytes(ENTRY_TOPIC, key, value);
--- a/crates/sedgehill-standin/src/cell_platform/mod.rs
+++ b/crates/sedgehill-standin/src/cell_platform/mod.rs
@@ -29,7 +29,7 @@
     CRASH_SPEC, GANG_SPEC, LONG_RUNNING_SPEC, SIZED_SPEC, WIDE_SPEC, is_long_running,
 };
 pub use self::store::StandinStore;
-pub use self::worker::{CORES, StandinWorkers, run_duration_ms};
+pub use self::worker::{CORES, HALL_COUNT, StandinWorkers, hall_name, run_duration_ms};
 use crate::http_server::{ServerGuard, serve};
 
 /// The running stand-ins. They stop when this is dropped.
@@ -64,6 +64,8 @@
 
 /// The topic in which workers are listed.
 const WORKER_TOPIC: &str = "keyed.servers";
+/// The topic of the operators.
+pub const OPERATOR_TOPIC: &str = "keyed.op";
 /// The topic of claims of the lead.
 pub const LEAD_TOPIC: &str = "keyed.sedgehill-lead";
 /// The topic in which leads record the progress of jobs.
@@ -163,12 +165,22 @@
 
     /// Writes a configuration with one queue to the store.
     pub fn configure(&self, version: u64) {
-        self.store.put("keyed.op", "config", &one_queue(version));
+        self.store.put(OPERATOR_TOPIC, "config", &one_queue(version));
+    }
+
+    /// Empties a hall, as an operator does, or takes it back into use.
+    pub fn set_hall_emptied(&self, hall: &str, emptied: bool) {
+        let key = format!("evacuate/{hall}");
+        match emptied {
+            true => self.store.put(OPERATOR_TOPIC, &key, &serde_json::json!({})),
+            false => self.store.remove(OPERATOR_TOPIC, &key),
+        }
+        self.workers.set_hall_emptied(hall, emptied);
     }
 
     /// Returns the version that follows that of the configuration in the store.
     pub fn next_config_version(&self) -> u64 {
-        let config = self.store.newest_value("keyed.op", "config").unwrap_or_default();
+        let config = self.store.newest_value(OPERATOR_TOPIC, "config").unwrap_or_default();
         let config: serde_json::Value = serde_json::from_slice(&config).unwrap_or_default();
         config["version"].as_u64().unwrap_or(0) + 1
     }
@@ -176,7 +188,7 @@
     /// Writes a configuration with the given queues to the store.
     pub fn configure_queues(&self, version: u64, queues: &[serde_json::Value]) {
         let config = serde_json::json!({ "version": version, "routes": queues });
-        self.store.put("keyed.op", "config", &config);
+        self.store.put(OPERATOR_TOPIC, "config", &config);
     }
 
     /// Writes a configuration with one queue and organisations, whose callers need keys.
@@ -189,7 +201,7 @@
         };
         let mut config = one_queue(version);
         config["tenants"] = organisations.iter().map(tenant).collect();
-        self.store.put("keyed.op", "config", &config);
+        self.store.put(OPERATOR_TOPIC, "config", &config);
     }
 }
 
@@ -205,7 +217,7 @@
 }
 
 fn list_life(workers: &StandinWorkers, store: &StandinStore, address: SocketAddr, number: usize) {
-    let mut entry = worker::entry(address, workers.cores(number));
+    let mut entry = worker::entry(address, number, workers.cores(number));
     if let Some(born) = workers.born(number) {
         entry["born"] = born.into();
     }
--- a/crates/sedgehill-standin/src/cell_platform/oracle.rs
+++ b/crates/sedgehill-standin/src/cell_platform/oracle.rs
@@ -10,6 +10,9 @@
 const MIN_LOSSES_TO_GIVE_UP: usize = 2;
 /// The first of the counted starts that is a violation.
 const FIRST_EXCESS_START: usize = 3;
+/// How long after a hall was emptied a run may still begin there: the users allow 5 s, and an order takes up to a second
+/// on its way.
+const MAX_START_AFTER_EMPTIED_MS: u64 = 6_000;
 
 /// The history of all workers and the violations found in it.
 #[derive(Debug, Default)]
@@ -33,6 +36,8 @@
     crashes: BTreeMap<String, usize>,
     /// Number of starts of the task since its crashes reached [`CRASHES_BEFORE_COUNT`].
     counted_starts: BTreeMap<String, usize>,
+    /// The emptied halls, and when each was emptied.
+    emptied_halls: BTreeMap<String, u64>,
     /// Jobs with gangs. The platform ends the members of a gang together, which these workers do not model.
     gang_jobs: BTreeSet<String>,
 }
@@ -60,6 +65,27 @@
         self.runs_by_task.entry(task.to_owned()).or_default().push((now, description.to_owned()));
     }
 
+    /// Records that a hall is emptied, or taken back.
+    pub fn record_hall(&mut self, hall: &str, emptied_at: Option<u64>) {
+        match emptied_at {
+            Some(at) => {
+                self.emptied_halls.entry(hall.to_owned()).or_insert(at);
+            }
+            None => {
+                self.emptied_halls.remove(hall);
+            }
+        }
+    }
+
+    /// Records that a run begins in a hall by an order that was not delayed on its way.
+    pub fn record_hall_start(&mut self, task: &str, hall: &str, now: u64, description: &str) {
+        let Some(at) = self.emptied_halls.get(hall) else { return };
+        if now > at + MAX_START_AFTER_EMPTIED_MS {
+            self.violations
+                .push(format!("{task} begins in {hall}, emptied at {at} ms: {description}"));
+        }
+    }
+
     /// Records that a life ends with all its runs. `cause` is the task that crashed it, if one did.
     pub fn record_crash(&mut self, life: &StandinLife, cause: Option<&str>) {
         for task in life.runs.keys() {
--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -104,10 +104,19 @@
     }
 }
 
+/// Number of data halls, over which the workers are spread.
+pub const HALL_COUNT: usize = 3;
+
+/// Returns the name of the data hall that a worker stands in.
+pub fn hall_name(number: usize) -> String {
+    format!("hall-{}", number % HALL_COUNT)
+}
+
 /// Returns the entry of a worker in the store.
-pub fn entry(address: SocketAddr, cores: usize) -> serde_json::Value {
+pub fn entry(address: SocketAddr, number: usize, cores: usize) -> serde_json::Value {
     serde_json::json!({
         "service": "pool", "address": address, "state": "ready", "labels": ["a"],
+        "zone": hall_name(number),
         "capacity": {"cpu": cores * 1000, "mem_mb": 4096, "gpu": 0}
     })
 }
@@ -151,6 +160,12 @@
         self.answer_delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Records that a hall is emptied or taken back. Runs that begin there seconds after it was emptied are violations.
+    pub fn set_hall_emptied(&self, hall: &str, emptied: bool) {
+        let emptied_at = emptied.then(|| self.now_ms());
+        self.state.lock().oracle.record_hall(hall, emptied_at);
+    }
+
     /// Records a violation whenever more than `limit` tasks run at once of jobs whose ids begin with `prefix`.
     pub fn limit_running_tasks(&self, prefix: &str, limit: usize) {
         self.state.lock().oracle.task_limits.push((prefix.to_owned(), limit));
--- a/crates/sedgehill-standin/src/cell_platform/worker_calls.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker_calls.rs
@@ -13,7 +13,8 @@
 use super::life::{StandinLife, StandinRun};
 use super::spec::{GANG_SPEC, WIDE_SPEC, cores_of, crash_time, failure_time};
 use super::worker::{
-    POLL_INTERVAL, PoolState, STOP_DURATION_MS, StandinWorkers, run_duration_ms, step_of, worker_id,
+    POLL_INTERVAL, PoolState, STOP_DURATION_MS, StandinWorkers, hall_name, run_duration_ms,
+    step_of, worker_id,
 };
 use crate::http_server::{JsonResponse, json, read_json, status};
 
@@ -203,6 +204,9 @@
     let PoolState { sites, oracle, .. } = state;
     let lives: Vec<&StandinLife> = sites.iter().flat_map(|site| &site.life).collect();
     oracle.record_start(&order.task, now, &description, &lives);
+    if order.delay.is_zero() {
+        oracle.record_hall_start(&order.task, &hall_name(number), now, &description);
+    }
     if order.spec == GANG_SPEC || order.spec.starts_with(WIDE_SPEC) {
         oracle.mark_gang_job(&order.task);
     }
--- a/crates/sedgehill-standin/src/cell_process.rs
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -100,7 +100,8 @@
             .stdout(log)
             .spawn()?;
         let log = self.log_path(directory);
-        Ok(CellProcess { child, callers: self.callers, ready: self.ready, log })
+        let CellBoxConfig { callers, ready, metrics, .. } = *self;
+        Ok(CellProcess { child, callers, ready, metrics, log })
     }
 
     /// Returns the path of the log file.
@@ -116,6 +117,8 @@
     pub callers: SocketAddr,
     /// Address of the readiness check.
     pub ready: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
     log: PathBuf,
 }
 
--- a/crates/sedgehill-standin/src/soak/faults.rs
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -9,7 +9,7 @@
 use super::plan::SoakFault;
 use super::proxy::PathState;
 use super::{full, wide};
-use crate::cell_platform::{PROGRESS_TOPIC, PathFault};
+use crate::cell_platform::{HALL_COUNT, PROGRESS_TOPIC, PathFault, hall_name};
 
 /// Where many workers die at once, distance between the numbers of two of them.
 const MASS_DEATH_STRIDE: usize = 3;
@@ -46,6 +46,8 @@
     RestoreAppends,
     /// Lets boxes read the progress topic again.
     ReleaseProgressReads,
+    /// Takes a data hall back into use.
+    TakeBackHall(usize),
     /// Ends the fault of a box's questions to the advice service.
     RestoreAdvice(usize),
 }
@@ -154,6 +156,10 @@
                 self.platform.store.set_append_fault(Some(path_fault));
                 repairs.push((after(span), Repair::RestoreAppends));
             }
+            SoakFault::EmptyHall(number, span) => {
+                self.platform.set_hall_emptied(&hall_name(number), true);
+                repairs.push((after(span), Repair::TakeBackHall(number)));
+            }
             SoakFault::Forget => self.platform.store.discard_history(PROGRESS_TOPIC),
             SoakFault::ForgetAtFence(span) => {
                 self.platform.store.discard_history_at_fence(PROGRESS_TOPIC);
@@ -203,6 +209,9 @@
             Repair::RestoreSize(number) => self.platform.resize_worker(number, self.size.cores()),
             Repair::RestoreAppends => self.platform.store.set_append_fault(None),
             Repair::ReleaseProgressReads => self.platform.store.hold_reads(None),
+            Repair::TakeBackHall(number) => {
+                self.platform.set_hall_emptied(&hall_name(number), false);
+            }
             Repair::RestoreAdvice(number) => self.platform.advice.set_fault(number + 1, None),
         }
         Ok(())
@@ -229,6 +238,9 @@
         self.platform.store.set_silent(false);
         self.platform.store.set_append_fault(None);
         self.platform.store.hold_reads(None);
+        for number in 0..HALL_COUNT {
+            self.platform.set_hall_emptied(&hall_name(number), false);
+        }
         for number in 0..self.size.workers {
             self.platform.workers.set_path_fault(number, None);
             self.revive_worker(number);
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -7,7 +7,7 @@
 
 use super::proxy::PathState;
 use super::{SoakProfile, SoakSize};
-use crate::cell_platform::{AdviceFault, AffectedLeads, CORES, CallFault, PathFault};
+use crate::cell_platform::{AdviceFault, AffectedLeads, CORES, CallFault, HALL_COUNT, PathFault};
 
 /// A fault that is injected from outside.
 ///
@@ -52,6 +52,8 @@
     Appends(PathFault, Duration),
     /// Discards the history of the progress topic. Only the newest record of each key remains.
     Forget,
+    /// Empties a data hall for a time.
+    EmptyHall(usize, Duration),
     /// Injects a fault into the questions of a box to the advice service for a time.
     Advice(usize, AdviceFault, Duration),
     /// Discards the history of the progress topic, as [`SoakFault::Forget`] does, when the next lead begins its epoch there.
@@ -110,6 +112,13 @@
 /// lease of 4 s. Faults that hold reads of progress last as long.
 const SECOND_LEAD_FAULT_DELAY_MS: std::ops::Range<u64> = 400..3_000;
 
+/// Time between the beginnings of two emptied halls.
+const HALL_GAP_MS: std::ops::Range<u64> = 1_000..12_000;
+/// How long a hall is emptied: some requests are taken back before they are in force everywhere.
+const HALL_EMPTIED_MS: std::ops::Range<u64> = 300..9_000;
+/// Separates the generator of emptied halls from the others.
+const HALL_SALT: u64 = 0x6861_6c6c;
+
 /// Time between two crashes of many workers.
 const MASS_DEATH_GAP_MS: std::ops::Range<u64> = 6_000..14_000;
 /// Separates the generator of these crashes from the others.
@@ -138,6 +147,7 @@
     plan.extend(draw_lead_faults(seed, seconds));
     plan.extend(draw_resizes(seed, seconds, size.workers));
     plan.extend(draw_mass_deaths(seed, seconds, size.workers));
+    plan.extend(draw_emptied_halls(seed, seconds));
     if !size.faults {
         plan.clear();
     }
@@ -236,6 +246,20 @@
     plan
 }
 
+/// Draws when halls are emptied, sometimes all of them at once.
+fn draw_emptied_halls(seed: u64, seconds: u64) -> SoakPlan {
+    let mut rng = StdRng::seed_from_u64(seed ^ HALL_SALT);
+    let mut plan = Vec::new();
+    let mut at = rng.random_range(HALL_GAP_MS);
+    while at < seconds * 1_000 {
+        let span = Duration::from_millis(rng.random_range(HALL_EMPTIED_MS));
+        let number = rng.random_range(0..HALL_COUNT);
+        plan.push((Duration::from_millis(at), SoakFault::EmptyHall(number, span)));
+        at += rng.random_range(HALL_GAP_MS);
+    }
+    plan
+}
+
 /// Draws a general fault of boxes, of their paths or of the store.
 fn draw_fault(rng: &mut StdRng, boxes: usize) -> SoakFault {
     let number = rng.random_range(0..boxes);
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod end_to_end;
 mod endpoints;
 mod entries;
+mod halls;
 mod ledger;
 mod logging;
 mod messages;
--- a/crates/sedgehilld/src/cell/apply.rs
+++ b/crates/sedgehilld/src/cell/apply.rs
@@ -1,12 +1,16 @@
 //! Applies records of the store's topics to the state of the box, whether they come from a read,
 //! from the link to the lead, or from an append of this box.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use sedgehill_adapter::config::{decode_config, is_config};
+use sedgehill_adapter::hall_request::{HallRequest, decode_hall_request};
 use sedgehill_adapter::store::{KeyedRecord, StoreTopic};
 use sedgehill_cell::authority::LeadRecord;
+use sedgehill_cell::halls::HallChange;
+use sedgehill_cell::ids::HallName;
 use sedgehill_cell::replica::{CellRecord, ReplicaChange, RosterSource};
 use sedgehill_cell::scheduler::WorkerRoster;
 use slog::{info, warn};
@@ -18,7 +22,7 @@
 pub fn apply(host: &CellBox, topic: StoreTopic, record: &KeyedRecord) {
     match topic {
         StoreTopic::Operators if is_config(record) => apply_config(host, record.value.clone()),
-        StoreTopic::Operators => {}
+        StoreTopic::Operators => apply_hall_request(host, record),
         StoreTopic::Leads => apply_lead_record(host, record),
         StoreTopic::Jobs | StoreTopic::Progress => apply_cell_record(host, record),
         StoreTopic::Workers => {}
@@ -40,6 +44,50 @@
     }
 }
 
+/// Applies a request to empty a hall or to take it back. Other records of operators change nothing.
+fn apply_hall_request(host: &CellBox, record: &KeyedRecord) {
+    let Some(request) = decode_hall_request(record) else { return };
+    let change = match request {
+        HallRequest::Empty(hall) => host.emptied_halls.borrow_mut().empty(hall, clock::now()),
+        HallRequest::TakeBack(hall) => host.emptied_halls.borrow_mut().take_back(&hall),
+    };
+    note_hall_changes(host, change);
+}
+
+/// Replaces all requests to empty halls by those in the newest records of the operators' topic, which
+/// were read up to `end`. A hall that was taken back has no record there.
+pub fn replace_hall_requests(host: &CellBox, newest: &[KeyedRecord], end: u64) {
+    let emptied: BTreeSet<HallName> = newest
+        .iter()
+        .filter_map(|record| match decode_hall_request(record)? {
+            HallRequest::Empty(hall) => Some(hall),
+            HallRequest::TakeBack(_) => None,
+        })
+        .collect();
+    let changes = host.emptied_halls.borrow_mut().replace(emptied, end, clock::now());
+    note_hall_changes(host, changes);
+}
+
+/// Logs changes in the use of halls, and passes them on if this box leads.
+fn note_hall_changes(host: &CellBox, changes: impl IntoIterator<Item = HallChange>) {
+    let view_age = host.config_view.age().map(|age| age.0);
+    let mut changed = false;
+    for change in changes {
+        changed = true;
+        match change {
+            HallChange::Emptied(hall) => {
+                info!(host.log, "hall emptied"; "hall" => %hall, "view_age_ms" => view_age);
+            }
+            HallChange::BackInUse(hall) => {
+                info!(host.log, "hall back in use"; "hall" => %hall, "view_age_ms" => view_age);
+            }
+        }
+    }
+    if changed && let Some(session) = &*host.session.borrow() {
+        session.apply_halls(host);
+    }
+}
+
 fn apply_lead_record(host: &CellBox, record: &KeyedRecord) {
     match LeadRecord::decode(&record.value) {
         Ok(lead) => {
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -146,6 +146,14 @@
         }
     }
 
+    /// Passes the emptied halls to the scheduler, with how current they are.
+    pub fn apply_halls(&self, host: &CellBox) {
+        if let Some(known_at) = host.config_view.complete_at() {
+            let halls = host.emptied_halls.borrow();
+            self.scheduler.borrow_mut().set_emptied_halls(&halls, known_at);
+        }
+    }
+
     /// Passes an accepted job to the scheduler.
     pub fn add_job(&self, host: &CellBox, id: JobId) {
         let replica = host.replica.borrow();
@@ -315,6 +323,7 @@
     session.scheduler.borrow_mut().note_fenced(clock::now());
     session.scheduler.borrow_mut().add_helper(OWN_BOX);
     session.apply_limits(host);
+    session.apply_halls(host);
     let job_ids: Vec<JobId> = host.replica.borrow().jobs().map(|(id, _)| id).collect();
     for id in job_ids {
         session.add_job(host, id);
@@ -352,6 +361,7 @@
         if may_order {
             let now = clock::now();
             session.apply_limits(host);
+            session.apply_halls(host);
             session.scheduler.borrow_mut().set_wall_clock(clock::unix_ms(), now);
             session.scheduler.borrow_mut().schedule(now);
             let orders = session.scheduler.borrow_mut().take_orders();
--- a/crates/sedgehilld/src/cell/lead_metrics.rs
+++ b/crates/sedgehilld/src/cell/lead_metrics.rs
@@ -1,9 +1,13 @@
-//! Exports metrics of organisations, stalled steps and late restarts while this box leads.
+//! Exports metrics of organisations, emptied halls, stalled steps and late restarts while this box
+//! leads.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sedgehill_cell::scheduler::{OrganisationStats, RestartStats, StallReason, StallStats};
+use sedgehill_cell::ids::HallName;
+use sedgehill_cell::scheduler::{
+    HallStats, OrganisationStats, RestartStats, StallReason, StallStats,
+};
 use sedgehill_core::units::{CoreCount, ResourceSet};
 
 use super::lead::LeadSession;
@@ -17,11 +21,17 @@
 /// The value of a limit that is not set, which Prometheus writes as `+Inf`.
 const NO_LIMIT: f64 = f64::INFINITY;
 
+/// The most halls with metrics of their own. Operators may name any number of halls, and each name
+/// is a label that is kept for good.
+const MAX_LABELLED_HALLS: usize = 100;
+
 /// Updates the metrics until the lead ends. [`reset`] then clears them.
 pub async fn run(session: &LeadSession) {
     let mut exported = BTreeSet::new();
+    let mut exported_halls = BTreeSet::new();
     loop {
         tokio::time::sleep(UPDATE_INTERVAL).await;
+        set_hall_metrics(&session.scheduler.borrow().hall_stats(clock::now()), &mut exported_halls);
         set_organisation_metrics(&session.scheduler.borrow().organisation_stats());
         set_stall_metrics(&session.scheduler.borrow().stall_stats(clock::now()), &mut exported);
         set_restart_metrics(session.scheduler.borrow().restart_stats(clock::now()));
@@ -46,6 +56,19 @@
     }
 }
 
+/// Sets the metrics of emptied halls. Those of a hall that was exported before and is back in use are
+/// set to zero.
+fn set_hall_metrics(stats: &[HallStats], exported: &mut BTreeSet<HallName>) {
+    for hall in stats.iter().take(MAX_LABELLED_HALLS) {
+        exported.insert(hall.hall.clone());
+        let emptied_for = hall.emptied_for.0 as f64 / MILLIS_PER_SECOND;
+        telemetry::set_emptied_hall(&hall.hall.0, hall.workers, hall.runs, emptied_for);
+    }
+    for hall in exported.iter().filter(|hall| stats.iter().all(|stat| stat.hall != **hall)) {
+        telemetry::set_emptied_hall(&hall.0, 0, 0, 0.0);
+    }
+}
+
 /// Sets the metrics of long-running tasks that have no run.
 fn set_restart_metrics(stats: RestartStats) {
     telemetry::set_restarts(stats.tasks, stats.longest.0 as f64 / MILLIS_PER_SECOND);
@@ -58,6 +81,8 @@
         (organisation.running, organisation.open_jobs) = (ResourceSet::default(), 0);
     }
     set_organisation_metrics(&stats);
+    let halls = session.scheduler.borrow().hall_stats(clock::now());
+    set_hall_metrics(&[], &mut halls.into_iter().map(|stat| stat.hall).collect());
     let stalls = session.scheduler.borrow().stall_stats(clock::now());
     set_stall_metrics(&[], &mut stalls.iter().map(|stall| stall.reason).collect());
     set_restart_metrics(RestartStats::default());
--- a/crates/sedgehilld/src/cell/orders.rs
+++ b/crates/sedgehilld/src/cell/orders.rs
@@ -49,7 +49,9 @@
         // The same start is sent again: the run starts at most once, and a worker that left one
         // order unanswered usually answers the next. Only `Done` settles the outcome, since the
         // first copy may still be carried out whatever happens to the second.
-        WorkerAnswer::Unknown if session.start_resends.borrow_mut().try_take() => {
+        WorkerAnswer::Unknown
+            if may_send_start(session, &order) && session.start_resends.borrow_mut().try_take() =>
+        {
             match try_start(host, session, &target, &order).await {
                 WorkerAnswer::Done(clock) => WorkerAnswer::Done(clock),
                 WorkerAnswer::NotDone(_) | WorkerAnswer::Unknown => WorkerAnswer::Unknown,
@@ -61,13 +63,19 @@
     session.wake.notify_one();
 }
 
+/// Returns whether a start may still be sent: the worker's hall may have been emptied since it was
+/// ordered.
+fn may_send_start(session: &LeadSession, order: &StartOrder) -> bool {
+    session.scheduler.borrow().may_send_start(order.worker)
+}
+
 async fn try_start(
     host: &Rc<CellBox>,
     session: &Rc<LeadSession>,
     target: &WorkerTarget,
     order: &StartOrder,
 ) -> WorkerAnswer<WorkerTime> {
-    if !session.may_order(host) {
+    if !session.may_order(host) || !may_send_start(session, order) {
         return WorkerAnswer::NotDone(WorkerRefusal::Withheld);
     }
     let workers = host.clients.workers.clone();
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -12,6 +12,7 @@
 use sedgehill_adapter::store::{StoreClient, StoreTopic};
 use sedgehill_adapter::worker::{MalformedHandler, WorkerClient};
 use sedgehill_cell::authority::LeadWatch;
+use sedgehill_cell::halls::EmptiedHalls;
 use sedgehill_cell::ids::{JobId, OrganisationName, QueueName};
 use sedgehill_cell::replica::CellReplica;
 use sedgehill_cell::timeout::{AdaptiveTimeout, STORE_TIMEOUT};
@@ -84,6 +85,11 @@
         self.complete_at.get().map(|complete_at| clock::now().since(complete_at))
     }
 
+    /// Returns when the view was last complete; none if it never was.
+    pub fn complete_at(&self) -> Option<Moment> {
+        self.complete_at.get()
+    }
+
     /// Returns whether the view is complete except for the last two seconds.
     pub fn is_fresh(&self) -> bool {
         self.complete_at
@@ -178,7 +184,9 @@
     pub config: RefCell<Rc<CellConfig>>,
     /// The record of the configuration in force, to send to boxes that cannot read it.
     pub config_record: RefCell<Bytes>,
-    /// How current the configuration is.
+    /// The data halls that operators have emptied.
+    pub emptied_halls: RefCell<EmptiedHalls>,
+    /// How current the configuration and the requests to empty halls are.
     pub config_view: TopicView,
     /// The jobs that this box knows.
     pub replica: RefCell<CellReplica>,
@@ -262,6 +270,7 @@
             clients,
             config: RefCell::default(),
             config_record: RefCell::default(),
+            emptied_halls: RefCell::default(),
             config_view: TopicView::default(),
             replica: RefCell::default(),
             jobs_view: TopicView::default(),
--- a/crates/sedgehilld/src/cell/topic_follower.rs
+++ b/crates/sedgehilld/src/cell/topic_follower.rs
@@ -12,7 +12,7 @@
 use sedgehill_core::units::TimeSpan;
 use slog::{info, warn};
 
-use super::apply::apply;
+use super::apply::{apply, replace_hall_requests};
 use super::lead::LeadSession;
 use super::state::{CellBox, TopicView};
 use crate::clock;
@@ -218,6 +218,9 @@
     for record in &newest.records {
         apply(host, topic, record);
     }
+    if topic == StoreTopic::Operators {
+        replace_hall_requests(host, &newest.records, newest.end);
+    }
     host.replica.borrow_mut().forget_missing(&known_ids, &recorded_jobs(&newest.records));
     view.offset.set(Some(newest.end));
     view.full_records.set(true);
@@ -300,6 +303,9 @@
             for record in new_records {
                 apply(host, topic, record);
             }
+            if topic == StoreTopic::Operators {
+                host.emptied_halls.borrow_mut().note_read(next_offset);
+            }
             if next_offset > known_end {
                 forward_to_helpers(host, topic, known_end, new_records);
                 view.offset.set(Some(next_offset));
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -170,6 +170,15 @@
     gauge!("sedgehill_cell_stalled_longest_seconds", "reason" => reason).set(longest_seconds);
 }
 
+/// Sets the gauges of a data hall that operators emptied: the workers and runs that are still there, and how long ago
+/// this box learned of the request. All are zero once the hall is back in use.
+pub fn set_emptied_hall(hall: &str, workers: usize, runs: usize, emptied_seconds: f64) {
+    let label = [("hall", hall.to_owned())];
+    gauge!("sedgehill_cell_emptied_hall_workers", &label).set(workers as f64);
+    gauge!("sedgehill_cell_emptied_hall_runs", &label).set(runs as f64);
+    gauge!("sedgehill_cell_emptied_hall_seconds", &label).set(emptied_seconds);
+}
+
 /// Sets the gauges of long-running tasks that have no run: their number, and how long the oldest has had none.
 pub fn set_restarts(tasks: usize, longest_seconds: f64) {
     gauge!("sedgehill_cell_restarts_due").set(tasks as f64);
