cell: a roster of any size is recorded, a record for each worker of a large one

Cause: the roster of all workers was one record, written as a whole at each change. The store takes records of 262,144 bytes, some 3,000 workers; with 6,000 it refused each batch with the roster, so no worker was in a recorded roster, none got work, and nothing was accepted.

Change: up to 64 KiB the roster stays the record that it was. Beyond that each worker has a record of its own (about 90 bytes), and a change writes the records of the workers that changed. Each record is true by itself, and their union is safe to go by, so nothing has to tell whether it is whole. The single record of a split roster holds a worker that never answers: a lead of an earlier release, which reads only that, waits until everything has certainly ended. A record that such a lead left counts beside the others.

Ruled out: parts by hash (a change costs a part, and all parts change while workers answer a new lead), a base with differences (both have to be read whole and in order), parts of fixed size (0.5 MB at each change of the start).

--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -13,7 +13,7 @@
 use crate::ids::{CellIdError, JobId, OrganisationName, QueueName};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
-use crate::scheduler::WorkerRoster;
+use crate::scheduler::{RosterChange, RosterParts};
 use crate::stored::decode_with_defaults;
 use crate::summary::JobSummary;
 
@@ -196,7 +196,7 @@
     jobs: HashMap<JobId, ReplicaJob>,
     /// Jobs that are over, in the order in which this box learned of it, with the time.
     ended: VecDeque<(Moment, JobId)>,
-    roster: WorkerRoster,
+    roster: RosterParts,
     roster_source: Option<RosterSource>,
     /// The number of waiting jobs in each queue.
     waiting: HashMap<QueueName, usize>,
@@ -239,7 +239,7 @@
     }
 
     /// Returns the roster: the workers on which an earlier lead may have started tasks.
-    pub fn roster(&self) -> &WorkerRoster {
+    pub fn roster(&self) -> &RosterParts {
         &self.roster
     }
 
@@ -248,12 +248,19 @@
         self.roster_source
     }
 
-    /// Replaces the roster.
-    pub fn apply_roster(&mut self, roster: WorkerRoster, source: RosterSource) {
-        self.roster = roster;
+    /// Applies a change of one record of the roster.
+    pub fn apply_roster(&mut self, change: RosterChange, source: RosterSource) {
+        self.roster.apply(change);
         self.roster_source = Some(source);
     }
 
+    /// Removes the records of the roster that are not among the newest records of all keys, which were read as a
+    /// whole: they were removed while this box received no records.
+    pub fn retain_roster<'a>(&mut self, newest_keys: impl Iterator<Item = &'a str>) {
+        let kept = newest_keys.filter(|key| RosterChange::is_roster_key(key)).collect();
+        self.roster.retain(&kept);
+    }
+
     /// Applies a record that was received at `now`.
     pub fn apply(&mut self, id: JobId, record: CellRecord, now: Moment) -> ReplicaChange {
         let was_waiting = self.waiting_queue(id);
--- a/crates/sedgehill-cell/src/scheduler/message.rs
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -1,7 +1,7 @@
 //! Inputs and outputs of the scheduler.
 
 use std::fmt;
-use std::hash::{DefaultHasher, Hasher};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,6 +9,7 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 use serde::{Deserialize, Serialize};
 
+use super::roster_records::RosterChange;
 use crate::ids::{
     CellTask, FencingToken, HallName, JobId, LifeStart, PoolName, RunNumber, StepId, WorkerId,
     WorkerLife,
@@ -261,14 +262,39 @@
     pub number: u64,
     /// The progress of each job.
     pub jobs: Vec<(JobId, JobProgress)>,
-    /// The new roster, if it changed or a record is needed to confirm the lead.
-    pub roster: Option<WorkerRoster>,
+    /// The changes of the roster; also a repeated record, if one is needed to confirm the lead.
+    pub roster: Vec<RosterChange>,
 }
 
-/// A digest that identifies a roster in logs.
+/// A digest that identifies a roster: equal for the same workers, in any order. It does not depend on whether they are
+/// draining, which is of no use to a later lead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RosterDigest(u64);
 
+impl RosterDigest {
+    /// Returns the digest of some workers, each with the largest known resources of it.
+    pub(super) fn of<'a>(
+        workers: impl Iterator<Item = (&'a WorkerEntry, ResourceSet)>,
+    ) -> RosterDigest {
+        let of_worker = |(entry, largest): (&WorkerEntry, ResourceSet)| {
+            let WorkerEntry { life, address, pool, capacity, labels, .. } = entry;
+            let mut hasher = DefaultHasher::new();
+            (life, address, pool, labels).hash(&mut hasher);
+            for resources in [capacity, &largest] {
+                let ResourceSet { cores, memory, accelerators } = *resources;
+                (cores.0, memory.0, accelerators).hash(&mut hasher);
+            }
+            RosterDigest(hasher.finish())
+        };
+        RosterDigest::sum(workers.map(of_worker))
+    }
+
+    /// Returns the digest of several rosters together.
+    pub(super) fn sum(digests: impl Iterator<Item = RosterDigest>) -> RosterDigest {
+        RosterDigest(digests.fold(0, |sum, digest| sum.wrapping_add(digest.0)))
+    }
+}
+
 impl fmt::Display for RosterDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
@@ -291,17 +317,35 @@
     /// The key of the roster in the store.
     pub const KEY: &str = "roster";
 
+    /// Creates the roster of some workers, each with the largest known resources of it.
+    pub(super) fn of(workers: &[(&WorkerEntry, ResourceSet)]) -> WorkerRoster {
+        let numbered = (0u32..).zip(workers);
+        let shrunk = numbered.filter(|(_, (entry, largest))| entry.capacity != *largest);
+        WorkerRoster {
+            shrunk: shrunk.map(|(place, (_, largest))| (place, *largest)).collect(),
+            workers: workers.iter().map(|(entry, _)| (*entry).clone()).collect(),
+        }
+    }
+
+    /// Returns the workers, each with the largest known resources of it.
+    pub(super) fn with_largest(&self) -> impl Iterator<Item = (&WorkerEntry, ResourceSet)> {
+        // The places in `shrunk` rise.
+        let mut shrunk = self.shrunk.iter().peekable();
+        (0u32..).zip(&self.workers).map(move |(place, entry)| {
+            let largest = shrunk.next_if(|(shrunk_place, _)| *shrunk_place == place);
+            (entry, largest.map_or(entry.capacity, |(_, largest)| *largest))
+        })
+    }
+
     /// Encodes the roster for the store.
     pub fn encode(&self) -> Vec<u8> {
         let stored = StoredRoster::from(self);
         postcard::to_stdvec(&stored).expect("all types in a roster can be encoded")
     }
 
-    /// A digest for logs, equal for the same workers in the same order.
+    /// Returns the digest of the workers.
     pub fn digest(&self) -> RosterDigest {
-        let mut hasher = DefaultHasher::new();
-        hasher.write(&self.encode());
-        RosterDigest(hasher.finish())
+        RosterDigest::of(self.with_largest())
     }
 
     /// Decodes a stored roster.
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod restart_room;
 mod room;
 mod roster;
+mod roster_records;
 mod stall;
 mod stragglers;
 mod suspects;
@@ -65,6 +66,8 @@
 use self::restart::RestartTracker;
 pub use self::restart::{PendingRestart, RestartCause, RestartStats};
 use self::room::Candidate;
+use self::roster_records::RosterRecords;
+pub use self::roster_records::{RosterChange, RosterParts};
 pub use self::stall::{StallDetails, StallReason, StallStats};
 pub use self::suspects::CrashDetection;
 use self::suspects::UnresolvedRuns;
@@ -132,8 +135,10 @@
     delayed: BTreeSet<JobId>,
     /// When the first job was added to `delayed`; none while it is empty.
     delayed_since: Option<Moment>,
-    /// The next batch must contain a new roster.
+    /// The roster may differ from what the store holds, so the next batch must contain the changes.
     roster_changed: bool,
+    /// What the store holds of the roster.
+    roster_records: RosterRecords,
     next_batch: u64,
     /// The number of the newest batch that is recorded.
     recorded: u64,
@@ -204,6 +209,7 @@
             delayed: BTreeSet::new(),
             delayed_since: None,
             roster_changed: false,
+            roster_records: RosterRecords::default(),
             next_batch: 1,
             recorded: 0,
             confirmation_wanted: false,
--- a/crates/sedgehill-cell/src/scheduler/record.rs
+++ b/crates/sedgehill-cell/src/scheduler/record.rs
@@ -24,11 +24,16 @@
             .into_iter()
             .filter_map(|id| self.jobs.get(&id).map(|job| (id, job.progress())))
             .collect();
-        // Any record confirms that no later lead has fenced this one. The roster is recorded if
-        // there is nothing else.
+        // Any record confirms that no later lead has fenced this one. A record of the roster is
+        // written, again if need be, if there is nothing else.
         let confirms = std::mem::take(&mut self.confirmation_wanted) && jobs.is_empty();
-        let takes_roster = std::mem::take(&mut self.roster_changed) || confirms;
-        let roster = takes_roster.then(|| self.next_roster(now));
+        let mut roster = match std::mem::take(&mut self.roster_changed) || confirms {
+            true => self.next_roster_changes(now),
+            false => Vec::new(),
+        };
+        if confirms && roster.is_empty() {
+            roster.push(self.repeated_roster_record(now));
+        }
         let batch = ProgressBatch { number: self.next_batch, jobs, roster };
         self.next_batch += 1;
         if is_sent(&batch) {
@@ -58,7 +63,9 @@
         if is_sent(batch) {
             self.lead_confirmed_at = self.batch_taken;
         }
-        for entry in batch.roster.iter().flat_map(|roster| &roster.workers) {
+        self.roster_records.note_recorded(&batch.roster);
+        let written = batch.roster.iter().filter_map(|change| change.content.as_ref());
+        for entry in written.flat_map(|content| &content.workers) {
             // The life may have been listed at another address since, which is in no recorded
             // roster yet.
             if let Some(key) = self.lives.get(&entry.life)
@@ -82,5 +89,5 @@
 
 /// Whether a batch is sent to the store; an empty one is not.
 fn is_sent(batch: &ProgressBatch) -> bool {
-    !batch.jobs.is_empty() || batch.roster.is_some()
+    !batch.jobs.is_empty() || !batch.roster.is_empty()
 }
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -1,6 +1,7 @@
 //! Tracks which workers exist, by the store's list and by the roster that is recorded for later
 //! leads.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
@@ -104,21 +105,16 @@
 
     /// Adds the workers on which an earlier lead may have started something. Returns the workers
     /// that are to be polled and are not yet.
-    pub fn add_roster(&mut self, roster: &WorkerRoster, now: Moment) -> Vec<WorkerKey> {
-        let mut keys = Vec::with_capacity(roster.workers.len());
-        for entry in &roster.workers {
+    pub fn add_roster(&mut self, parts: &RosterParts, now: Moment) -> Vec<WorkerKey> {
+        for (entry, largest_capacity) in parts.workers() {
             let key = self.find_or_add_worker(entry.clone(), "inherited", now);
-            keys.push(key);
             let Some(key) = key else { continue };
             self.workers[key.0].in_roster = true;
             self.workers[key.0].inherited = true;
             self.workers[key.0].note_capacity(&entry.capacity);
+            self.workers[key.0].note_capacity(&largest_capacity);
         }
-        for (place, capacity) in &roster.shrunk {
-            if let Some(Some(key)) = keys.get(*place as usize) {
-                self.workers[key.0].note_capacity(capacity);
-            }
-        }
+        self.roster_records.inherit(parts);
         self.unpolled()
     }
 
@@ -217,21 +213,43 @@
         worker.is_listed(now, &self.timing) && !worker.entry.draining && in_touch
     }
 
-    /// Returns the next roster to record. Workers that are not in it get no work from now on.
-    pub(super) fn next_roster(&mut self, now: Moment) -> WorkerRoster {
-        let mut roster = WorkerRoster::default();
-        for number in 0..self.workers.len() {
-            let worker = &self.workers[number];
-            if !self.belongs_to_roster(worker, now) {
-                self.leave_roster(WorkerKey(number));
-                continue;
-            }
-            if worker.largest_capacity != worker.entry.capacity {
-                roster.shrunk.push((roster.workers.len() as u32, worker.largest_capacity));
+    /// Returns the changes of the roster to record. Workers that are not in it get no work from now
+    /// on, and those whose record is in the store already get work again.
+    pub(super) fn next_roster_changes(&mut self, now: Moment) -> Vec<RosterChange> {
+        let keys = self.next_roster(now);
+        let max_record_bytes = self.timing.max_roster_record;
+        let changes = self.roster_records.changes_to(&self.roster_entries(&keys), max_record_bytes);
+        let written = changes.iter().filter_map(|change| change.content.as_ref());
+        let unrecorded: HashSet<&WorkerLife> =
+            written.flat_map(|content| &content.workers).map(|entry| &entry.life).collect();
+        for key in keys {
+            let worker = &mut self.workers[key.0];
+            worker.in_roster |= !unrecorded.contains(&worker.entry.life);
+        }
+        changes
+    }
+
+    /// Returns a record of the roster to write again, which changes nothing.
+    pub(super) fn repeated_roster_record(&mut self, now: Moment) -> RosterChange {
+        let keys = self.next_roster(now);
+        self.roster_records.repetition(&self.roster_entries(&keys))
+    }
+
+    /// Returns the workers that belong to the roster. The others leave it.
+    fn next_roster(&mut self, now: Moment) -> Vec<WorkerKey> {
+        let mut keys = Vec::new();
+        for key in (0..self.workers.len()).map(WorkerKey) {
+            match self.belongs_to_roster(&self.workers[key.0], now) {
+                true => keys.push(key),
+                false => self.leave_roster(key),
             }
-            roster.workers.push(worker.entry.clone());
         }
-        roster
+        keys
+    }
+
+    fn roster_entries(&self, keys: &[WorkerKey]) -> Vec<(&WorkerEntry, ResourceSet)> {
+        let workers = keys.iter().map(|key| &self.workers[key.0]);
+        workers.map(|worker| (&worker.entry, worker.largest_capacity)).collect()
     }
 
     fn leave_roster(&mut self, key: WorkerKey) {
--- a/crates/sedgehill-cell/src/scheduler/timing.rs
+++ b/crates/sedgehill-cell/src/scheduler/timing.rs
@@ -57,6 +57,9 @@
     /// Nothing is started while the operators' requests to empty halls have not been read for longer
     /// than this, so that a request is in force within a few seconds whatever cannot be reached.
     pub max_hall_view_age: TimeSpan,
+    /// The most bytes of a single record of the roster. A larger roster is stored with a record for
+    /// each worker.
+    pub max_roster_record: usize,
     /// How long progress that is not urgent may wait to be recorded.
     pub max_record_delay: TimeSpan,
     /// The policies that are switched on.
@@ -86,6 +89,7 @@
             ticket_margin: TimeSpan(120),
             max_list_age: TimeSpan(2_800),
             max_hall_view_age: TimeSpan(4_000),
+            max_roster_record: 64 << 10,
             max_record_delay: TimeSpan(300),
             policy: CellPolicy::default(),
         }
--- a/crates/sedgehill-cell/tests/testsuite/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/entries.rs
@@ -2,7 +2,8 @@
 
 use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::scheduler::{
-    HoldReport, RunEnd, Scheduler, WorkerAnswer, WorkerEntry, WorkerRefusal,
+    HoldReport, RosterChange, RunEnd, Scheduler, WorkerAnswer, WorkerEntry, WorkerRefusal,
+    WorkerRoster,
 };
 use sedgehill_core::units::TimeSpan;
 
@@ -151,7 +152,8 @@
     cell.submit(&mut lead, 1, job(vec![step(1, 1)]));
     // A batch is under way to the store. Its roster, if any, does not hold a worker that has not answered.
     let batch = lead.take_batch(cell.now).unwrap();
-    assert!(batch.roster.as_ref().is_none_or(|roster| roster.workers.is_empty()));
+    let written = batch.roster.iter().filter_map(|change| change.content.as_ref());
+    assert!(written.flat_map(|content| &content.workers).next().is_none());
     cell.workers[1].shown = None;
     cell.now.0 += 5_000;
     cell.list(&mut lead);
@@ -161,7 +163,7 @@
     assert!(lead.take_orders().is_empty(), "no roster holds the right address yet");
     turns(&mut cell, &mut lead, 40);
     assert_eq!(starts_on(&cell, 1), 1);
-    assert!(cell.roster.workers.contains(&cell.workers[1].entry));
+    assert!(cell.roster.workers().any(|(entry, _)| *entry == cell.workers[1].entry));
 }
 
 #[test]
@@ -172,11 +174,13 @@
     turns(&mut cell, &mut lead, 40);
     // Puts the wrong address into the roster, as if it had been recorded before the worker answered.
     let misplaced = at_address_of(&cell, 1, 0);
-    for entry in &mut cell.roster.workers {
-        if entry.life == misplaced.life {
-            *entry = misplaced.clone();
-        }
-    }
+    let recorded = cell.roster.workers().map(|(entry, _)| match entry.life == misplaced.life {
+        true => misplaced.clone(),
+        false => entry.clone(),
+    });
+    let content = WorkerRoster { workers: recorded.collect(), shrunk: Vec::new() };
+    let key = WorkerRoster::KEY.to_owned();
+    cell.roster.apply(RosterChange { key, content: Some(content) });
     cell.workers[1].ended = true;
     cell.workers[1].expire_for_test();
     cell.now.0 += 20;
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -22,8 +22,8 @@
 use sedgehill_cell::organisation::OrganisationPolicy;
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::scheduler::{
-    AdviceQuestion, CellOrder, CellTiming, EndRow, OWN_BOX, Scheduler, StartOrder, WorkerAnswer,
-    WorkerEntry, WorkerKey, WorkerRoster,
+    AdviceQuestion, CellOrder, CellTiming, EndRow, OWN_BOX, RosterParts, Scheduler, StartOrder,
+    WorkerAnswer, WorkerEntry, WorkerKey,
 };
 use sedgehill_core::units::{CoreCount, MemorySize, Moment, ResourceSet, TimeSpan};
 
@@ -92,7 +92,9 @@
     pub workers: Vec<FakeWorker>,
     pub store: BTreeMap<JobId, (Rc<JobRecord>, JobProgress)>,
     pub token: FencingToken,
-    pub roster: WorkerRoster,
+    pub roster: RosterParts,
+    /// The most bytes of a single record of the roster; a larger roster is split.
+    pub max_roster_record: usize,
     /// The organisations in the current configuration.
     organisations: Vec<OrganisationPolicy>,
     /// The highest core limit that each organisation ever had.
@@ -212,7 +214,8 @@
             workers: (0..workers).map(|number| FakeWorker::new(number, capacity)).collect(),
             store: BTreeMap::new(),
             token: FencingToken(0),
-            roster: WorkerRoster::default(),
+            roster: RosterParts::default(),
+            max_roster_record: CellTiming::default().max_roster_record,
             organisations: Vec::new(),
             highest: HashMap::new(),
             watched: Vec::new(),
@@ -235,8 +238,9 @@
     pub fn lead(&mut self, predecessor: bool) -> Scheduler {
         let earlier = self.token;
         self.token = earlier.next_lead();
-        let mut scheduler =
-            Scheduler::take_over(CellTiming::default(), self.token, predecessor, self.now);
+        let timing =
+            CellTiming { max_roster_record: self.max_roster_record, ..CellTiming::default() };
+        let mut scheduler = Scheduler::take_over(timing, self.token, predecessor, self.now);
         scheduler.set_previous_token(earlier);
         scheduler.add_helper(OWN_BOX);
         scheduler.set_organisations(&self.organisations, self.now);
@@ -363,9 +367,7 @@
     /// Writes the scheduler's batches to the store.
     pub fn record(&mut self, scheduler: &mut Scheduler) {
         while let Some(batch) = scheduler.take_batch(self.now) {
-            if let Some(roster) = &batch.roster {
-                self.roster = roster.clone();
-            }
+            batch.roster.iter().for_each(|change| self.roster.apply(change.clone()));
             for (id, progress) in &batch.jobs {
                 self.store.get_mut(id).unwrap().1 = progress.clone();
             }
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod fake;
 mod further_starts;
 mod halls;
+mod large_rosters;
 mod lead_jobs;
 mod lives;
 mod low_rank_steps;
--- a/crates/sedgehill-cell/tests/testsuite/overlap/answers.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/answers.rs
@@ -3,7 +3,7 @@
 use sedgehill_cell::authority::{AuthorityTiming, LeadRecord};
 use sedgehill_cell::ids::FencingToken;
 use sedgehill_cell::replica::{CellRecord, ReplicaChange, RosterSource};
-use sedgehill_cell::scheduler::{WorkerAnswer, WorkerRoster};
+use sedgehill_cell::scheduler::{RosterChange, WorkerAnswer};
 use sedgehill_core::units::Moment;
 
 use super::host::{Call, Host, PendingCall, Purpose, READ_INTERVAL, RENEW_RETRY_PAUSE, Reply};
@@ -191,10 +191,10 @@
                     let record = LeadRecord::decode(&row.value).unwrap();
                     self.watch.note_record(record, now);
                 }
-                WorkerRoster::KEY => {
+                key if RosterChange::is_roster_key(key) => {
                     let source = RosterSource { read_at: now, offset: None };
-                    let roster = WorkerRoster::decode(&row.value).unwrap();
-                    self.replica.apply_roster(roster, source);
+                    let change = RosterChange::decode(key, &row.value).unwrap();
+                    self.replica.apply_roster(change, source);
                 }
                 key => self.apply_statement(key, &row.value, now),
             }
--- a/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
@@ -10,7 +10,7 @@
 use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::{
     CellOrder, CellTiming, HoldReport, OWN_BOX, ProgressBatch, Scheduler, StartOrder, WorkerAnswer,
-    WorkerEntry, WorkerKey, WorkerRefusal, WorkerRoster, WorkerTime,
+    WorkerEntry, WorkerKey, WorkerRefusal, WorkerTime,
 };
 use sedgehill_core::units::{Moment, TimeSpan};
 
@@ -175,9 +175,10 @@
             rows.extend(
                 jobs.map(|(id, progress)| row(*id, CellRecord::Progress(progress.clone()))),
             );
-            let roster = batch.roster.iter();
-            let key = || WorkerRoster::KEY.to_owned();
-            rows.extend(roster.map(|roster| Row { key: key(), value: roster.encode() }));
+            let changes = batch.roster.iter();
+            rows.extend(
+                changes.map(|change| Row { key: change.key.clone(), value: change.encode() }),
+            );
         }
         rows.extend(
             lead_jobs.iter().map(|(id, record)| row(*id, CellRecord::LeadJob(record.clone()))),
--- a/crates/sedgehill-cell/tests/testsuite/overlapping.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlapping.rs
@@ -289,7 +289,7 @@
         cell.poll_workers(&mut lead);
         under_way = lead.take_batch(cell.now);
         batches += usize::from(under_way.is_some());
-        rosters += usize::from(under_way.as_ref().is_some_and(|batch| batch.roster.is_some()));
+        rosters += usize::from(under_way.as_ref().is_some_and(|batch| !batch.roster.is_empty()));
         lead.schedule(cell.now);
         lead.take_orders();
     }
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -1,6 +1,6 @@
 //! Random sequences of faults in a cell: lost leads, workers that are cut off, mute, unlisted or listed wrongly, runs
 //! with any kind of end, orders that are carried out late, tasks that crash their workers, workers that crash by
-//! themselves, shrink or grow, and halls that are emptied and taken back. The fakes panic when a task runs twice or
+//! themselves, shrink or grow, rosters in one record or several, and halls that are emptied and taken back. The fakes panic when a task runs twice or
 //! after its end, when runs exceed the capacity of a worker or the highest limit that their organisation has had, or
 //! when a start is sent into a hall that was emptied seconds ago.
 
@@ -188,11 +188,16 @@
 }
 
 /// Applies moves to a new cell, ends all faults, and checks that every job ends and in which state.
-fn run_moves(keeps_ids: bool, moves: Vec<Move>) -> Result<(), TestCaseError> {
+fn run_moves(
+    keeps_ids: bool,
+    max_roster_record: usize,
+    moves: Vec<Move>,
+) -> Result<(), TestCaseError> {
     let mut cell = match keeps_ids {
         true => FakeCell::with_lasting_ids(WORKERS, CORES),
         false => FakeCell::new(WORKERS, CORES),
     };
+    cell.max_roster_record = max_roster_record;
     let mut lead = cell.lead(false);
     for (name, max_cores) in ORGANISATIONS {
         cell.limit(&mut lead, name, max_cores);
@@ -234,9 +239,10 @@
     #[test]
     fn random_faults_break_no_rule_and_every_job_ends(
         keeps_ids in any::<bool>(),
+        max_roster_record in prop_oneof![Just(0), Just(150), Just(usize::MAX)],
         moves in prop::collection::vec(any_move(), 1..120),
     ) {
-        run_moves(keeps_ids, moves)?;
+        run_moves(keeps_ids, max_roster_record, moves)?;
     }
 }
 
@@ -265,5 +271,5 @@
         Move::Turns(487),
         Move::NewLead,
     ];
-    run_moves(true, moves).unwrap();
+    run_moves(true, usize::MAX, moves).unwrap();
 }
--- a/crates/sedgehill-cell/tests/testsuite/replica.rs
+++ b/crates/sedgehill-cell/tests/testsuite/replica.rs
@@ -3,7 +3,7 @@
 use sedgehill_cell::ids::JobId;
 use sedgehill_cell::progress::{JobProgress, JobState};
 use sedgehill_cell::replica::{CellRecord, CellReplica, ReplicaChange, RosterSource};
-use sedgehill_cell::scheduler::WorkerRoster;
+use sedgehill_cell::scheduler::{RosterChange, WorkerRoster};
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use crate::fake::{job, step};
@@ -134,7 +134,9 @@
     assert_eq!(replica.roster_source(), None);
     for offset in [None, Some(12)] {
         let source = RosterSource { read_at: NOW, offset };
-        replica.apply_roster(WorkerRoster::default(), source);
+        let content = Some(WorkerRoster::default());
+        let change = RosterChange { key: WorkerRoster::KEY.to_owned(), content };
+        replica.apply_roster(change, source);
         assert_eq!(replica.roster_source(), Some(source));
     }
 }
--- a/crates/sedgehilld/src/cell/apply.rs
+++ b/crates/sedgehilld/src/cell/apply.rs
@@ -12,7 +12,7 @@
 use sedgehill_cell::halls::HallChange;
 use sedgehill_cell::ids::HallName;
 use sedgehill_cell::replica::{CellRecord, ReplicaChange, RosterSource};
-use sedgehill_cell::scheduler::WorkerRoster;
+use sedgehill_cell::scheduler::RosterChange;
 use slog::{info, warn};
 
 use super::state::CellBox;
@@ -111,21 +111,23 @@
 }
 
 fn apply_cell_record(host: &CellBox, record: &KeyedRecord) {
-    if record.value.is_empty() {
-        forget_key(host, &record.key);
-        return;
-    }
-    if record.key == WorkerRoster::KEY {
-        match WorkerRoster::decode(&record.value) {
-            Ok(roster) => {
+    if RosterChange::is_roster_key(&record.key) {
+        match RosterChange::decode(&record.key, &record.value) {
+            Ok(change) => {
                 let source =
                     RosterSource { read_at: clock::now(), offset: host.progress_view.offset.get() };
-                host.replica.borrow_mut().apply_roster(roster, source);
+                host.replica.borrow_mut().apply_roster(change, source);
+            }
+            Err(error) => {
+                warn!(host.log, "roster not readable"; "key" => &record.key, "error" => %error);
             }
-            Err(error) => warn!(host.log, "roster not readable"; "error" => %error),
         }
         return;
     }
+    if record.value.is_empty() {
+        forget_key(host, &record.key);
+        return;
+    }
     let (id, cell_record) = match CellRecord::decode(&record.key, &record.value) {
         Ok(decoded) => decoded,
         Err(error) => {
--- a/crates/sedgehilld/src/cell/lead_log.rs
+++ b/crates/sedgehilld/src/cell/lead_log.rs
@@ -156,7 +156,7 @@
         "waits_for_term" => take_over.waits_for_term,
         "settled_within_ms" => take_over.settled_by.since(now).0,
         "jobs" => take_over.jobs, "earlier_jobs" => take_over.earlier_jobs,
-        "roster" => replica.roster().workers.len(), "roster_mark" => %replica.roster().digest(),
+        "roster" => replica.roster().worker_count(), "roster_mark" => %replica.roster().digest(),
         "roster_from" => roster_source.and_then(|source| source.offset),
         "roster_age_ms" => roster_source.map(|source| now.since(source.read_at).0),
         "progress_fence" => fence_offset,
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -13,7 +13,7 @@
 use sedgehill_cell::ids::{FencingToken, JobId, OrganisationName};
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::CellRecord;
-use sedgehill_cell::scheduler::{ProgressBatch, WorkerRoster};
+use sedgehill_cell::scheduler::ProgressBatch;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
 use tokio::sync::oneshot;
@@ -216,9 +216,9 @@
             records.extend(
                 batch.jobs.iter().map(|(id, job_progress)| record(*id, &progress(job_progress))),
             );
-            records.extend(batch.roster.iter().map(|roster| KeyedRecord {
-                key: WorkerRoster::KEY.to_owned(),
-                value: roster.encode().into(),
+            records.extend(batch.roster.iter().map(|change| KeyedRecord {
+                key: change.key.clone(),
+                value: change.encode().into(),
             }));
         }
         let submissions = self.submissions.iter();
@@ -271,8 +271,8 @@
             };
             let Some(recorded) = recorded else { return };
             if let Some(recorded) = recorded {
-                self.log_roster(host, batch.progress.as_ref(), recorded);
                 apply_own_batch(host, session, &batch.submissions, &records, recorded);
+                self.log_roster(host, batch.progress.as_ref(), recorded);
             }
             if let Some(progress) = &batch.progress {
                 session.scheduler.borrow_mut().batch_recorded(progress);
@@ -293,9 +293,12 @@
         progress: Option<&ProgressBatch>,
         recorded: RecordedBatch,
     ) {
-        if let Some(roster) = progress.and_then(|batch| batch.roster.as_ref()) {
-            info!(host.log, "roster recorded"; "token" => %self.token,
-                "workers" => roster.workers.len(), "mark" => %roster.digest(), "end" => recorded.end);
+        let changes = progress.map_or(0, |batch| batch.roster.len());
+        if changes > 0 {
+            let replica = host.replica.borrow();
+            info!(host.log, "roster recorded"; "token" => %self.token, "changes" => changes,
+                "workers" => replica.roster().worker_count(),
+                "mark" => %replica.roster().digest(), "end" => recorded.end);
         }
     }
 
--- a/crates/sedgehilld/src/cell/topic_follower.rs
+++ b/crates/sedgehilld/src/cell/topic_follower.rs
@@ -218,8 +218,13 @@
     for record in &newest.records {
         apply(host, topic, record);
     }
-    if topic == StoreTopic::Operators {
-        replace_hall_requests(host, &newest.records, newest.end);
+    match topic {
+        StoreTopic::Operators => replace_hall_requests(host, &newest.records, newest.end),
+        StoreTopic::Progress => {
+            let keys = newest.records.iter().map(|record| record.key.as_str());
+            host.replica.borrow_mut().retain_roster(keys);
+        }
+        StoreTopic::Leads | StoreTopic::Jobs | StoreTopic::Workers => {}
     }
     host.replica.borrow_mut().forget_missing(&known_ids, &recorded_jobs(&newest.records));
     view.offset.set(Some(newest.end));
