cell: records and calls keep to the store's limits

Cause: no code read the limits of the store. A batch could exceed a call, a job's progress or submission a record; the lead took the refusal for a lost answer and sent the same batch again, without an end, and accepted nothing.

Change: the settings store_record_bytes and store_call_bytes. A batch is divided into calls in order. A job whose record, or whose progress at its largest, does not fit is answered 413 before anything is sent; saved states that do not fit are left out. A call that the store refuses for good is not sent again as it is: its records go out in halves, down to the refused one. A caller's job is then answered 413, any other record ends the lead with a line, a count and the reason record_refused.

Tests: a cell of 60 workers on a store that takes records of 3,000 bytes, over a lost lead; a store whose limits the box does not know; the division into calls; the bound of a job's progress.

--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -91,7 +91,32 @@
     pub recorded_by: FencingToken,
 }
 
+/// Upper bounds on the parts of stored progress, in bytes. Texts in it, such as the names of lost workers, are short; a
+/// job has few of them.
+const FIXED_BYTES: usize = 1_024;
+/// Attempts beyond this number are not counted: few tasks fail so often.
+const MAX_COUNTED_ATTEMPTS: u32 = 8;
+/// A task: two flags, its run and two lengths.
+const TASK_BYTES: usize = 12;
+/// The number of a failed run.
+const FAILED_RUN_BYTES: usize = 5;
+
 impl JobProgress {
+    /// Returns about how many bytes the progress of a job may take without saved states, which are left out where they
+    /// do not fit.
+    pub fn max_stored_bytes(spec: &JobSpec, max_attempts: u32) -> usize {
+        let per_repetition: usize = spec.steps.iter().map(|step| usize::from(step.count)).sum();
+        let tasks = per_repetition.saturating_mul(spec.repetitions() as usize);
+        let task_bytes =
+            TASK_BYTES + FAILED_RUN_BYTES * max_attempts.min(MAX_COUNTED_ATTEMPTS) as usize;
+        FIXED_BYTES.saturating_add(tasks.saturating_mul(task_bytes))
+    }
+
+    /// Removes the saved states of all tasks, which then begin anew if their runs are lost.
+    pub fn forget_checkpoints(&mut self) {
+        self.tasks.iter_mut().for_each(|task| task.checkpoint.clear());
+    }
+
     /// Returns the tasks of all steps, with defaults if none are stored yet.
     pub fn tasks_of(&self, spec: &JobSpec) -> Vec<TaskProgress> {
         let per_repetition: usize = spec.steps.iter().map(|step| usize::from(step.count)).sum();
--- a/crates/sedgehill-cell/tests/testsuite/progress.rs
+++ b/crates/sedgehill-cell/tests/testsuite/progress.rs
@@ -3,9 +3,10 @@
 //! computed from the durations of its steps and their questions.
 
 use proptest::prelude::*;
-use sedgehill_cell::ids::{StepId, WorkerId};
+use sedgehill_cell::ids::{RunNumber, StepId, WorkerId};
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
-use sedgehill_cell::progress::JobState;
+use sedgehill_cell::progress::{JobProgress, JobState, TaskProgress};
+use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{HelperId, RunEnd, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
 
@@ -179,3 +180,21 @@
         );
     }
 }
+
+/// A job is accepted only if its progress fits into a record of the store, so the bound must hold for any progress
+/// without saved states.
+#[test]
+fn progress_without_saved_states_stays_within_its_bound() {
+    for (tasks, attempts) in [(1, 1), (40, 4), (3_000, 3), (60_000, 8)] {
+        let record = job(vec![step(tasks, 1)]);
+        let failed_runs = (0..attempts).map(|number| RunNumber(u32::MAX - number)).collect();
+        let checkpoint = "saved".to_owned();
+        let task = TaskProgress { done: true, failed_runs, run: RunNumber(u32::MAX), checkpoint };
+        let mut progress =
+            JobProgress { tasks: vec![task; usize::from(tasks)], ..JobProgress::default() };
+        progress.forget_checkpoints();
+        let bytes = CellRecord::Progress(progress).encode().len();
+        let bound = JobProgress::max_stored_bytes(&record.spec, attempts);
+        assert!(bytes <= bound, "{tasks} tasks take {bytes} bytes, more than {bound}");
+    }
+}
--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -48,6 +48,10 @@
     next_append_delay: Option<(String, Duration)>,
     /// The delay that each read of the newest records adds to that of the one before, and the number of reads so far.
     newest_delay: Option<(Duration, u32)>,
+    /// The most bytes of a record and of the body of an append, if they are limited.
+    append_limits: Option<(usize, usize)>,
+    /// The largest record that was appended, in bytes.
+    largest_record: usize,
     /// The fault that appends meet.
     append_fault: Option<PathFault>,
     /// Additional items in pages of newest records, with their topics. They need not be well formed.
@@ -140,6 +144,16 @@
         self.state.lock().append_fault = fault;
     }
 
+    /// Limits the bytes of a record, and of the body of an append.
+    pub fn limit_appends(&self, record_bytes: usize, call_bytes: usize) {
+        self.state.lock().append_limits = Some((record_bytes, call_bytes));
+    }
+
+    /// Returns the size in bytes of the largest record that was appended.
+    pub fn largest_record(&self) -> usize {
+        self.state.lock().largest_record
+    }
+
     /// Seeds the generator that decides which appends meet the fault.
     pub fn seed(&self, seed: u64) {
         self.fault_injector.seed(seed);
@@ -252,6 +266,15 @@
     let topic = topic.as_str();
     let mut state = store.state.lock();
     let state = &mut *state;
+    let call_bytes = body.len();
+    let new_records = decode(body);
+    // The length of the key takes one byte.
+    let sizes = new_records.iter().map(|(key, value)| 1 + key.len() + value.len());
+    let largest = sizes.max().unwrap_or(0);
+    if state.append_limits.is_some_and(|(record, call)| largest > record || call_bytes > call) {
+        return status(StatusCode::BAD_REQUEST);
+    }
+    state.largest_record = state.largest_record.max(largest);
     let StoreState { topics, producers, .. } = state;
     let records = topics.entry(topic.to_owned()).or_default();
     let end = records.len() as u64;
@@ -277,7 +300,7 @@
         }
         appending = Some(state);
     }
-    records.extend(decode(body));
+    records.extend(new_records);
     let end = records.len() as u64;
     if let Some(state) = appending {
         (state.next_sequence, state.last_end) = (state.next_sequence + 1, end);
--- a/crates/sedgehill-standin/src/cell_process.rs
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -36,6 +36,8 @@
     cores: String,
     /// The `link_mbps` setting, if it is not left at its default.
     link_mbps: Option<String>,
+    /// The `store_record_bytes` and `store_call_bytes` settings, if they are not left at their defaults.
+    store_limits: Option<(usize, usize)>,
 }
 
 impl CellBoxConfig {
@@ -58,6 +60,7 @@
             advice: platform.advice_address,
             cores: cores.to_owned(),
             link_mbps: None,
+            store_limits: None,
         }
     }
 
@@ -67,6 +70,12 @@
         self
     }
 
+    /// Sets the `store_record_bytes` and `store_call_bytes` settings.
+    pub fn with_store_limits(mut self, record_bytes: usize, call_bytes: usize) -> CellBoxConfig {
+        self.store_limits = Some((record_bytes, call_bytes));
+        self
+    }
+
     /// Sets the address of the advice service for this box; see [`CellPlatform::add_advice_address`].
     pub fn with_advice(mut self, advice: SocketAddr) -> CellBoxConfig {
         self.advice = advice;
@@ -88,6 +97,10 @@
         if let Some(link) = &self.link_mbps {
             settings["link_mbps"] = json!(link);
         }
+        if let Some((record_bytes, call_bytes)) = self.store_limits {
+            settings["store_record_bytes"] = json!(record_bytes.to_string());
+            settings["store_call_bytes"] = json!(call_bytes.to_string());
+        }
         let path = directory.join(format!("{}.json", self.name));
         std::fs::write(&path, settings.to_string())?;
         let log =
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -26,5 +26,6 @@
 mod shared_token;
 mod soak;
 mod stops;
+mod store_limits;
 mod support;
 mod take_over;
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -222,6 +222,7 @@
                 }
                 SubmissionOutcome::Unknown => CallerAnswer::Unknown,
                 SubmissionOutcome::Taken => CallerAnswer::NoJob,
+                SubmissionOutcome::TooLarge => CallerAnswer::TooLong,
             }
         }
     };
@@ -293,6 +294,7 @@
         }
         SubmissionOutcome::Unknown => CallerAnswer::Unknown,
         SubmissionOutcome::Taken => CallerAnswer::Taken,
+        SubmissionOutcome::TooLarge => CallerAnswer::TooLong,
     }
 }
 
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -333,7 +333,7 @@
     *host.session.borrow_mut() = Some(session.clone());
     let end = tokio::select! {
         end = renewing.as_mut() => end,
-        () = recorder.run(host, &session) => LeadEndReason::FencedByStore,
+        end = recorder.run(host, &session) => end,
         () = worker_watch::run(host, &session) => LeadEndReason::Halted,
         () = link_server::run_forwarding(host, &session) => LeadEndReason::Halted,
         () = run_scheduler(host, &session) => LeadEndReason::Halted,
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -5,22 +5,25 @@
 //! started as soon as it is recorded.
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::ids::{FencingToken, JobId, OrganisationName};
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::ProgressBatch;
 use sedgehill_core::units::{Moment, TimeSpan};
-use slog::{info, warn};
+use slog::{error, info, warn};
 use tokio::sync::oneshot;
 
 use super::apply;
 use super::hedge::{self, AppendCall};
 use super::lead::LeadSession;
+use super::lead_log::LeadEndReason;
 use super::state::CellBox;
 use super::submission::SubmissionOutcome;
 use super::topic_follower;
@@ -34,8 +37,7 @@
 /// How long progress and submissions are collected before they are appended. Each append has a
 /// cost, and each job waits half of this time on average.
 const BATCH_INTERVAL: Duration = Duration::from_millis(16);
-/// The most submissions in one batch, more than arrive during the slowest append. With jobs of about
-/// 1.2 KB a batch stays below the 2 MB that the store accepts in one call.
+/// The most submissions in one batch, more than arrive during the slowest append.
 const MAX_BATCH_SUBMISSIONS: usize = 400;
 /// The most old jobs that are forgotten with one batch, more than end in the time of a batch.
 const MAX_BATCH_DROPS: usize = 64;
@@ -63,13 +65,13 @@
     let started = clock::now();
     let end = loop {
         match recorder.append(host, None, &[]).await {
-            Some(AppendOutcome::Kept { end }) => break end,
-            Some(outcome) => {
+            Ok(AppendOutcome::Kept { end }) => break end,
+            Ok(outcome) => {
                 info!(host.log, "fencing refused"; "token" => %token, "outcome" => ?outcome);
                 return None;
             }
-            None if clock::now().since(started) > FENCE_LIMIT => return None,
-            None => tokio::time::sleep(RETRY_PAUSE).await,
+            Err(_) if clock::now().since(started) > FENCE_LIMIT => return None,
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     };
     recorder.fence_offset = end;
@@ -205,30 +207,64 @@
         self.submissions.iter().map(|submission| (submission.job, owner(submission))).collect()
     }
 
-    fn records(&self) -> Vec<KeyedRecord> {
+    /// Returns the records of the batch. Those of the submissions are consecutive.
+    fn records(&self, host: &CellBox) -> BatchRecords {
         let record = |id: JobId, record: &CellRecord| KeyedRecord {
             key: record.key(id),
             value: record.encode().into(),
         };
         let mut records = Vec::new();
         if let Some(batch) = &self.progress {
-            let progress = |progress: &JobProgress| CellRecord::Progress(progress.clone());
-            records.extend(
-                batch.jobs.iter().map(|(id, job_progress)| record(*id, &progress(job_progress))),
-            );
+            let progress = batch.jobs.iter();
+            records.extend(progress.map(|(id, progress)| progress_record(host, *id, progress)));
             records.extend(batch.roster.iter().map(|change| KeyedRecord {
                 key: change.key.clone(),
                 value: change.encode().into(),
             }));
         }
+        let first_submission = records.len();
         let submissions = self.submissions.iter();
         records.extend(submissions.map(|submission| record(submission.job, &submission.record)));
         let dropped = self.dropped.iter();
         records.extend(dropped.map(|key| KeyedRecord { key: key.clone(), value: Bytes::new() }));
-        records
+        BatchRecords { records, first_submission }
     }
 }
 
+/// The records of a batch.
+struct BatchRecords {
+    records: Vec<KeyedRecord>,
+    /// The index of the first record of a submission.
+    first_submission: usize,
+}
+
+impl BatchRecords {
+    /// Returns which of `count` submissions have their records in a range.
+    fn submissions_in(&self, range: &Range<usize>, count: usize) -> Range<usize> {
+        let place = |index: usize| index.saturating_sub(self.first_submission).min(count);
+        place(range.start)..place(range.end)
+    }
+}
+
+/// Returns the record of the progress of a job. Saved states that do not fit into a record are left
+/// out.
+fn progress_record(host: &CellBox, id: JobId, progress: &JobProgress) -> KeyedRecord {
+    let encode = |progress: JobProgress| {
+        let record = CellRecord::Progress(progress);
+        KeyedRecord { key: record.key(id), value: record.encode().into() }
+    };
+    let record = encode(progress.clone());
+    if host.settings.store_limits.allow(&record) {
+        return record;
+    }
+    warn!(host.log, "saved states left out"; "job" => %id,
+        "record_bytes" => record.stored_bytes(),
+        "limit_bytes" => host.settings.store_limits.record_bytes);
+    let mut progress = progress.clone();
+    progress.forget_checkpoints();
+    encode(progress)
+}
+
 /// Returns the keys to remove from the topic. The record of a submission is removed once its job
 /// has ended, and the state of the job after the time set by `keep_ended`. So a box that starts
 /// reads little more than the open jobs.
@@ -249,78 +285,123 @@
 }
 
 impl ProgressRecorder {
-    /// Records batches until a later lead exists.
-    pub async fn run(&mut self, host: &CellBox, session: &LeadSession) {
+    /// Records batches until a later lead exists or a record is refused for good.
+    pub async fn run(&mut self, host: &CellBox, session: &LeadSession) -> LeadEndReason {
         loop {
             tokio::time::sleep(BATCH_INTERVAL).await;
             let progress = session.scheduler.borrow_mut().take_batch(clock::now());
             let submissions = session.take_submissions();
             let dropped = dropped_keys(host, progress.as_ref());
             let batch = RecorderBatch { progress, submissions, dropped };
-            let records = batch.records();
-            let recorded = match records.is_empty() {
-                true => Some(None),
-                false => {
-                    session.in_flight_owners.replace(batch.owners());
-                    let recording = self.record(host, session, &records);
-                    let on_stuck = || session.refuse_queued();
-                    let recorded = hedge::await_append(host, recording, on_stuck).await;
-                    session.append_stuck.set(false);
-                    recorded.map(Some)
+            let records = batch.records(host);
+            let mut too_large = Vec::new();
+            if !records.records.is_empty() {
+                session.in_flight_owners.replace(batch.owners());
+                let recording = self.record_all(host, session, &batch, &records);
+                let on_stuck = || session.refuse_queued();
+                let recorded = hedge::await_append(host, recording, on_stuck).await;
+                session.append_stuck.set(false);
+                match recorded {
+                    Ok(refused) => too_large = refused,
+                    Err(end) => return end,
                 }
-            };
-            let Some(recorded) = recorded else { return };
-            if let Some(recorded) = recorded {
-                apply_own_batch(host, session, &batch.submissions, &records, recorded);
-                self.log_roster(host, batch.progress.as_ref(), recorded);
+                self.log_roster(host, batch.progress.as_ref());
             }
             if let Some(progress) = &batch.progress {
                 session.scheduler.borrow_mut().batch_recorded(progress);
             }
             session.wake.notify_one();
-            for submission in batch.submissions {
+            for (number, submission) in batch.submissions.into_iter().enumerate() {
+                let outcome = match too_large.contains(&number) {
+                    true => SubmissionOutcome::TooLarge,
+                    false => SubmissionOutcome::Kept,
+                };
                 // A caller that no longer waits will retry.
-                let _ = submission.reply.send(SubmissionOutcome::Kept);
+                let _ = submission.reply.send(outcome);
             }
         }
     }
 
-    /// Logs where a roster was recorded: a later lead logs the same position, so the log shows
-    /// which roster it uses.
-    fn log_roster(
-        &self,
+    /// Records a batch with as few appends as the store's limits allow, one after the other. If the
+    /// store refuses one for good, its records are appended in halves, down to the refused one.
+    /// Returns the numbers of the submissions that the store refused.
+    async fn record_all(
+        &mut self,
         host: &CellBox,
-        progress: Option<&ProgressBatch>,
-        recorded: RecordedBatch,
-    ) {
+        session: &LeadSession,
+        batch: &RecorderBatch,
+        records: &BatchRecords,
+    ) -> Result<Vec<usize>, LeadEndReason> {
+        let mut refused = Vec::new();
+        let mut pending = host.settings.store_limits.divide(&records.records);
+        pending.reverse();
+        while let Some(range) = pending.pop() {
+            let part = &records.records[range.clone()];
+            let numbers = records.submissions_in(&range, batch.submissions.len());
+            match self.record(host, session, part).await {
+                RecordOutcome::Recorded(recorded) => {
+                    let submissions = &batch.submissions[numbers];
+                    apply_own_batch(host, session, submissions, part, recorded);
+                }
+                RecordOutcome::LaterLead => return Err(LeadEndReason::FencedByStore),
+                RecordOutcome::RefusedForGood if part.len() > 1 => {
+                    let middle = range.start + part.len() / 2;
+                    pending.extend([middle..range.end, range.start..middle]);
+                }
+                RecordOutcome::RefusedForGood => {
+                    error!(host.log, "record refused for good"; "token" => %self.token,
+                        "key" => &part[0].key, "record_bytes" => part[0].stored_bytes(),
+                        "limit_bytes" => host.settings.store_limits.record_bytes);
+                    telemetry::count_cell_event("record", "refused");
+                    if numbers.is_empty() {
+                        return Err(LeadEndReason::RecordRefused);
+                    }
+                    refused.extend(numbers);
+                }
+            }
+        }
+        Ok(refused)
+    }
+
+    /// Logs that a roster was recorded, with its digest: a later lead logs the digest of the roster
+    /// that it uses.
+    fn log_roster(&self, host: &CellBox, progress: Option<&ProgressBatch>) {
         let changes = progress.map_or(0, |batch| batch.roster.len());
         if changes > 0 {
             let replica = host.replica.borrow();
             info!(host.log, "roster recorded"; "token" => %self.token, "changes" => changes,
                 "workers" => replica.roster().worker_count(),
-                "mark" => %replica.roster().digest(), "end" => recorded.end);
+                "mark" => %replica.roster().digest(),
+                "end" => host.progress_view.offset.get());
         }
     }
 
-    /// Records one batch, with as many tries as it takes. Returns none if a later lead exists.
+    /// Records what fits into one append, with as many tries as it takes.
     async fn record(
         &mut self,
         host: &CellBox,
         session: &LeadSession,
         records: &[KeyedRecord],
-    ) -> Option<RecordedBatch> {
+    ) -> RecordOutcome {
         loop {
             let sent = clock::now();
             match self.append(host, Some(session), records).await {
-                Some(AppendOutcome::Kept { end }) => return Some(RecordedBatch { end, sent }),
-                Some(outcome) => {
+                Ok(AppendOutcome::Kept { end }) => {
+                    return RecordOutcome::Recorded(RecordedBatch { end, sent });
+                }
+                Ok(outcome) => {
                     info!(host.log, "progress refused";
                         "token" => %self.token, "outcome" => ?outcome);
-                    return None;
+                    return RecordOutcome::LaterLead;
+                }
+                Err(error) if error.is_refused_for_good() => {
+                    // The refused call did not use the sequence number.
+                    self.first_sent = None;
+                    return RecordOutcome::RefusedForGood;
                 }
                 // Another box can relay the append, so there is no need to wait.
-                None if session.is_relaying() => {}
-                None => tokio::time::sleep(RETRY_PAUSE).await,
+                Err(_) if session.is_relaying() => {}
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
             }
         }
     }
@@ -331,7 +412,7 @@
         host: &CellBox,
         session: Option<&LeadSession>,
         records: &[KeyedRecord],
-    ) -> Option<AppendOutcome> {
+    ) -> Result<AppendOutcome, CallError> {
         let condition = AppendCondition::Sequence {
             producer: PROGRESS_PRODUCER.to_owned(),
             epoch: self.token.0,
@@ -354,18 +435,28 @@
                     host.watch.borrow_mut().note_fenced_append(self.token, first_sent, timing);
                     self.first_sent = None;
                 }
-                Some(outcome)
+                Ok(outcome)
             }
             Err(error) => {
                 warn!(host.log, "progress not recorded"; "token" => %self.token,
                     "records" => records.len(), "took_ms" => sent.elapsed().as_millis() as u64,
                     "error" => %error);
-                None
+                Err(error)
             }
         }
     }
 }
 
+/// The outcome of recording what fits into one append.
+enum RecordOutcome {
+    /// It is in the store.
+    Recorded(RecordedBatch),
+    /// A later lead exists.
+    LaterLead,
+    /// The store refuses it, and would do so again.
+    RefusedForGood,
+}
+
 /// A batch that is in the store.
 #[derive(Debug, Clone, Copy)]
 struct RecordedBatch {
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use sedgehill_adapter::store::StoreLimits;
 use sedgehill_cell::authority::{AuthorityTiming, BoxStrength};
 use sedgehill_cell::ids::BoxName;
 use sedgehill_cell::scheduler::{CellPolicy, CellTiming};
@@ -55,6 +56,8 @@
     pub link: LinkRate,
     /// The file descriptors that the process may use.
     pub descriptors: usize,
+    /// The limits of the store on appends.
+    pub store_limits: StoreLimits,
     /// The timing and the policy of the scheduler.
     pub cell: CellTiming,
     /// The timing of claims and renewals of the lead.
@@ -85,6 +88,13 @@
 /// The link rate of a box without the setting `link_mbps`: 1,000 Mbit/s, as the platform's usual
 /// boxes have.
 const DEFAULT_LINK_RATE: LinkRate = LinkRate::from_bytes_per_second(125_000_000);
+/// The limits of the store without the settings `store_record_bytes` and `store_call_bytes`: the
+/// platform's usual values.
+const DEFAULT_STORE_LIMITS: StoreLimits =
+    StoreLimits { record_bytes: 256 << 10, call_bytes: 2 << 20 };
+/// The roster is stored in one record up to this part of the largest record, and at most up to the
+/// default size.
+const ROSTER_RECORD_DIVISOR: usize = 4;
 /// The file descriptors of a process without the setting `descriptors`, as on the platform's usual
 /// boxes.
 const DEFAULT_DESCRIPTORS: usize = 4_096;
@@ -127,11 +137,17 @@
     let strength = reader.text_or("cores", DEFAULT_STRENGTH);
     let link = reader.text_or("link_mbps", DEFAULT_LINK_RATE);
     let descriptors = reader.text_or("descriptors", DEFAULT_DESCRIPTORS);
+    let record_bytes = reader.text_or("store_record_bytes", DEFAULT_STORE_LIMITS.record_bytes);
+    let call_bytes = reader.text_or("store_call_bytes", DEFAULT_STORE_LIMITS.call_bytes);
     let cell = optional_group(reader, "cell", read_cell);
     let policy = optional_group(reader, "policy", read_policy);
     let grace = reader.text_or("stop_grace", TimeSpan(6_000));
     let keep_ended = reader.text_or("keep_ended", TimeSpan(120_000));
     let name = name?;
+    let store_limits = StoreLimits { record_bytes: record_bytes?, call_bytes: call_bytes? };
+    let cell = cell?;
+    let max_roster_record =
+        cell.max_roster_record.min(store_limits.record_bytes / ROSTER_RECORD_DIVISOR);
     let limit = TimeSpan(grace?.0.saturating_sub(PLATFORM_STOP_RESERVE.0));
     let linger = BALANCER_LAG.min(limit);
     Some(CellSettings {
@@ -142,7 +158,8 @@
         strength: strength?.bounded_by(link?),
         link: link?,
         descriptors: descriptors?,
-        cell: CellTiming { policy: policy?, ..cell? },
+        store_limits,
+        cell: CellTiming { policy: policy?, max_roster_record, ..cell },
         authority: AuthorityTiming::default(),
         keep_ended: TimeSpan(keep_ended?.0 + KEEP_ENDED_RESERVE.0),
         stop: StopTiming {
--- a/crates/sedgehilld/src/cell/submission.rs
+++ b/crates/sedgehilld/src/cell/submission.rs
@@ -11,6 +11,7 @@
 
 use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
 use sedgehill_cell::ids::JobId;
+use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_core::units::{Moment, TimeSpan};
 use serde::{Deserialize, Serialize};
@@ -44,6 +45,8 @@
     /// The record is not in the store and will not be, since the store does not answer appends;
     /// submitting it by another box would fail as well.
     StoreAway,
+    /// The record is too large for the store: it is not there and will not be.
+    TooLarge,
 }
 
 /// A record that waits to be appended.
@@ -74,13 +77,17 @@
         record: &CellRecord,
         timeout: Duration,
     ) -> SubmissionOutcome {
+        if !fits_store(host, job, record) {
+            return SubmissionOutcome::TooLarge;
+        }
         let started = Instant::now();
         let submitting = submit_to_lead(host, job, record);
         let lead_outcome = match tokio::time::timeout(timeout, submitting).await {
             Ok(LeadOutcome::Answered(
                 settled @ (SubmissionOutcome::Kept
                 | SubmissionOutcome::Taken
-                | SubmissionOutcome::StoreAway),
+                | SubmissionOutcome::StoreAway
+                | SubmissionOutcome::TooLarge),
             )) => return settled,
             Ok(lead_outcome) => lead_outcome,
             // The lead is alive, or the link to it would have been lost: this box has no better
@@ -185,11 +192,35 @@
     }
     let records: Vec<KeyedRecord> =
         batch.iter().map(|submission| submission.record.clone()).collect();
-    let outcome = append_until_settled(host, &records, clock::now()).await;
-    for submission in batch {
-        // A caller that no longer waits will retry.
-        let _ = submission.reply.send(outcome);
+    let started = clock::now();
+    let mut submissions = batch.into_iter();
+    for range in host.settings.store_limits.divide(&records) {
+        let count = range.len();
+        let outcome = append_until_settled(host, &records[range], started).await;
+        for submission in submissions.by_ref().take(count) {
+            // A caller that no longer waits will retry.
+            let _ = submission.reply.send(outcome);
+        }
+    }
+}
+
+/// Returns whether the store takes the record of a submission, and all later records of its job.
+fn fits_store(host: &CellBox, job: JobId, record: &CellRecord) -> bool {
+    let limits = &host.settings.store_limits;
+    let keyed_record = KeyedRecord { key: record.key(job), value: record.encode().into() };
+    let progress_bytes = match record {
+        CellRecord::Job(record) | CellRecord::LeadJob(record) => {
+            JobProgress::max_stored_bytes(&record.spec, record.policy.max_attempts)
+        }
+        CellRecord::Cancel | CellRecord::Progress(_) => 0,
+    };
+    let fits = limits.allow(&keyed_record) && progress_bytes <= limits.record_bytes;
+    if !fits {
+        warn!(host.log, "job too large for the store"; "job" => %job,
+            "record_bytes" => keyed_record.stored_bytes(), "progress_bytes" => progress_bytes,
+            "limit_bytes" => limits.record_bytes);
     }
+    fits
 }
 
 async fn append_until_settled(
