--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -293,6 +293,16 @@
     let template = workspace_root().join("deploy/settings.json.in");
     let mut text = std::fs::read_to_string(template).unwrap();
     let placeholders = [
+        (
+            "{{#platform.record_bytes}}\"store_record_bytes\": \"{{.}}\"",
+            "\"store_record_bytes\": \"262144\"",
+        ),
+        ("{{/platform.record_bytes}}", ""),
+        (
+            "{{#platform.call_bytes}}\"store_call_bytes\": \"{{.}}\"",
+            "\"store_call_bytes\": \"2097152\"",
+        ),
+        ("{{/platform.call_bytes}}", ""),
         ("{{#advice}}", ""),
         ("{{/advice}}", ""),
         ("{{.}}", "127.0.0.1:8"),
