cell: boxes that hear from a lead no longer repeat reads of the store

Change: a box that has a link to a lead, does not lead and does not stand by waits 10 to 15 s in a read of the operators' topic, and reads the leads' topic as rarely. The store still answers a waiting read when a configuration comes; the lead's proofs every 0.3 s tell whether one was missed and keep the view fresh. A view that is not confirmed for 1.4 s, the loss of the link, or a lead that the store does not answer end the wait at once. What the lead proves is the configuration, not the requests to empty halls: a box that begins to lead reads these itself, without a wait, and until then starts nothing (before, another lead's proof counted as its own read).

The lead makes its calls through boxes that stand by first, whose reports on the store are fresh. The list of workers is relayed in pages: as one frame it broke the link at some 3,000 workers. Appends are at most 512 KiB, so that each can be relayed.

Tests: the plan of reads at 30 to 2,400 boxes, each role, unconfirmed views, a box that begins to lead.

--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`summary`] is the short form of a job that the lead sends to boxes that do not stand by.
 //! - [`standby`] chooses the boxes that stand by to take over the lead.
 //! - [`authority`] decides which box leads the cell.
+//! - [`reading`] decides how often a box reads the topics that every box follows.
 //! - [`timeout`] derives call timeouts from measured answer times.
 //! - [`silence`] distinguishes silent connections from peers that do not answer.
 //! - [`crash_history`] records the worker crashes under each task.
@@ -24,6 +25,7 @@
 pub mod job;
 pub mod organisation;
 pub mod progress;
+pub mod reading;
 pub mod replica;
 pub mod scheduler;
 pub mod silence;
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod progress;
 mod random;
 mod random_restarts;
+mod reading;
 mod repetitions;
 mod replica;
 mod reports;
--- a/crates/sedgehilld/src/cell/frames.rs
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -19,8 +19,12 @@
 use super::submission::SubmissionOutcome;
 
 /// The longest frame that is accepted, in bytes. A job takes up to about 5 KB, a question about a
-/// hundred workers about 4 KB; records are packed into frames of about [`RECORD_FRAME_BYTES`].
-const MAX_FRAME_BYTES: u32 = 1 << 20;
+/// hundred workers about 4 KB; records are packed into frames of about [`RECORD_FRAME_BYTES`]. The
+/// longest is a relayed read, of up to 1 MiB as the store counts it and less than twice that here.
+const MAX_FRAME_BYTES: u32 = 2 << 20;
+/// The most bytes of an append that is relayed. It fits into a frame of earlier releases as well,
+/// which accept 1 MiB.
+pub const MAX_RELAYED_APPEND_BYTES: usize = 512 << 10;
 /// Keys and values of records are packed into one frame until they reach this many bytes.
 pub const RECORD_FRAME_BYTES: usize = 128 << 10;
 
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -148,7 +148,7 @@
 
     /// Passes the emptied halls to the scheduler, with how current they are.
     pub fn apply_halls(&self, host: &CellBox) {
-        if let Some(known_at) = host.config_view.complete_at() {
+        if let Some(known_at) = host.config_view.read_complete_at() {
             let halls = host.emptied_halls.borrow();
             self.scheduler.borrow_mut().set_emptied_halls(&halls, known_at);
         }
@@ -273,6 +273,7 @@
     telemetry::count_cell_event("lead", "claimed");
     claim_context.count();
     info!(host.log, "leading"; "token" => %token, "predecessor" => has_predecessor);
+    host.lead_doubted.notify_waiters();
     host.set_query_mode(false);
     let started = clock::now();
     let mut scheduler =
--- a/crates/sedgehilld/src/cell/link_client.rs
+++ b/crates/sedgehilld/src/cell/link_client.rs
@@ -61,6 +61,8 @@
         if let Some(link) = host.link.take() {
             link.close();
         }
+        host.stands_by.set(false);
+        host.lead_doubted.notify_waiters();
         if lead_address(&host).is_none_or(|current| current == address) {
             host.watch.borrow_mut().note_reachable(false);
             host.lead_record_stale.notify_waiters();
@@ -210,7 +212,7 @@
                 }
                 let number = link.next_request_number();
                 link.last_probe.set(Some((number, clock::now())));
-                PeerFrame::Probe { number, store_answers: !host.store_contact.is_doubtful() }
+                PeerFrame::Probe { number, store_answers: host.may_relay() }
             }
         };
         write_frame(&mut writer, &frame).await?;
@@ -228,6 +230,7 @@
     let mut timeout = first_timeout;
     // Whether the lead of this link has this box stand by.
     let mut is_standby = false;
+    host.stands_by.set(false);
     loop {
         let frame = match next_frame(&mut reader, address, timeout).await? {
             Ok(frame) => frame,
@@ -241,7 +244,10 @@
                 let mut watch = host.watch.borrow_mut();
                 match store_answers {
                     true => watch.note_lead_healthy(clock::now()),
-                    false => watch.note_reachable(false),
+                    false => {
+                        watch.note_reachable(false);
+                        host.lead_doubted.notify_waiters();
+                    }
                 }
                 watch.note_strength(strongest);
             }
@@ -279,6 +285,8 @@
                     false => {}
                 }
                 is_standby = stands_by;
+                host.stands_by.set(stands_by);
+                host.lead_doubted.notify_waiters();
             }
             PeerFrame::SendsSummaries(sends) => {
                 info!(host.log, "role"; "stands_by" => is_standby, "told_states" => sends);
--- a/crates/sedgehilld/src/cell/link_server.rs
+++ b/crates/sedgehilld/src/cell/link_server.rs
@@ -162,7 +162,8 @@
             }
             PeerFrame::Relayed { number, answer } => session.relay.complete_call(number, answer),
             PeerFrame::Probe { number, store_answers } => {
-                session.relay.note_path(helper, store_answers);
+                let stands_by = session.standbys.borrow().contains(helper);
+                session.relay.note_path(helper, store_answers, stands_by);
                 let proof = prove_views(host, session);
                 if queue.try_send(PeerFrame::Proof { number, proof }.encode()).is_err() {
                     return;
--- a/crates/sedgehilld/src/cell/relay.rs
+++ b/crates/sedgehilld/src/cell/relay.rs
@@ -10,8 +10,10 @@
 use std::time::Duration;
 
 use sedgehill_adapter::error::CallError;
+use sedgehill_adapter::newest_page::NewestPage;
 use sedgehill_adapter::store::{
     AppendCondition, AppendOutcome, KeyedRecord, NewestRecords, ReadOutcome, StoreTopic,
+    collect_pages,
 };
 use sedgehill_cell::scheduler::HelperId;
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -55,8 +57,16 @@
         /// The offset.
         offset: u64,
     },
-    /// Reads the newest record of each key of a topic.
+    /// Reads the newest record of each key of a topic. Sent by earlier releases: the answer is one
+    /// frame, too long for the list of some thousand workers.
     Newest(StoreTopic),
+    /// Reads one page of the newest records.
+    NewestPage {
+        /// The topic.
+        topic: StoreTopic,
+        /// The last key of the page before; none for the first page.
+        after: Option<String>,
+    },
 }
 
 /// The outcome of a relayed call.
@@ -70,24 +80,36 @@
     Newest(NewestRecords),
     /// The call failed; an append may have been carried out.
     Failed(String),
+    /// The answer to a read of one page of the newest records.
+    NewestPage(NewestPage),
 }
 
 /// Knows the boxes that can relay calls of the lead, and the calls under way.
 #[derive(Debug, Default)]
 pub struct StoreRelay {
-    /// Boxes that the store answers, with the time of their last report.
-    paths: RefCell<HashMap<HelperId, Moment>>,
+    /// Boxes that the store answers.
+    paths: RefCell<HashMap<HelperId, PathReport>>,
     pending: RefCell<HashMap<u64, oneshot::Sender<RelayAnswer>>>,
     next_number: Cell<u64>,
     /// When the lead's own path to the store failed; none while it works.
     own_path_cut: Cell<Option<Moment>>,
 }
 
+/// The last report of a box that the store answers it.
+#[derive(Debug, Clone, Copy)]
+struct PathReport {
+    at: Moment,
+    /// Whether the box stands by, and so reads from the store every half second. What the others
+    /// report may be some seconds old.
+    stands_by: bool,
+}
+
 impl StoreRelay {
     /// Records whether the store answers a box.
-    pub fn note_path(&self, helper: HelperId, store_answers: bool) {
+    pub fn note_path(&self, helper: HelperId, store_answers: bool, stands_by: bool) {
+        let report = PathReport { at: clock::now(), stands_by };
         match store_answers {
-            true => self.paths.borrow_mut().insert(helper, clock::now()),
+            true => self.paths.borrow_mut().insert(helper, report),
             false => self.paths.borrow_mut().remove(&helper),
         };
     }
@@ -113,13 +135,16 @@
         }
     }
 
-    /// Returns a box that the store answers. Successive calls rotate through these boxes.
+    /// Returns a box that the store answers: one that stands by, or else any. Successive calls rotate
+    /// through these boxes.
     fn choose_helper(&self) -> Option<HelperId> {
         let now = clock::now();
         let paths = self.paths.borrow();
+        let is_recent = |report: &PathReport| now.since(report.at) <= PATH_REPORT_LIFETIME;
+        let any_stands_by = paths.values().any(|report| report.stands_by && is_recent(report));
         let mut candidates: Vec<HelperId> = paths
             .iter()
-            .filter(|(_, reported)| now.since(**reported) <= PATH_REPORT_LIFETIME)
+            .filter(|(_, report)| is_recent(report) && report.stands_by == any_stands_by)
             .map(|(helper, _)| *helper)
             .collect();
         candidates.sort_unstable();
@@ -272,13 +297,17 @@
 
     /// Reads the newest records of a topic through another box.
     pub async fn newest_relayed(&self, topic: StoreTopic) -> Result<NewestRecords, CallError> {
-        let helper = self.relay.choose_helper().ok_or_else(no_relay_error)?;
-        match self.call_helper(helper, RelayCall::Newest(topic), READ_TIMEOUT).await? {
-            RelayAnswer::Newest(newest) => Ok(newest),
-            _ => Err(CallError::Unknown(
-                "the relaying box returned an answer of the wrong kind".to_owned(),
-            )),
-        }
+        collect_pages(async |after| {
+            let helper = self.relay.choose_helper().ok_or_else(no_relay_error)?;
+            let call = RelayCall::NewestPage { topic, after };
+            match self.call_helper(helper, call, READ_TIMEOUT).await? {
+                RelayAnswer::NewestPage(page) => Ok(page),
+                _ => Err(CallError::Unknown(
+                    "the relaying box returned an answer of the wrong kind".to_owned(),
+                )),
+            }
+        })
+        .await
     }
 
     fn note_own_path(&self, host: &CellBox, answers: bool) {
@@ -323,6 +352,10 @@
         RelayCall::Newest(topic) => {
             store.read_newest(topic, READ_TIMEOUT).await.map(RelayAnswer::Newest)
         }
+        RelayCall::NewestPage { topic, after } => store
+            .read_newest_page(topic, after.as_deref(), READ_TIMEOUT)
+            .await
+            .map(RelayAnswer::NewestPage),
     };
     result.unwrap_or_else(|error| RelayAnswer::Failed(error.to_string()))
 }
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -13,6 +13,7 @@
 use sedgehill_core::units::TimeSpan;
 use serde_json::{Map, Value};
 
+use super::frames::MAX_RELAYED_APPEND_BYTES;
 use crate::settings::{SettingsError, optional_group, read_object, required_group};
 
 /// The addresses on which a box listens in cell mode.
@@ -144,7 +145,9 @@
     let grace = reader.text_or("stop_grace", TimeSpan(6_000));
     let keep_ended = reader.text_or("keep_ended", TimeSpan(120_000));
     let name = name?;
-    let store_limits = StoreLimits { record_bytes: record_bytes?, call_bytes: call_bytes? };
+    // Any append may have to be relayed.
+    let call_bytes = call_bytes?.min(MAX_RELAYED_APPEND_BYTES);
+    let store_limits = StoreLimits { record_bytes: record_bytes?, call_bytes };
     let cell = cell?;
     let max_roster_record =
         cell.max_roster_record.min(store_limits.record_bytes / ROSTER_RECORD_DIVISOR);
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -14,6 +14,7 @@
 use sedgehill_cell::authority::LeadWatch;
 use sedgehill_cell::halls::EmptiedHalls;
 use sedgehill_cell::ids::{JobId, OrganisationName, QueueName};
+use sedgehill_cell::reading::{ReadPlan, ReaderRole, ViewAges};
 use sedgehill_cell::replica::CellReplica;
 use sedgehill_cell::timeout::{AdaptiveTimeout, STORE_TIMEOUT};
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -44,6 +45,7 @@
     /// How often the store had already dropped the record to be read next.
     pub gaps: Cell<u64>,
     complete_at: Cell<Option<Moment>>,
+    read_complete_at: Cell<Option<Moment>>,
     confirmed_at: Cell<Option<Moment>>,
 }
 
@@ -57,12 +59,14 @@
         self.offset.set(None);
         self.full_records.set(false);
         self.complete_at.set(None);
+        self.read_complete_at.set(None);
         self.confirmed_at.set(None);
     }
 
     /// Records that the view was complete at a moment not before `complete_at`, by a read of this
     /// box.
     pub fn note_complete(&self, complete_at: Moment) {
+        self.read_complete_at.set(self.read_complete_at.get().max(Some(complete_at)));
         self.complete_at.set(self.complete_at.get().max(Some(complete_at)));
     }
 
@@ -85,9 +89,15 @@
         self.complete_at.get().map(|complete_at| clock::now().since(complete_at))
     }
 
-    /// Returns when the view was last complete; none if it never was.
-    pub fn complete_at(&self) -> Option<Moment> {
-        self.complete_at.get()
+    /// Returns how current the view is.
+    pub fn ages(&self) -> ViewAges {
+        let read = self.read_complete_at.get().map(|complete_at| clock::now().since(complete_at));
+        ViewAges { known: self.age(), read }
+    }
+
+    /// Returns when the view was last complete by a read of this box; none if it never was.
+    pub fn read_complete_at(&self) -> Option<Moment> {
+        self.read_complete_at.get()
     }
 
     /// Returns whether the view is complete except for the last two seconds.
@@ -111,13 +121,25 @@
 #[derive(Debug)]
 pub struct StoreContact {
     last_answer: Cell<Moment>,
+    /// Until when the store need not have answered, because this box has only asked it to wait.
+    quiet_until: Cell<Moment>,
     recovered: Notify,
 }
 
 impl StoreContact {
     /// Creates the contact of a box that has just started. The silence is counted from now.
     pub fn new() -> StoreContact {
-        StoreContact { last_answer: Cell::new(clock::now()), recovered: Notify::new() }
+        let now = clock::now();
+        StoreContact {
+            last_answer: Cell::new(now),
+            quiet_until: Cell::new(now),
+            recovered: Notify::new(),
+        }
+    }
+
+    /// Notes until when a read waits at the store. If the wait is broken off, that is now.
+    pub fn set_quiet_until(&self, until: Moment) {
+        self.quiet_until.set(until);
     }
 
     /// Records an answer of the store.
@@ -156,7 +178,8 @@
 
     /// Returns whether the box counts as cut off from the store.
     pub fn is_silent(&self) -> bool {
-        clock::now().since(self.last_answer.get()) > SILENT_AFTER
+        let expected = self.last_answer.get().max(self.quiet_until.get());
+        clock::now().since(expected) > SILENT_AFTER
     }
 }
 
@@ -206,6 +229,10 @@
     pub lead_record_stale: Notify,
     /// Notified when another box leads, or the lead has resigned.
     pub lead_changed: Notify,
+    /// Notified when this box may no longer rely on what the lead of its link confirms.
+    pub lead_doubted: Notify,
+    /// Whether the lead of the link has this box stand by.
+    pub stands_by: Cell<bool>,
     /// The session of this box as the lead; none while it does not lead.
     pub session: RefCell<Option<Rc<LeadSession>>>,
     /// Whether the lead sends job states to the boxes that do not stand by.
@@ -281,6 +308,8 @@
             lead_view: TopicView::default(),
             lead_record_stale: Notify::new(),
             lead_changed: Notify::new(),
+            lead_doubted: Notify::new(),
+            stands_by: Cell::new(false),
             session: RefCell::default(),
             lead_sends_summaries: Cell::new(true),
             lead_heard_at: Cell::default(),
@@ -308,6 +337,25 @@
             && self.config.borrow().version > 0
     }
 
+    /// Returns whether the lead may make its calls to the store through this box. A box that relies
+    /// on the lead hears from the store only every few seconds.
+    pub fn may_relay(&self) -> bool {
+        match self.read_plan().relies_on_lead() {
+            true => !self.store_contact.is_silent(),
+            false => !self.store_contact.is_doubtful(),
+        }
+    }
+
+    /// Returns how this box reads the topics that every box follows.
+    pub fn read_plan(&self) -> ReadPlan {
+        let role = ReaderRole {
+            leads: self.session.borrow().is_some() || self.watch.borrow().is_holder(),
+            stands_by: self.stands_by.get(),
+            hears_lead: self.can_query_lead(),
+        };
+        ReadPlan::of(role, self.life)
+    }
+
     /// Returns whether there is a link to a lead that the store answers.
     fn can_query_lead(&self) -> bool {
         self.link.borrow().as_ref().is_some_and(|link| link.takes_submissions())
--- a/crates/sedgehilld/src/cell/topic_follower.rs
+++ b/crates/sedgehilld/src/cell/topic_follower.rs
@@ -8,6 +8,7 @@
 use sedgehill_adapter::http_client::CallLimits;
 use sedgehill_adapter::store::{KeyedRecord, ReadOutcome, StoreTopic};
 use sedgehill_cell::ids::JobId;
+use sedgehill_cell::reading::is_unconfirmed;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_core::units::TimeSpan;
 use slog::{info, warn};
@@ -17,9 +18,11 @@
 use super::state::{CellBox, TopicView};
 use crate::clock;
 
-/// How long the store waits for a new record before it answers a read. An empty answer proves that
-/// no record is missing.
+/// How long the store waits for a new record before it answers a read of the cell's own topics and
+/// of the leads topic. An empty answer proves that no record is missing.
 const READ_WAIT: Duration = Duration::from_millis(500);
+/// Interval at which a box checks during a long wait whether its view is still confirmed.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long an answer may take in addition to that wait. A slow store takes about 300 ms.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The timeout of a read while the store does not answer: short tries notice its return sooner.
@@ -28,9 +31,6 @@
 const NEWEST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause after a failed call while the store is silent; otherwise a quarter of it.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
-/// Pause between two reads of the leads topic by a box that does not lead: it does not need
-/// renewals more often. A lead itself reads without pause, to learn of a later claim at once.
-const LEADS_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two reads of progress. Each read has a cost, and a job may be shown as completed
 /// this much later.
 const PROGRESS_PAUSE: Duration = Duration::from_millis(100);
@@ -54,10 +54,7 @@
 
 /// Follows the claims and renewals of leads.
 pub async fn follow_leads(host: Rc<CellBox>) {
-    let pause = |host: &CellBox| match host.session.borrow().is_some() {
-        true => Duration::ZERO,
-        false => LEADS_PAUSE,
-    };
+    let pause = |host: &CellBox| duration(host.read_plan().leads_pause());
     follow(&host, StoreTopic::Leads, &host.lead_view, pause).await;
 }
 
@@ -101,7 +98,11 @@
         let result = match view.offset.get() {
             None => read_newest(host, topic, view).await,
             Some(offset) => {
-                read_from(host, topic, view, offset, READ_WAIT).await.map(|read| read.records)
+                let wait = match topic {
+                    StoreTopic::Operators => duration(host.read_plan().operators_wait(view.ages())),
+                    _ => READ_WAIT,
+                };
+                read_from(host, topic, view, offset, wait).await.map(|read| read.records)
             }
         };
         match result {
@@ -133,6 +134,25 @@
     tokio::select! {
         () = tokio::time::sleep(pause) => {}
         () = host.lead_record_stale.notified(), if topic == StoreTopic::Leads => {}
+        () = host.lead_doubted.notified(), if topic == StoreTopic::Leads => {}
+    }
+}
+
+fn duration(span: TimeSpan) -> Duration {
+    Duration::from_millis(span.0)
+}
+
+/// Returns once a long wait at the store must be broken off: this box may no longer rely on its lead,
+/// or the lead does not confirm the view.
+async fn wait_until_doubted(host: &CellBox, view: &TopicView) {
+    let unconfirmed = async {
+        while !is_unconfirmed(view.age()) {
+            tokio::time::sleep(CONFIRMATION_CHECK_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        () = host.lead_doubted.notified() => {}
+        () = unconfirmed => {}
     }
 }
 
@@ -276,8 +296,19 @@
         None => {
             let limits = CallLimits::new(limit.min(connection_suspect_delay(host)), limit);
             let reading = host.clients.store.read(topic, offset, wait, limits);
+            let is_long = wait > READ_WAIT;
+            if is_long {
+                host.store_contact.set_quiet_until(sent.after(TimeSpan(wait.as_millis() as u64)));
+            }
             let outcome = tokio::select! {
-                outcome = host.store_contact.abort_on_recovery(reading) => outcome?,
+                outcome = host.store_contact.abort_on_recovery(reading) => {
+                    host.store_contact.set_quiet_until(clock::now());
+                    outcome?
+                }
+                () = wait_until_doubted(host, view), if is_long => {
+                    host.store_contact.set_quiet_until(clock::now());
+                    return Ok(ReadProgress { records: 0, end: offset });
+                }
                 () = host.clients.store.wait_for_replacement() => {
                     return Err(CallError::Unknown("the connection fell silent".to_owned()));
                 }
