cell: a failing read does not hide that the store is silent

A read of any topic that failed reset the time from which silence is counted, not only one that had been asked to wait long. A box whose store refused its calls never counted as cut off.

--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -50,6 +50,8 @@
     newest_delay: Option<(Duration, u32)>,
     /// The most bytes of a record and of the body of an append, if they are limited.
     append_limits: Option<(usize, usize)>,
+    /// The number of reads of each topic from an offset on.
+    read_counts: HashMap<String, usize>,
     /// The largest record that was appended, in bytes.
     largest_record: usize,
     /// The fault that appends meet.
@@ -149,6 +151,11 @@
         self.state.lock().append_limits = Some((record_bytes, call_bytes));
     }
 
+    /// Returns how often a topic was read from an offset on.
+    pub fn read_count(&self, topic: &str) -> usize {
+        self.state.lock().read_counts.get(topic).copied().unwrap_or(0)
+    }
+
     /// Returns the size in bytes of the largest record that was appended.
     pub fn largest_record(&self) -> usize {
         self.state.lock().largest_record
@@ -333,6 +340,7 @@
 }
 
 async fn read(store: &StandinStore, topic: &str, request: &Request<Incoming>) -> JsonResponse {
+    *store.state.lock().read_counts.entry(topic.to_owned()).or_default() += 1;
     let from: u64 = query_value(request, "from_rev").unwrap_or_default();
     let wait: u64 = query_value(request, "wait_ms").unwrap_or_default();
     let deadline = Instant::now() + Duration::from_millis(wait);
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -27,5 +27,6 @@
 mod soak;
 mod stops;
 mod store_limits;
+mod store_reads;
 mod support;
 mod take_over;
--- /dev/null
+++ b/crates/sedgehill-standin/tests/testsuite/store_reads.rs
@@ -0,0 +1,79 @@
+//! How often boxes read from the store while nothing happens, and how soon they learn what does.
+//!
+//! Guards against reads that every box repeats: at rest they were most of the calls to the store, and grew with the
+//! number of boxes.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use sedgehill_standin::cell_platform::{CellPlatform, OPERATOR_TOPIC};
+use sedgehill_standin::cell_process::{CellBoxConfig, CellProcess};
+
+use crate::cell_support::{
+    assert_no_violation, submit, wait_completed, wait_for, wait_for_lead, wait_ready,
+};
+
+/// Link rate in Mbit/s at which the lead has no more than two boxes stand by.
+const SLOW_LINK_MBPS: &str = "0.05";
+const NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+/// Boxes that read often: the lead and those that stand by.
+const FREQUENT_READERS: usize = 3;
+/// Most reads a second of a box that reads often, and the reads of boxes that have just linked to the lead.
+const READS_PER_SECOND: usize = 3;
+const REST: Duration = Duration::from_secs(6);
+/// Time limit for a configuration to be in force at all boxes. The users allow seconds.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+fn start(directory: &Path, name: &str, cores: &str, platform: &CellPlatform) -> CellProcess {
+    let config = CellBoxConfig::new(name, platform, platform.store_address, cores);
+    config.with_link_mbps(SLOW_LINK_MBPS).start(directory).expect("a box can be started")
+}
+
+/// Waits until all boxes but those in `except` have a version of the configuration in force. Returns how long it took.
+async fn wait_in_force(directory: &Path, version: u64, except: &[&str]) -> Duration {
+    let begun = Instant::now();
+    let text = format!("\"version\":{version},");
+    wait_for("the configuration", async || {
+        NAMES.iter().filter(|name| !except.contains(name)).all(|name| {
+            let log = std::fs::read_to_string(directory.join(format!("{name}.log"))).unwrap();
+            log.lines().any(|line| line.contains("configuration in force") && line.contains(&text))
+        })
+    })
+    .await;
+    begun.elapsed()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn boxes_at_rest_seldom_read_and_learn_of_a_configuration_at_once() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(3).await.unwrap();
+    platform.configure(1);
+    let lead = start(directory.path(), NAMES[0], "0.5", &platform);
+    wait_ready(&lead).await;
+    wait_for_lead(directory.path(), NAMES[0]).await;
+    let others = NAMES[1..].iter().map(|name| start(directory.path(), name, "0.4", &platform));
+    let others: Vec<CellProcess> = others.collect();
+    for process in &others {
+        wait_ready(process).await;
+    }
+    submit(&[&others[0]], 1).await;
+    wait_completed(&others[6], 1).await;
+    // All boxes have linked to the lead and finished the short reads from before.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = platform.store.read_count(OPERATOR_TOPIC);
+    tokio::time::sleep(REST).await;
+    let reads = platform.store.read_count(OPERATOR_TOPIC) - before;
+    let limit = FREQUENT_READERS * READS_PER_SECOND * REST.as_secs() as usize;
+    assert!(reads <= limit, "{reads} reads by {} boxes at rest, more than {limit}", NAMES.len());
+    platform.configure(2);
+    let took = wait_in_force(directory.path(), 2, &[]).await;
+    assert!(took < IN_FORCE_TIMEOUT, "in force after {took:?}");
+    // Without its lead, each box relies on its own reads again.
+    drop(lead);
+    platform.configure(3);
+    let took = wait_in_force(directory.path(), 3, &NAMES[..1]).await;
+    assert!(took < IN_FORCE_TIMEOUT, "in force after {took:?} without a lead");
+    submit(&[&others[0]], 2).await;
+    wait_completed(&others[6], 2).await;
+    assert_no_violation(&platform);
+}
--- a/crates/sedgehilld/src/cell/topic_follower.rs
+++ b/crates/sedgehilld/src/cell/topic_follower.rs
@@ -300,19 +300,19 @@
             if is_long {
                 host.store_contact.set_quiet_until(sent.after(TimeSpan(wait.as_millis() as u64)));
             }
-            let outcome = tokio::select! {
-                outcome = host.store_contact.abort_on_recovery(reading) => {
-                    host.store_contact.set_quiet_until(clock::now());
-                    outcome?
-                }
-                () = wait_until_doubted(host, view), if is_long => {
-                    host.store_contact.set_quiet_until(clock::now());
-                    return Ok(ReadProgress { records: 0, end: offset });
-                }
+            let result = tokio::select! {
+                outcome = host.store_contact.abort_on_recovery(reading) => outcome.map(Some),
+                () = wait_until_doubted(host, view), if is_long => Ok(None),
                 () = host.clients.store.wait_for_replacement() => {
-                    return Err(CallError::Unknown("the connection fell silent".to_owned()));
+                    Err(CallError::Unknown("the connection fell silent".to_owned()))
                 }
             };
+            if is_long {
+                host.store_contact.set_quiet_until(clock::now());
+            }
+            let Some(outcome) = result? else {
+                return Ok(ReadProgress { records: 0, end: offset });
+            };
             host.store_contact.note_answer();
             outcome
         }
