cell: after all boxes lost power, the last lead reads before the others

The 72 strong boxes read all records at once (1.3 MB each, of 80 MB/s that the store serves), so the last lead's own reads and then the list of workers queued behind them; weak boxes read as well 2.5 s after their start, 233 of them at 32.6 s. Each linked box asked for the states of all jobs every 0.3 s, and the lead encoded them anew each time.

Ruled out: connections to the workers (0.7 s for all), the roster itself (read in 30 ms).

Change: a box that restarts and did not hold the lead last leaves the reads to others for 0.5 s and its rank, less than the silence after which it would claim; with a link to a lead, for 10 s. The states of all jobs are encoded once for all boxes that ask before the next record, and asked for every 2 s.

Test: who reads when, after a loss of all boxes.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -386,6 +386,24 @@
         newest.is_some_and(|newest| self.strength.yields_to(newest.strength))
     }
 
+    /// Returns for how long after its start this box leaves it to others to read the records that a lead needs. `rank`
+    /// spreads boxes of the same strength. `hears_lead` tells whether there is a link to a lead, which answers questions
+    /// for the states of jobs and sends them all sooner or later.
+    ///
+    /// If all boxes restart, the last holder claims at once, and every other box waits for a second before it claims.
+    /// When they all read at once, the reads of the next lead queued behind theirs: in a cell of 588 boxes nothing was
+    /// started for 3 s after the lead had claimed.
+    pub fn read_deferral(&self, rank: u64, hears_lead: bool) -> TimeSpan {
+        match &self.newest {
+            Some(_) if hears_lead => LINKED_READ_DEFERRAL,
+            Some(_) if self.is_weaker_than_lead() => WEAKER_READ_DEFERRAL,
+            Some(newest) if newest.holder != self.name => {
+                TimeSpan(READ_DEFERRAL.0 + rank * RANK_DELAY.0)
+            }
+            _ => TimeSpan(0),
+        }
+    }
+
     /// Returns the record with which this box claims the lead after the newest record.
     pub fn next_claim(&self, peer_address: &str) -> LeadRecord {
         let last = self.newest.as_ref().map_or(FencingToken(0), |record| record.token);
@@ -401,6 +419,14 @@
     }
 }
 
+/// How long a box that is much weaker than the last lead leaves it to others to read the records that a lead needs. If
+/// all boxes restart, the strong ones need about a second to lead.
+const WEAKER_READ_DEFERRAL: TimeSpan = TimeSpan(2_500);
+/// How long a box with a link to a lead does so. If it was sent no states by then, it reads them from the store.
+const LINKED_READ_DEFERRAL: TimeSpan = TimeSpan(10_000);
+/// How long any other box does so that did not hold the lead last, before its rank. This is shorter than the silence of
+/// a lead after which other boxes claim.
+const READ_DEFERRAL: TimeSpan = TimeSpan(500);
 /// Delay per rank before a claim, so that boxes that find the lead gone at the same time seldom race.
 const RANK_DELAY: TimeSpan = TimeSpan(40);
 /// Minimum time between two claims of a box that are due to refused connections. A lost lead is also noticed without
--- a/crates/sedgehill-cell/tests/testsuite/authority.rs
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -280,3 +280,32 @@
     assert_eq!(read, LeadRecord { predecessors_expired: false, ..record.clone() });
     assert!(LeadRecord::decode(&record.encode()[..4]).is_err());
 }
+
+/// All boxes of a cell lost power, and each read all records at once: the last holder, which claims first, had them
+/// after the others.
+#[test]
+fn after_a_loss_of_all_boxes_only_the_last_holder_reads_at_once() {
+    let mut holder = watch("a", 1);
+    let claim = holder.next_claim("127.0.0.1:1");
+    // The processes start again, with other lives.
+    let restarted = |name: &str, life: u64, strength: u32| {
+        let mut watch = LeadWatch::new(BoxName::from(name), life, BoxStrength(strength), START);
+        watch.note_record(claim.clone(), START);
+        watch
+    };
+    holder = restarted("a", 11, 250);
+    assert_eq!(holder.read_deferral(7, false), TimeSpan(0));
+    let (strong, weak) = (restarted("b", 12, 250), restarted("c", 13, 100));
+    for rank in 0..8 {
+        let deferral = strong.read_deferral(rank, false);
+        assert!(deferral >= TimeSpan(500), "{deferral:?}");
+        // The records are there when the box may claim.
+        let timing = AuthorityTiming::default();
+        assert!(!strong.should_claim(at(deferral.0), rank, &timing), "{deferral:?}");
+        assert!(weak.read_deferral(rank, false) > deferral);
+        // The lead tells a linked box what it needs for its callers.
+        assert!(weak.read_deferral(rank, true) > weak.read_deferral(rank, false));
+    }
+    // In a new cell there is nothing to read.
+    assert_eq!(watch("d", 4).read_deferral(7, true), TimeSpan(0));
+}
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -19,7 +19,7 @@
 use super::frames::TopicRecords;
 use super::hedge::{self, AppendCall};
 use super::lead_log::{AuthorityMonitor, ClaimContext, LeadEndReason};
-use super::link_server::FrameQueue;
+use super::link_server::{EncodedSummaries, FrameQueue};
 use super::recorder::LeadSubmission;
 use super::relay::StoreRelay;
 use super::renewal::{release_lead, renew};
@@ -74,6 +74,8 @@
     pub start_resends: RefCell<ResendBudget>,
     /// Records that are to be forwarded to linked boxes.
     pub outgoing_records: RefCell<Vec<TopicRecords>>,
+    /// The states of all jobs as they were last encoded for a box.
+    pub encoded_summaries: RefCell<Option<EncodedSummaries>>,
     /// The job states that were sent to linked boxes.
     pub sent_summaries: RefCell<SummaryFilter>,
     /// Submissions that wait to be appended.
@@ -178,7 +180,7 @@
 
 /// Claims the lead whenever no box holds it, and leads until the lead ends.
 pub async fn run(host: Rc<CellBox>) {
-    let rank = claim_rank(&host);
+    let rank = host.claim_rank();
     loop {
         tokio::time::sleep(CLAIM_CHECK_INTERVAL).await;
         if host.stopping.get() || !host.lead_view.is_fresh() || !host.has_fresh_jobs() {
@@ -206,12 +208,6 @@
     }
 }
 
-/// Returns a rank that spreads the claims of several boxes in time.
-fn claim_rank(host: &CellBox) -> u64 {
-    const RANK_COUNT: u64 = 8;
-    host.life % RANK_COUNT
-}
-
 async fn claim(host: &CellBox) -> bool {
     let Some(end) = lead_topic_end(host) else { return false };
     let peers = host.settings.listen.peers.to_string();
@@ -292,6 +288,7 @@
         order_timeout: RefCell::new(AdaptiveTimeout::new(ORDER_TIMEOUT)),
         start_resends: RefCell::default(),
         outgoing_records: RefCell::default(),
+        encoded_summaries: RefCell::default(),
         sent_summaries: RefCell::default(),
         submissions: RefCell::default(),
         in_flight_owners: RefCell::default(),
--- a/crates/sedgehilld/src/cell/link_client.rs
+++ b/crates/sedgehilld/src/cell/link_client.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sedgehill_adapter::store::KeyedRecord;
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -33,6 +33,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between two probes of the lead's views.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which a box that was not sent the job states asks for them again. After a restart of
+/// all boxes they take the lead's link for a second.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(2_000);
 /// The most frames that wait to be sent. A link with a longer backlog is useless.
 const OUTBOX_CAPACITY: usize = 1_024;
 
@@ -202,12 +205,15 @@
 ) -> std::io::Result<()> {
     let mut probes = tokio::time::interval(PROBE_INTERVAL);
     probes.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut asked_summaries_at = None;
     loop {
         let frame = tokio::select! {
             Some(frame) = queue.recv() => frame,
             _ = probes.tick() => {
                 link.drop_abandoned();
-                if host.defers_reads() {
+                let is_due = asked_summaries_at.is_none_or(|at: Instant| at.elapsed() >= ASK_AGAIN_AFTER);
+                if host.defers_reads() && is_due {
+                    asked_summaries_at = Some(Instant::now());
                     write_frame(&mut writer, &PeerFrame::AskSummaries).await?;
                 }
                 let number = link.next_request_number();
--- a/crates/sedgehilld/src/cell/link_server.rs
+++ b/crates/sedgehilld/src/cell/link_server.rs
@@ -192,7 +192,9 @@
                 }
             }
             PeerFrame::AskSummaries => {
-                if session.standbys.borrow().sends_summaries() && !send_all_summaries(host, queue) {
+                if session.standbys.borrow().sends_summaries()
+                    && !session.send_all_summaries(host, queue)
+                {
                     return;
                 }
             }
@@ -213,16 +215,6 @@
     }
 }
 
-/// Sends a box the states of all jobs. Returns whether its queue took them.
-fn send_all_summaries(host: &CellBox, queue: &FrameQueue) -> bool {
-    let offsets = (host.jobs_view.offset.get(), host.progress_view.offset.get());
-    let (Some(jobs_end), Some(progress_end)) = offsets else { return true };
-    let summaries = TopicSummary::of_all(&host.replica.borrow(), jobs_end, progress_end);
-    summaries
-        .into_iter()
-        .all(|summary| queue.try_send(PeerFrame::Summary(summary).encode()).is_ok())
-}
-
 async fn answer_submission(
     host: Rc<CellBox>,
     session: Rc<LeadSession>,
@@ -273,7 +265,38 @@
     }
 }
 
+/// The encoded states of all jobs, and the ends of the topics that they come from.
+pub struct EncodedSummaries {
+    jobs_end: u64,
+    progress_end: u64,
+    frames: Vec<Rc<[u8]>>,
+}
+
 impl LeadSession {
+    /// Sends a box the states of all jobs. Returns whether its queue took them. They are encoded once
+    /// for all boxes that ask before the next record: after a restart of all boxes, to encode them
+    /// for each box would take the lead longer than all the rest of its work.
+    fn send_all_summaries(&self, host: &CellBox, queue: &FrameQueue) -> bool {
+        let offsets = (host.jobs_view.offset.get(), host.progress_view.offset.get());
+        let (Some(jobs_end), Some(progress_end)) = offsets else { return true };
+        let mut encoded = self.encoded_summaries.borrow_mut();
+        let is_current = |encoded: &EncodedSummaries| {
+            (encoded.jobs_end, encoded.progress_end) == (jobs_end, progress_end)
+        };
+        let frames = match &mut *encoded {
+            Some(encoded) if is_current(encoded) => &encoded.frames,
+            outdated => {
+                let summaries =
+                    TopicSummary::of_all(&host.replica.borrow(), jobs_end, progress_end);
+                let frames =
+                    summaries.into_iter().map(|summary| PeerFrame::Summary(summary).encode());
+                let frames = frames.collect();
+                &outdated.insert(EncodedSummaries { jobs_end, progress_end, frames }).frames
+            }
+        };
+        frames.iter().all(|frame| queue.try_send(frame.clone()).is_ok())
+    }
+
     /// Queues records that were read or written, to forward them to other boxes.
     pub fn queue_records(&self, topic: StoreTopic, from: u64, records: &[KeyedRecord]) {
         if !self.helpers.borrow().is_empty() {
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -260,10 +260,9 @@
 /// instead of 0.81.
 const DESCRIPTORS_PER_IDLE_CONNECTION: usize = 4;
 
-/// How long a weak box waits after its start for a lead that sends it job states, and how long a
-/// box in query mode waits for a sign of the lead. If all boxes restart, the strong ones need about
-/// a second to lead.
-const READ_DEFERRAL: TimeSpan = TimeSpan(2_500);
+/// How long a box in query mode waits for a sign of the lead. If all boxes restart, the strong ones
+/// need about a second to lead.
+const QUERY_PATIENCE: TimeSpan = TimeSpan(2_500);
 
 /// Returns a handler that logs the unreadable answers of workers.
 fn malformed_report_logger(log: Logger) -> MalformedHandler {
@@ -410,21 +409,29 @@
     }
 
     /// Returns whether this box leaves it to other boxes to read the records that a lead needs,
-    /// because it has just started and is much weaker than the last lead. Until the lead sends it
-    /// job states, it asks the lead for each. When all of 97 boxes read everything at once, those
-    /// that can lead had it after 0.4 s instead of 0.1 s.
+    /// because it has just started. Until the lead sends it job states, it asks the lead for each.
+    /// When all of 97 boxes read everything at once, those that can lead had it after 0.4 s instead
+    /// of 0.1 s.
     pub fn defers_reads(&self) -> bool {
-        let just_started = clock::now().since(self.started_at) < READ_DEFERRAL;
+        let (rank, hears_lead) = (self.claim_rank(), self.can_query_lead());
+        let deferral = self.watch.borrow().read_deferral(rank, hears_lead);
+        let just_started = clock::now().since(self.started_at) < deferral;
         let is_unread = self.progress_view.offset.get().is_none();
-        just_started && is_unread && self.watch.borrow().is_weaker_than_lead()
+        just_started && is_unread && !self.stands_by.get()
+    }
+
+    /// Returns a rank that spreads the claims and the first reads of several boxes in time.
+    pub fn claim_rank(&self) -> u64 {
+        const RANK_COUNT: u64 = 8;
+        self.life % RANK_COUNT
     }
 
     /// Returns whether this box is in query mode, in which it asks the lead for job states. A box
-    /// that has not heard from the lead for [`READ_DEFERRAL`] reads everything instead, since there
+    /// that has not heard from the lead for [`QUERY_PATIENCE`] reads everything instead, since there
     /// may be no other box left that could lead.
     pub fn queries_lead(&self) -> bool {
         let lead_heard_at = self.lead_heard_at.get();
-        lead_heard_at.is_some_and(|heard_at| clock::now().since(heard_at) < READ_DEFERRAL)
+        lead_heard_at.is_some_and(|heard_at| clock::now().since(heard_at) < QUERY_PATIENCE)
     }
 
     /// Records that the lead is alive.
