--- a/crates/sedgehill-cell/tests/testsuite/overlap/host.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/host.rs
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone)]
 pub enum Call {
     Store(StoreCall),
-    Worker { to: WorkerEntry, token: FencingToken, call: WorkerCall },
+    Worker { to: Box<WorkerEntry>, token: FencingToken, call: WorkerCall },
 }
 
 /// The answer to a call.
--- a/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/session.rs
@@ -269,7 +269,7 @@
             WorkerCall::Start(order) => order.token,
             WorkerCall::Stop(order) => order.token,
         };
-        Call::Worker { to: self.scheduler.entry(key).clone(), token, call }
+        Call::Worker { to: Box::new(self.scheduler.entry(key).clone()), token, call }
     }
 
     fn poll_workers(&mut self, out: &mut Vec<(Purpose, Call)>, now: Moment) {
