cell: a box that stands by takes no job states in place of records

Cause: since linked boxes leave the first reads to the lead, they ask for the states of all jobs as soon as they are linked. Where the lead has such a box stand by, the states arrived after that word: the box took them for its view, read no records, and could not lead.

Change: a box that stands by ignores states.

--- a/crates/sedgehilld/src/cell/link_client.rs
+++ b/crates/sedgehilld/src/cell/link_client.rs
@@ -346,8 +346,9 @@
 /// the store.
 fn apply_summary(host: &CellBox, summary: TopicSummary) {
     let Some(view) = host.view(summary.topic) else { return };
-    if host.watch.borrow().is_holder() {
-        // A box that has claimed the lead needs full records.
+    if host.watch.borrow().is_holder() || host.stands_by.get() {
+        // A box that has claimed the lead or stands by needs full records. States that it asked for
+        // before it was told to stand by arrive after that.
         return;
     }
     let (from, end) = (summary.from, summary.end);
