--- a/crates/sedgehilld/src/cell/link_client.rs
+++ b/crates/sedgehilld/src/cell/link_client.rs
@@ -34,7 +34,7 @@
 /// Time between two probes of the lead's views.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after which a box that was not sent the job states asks for them again. After a restart of
-/// all boxes they take the lead's link for a second.
+/// all boxes the answers share the lead's link, and each further question adds one.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(2_000);
 /// The most frames that wait to be sent. A link with a longer backlog is useless.
 const OUTBOX_CAPACITY: usize = 1_024;
--- a/crates/sedgehilld/src/cell/link_server.rs
+++ b/crates/sedgehilld/src/cell/link_server.rs
@@ -274,8 +274,8 @@
 
 impl LeadSession {
     /// Sends a box the states of all jobs. Returns whether its queue took them. They are encoded once
-    /// for all boxes that ask before the next record: after a restart of all boxes, to encode them
-    /// for each box would take the lead longer than all the rest of its work.
+    /// for all boxes that ask before the next record, since after a restart all boxes ask at the same
+    /// time.
     fn send_all_summaries(&self, host: &CellBox, queue: &FrameQueue) -> bool {
         let offsets = (host.jobs_view.offset.get(), host.progress_view.offset.get());
         let (Some(jobs_end), Some(progress_end)) = offsets else { return true };
