cell: a lost run is remembered after starts have stopped waiting for it

What callers saw: a task that crashes its workers was started a third time and more after its third crash, each start taking down a worker with all that ran there, where users accept two further starts.

With two of three crashes dropped, the lead knew one when it placed the fourth start, did not count it, and had nothing left to count when the next lives answered. Two more of the same class:

- The 20 s of a start that was recorded ahead began with the record and not with the loss, and anew under each lead.
So the loss of a run of 16 s or more was dropped at once, though the next life answered 5 s later; and with a lead every 15 s a harmless task was not started at all.
- Starts were counted by the crashes that were known, without open losses.

Change: how long a start waits for news, and how long the loss is remembered, are two things. A start waits for 20 s from the loss, as before, and the time waited is recorded, so that a later lead goes on from there. The loss is kept for as long as a crash is, with life and address, and counts for the starts that users accept. Only reports end a doubt; the table of who may do so, and when, stands in `scheduler/unresolved.rs`. If losses are cleared so that fewer than three workers may have crashed, the starts counted so far are dropped. At most five unheard losses of a task are kept, since more would change nothing. A loss never fails a task by itself.

A harmless task may not wait for longer than 40 s.

--- a/crates/sedgehill-cell/src/crash_history.rs
+++ b/crates/sedgehill-cell/src/crash_history.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 
+use sedgehill_core::units::TimeSpan;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{RunNumber, WorkerLife};
@@ -28,8 +29,14 @@
 /// Number of workers that crashed or may have crashed under a task from which on it is not started while one of these
 /// cases is unresolved. Resolving them takes some seconds, and each start meanwhile could be one too many.
 const DEFER_AFTER_LOSSES: usize = FAIL_AFTER_CRASHES;
+/// Number of lost runs without news that are kept once no start waits for them. With this many the task has used up the
+/// starts that users accept, and more would change no decision.
+const MAX_UNHEARD_RUNS: usize = FAIL_AFTER_CRASHES + MAX_FURTHER_STARTS as usize;
 /// Number of unconfirmed crashes that are counted. More would change nothing, since three crashes have to be known.
 const MAX_UNCONFIRMED: u8 = MAX_FURTHER_STARTS;
+/// How long a start waits for news of a lost worker. Most crashed workers are back after some seconds. One that was
+/// removed never answers, and a harmless task must not wait for it.
+pub const MAX_LOSS_WAIT: TimeSpan = TimeSpan(20_000);
 /// How long a crash is remembered, in milliseconds. Under a long-running task a worker crashes some times a day for
 /// other reasons; a task that crashes workers does so much more often.
 pub const CRASH_MEMORY_MS: u64 = 600_000;
@@ -61,6 +68,17 @@
     pub alone: bool,
     /// Whether the worker had reported the run.
     pub seen: bool,
+    /// How long leads have waited for news since the run was lost; none while it is not known to be lost. Stored in
+    /// [`JobProgress::loss_waits`](crate::progress::JobProgress::loss_waits).
+    #[serde(skip)]
+    pub waited: Option<TimeSpan>,
+}
+
+impl UnresolvedRun {
+    /// Returns whether the next start has to wait for news of this run.
+    fn defers_start(&self) -> bool {
+        self.waited.is_none_or(|waited| waited < MAX_LOSS_WAIT)
+    }
 }
 
 /// Where a task may be started, given the losses of its earlier workers.
@@ -113,6 +131,12 @@
         self.known_crashes() + self.unanswered.len() + usize::from(self.unconfirmed)
     }
 
+    /// Returns the number of workers that may have crashed under the task, as far as is known while it runs nowhere. A
+    /// crash that nobody has heard of counts, since it can become known at any time.
+    fn losses(&self) -> usize {
+        self.possible_crashes() + self.unresolved.len()
+    }
+
     /// Returns the number of workers that are known to have crashed while the task may have run there.
     fn known_crashes(&self) -> usize {
         self.crashes.len() + self.correlated_ms.len()
@@ -121,11 +145,9 @@
     /// Returns where the task may be started while none of its runs is active.
     pub fn start_restriction(&self) -> StartRestriction {
         let lost = self.crashes.len() + self.unanswered.len() + self.unresolved.len();
-        let possible = self.possible_crashes() + self.unresolved.len();
+        let awaits_news = || self.unresolved.iter().any(UnresolvedRun::defers_start);
         match lost {
-            _ if possible >= DEFER_AFTER_LOSSES && !self.unresolved.is_empty() => {
-                StartRestriction::Deferred
-            }
+            _ if self.losses() >= DEFER_AFTER_LOSSES && awaits_news() => StartRestriction::Deferred,
             0 => StartRestriction::Unrestricted,
             lost if lost >= EXCLUSIVE_AFTER_LOSSES => StartRestriction::Exclusive,
             _ => StartRestriction::Separate,
@@ -167,26 +189,50 @@
             }
             None => {
                 self.unresolved.push(unresolved);
+                self.drop_oldest_unheard();
                 true
             }
         }
     }
 
+    /// Bounds the size of the record.
+    fn drop_oldest_unheard(&mut self) {
+        let is_unheard = |run: &UnresolvedRun| !run.defers_start();
+        if self.unresolved.iter().filter(|run| is_unheard(run)).count() > MAX_UNHEARD_RUNS
+            && let Some(oldest) = self.unresolved.iter().position(is_unheard)
+        {
+            self.unresolved.remove(oldest);
+        }
+    }
+
+    /// Notes how long starts have waited for news of a run. Returns whether the run is unresolved.
+    pub fn note_wait(&mut self, run: RunNumber, waited: TimeSpan) -> bool {
+        let unresolved = self.unresolved.iter_mut().find(|unresolved| unresolved.run == run);
+        unresolved.map(|unresolved| unresolved.waited = Some(waited)).is_some()
+    }
+
     /// Removes and returns an unresolved run: it is known now what became of it, or it never started.
     pub fn resolve(&mut self, run: RunNumber) -> Option<UnresolvedRun> {
         let index = self.unresolved.iter().position(|unresolved| unresolved.run == run)?;
         Some(self.unresolved.remove(index))
     }
 
-    /// Notes a start. Returns whether it counts as one of the starts after the third crash.
+    /// Notes a start while no run is active. Returns whether it counts as one of the starts after the third crash.
     pub fn count_start(&mut self) -> bool {
-        let counts = self.possible_crashes() >= FAIL_AFTER_CRASHES;
+        let counts = self.losses() >= FAIL_AFTER_CRASHES;
         if counts {
             self.further_starts = self.further_starts.saturating_add(1);
         }
         counts
     }
 
+    /// Drops the count of starts if fewer than three workers may have crashed, so that none of them came after the third.
+    pub fn discount_starts(&mut self) {
+        if self.losses() < FAIL_AFTER_CRASHES {
+            self.further_starts = 0;
+        }
+    }
+
     /// Removes a start from the count: no worker carried it out.
     pub fn uncount_start(&mut self) {
         self.further_starts = self.further_starts.saturating_sub(1);
--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -1,5 +1,6 @@
 //! The stored progress of a job: tasks that are done, failed runs, and crashes of workers.
 
+use sedgehill_core::units::TimeSpan;
 use serde::{Deserialize, Serialize};
 
 use crate::crash_history::{CrashHistory, WorkerCrash};
@@ -77,6 +78,18 @@
     pub locations: Vec<TaskLocation>,
     /// The values of [`CrashHistory::unanswered`], by the index of the task among all tasks.
     pub unanswered: Vec<(u32, Vec<WorkerCrash>)>,
+    /// The values of [`UnresolvedRun::waited`](crate::crash_history::UnresolvedRun::waited) of the runs that are lost,
+    /// by the index of the task among all tasks.
+    pub loss_waits: Vec<(u32, Vec<LossWait>)>,
+}
+
+/// How long leads have waited for news of a lost run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossWait {
+    /// The run.
+    pub run: RunNumber,
+    /// The time since its loss, without the changes of leads.
+    pub waited: TimeSpan,
 }
 
 /// The only worker that may have a run of a task: a later start elsewhere is recorded before it is sent.
--- a/crates/sedgehill-cell/src/scheduler/active_job.rs
+++ b/crates/sedgehill-cell/src/scheduler/active_job.rs
@@ -11,7 +11,7 @@
 use crate::crash_history::{CrashHistory, StartRestriction};
 use crate::ids::{CellTask, FencingToken, JobId, OrganisationName, RunNumber, StepId, WorkerLife};
 use crate::job::{JobRecord, RepeatSpec, StepSpec};
-use crate::progress::{JobProgress, JobState, TaskLocation, TaskProgress};
+use crate::progress::{JobProgress, JobState, LossWait, TaskLocation, TaskProgress};
 
 /// Run numbers of a task that one lead can use without recording them. A lead counts from its token
 /// times this number, so that two leads never use one number for different runs. Refused starts use
@@ -164,6 +164,13 @@
                 task.crash_history.unanswered = unanswered.clone();
             }
         }
+        for (index, waits) in &progress.loss_waits {
+            let Some(task) = tasks.get_mut(*index as usize) else { continue };
+            for unresolved in &mut task.crash_history.unresolved {
+                let wait = waits.iter().find(|wait| wait.run == unresolved.run);
+                unresolved.waited = wait.map(|wait| wait.waited);
+            }
+        }
         if progress.may_have_started {
             let first = u32::try_from(token.0 * RUN_NUMBERS_PER_LEAD).unwrap_or(u32::MAX - 1);
             for task in &mut tasks {
@@ -312,6 +319,7 @@
             correlated_ms: self.history_lists(|crash_history| &crash_history.correlated_ms),
             locations: self.locations(),
             unanswered: self.history_lists(|crash_history| &crash_history.unanswered),
+            loss_waits: self.loss_waits(),
         }
     }
 
@@ -352,6 +360,19 @@
         histories.map(|(index, task)| (index as u32, list(&task.crash_history).clone())).collect()
     }
 
+    /// Returns how long leads have waited for news of its lost runs; nothing once the job has a final state.
+    fn loss_waits(&self) -> Vec<(u32, Vec<LossWait>)> {
+        let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
+        let waits = tasks.map(|(index, task)| {
+            let unresolved = task.crash_history.unresolved.iter();
+            let waits = unresolved.filter_map(|unresolved| {
+                Some(LossWait { run: unresolved.run, waited: unresolved.waited? })
+            });
+            (index as u32, waits.collect::<Vec<_>>())
+        });
+        waits.filter(|(_, waits)| !waits.is_empty()).collect()
+    }
+
     /// Returns the crash histories of its tasks; nothing once the job has a final state.
     fn crash_histories(&self) -> Vec<(u32, CrashHistory)> {
         let tasks = self.tasks.iter().enumerate().filter(|_| !self.state.is_final());
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -88,6 +88,33 @@
         /// The worker.
         worker: WorkerLife,
     },
+    /// Starts of the task no longer wait for news of the lost worker. The loss is remembered.
+    LossUnheard {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// The worker.
+        worker: WorkerLife,
+    },
+    /// A lost run is no longer remembered, since its job is over or nothing was heard for long.
+    LossForgotten {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// The worker.
+        worker: WorkerLife,
+    },
+    /// A start was counted against the number that users accept after three crashes.
+    FurtherStart {
+        /// The task.
+        task: CellTask,
+        /// The run.
+        run: RunNumber,
+        /// The number of such starts so far.
+        count: u8,
+    },
     /// An unreachable worker turned out to be alive, so the lost run does not count as a crash.
     LossCleared {
         /// The task.
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -42,6 +42,7 @@
 mod suspects;
 mod take_over;
 mod timing;
+mod unresolved;
 mod worker;
 mod write_ahead;
 
@@ -70,8 +71,8 @@
 pub use self::roster_records::{RosterChange, RosterParts};
 pub use self::stall::{StallDetails, StallReason, StallStats};
 pub use self::suspects::CrashDetection;
-use self::suspects::UnresolvedRuns;
 pub use self::timing::CellTiming;
+use self::unresolved::UnresolvedRuns;
 use self::worker::{RunPhase, StopAttempt, WorkerState, WorkerTrust};
 use self::write_ahead::UnrecordedStart;
 use crate::ids::{
@@ -410,7 +411,7 @@
         self.move_stragglers(now);
         self.find_settled_restarts();
         self.settle_take_over(now);
-        self.expire_unresolved_runs(now);
+        self.update_unresolved_runs(now);
         self.send_recorded_starts(now);
         self.count_unconfirmed(self.unix_ms_at(now));
         if self.has_fresh_worker_list(now) && self.has_fresh_hall_view(now) {
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -9,18 +9,14 @@
 //!   unresolved until it answers again or another life does.
 //! - A run that *ended*, because of its lease or otherwise, is reported by a live worker.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
+use super::unresolved::UnresolvedEntry;
 use super::*;
 use crate::crash_history::{UnresolvedRun, WorkerCrash};
 
-/// How long a loss may stay unresolved. A crashed worker is back after some seconds. One that is
-/// not heard of by then was removed, and a task should not wait for it any longer.
-const MAX_UNRESOLVED_SPAN: TimeSpan = TimeSpan(20_000);
-
 /// The losses of workers at one moment are correlated, and have a cause of their own, if at least
 /// this many others were lost too, and at least one in [`CORRELATED_LOSS_ONE_IN`] of all. Tasks
 /// that crash their workers take down about one each second.
@@ -47,37 +43,6 @@
     }
 }
 
-/// A run that may have been lost in a crash.
-#[derive(Debug, Clone)]
-struct UnresolvedEntry {
-    task: CellTask,
-    run: RunNumber,
-    address: SocketAddr,
-    since: Moment,
-    /// An earlier lead ordered it, so it is not known whether its start was answered.
-    inherited: bool,
-}
-
-/// All runs that may have been lost in a crash, by the life on which they were started.
-#[derive(Debug, Default)]
-pub struct UnresolvedRuns {
-    lives: HashMap<WorkerLife, Vec<UnresolvedEntry>>,
-}
-
-impl UnresolvedRuns {
-    fn add(&mut self, life: WorkerLife, entry: UnresolvedEntry) {
-        self.lives.entry(life).or_default().push(entry);
-    }
-
-    fn remove(&mut self, life: &WorkerLife, task: &CellTask, run: RunNumber) {
-        let Some(entries) = self.lives.get_mut(life) else { return };
-        entries.retain(|entry| (entry.task, entry.run) != (*task, run));
-        if entries.is_empty() {
-            self.lives.remove(life);
-        }
-    }
-}
-
 /// A run on a worker that was lost.
 pub(super) struct LostRun {
     pub(super) task: CellTask,
@@ -169,7 +134,9 @@
             }
             LossCause::LeaseEnded(_) => {
                 let LostRun { run, alone, seen, .. } = *lost;
-                let unresolved = UnresolvedRun { run, life: life.clone(), address, alone, seen };
+                let waited = Some(TimeSpan(0));
+                let unresolved =
+                    UnresolvedRun { run, life: life.clone(), address, alone, seen, waited };
                 self.add_unresolved_run(&lost.task, unresolved, now);
                 self.events.push(CellEvent::LossUnresolved {
                     task: lost.task,
@@ -181,40 +148,9 @@
         }
     }
 
-    /// Adds a run that may be lost in a crash, or may already have been.
-    pub(super) fn add_unresolved_run(
-        &mut self,
-        task: &CellTask,
-        unresolved: UnresolvedRun,
-        now: Moment,
-    ) {
-        let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
-            return;
-        };
-        let Some(index) = job.task_index(task) else { return };
-        let (run, life, address) = (unresolved.run, unresolved.life.clone(), unresolved.address);
-        if job.tasks[index].crash_history.add_unresolved(unresolved) {
-            let inherited = false;
-            self.unresolved_runs
-                .add(life, UnresolvedEntry { task: *task, run, address, since: now, inherited });
-            self.suspects_seen = true;
-            self.dirty.insert(task.step.job);
-        }
-    }
-
-    /// Notes that a run did not end in a crash, or never started.
-    pub(super) fn resolve_run(&mut self, task: &CellTask, run: RunNumber) {
-        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
-        let Some(index) = job.task_index(task) else { return };
-        if let Some(unresolved) = job.tasks[index].crash_history.resolve(run) {
-            self.unresolved_runs.remove(&unresolved.life, task, run);
-            self.dirty.insert(task.step.job);
-        }
-    }
-
     /// Notes a run that was lost with a worker that most likely left as planned.
     fn note_possible_crash(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
-        self.resolve_run(task, run);
+        self.remove_unresolved(task, run);
         self.add_possible_crash(task, now);
         self.dirty.insert(task.step.job);
     }
@@ -257,10 +193,8 @@
         let unresolved: Vec<(CellTask, UnresolvedRun)> =
             job.all_tasks().flat_map(unresolved_of).collect();
         for (task, unresolved) in unresolved {
-            let UnresolvedRun { run, life, address, .. } = unresolved;
-            let inherited = true;
-            self.unresolved_runs
-                .add(life.clone(), UnresolvedEntry { task, run, address, since: now, inherited });
+            let (life, address) = (unresolved.life.clone(), unresolved.address);
+            self.inherit_unresolved_run(task, unresolved, now);
             let is_successor = |worker: &WorkerState| {
                 let other = !worker.entry.life.may_equal(&life) && worker.entry.address == address;
                 other && worker.fenced && !worker.dead
@@ -351,27 +285,6 @@
         }
     }
 
-    /// Drops unresolved runs that were lost long ago.
-    pub(super) fn expire_unresolved_runs(&mut self, now: Moment) {
-        let mut expired = Vec::new();
-        for (life, entries) in &self.unresolved_runs.lives {
-            let worker = self.lives.get(life).map(|key| &self.workers[key.0]);
-            let is_known = |entry: &UnresolvedEntry| {
-                worker.is_some_and(|worker| worker.has_run(&entry.task, entry.run))
-            };
-            let is_old = |entry: &&UnresolvedEntry| {
-                now >= entry.since.after(MAX_UNRESOLVED_SPAN) && !is_known(entry)
-            };
-            let is_gone = |entry: &&UnresolvedEntry| !self.jobs.contains_key(&entry.task.step.job);
-            let dropped = entries.iter().filter(|entry| is_old(entry) || is_gone(entry));
-            expired.extend(dropped.map(|entry| (life.clone(), entry.task, entry.run)));
-        }
-        for (life, task, run) in expired {
-            self.resolve_run(&task, run);
-            self.unresolved_runs.remove(&life, &task, run);
-        }
-    }
-
     /// Counts a crash in the history of the task, unless the evidence is weaker: the start was not
     /// answered, or other workers were lost at the same time.
     fn count_crash(&mut self, crash: TaskCrash<'_>, now: Moment) {
@@ -385,7 +298,7 @@
             return self.count_correlated_crash(&task, run, now);
         }
         self.suspects_seen = true;
-        self.resolve_run(&task, run);
+        self.remove_unresolved(&task, run);
         let at_unix_ms = self.unix_ms_at(now);
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
             return;
@@ -422,7 +335,7 @@
     fn count_unanswered_start(&mut self, crash: &TaskCrash<'_>, now: Moment) {
         let TaskCrash { task, run, life, alone, .. } = *crash;
         self.suspects_seen = true;
-        self.resolve_run(&task, run);
+        self.remove_unresolved(&task, run);
         let at_unix_ms = self.unix_ms_at(now);
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
             return;
@@ -461,7 +374,7 @@
     /// Notes a crash that happened together with those of many other workers.
     fn count_correlated_crash(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
         self.suspects_seen = true;
-        self.resolve_run(task, run);
+        self.remove_unresolved(task, run);
         let at_unix_ms = self.unix_ms_at(now);
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
             return;
@@ -481,6 +394,10 @@
         let Some(index) = job.task_index(task) else { return };
         let active_task = &mut job.tasks[index];
         active_task.counted_start = active_task.crash_history.count_start().then_some(run);
+        if active_task.counted_start.is_some() {
+            let count = active_task.crash_history.further_starts;
+            self.events.push(CellEvent::FurtherStart { task: *task, run, count });
+        }
     }
 
     /// Notes that no worker carried out a start, so that it does not count against the starts that
--- a/crates/sedgehill-cell/src/scheduler/write_ahead.rs
+++ b/crates/sedgehill-cell/src/scheduler/write_ahead.rs
@@ -41,9 +41,9 @@
         if record == StartRecord::Suspect {
             let entry = &self.workers[worker.0].entry;
             let (life, address) = (entry.life.clone(), entry.address);
-            let unresolved = UnresolvedRun { run, life, address, alone, seen: false };
-            self.add_unresolved_run(&task, unresolved, now);
+            let unresolved = UnresolvedRun { run, life, address, alone, seen: false, waited: None };
             self.count_suspect_start(&task, run);
+            self.add_unresolved_run(&task, unresolved, now);
         }
         self.dirty.insert(task.step.job);
         let batch = self.next_batch;
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -45,6 +45,9 @@
             telemetry::count_run_lost(cause.name());
         }
         CellEvent::LossUnresolved { .. } => telemetry::count_crash("open", ""),
+        CellEvent::LossUnheard { .. } => telemetry::count_crash("unheard", ""),
+        CellEvent::LossForgotten { .. } => telemetry::count_crash("forgotten", ""),
+        CellEvent::FurtherStart { .. } => telemetry::count_crash("further_start", ""),
         CellEvent::LossCleared { .. } => telemetry::count_crash("cleared", ""),
         CellEvent::CrashCounted { detected_by, .. } => {
             telemetry::count_crash("counted", detected_by.name())
@@ -116,6 +119,15 @@
         CellEvent::LossUnresolved { task, run, worker } => {
             info!(log, "crash not known"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
+        CellEvent::LossUnheard { task, run, worker } => {
+            info!(log, "no news of crash"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
+        }
+        CellEvent::LossForgotten { task, run, worker } => {
+            info!(log, "loss forgotten"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
+        }
+        CellEvent::FurtherStart { task, run, count } => {
+            info!(log, "start after crashes"; "token" => %token, "task" => %task, "run" => run.0, "count" => count);
+        }
         CellEvent::LossCleared { task, run, worker } => {
             info!(log, "no crash"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
