cell: that a worker has reported a run recorded ahead is recorded too

What callers saw: a task that crashes its workers was started more often than needed before its job was shown as failed, if the lead was lost meanwhile.

Cause, from the trace by force: the record of a start that was made ahead says that the worker has not reported the run, and was only renewed when the loss was noted.

Change: the first report of a run marks the recorded one.

Test: `unheard_crashes::a_later_lead_knows_that_the_worker_had_reported_the_ run`, fails without the change.

--- a/crates/sedgehill-cell/src/crash_history.rs
+++ b/crates/sedgehill-cell/src/crash_history.rs
@@ -211,6 +211,12 @@
         unresolved.map(|unresolved| unresolved.waited = Some(waited)).is_some()
     }
 
+    /// Notes that the worker has reported a run whose start was recorded ahead. Returns whether this was not known.
+    pub fn note_seen(&mut self, run: RunNumber) -> bool {
+        let unresolved = self.unresolved.iter_mut().find(|unresolved| unresolved.run == run);
+        unresolved.is_some_and(|unresolved| !std::mem::replace(&mut unresolved.seen, true))
+    }
+
     /// Removes and returns an unresolved run: it is known now what became of it, or it never started.
     pub fn resolve(&mut self, run: RunNumber) -> Option<UnresolvedRun> {
         let index = self.unresolved.iter().position(|unresolved| unresolved.run == run)?;
--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -107,6 +107,7 @@
             return;
         };
         entry.confirm(now);
+        self.note_run_seen(task, run);
         self.note_run_confirmed(task);
         self.note_started(task.step.job, now);
     }
--- a/crates/sedgehill-cell/src/scheduler/reports.rs
+++ b/crates/sedgehill-cell/src/scheduler/reports.rs
@@ -128,6 +128,7 @@
         if let Some(entry) = self.workers[key.0].runs.get_mut(&row.task) {
             if entry.run == row.run {
                 if entry.confirm(now) {
+                    self.note_run_seen(&row.task, row.run);
                     self.note_run_confirmed(&row.task);
                 }
                 self.save_checkpoint(&row.task, row.run, &row.checkpoint);
@@ -154,6 +155,7 @@
             task.location = long_running.then_some(location);
         }
         self.track_run(key, row, Some(need), now);
+        self.note_run_seen(&row.task, row.run);
         match wanted {
             true => {
                 self.report_adopted(key, row);
--- a/crates/sedgehill-cell/src/scheduler/unresolved.rs
+++ b/crates/sedgehill-cell/src/scheduler/unresolved.rs
@@ -208,4 +208,14 @@
             self.events.push(CellEvent::LossUnheard { task: *task, run, worker });
         }
     }
+
+    /// Notes that a worker has reported a run. If its start was recorded ahead, a later lead has to
+    /// know this to count a crash in full.
+    pub(super) fn note_run_seen(&mut self, task: &CellTask, run: RunNumber) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(index) = job.task_index(task) else { return };
+        if job.tasks[index].crash_history.note_seen(run) {
+            self.dirty.insert(task.step.job);
+        }
+    }
 }
--- a/crates/sedgehill-cell/tests/testsuite/unheard_crashes.rs
+++ b/crates/sedgehill-cell/tests/testsuite/unheard_crashes.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Runs turns until the given number of crashes.
+    fn play_until_crash(&mut self, count: usize) {
+        while self.cell.crashes_under(task(0, 0, 0)) < count {
+            self.turn();
+        }
+    }
+
     fn assert_given_up(mut self) {
         for _ in 0..MAX_TURNS {
             self.turn();
@@ -116,3 +123,27 @@
     cell.turns(&mut lead, 20);
     assert_eq!(cell.progress(0).state, JobState::Completed);
 }
+
+// A worker has reported a run whose start was recorded ahead. When that was not recorded, a later lead took the crash
+// for one that may have come before the start, so it proved nothing.
+#[test]
+fn a_later_lead_knows_that_the_worker_had_reported_the_run() {
+    let late = TimeSpan(30_000);
+    let mut course = CrashCourse::new(TimeSpan(500), &[late, late, SOON]);
+    for crash in [3, 4] {
+        course.play_until_crash(crash);
+        (0..20).for_each(|_| course.turn());
+        course.lead = course.cell.lead(true);
+        course.lead.note_fenced(course.cell.now);
+    }
+    let seen = course.cell.progress(0).crash_histories.iter().flat_map(|(_, history)| {
+        let unresolved = history.unresolved.iter().map(|unresolved| unresolved.seen);
+        unresolved.chain(history.crashes.iter().map(|crash| crash.seen)).collect::<Vec<_>>()
+    });
+    assert!(
+        seen.clone().count() >= 3 && seen.clone().all(|seen| seen),
+        "{:?}",
+        course.cell.progress(0)
+    );
+    course.assert_given_up();
+}
