cell tests: two courses in which starts after three crashes are not limited

Unanswered starts: the first crash is lost with its lead and the later starts all go unanswered. They are counted, but fail the task only once two crashes are known or five starts went unanswered, since a start without an answer most likely came to a worker that was down: a harmless job was given up for that before.

Leaving workers: an entry that goes while its worker answers tells a planned leave. Two such losses are counted at most, so three are never reached.

Not mended: the same evidence comes from harmless tasks. Both are listed.

--- a/crates/sedgehill-cell/tests/testsuite/unheard_crashes.rs
+++ b/crates/sedgehill-cell/tests/testsuite/unheard_crashes.rs
@@ -147,3 +147,45 @@
     );
     course.assert_given_up();
 }
+
+// The first crash is lost with its lead. The answers to all later starts are lost, so each crash may have come before the
+// start: with fewer than two known crashes the task is given up only after five of these.
+#[test]
+fn unanswered_starts_after_a_crash_that_no_lead_saw_add_up() {
+    let mut cell = FakeCell::with_lasting_ids(4, 4);
+    let mut lead = cell.lead(false);
+    let crash_rule = CrashRule { after: TimeSpan(20), back: TimeSpan(800), runs: usize::MAX };
+    cell.make_crash(task(0, 0, 0), crash_rule);
+    cell.submit_led(&mut lead, 0, job(vec![step(1, 1)]));
+    while cell.crashes_under(task(0, 0, 0)) == 0 {
+        cell.turn(&mut lead);
+    }
+    cell.turns(&mut lead, 2);
+    lead = cell.lead(true);
+    lead.note_fenced(cell.now);
+    (0..3_000).for_each(|_| cell.turn_losing_answers(&mut lead));
+    assert_eq!(cell.progress(0).state, JobState::Failed);
+}
+
+// The entry of each worker goes while the worker still answers, as if it left as planned, and then it crashes. Such a
+// loss is an unconfirmed crash, of which only two are counted.
+#[test]
+fn crashes_of_workers_whose_entries_had_gone_add_up() {
+    let mut cell = FakeCell::with_lasting_ids(4, 4);
+    let mut lead = cell.lead(false);
+    let crash_rule = CrashRule { after: TimeSpan(800), back: TimeSpan(1_000), runs: usize::MAX };
+    cell.make_crash(task(0, 0, 0), crash_rule);
+    cell.submit_led(&mut lead, 0, job(vec![step(1, 1)]));
+    let mut gone: Option<(Moment, usize)> = None;
+    for _ in 0..3_000 {
+        cell.turn(&mut lead);
+        if let Some(holder) = cell.place(task(0, 0, 0)) {
+            gone.get_or_insert((cell.now, holder));
+            cell.workers[holder].unlisted = true;
+        }
+        if let Some((_, number)) = gone.take_if(|(at, _)| cell.now >= at.after(TimeSpan(1_700))) {
+            cell.workers[number].unlisted = false;
+        }
+    }
+    assert_eq!(cell.progress(0).state, JobState::Failed);
+}
