--- a/crates/sedgehill-standin/src/cluster.rs
+++ b/crates/sedgehill-standin/src/cluster.rs
@@ -321,6 +321,15 @@
     }
 }
 
+impl Drop for TestCluster {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.directory.disable_cleanup(true);
+            eprintln!("the logs of the boxes are kept in {}", self.directory.path().display());
+        }
+    }
+}
+
 /// Polls until a condition holds. Panics if it takes too long, with `subject` in the message.
 pub async fn wait_for(subject: &str, mut condition: impl AsyncFnMut() -> bool) {
     let started = Instant::now();
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod endpoints;
 mod entries;
 mod halls;
+mod leaving_endpoints;
 mod ledger;
 mod logging;
 mod messages;
--- a/crates/sedgehilld/src/filters/dispatch.rs
+++ b/crates/sedgehilld/src/filters/dispatch.rs
@@ -1,7 +1,7 @@
 //! Reserves a slot of an endpoint for a request, and lets the request wait if there is none.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use sedgehill_core::dispatch::{
     DispatchChoice, DispatchOffer, DispatchRefusal, DispatchRequest, EndpointOutcome,
@@ -39,6 +39,11 @@
         &self.choice
     }
 
+    /// Returns how long ago the slot was reserved.
+    pub fn held(&self) -> Duration {
+        self.reserved_at.elapsed()
+    }
+
     /// Sets the outcome of the attempt, which counts for or against the endpoint when the slot is released.
     pub fn set_outcome(&mut self, outcome: EndpointOutcome) {
         self.outcome = outcome;
@@ -47,7 +52,7 @@
 
 impl Drop for EndpointSlot {
     fn drop(&mut self) {
-        let held = TimeSpan(self.reserved_at.elapsed().as_millis() as u64);
+        let held = TimeSpan(self.held().as_millis() as u64);
         self.queue.release(&self.choice.endpoint, self.outcome, held);
     }
 }
--- a/crates/sedgehilld/src/filters/forward.rs
+++ b/crates/sedgehilld/src/filters/forward.rs
@@ -8,6 +8,7 @@
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
 use sedgehill_core::dispatch::EndpointOutcome;
+use slog::info;
 
 use super::FilterChain;
 use super::dispatch::EndpointSlot;
@@ -90,6 +91,15 @@
         Err(_) => Err(AttemptFailure::MayHaveRun(UnknownReason::TimedOut)),
     };
     slot.set_outcome(endpoint_outcome(&result));
+    if let Err(failure) = &result {
+        info!(chain.shared.log.logger, "request got no answer";
+            "request" => %context.id,
+            "endpoint" => %slot.choice().endpoint,
+            "failure" => format!("{failure:?}"),
+            "answers_before" => connection.answers,
+            "chosen_ms_ago" => slot.held().as_millis() as u64,
+        );
+    }
     if result.is_ok() {
         chain.pool.checkin(address, connection);
     }
--- a/crates/sedgehilld/src/filters/pool.rs
+++ b/crates/sedgehilld/src/filters/pool.rs
@@ -19,6 +19,8 @@
 pub struct EndpointConnection {
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Number of complete answers that were read from the connection.
+    pub answers: u64,
     /// Duplicate handle of the socket, to check whether the endpoint has closed it.
     socket: std::net::TcpStream,
 }
@@ -63,7 +65,8 @@
     }
 
     /// Returns a connection to the pool, after its answer was read.
-    pub fn checkin(&self, address: SocketAddr, connection: EndpointConnection) {
+    pub fn checkin(&self, address: SocketAddr, mut connection: EndpointConnection) {
+        connection.answers += 1;
         if !connection.sender.is_closed() {
             self.idle.lock().entry(address).or_default().push(connection);
         }
@@ -79,5 +82,5 @@
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
     tokio::spawn(connection);
-    Ok(EndpointConnection { sender, socket })
+    Ok(EndpointConnection { sender, answers: 0, socket })
 }
