daemon: a request is written only while its endpoint may still receive it

Callers and endpoints saw: a box that was paused for 4 s sent a request to an endpoint that had left meanwhile, when it resumed.

Cause: the queue looks at the age of its list when it chooses the endpoint; the request is written by another task later, which looked at nothing.

Mend: each write of the first bytes asks the queue, at that moment and under the lock that the write holds, whether the list is current and the endpoint stays; it also looks whether the endpoint has closed the connection. A request that is not written goes back to the queue, as one that surely did not run. A request of which no byte was written is no longer told as 'unknown'.

--- a/crates/sedgehill-core/src/dispatch.rs
+++ b/crates/sedgehill-core/src/dispatch.rs
@@ -340,6 +340,14 @@
         Some(DispatchChoice { endpoint: id, address: entry.view.address, candidates })
     }
 
+    /// Returns whether a request that holds a slot of the endpoint may still be sent there. After a pause of the
+    /// process that is not known until the next [`DispatchQueue::sync`].
+    pub fn may_send(&self, endpoint: &EndpointId, now: Moment) -> bool {
+        let is_current = now.since(self.last_sync) <= MAX_ENDPOINT_LIST_AGE;
+        let is_usable = |entry: &EndpointEntry| entry.listed && !entry.view.leaving;
+        is_current && self.endpoints.get(endpoint).is_some_and(is_usable)
+    }
+
     /// Returns the endpoints to skip: those that refused the request before, or none if no other
     /// endpoint may serve it.
     fn excluded_endpoints<'r>(&self, request: &'r DispatchRequest) -> &'r [EndpointId] {
--- a/crates/sedgehill-core/tests/testsuite/dispatch.rs
+++ b/crates/sedgehill-core/tests/testsuite/dispatch.rs
@@ -268,3 +268,21 @@
     let chosen = queue.sync(vec![view(0, 2, false)], late);
     assert_eq!(chosen.len(), 1);
 }
+
+/// Guards against a request that was held since its choice and goes to an endpoint that left, or may have left.
+#[test]
+fn a_choice_holds_while_the_list_is_current_and_the_endpoint_stays() {
+    let mut queue = queue();
+    queue.sync(vec![view(0, 1, false), view(1, 1, false)], Moment(10_000));
+    let offer = queue.offer(request(10_100, 15_000, true), 1, Moment(10_000));
+    let DispatchOffer::Chosen(choice, _) = offer else { panic!("{offer:?}") };
+    assert!(queue.may_send(&choice.endpoint, Moment(11_000)));
+    // No list for a second: the process was paused.
+    assert!(!queue.may_send(&choice.endpoint, Moment(11_001)));
+    queue.sync(vec![view(0, 1, false), view(1, 1, false)], Moment(14_000));
+    assert!(queue.may_send(&choice.endpoint, Moment(14_000)));
+    queue.sync(vec![view(0, 1, true), view(1, 1, false)], Moment(14_200));
+    assert!(!queue.may_send(&choice.endpoint, Moment(14_200)), "it leaves");
+    queue.sync(vec![view(1, 1, false)], Moment(14_400));
+    assert!(!queue.may_send(&choice.endpoint, Moment(14_400)), "it is not listed any more");
+}
--- a/crates/sedgehilld/src/filters/dispatch.rs
+++ b/crates/sedgehilld/src/filters/dispatch.rs
@@ -39,6 +39,12 @@
         &self.choice
     }
 
+    /// Returns a function that tells whether the endpoint may still receive the request.
+    pub fn send_permit(&self) -> impl Fn() -> bool + Send + 'static {
+        let (queue, endpoint) = (self.queue.clone(), self.choice.endpoint.clone());
+        move || queue.with(|queue| queue.may_send(&endpoint, clock::now()))
+    }
+
     /// Returns how long ago the slot was reserved.
     pub fn held(&self) -> Duration {
         self.reserved_at.elapsed()
--- a/crates/sedgehilld/src/filters/forward.rs
+++ b/crates/sedgehilld/src/filters/forward.rs
@@ -12,6 +12,7 @@
 
 use super::FilterChain;
 use super::dispatch::EndpointSlot;
+use super::gated_stream::GateStatus;
 use super::identify::RequestContext;
 use super::outcome::{NotRunReason, RequestOutcome, RequestRecord, UnknownReason};
 use super::pool::EndpointConnection;
@@ -43,6 +44,8 @@
 pub enum AttemptFailure {
     /// No byte of the request reached the endpoint, or the endpoint said that it did not start the request.
     NotStarted,
+    /// No byte of the request was written, because the endpoint left or the process was paused after the choice.
+    ChoiceExpired,
     /// The request may have run.
     MayHaveRun(UnknownReason),
 }
@@ -56,6 +59,8 @@
     ) -> Option<RequestOutcome> {
         match self {
             AttemptFailure::MayHaveRun(reason) => Some(RequestOutcome::Unknown(reason)),
+            // Costs no endpoint anything, and the next choice waits for a current list.
+            AttemptFailure::ChoiceExpired => None,
             AttemptFailure::NotStarted => {
                 let may_retry =
                     record.attempts < MAX_ATTEMPTS && chain.retry_budget.lock().try_take();
@@ -77,39 +82,61 @@
     context: &RequestContext,
     mut slot: EndpointSlot,
 ) -> Result<Response<Bytes>, AttemptFailure> {
-    let timeout = Duration::from_millis(context.kind.timeout.as_millis());
     let address = slot.choice().address;
-    let Ok(mut connection) = chain.pool.checkout(address).await else {
-        slot.set_outcome(EndpointOutcome::Failure);
-        return Err(AttemptFailure::NotStarted);
-    };
-    let request = build_request(context, address);
-    let max_answer = chain.shared.settings.limits.max_answer.0 as usize;
-    let exchange = exchange(&mut connection, request, max_answer);
-    let result = match tokio::time::timeout(timeout, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(AttemptFailure::MayHaveRun(UnknownReason::TimedOut)),
+    let (connection, result) = loop {
+        let Ok(mut connection) = chain.pool.checkout(address).await else {
+            slot.set_outcome(EndpointOutcome::Failure);
+            return Err(AttemptFailure::NotStarted);
+        };
+        let result = attempt(chain, context, &slot, &mut connection).await;
+        // The endpoint closed a kept connection before the request was written, which says nothing about a new one.
+        let is_unsent = matches!(result, Err(AttemptFailure::NotStarted));
+        if !is_unsent || connection.answers == 0 {
+            break (connection, result);
+        }
     };
     slot.set_outcome(endpoint_outcome(&result));
-    if let Err(failure) = &result {
-        info!(chain.shared.log.logger, "request got no answer";
-            "request" => %context.id,
-            "endpoint" => %slot.choice().endpoint,
-            "failure" => format!("{failure:?}"),
-            "answers_before" => connection.answers,
-            "chosen_ms_ago" => slot.held().as_millis() as u64,
-        );
-    }
-    if result.is_ok() {
-        chain.pool.checkin(address, connection);
-    }
     let answer = result?;
+    chain.pool.checkin(address, connection);
     match is_refusal(&answer) {
         true => Err(AttemptFailure::NotStarted),
         false => Ok(answer),
     }
 }
 
+/// Sends a request on a connection, unless the endpoint may not receive it any more when it is written.
+async fn attempt(
+    chain: &FilterChain,
+    context: &RequestContext,
+    slot: &EndpointSlot,
+    connection: &mut EndpointConnection,
+) -> Result<Response<Bytes>, AttemptFailure> {
+    let timeout = Duration::from_millis(context.kind.timeout.as_millis());
+    let max_answer = chain.shared.settings.limits.max_answer.0 as usize;
+    let request = build_request(context, slot.choice().address);
+    connection.gate.arm(slot.send_permit());
+    let exchange = exchange(connection, request, max_answer);
+    let result = match tokio::time::timeout(timeout, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(AttemptFailure::MayHaveRun(UnknownReason::TimedOut)),
+    };
+    let Err(failure) = result else { return result };
+    let status = connection.gate.close();
+    info!(chain.shared.log.logger, "request got no answer";
+        "request" => %context.id,
+        "endpoint" => %slot.choice().endpoint,
+        "failure" => format!("{failure:?}"),
+        "bytes" => format!("{status:?}"),
+        "answers_before" => connection.answers,
+        "chosen_ms_ago" => slot.held().as_millis() as u64,
+    );
+    Err(match status {
+        GateStatus::Unwritten => AttemptFailure::NotStarted,
+        GateStatus::Denied => AttemptFailure::ChoiceExpired,
+        GateStatus::Written => failure,
+    })
+}
+
 async fn exchange(
     connection: &mut EndpointConnection,
     request: Request<Full<Bytes>>,
@@ -147,6 +174,7 @@
 fn endpoint_outcome(result: &Result<Response<Bytes>, AttemptFailure>) -> EndpointOutcome {
     match result {
         Ok(answer) if !answer.status().is_server_error() => EndpointOutcome::Success,
+        Err(AttemptFailure::ChoiceExpired) => EndpointOutcome::Neutral,
         _ => EndpointOutcome::Failure,
     }
 }
--- a/crates/sedgehilld/src/filters/mod.rs
+++ b/crates/sedgehilld/src/filters/mod.rs
@@ -5,6 +5,7 @@
 mod claim;
 mod dispatch;
 mod forward;
+mod gated_stream;
 mod identify;
 mod limit;
 mod outcome;
--- a/crates/sedgehilld/src/filters/pool.rs
+++ b/crates/sedgehilld/src/filters/pool.rs
@@ -11,6 +11,8 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
+use super::gated_stream::{GatedStream, WriteGate, is_idle};
+
 /// Timeout of connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -19,6 +21,8 @@
 pub struct EndpointConnection {
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Controls what is written to the connection.
+    pub gate: WriteGate,
     /// Number of complete answers that were read from the connection.
     pub answers: u64,
     /// Duplicate handle of the socket, to check whether the endpoint has closed it.
@@ -26,16 +30,10 @@
 }
 
 impl EndpointConnection {
-    /// Returns whether a request may be sent. Peeks at the socket, because on a busy box hyper may not have processed
-    /// yet that the endpoint closed the connection. A request written to a closed connection fails like one that ran.
+    /// Returns whether the endpoint has not closed the connection. A request written to a closed connection fails like
+    /// one that ran.
     fn is_open(&self) -> bool {
-        let mut byte = [0];
-        let is_idle = match self.socket.peek(&mut byte) {
-            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
-            // The end of the stream, or bytes that answer no request.
-            Ok(_) => false,
-        };
-        is_idle && self.sender.is_ready()
+        is_idle(&self.socket) && self.sender.is_ready()
     }
 }
 
@@ -78,9 +76,9 @@
     stream.set_nodelay(true)?;
     let stream = stream.into_std()?;
     let socket = stream.try_clone()?;
-    let stream = TcpStream::from_std(stream)?;
+    let (stream, gate) = GatedStream::new(TcpStream::from_std(stream)?, socket.try_clone()?);
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
     tokio::spawn(connection);
-    Ok(EndpointConnection { sender, answers: 0, socket })
+    Ok(EndpointConnection { sender, gate, answers: 0, socket })
 }
