--- a/crates/sedgehill-standin/tests/testsuite/leaving_endpoints.rs
+++ b/crates/sedgehill-standin/tests/testsuite/leaving_endpoints.rs
@@ -139,22 +139,43 @@
     cluster.assert_no_violation();
 }
 
+/// Threads that start processes, one after another, until this is dropped.
+struct ProcessStarters {
+    stop: Arc<AtomicBool>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl ProcessStarters {
+    fn start(count: usize) -> ProcessStarters {
+        let stop = Arc::new(AtomicBool::new(false));
+        let start_processes = |stop: Arc<AtomicBool>| {
+            while !stop.load(Ordering::SeqCst) {
+                let _ = std::process::Command::new("true").status();
+            }
+        };
+        let threads = (0..count).map(|_| {
+            let stop = stop.clone();
+            std::thread::spawn(move || start_processes(stop))
+        });
+        ProcessStarters { threads: threads.collect(), stop }
+    }
+}
+
+impl Drop for ProcessStarters {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
 /// Guards against a stand-in that counts as stopped while its sockets are open in a process that was started at the
 /// same moment and has copies of them until it executes its program.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stopped_endpoint_is_closed_while_processes_start() {
     const ENDPOINTS: usize = 300;
-    let stop = Arc::new(AtomicBool::new(false));
-    let starters: Vec<_> = (0..3)
-        .map(|_| {
-            let stop = stop.clone();
-            std::thread::spawn(move || {
-                while !stop.load(Ordering::SeqCst) {
-                    let _ = std::process::Command::new("true").status();
-                }
-            })
-        })
-        .collect();
+    let _starters = ProcessStarters::start(3);
     let net = LoopbackNetwork::new();
     let ledger = RuleLedger::new(Duration::ZERO);
     let (mut open_connections, mut open_listeners) = (0, 0);
@@ -173,9 +194,25 @@
             usize::from(peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock));
         open_listeners += usize::from(std::net::TcpStream::connect(address).is_ok());
     }
-    stop.store(true, Ordering::SeqCst);
-    for starter in starters {
-        starter.join().expect("a thread ends");
-    }
     assert_eq!((open_connections, open_listeners), (0, 0), "of {ENDPOINTS} stopped endpoints");
 }
+
+/// Guards against the same as a caller sees it: "unknown" for a request that was sent to an endpoint which had stopped.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_is_not_run_after_all_endpoints_stopped_while_processes_start() {
+    const CALLS: usize = 4;
+    let mut cluster = start_published(&small_plan()).await;
+    let report = start_call(&cluster).await.expect("the call ends");
+    assert_eq!(report.outcome, CallerOutcome::Answered, "{report:?}");
+    let _starters = ProcessStarters::start(6);
+    // The one that the box prefers is stopped last.
+    for index in (0..cluster.endpoints.len()).rev() {
+        cluster.stop_endpoint(index).await;
+    }
+    let calls: Vec<_> = (0..CALLS).map(|_| start_call(&cluster)).collect();
+    for call in calls {
+        let report = call.await.expect("the call ends");
+        assert_eq!(report.outcome, CallerOutcome::NotRun, "{report:?}");
+    }
+    cluster.assert_no_violation();
+}
