standin: a stopped server ends its sockets for all processes

Callers saw 'unknown' (502 connection-lost) instead of 'not run' while all endpoints were stopped (endpoints::work_waits_*, in runs of the suite).

Cause: in the test bench, not in the box. A process that the tests start has copies of all descriptors between fork and exec; while it has them, a closed listener takes connections and a closed connection stays open. Other tests of the suite start processes at any time, and beside load the moment is long. The box could not know better: bytes were written to an open connection.

Mend: sockets of a server are shut down when it stops, which counts for each copy.

--- a/crates/sedgehill-standin/src/endpoint.rs
+++ b/crates/sedgehill-standin/src/endpoint.rs
@@ -19,7 +19,7 @@
 use sedgehill_core::ids::EndpointId;
 use tokio::net::TcpListener;
 
-use crate::http_server::{ServerGuard, query_value};
+use crate::http_server::{ServerGuard, SocketEnd, query_value};
 use crate::ledger::RuleLedger;
 
 /// Header with the token that identifies a request of a caller.
@@ -87,22 +87,24 @@
         // Each connection holds a clone until it is closed.
         let open = Arc::new(());
         let sockets = Arc::downgrade(&open);
+        let listener_end = SocketEnd::new(&listener, Arc::default());
         let task = tokio::spawn(async move {
+            let _end = listener_end;
             let mut connections = tokio::task::JoinSet::new();
             loop {
                 let Ok((stream, _)) = listener.accept().await else { continue };
                 let _ = stream.set_nodelay(true);
-                let open = open.clone();
+                let end = SocketEnd::new(&stream, open.clone());
                 if *endpoint.fault.lock() == EndpointFault::Garbage {
                     connections.spawn(async move {
-                        let _open = open;
+                        let _end = end;
                         answer_garbage(stream).await;
                     });
                     continue;
                 }
                 let endpoint = endpoint.clone();
                 connections.spawn(async move {
-                    let _open = open;
+                    let _end = end;
                     let service = service_fn(move |request| {
                         let endpoint = endpoint.clone();
                         async move { endpoint.answer(request).await }
--- a/crates/sedgehill-standin/src/http_server.rs
+++ b/crates/sedgehill-standin/src/http_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -30,6 +32,30 @@
     sockets: Weak<()>,
 }
 
+/// Ends a listener or a connection when dropped, for all processes that have a copy of the socket. Closing alone does
+/// not: a process that this one starts at the same moment has copies of all sockets until it executes its program.
+#[derive(Debug)]
+pub struct SocketEnd {
+    socket: Option<socket2::Socket>,
+    _open: Arc<()>,
+}
+
+impl SocketEnd {
+    /// Creates the end of `socket`, which holds `open` until then.
+    pub fn new(socket: &impl AsFd, open: Arc<()>) -> SocketEnd {
+        SocketEnd { socket: SockRef::from(socket).try_clone().ok(), _open: open }
+    }
+}
+
+impl Drop for SocketEnd {
+    fn drop(&mut self) {
+        if let Some(socket) = &self.socket {
+            // Fails if the other side has ended the connection.
+            let _ = socket.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
 /// Interval at which a stopping server checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -76,19 +102,24 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let handler = Arc::new(handler);
+    let listener_end = SocketEnd::new(&listener, Arc::default());
     let task = tokio::spawn(async move {
+        let _end = listener_end;
         // Connections end when the task is cancelled, because the set is dropped with it.
         let mut connections = tokio::task::JoinSet::new();
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
             let _ = stream.set_nodelay(true);
+            let end = SocketEnd::new(&stream, Arc::default());
             let handler = handler.clone();
             let service = service_fn(move |request| {
                 let answer = handler(request);
                 async move { Ok::<_, Infallible>(answer.await) }
             });
-            connections
-                .spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+            connections.spawn(async move {
+                let _end = end;
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
             while connections.try_join_next().is_some() {}
         }
     });
