daemon: the check whether a request may be written is the last step before the write

In 60 plays of stops::a_paused_box_* on the code before, one request still reached an endpoint 4,211 ms after it left: chosen 3 ms before the pause. The look at the socket stood between the check and the write; suspected as the window, not shown.

--- a/crates/sedgehilld/src/filters/forward.rs
+++ b/crates/sedgehilld/src/filters/forward.rs
@@ -16,6 +16,7 @@
 use super::identify::RequestContext;
 use super::outcome::{NotRunReason, RequestOutcome, RequestRecord, UnknownReason};
 use super::pool::EndpointConnection;
+use crate::shared::PAUSE_THRESHOLD;
 
 /// Header of a 503 answer by which an endpoint says that it did not start the request.
 pub const REFUSED_HEADER: &str = "sedgehill-refused";
@@ -120,6 +121,14 @@
         Ok(result) => result,
         Err(_) => Err(AttemptFailure::MayHaveRun(UnknownReason::TimedOut)),
     };
+    let write_delay = connection.gate.write_delay();
+    if write_delay > PAUSE_THRESHOLD {
+        info!(chain.shared.log.logger, "request written across a pause";
+            "request" => %context.id,
+            "endpoint" => %slot.choice().endpoint,
+            "checked_ms_before" => write_delay.as_millis(),
+        );
+    }
     let Err(failure) = result else { return result };
     let status = connection.gate.close();
     info!(chain.shared.log.logger, "request got no answer";
--- a/crates/sedgehilld/src/filters/gated_stream.rs
+++ b/crates/sedgehilld/src/filters/gated_stream.rs
@@ -9,9 +9,12 @@
 use std::task::{Context, Poll};
 
 use parking_lot::Mutex;
+use sedgehill_core::units::TimeSpan;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::clock;
+
 /// Whether the endpoint of a request may still receive it.
 type SendPermit = Box<dyn Fn() -> bool + Send>;
 
@@ -31,6 +34,9 @@
     status: GateStatus,
     /// No bytes are written any more.
     is_closed: bool,
+    /// Time from the check of the permit to the end of the first write. Long if the process was paused during the check,
+    /// during the write, or in between.
+    write_delay: TimeSpan,
 }
 
 /// Controls the writes of one connection. Clones control the same connection.
@@ -41,7 +47,12 @@
 
 impl WriteGate {
     fn new() -> WriteGate {
-        let state = GateState { permit: None, status: GateStatus::Unwritten, is_closed: false };
+        let state = GateState {
+            permit: None,
+            status: GateStatus::Unwritten,
+            is_closed: false,
+            write_delay: TimeSpan(0),
+        };
         WriteGate { state: Arc::new(Mutex::new(state)) }
     }
 
@@ -50,6 +61,12 @@
         let mut state = self.state.lock();
         state.permit = Some(Box::new(permit));
         state.status = GateStatus::Unwritten;
+        state.write_delay = TimeSpan(0);
+    }
+
+    /// Returns how long the first write of the request took, from the check whether it may be sent.
+    pub fn write_delay(&self) -> TimeSpan {
+        self.state.lock().write_delay
     }
 
     /// Ends all writes, so that the returned status of the request is final.
@@ -92,20 +109,24 @@
         if state.is_closed {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        if state.status != GateStatus::Written {
-            if state.permit.as_ref().is_some_and(|permit| !permit()) {
-                state.status = GateStatus::Denied;
-                state.is_closed = true;
-                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-            }
-            if !is_idle(&this.socket) {
-                state.is_closed = true;
-                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-            }
+        if state.status == GateStatus::Written {
+            return write(Pin::new(&mut this.stream));
+        }
+        if !is_idle(&this.socket) {
+            state.is_closed = true;
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        // Last before the write: a pause in between is seen only when the bytes are out.
+        let checked_at = clock::now();
+        if state.permit.as_ref().is_some_and(|permit| !permit()) {
+            state.status = GateStatus::Denied;
+            state.is_closed = true;
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         let written = write(Pin::new(&mut this.stream));
         if matches!(written, Poll::Ready(Ok(count)) if count > 0) {
             state.status = GateStatus::Written;
+            state.write_delay = clock::now().since(checked_at);
         }
         written
     }
