--- a/crates/sedgehilld/src/filters/gated_stream.rs
+++ b/crates/sedgehilld/src/filters/gated_stream.rs
@@ -87,13 +87,13 @@
 pub struct GatedStream {
     stream: TcpStream,
     /// Duplicate handle of the socket, to look whether the endpoint has closed it.
-    socket: std::net::TcpStream,
+    socket: Arc<std::net::TcpStream>,
     gate: WriteGate,
 }
 
 impl GatedStream {
     /// Creates a gated stream and returns its gate.
-    pub fn new(stream: TcpStream, socket: std::net::TcpStream) -> (GatedStream, WriteGate) {
+    pub fn new(stream: TcpStream, socket: Arc<std::net::TcpStream>) -> (GatedStream, WriteGate) {
         let gate = WriteGate::new();
         (GatedStream { stream, socket, gate: gate.clone() }, gate)
     }
--- a/crates/sedgehilld/src/filters/pool.rs
+++ b/crates/sedgehilld/src/filters/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::Full;
@@ -26,7 +27,7 @@
     /// Number of complete answers that were read from the connection.
     pub answers: u64,
     /// Duplicate handle of the socket, to check whether the endpoint has closed it.
-    socket: std::net::TcpStream,
+    socket: Arc<std::net::TcpStream>,
 }
 
 impl EndpointConnection {
@@ -75,8 +76,8 @@
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let stream = stream.into_std()?;
-    let socket = stream.try_clone()?;
-    let (stream, gate) = GatedStream::new(TcpStream::from_std(stream)?, socket.try_clone()?);
+    let socket = Arc::new(stream.try_clone()?);
+    let (stream, gate) = GatedStream::new(TcpStream::from_std(stream)?, socket.clone());
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
     tokio::spawn(connection);
