stops test: an answer that arrived during a long pause, failing

stops::a_paused_box_* failed once in 64 plays beside load: a pause of 5.1 s, four requests written before it, each told 'unknown', timed-out, 1 ms after the box resumed.

--- a/crates/sedgehill-standin/tests/testsuite/leaving_endpoints.rs
+++ b/crates/sedgehill-standin/tests/testsuite/leaving_endpoints.rs
@@ -69,9 +69,9 @@
 }
 
 /// Sends one request to the first box.
-fn start_call(cluster: &TestCluster) -> tokio::task::JoinHandle<CallReport> {
+fn start_call(cluster: &TestCluster, work: Duration) -> tokio::task::JoinHandle<CallReport> {
     let (caller, address) = (cluster.caller(), cluster.boxes[0].addresses.traffic);
-    let plan = CallPlan::new(CHECK, Duration::from_millis(5));
+    let plan = CallPlan::new(CHECK, work);
     tokio::spawn(async move { caller.call(address, &plan, false).await })
 }
 
@@ -82,7 +82,7 @@
     let listed = cluster.list.visible_list().endpoints;
     let held = HeldEndpoint::start().await;
     held.list_alone(&cluster).await;
-    let call = start_call(&cluster);
+    let call = start_call(&cluster, Duration::from_millis(5));
     tokio::time::sleep(Duration::from_millis(300)).await;
     cluster.boxes[0].signal(Signal::SIGSTOP);
     cluster.list.change(|list| {
@@ -140,6 +140,25 @@
     cluster.assert_no_violation();
 }
 
+/// Guards against "unknown" for a request whose answer arrived while the box was paused for longer than the timeout of
+/// the request: the timer fires before the box has read what arrived.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_arrives_during_a_long_pause_reaches_the_caller() {
+    const CALLS: usize = 4;
+    const LONG_PAUSE: Duration = Duration::from_millis(5_500);
+    let cluster = start_published(&small_plan()).await;
+    let calls: Vec<_> = (0..CALLS).map(|_| start_call(&cluster, Duration::from_secs(1))).collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.boxes[0].signal(Signal::SIGSTOP);
+    tokio::time::sleep(LONG_PAUSE).await;
+    cluster.boxes[0].signal(Signal::SIGCONT);
+    for call in calls {
+        let report = call.await.expect("the call ends");
+        assert_eq!(report.outcome, CallerOutcome::Answered, "{report:?}");
+    }
+    cluster.assert_no_violation();
+}
+
 /// Threads that start processes, one after another, until this is dropped.
 struct ProcessStarters {
     stop: Arc<AtomicBool>,
@@ -203,14 +222,15 @@
 async fn a_request_is_not_run_after_all_endpoints_stopped_while_processes_start() {
     const CALLS: usize = 4;
     let mut cluster = start_published(&small_plan()).await;
-    let report = start_call(&cluster).await.expect("the call ends");
+    let report = start_call(&cluster, Duration::from_millis(5)).await.expect("the call ends");
     assert_eq!(report.outcome, CallerOutcome::Answered, "{report:?}");
     let _starters = ProcessStarters::start(6);
     // The one that the box prefers is stopped last.
     for index in (0..cluster.endpoints.len()).rev() {
         cluster.stop_endpoint(index).await;
     }
-    let calls: Vec<_> = (0..CALLS).map(|_| start_call(&cluster)).collect();
+    let calls: Vec<_> =
+        (0..CALLS).map(|_| start_call(&cluster, Duration::from_millis(5))).collect();
     for call in calls {
         let report = call.await.expect("the call ends");
         assert_eq!(report.outcome, CallerOutcome::NotRun, "{report:?}");
