daemon: an answer that has arrived is read before a request is told as timed out

Callers saw 'unknown' (504 timed-out) for requests whose whole answers had arrived, when the box had been paused for longer than the timeout of the request.

Cause: after a pause the timer fires before the box reads its sockets. Evidence, one play of stops::a_paused_box_* beside load: four requests written and chosen 5,106 to 5,123 ms before, all told timed-out within 1 ms of the resume, after a pause of 5.1 s; their work takes 40 ms.

Mend: when the timer fires, the exchange goes on while the socket has bytes to read; a request without such bytes times out as before.

--- a/crates/sedgehilld/src/filters/forward.rs
+++ b/crates/sedgehilld/src/filters/forward.rs
@@ -12,7 +12,7 @@
 
 use super::FilterChain;
 use super::dispatch::EndpointSlot;
-use super::gated_stream::GateStatus;
+use super::gated_stream::{GateStatus, is_idle};
 use super::identify::RequestContext;
 use super::outcome::{NotRunReason, RequestOutcome, RequestRecord, UnknownReason};
 use super::pool::EndpointConnection;
@@ -116,11 +116,9 @@
     let max_answer = chain.shared.settings.limits.max_answer.0 as usize;
     let request = build_request(context, slot.choice().address);
     connection.gate.arm(slot.send_permit());
+    let socket = connection.socket.clone();
     let exchange = exchange(connection, request, max_answer);
-    let result = match tokio::time::timeout(timeout, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(AttemptFailure::MayHaveRun(UnknownReason::TimedOut)),
-    };
+    let result = wait_for_answer(exchange, timeout, &socket).await;
     let write_delay = connection.gate.write_delay();
     if write_delay > PAUSE_THRESHOLD {
         info!(chain.shared.log.logger, "request written across a pause";
@@ -146,6 +144,26 @@
     })
 }
 
+/// Waits for the end of an exchange. After a pause of the process the timer may fire before an answer that has arrived
+/// is read, so the exchange goes on while there are bytes to read.
+async fn wait_for_answer(
+    exchange: impl Future<Output = Result<Response<Bytes>, AttemptFailure>>,
+    timeout: Duration,
+    socket: &std::net::TcpStream,
+) -> Result<Response<Bytes>, AttemptFailure> {
+    const READ_INTERVAL: Duration = Duration::from_millis(10);
+    let mut exchange = std::pin::pin!(exchange);
+    let mut result = tokio::time::timeout(timeout, &mut exchange).await;
+    while result.is_err() && !is_idle(socket) {
+        result = tokio::time::timeout(READ_INTERVAL, &mut exchange).await;
+    }
+    if result.is_err() {
+        // What was read since the last look.
+        result = tokio::time::timeout(Duration::ZERO, &mut exchange).await;
+    }
+    result.unwrap_or(Err(AttemptFailure::MayHaveRun(UnknownReason::TimedOut)))
+}
+
 async fn exchange(
     connection: &mut EndpointConnection,
     request: Request<Full<Bytes>>,
--- a/crates/sedgehilld/src/filters/gated_stream.rs
+++ b/crates/sedgehilld/src/filters/gated_stream.rs
@@ -132,8 +132,8 @@
     }
 }
 
-/// Returns whether nothing waits to be read from a socket on which no request is in progress: neither the end of the
-/// stream nor bytes that answer no request. On a busy box hyper may not have read that yet.
+/// Returns whether nothing waits to be read from a socket: neither bytes nor the end of the stream. On a busy box hyper
+/// may not have read what has arrived.
 pub fn is_idle(socket: &std::net::TcpStream) -> bool {
     let peeked = socket.peek(&mut [0]);
     peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
--- a/crates/sedgehilld/src/filters/pool.rs
+++ b/crates/sedgehilld/src/filters/pool.rs
@@ -26,8 +26,8 @@
     pub gate: WriteGate,
     /// Number of complete answers that were read from the connection.
     pub answers: u64,
-    /// Duplicate handle of the socket, to check whether the endpoint has closed it.
-    socket: Arc<std::net::TcpStream>,
+    /// Duplicate handle of the socket, to check whether the endpoint has closed it, or has sent what is not read yet.
+    pub socket: Arc<std::net::TcpStream>,
 }
 
 impl EndpointConnection {
