--- a/crates/sedgehilld/src/filters/pool.rs
+++ b/crates/sedgehilld/src/filters/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::Full;
@@ -11,6 +12,8 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
+use super::gated_stream::{GatedStream, WriteGate, is_idle};
+
 /// Timeout of connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -19,21 +22,19 @@
 pub struct EndpointConnection {
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
-    /// Duplicate handle of the socket, to check whether the endpoint has closed it.
-    socket: std::net::TcpStream,
+    /// Controls what is written to the connection.
+    pub gate: WriteGate,
+    /// Number of complete answers that were read from the connection.
+    pub answers: u64,
+    /// Duplicate handle of the socket, to check whether the endpoint has closed it, or has sent what is not read yet.
+    pub socket: Arc<std::net::TcpStream>,
 }
 
 impl EndpointConnection {
-    /// Returns whether a request may be sent. Peeks at the socket, because on a busy box hyper may not have processed
-    /// yet that the endpoint closed the connection. A request written to a closed connection fails like one that ran.
+    /// Returns whether the endpoint has not closed the connection. A request written to a closed connection fails like
+    /// one that ran.
     fn is_open(&self) -> bool {
-        let mut byte = [0];
-        let is_idle = match self.socket.peek(&mut byte) {
-            Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
-            // The end of the stream, or bytes that answer no request.
-            Ok(_) => false,
-        };
-        is_idle && self.sender.is_ready()
+        is_idle(&self.socket) && self.sender.is_ready()
     }
 }
 
@@ -63,7 +64,8 @@
     }
 
     /// Returns a connection to the pool, after its answer was read.
-    pub fn checkin(&self, address: SocketAddr, connection: EndpointConnection) {
+    pub fn checkin(&self, address: SocketAddr, mut connection: EndpointConnection) {
+        connection.answers += 1;
         if !connection.sender.is_closed() {
             self.idle.lock().entry(address).or_default().push(connection);
         }
@@ -74,10 +76,10 @@
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let stream = stream.into_std()?;
-    let socket = stream.try_clone()?;
-    let stream = TcpStream::from_std(stream)?;
+    let socket = Arc::new(stream.try_clone()?);
+    let (stream, gate) = GatedStream::new(TcpStream::from_std(stream)?, socket.clone());
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
     tokio::spawn(connection);
-    Ok(EndpointConnection { sender, socket })
+    Ok(EndpointConnection { sender, gate, answers: 0, socket })
 }
