daemon: reading on after a timeout is bounded

An endpoint that goes on sending would keep a request beyond its timeout for as long as bytes wait in the socket.

--- a/crates/sedgehilld/src/filters/forward.rs
+++ b/crates/sedgehilld/src/filters/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards a request to an endpoint, and decides from a failure whether the request may have run.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -145,16 +145,19 @@
 }
 
 /// Waits for the end of an exchange. After a pause of the process the timer may fire before an answer that has arrived
-/// is read, so the exchange goes on while there are bytes to read.
+/// is read, so the exchange goes on while there are bytes to read. Ends in any case after `MAX_READ_ON`, since an
+/// endpoint may go on sending.
 async fn wait_for_answer(
     exchange: impl Future<Output = Result<Response<Bytes>, AttemptFailure>>,
     timeout: Duration,
     socket: &std::net::TcpStream,
 ) -> Result<Response<Bytes>, AttemptFailure> {
     const READ_INTERVAL: Duration = Duration::from_millis(10);
+    const MAX_READ_ON: Duration = Duration::from_secs(1);
     let mut exchange = std::pin::pin!(exchange);
     let mut result = tokio::time::timeout(timeout, &mut exchange).await;
-    while result.is_err() && !is_idle(socket) {
+    let timed_out = Instant::now();
+    while result.is_err() && !is_idle(socket) && timed_out.elapsed() < MAX_READ_ON {
         result = tokio::time::timeout(READ_INTERVAL, &mut exchange).await;
     }
     if result.is_err() {
