cell: a crash that an unsettled lead saw is possible for the next lead

The doubt about a lost worker is noted when a take-over settles, by the roster, which the later leads found clean.

Change: what an earlier lead may have used stays in the roster until the take-over has settled, also if it has ended. And the doubt that is noted then is recorded by itself, not only with the next start.

--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -202,11 +202,16 @@
     /// leaving, is unreachable or has never been heard would only delay a later lead, which has to
     /// hear from the whole roster.
     fn belongs_to_roster(&self, worker: &WorkerState, now: Moment) -> bool {
+        // What an earlier lead started may have been lost with it. That is noted when the take-over
+        // settles; until then, a later lead has to find the lost worker in the roster.
+        let unsettled = worker.inherited && !self.take_over.settled;
+        if unsettled && (worker.dead || !worker.fenced) {
+            return true;
+        }
         if worker.dead {
             return false;
         }
-        let unsettled = worker.inherited && !worker.fenced && !self.take_over.settled;
-        if unsettled || !worker.runs.is_empty() {
+        if !worker.runs.is_empty() {
             return true;
         }
         let in_touch = worker.last_answer_at.is_some_and(|at| now < at.after(UNREACHABLE_AFTER));
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -152,7 +152,6 @@
     fn note_possible_crash(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
         self.remove_unresolved(task, run);
         self.add_possible_crash(task, now);
-        self.dirty.insert(task.step.job);
     }
 
     /// Notes a possible crash for each task of a job that an earlier lead may have started and that
@@ -179,6 +178,7 @@
         };
         let Some(index) = job.task_index(task) else { return };
         job.tasks[index].crash_history.note_unconfirmed();
+        self.dirty.insert(task.step.job);
         self.fail_if_crashing(task, now);
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/unheard_crashes.rs
+++ b/crates/sedgehill-cell/tests/testsuite/unheard_crashes.rs
@@ -148,6 +148,43 @@
     course.assert_given_up();
 }
 
+// A worker crashes together with its lead, before anything of the run is recorded. The next lead hears the next life and
+// is lost while another worker keeps it from settling its take-over. When the crashed worker had left the roster by then,
+// the third lead knew of no lost worker and started the task as if nothing had happened.
+#[test]
+fn a_crash_that_an_unsettled_lead_saw_is_possible_for_the_next_lead() {
+    for keeps_ids in [false, true] {
+        let mut cell = match keeps_ids {
+            true => FakeCell::with_lasting_ids(4, 4),
+            false => FakeCell::new(4, 4),
+        };
+        let mut lead = cell.lead(false);
+        let crash_rule = CrashRule { after: TimeSpan(20), back: TimeSpan(500), runs: usize::MAX };
+        cell.make_crash(task(0, 0, 0), crash_rule);
+        cell.submit_led(&mut lead, 0, job(vec![step(1, 1)]));
+        while cell.crashes_under(task(0, 0, 0)) == 0 {
+            cell.turn(&mut lead);
+        }
+        let holder = cell.workers.iter().position(|worker| worker.down).expect("it has crashed");
+        let silent = (holder + 1) % 4;
+        cell.workers[silent].mute = true;
+        lead = cell.lead(true);
+        lead.note_fenced(cell.now);
+        cell.turns(&mut lead, 100);
+        assert!(!lead.is_settled());
+        cell.workers[silent].mute = false;
+        lead = cell.lead(true);
+        lead.note_fenced(cell.now);
+        while !lead.is_settled() {
+            cell.turn(&mut lead);
+        }
+        cell.turns(&mut lead, 1);
+        let history = cell.progress(0).crash_histories.first().map(|(_, history)| history.clone());
+        let unconfirmed = history.map(|history| history.unconfirmed);
+        assert_eq!(unconfirmed, Some(1), "keeps ids: {keeps_ids}");
+    }
+}
+
 // The first crash is lost with its lead. The answers to all later starts are lost, so each crash may have come before the
 // start: with fewer than two known crashes the task is given up only after five of these.
 #[test]
