cell: a recorded loss is no second possible crash for the next lead

What callers saw: a harmless task that had lost workers while leads changed could be given up after fewer losses than users accept, and waited for news after a single one.

Unconfirmed crashes are never cleared.

Change: only a task without a crash history gets one. Each start of the others was recorded ahead, so none is unknown.

Tests: `crash_review::a_recorded_loss_is_not_counted_again_by_the_next_lead` and `a_task_with_cleared_losses_*` fail before.

--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -168,10 +168,19 @@
             self.delayed_since.get_or_insert(now);
         }
         for task in unseen {
-            self.add_possible_crash(&task, now);
+            // Each start of a task with a crash history was recorded ahead, so its losses are known.
+            if !self.has_crash_history(&task) {
+                self.add_possible_crash(&task, now);
+            }
         }
     }
 
+    fn has_crash_history(&self, task: &CellTask) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else { return false };
+        let Some(index) = job.task_index(task) else { return false };
+        !job.tasks[index].crash_history.is_empty()
+    }
+
     fn add_possible_crash(&mut self, task: &CellTask, now: Moment) {
         let Some(job) = self.jobs.get_mut(&task.step.job).filter(|job| !job.is_over()) else {
             return;
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod cancelled;
 mod capacity;
 mod cases;
+mod crash_review;
 mod crashing;
 mod diagnostics;
 mod displacement;
