soak: series of signals, restarts and changes, late workers, callers that keep connections

All profiles now have callers that use one connection until the process is gone; a call that is cut off without a kill, and a process that ends unasked or not with 0, break a promise.

--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -63,6 +63,8 @@
     pub(super) cores: usize,
     /// Earlier numbers of cores, each with the time until which a lead may use it.
     earlier_cores: Vec<(usize, u64)>,
+    /// Time from a crash by a task to the start of the next life.
+    restart_delay_ms: u64,
     /// When the next life begins, after a crash by a task.
     restart_at: Option<u64>,
     /// Crashed lives that are still listed, each with the time at which its entry is removed.
@@ -132,6 +134,7 @@
             starts: 0,
             cores,
             earlier_cores: Vec::new(),
+            restart_delay_ms: RESTART_DELAY_MS,
             restart_at: None,
             crashed_entries: Vec::new(),
         };
@@ -222,6 +225,14 @@
         }
     }
 
+    /// Sets the time that a worker needs to start again after a crash by a task; `None` for the default. If it has crashed,
+    /// its next life begins at once.
+    pub fn set_restart_delay(&self, number: usize, delay: Option<Duration>) {
+        let site = &mut self.state.lock().sites[number];
+        site.restart_delay_ms = delay.map_or(RESTART_DELAY_MS, |delay| delay.as_millis() as u64);
+        site.restart_at = site.restart_at.map(|_| 0);
+    }
+
     /// Changes the cores of a worker.
     pub fn resize(&self, number: usize, cores: usize) {
         let until = self.now_ms() + OLD_CAPACITY_MS;
@@ -353,7 +364,7 @@
             };
             self.oracle.record_crash(life, Some(&task));
             site.crashed_entries.push((life.name.clone(), now + LISTED_AFTER_CRASH_MS));
-            site.restart_at = Some(now + RESTART_DELAY_MS);
+            site.restart_at = Some(now + site.restart_delay_ms);
             site.life = None;
         }
     }
--- a/crates/sedgehill-standin/src/keep_alive_caller.rs
+++ b/crates/sedgehill-standin/src/keep_alive_caller.rs
@@ -41,6 +41,11 @@
         KeepAliveCaller { address, request, stream: None, calls: 0 }
     }
 
+    /// Returns whether the connection of the last call is still open.
+    pub fn is_connected(&self) -> bool {
+        self.stream.as_ref().is_some_and(is_open)
+    }
+
     /// Makes a call, on the connection of the last one if that is still open.
     pub async fn call(&mut self) -> KeepAliveOutcome {
         let open_stream = self.stream.take().filter(is_open);
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -1,8 +1,11 @@
 //! The callers of a soak. They submit random jobs and record how these were answered.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,10 +18,13 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::kept::KeptConnections;
 use super::keys::SOAK_KEY;
-use super::{RUN_MS, SoakProfile, SoakSize, wide};
-use crate::cell_platform::{CRASH_SPEC, GANG_SPEC, run_duration_ms};
+use super::{RUN_MS, SoakProfile, SoakSize, full, wide};
+use crate::cell_platform::{CRASH_SPEC, CellPlatform, GANG_SPEC, run_duration_ms};
 
+/// Number of accepted jobs that wait for their first start, for each worker, above which callers submit no further ones.
+const MAX_WAITING_PER_WORKER: usize = 10;
 /// Attempts to submit one job before a caller gives up.
 const MAX_SUBMIT_ATTEMPTS: usize = 10;
 /// Pause between two attempts.
@@ -39,6 +45,8 @@
 const CRASH_AFTER_MS: std::ops::Range<u64> = 0..140;
 /// Separates the generator of crashes from that of jobs.
 const CRASH_SALT: u64 = 0x6372_6173;
+/// Time after which a client no longer uses a connection that the kill of a box has closed.
+const KILL_NOTICE: Duration = Duration::from_secs(1);
 /// One in this many accepted jobs is cancelled at once.
 const CANCEL_ONE_IN: u32 = 12;
 
@@ -65,13 +73,16 @@
 pub struct CallerPool {
     boxes: Vec<SocketAddr>,
     size: SoakSize,
+    kept: KeptConnections,
     jobs: Arc<Mutex<SubmittedJobs>>,
+    /// Whether callers submit no job because too many wait.
+    is_full: AtomicBool,
 }
 
 impl CallerPool {
-    /// Creates callers of the given addresses, one for each box.
-    pub fn new(boxes: Vec<SocketAddr>, size: SoakSize) -> CallerPool {
-        CallerPool { boxes, size, jobs: Arc::default() }
+    /// Creates callers of the given addresses, one for each box. Calls that are cut off are recorded in `kept`.
+    pub fn new(boxes: Vec<SocketAddr>, size: SoakSize, kept: KeptConnections) -> CallerPool {
+        CallerPool { boxes, size, kept, jobs: Arc::default(), is_full: AtomicBool::new(false) }
     }
 
     /// Returns the jobs that were submitted so far.
@@ -84,6 +95,19 @@
         Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http()
     }
 
+    /// Holds back callers while too many jobs wait, in soaks with series, until the future is dropped. A long load would
+    /// otherwise leave a queue that takes longer than the time in which all jobs have to end.
+    pub async fn watch_backlog(&self, platform: &CellPlatform) {
+        if !self.size.series {
+            return std::future::pending().await;
+        }
+        loop {
+            let waiting = full::count_waiting_jobs(self, platform);
+            self.is_full.store(waiting > MAX_WAITING_PER_WORKER * self.size.workers, Relaxed);
+            tokio::time::sleep(JOB_PAUSE).await;
+        }
+    }
+
     /// Runs one caller, which submits jobs until the future is dropped. The caller keeps its connections until boxes close
     /// them.
     pub async fn run(&self, seed: u64, caller: u64) {
@@ -92,6 +116,9 @@
         let mut resubmit_rng = StdRng::seed_from_u64(seed ^ (caller << 32) ^ RESUBMIT_SALT);
         let mut accepted: VecDeque<(u64, String)> = VecDeque::new();
         for number in 0.. {
+            while self.is_full.load(Relaxed) {
+                tokio::time::sleep(JOB_PAUSE).await;
+            }
             let id = match self.size.profile {
                 SoakProfile::Narrow => (caller << 48) | number,
                 SoakProfile::Wide | SoakProfile::Full => wide::job_id(caller, number),
@@ -227,19 +254,34 @@
             .header("authorization", format!("Token {SOAK_KEY}"))
             .body(Full::new(Bytes::from(body.to_owned())))
             .expect("the parts are valid");
+        let number = self.boxes.iter().position(|other| *other == address);
+        let kills = number.map_or(0, |number| self.kept.recent_kills(number, KILL_NOTICE));
         let exchange = async {
-            let response = client.request(request).await.ok()?;
+            let response = client.request(request).await.map_err(describe_cut)?;
             let status = response.status();
-            response.into_body().collect().await.ok()?;
-            Some(status)
+            let body = response.into_body().collect().await;
+            body.map_err(|error| Some(format!("within the answer: {error}")))?;
+            Ok::<_, Option<String>>(status)
         };
-        let status = tokio::time::timeout(CALL_TIMEOUT, exchange).await.ok().flatten();
+        // Without an answer in time, it is not known whether the call was cut off.
+        let result = tokio::time::timeout(CALL_TIMEOUT, exchange).await.unwrap_or(Err(None));
+        if let (Some(number), Err(Some(description))) = (number, &result) {
+            self.kept.record_cut(number, kills, &format!("job {id:016x}: {description}"));
+        }
+        let status = result.ok();
         let code = status.map_or(0, |status| status.as_u16());
         *self.jobs.lock().answers.entry(code).or_default() += 1;
         status
     }
 }
 
+/// Describes the error of a call that was cut off after a part of it was sent. Returns `None` for other errors.
+fn describe_cut(error: hyper_util::client::legacy::Error) -> Option<String> {
+    let source = error.source()?.downcast_ref::<hyper::Error>()?;
+    // A call is canceled if its connection was closed before the call was sent.
+    (!error.is_connect() && !source.is_canceled()).then(|| format!("before the answer: {source:?}"))
+}
+
 /// Draws from the id of a job how many milliseconds after its start the first task crashes its worker. Most jobs have no
 /// such task.
 fn draw_crash_delay_ms(id: u64) -> Option<u64> {
--- a/crates/sedgehill-standin/src/soak/faults.rs
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -9,7 +9,9 @@
 use super::plan::SoakFault;
 use super::proxy::PathState;
 use super::{full, wide};
-use crate::cell_platform::{HALL_COUNT, PROGRESS_TOPIC, PathFault, hall_name};
+use crate::cell_platform::{
+    AffectedLeads, CallFault, HALL_COUNT, PROGRESS_TOPIC, PathFault, hall_name,
+};
 
 /// Where many workers die at once, distance between the numbers of two of them.
 const MASS_DEATH_STRIDE: usize = 3;
@@ -36,6 +38,8 @@
     RestoreWorkerPath(usize),
     /// Starts the next life of a worker that died.
     ReviveWorker(usize),
+    /// Starts the next life of a worker that boots. It does not answer for this time.
+    EndBoot(usize, Duration),
     /// Writes the entry of a worker's current life to the store.
     ListWorker(usize),
     /// Removes the entry of a life from the store.
@@ -83,12 +87,12 @@
         }
         match fault {
             SoakFault::Kill(number, pause) => {
-                self.boxes[number].process = None;
+                self.kill(number);
                 repairs.push((after(pause), Repair::StartBox(number)));
             }
             SoakFault::KillAll(pause) => {
                 for number in 0..self.boxes.len() {
-                    self.boxes[number].process = None;
+                    self.kill(number);
                     repairs.push((after(pause), Repair::StartBox(number)));
                 }
             }
@@ -114,7 +118,7 @@
             }
             SoakFault::KillLead(pause) => {
                 let Some(number) = self.lead() else { return Ok(()) };
-                self.boxes[number].process = None;
+                self.kill(number);
                 repairs.push((after(pause), Repair::StartBox(number)));
             }
             SoakFault::PauseLead(span) => {
@@ -135,6 +139,11 @@
                 repairs.push((after(pause), Repair::ReviveWorker(number)));
                 repairs.push((after(pause + listed), Repair::UnlistLife(life)));
             }
+            SoakFault::WorkerBoots(number, pause, silent) => {
+                self.booting.insert(number);
+                self.platform.workers.crash(number);
+                repairs.push((after(pause), Repair::EndBoot(number, silent)));
+            }
             SoakFault::ManyDie(first, pause) => {
                 let workers = self.size.workers;
                 for index in 0..(workers / MASS_DEATH_STRIDE).max(1) {
@@ -198,6 +207,15 @@
             Repair::OpenPath(number) => self.boxes[number].path.set(PathState::Open),
             Repair::RestoreStore => self.platform.store.set_silent(false),
             Repair::RestoreWorkerPath(number) => self.platform.workers.set_path_fault(number, None),
+            Repair::EndBoot(number, silent) => {
+                self.booting.remove(&number);
+                let (kind, leads) = (CallFault::Lost, AffectedLeads::All);
+                let path_fault = PathFault { kind, percent: 100, leads };
+                self.platform.workers.set_path_fault(number, Some(path_fault));
+                repairs.push((Instant::now() + silent, Repair::RestoreWorkerPath(number)));
+                repairs.push((Instant::now(), Repair::ReviveWorker(number)));
+            }
+            Repair::ReviveWorker(number) if self.booting.contains(&number) => {}
             Repair::ReviveWorker(number) => {
                 if let Some(delay) = self.revive_worker(number) {
                     repairs.push((Instant::now() + delay, Repair::ListWorker(number)));
@@ -217,9 +235,16 @@
         Ok(())
     }
 
+    /// Kills the process of a box if it runs.
+    fn kill(&mut self, number: usize) {
+        self.kept.record_signal(number, Signal::SIGKILL.as_str());
+        self.boxes[number].process = None;
+    }
+
     /// Sends a signal to the process of a box if it runs.
     fn signal(&self, number: usize, signal: Signal) {
         if let Some(process) = &self.boxes[number].process {
+            self.kept.record_signal(number, signal.as_str());
             process.signal(signal);
         }
     }
@@ -228,6 +253,7 @@
     pub(super) fn start_box(&mut self, number: usize) -> std::io::Result<()> {
         let soak_box = &mut self.boxes[number];
         if soak_box.process.is_none() {
+            self.kept.record_start(number);
             soak_box.process = Some(soak_box.config.start(self.directory)?);
         }
         Ok(())
@@ -235,6 +261,7 @@
 
     /// Ends all faults, also those whose repair is not due.
     pub(super) fn repair_all(&mut self) -> std::io::Result<()> {
+        self.booting.clear();
         self.platform.store.set_silent(false);
         self.platform.store.set_append_fault(None);
         self.platform.store.hold_reads(None);
@@ -243,6 +270,7 @@
         }
         for number in 0..self.size.workers {
             self.platform.workers.set_path_fault(number, None);
+            self.platform.workers.set_restart_delay(number, None);
             self.revive_worker(number);
             self.platform.list_worker(number);
             self.platform.resize_worker(number, self.size.cores());
--- a/crates/sedgehill-standin/src/soak/full.rs
+++ b/crates/sedgehill-standin/src/soak/full.rs
@@ -125,7 +125,7 @@
 }
 
 /// Counts the accepted jobs of which no task has started.
-fn count_waiting_jobs(pool: &CallerPool, platform: &CellPlatform) -> usize {
+pub fn count_waiting_jobs(pool: &CallerPool, platform: &CellPlatform) -> usize {
     let started = platform.workers.started_jobs();
     let jobs = pool.jobs().lock();
     jobs.accepted.iter().filter(|id| !started.contains(&format!("{id:016x}"))).count()
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -4,12 +4,15 @@
 mod callers;
 mod faults;
 mod full;
+mod kept;
 mod keys;
 mod plan;
 mod progress;
 mod proxy;
+mod series;
 mod wide;
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,6 +20,7 @@
 use self::callers::CallerPool;
 use self::faults::Repair;
 use self::full::{FULL_RUN_MS, RestartWatch};
+pub use self::kept::KeptConnections;
 use self::keys::{SOAK_KEY, SoakKeys};
 pub use self::plan::{SoakFault, SoakPlan, draw_plan};
 use self::progress::ProgressWatch;
@@ -59,11 +63,14 @@
     /// Whether boxes, network paths, workers and the store meet faults. If not, only the questions to the advice service
     /// do, and in the narrow profile nothing does.
     pub faults: bool,
+    /// Whether signals, restarts and changes also come in series, and some workers come back as late as a machine that
+    /// boots.
+    pub series: bool,
 }
 
 impl Default for SoakSize {
     fn default() -> SoakSize {
-        SoakSize { boxes: 3, workers: 6, profile: SoakProfile::Narrow, faults: true }
+        SoakSize { boxes: 3, workers: 6, profile: SoakProfile::Narrow, faults: true, series: false }
     }
 }
 
@@ -110,6 +117,8 @@
     pub without_run: Duration,
     /// Number of long-running tasks that have run at least once.
     pub long_running: usize,
+    /// Number of calls on kept connections.
+    pub kept_calls: usize,
     /// Descriptions of the violated guarantees.
     pub broken: Vec<String>,
 }
@@ -132,6 +141,9 @@
     platform: Rc<CellPlatform>,
     boxes: Vec<SoakBox>,
     keys: SoakKeys,
+    kept: KeptConnections,
+    /// Workers that only the end of their boot brings back.
+    booting: BTreeSet<usize>,
     progress: Rc<ProgressWatch>,
     restarts: Rc<RestartWatch>,
 }
@@ -148,8 +160,8 @@
     let mut soak = Soak::start(seed, size, directory).await?;
     soak.platform.workers.seed(seed);
     soak.platform.store.seed(seed);
-    let callers =
-        CallerPool::new(soak.boxes.iter().map(|soak_box| soak_box.config.callers).collect(), size);
+    let addresses: Vec<_> = soak.boxes.iter().map(|soak_box| soak_box.config.callers).collect();
+    let callers = CallerPool::new(addresses.clone(), size, soak.kept.clone());
     let mut report = SoakReport { faults: plan.len(), ..SoakReport::default() };
     let platform = soak.platform.clone();
     let load = drive_all((0..size.callers()).map(|caller| {
@@ -162,8 +174,9 @@
         }
     }));
     let keys = soak.keys.clone();
-    let addresses: Vec<_> = soak.boxes.iter().map(|soak_box| soak_box.config.callers).collect();
     let probing = keys.probe(&addresses, seed);
+    let kept = soak.kept.clone();
+    let calling = kept.run(&addresses, seed);
     let (progress, restarts) = (soak.progress.clone(), soak.restarts.clone());
     let watching = async {
         match size.profile {
@@ -175,6 +188,8 @@
     tokio::select! {
         () = load => {}
         () = probing => {}
+        () = calling => {}
+        () = callers.watch_backlog(&platform) => {}
         () = watching => {}
         result = soak.run(&plan, seconds) => result?,
     }
@@ -220,6 +235,9 @@
         if !seed.is_multiple_of(NEW_IDS_ONE_IN) {
             platform.reuse_worker_ids(seed);
         }
+        if size.series {
+            series::slow_restarts(&platform.workers, size);
+        }
         platform.put_foreign_entries();
         let keys = SoakKeys::new(size.workers);
         match size.profile {
@@ -239,7 +257,10 @@
         }
         let (platform, progress) = (Rc::new(platform), Rc::new(ProgressWatch::new()));
         let restarts = Rc::new(RestartWatch::new());
-        let mut soak = Soak { size, directory, platform, boxes, keys, progress, restarts };
+        let kept = KeptConnections::new(size.boxes);
+        let booting = BTreeSet::new();
+        let mut soak =
+            Soak { size, directory, platform, boxes, keys, kept, booting, progress, restarts };
         soak.wait_ready().await?;
         Ok(soak)
     }
@@ -317,9 +338,9 @@
     /// Starts boxes again whose processes have ended, as after a planned stop.
     fn restart_stopped_boxes(&mut self) -> std::io::Result<()> {
         for number in 0..self.boxes.len() {
-            let ended = self.boxes[number].process.as_mut().is_some_and(CellProcess::has_ended);
-            if ended {
-                self.boxes[number].process = None;
+            let ended = self.boxes[number].process.take_if(CellProcess::has_ended);
+            if let Some(mut process) = ended {
+                self.kept.record_end(number, process.wait());
                 self.start_box(number)?;
             }
         }
@@ -367,6 +388,8 @@
         }
         report.broken.extend(self.platform.workers.violations());
         report.broken.extend(self.keys.violations());
+        report.broken.extend(self.kept.violations());
+        report.kept_calls = self.kept.calls();
         report.broken.extend(self.platform.shared_tokens());
         let started = self.platform.workers.started_jobs();
         let ran = refused.iter().map(|id| format!("{id:016x}")).filter(|id| started.contains(id));
--- a/crates/sedgehill-standin/src/soak/plan.rs
+++ b/crates/sedgehill-standin/src/soak/plan.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::proxy::PathState;
+use super::series::draw_series;
 use super::{SoakProfile, SoakSize};
 use crate::cell_platform::{AdviceFault, AffectedLeads, CORES, CallFault, HALL_COUNT, PathFault};
 
@@ -44,6 +45,9 @@
     /// Crashes every third worker at once, counted from the given one. Their next lives begin one after the other from this
     /// time on.
     ManyDie(usize, Duration),
+    /// Crashes a worker, which comes back after a time (first duration) and does not answer for some time after that
+    /// (second duration). No other fault brings it back.
+    WorkerBoots(usize, Duration, Duration),
     /// Removes the entry of a live worker from the store for a time.
     Unlisted(usize, Duration),
     /// Gives a worker this many cores (second number) for a time.
@@ -132,6 +136,9 @@
         if size.faults {
             plan.extend(draw_sparse_faults(seed, seconds, size));
         }
+        if size.series {
+            plan.extend(draw_series(seed, seconds, size));
+        }
         plan.sort_by_key(|(at, _)| *at);
         return plan;
     }
@@ -151,6 +158,9 @@
     if !size.faults {
         plan.clear();
     }
+    if size.series {
+        plan.extend(draw_series(seed, seconds, size));
+    }
     if size.profile == SoakProfile::Wide {
         plan.extend(draw_advice_faults(seed, seconds, boxes));
     }
--- a/crates/sedgehill-standin/src/soak_command.rs
+++ b/crates/sedgehill-standin/src/soak_command.rs
@@ -29,6 +29,7 @@
         size.profile = SoakProfile::Full;
     }
     size.faults = !args.contains("--calm");
+    size.series = args.contains("--series");
     finish(args)?;
     // Drawn from 32 bits, so that a seed is short enough to type.
     let first = first.unwrap_or_else(|| u64::from(rand::random::<u32>()));
@@ -56,7 +57,7 @@
         }
     };
     println!(
-        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, stalled {} ms, {} long-running tasks, without a run {} ms, {} broken",
+        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, stalled {} ms, {} long-running tasks, without a run {} ms, {} calls on kept connections, {} broken",
         report.faults,
         report.accepted,
         report.crashing,
@@ -65,6 +66,7 @@
         report.stalled.as_millis(),
         report.long_running,
         report.without_run.as_millis(),
+        report.kept_calls,
         report.broken.len()
     );
     for broken in &report.broken {
