--- a/crates/sedgehill-standin/tests/testsuite/planned_stops.rs
+++ b/crates/sedgehill-standin/tests/testsuite/planned_stops.rs
@@ -174,3 +174,32 @@
     assert!(rest.starts_with(b"HTTP/1.1 408"), "{}", String::from_utf8_lossy(rest));
     assert_eq!(cluster.boxes[1].wait(), Some(0));
 }
+
+/// A box that is asked to stop while it starts must answer the calls on the connections that it takes. It listened before
+/// it handled the signal, which then ended the process and reset connections of callers: "box-1 ended with None", "before
+/// the answer: Connection reset by peer".
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_box_that_is_asked_to_stop_while_it_starts_cuts_off_no_call() {
+    const BOXES: usize = 4;
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(2).await.unwrap();
+    platform.configure(1);
+    let mut stopping = Vec::new();
+    for number in 0..BOXES {
+        let process = start_box(directory.path(), &format!("box-{number}"), &platform);
+        let mut stream = loop {
+            if let Ok(stream) = TcpStream::connect(process.callers).await {
+                break stream;
+            }
+            tokio::task::yield_now().await;
+        };
+        process.signal(Signal::SIGTERM);
+        stream.write_all(CELL_CALL.as_bytes()).await.unwrap();
+        stopping.push((process, stream));
+    }
+    for (mut process, mut stream) in stopping {
+        let answer = read_answer(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}, {}", process.log_tail());
+        assert_eq!(process.wait(), Some(0));
+    }
+}
