--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -356,18 +356,19 @@
             }
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let (first, end, records) = {
+        let (first, end, new) = {
             let state = store.state.lock();
-            let records = state.topics.get(topic).cloned().unwrap_or_default();
+            let records = state.topics.get(topic).map(Vec::as_slice).unwrap_or_default();
             let first = state.first_offsets.get(topic).copied().unwrap_or_default();
-            (first, records.len() as u64, records)
+            // Only the records of the answer are copied: dozens of boxes wait here for topics of thousands of records.
+            let new = records.get(from as usize..).unwrap_or_default().to_vec();
+            (first, records.len() as u64, new)
         };
         if from < first {
             return gone_response(first);
         }
         if end > from || Instant::now() >= deadline {
-            let new = records.get(from as usize..).unwrap_or_default();
-            return JsonResponse::new(Full::new(encode(first, end, new)));
+            return JsonResponse::new(Full::new(encode(first, end, &new)));
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
