cell: signals are handled before a box listens

Cause: the listeners were bound, and callers queued there, before the handler of SIGTERM was registered; until then the signal ends the process.

Change: the handler comes first, and a signal waits until the box can stop. That a box which cannot receive signals goes on with a line is as before.

The project's own mode registers its handler late too: by reading, not tried.

--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -66,6 +66,8 @@
 }
 
 async fn serve(settings: CellSettings, log: logging::LogSink) -> Result<(), DaemonError> {
+    // Before the listeners: a box that is asked to stop has to answer the calls on each connection that it takes.
+    let signals = stop::StopSignals::handle();
     let listen = settings.listen.clone();
     let callers = bind(listen.callers).await?;
     let ready = bind(listen.ready).await?;
@@ -88,6 +90,6 @@
     spawn_local(link_client::run(host.clone()));
     spawn_local(lead::run(host.clone()));
     spawn_local(log_replacements(host.clone()));
-    stop::run_until_stopped(&host).await;
+    stop::run_until_stopped(&host, signals).await;
     Ok(())
 }
--- a/crates/sedgehilld/src/cell/stop.rs
+++ b/crates/sedgehilld/src/cell/stop.rs
@@ -1,5 +1,6 @@
 //! A planned stop: refuses new callers, hands over the lead, answers every call, and then ends.
 
+use std::io;
 use std::time::Duration;
 
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -17,30 +18,43 @@
 /// Part of the stop limit that is kept for closing the connections that are idle by then.
 const CLOSING_RESERVE: Duration = Duration::from_millis(1_100);
 
-/// Waits for the signal to stop, then stops the box. A signal to reload is only logged.
-pub async fn run_until_stopped(host: &CellBox) {
-    let stop = signal(SignalKind::terminate());
-    let reload = signal(SignalKind::hangup());
-    let (mut stop, mut reload) = match (stop, reload) {
-        (Ok(stop), Ok(reload)) => (stop, reload),
-        (Err(error), _) | (_, Err(error)) => {
+/// The signals that a box handles.
+pub struct StopSignals {
+    stop: Signal,
+    reload: Signal,
+}
+
+impl StopSignals {
+    /// Begins to handle the signals. From then on they no longer end the process, and wait until they are received.
+    pub fn handle() -> io::Result<StopSignals> {
+        let stop = signal(SignalKind::terminate())?;
+        let reload = signal(SignalKind::hangup())?;
+        Ok(StopSignals { stop, reload })
+    }
+
+    /// Waits for the signal to stop. A signal to reload is only logged.
+    async fn wait_for_stop(&mut self, host: &CellBox) {
+        loop {
+            tokio::select! {
+                _ = self.reload.recv() => info!(host.log, "reload asked for"),
+                _ = self.stop.recv() => return,
+            }
+        }
+    }
+}
+
+/// Waits for the signal to stop, then stops the box.
+pub async fn run_until_stopped(host: &CellBox, signals: io::Result<StopSignals>) {
+    match signals {
+        Ok(mut signals) => signals.wait_for_stop(host).await,
+        Err(error) => {
             warn!(host.log, "signals cannot be received"; "error" => %error);
             return std::future::pending().await;
         }
-    };
-    loop {
-        tokio::select! {
-            _ = reload.recv() => info!(host.log, "reload asked for"),
-            () = wait_for_signal(&mut stop) => break,
-        }
     }
     stop_box(host).await;
 }
 
-async fn wait_for_signal(signal: &mut Signal) {
-    signal.recv().await;
-}
-
 async fn stop_box(host: &CellBox) {
     let StopTiming { linger, limit } = host.settings.stop;
     let connections = &host.connections;
