cell: waits for news are left out of a record that is too large

A record that the store refuses ends the lead, so the waits go first: without them a later lead waits anew and does nothing wrong.

Test: progress::waits_for_news_are_left_out_of_progress_first.

--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -118,6 +118,8 @@
     Checkpoints,
     /// Where long-running tasks run. A later lead waits for all workers before it restarts one.
     Locations,
+    /// How long starts have waited for news of lost runs. A later lead waits anew.
+    LossWaits,
 }
 
 impl ProgressExtra {
@@ -126,6 +128,7 @@
         match self {
             ProgressExtra::Checkpoints => "checkpoints",
             ProgressExtra::Locations => "locations",
+            ProgressExtra::LossWaits => "loss waits",
         }
     }
 }
@@ -146,15 +149,21 @@
     pub fn fitted(&self, fits: impl Fn(&JobProgress) -> bool) -> (JobProgress, Vec<ProgressExtra>) {
         let mut progress = self.clone();
         let mut left_out = Vec::new();
-        for extra in [ProgressExtra::Checkpoints, ProgressExtra::Locations] {
+        let extras =
+            [ProgressExtra::LossWaits, ProgressExtra::Checkpoints, ProgressExtra::Locations];
+        for extra in extras {
             if fits(&progress) {
                 break;
             }
+            if extra == ProgressExtra::LossWaits && progress.loss_waits.is_empty() {
+                continue;
+            }
             match extra {
                 ProgressExtra::Checkpoints => {
                     progress.tasks.iter_mut().for_each(|task| task.checkpoint.clear());
                 }
                 ProgressExtra::Locations => progress.locations.clear(),
+                ProgressExtra::LossWaits => progress.loss_waits.clear(),
             }
             left_out.push(extra);
         }
--- a/crates/sedgehill-cell/tests/testsuite/progress.rs
+++ b/crates/sedgehill-cell/tests/testsuite/progress.rs
@@ -5,7 +5,9 @@
 use proptest::prelude::*;
 use sedgehill_cell::ids::{FencingToken, RunNumber, StepId, WorkerId, WorkerLife};
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
-use sedgehill_cell::progress::{JobProgress, JobState, ProgressExtra, TaskLocation, TaskProgress};
+use sedgehill_cell::progress::{
+    JobProgress, JobState, LossWait, ProgressExtra, TaskLocation, TaskProgress,
+};
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{HelperId, RunEnd, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -230,3 +232,16 @@
     assert_eq!(fitted.tasks[0].failed_runs, progress.tasks[0].failed_runs);
     assert!(fitted.locations.is_empty() && fitted.tasks[9].checkpoint.is_empty());
 }
+
+// The time waited for news of lost runs takes eight bytes for each task of a wide job that lost its workers. It is left
+// out before what costs a later lead more.
+#[test]
+fn waits_for_news_are_left_out_of_progress_first() {
+    let waits = |task: u32| (task, vec![LossWait { run: RunNumber(1), waited: TimeSpan(4_000) }]);
+    let progress =
+        JobProgress { loss_waits: (0..100).map(waits).collect(), ..JobProgress::default() };
+    let bytes = |progress: &JobProgress| CellRecord::Progress(progress.clone()).encode().len();
+    let (kept, left_out) = progress.fitted(|progress| bytes(progress) < 100);
+    assert_eq!(left_out, [ProgressExtra::LossWaits]);
+    assert!(kept.loss_waits.is_empty());
+}
