cell: lost runs of a returning worker are found by its address

An index by address replaces the search.

Also from the review: names and comments that had to be read twice.

--- a/crates/sedgehill-cell/src/crash_history.rs
+++ b/crates/sedgehill-cell/src/crash_history.rs
@@ -29,8 +29,8 @@
 /// Number of workers that crashed or may have crashed under a task from which on it is not started while one of these
 /// cases is unresolved. Resolving them takes some seconds, and each start meanwhile could be one too many.
 const DEFER_AFTER_LOSSES: usize = FAIL_AFTER_CRASHES;
-/// Number of lost runs without news that are kept once no start waits for them. With this many the task has used up the
-/// starts that users accept, and more would change no decision.
+/// Number of lost runs without news that are kept once no start waits for them, which bounds the record. With this many
+/// the task has used up the starts that users accept.
 const MAX_UNHEARD_RUNS: usize = FAIL_AFTER_CRASHES + MAX_FURTHER_STARTS as usize;
 /// Number of unconfirmed crashes that are counted. More would change nothing, since three crashes have to be known.
 const MAX_UNCONFIRMED: u8 = MAX_FURTHER_STARTS;
@@ -75,7 +75,8 @@
 }
 
 impl UnresolvedRun {
-    /// Returns whether the next start has to wait for news of this run.
+    /// Returns whether the next start has to wait for news of this run. Asked only while the task runs nowhere, so a run
+    /// that is not known to be lost is one that an earlier lead recorded.
     fn defers_start(&self) -> bool {
         self.waited.is_none_or(|waited| waited < MAX_LOSS_WAIT)
     }
@@ -233,7 +234,7 @@
     }
 
     /// Drops the count of starts if fewer than three workers may have crashed, so that none of them came after the third.
-    pub fn discount_starts(&mut self) {
+    pub fn reset_further_starts(&mut self) {
         if self.losses() < FAIL_AFTER_CRASHES {
             self.further_starts = 0;
         }
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -264,14 +264,10 @@
     /// first time.
     pub(super) fn resolve_replaced_lives(&mut self, key: WorkerKey, now: Moment) {
         let WorkerEntry { life, address, .. } = self.workers[key.0].entry.clone();
-        let others: Vec<WorkerLife> = self
-            .unresolved_runs
-            .lives
-            .keys()
-            .filter(|other| !other.may_equal(&life))
-            .cloned()
-            .collect();
-        for other in others {
+        for other in self.unresolved_runs.lives_at(address) {
+            if other.may_equal(&life) {
+                continue;
+            }
             self.resolve_as_crash(&other, address, CrashDetection::Successor, now);
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/unresolved.rs
+++ b/crates/sedgehill-cell/src/scheduler/unresolved.rs
@@ -36,7 +36,8 @@
     pub(super) task: CellTask,
     pub(super) run: RunNumber,
     pub(super) address: SocketAddr,
-    /// When this lead recorded the start, noted the loss, or inherited the run, whichever was last.
+    /// When the wait for news began under this lead: at the loss, or at the take-over. Until the loss of a run that was
+    /// recorded ahead, the time of the record.
     pub(super) since: Moment,
     /// An earlier lead ordered it, so it is not known whether its start was answered.
     pub(super) inherited: bool,
@@ -56,6 +57,8 @@
 #[derive(Debug, Default)]
 pub struct UnresolvedRuns {
     pub(super) lives: HashMap<WorkerLife, Vec<UnresolvedEntry>>,
+    /// The lives at each address. When a data hall returns, each of its workers looks here for earlier lives.
+    addresses: HashMap<SocketAddr, Vec<WorkerLife>>,
 }
 
 impl UnresolvedRuns {
@@ -70,11 +73,20 @@
             waited_before: waited.unwrap_or_default(),
             recorded_wait: waited,
         };
+        let lives = self.addresses.entry(address).or_default();
+        if !lives.contains(&life) {
+            lives.push(life.clone());
+        }
         self.lives.entry(life).or_default().push(entry);
     }
 
-    /// Starts the wait for news of a run whose start was recorded ahead and that is lost now.
-    fn restart_wait(&mut self, life: &WorkerLife, task: &CellTask, run: RunNumber, now: Moment) {
+    /// Returns the lives with unresolved runs that were started at an address.
+    pub(super) fn lives_at(&self, address: SocketAddr) -> Vec<WorkerLife> {
+        self.addresses.get(&address).cloned().unwrap_or_default()
+    }
+
+    /// Begins the wait for news of a run whose start was recorded ahead and that is lost now.
+    fn begin_wait(&mut self, life: &WorkerLife, task: &CellTask, run: RunNumber, now: Moment) {
         let entries = self.lives.get_mut(life).into_iter().flatten();
         for entry in entries.filter(|entry| (entry.task, entry.run) == (*task, run)) {
             (entry.since, entry.waited_before) = (now, TimeSpan(0));
@@ -84,13 +96,31 @@
 
     pub(super) fn remove(&mut self, life: &WorkerLife, task: &CellTask, run: RunNumber) {
         let Some(entries) = self.lives.get_mut(life) else { return };
-        entries.retain(|entry| (entry.task, entry.run) != (*task, run));
+        let is_run = |entry: &mut UnresolvedEntry| (entry.task, entry.run) == (*task, run);
+        let removed: Vec<UnresolvedEntry> = entries.extract_if(.., is_run).collect();
+        for UnresolvedEntry { address, .. } in removed {
+            if !entries.iter().any(|entry| entry.address == address) {
+                forget_life(&mut self.addresses, address, life);
+            }
+        }
         if entries.is_empty() {
             self.lives.remove(life);
         }
     }
 }
 
+fn forget_life(
+    addresses: &mut HashMap<SocketAddr, Vec<WorkerLife>>,
+    address: SocketAddr,
+    life: &WorkerLife,
+) {
+    let Some(lives) = addresses.get_mut(&address) else { return };
+    lives.retain(|other| other != life);
+    if lives.is_empty() {
+        addresses.remove(&address);
+    }
+}
+
 /// What time does to unresolved runs.
 #[derive(Debug, Default)]
 struct DueUpdates {
@@ -115,7 +145,7 @@
         match job.tasks[index].crash_history.add_unresolved(unresolved.clone()) {
             true => self.unresolved_runs.add(*task, unresolved, false, now),
             false => {
-                self.unresolved_runs.restart_wait(&unresolved.life, task, unresolved.run, now);
+                self.unresolved_runs.begin_wait(&unresolved.life, task, unresolved.run, now);
             }
         }
     }
@@ -130,17 +160,17 @@
         self.unresolved_runs.add(task, unresolved, true, now);
     }
 
-    /// Notes that a run did not end in a crash, or never started.
+    /// Notes that a run did not end in a crash, or never started. Starts that were counted because of it count no more.
     pub(super) fn resolve_run(&mut self, task: &CellTask, run: RunNumber) {
         self.remove_unresolved(task, run);
         if let Some(job) = self.jobs.get_mut(&task.step.job)
             && let Some(index) = job.task_index(task)
         {
-            job.tasks[index].crash_history.discount_starts();
+            job.tasks[index].crash_history.reset_further_starts();
         }
     }
 
-    /// Removes a run whose fate is known.
+    /// Removes a run whose fate is known, before it is counted as a crash.
     pub(super) fn remove_unresolved(&mut self, task: &CellTask, run: RunNumber) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(index) = job.task_index(task) else { return };
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -120,7 +120,7 @@
             info!(log, "crash not known"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
         CellEvent::LossUnheard { task, run, worker } => {
-            info!(log, "no news of crash"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
+            info!(log, "loss unheard"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
         CellEvent::LossForgotten { task, run, worker } => {
             info!(log, "loss forgotten"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
