--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/forecast.rs
@@ -0,0 +1,96 @@
+//! Forecasts how long runs take and when running work releases its resources.
+//!
+//! Admission, room under limits, questions to the advice service and copies all depend on the same
+//! forecast, so that their decisions do not contradict each other.
+
+use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
+
+use super::active_job::ActiveJob;
+use super::organisations::OrganisationKey;
+use super::pace::FactorAverage;
+use super::worker::WorkerRun;
+use super::*;
+
+/// The ratio of [`RunForecast::upper`] to [`RunForecast::expected`], and of that to
+/// [`RunForecast::lower`]. The run times of tasks with equal estimates spread by about half.
+const SPREAD: f64 = 1.5;
+/// A run that has outlasted its expected time is expected to take this part of its time so far
+/// again: the longer it has taken, the less its estimate says.
+const OVERRUN_DIVISOR: u64 = 2;
+
+/// How long a run is expected to take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunForecast {
+    /// The time that one run in ten stays below.
+    pub lower: TimeSpan,
+    /// The expected time.
+    pub expected: TimeSpan,
+    /// The time that one run in ten exceeds.
+    pub upper: TimeSpan,
+}
+
+#[allow(dead_code)]
+/// When a run is expected to release its resources.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ExpectedEnd {
+    /// The resources.
+    pub(super) need: ResourceSet,
+    /// The expected end of the run.
+    pub(super) at: Moment,
+}
+
+impl Scheduler {
+    /// Returns how long a run of a step takes on a worker, or on the pool's usual worker.
+    pub(super) fn forecast_run(
+        &self,
+        job: &ActiveJob,
+        step: usize,
+        worker: Option<WorkerKey>,
+    ) -> RunForecast {
+        let estimate = job.step_spec(step).estimate.0 as f64;
+        let queue_factor = self.estimates.get(&job.record.queue).map_or(1.0, FactorAverage::factor);
+        let worker_factor = worker.map_or(1.0, |key| self.workers[key.0].pace.factor());
+        let expected = estimate * queue_factor * worker_factor;
+        RunForecast {
+            lower: TimeSpan((expected / SPREAD) as u64),
+            expected: TimeSpan(expected as u64),
+            upper: TimeSpan((expected * SPREAD) as u64),
+        }
+    }
+
+    #[allow(dead_code)]
+    /// Returns how much longer a run is expected to take; none if it has no end or its expected
+    /// time is not known.
+    pub(super) fn remaining_time(&self, run: &WorkerRun, now: Moment) -> Option<TimeSpan> {
+        let taken = now.since(run.since);
+        let expected = run.expected.filter(|_| !run.long_running)?;
+        Some(match expected.0.checked_sub(taken.0) {
+            Some(left) if left > 0 => TimeSpan(left),
+            _ => TimeSpan(taken.0 / OVERRUN_DIVISOR),
+        })
+    }
+
+    #[allow(dead_code)]
+    /// Returns when the runs of an organisation, or of all, are expected to release their
+    /// resources, earliest first. Runs without a known end are left out.
+    pub(super) fn expected_ends(
+        &self,
+        owner: Option<OrganisationKey>,
+        now: Moment,
+    ) -> Vec<ExpectedEnd> {
+        let runs = self.workers.iter().flat_map(|worker| worker.runs.values());
+        let owned = runs.filter(|run| owner.is_none() || run.owner == owner);
+        let end = |run: &WorkerRun| {
+            let at = match run.phase {
+                RunPhase::Stopping(_) | RunPhase::Stopped => now.after(self.timing.stop),
+                RunPhase::Recording | RunPhase::Ordered | RunPhase::Confirmed => {
+                    now.after(self.remaining_time(run, now)?)
+                }
+            };
+            Some(ExpectedEnd { need: run.need?, at })
+        };
+        let mut ends: Vec<ExpectedEnd> = owned.filter_map(end).collect();
+        ends.sort_by_key(|end| end.at);
+        ends
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 //! there, or the worker's lease ends.
 
 mod active_job;
+mod admission;
 mod advice;
 mod advice_dispatch;
 mod answers;
@@ -21,6 +22,7 @@
 mod emptied_halls;
 mod ends;
 mod event;
+mod forecast;
 mod isolation;
 mod lives;
 mod message;
@@ -52,6 +54,7 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use self::active_job::{ActiveJob, ActiveTask, StartFlag, TaskPhase};
+pub use self::admission::AdmissionDecision;
 pub use self::advice::AllowedShare;
 pub use self::advice_dispatch::AdviceDispatcher;
 use self::background_crashes::BackgroundCrashes;
@@ -63,7 +66,10 @@
 pub use self::message::*;
 pub use self::organisations::{OrganisationKey, OrganisationStats, OrganisationTable};
 use self::pace::FactorAverage;
-pub use self::policy::{CellPolicy, LimitOrder, LimitOrderError, SharingError, SharingMode};
+pub use self::policy::{
+    CellPolicy, LimitOrder, LimitOrderError, QuestionOrder, QuestionOrderError, SharingError,
+    SharingMode,
+};
 use self::restart::RestartTracker;
 pub use self::restart::{PendingRestart, RestartCause, RestartStats};
 use self::room::Candidate;
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -304,7 +304,7 @@
     ) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let Some(key) = job.owner else { return };
-        let in_order = self.timing.policy.limit_order == LimitOrder::InOrder;
+        let in_order = self.timing.policy.limit_order != LimitOrder::Backfill;
         if in_order && remaining > 0 && self.has_value(candidate, job, now) {
             self.organisations.reserve(key, &spec.need.times(remaining as u32));
         }
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -333,12 +333,11 @@
         let (key, task, run) = (start.worker, start.task, start.run);
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
+        let forecast = self.forecast_run(job, step, None);
         let worker = &mut self.workers[key.0];
         assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
         let allowed = self.organisations.room_for(job.owner, &need) > 0;
         assert!(allowed, "{task} would exceed the limit of its organisation");
-        let estimate = job.step_spec(step).estimate.0 as f64;
-        let factor = self.estimates.get(&job.record.queue).map_or(1.0, FactorAverage::factor);
         let long_running = job.step_spec(step).long_running;
         let entry = WorkerRun {
             run,
@@ -348,7 +347,7 @@
             listed_from: None,
             since: now,
             // A long-running task is never overdue: its estimate only covers its start-up.
-            expected: (!long_running).then_some(TimeSpan((estimate * factor) as u64)),
+            expected: (!long_running).then_some(forecast.expected),
             overdue: false,
             alone: start.alone,
             seen: false,
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -22,6 +22,41 @@
     Backfill,
     /// What no waiting step of higher rank needs.
     InOrder,
+    /// What no waiting step of higher rank needs, and what is given back before that step is
+    /// expected to get its room.
+    Timed,
+}
+
+/// The order in which steps ask the advice service while few boxes can ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuestionOrder {
+    /// By the rank of the steps.
+    Rank,
+    /// By the cost of the questions and the time that the steps have left.
+    Deadline,
+}
+
+quick_error! {
+    /// An error in the name of a question order.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum QuestionOrderError {
+        /// There is no question order of this name.
+        Unknown(found: String) {
+            display("expected `rank` or `deadline`, found `{found}`")
+        }
+    }
+}
+
+impl FromStr for QuestionOrder {
+    type Err = QuestionOrderError;
+
+    fn from_str(text: &str) -> Result<QuestionOrder, QuestionOrderError> {
+        match text {
+            "rank" => Ok(QuestionOrder::Rank),
+            "deadline" => Ok(QuestionOrder::Deadline),
+            _ => Err(QuestionOrderError::Unknown(text.to_owned())),
+        }
+    }
 }
 
 quick_error! {
@@ -30,7 +65,7 @@
     pub enum LimitOrderError {
         /// There is no limit order of this name.
         Unknown(found: String) {
-            display("expected `backfill` or `in-order`, found `{found}`")
+            display("expected `backfill`, `in-order` or `timed`, found `{found}`")
         }
     }
 }
@@ -42,6 +77,7 @@
         match text {
             "backfill" => Ok(LimitOrder::Backfill),
             "in-order" => Ok(LimitOrder::InOrder),
+            "timed" => Ok(LimitOrder::Timed),
             _ => Err(LimitOrderError::Unknown(text.to_owned())),
         }
     }
@@ -94,6 +130,16 @@
     pub sharing: SharingMode,
     /// The room under a limit that lower-ranked steps may use.
     pub limit_order: LimitOrder,
+    /// Jobs of organisations with a limit are refused if they would surely end too late.
+    pub admission: bool,
+    /// Urgent work stops saved work of its own organisation to make room under the limit.
+    pub limit_room: bool,
+    /// Run times are forecast by worker, and gangs get workers of similar speed.
+    pub worker_speeds: bool,
+    /// Late tasks of steps that allow it get a second run.
+    pub copies: bool,
+    /// The order in which steps ask the advice service.
+    pub question_order: QuestionOrder,
 }
 
 impl Default for CellPolicy {
@@ -109,6 +155,11 @@
             short_accounts: true,
             sharing: SharingMode::DueFirst,
             limit_order: LimitOrder::InOrder,
+            admission: true,
+            limit_room: true,
+            worker_speeds: true,
+            copies: true,
+            question_order: QuestionOrder::Deadline,
         }
     }
 }
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -197,6 +197,11 @@
     let short_accounts = group.flag_or("short_accounts", default.short_accounts);
     let sharing = group.text_or("sharing", default.sharing);
     let limit_order = group.text_or("limit_order", default.limit_order);
+    let admission = group.flag_or("admission", default.admission);
+    let limit_room = group.flag_or("limit_room", default.limit_room);
+    let worker_speeds = group.flag_or("worker_speeds", default.worker_speeds);
+    let copies = group.flag_or("copies", default.copies);
+    let question_order = group.text_or("question_order", default.question_order);
     Some(CellPolicy {
         fill_questions: fill_questions?,
         displacement: displacement?,
@@ -208,6 +213,11 @@
         short_accounts: short_accounts?,
         sharing: sharing?,
         limit_order: limit_order?,
+        admission: admission?,
+        limit_room: limit_room?,
+        worker_speeds: worker_speeds?,
+        copies: copies?,
+        question_order: question_order?,
     })
 }
 
