cell: speeds of workers, with uncertainty, retention and use in placement

A third of a pool's workers can take more than twice as long as the others, while the lead knew one rough factor for each worker, forgot it with the lead and used it only to order workers.

The factor of a worker is now an average over logarithms with a prior (its label, or 1), relative to its queue. Gangs show the speed of their slowest member only; runs under way, stopped and resumed ones give bounds. Forecasts are by worker, with the learned spread of the queue. Where the slowest fifth of a pool takes 1.75 times as long as the fastest fifth, urgent steps get fast workers, work with time the slow ones, and gangs similar ones; every worker stays usable. Speeds are recorded with batches that are appended anyway, under a key of their own.

--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -13,7 +13,7 @@
 use crate::ids::{CellIdError, JobId, OrganisationName, QueueName};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
-use crate::scheduler::{RosterChange, RosterParts};
+use crate::scheduler::{RosterChange, RosterParts, SpeedChange, SpeedParts};
 use crate::stored::decode_with_defaults;
 use crate::summary::JobSummary;
 
@@ -198,6 +198,7 @@
     ended: VecDeque<(Moment, JobId)>,
     roster: RosterParts,
     roster_source: Option<RosterSource>,
+    speeds: SpeedParts,
     /// The number of waiting jobs in each queue.
     waiting: HashMap<QueueName, usize>,
 }
@@ -261,6 +262,22 @@
         self.roster.retain(&kept);
     }
 
+    /// Returns what leads have recorded of the speeds of workers.
+    pub fn speeds(&self) -> &SpeedParts {
+        &self.speeds
+    }
+
+    /// Applies a change of one record of speeds.
+    pub fn apply_speeds(&mut self, change: SpeedChange) {
+        self.speeds.apply(change);
+    }
+
+    /// Removes the records of speeds that are not among the newest records of all keys.
+    pub fn retain_speeds<'a>(&mut self, newest_keys: impl Iterator<Item = &'a str>) {
+        let kept = newest_keys.filter(|key| SpeedChange::is_speed_key(key)).collect();
+        self.speeds.retain(&kept);
+    }
+
     /// Applies a record that was received at `now`.
     pub fn apply(&mut self, id: JobId, record: CellRecord, now: Moment) -> ReplicaChange {
         let was_waiting = self.waiting_queue(id);
--- a/crates/sedgehill-cell/src/scheduler/emptied_halls.rs
+++ b/crates/sedgehill-cell/src/scheduler/emptied_halls.rs
@@ -53,7 +53,9 @@
             let was_emptied = worker.hall_emptied;
             worker.hall_emptied = self.emptied_halls.excludes(worker.entry.hall.as_ref());
             if was_emptied && !worker.hall_emptied {
-                worker.forget_pace();
+                // It may be slow at first.
+                worker.consecutive_faults = 0;
+                self.speeds.forget(worker.machine);
             }
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/ends.rs
+++ b/crates/sedgehill-cell/src/scheduler/ends.rs
@@ -11,8 +11,8 @@
         let life = worker.entry.life.clone();
         if worker.has_run(&row.task, row.run) {
             let run = self.remove_run(key, &row.task);
-            if let (Some(run), RunEnd::Done) = (run, row.end) {
-                self.learn_pace(key, &row.task, &run, now);
+            if let (Some(run), RunEnd::Done | RunEnd::Stopped) = (run, row.end) {
+                self.learn_from_run(key, &row.task, &run, row.end == RunEnd::Done, now);
             }
         }
         self.events.push(CellEvent::Ended {
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -8,6 +8,7 @@
 use super::restart::RestartCause;
 use super::stall::{StallDetails, StallReason};
 use super::suspects::CrashDetection;
+use super::worker_speeds::SpeedStats;
 use crate::ids::{
     CellTask, FencingToken, JobId, LifeStart, OrganisationName, RunNumber, StepId, WorkerLife,
 };
@@ -354,6 +355,20 @@
         /// Time since the store began to refuse earlier leads.
         after: TimeSpan,
     },
+    /// This lead took over the speeds that earlier leads recorded.
+    SpeedsInherited {
+        /// The workers in the records.
+        machines: usize,
+        /// Those of them whose speed is still known.
+        known: usize,
+        /// The queues in the records.
+        queues: usize,
+        /// Time since the oldest record was written; none if there is no record.
+        age: Option<TimeSpan>,
+    },
+    /// Differences of speed between the workers of a pool are taken into account from now on, or no
+    /// longer.
+    SpeedsInEffect(SpeedStats),
 }
 
 /// What settled whether an earlier lead's runs of a job still exist.
--- a/crates/sedgehill-cell/src/scheduler/forecast.rs
+++ b/crates/sedgehill-cell/src/scheduler/forecast.rs
@@ -7,13 +7,10 @@
 
 use super::active_job::ActiveJob;
 use super::organisations::OrganisationKey;
-use super::pace::FactorAverage;
+use super::speeds::{WorkerSpeed, forecast_factors};
 use super::worker::WorkerRun;
 use super::*;
 
-/// The ratio of [`RunForecast::upper`] to [`RunForecast::expected`], and of that to
-/// [`RunForecast::lower`]. The run times of tasks with equal estimates spread by about half.
-const SPREAD: f64 = 1.5;
 /// A run that has outlasted its expected time is expected to take this part of its time so far
 /// again: the longer it has taken, the less its estimate says.
 const OVERRUN_DIVISOR: u64 = 2;
@@ -40,7 +37,8 @@
 }
 
 impl Scheduler {
-    /// Returns how long a run of a step takes on a worker, or on the pool's usual worker.
+    /// Returns how long a run of a step takes on a worker, or on the pool's usual worker. The spread
+    /// is that of the queue's runs, and grows with the uncertainty of the worker's speed.
     pub(super) fn forecast_run(
         &self,
         job: &ActiveJob,
@@ -48,13 +46,12 @@
         worker: Option<WorkerKey>,
     ) -> RunForecast {
         let estimate = job.step_spec(step).estimate.0 as f64;
-        let queue_factor = self.estimates.get(&job.record.queue).map_or(1.0, FactorAverage::factor);
-        let worker_factor = worker.map_or(1.0, |key| self.workers[key.0].pace.factor());
-        let expected = estimate * queue_factor * worker_factor;
+        let speed = worker.map_or(WorkerSpeed::USUAL, |key| self.forecast_speed(key));
+        let factors = forecast_factors(&self.queue_estimate(&job.record.queue), speed);
         RunForecast {
-            lower: TimeSpan((expected / SPREAD) as u64),
-            expected: TimeSpan(expected as u64),
-            upper: TimeSpan((expected * SPREAD) as u64),
+            lower: TimeSpan((estimate * factors.lower) as u64),
+            expected: TimeSpan((estimate * factors.expected) as u64),
+            upper: TimeSpan((estimate * factors.upper) as u64),
         }
     }
 
--- a/crates/sedgehill-cell/src/scheduler/message.rs
+++ b/crates/sedgehill-cell/src/scheduler/message.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::roster_records::RosterChange;
+use super::speed_records::SpeedChange;
 use crate::ids::{
     CellTask, FencingToken, HallName, JobId, LifeStart, PoolName, RunNumber, StepId, WorkerId,
     WorkerLife,
@@ -264,6 +265,8 @@
     pub jobs: Vec<(JobId, JobProgress)>,
     /// The changes of the roster; also a repeated record, if one is needed to confirm the lead.
     pub roster: Vec<RosterChange>,
+    /// The changes of the records of workers' speeds.
+    pub speeds: Vec<SpeedChange>,
 }
 
 /// A digest that identifies a roster: equal for the same workers, in any order. It does not depend on whether they are
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -27,7 +27,6 @@
 mod lives;
 mod message;
 mod organisations;
-mod pace;
 mod placement;
 mod policy;
 mod questions;
@@ -39,6 +38,10 @@
 mod room;
 mod roster;
 mod roster_records;
+mod speed_choice;
+mod speed_records;
+mod speed_spread;
+mod speeds;
 mod stall;
 mod stragglers;
 mod suspects;
@@ -46,6 +49,7 @@
 mod timing;
 mod unresolved;
 mod worker;
+mod worker_speeds;
 mod write_ahead;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -65,7 +69,6 @@
 pub use self::event::*;
 pub use self::message::*;
 pub use self::organisations::{OrganisationKey, OrganisationStats, OrganisationTable};
-use self::pace::FactorAverage;
 pub use self::policy::{
     CellPolicy, LimitOrder, LimitOrderError, QuestionOrder, QuestionOrderError, SharingError,
     SharingMode,
@@ -75,11 +78,21 @@
 use self::room::Candidate;
 use self::roster_records::RosterRecords;
 pub use self::roster_records::{RosterChange, RosterParts};
+pub use self::speed_choice::{GangRoom, SpeedPreference, gang_order};
+pub use self::speed_records::{
+    MachineIdentity, MachineKind, SpeedChange, SpeedParts, SpeedRecord, SpeedSnapshot,
+};
+pub use self::speed_spread::{MIN_SPREAD_RATIO, PoolSpread};
+pub use self::speeds::{
+    ForecastFactors, LogFactor, QueueEstimate, SpeedEstimate, WorkerSpeed, forecast_factors,
+};
 pub use self::stall::{StallDetails, StallReason, StallStats};
 pub use self::suspects::CrashDetection;
 pub use self::timing::CellTiming;
 use self::unresolved::UnresolvedRuns;
 use self::worker::{RunPhase, StopAttempt, WorkerState, WorkerTrust};
+pub use self::worker_speeds::SpeedStats;
+use self::worker_speeds::WorkerSpeeds;
 use self::write_ahead::UnrecordedStart;
 use crate::ids::{
     CellTask, FencingToken, JobId, QueueName, RunNumber, StepId, WorkerId, WorkerLife,
@@ -125,8 +138,8 @@
     jobs: BTreeMap<JobId, ActiveJob>,
     advice_dispatcher: AdviceDispatcher,
     shares: HashMap<QueueName, AllowedShare>,
-    /// How much longer runs take than estimated, by queue.
-    estimates: HashMap<QueueName, FactorAverage>,
+    /// How much longer runs take than estimated, by queue and by worker.
+    speeds: WorkerSpeeds,
     call_losses: CallLossRate,
     organisations: OrganisationTable,
     take_over: TakeOver,
@@ -196,7 +209,7 @@
             jobs: BTreeMap::new(),
             advice_dispatcher: AdviceDispatcher::new(timing.policy.short_only),
             shares: HashMap::new(),
-            estimates: HashMap::new(),
+            speeds: WorkerSpeeds::default(),
             call_losses: CallLossRate::default(),
             organisations: OrganisationTable::default(),
             take_over: TakeOver {
@@ -415,6 +428,7 @@
         self.expire_leases(now);
         self.retry_stops(now);
         self.move_stragglers(now);
+        self.refresh_speeds(now);
         self.find_settled_restarts();
         self.settle_take_over(now);
         self.update_unresolved_runs(now);
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -260,6 +260,7 @@
         }
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
         rooms.retain(|(key, _)| assignment.iter().all(|(_, taken)| taken != key));
+        self.order_for_gang(candidate, spec, others.len(), &mut rooms, now);
         for index in others {
             let task = &job.step_tasks(candidate.step)[usize::from(index)];
             let joins =
@@ -300,6 +301,10 @@
             false if spec.long_running => StartRecord::Location,
             false => StartRecord::None,
         };
+        let slowest = match spec.gang {
+            true => self.slowest_of(assignment.iter().map(|(_, key)| *key)),
+            false => None,
+        };
         let starts: Vec<(u16, WorkerKey, StartRecord)> =
             assignment.into_iter().map(|(index, key)| (index, key, record(index))).collect();
         for (index, key, record) in starts {
@@ -323,17 +328,25 @@
             let alone =
                 start_restriction_of(job, candidate.step, index) == StartRestriction::Exclusive;
             let start = StartPlan { worker: key, task, run, checkpoint, alone, record };
-            self.order_start(start, spec.need, now);
+            self.order_start(start, spec.need, slowest.unwrap_or(key), now);
         }
     }
 
-    /// Adds a run to a worker, and sends its start at once or queues it until it is recorded.
-    fn order_start(&mut self, start: StartPlan, need: ResourceSet, now: Moment) {
+    /// Adds a run to a worker, and sends its start at once or queues it until it is recorded. The
+    /// members of a gang wait for the slowest of its workers.
+    fn order_start(
+        &mut self,
+        start: StartPlan,
+        need: ResourceSet,
+        slowest: WorkerKey,
+        now: Moment,
+    ) {
         let ahead = start.record != StartRecord::None;
         let (key, task, run) = (start.worker, start.task, start.run);
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
-        let forecast = self.forecast_run(job, step, None);
+        let forecast = self.forecast_run(job, step, Some(slowest));
+        let basis = self.run_basis(key, slowest, !start.checkpoint.is_empty());
         let worker = &mut self.workers[key.0];
         assert!(worker.free.fits(&need), "{}: {task} does not fit", worker.entry.life);
         let allowed = self.organisations.room_for(job.owner, &need) > 0;
@@ -352,6 +365,7 @@
             alone: start.alone,
             seen: false,
             long_running,
+            basis,
         };
         if worker.reservation.is_some_and(|reservation| reservation.step == task.step) {
             worker.reservation = None;
--- a/crates/sedgehill-cell/src/scheduler/questions.rs
+++ b/crates/sedgehill-cell/src/scheduler/questions.rs
@@ -41,6 +41,8 @@
 struct QuestionCandidate {
     /// The worker is not trusted, and the gang would try it again.
     untrusted: bool,
+    /// Its place by the speed that the step should get, the lowest first.
+    speed: i64,
     /// It was never asked about.
     unknown: bool,
     most_places: Reverse<usize>,
@@ -214,6 +216,7 @@
         let offset = (job.id.0 % self.workers.len() as u64) as usize;
         // Tasks that must run alone cannot use tickets for workers on which other jobs run.
         let is_alone = split_alone(job, candidate.step, waiting).1.is_empty();
+        let preference = self.speed_preference(job, candidate.step, now);
         let mut result = AdvicePlaces::default();
         for key in open.list.iter().copied() {
             let known = advice.known.get(&key);
@@ -239,6 +242,7 @@
                 }
                 _ => result.candidates.push(QuestionCandidate {
                     untrusted: self.probes_untrusted(spec, key),
+                    speed: preference.map_or(0, |preference| self.speed_place(preference, key)),
                     unknown: known.is_none(),
                     most_places: Reverse(places),
                     rotation: (key.0 + offset) % self.workers.len(),
--- a/crates/sedgehill-cell/src/scheduler/record.rs
+++ b/crates/sedgehill-cell/src/scheduler/record.rs
@@ -34,10 +34,12 @@
         if confirms && roster.is_empty() {
             roster.push(self.repeated_roster_record(now));
         }
-        let batch = ProgressBatch { number: self.next_batch, jobs, roster };
+        let mut batch = ProgressBatch { number: self.next_batch, jobs, roster, speeds: Vec::new() };
         self.next_batch += 1;
         if is_sent(&batch) {
             self.batch_taken = now;
+            // Speeds are never worth an append of their own.
+            batch.speeds = self.next_speed_changes(now);
         }
         Some(batch)
     }
@@ -64,6 +66,7 @@
             self.lead_confirmed_at = self.batch_taken;
         }
         self.roster_records.note_recorded(&batch.roster);
+        self.note_speeds_recorded(&batch.speeds);
         let written = batch.roster.iter().filter_map(|change| change.content.as_ref());
         for entry in written.flat_map(|content| &content.workers) {
             // The life may have been listed at another address since, which is in no recorded
--- a/crates/sedgehill-cell/src/scheduler/reports.rs
+++ b/crates/sedgehill-cell/src/scheduler/reports.rs
@@ -4,6 +4,7 @@
 
 use super::active_job::ActiveTask;
 use super::worker::WorkerRun;
+use super::worker_speeds::RunBasis;
 use super::*;
 
 impl Scheduler {
@@ -190,6 +191,7 @@
             alone: false,
             seen: true,
             long_running: self.is_long_running(&row.task),
+            basis: RunBasis::UNKNOWN,
         };
         self.add_run(key, row.task, run);
     }
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -120,7 +120,7 @@
 
     /// Returns the workers that may run the step now with the number of tasks they can take.
     /// For gangs, trusted workers come first. Then come those near the step's data, those of
-    /// preferred pace, and those with the fewest free cores.
+    /// preferred speed, and those with the fewest free cores.
     pub(super) fn usable_rooms(
         &self,
         candidate: &Candidate,
@@ -130,6 +130,7 @@
     ) -> Vec<(WorkerKey, usize)> {
         let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
         let tight = is_tight(job);
+        let preference = self.speed_preference(job, candidate.step, now);
         let mut rooms = Vec::new();
         let mut look_at = |key: WorkerKey| {
             let room = self.room_on(key, job, candidate.step, spec, now);
@@ -137,9 +138,10 @@
                 let worker = &self.workers[key.0];
                 let near =
                     spec.near_rack.as_ref().is_some_and(|rack| worker.entry.labels.contains(rack));
-                let pace = match self.timing.policy.pace {
-                    true => pace_step(worker.pace.factor(), tight),
-                    false => 0,
+                let pace = match preference {
+                    Some(preference) => self.speed_place(preference, key),
+                    None if self.timing.policy.pace => pace_step(self.usual_factor(key), tight),
+                    None => 0,
                 };
                 rooms.push((
                     self.probes_untrusted(spec, key),
@@ -162,6 +164,41 @@
         rooms.sort();
         rooms.into_iter().map(|(.., key, room)| (key, room)).collect()
     }
+
+    /// Returns the factor on run times of a worker; 1 until it is known.
+    fn usual_factor(&self, key: WorkerKey) -> f64 {
+        let speed = self.speed_of(key);
+        if speed.is_known { speed.speed.factor() } else { 1.0 }
+    }
+
+    /// Orders rooms for the members of a gang, which all wait for the slowest of them. Untrusted
+    /// workers stay last.
+    pub(super) fn order_for_gang(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        needed: usize,
+        rooms: &mut Vec<(WorkerKey, usize)>,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let Some(preference) = self.speed_preference(job, candidate.step, now) else { return };
+        let gang_room = |(key, places): &(WorkerKey, usize)| GangRoom {
+            speed: self.speed_of(*key).speed,
+            places: *places,
+        };
+        let trusted = rooms.iter().take_while(|(key, _)| !self.probes_untrusted(spec, *key));
+        let trusted: Vec<GangRoom> = trusted.map(gang_room).collect();
+        let order = match trusted.iter().map(|room| room.places).sum::<usize>() >= needed {
+            true => gang_order(&trusted, needed, preference),
+            false => {
+                let all: Vec<GangRoom> = rooms.iter().map(gang_room).collect();
+                gang_order(&all, needed, preference)
+            }
+        };
+        let rest = rooms.split_off(order.len());
+        *rooms = order.into_iter().map(|index| rooms[index]).chain(rest).collect();
+    }
 }
 
 /// Returns the larger amount of each resource.
@@ -186,7 +223,7 @@
 }
 
 /// Whether a job has so little time beyond its work that it should run on the fastest workers.
-fn is_tight(job: &ActiveJob) -> bool {
+pub(super) fn is_tight(job: &ActiveJob) -> bool {
     let chain = job.record.spec.longest_chain().as_millis();
     job.record.objective().as_millis() <= 2 * chain + TIGHT_SLACK.as_millis()
 }
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -30,7 +30,7 @@
         self.workers.iter_mut().for_each(|worker| worker.other_listed_entry = None);
         for entry in entries {
             let Some(key) = self.find_or_add_worker(entry.clone(), "listed", now) else { continue };
-            self.read_entry(key, entry);
+            self.read_entry(key, entry, now);
             listed.insert(key);
         }
         for number in 0..self.workers.len() {
@@ -52,7 +52,7 @@
     }
 
     /// Updates a worker from its entry in the store.
-    fn read_entry(&mut self, key: WorkerKey, entry: WorkerEntry) {
+    fn read_entry(&mut self, key: WorkerKey, entry: WorkerEntry, now: Moment) {
         let WorkerEntry { pool, draining, capacity, labels, hall, .. } = entry;
         let worker = &mut self.workers[key.0];
         if hall.is_some() {
@@ -63,6 +63,7 @@
         if !std::mem::replace(&mut worker.capacity_read, true) {
             // A life that was first known from its report was assumed to be like the one before it.
             (worker.entry.pool, worker.entry.labels) = (pool, labels);
+            worker.machine = self.speeds.machine_of(&worker.entry, now);
         }
         self.resize_worker(key, capacity);
     }
@@ -165,7 +166,9 @@
         self.lives.insert(entry.life.clone(), key);
         self.ids.insert(entry.life.id.clone(), key);
         let hall_emptied = self.emptied_halls.excludes(entry.hall.as_ref());
+        let machine = self.speeds.machine_of(&entry, now);
         self.workers.push(WorkerState::new(entry, token, now));
+        self.workers[key.0].machine = machine;
         self.workers[key.0].hall_emptied = hall_emptied;
         self.report_worker_change(key, change);
         key
--- a/crates/sedgehill-cell/src/scheduler/stragglers.rs
+++ b/crates/sedgehill-cell/src/scheduler/stragglers.rs
@@ -2,7 +2,6 @@
 
 use sedgehill_core::units::Moment;
 
-use super::pace::run_factor;
 use super::worker::WorkerRun;
 use super::*;
 
@@ -11,31 +10,19 @@
 const MOVE_FACTOR: u64 = 2;
 
 impl Scheduler {
-    /// Learns the pace of a worker from a run that is done.
-    pub(super) fn learn_pace(
+    /// Notes what a run that was done, or stopped before, shows of its worker.
+    pub(super) fn learn_from_run(
         &mut self,
         key: WorkerKey,
         task: &CellTask,
         run: &WorkerRun,
+        done: bool,
         now: Moment,
     ) {
-        if !run.overdue {
+        if done && !run.overdue {
             self.workers[key.0].note_success();
         }
-        let Some(job) = self.jobs.get(&task.step.job) else { return };
-        let Some(step) = job.step_index(&task.step) else { return };
-        let spec = job.step_spec(step);
-        // A run that resumed from a saved state, or was taken over, does not show the full
-        // duration.
-        let is_full_run = run.expected.is_some() && run.run.0 == 1 && !spec.long_running;
-        let Some(factor) = run_factor(now.since(run.since), spec.estimate).filter(|_| is_full_run)
-        else {
-            return;
-        };
-        let estimate = self.estimates.entry(job.record.queue.clone()).or_default();
-        let usual = estimate.factor();
-        estimate.observe(factor);
-        self.workers[key.0].pace.observe(factor / usual);
+        self.learn_speed(key, task, run, done, now);
     }
 
     /// Counts overdue runs against their workers, and stops those that are far too slow so that
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -8,8 +8,8 @@
 use super::event::LeaseReading;
 use super::message::{WorkerEntry, WorkerTime};
 use super::organisations::OrganisationKey;
-use super::pace::FactorAverage;
 use super::timing::CellTiming;
+use super::worker_speeds::{MachineKey, RunBasis};
 use crate::ids::{CellTask, FencingToken, JobId, RunNumber, StepId};
 
 /// How far the start or stop of a run has got.
@@ -74,8 +74,7 @@
     pub listed_from: Option<Moment>,
     /// When it was ordered or first reported.
     pub since: Moment,
-    /// Its expected duration on a healthy worker; none if it was already running when first
-    /// reported, or has no end.
+    /// Its expected duration; none if it was already running when first reported, or has no end.
     pub expected: Option<TimeSpan>,
     /// It has taken so long that it was counted as a fault of the worker.
     pub overdue: bool,
@@ -85,6 +84,8 @@
     pub seen: bool,
     /// It runs until it is stopped.
     pub long_running: bool,
+    /// What its duration shows of the speed of its worker.
+    pub basis: RunBasis,
 }
 
 impl WorkerRun {
@@ -176,8 +177,8 @@
     pub consecutive_faults: u32,
     /// How far it is trusted with work.
     pub trust: WorkerTrust,
-    /// The factor by which runs take longer there than elsewhere.
-    pub pace: FactorAverage,
+    /// The machine on which it runs, as far as that is known.
+    pub machine: MachineKey,
     /// Room that is reserved for a step.
     pub reservation: Option<WorkerReservation>,
     /// When a start was last sent to it or answered.
@@ -227,7 +228,7 @@
             avoid_until: Moment(0),
             consecutive_faults: 0,
             trust: WorkerTrust::Trusted,
-            pace: FactorAverage::default(),
+            machine: MachineKey::default(),
             reservation: None,
             start_activity_at: Moment(0),
             acknowledged_to: 0,
@@ -443,12 +444,6 @@
         suspended
     }
 
-    /// Forgets how fast the worker was: after its hall was emptied it may be slow at first.
-    pub fn forget_pace(&mut self) {
-        self.pace = FactorAverage::default();
-        self.consecutive_faults = 0;
-    }
-
     /// Notes that a run ended well.
     pub fn note_success(&mut self) {
         self.consecutive_faults = 0;
--- a/crates/sedgehilld/src/cell/apply.rs
+++ b/crates/sedgehilld/src/cell/apply.rs
@@ -12,7 +12,7 @@
 use sedgehill_cell::halls::HallChange;
 use sedgehill_cell::ids::HallName;
 use sedgehill_cell::replica::{CellRecord, ReplicaChange, RosterSource};
-use sedgehill_cell::scheduler::RosterChange;
+use sedgehill_cell::scheduler::{RosterChange, SpeedChange};
 use slog::{info, warn};
 
 use super::state::CellBox;
@@ -124,6 +124,9 @@
         }
         return;
     }
+    if SpeedChange::is_speed_key(&record.key) {
+        return apply_speeds(host, record);
+    }
     if record.value.is_empty() {
         forget_key(host, &record.key);
         return;
@@ -145,6 +148,17 @@
     }
 }
 
+/// Applies a record of the speeds of workers. One that cannot be read is ignored: the next lead
+/// learns anew what it would have held.
+fn apply_speeds(host: &CellBox, record: &KeyedRecord) {
+    match SpeedChange::decode(&record.key, &record.value) {
+        Ok(change) => host.replica.borrow_mut().apply_speeds(change),
+        Err(error) => {
+            warn!(host.log, "worker speeds not readable"; "key" => &record.key, "error" => %error);
+        }
+    }
+}
+
 /// Applies the removal of a key by the lead. A job is forgotten together with its progress; the
 /// record of its submission is removed earlier, once the job has ended.
 fn forget_key(host: &CellBox, key: &str) {
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -2,7 +2,7 @@
 
 use sedgehill_cell::ids::{FencingToken, WorkerLife};
 use sedgehill_cell::scheduler::{
-    CellEvent, KnownTaskState, LossCause, SettlementCause, TakeOverSettled,
+    CellEvent, KnownTaskState, LossCause, SettlementCause, SpeedStats, TakeOverSettled,
 };
 use slog::{KV, Logger, Record, Serializer, info, warn};
 
@@ -89,6 +89,11 @@
         CellEvent::FencedByWorker { .. } => telemetry::count_cell_event("fenced_by_worker", ""),
         CellEvent::TakeOverSettled(settled) => telemetry::count_settled(settled.by.name()),
         CellEvent::JobLedElsewhere { .. } => telemetry::count_cell_event("marked_late", ""),
+        CellEvent::SpeedsInherited { .. } => telemetry::count_cell_event("speeds", "inherited"),
+        CellEvent::SpeedsInEffect(stats) => {
+            let detail = if stats.in_effect { "in_effect" } else { "not_in_effect" };
+            telemetry::count_cell_event("speeds", detail);
+        }
     }
 }
 
@@ -225,6 +230,15 @@
         CellEvent::JobLedElsewhere { job, after } => {
             info!(log, "job marked by another lead"; "token" => %token, "job" => %job, "after_ms" => after.0);
         }
+        CellEvent::SpeedsInherited { machines, known, queues, age } => {
+            info!(log, "worker speeds taken over"; "token" => %token, "workers" => machines,
+                "known" => known, "queues" => queues, "age_ms" => age.map(|age| age.0));
+        }
+        CellEvent::SpeedsInEffect(SpeedStats { pool, spread, in_effect }) => {
+            info!(log, "worker speeds in effect"; "token" => %token, "pool" => %pool,
+                "in_effect" => in_effect, "spread" => spread.ratio, "slow" => spread.slow,
+                "known" => spread.known, "workers" => spread.workers);
+        }
     }
 }
 
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -330,6 +330,8 @@
     };
     session.scheduler.borrow_mut().note_fenced(clock::now());
     session.scheduler.borrow_mut().add_helper(OWN_BOX);
+    let speeds = host.replica.borrow().speeds().clone();
+    session.scheduler.borrow_mut().inherit_speeds(&speeds, clock::unix_ms(), clock::now());
     session.apply_limits(host);
     session.apply_halls(host);
     let job_ids: Vec<JobId> = host.replica.borrow().jobs().map(|(id, _)| id).collect();
--- a/crates/sedgehilld/src/cell/lead_metrics.rs
+++ b/crates/sedgehilld/src/cell/lead_metrics.rs
@@ -1,12 +1,12 @@
-//! Exports metrics of organisations, emptied halls, stalled steps and late restarts while this box
-//! leads.
+//! Exports metrics of organisations, emptied halls, stalled steps, late restarts and the speeds of
+//! workers while this box leads.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgehill_cell::ids::HallName;
 use sedgehill_cell::scheduler::{
-    HallStats, OrganisationStats, RestartStats, StallReason, StallStats,
+    HallStats, OrganisationStats, PoolSpread, RestartStats, SpeedStats, StallReason, StallStats,
 };
 use sedgehill_core::units::{CoreCount, ResourceSet};
 
@@ -25,6 +25,9 @@
 /// is a label that is kept for good.
 const MAX_LABELLED_HALLS: usize = 100;
 
+/// The most pools with metrics of their own, for the same reason.
+const MAX_LABELLED_POOLS: usize = 20;
+
 /// Updates the metrics until the lead ends. [`reset`] then clears them.
 pub async fn run(session: &LeadSession) {
     let mut exported = BTreeSet::new();
@@ -35,6 +38,14 @@
         set_organisation_metrics(&session.scheduler.borrow().organisation_stats());
         set_stall_metrics(&session.scheduler.borrow().stall_stats(clock::now()), &mut exported);
         set_restart_metrics(session.scheduler.borrow().restart_stats(clock::now()));
+        set_speed_metrics(&session.scheduler.borrow().speed_stats());
+    }
+}
+
+/// Sets the metrics of the speeds of workers.
+fn set_speed_metrics(stats: &[SpeedStats]) {
+    for SpeedStats { pool, spread, in_effect } in stats.iter().take(MAX_LABELLED_POOLS) {
+        telemetry::set_speeds(&pool.0, spread.ratio, spread.slow, spread.known, *in_effect);
     }
 }
 
@@ -86,6 +97,11 @@
     let stalls = session.scheduler.borrow().stall_stats(clock::now());
     set_stall_metrics(&[], &mut stalls.iter().map(|stall| stall.reason).collect());
     set_restart_metrics(RestartStats::default());
+    let mut speeds = session.scheduler.borrow().speed_stats();
+    for stats in &mut speeds {
+        (stats.spread, stats.in_effect) = (PoolSpread::default(), false);
+    }
+    set_speed_metrics(&speeds);
 }
 
 fn set_organisation_metrics(stats: &[OrganisationStats]) {
--- a/crates/sedgehilld/src/cell/recorder_batch.rs
+++ b/crates/sedgehilld/src/cell/recorder_batch.rs
@@ -8,7 +8,7 @@
 use sedgehill_cell::ids::{JobId, OrganisationName};
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::CellRecord;
-use sedgehill_cell::scheduler::ProgressBatch;
+use sedgehill_cell::scheduler::{ProgressBatch, SpeedChange};
 use sedgehill_core::units::Moment;
 use slog::warn;
 
@@ -58,6 +58,7 @@
                 key: change.key.clone(),
                 value: change.encode().into(),
             }));
+            records.extend(batch.speeds.iter().filter_map(|change| speed_record(host, change)));
         }
         let first_submission = records.len();
         let submissions = self.submissions.iter();
@@ -101,6 +102,19 @@
     record
 }
 
+/// Returns a record of the speeds of workers; none if the store would refuse it, which would end the
+/// lead. Nothing depends on the record.
+fn speed_record(host: &CellBox, change: &SpeedChange) -> Option<KeyedRecord> {
+    let record = KeyedRecord { key: change.key.clone(), value: change.encode().into() };
+    let limits = &host.settings.store_limits;
+    if !limits.allow(&record) {
+        warn!(host.log, "worker speeds not recorded"; "key" => &record.key,
+            "record_bytes" => record.stored_bytes(), "limit_bytes" => limits.record_bytes);
+        return None;
+    }
+    Some(record)
+}
+
 /// Returns the keys to remove from the topic. The record of a submission is removed once its job
 /// has ended, and the state of the job after the time set by `keep_ended`. So a box that starts
 /// reads little more than the open jobs.
--- a/crates/sedgehilld/src/cell/topic_follower.rs
+++ b/crates/sedgehilld/src/cell/topic_follower.rs
@@ -246,7 +246,8 @@
         StoreTopic::Operators => replace_hall_requests(host, &newest.records, newest.end),
         StoreTopic::Progress => {
             let keys = newest.records.iter().map(|record| record.key.as_str());
-            host.replica.borrow_mut().retain_roster(keys);
+            host.replica.borrow_mut().retain_roster(keys.clone());
+            host.replica.borrow_mut().retain_speeds(keys);
         }
         StoreTopic::Leads | StoreTopic::Jobs | StoreTopic::Workers => {}
     }
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -184,3 +184,13 @@
     gauge!("sedgehill_cell_restarts_due").set(tasks as f64);
     gauge!("sedgehill_cell_restart_longest_seconds").set(longest_seconds);
 }
+
+/// Sets the gauges of the speeds of a pool's workers: how many times as long the slowest fifth takes as the fastest
+/// one, the workers that are slow, those whose speed is known, and whether the differences are taken into account.
+pub fn set_speeds(pool: &str, spread: f64, slow: usize, known: usize, in_effect: bool) {
+    let label = [("pool", pool.to_owned())];
+    gauge!("sedgehill_cell_speed_spread", &label).set(spread);
+    gauge!("sedgehill_cell_slow_workers", &label).set(slow as f64);
+    gauge!("sedgehill_cell_speed_known_workers", &label).set(known as f64);
+    gauge!("sedgehill_cell_speeds_in_effect", &label).set(f64::from(u8::from(in_effect)));
+}
