cell: tests of worker speeds, with a course of the archive's queues

The estimator, the choice, the record and the change of lead are tested on their own, and a course of three queues on workers of which a third is slow against the same course with the switch off.

With equal workers both courses start the same runs.

--- a/crates/sedgehill-cell/src/scheduler/worker_speeds.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker_speeds.rs
@@ -286,10 +286,17 @@
         if is_tight(job) {
             return Some(SpeedPreference::Fastest);
         }
+        let Some(left) = self.time_left(job, step, now) else {
+            return Some(SpeedPreference::SlowestUpTo(LogFactor(f64::INFINITY)));
+        };
         let usual = self.forecast_run(job, step, None).upper;
-        let left = self.time_left(job, step, now);
-        let limit = left.map_or(f64::INFINITY, |left| left.0 as f64 / usual.0.max(1) as f64);
-        Some(SpeedPreference::SlowestUpTo(LogFactor::of(limit)))
+        let limit = LogFactor::of(left.0 as f64 / usual.0.max(1) as f64);
+        Some(SpeedPreference::SlowestUpTo(limit))
+    }
+
+    /// Returns the speed of the fast workers of a pool.
+    fn fastest_of(&self, pool: &PoolName) -> LogFactor {
+        self.speeds.pools.get(pool).map_or(LogFactor(0.0), |pool| pool.spread.fastest)
     }
 
     /// Returns how long a step may take so that the job meets its objective, or, if it is too late
@@ -305,9 +312,7 @@
 
     /// Returns the place of a worker among those that a step could use, the lowest first.
     pub(super) fn speed_place(&self, preference: SpeedPreference, key: WorkerKey) -> i64 {
-        let pool = &self.workers[key.0].entry.pool;
-        let fastest =
-            self.speeds.pools.get(pool).map_or(LogFactor(0.0), |pool| pool.spread.fastest);
+        let fastest = self.fastest_of(&self.workers[key.0].entry.pool);
         preference.place_of(self.speed_of(key).speed, fastest)
     }
 
@@ -393,9 +398,13 @@
         let workers = self.workers.iter().filter(|worker| !worker.is_over());
         let bounds = workers.map(|worker| {
             let runs = worker.runs.iter();
-            (worker.machine, runs.filter_map(|(task, run)| bound(task, run)).collect())
+            let mut bounds: Vec<LogFactor> =
+                runs.filter_map(|(task, run)| bound(task, run)).collect();
+            // The runs have no fixed order, which would make the sum differ in its last digits.
+            bounds.sort_unstable_by(|one, other| one.0.total_cmp(&other.0));
+            (worker.machine, bounds)
         });
-        bounds.filter(|(_, bounds): &(MachineKey, Vec<LogFactor>)| !bounds.is_empty()).collect()
+        bounds.filter(|(_, bounds)| !bounds.is_empty()).collect()
     }
 
     /// Compares the workers of each pool, and reports pools whose workers begin or cease to differ.
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -35,6 +35,8 @@
 mod roster;
 mod scheduler;
 mod silence;
+mod speed_course;
+mod speeds;
 mod stalled;
 mod standby;
 mod summary;
