--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -6,6 +6,7 @@
 
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
 use super::restart::RestartCause;
+use super::speeds::LogFactor;
 use super::stall::{StallDetails, StallReason};
 use super::suspects::CrashDetection;
 use super::worker_speeds::SpeedStats;
@@ -35,6 +36,9 @@
         /// How long the long-running task has had no run; none for its first run and for other
         /// tasks.
         without_run: Option<TimeSpan>,
+        /// The expected factor of the worker on run times; none unless the speeds of its pool are
+        /// taken into account.
+        speed: Option<LogFactor>,
     },
     /// A start was refused or went unanswered.
     StartFailed {
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -393,6 +393,8 @@
         let Some(step) = job.step_index(&task.step) else { return };
         let earlier = self.settlement_of(job);
         let ticket = job.steps[step].advice.ticket(key, now, TimeSpan(0));
+        let in_effect = self.uses_speeds(&job.record.policy.pool);
+        let speed = in_effect.then(|| self.speed_of(key).speed);
         let worker = &mut self.workers[key.0];
         assert!(
             !worker.hall_emptied,
@@ -412,6 +414,7 @@
             ticket_left: ticket.map(|ticket| ticket.until.since(now)),
             earlier,
             without_run: self.restarts.get(&task).map(|due| now.since(due.since)),
+            speed,
         });
         self.orders.push(CellOrder::Start(StartOrder {
             worker: key,
--- a/crates/sedgehill-cell/tests/testsuite/speeds.rs
+++ b/crates/sedgehill-cell/tests/testsuite/speeds.rs
@@ -135,7 +135,7 @@
     for round in 1..=16 {
         cell.submit_led(&mut lead, round, job(vec![step(workers, 1)]));
         for _ in 0..100 {
-            cell.end_due(|worker, _| TimeSpan(if worker % 3 == 0 { 1_700 } else { 700 }));
+            cell.end_due(|worker, _| TimeSpan(if worker.is_multiple_of(3) { 1_700 } else { 700 }));
             cell.turn(&mut lead);
         }
     }
@@ -220,7 +220,10 @@
         let labels = vec![Arc::from("a"), Arc::from(format!("r1-{}", number / 12))];
         let entry =
             sedgehill_cell::scheduler::WorkerEntry { address, labels, ..worker_entry(0, 16) };
-        (MachineIdentity::of(&entry), observed([if number % 3 == 0 { 1.7 } else { 0.7 }; 20]))
+        (
+            MachineIdentity::of(&entry),
+            observed([if number.is_multiple_of(3) { 1.7 } else { 0.7 }; 20]),
+        )
     };
     let queues = vec![("recalibration".into(), QueueEstimate::default())];
     SpeedSnapshot { queues, machines: (0..count).map(machine).collect() }
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -99,11 +99,21 @@
 
 fn log_event(log: &Logger, token: FencingToken, event: &CellEvent) {
     match event {
-        CellEvent::Placed { task, run, worker, waited, ticket_left, earlier, without_run } => {
+        CellEvent::Placed {
+            task,
+            run,
+            worker,
+            waited,
+            ticket_left,
+            earlier,
+            without_run,
+            speed,
+        } => {
             info!(log, "placed"; SettlementField(*earlier), "token" => %token,
                 "task" => %task, "run" => run.0, "worker" => %worker,
                 "waited_ms" => waited.0, "ticket_left_ms" => ticket_left.map(|left| left.0),
-                "without_run_ms" => without_run.map(|span| span.0));
+                "without_run_ms" => without_run.map(|span| span.0),
+                "speed" => speed.map(|speed| speed.factor()));
         }
         CellEvent::StartFailed { task, run, worker, refusal } => {
             info!(log, "start failed"; "task" => %task, "run" => run.0, "worker" => %worker,
