standin: slow workers, and a test that the next lead knows them

Nothing showed that the record of speeds passes through the store between two processes. The stand-in can have one of so many workers take longer; the test kills the lead and expects the speeds at the next one.

--- a/crates/sedgehill-standin/src/cell_platform/worker.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker.rs
@@ -78,6 +78,8 @@
     pub(super) oracle: TaskOracle,
     /// Range of run times of tasks, before the factor of very long steps.
     pub(super) run_ms: Range<u64>,
+    /// One of so many workers is slow, and takes so many times as long; none if all are equal.
+    pub(super) slow_workers: Option<(usize, u64)>,
     /// Draws which lives reuse the id of the one before. Without it each life has an id of its own and does not report
     /// when it began.
     id_reuse: Option<StdRng>,
@@ -145,6 +147,7 @@
                 sites,
                 oracle: TaskOracle::default(),
                 run_ms: DEFAULT_RUN_MS,
+                slow_workers: None,
                 id_reuse: None,
             }),
             fault_injector: FaultInjector::default(),
@@ -180,6 +183,11 @@
         self.state.lock().run_ms = run_ms;
     }
 
+    /// Has one of `stride` workers take `factor` times as long for tasks outside gangs.
+    pub fn set_slow_workers(&self, stride: usize, factor: u64) {
+        self.state.lock().slow_workers = Some((stride, factor));
+    }
+
     /// Seeds the generator that decides which calls meet a fault.
     pub fn seed(&self, seed: u64) {
         self.fault_injector.seed(seed);
--- a/crates/sedgehill-standin/src/cell_platform/worker_calls.rs
+++ b/crates/sedgehill-standin/src/cell_platform/worker_calls.rs
@@ -176,7 +176,11 @@
 
 fn start(state: &mut PoolState, call: &WorkerCall, now: u64) -> JsonResponse {
     let (order, number) = (&call.order, call.number);
-    let duration = run_duration_ms(step_of(&order.task), &state.run_ms);
+    let slowness = match state.slow_workers {
+        Some((stride, factor)) if number.is_multiple_of(stride) => factor,
+        _ => 1,
+    };
+    let duration = slowness * run_duration_ms(step_of(&order.task), &state.run_ms);
     let Some(life) = &mut state.sites[number].life else { return status(StatusCode::NOT_FOUND) };
     let clock = life.clock.reading_at(now);
     let ticket = order.ticket.as_deref().unwrap_or_default();
--- a/crates/sedgehill-standin/tests/testsuite/diagnostics.rs
+++ b/crates/sedgehill-standin/tests/testsuite/diagnostics.rs
@@ -80,3 +80,55 @@
     }
     assert_no_violation(&platform);
 }
+
+/// Guards against speeds that stay with the lead that learned them: its record has to pass through the store, and the
+/// next lead has to read it when it fences.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_successor_of_a_killed_lead_knows_the_speeds_of_workers() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(6).await.unwrap();
+    platform.configure(1);
+    platform.workers.set_run_ms(150..151);
+    platform.workers.set_slow_workers(3, 3);
+    let first = start_box(directory.path(), "first", &platform);
+    wait_ready(&first).await;
+    wait_for_lead(directory.path(), "first").await;
+    let second = start_box(directory.path(), "second", &platform);
+    wait_ready(&second).await;
+    let in_effect = |name: &str| {
+        let found = lines(directory.path(), name, "worker speeds in effect");
+        found.last().is_some_and(|line| line["in_effect"] == true)
+    };
+    let steps = json!([{"count": 36, "cpu": 1000, "mem_mb": 16, "estimate_ms": 150}]);
+    let mut id = 0;
+    wait_for("speeds in effect", async || {
+        id += 1;
+        submit_steps(&[&first], id, steps.clone()).await;
+        wait_completed(&first, id).await;
+        in_effect("first")
+    })
+    .await;
+    // A change of the record each 2 s.
+    for _ in 0..5 {
+        id += 1;
+        submit_steps(&[&first], id, steps.clone()).await;
+        wait_completed(&first, id).await;
+        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    }
+    drop(first);
+    wait_for("the take-over", async || in_effect("second")).await;
+    let [inherited] = &lines(directory.path(), "second", "worker speeds taken over")[..] else {
+        panic!("expected one `worker speeds taken over` line");
+    };
+    assert_eq!((&inherited["workers"], &inherited["known"]), (&json!(6), &json!(6)), "{inherited}");
+    // The metrics are set each second.
+    wait_for("the metrics", async || {
+        let page = metrics(directory.path(), "second").await;
+        let in_effect = |line: &str| {
+            line.starts_with("sedgehill_cell_speeds_in_effect{pool=") && line.ends_with(" 1")
+        };
+        page.lines().any(in_effect)
+    })
+    .await;
+    assert_no_violation(&platform);
+}
