--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -6,8 +6,10 @@
 
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
 use super::restart::RestartCause;
+use super::speeds::LogFactor;
 use super::stall::{StallDetails, StallReason};
 use super::suspects::CrashDetection;
+use super::worker_speeds::SpeedStats;
 use crate::ids::{
     CellTask, FencingToken, JobId, LifeStart, OrganisationName, RunNumber, StepId, WorkerLife,
 };
@@ -34,6 +36,9 @@
         /// How long the long-running task has had no run; none for its first run and for other
         /// tasks.
         without_run: Option<TimeSpan>,
+        /// The expected factor of the worker on run times; none unless the speeds of its pool are
+        /// taken into account.
+        speed: Option<LogFactor>,
     },
     /// A start was refused or went unanswered.
     StartFailed {
@@ -354,6 +359,20 @@
         /// Time since the store began to refuse earlier leads.
         after: TimeSpan,
     },
+    /// This lead took over the speeds that earlier leads recorded.
+    SpeedsInherited {
+        /// The workers in the records.
+        machines: usize,
+        /// Those of them whose speed is still known.
+        known: usize,
+        /// The queues in the records.
+        queues: usize,
+        /// Time since the oldest record was written; none if there is no record.
+        age: Option<TimeSpan>,
+    },
+    /// Differences of speed between the workers of a pool are taken into account from now on, or no
+    /// longer.
+    SpeedsInEffect(SpeedStats),
 }
 
 /// What settled whether an earlier lead's runs of a job still exist.
