cell: preemption and backfill under an organisation's limit, order beyond the shares

An urgent step was kept waiting by its organisation's limit although workers had room: place_step returned at `allowed == 0` before preemption was considered.

- limit_room: runs of the same organisation that save their state, are less urgent and have time are stopped, if the whole room that a gang needs comes free and workers have places (and tickets) for it.
What is being stopped counts until its end is listed.
- limit_order = timed: a waiting step gets the earliest place on a timeline of the organisation's expected ends; lower-ranked steps start what ends before it or fits beside it.
The default stays in-order.
- Jobs beyond the shares are ordered by the part of the limit that their organisation uses in the resource that is scarcest for it, in eighths.

The choices are pure functions (limit_stops, limit_timeline). Log lines, counters and gauges of the room under limits are exported. The random courses now submit jobs of all priorities that save state, and run with both orders.

--- a/crates/sedgehill-cell/src/scheduler/active_job.rs
+++ b/crates/sedgehill-cell/src/scheduler/active_job.rs
@@ -45,6 +45,9 @@
     /// The only worker that may have a run of it, and the lead that recorded so; none if it is not
     /// known.
     pub location: Option<(WorkerLife, FencingToken)>,
+    /// The run that was stopped last to make room under a limit, until a later run has saved new
+    /// state.
+    pub preempted_run: Option<RunNumber>,
 }
 
 impl ActiveTask {
@@ -142,6 +145,7 @@
                 crash_history: CrashHistory::default(),
                 counted_start: None,
                 location: None,
+                preempted_run: None,
             })
             .collect();
         for location in &progress.locations {
--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -17,10 +17,10 @@
 
 /// A job is displaced only if it could restart this much later and still meet its objective: it
 /// needs a new ticket and room, and has to restore its saved state.
-const MIN_DISPLACED_SLACK: TimeSpan = TimeSpan(3_000);
+pub(super) const MIN_DISPLACED_SLACK: TimeSpan = TimeSpan(3_000);
 /// How much longer than a stop may take the room stays reserved: the end of a run is heard some 20
 /// ms after it, and up to 100 ms later where calls are lost.
-const RESERVATION_MARGIN: TimeSpan = TimeSpan(300);
+pub(super) const RESERVATION_MARGIN: TimeSpan = TimeSpan(300);
 
 /// Room on a worker that is reserved for a step.
 #[derive(Debug, Clone, Copy)]
@@ -109,6 +109,7 @@
             self.workers[key.0].reservation =
                 Some(WorkerReservation { step, need: spec.need, until, alone: false });
             for (task, run) in displacement.runs {
+                self.note_preempted(&task, run);
                 self.stop_run(key, task, run, "displaced", now);
             }
         }
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -4,6 +4,7 @@
 
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
+use super::limit_stops::LimitResource;
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
 use super::restart::RestartCause;
 use super::stall::{StallDetails, StallReason};
@@ -354,6 +355,45 @@
         /// Time since the store began to refuse earlier leads.
         after: TimeSpan,
     },
+    /// Runs of an organisation are stopped to make room under its limit for a more urgent step.
+    LimitPreempted {
+        /// The step.
+        step: StepId,
+        /// The organisation.
+        organisation: OrganisationName,
+        /// The resource that is scarcest under the limit.
+        binding: Option<LimitResource>,
+        /// The tasks of the step that the room is for.
+        tasks: usize,
+        /// The resources that each of them needs.
+        need: ResourceSet,
+        /// The resources of the organisation's tasks that run, or may run.
+        running: ResourceSet,
+        /// Its limit.
+        limit: ResourceLimit,
+        /// The resources of runs that were being stopped already.
+        coming: ResourceSet,
+        /// The tasks whose runs are stopped.
+        stopped: Vec<CellTask>,
+        /// The age of the oldest report of their workers.
+        oldest_report: TimeSpan,
+    },
+    /// Tasks of a step were started in room under a limit for which a step that ranks before it
+    /// waits.
+    LimitBackfilled {
+        /// The step.
+        step: StepId,
+        /// The organisation.
+        organisation: OrganisationName,
+        /// The tasks that fitted only because the waiting step cannot use the room yet.
+        tasks: usize,
+        /// The time within which they are expected to end; none if they have no end.
+        ends_within: Option<TimeSpan>,
+        /// The first waiting step.
+        ahead: StepId,
+        /// The time until that step is expected to get its room; none if it is not known.
+        ahead_starts_in: Option<TimeSpan>,
+    },
 }
 
 /// What settled whether an earlier lead's runs of a job still exist.
--- a/crates/sedgehill-cell/src/scheduler/forecast.rs
+++ b/crates/sedgehill-cell/src/scheduler/forecast.rs
@@ -29,7 +29,6 @@
     pub upper: TimeSpan,
 }
 
-#[allow(dead_code)]
 /// When a run is expected to release its resources.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ExpectedEnd {
@@ -58,7 +57,6 @@
         }
     }
 
-    #[allow(dead_code)]
     /// Returns how much longer a run is expected to take; none if it has no end or its expected
     /// time is not known.
     pub(super) fn remaining_time(&self, run: &WorkerRun, now: Moment) -> Option<TimeSpan> {
@@ -70,7 +68,6 @@
         })
     }
 
-    #[allow(dead_code)]
     /// Returns when the runs of an organisation, or of all, are expected to release their
     /// resources, earliest first. Runs without a known end are left out.
     pub(super) fn expected_ends(
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -24,6 +24,10 @@
 mod event;
 mod forecast;
 mod isolation;
+mod limit_backfill;
+mod limit_room;
+mod limit_stops;
+mod limit_timeline;
 mod lives;
 mod message;
 mod organisations;
@@ -63,6 +67,11 @@
 pub use self::emptied_halls::HallStats;
 use self::emptied_halls::HallView;
 pub use self::event::*;
+use self::limit_room::LimitRoom;
+pub use self::limit_stops::{
+    LimitRequest, LimitResource, LimitRun, LimitRunState, LimitStops, LimitUsage, plan_limit_stops,
+};
+pub use self::limit_timeline::LimitTimeline;
 pub use self::message::*;
 pub use self::organisations::{OrganisationKey, OrganisationStats, OrganisationTable};
 use self::pace::FactorAverage;
@@ -70,6 +79,7 @@
     CellPolicy, LimitOrder, LimitOrderError, QuestionOrder, QuestionOrderError, SharingError,
     SharingMode,
 };
+pub use self::rank::{LimitUse, ShareRank};
 use self::restart::RestartTracker;
 pub use self::restart::{PendingRestart, RestartCause, RestartStats};
 use self::room::Candidate;
@@ -129,6 +139,8 @@
     estimates: HashMap<QueueName, FactorAverage>,
     call_losses: CallLossRate,
     organisations: OrganisationTable,
+    /// Room under the organisations' limits.
+    limit_room: LimitRoom,
     take_over: TakeOver,
     /// When the list of workers was last read from the store; none if it never was.
     workers_listed_at: Option<Moment>,
@@ -199,6 +211,7 @@
             estimates: HashMap::new(),
             call_losses: CallLossRate::default(),
             organisations: OrganisationTable::default(),
+            limit_room: LimitRoom::default(),
             take_over: TakeOver {
                 since: now,
                 predecessor,
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -10,6 +10,8 @@
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
 use super::active_job::{ActiveJob, ActiveTask, TaskPhase};
+use super::limit_stops::LimitUsage;
+use super::rank::{LimitUse, ShareRank};
 use super::room::Candidate;
 use super::worker::{WorkerRun, WorkerState};
 use super::*;
@@ -65,12 +67,15 @@
     unconfirmed: ResourceSet,
     /// Room under its limit that waiting steps have reserved in this turn.
     reserved_under_limit: ResourceSet,
+    /// Room under its limit that is reserved for steps for which runs are being stopped.
+    claimed: ResourceSet,
     share_bucket: ShareBucket,
 }
 
 impl OrganisationAccount {
     fn room(&self) -> ResourceSet {
-        self.limit.remaining(&self.running.plus(&self.unconfirmed).plus(&self.reserved_under_limit))
+        let used = self.running.plus(&self.unconfirmed);
+        self.limit.remaining(&used.plus(&self.reserved_under_limit).plus(&self.claimed))
     }
 }
 
@@ -83,6 +88,8 @@
     pub running: ResourceSet,
     /// Its limit.
     pub limit: ResourceLimit,
+    /// What its limit leaves beside its runs.
+    pub room: ResourceSet,
     /// Its share when there is not enough room for all.
     pub weight: ShareWeight,
     /// The number of jobs that are not over.
@@ -131,6 +138,7 @@
             running: ResourceSet::default(),
             unconfirmed: ResourceSet::default(),
             reserved_under_limit: ResourceSet::default(),
+            claimed: ResourceSet::default(),
             share_bucket: ShareBucket { level: u64::MAX, at: now },
         });
         key
@@ -179,9 +187,49 @@
         }
     }
 
+    /// Reserves room under a limit for a step for which runs are being stopped.
+    pub fn claim(&mut self, key: OrganisationKey, need: &ResourceSet) {
+        let account = &mut self.accounts[key.0];
+        account.claimed = account.claimed.plus(need);
+    }
+
+    /// Returns room that was reserved by [`OrganisationTable::claim`].
+    pub fn unclaim(&mut self, key: OrganisationKey, need: &ResourceSet) {
+        let account = &mut self.accounts[key.0];
+        account.claimed = account.claimed.saturating_minus(need);
+    }
+
+    /// Returns what waiting steps have reserved by their rank in this turn.
+    pub fn reserved(&self, key: OrganisationKey) -> ResourceSet {
+        self.accounts[key.0].reserved_under_limit
+    }
+
+    /// Returns what counts against an organisation's limit. Of the reservations, only those for
+    /// which runs are being stopped are included.
+    pub fn usage(&self, key: OrganisationKey) -> LimitUsage {
+        let account = &self.accounts[key.0];
+        LimitUsage {
+            limit: account.limit,
+            used: account.running.plus(&account.unconfirmed),
+            reserved: account.claimed,
+        }
+    }
+
+    /// Returns how much of its limit an organisation uses in the resource that is scarcest for it.
+    pub fn limit_use(&self, key: OrganisationKey) -> LimitUse {
+        let usage = self.usage(key);
+        LimitUse::of(&usage.limit, &usage.used)
+    }
+
+    /// Returns the name of an organisation.
+    pub fn name(&self, key: OrganisationKey) -> &OrganisationName {
+        &self.accounts[key.0].name
+    }
+
     fn clear_limit_reservations(&mut self) {
         for account in &mut self.accounts {
             account.reserved_under_limit = ResourceSet::default();
+            account.claimed = ResourceSet::default();
         }
     }
 
@@ -269,9 +317,11 @@
         spec: &StepSpec,
         waiting: usize,
     ) -> usize {
+        let timed_room = self.timed_room(id, step, spec);
         let Some(job) = self.jobs.get_mut(&id) else { return 0 };
         let Some(key) = job.owner else { return waiting };
-        let room = self.organisations.room_for(job.owner, &spec.need).min(waiting);
+        let room = self.organisations.room_for(job.owner, &spec.need);
+        let room = room.min(timed_room).min(waiting);
         let allowed = if spec.gang && room < waiting { 0 } else { room };
         let active_step = &mut job.steps[step];
         let limit_reached = allowed == 0 && waiting > 0;
@@ -288,6 +338,15 @@
         self.timing.policy.sharing == SharingMode::DueFirst && job.over_share
     }
 
+    /// Returns the rank of a job among those beyond the organisations' shares: those of an
+    /// organisation that uses less of its limit come first.
+    pub(super) fn share_rank(&self, job: &ActiveJob) -> ShareRank {
+        match job.owner.filter(|_| self.is_over_share(job)) {
+            Some(key) => ShareRank::Beyond(self.organisations.limit_use(key)),
+            None => ShareRank::Within,
+        }
+    }
+
     /// Drops all reservations under limits, at the start of a turn.
     pub(super) fn clear_limit_reservations(&mut self) {
         self.organisations.clear_limit_reservations();
@@ -304,9 +363,15 @@
     ) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let Some(key) = job.owner else { return };
-        let in_order = self.timing.policy.limit_order != LimitOrder::Backfill;
-        if in_order && remaining > 0 && self.has_value(candidate, job, now) {
-            self.organisations.reserve(key, &spec.need.times(remaining as u32));
+        if remaining == 0 || !self.has_value(candidate, job, now) {
+            return;
+        }
+        match self.timing.policy.limit_order {
+            LimitOrder::Backfill => {}
+            LimitOrder::InOrder => {
+                self.organisations.reserve(key, &spec.need.times(remaining as u32));
+            }
+            LimitOrder::Timed => self.reserve_timed(candidate, spec, key, remaining, now),
         }
     }
 
@@ -321,6 +386,7 @@
             name: account.name.clone(),
             running: account.running,
             limit: account.limit,
+            room: account.limit.remaining(&account.running.plus(&account.unconfirmed)),
             weight: account.weight,
             open_jobs,
         };
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -35,11 +35,13 @@
         if open.list.is_empty() && open.least_urgent == 0 && nothing_urgent() && !hall_emptied {
             return;
         }
-        self.clear_limit_reservations();
+        self.begin_limit_turn(now);
         let candidates = self.candidates(now);
         self.update_starved_step(&candidates, now);
         for (ahead, candidate) in candidates.into_iter().enumerate() {
+            let released = self.release_claim(&candidate);
             let reason = self.place_step(&candidate, &open, now);
+            self.renew_claim(&candidate, released, now);
             self.note_stall(&candidate, reason, now);
             self.note_restart_stall(&candidate, reason, ahead);
         }
@@ -85,8 +87,7 @@
                     let rank = match waiting.restart_due {
                         Some(since) if candidate.restarts => StepRank::Restart(since),
                         _ => StepRank::Job(ranks.get(job.steps[step].id.repetition, || {
-                            let over_share = self.is_over_share(job);
-                            self.rank_of(job, step, now).with_over_share(over_share)
+                            self.rank_of(job, step, now).with_share_rank(self.share_rank(job))
                         })),
                     };
                     ranked.push((rank, candidate));
@@ -147,15 +148,22 @@
         if waiting.is_empty() && expected > 0 {
             return Some(self.find_restart_room(candidate, spec, expected, open, now));
         }
-        let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, waiting.len());
+        let wanted = waiting.len();
+        let allowed = self.allowed_tasks(candidate.job, candidate.step, spec, wanted);
         if allowed == 0 {
+            self.make_limit_room(candidate, spec, wanted, open, now);
             self.reserve_limit_room(candidate, spec, waiting.len(), now);
             return Some(StallReason::OrganisationLimit);
         }
         waiting.truncate(allowed);
         if may_start {
             let remaining = self.start_waiting(candidate, spec, open, &waiting, now);
+            let started = waiting.len() - remaining.alone - remaining.others;
+            self.note_limit_starts(candidate, spec, started, now);
             if remaining.alone + remaining.others == 0 {
+                if allowed < wanted {
+                    self.make_limit_room(candidate, spec, wanted - allowed, open, now);
+                }
                 return None;
             }
             self.reserve_limit_room(candidate, spec, remaining.alone + remaining.others, now);
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -1,9 +1,10 @@
 //! Ranks waiting steps for room and advice.
 
-use sedgehill_core::units::{Moment, TimeSpan};
+use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
 use super::active_job::ActiveJob;
 use super::policy::CellPolicy;
+use crate::organisation::ResourceLimit;
 
 /// A late job still has a part of its value until this many times its objective.
 const LATE_FACTOR: u64 = 3;
@@ -26,6 +27,39 @@
     Worthless,
 }
 
+/// Parts of a limit by which its use is compared. Use that differs by less counts as equal, so that
+/// among organisations in a similar state the value and urgency of the jobs decide.
+const LIMIT_USE_PARTS: u64 = 8;
+
+/// The part of an organisation's limit that is in use in the resource that is scarcest for it, in
+/// eighths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LimitUse(u8);
+
+impl LimitUse {
+    /// Returns the part of a limit that is in use; zero without a limit.
+    pub fn of(limit: &ResourceLimit, used: &ResourceSet) -> LimitUse {
+        let part = |limit: Option<u64>, used: u64| match limit {
+            Some(limit) if used < limit => used.saturating_mul(LIMIT_USE_PARTS) / limit,
+            Some(_) => LIMIT_USE_PARTS,
+            None => 0,
+        };
+        let cores = part(limit.cores.map(|cores| cores.0), used.cores.0);
+        let memory = part(limit.memory.map(|memory| memory.0), used.memory.0);
+        let accelerators = part(limit.accelerators.map(u64::from), u64::from(used.accelerators));
+        LimitUse(cores.max(memory).max(accelerators) as u8)
+    }
+}
+
+/// The rank of a job by its organisation's share. The lowest goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ShareRank {
+    /// It was accepted within the share of its organisation.
+    Within,
+    /// It was accepted beyond the share, by the use of its organisation's limit.
+    Beyond(LimitUse),
+}
+
 /// The rank of a waiting step. The lowest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StepRank {
@@ -43,16 +77,16 @@
     /// Jobs without value go last, whatever their organisation.
     worthless: bool,
     /// Jobs beyond their organisation's share go after those within the shares.
-    over_share: bool,
+    share_rank: ShareRank,
     value_class: ValueClass,
     priority: u32,
     latest_start: u64,
 }
 
 impl JobRank {
-    /// Returns the rank of the same job with another `over_share`.
-    pub fn with_over_share(self, over_share: bool) -> JobRank {
-        JobRank { over_share, ..self }
+    /// Returns the rank of the same job with another rank by its organisation's share.
+    pub fn with_share_rank(self, share_rank: ShareRank) -> JobRank {
+        JobRank { share_rank, ..self }
     }
 
     /// Whether the job still has value.
@@ -98,7 +132,7 @@
         };
     JobRank {
         worthless: value_class == ValueClass::Worthless,
-        over_share: false,
+        share_rank: ShareRank::Within,
         value_class,
         priority: job.record.policy.priority,
         latest_start,
--- a/crates/sedgehill-cell/src/scheduler/reports.rs
+++ b/crates/sedgehill-cell/src/scheduler/reports.rs
@@ -213,9 +213,11 @@
         }
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(index) = job.task_index(task) else { return };
-        let progress = &mut job.tasks[index].progress;
+        let active_task = &mut job.tasks[index];
+        let progress = &mut active_task.progress;
         if progress.run == run && progress.checkpoint != checkpoint {
             progress.checkpoint = checkpoint.to_owned();
+            active_task.preempted_run = active_task.preempted_run.filter(|stopped| run <= *stopped);
         }
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/fake/ends.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/ends.rs
@@ -40,6 +40,17 @@
         }
     }
 
+    /// Ends runs with `Done` that have taken the time of their estimate.
+    pub fn end_by_estimate(&mut self) {
+        for (number, task) in self.all_runs() {
+            let spec = &self.store[&task.step.job].0.spec.steps[usize::from(task.step.step)];
+            let run = self.workers[number].runs.get(&task);
+            if run.is_some_and(|run| self.now >= run.since.after(spec.estimate)) {
+                self.end_gang_aware(number, task, RunEnd::Done);
+            }
+        }
+    }
+
     pub(super) fn all_runs(&self) -> Vec<(usize, CellTask)> {
         let workers = self.workers.iter().enumerate();
         workers
@@ -78,7 +89,8 @@
         let worker = &mut self.workers[number];
         let run = worker.runs.remove(&task).expect("the task runs on the worker").run;
         worker.floor.insert(task, run);
-        let row = EndRow { number: worker.next_end, task, run, end, checkpoint: String::new() };
+        let checkpoint = self.saved.get(&task).cloned().unwrap_or_default();
+        let row = EndRow { number: worker.next_end, task, run, end, checkpoint };
         worker.next_end += 1;
         worker.ends.push(row);
         match end {
--- a/crates/sedgehill-cell/tests/testsuite/fake/orders.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/orders.rs
@@ -164,7 +164,7 @@
         let running = worker.runs.iter().map(|(task, run)| RunningRow {
             task: *task,
             run: run.run,
-            checkpoint: String::new(),
+            checkpoint: self.saved.get(task).cloned().unwrap_or_default(),
         });
         let report = HoldReport {
             start: worker.entry.life.start,
--- a/crates/sedgehill-cell/tests/testsuite/fake/organisations.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/organisations.rs
@@ -4,7 +4,7 @@
 use sedgehill_cell::job::JobRecord;
 use sedgehill_cell::organisation::{JobOwner, OrganisationPolicy, ResourceLimit, ShareWeight};
 use sedgehill_cell::scheduler::{Scheduler, StartOrder};
-use sedgehill_core::units::{CoreCount, ResourceSet};
+use sedgehill_core::units::{CoreCount, MemorySize, ResourceSet};
 
 use super::FakeCell;
 
@@ -33,6 +33,21 @@
         scheduler.set_organisations(&self.organisations, self.now);
     }
 
+    /// Sets the limit of an organisation in the configuration to this many gigabytes of memory.
+    /// Its share is more than it ever uses.
+    pub fn limit_memory(&mut self, scheduler: &mut Scheduler, name: &str, gigabytes: u64) {
+        let name = OrganisationName::from(name);
+        let memory = Some(MemorySize(gigabytes << 30));
+        let maximum = ResourceLimit { memory, ..ResourceLimit::default() };
+        self.organisations.retain(|policy| policy.name != name);
+        self.organisations.push(OrganisationPolicy {
+            name,
+            weight: ShareWeight(1_000_000),
+            maximum,
+        });
+        scheduler.set_organisations(&self.organisations, self.now);
+    }
+
     /// Removes all organisations from the configuration.
     pub fn drop_organisations(&mut self, scheduler: &mut Scheduler) {
         self.organisations.clear();
@@ -57,6 +72,8 @@
         let name = &owner.organisation;
         let mut policies = self.organisations.iter();
         let in_force = policies.find(|policy| policy.name == *name && !late);
+        let within = in_force.is_none_or(|policy| policy.maximum.allows(&self.running_for(name)));
+        assert!(within, "{name} uses more than its limit");
         let in_force = in_force.and_then(|policy| policy.maximum.cores);
         let Some(max_cores) = in_force.or_else(|| self.highest.get(name).copied()) else { return };
         let running = self.running_for(name);
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -6,8 +6,9 @@
 
 use proptest::prelude::*;
 use sedgehill_cell::ids::JobId;
+use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::progress::JobState;
-use sedgehill_cell::scheduler::{RunEnd, Scheduler};
+use sedgehill_cell::scheduler::{CellPolicy, LimitOrder, RunEnd, Scheduler};
 use sedgehill_core::units::{CoreCount, TimeSpan};
 
 use crate::cases::cases;
@@ -29,6 +30,17 @@
         /// Whether and how the first task crashes the workers that start it.
         crashes: Option<CrashRule>,
     },
+    /// Submits a job of some priority, whose tasks may save their state and have time to be resumed later.
+    SubmitRanked {
+        count: u16,
+        need: u64,
+        gang: bool,
+        owner: usize,
+        priority: u32,
+        saves: bool,
+    },
+    /// A task saves new state.
+    Save(u64, u16),
     /// A worker crashes by itself, and is back after this many milliseconds.
     Crash(usize, u64),
     /// All workers crash at the same time, and are back after this many milliseconds.
@@ -96,6 +108,12 @@
                 Move::Submit { count, need, gang, chained, owner, crashes }
             }
         ),
+        4 => (1u16..5, 1u64..4, prop::bool::weighted(0.3), 0usize..2, 0u32..3, prop::bool::weighted(0.7)).prop_map(
+            |(count, need, gang, owner, priority, saves)| {
+                Move::SubmitRanked { count, need, gang, owner, priority, saves }
+            }
+        ),
+        2 => (0u64..24, 0u16..5).prop_map(|(id, index)| Move::Save(id, index)),
         1 => (worker.clone(), 20u64..9_000).prop_map(|(number, back)| Move::Crash(number, back)),
         1 => (20u64..4_000).prop_map(Move::CrashAll),
         2 => (worker.clone(), 0u64..6).prop_map(|(number, cores)| Move::Resize(number, cores)),
@@ -146,6 +164,19 @@
             }
             *jobs += 1;
         }
+        Move::SubmitRanked { count, need, gang, owner, priority, saves } => {
+            let (name, max_cores) = ORGANISATIONS[owner];
+            let steps = vec![StepSpec { gang, checkpointing: saves, ..step(count, need) }];
+            let mut record = owned(name, max_cores, job(steps));
+            record.policy.priority = priority;
+            record.policy.target_latency = TimeSpan(if saves { 60_000 } else { 4_000 });
+            cell.submit_led(lead, *jobs, record);
+            *jobs += 1;
+        }
+        Move::Save(id, index) => {
+            let state = format!("state-{:012}", cell.now.0);
+            cell.saved.insert(task(id, 0, index), state);
+        }
         Move::Crash(number, back) => {
             let number = cell.living_worker(number);
             cell.crash(number, TimeSpan(back));
@@ -187,17 +218,28 @@
     }
 }
 
-/// Applies moves to a new cell, ends all faults, and checks that every job ends and in which state.
+/// Applies moves to a new cell with the usual policy.
 fn run_moves(
     keeps_ids: bool,
     max_roster_record: usize,
     moves: Vec<Move>,
+) -> Result<(), TestCaseError> {
+    run_moves_with(CellPolicy::default(), keeps_ids, max_roster_record, moves)
+}
+
+/// Applies moves to a new cell, ends all faults, and checks that every job ends and in which state.
+fn run_moves_with(
+    policy: CellPolicy,
+    keeps_ids: bool,
+    max_roster_record: usize,
+    moves: Vec<Move>,
 ) -> Result<(), TestCaseError> {
     let mut cell = match keeps_ids {
         true => FakeCell::with_lasting_ids(WORKERS, CORES),
         false => FakeCell::new(WORKERS, CORES),
     };
     cell.max_roster_record = max_roster_record;
+    cell.policy = policy;
     let mut lead = cell.lead(false);
     for (name, max_cores) in ORGANISATIONS {
         cell.limit(&mut lead, name, max_cores);
@@ -244,6 +286,15 @@
     ) {
         run_moves(keeps_ids, max_roster_record, moves)?;
     }
+
+    #[test]
+    fn random_faults_break_no_rule_with_backfill_under_limits(
+        keeps_ids in any::<bool>(),
+        moves in prop::collection::vec(any_move(), 1..120),
+    ) {
+        let policy = CellPolicy { limit_order: LimitOrder::Timed, ..CellPolicy::default() };
+        run_moves_with(policy, keeps_ids, usize::MAX, moves)?;
+    }
 }
 
 // A task may be started at most twice after three workers have crashed under it; here it is started three times.
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -1,14 +1,16 @@
 //! Logs and counts the decisions of the scheduler.
 
-use sedgehill_cell::ids::{FencingToken, WorkerLife};
+use sedgehill_cell::ids::{CellTask, FencingToken, WorkerLife};
 use sedgehill_cell::scheduler::{
-    CellEvent, KnownTaskState, LossCause, SettlementCause, TakeOverSettled,
+    CellEvent, KnownTaskState, LimitResource, LossCause, SettlementCause, TakeOverSettled,
 };
 use slog::{KV, Logger, Record, Serializer, info, warn};
 
 use crate::telemetry;
 
 const MILLIS_PER_SECOND: f64 = 1000.0;
+/// The most tasks that one log line names.
+const MAX_LISTED_TASKS: usize = 5;
 
 /// Logs and counts a decision of the lead that holds `token`.
 pub fn record_event(log: &Logger, token: FencingToken, event: &CellEvent) {
@@ -89,6 +91,13 @@
         CellEvent::FencedByWorker { .. } => telemetry::count_cell_event("fenced_by_worker", ""),
         CellEvent::TakeOverSettled(settled) => telemetry::count_settled(settled.by.name()),
         CellEvent::JobLedElsewhere { .. } => telemetry::count_cell_event("marked_late", ""),
+        CellEvent::LimitPreempted { organisation, binding, stopped, .. } => {
+            let binding = binding.map_or("none", LimitResource::name);
+            telemetry::count_limit_preemption(&organisation.0, binding, stopped.len());
+        }
+        CellEvent::LimitBackfilled { organisation, tasks, .. } => {
+            telemetry::count_limit_backfill(&organisation.0, *tasks);
+        }
     }
 }
 
@@ -225,9 +234,48 @@
         CellEvent::JobLedElsewhere { job, after } => {
             info!(log, "job marked by another lead"; "token" => %token, "job" => %job, "after_ms" => after.0);
         }
+        CellEvent::LimitPreempted { .. } => log_limit_preemption(log, token, event),
+        CellEvent::LimitBackfilled {
+            step,
+            organisation,
+            tasks,
+            ends_within,
+            ahead,
+            ahead_starts_in,
+        } => {
+            info!(log, "backfilled under a limit"; "token" => %token, "step" => %step,
+                "organisation" => %organisation, "tasks" => tasks,
+                "ends_within_ms" => ends_within.map(|span| span.0), "ahead" => %ahead,
+                "ahead_starts_ms" => ahead_starts_in.map(|span| span.0));
+        }
     }
 }
 
+/// Logs an event of preemption under a limit; does nothing for any other event.
+fn log_limit_preemption(log: &Logger, token: FencingToken, event: &CellEvent) {
+    let CellEvent::LimitPreempted {
+        step,
+        organisation,
+        binding,
+        tasks,
+        need,
+        running,
+        limit,
+        coming,
+        stopped,
+        oldest_report,
+    } = event
+    else {
+        return;
+    };
+    let names: Vec<String> =
+        stopped.iter().take(MAX_LISTED_TASKS).map(CellTask::to_string).collect();
+    info!(log, "preempted under a limit"; "token" => %token, "step" => %step, "organisation" => %organisation,
+        "binding" => binding.map(LimitResource::name), "tasks" => tasks, "need" => %need, "running" => %running,
+        "limit" => %limit, "coming" => %coming, "stopped" => stopped.len(), "stopped_some" => names.join(" "),
+        "oldest_report_ms" => oldest_report.0);
+}
+
 fn log_settled_take_over(log: &Logger, token: FencingToken, settled: &TakeOverSettled) {
     let names: Vec<String> = settled.unheard_some.iter().map(WorkerLife::to_string).collect();
     info!(log, "take-over settled"; "token" => %token, "by" => settled.by.name(), "after_ms" => settled.after.0,
--- a/crates/sedgehilld/src/cell/lead_metrics.rs
+++ b/crates/sedgehilld/src/cell/lead_metrics.rs
@@ -79,6 +79,7 @@
     let mut stats = session.scheduler.borrow().organisation_stats();
     for organisation in &mut stats {
         (organisation.running, organisation.open_jobs) = (ResourceSet::default(), 0);
+        organisation.room = ResourceSet::default();
     }
     set_organisation_metrics(&stats);
     let halls = session.scheduler.borrow().hall_stats(clock::now());
@@ -97,6 +98,14 @@
         let limit = organisation.limit.cores.map_or(NO_LIMIT, cores);
         set("sedgehill_cell_organisation_limit_cores", limit);
         set("sedgehill_cell_organisation_open_jobs", organisation.open_jobs as f64);
+        let room = |limited: bool, value: f64| if limited { value } else { NO_LIMIT };
+        let (limit, left) = (&organisation.limit, &organisation.room);
+        let room_cores = room(limit.cores.is_some(), cores(left.cores));
+        set("sedgehill_cell_organisation_room_cores", room_cores);
+        let room_memory = room(limit.memory.is_some(), left.memory.0 as f64);
+        set("sedgehill_cell_organisation_room_memory_bytes", room_memory);
+        let room_accelerators = room(limit.accelerators.is_some(), f64::from(left.accelerators));
+        set("sedgehill_cell_organisation_room_accelerators", room_accelerators);
         set(
             "sedgehill_cell_organisation_share",
             organisation.weight.0 as f64 / THOUSANDTHS_PER_UNIT,
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -159,6 +159,19 @@
     counter!("sedgehill_cell_organisation_answers_total", &labels).increment(1);
 }
 
+/// Counts a decision to stop runs of an organisation to make room under its limit, and the runs.
+pub fn count_limit_preemption(organisation: &str, binding: &'static str, stopped: usize) {
+    let label = [("organisation", organisation.to_owned()), ("binding", binding.to_owned())];
+    counter!("sedgehill_cell_limit_preemptions_total", &label).increment(1);
+    counter!("sedgehill_cell_limit_preempted_runs_total", &label).increment(stopped as u64);
+}
+
+/// Counts tasks that were started by backfill under the limit of an organisation.
+pub fn count_limit_backfill(organisation: &str, tasks: usize) {
+    let label = [("organisation", organisation.to_owned())];
+    counter!("sedgehill_cell_limit_backfills_total", &label).increment(tasks as u64);
+}
+
 /// Sets a gauge of an organisation, such as its running cores or its limit.
 pub fn set_organisation_gauge(metric: &'static str, name: &str, value: f64) {
     gauge!(metric, "organisation" => name.to_owned()).set(value);
