cell: room freed under a limit goes to its step, also behind steps that rank before

Cause: a step that ranks before and waits for more room than there is had the whole room under the limit reserved, so the step for which runs were stopped could not start in the room freed for it, and the stops were in vain. Change: steps ranked before keep what they have reserved only as far as it is free beside the claimed room, and the claiming step takes none of that. Advice is requested only where stops bring room.

--- a/crates/sedgehill-cell/src/scheduler/limit_backfill.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_backfill.rs
@@ -28,6 +28,18 @@
     first: (StepId, Option<Moment>),
 }
 
+impl WaitTimeline {
+    /// Frees room that is reserved for a step, so that the step itself may use it.
+    pub(super) fn release(&mut self, need: &ResourceSet) {
+        self.timeline.release(need);
+    }
+
+    /// Returns what the waiting steps need.
+    pub(super) fn ahead(&self) -> ResourceSet {
+        self.ahead
+    }
+}
+
 impl Scheduler {
     /// Returns how long each run of a step holds its room by the upper forecast; none if it has no
     /// end.
--- a/crates/sedgehill-cell/src/scheduler/limit_room.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_room.rs
@@ -49,8 +49,11 @@
 
 /// A claim that does not count while its own step is placed.
 pub(super) struct ReleasedClaim {
-    /// What all steps ranked before had reserved under the limit in this turn.
-    reserved_before: ResourceSet,
+    owner: OrganisationKey,
+    /// What the steps ranked before have reserved under the limit in this turn.
+    reserved_ahead: ResourceSet,
+    /// The part of it that is free beside the claim.
+    kept_ahead: ResourceSet,
 }
 
 impl Scheduler {
@@ -72,19 +75,26 @@
         }
     }
 
-    /// Frees the room that is reserved for a step, so that the step itself may use it.
+    /// Frees the room that is reserved for a step, so that the step itself may use it. Steps that
+    /// rank before it keep what they have reserved only as far as it is free beside that room.
     pub(super) fn release_claim(&mut self, candidate: &Candidate) -> Option<ReleasedClaim> {
         let job = self.jobs.get(&candidate.job)?;
         let owner = job.owner?;
+        let reserved_ahead = self.organisations.reserved(owner);
+        let mut kept_ahead = reserved_ahead;
         if let Some(claim) = self.limit_room.claims.get(&job.steps[candidate.step].id) {
             let need = job.step_spec(candidate.step).need.times(claim.tasks as u32);
+            kept_ahead = self.organisations.free_part(owner, &reserved_ahead);
+            self.organisations.set_reserved(owner, kept_ahead);
             self.organisations.unclaim(owner, &need);
+            if let Some(waiting) = self.limit_room.timelines.get_mut(&owner) {
+                waiting.release(&need);
+            }
         }
-        Some(ReleasedClaim { reserved_before: self.organisations.reserved(owner) })
+        Some(ReleasedClaim { owner, reserved_ahead, kept_ahead })
     }
 
-    /// Reserves the room of a step's claim again, as far as it still waits and has not reserved the
-    /// room by its rank.
+    /// Reserves the room of a step's claim again, as far as the step still waits.
     pub(super) fn renew_claim(
         &mut self,
         candidate: &Candidate,
@@ -92,15 +102,17 @@
         now: Moment,
     ) {
         let (Some(job), Some(released)) = (self.jobs.get(&candidate.job), released) else { return };
-        let step = job.steps[candidate.step].id;
-        let Some(claim) = self.limit_room.claims.get_mut(&step) else { return };
-        claim.tasks = claim.tasks.min(waiting_tasks(job, candidate.step, now).len());
-        let need = job.step_spec(candidate.step).need.times(claim.tasks as u32);
-        let reserved = self.organisations.reserved(claim.owner);
-        let by_rank = reserved.saturating_minus(&released.reserved_before);
-        // Later steps of this turn must not take the room, and claiming it twice would leave it
-        // idle. The next turn reserves the whole claim again.
-        self.organisations.claim(claim.owner, &need.saturating_minus(&by_rank));
+        let owner = released.owner;
+        let mut claimed = ResourceSet::default();
+        if let Some(claim) = self.limit_room.claims.get_mut(&job.steps[candidate.step].id) {
+            claim.tasks = claim.tasks.min(waiting_tasks(job, candidate.step, now).len());
+            claimed = job.step_spec(candidate.step).need.times(claim.tasks as u32);
+        }
+        // Room that the step has reserved by its rank as well would otherwise stand idle.
+        let by_rank = self.organisations.reserved(owner).saturating_minus(&released.kept_ahead);
+        let reserved = released.reserved_ahead.plus(&by_rank.saturating_minus(&claimed));
+        self.organisations.set_reserved(owner, reserved);
+        self.organisations.claim(owner, &claimed);
     }
 
     /// Notes that tasks of a step were started, which need their claimed room no longer.
@@ -125,13 +137,16 @@
         let Some(owner) = job.owner.filter(|_| self.may_preempt(candidate, job, spec, now)) else {
             return;
         };
+        let step = job.steps[candidate.step].id;
         let gang = spec.gang;
         let priority = job.record.policy.priority;
         let mut request = LimitRequest { need: spec.need, count: wanted, gang, priority };
         let Some(plan) = self.plan_stops(owner, &request, now) else { return };
         let rooms = self.usable_rooms(candidate, spec, open, now);
         let places = rooms.iter().fold(0usize, |sum, (_, room)| sum.saturating_add(*room));
-        if places < plan.tasks {
+        // A step that only waits for others of its organisation needs no tickets yet.
+        let room_comes = !plan.runs.is_empty() || self.limit_room.claims.contains_key(&step);
+        if places < plan.tasks && room_comes {
             self.request_advice(candidate, spec, open, now);
         }
         if places == 0 || (gang && places < plan.tasks) {
@@ -174,7 +189,13 @@
             let runs = self.limit_runs(owner, now);
             self.limit_room.runs.insert(owner, runs);
         }
-        let usage = self.organisations.usage(owner);
+        let mut usage = self.organisations.usage(owner);
+        // What is free is left to the steps that rank before and wait for more of it.
+        let ahead = match self.limit_room.timelines.get(&owner) {
+            Some(waiting) => waiting.ahead(),
+            None => self.organisations.reserved(owner),
+        };
+        usage.reserved = usage.reserved.plus(&self.organisations.free_part(owner, &ahead));
         plan_limit_stops(request, &usage, &self.limit_room.runs[&owner])
     }
 
--- a/crates/sedgehill-cell/src/scheduler/limit_timeline.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_timeline.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Removes `need`, which is in the use for good.
+    pub fn release(&mut self, need: &ResourceSet) {
+        for point in &mut self.points {
+            point.used = point.used.saturating_minus(need);
+        }
+    }
+
     fn fitting(&self, point: &UsagePoint, need: &ResourceSet) -> usize {
         let count = self.limit.remaining(&point.used).capacity_for(need);
         usize::try_from(count).unwrap_or(usize::MAX)
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -204,6 +204,23 @@
         self.accounts[key.0].reserved_under_limit
     }
 
+    /// Sets what waiting steps have reserved by their rank in this turn.
+    pub fn set_reserved(&mut self, key: OrganisationKey, reserved: ResourceSet) {
+        self.accounts[key.0].reserved_under_limit = reserved;
+    }
+
+    /// Returns how much of some resources is free under a limit, beside what runs and what is
+    /// reserved for steps for which runs are being stopped.
+    pub fn free_part(&self, key: OrganisationKey, of: &ResourceSet) -> ResourceSet {
+        let usage = self.usage(key);
+        let free = usage.limit.remaining(&usage.used.plus(&usage.reserved));
+        ResourceSet {
+            cores: of.cores.min(free.cores),
+            memory: of.memory.min(free.memory),
+            accelerators: of.accelerators.min(free.accelerators),
+        }
+    }
+
     /// Returns what counts against an organisation's limit. Of the reservations, only those for
     /// which runs are being stopped are included.
     pub fn usage(&self, key: OrganisationKey) -> LimitUsage {
