cell: backfill only before steps that can wait, costs, notes on capacity under limits

Change: others start before a waiting step only if it could still start in time were its room to take twice as long; otherwise its room is kept as with `in-order`. Runs are grouped by organisation once a turn. `cargo measure limits` gives the time of a turn. The default stays in-order: this is one load on fakes.

--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -6,6 +6,7 @@
 
 use super::limit_stops::LimitResource;
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
+use super::organisations::OrganisationKey;
 use super::restart::RestartCause;
 use super::stall::{StallDetails, StallReason};
 use super::suspects::CrashDetection;
@@ -361,6 +362,8 @@
         step: StepId,
         /// The organisation.
         organisation: OrganisationName,
+        /// The scheduler's index of the organisation.
+        key: OrganisationKey,
         /// The resource that is scarcest under the limit.
         binding: Option<LimitResource>,
         /// The tasks of the step that the room is for.
@@ -385,6 +388,8 @@
         step: StepId,
         /// The organisation.
         organisation: OrganisationName,
+        /// The scheduler's index of the organisation.
+        key: OrganisationKey,
         /// The tasks that fitted only because the waiting step cannot use the room yet.
         tasks: usize,
         /// The time within which they are expected to end; none if they have no end.
--- a/crates/sedgehill-cell/src/scheduler/limit_backfill.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_backfill.rs
@@ -8,6 +8,7 @@
 
 use super::limit_timeline::LimitTimeline;
 use super::organisations::OrganisationKey;
+use super::rank::latest_start;
 use super::room::Candidate;
 use super::*;
 use crate::ids::StepId;
@@ -69,6 +70,7 @@
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let step = job.steps[candidate.step].id;
         let span = self.upper_span(job, candidate.step);
+        let latest = Moment(latest_start(job, candidate.step, self.unix_ms_at(now), now));
         let usage = self.organisations.usage(owner);
         let total = spec.need.times(remaining as u32);
         // A step that could never fit under the limit holds up no other.
@@ -92,9 +94,12 @@
             waiting.places += 1;
             waiting.ahead = waiting.ahead.plus(&block);
             match waiting.timeline.earliest(&block, span) {
-                Some(from) => waiting.timeline.reserve(&block, from, span),
-                // It waits for runs without a known end, so whatever ends may be its room.
-                None => waiting.timeline.reserve(&block, now, None),
+                Some(from) if can_wait_until(from, latest, now) => {
+                    waiting.timeline.reserve(&block, from, span);
+                }
+                // It waits for runs without a known end, or cannot afford that others end late, so
+                // whatever ends is left to it.
+                _ => waiting.timeline.reserve(&block, now, None),
             }
         }
     }
@@ -127,6 +132,7 @@
         self.events.push(CellEvent::LimitBackfilled {
             step,
             organisation: self.organisations.name(owner).clone(),
+            key: owner,
             tasks,
             ends_within: span,
             ahead,
@@ -134,3 +140,9 @@
         });
     }
 }
+
+/// Whether a step that is expected to get its room at `from` can still start by `latest` if that
+/// takes twice as long. Callers' estimates, and so the expected ends, are off by up to about two.
+fn can_wait_until(from: Moment, latest: Moment, now: Moment) -> bool {
+    from.after(from.since(now)) <= latest
+}
--- a/crates/sedgehill-cell/src/scheduler/limit_room.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_room.rs
@@ -40,8 +40,10 @@
 #[derive(Debug, Default)]
 pub(super) struct LimitRoom {
     claims: BTreeMap<StepId, LimitClaim>,
-    /// The runs of organisations of which a step asked for room in this turn. Gathered once a turn,
-    /// since that takes a look at all runs.
+    /// Where the runs of each organisation are; none until a step asks for room in this turn. Built
+    /// once a turn, since that takes a look at all runs.
+    places: Option<HashMap<OrganisationKey, Vec<(WorkerKey, CellTask)>>>,
+    /// The runs of organisations of which a step asked for room in this turn.
     runs: HashMap<OrganisationKey, Vec<LimitRun>>,
     /// The expected use of limits for which a step waits in this turn.
     pub(super) timelines: HashMap<OrganisationKey, WaitTimeline>,
@@ -60,6 +62,7 @@
     /// Starts a turn: drops what the last one gathered, and reserves the room of valid claims.
     pub(super) fn begin_limit_turn(&mut self, now: Moment) {
         self.clear_limit_reservations();
+        self.limit_room.places = None;
         self.limit_room.runs.clear();
         self.limit_room.timelines.clear();
         let jobs = &self.jobs;
@@ -142,11 +145,13 @@
         let priority = job.record.policy.priority;
         let mut request = LimitRequest { need: spec.need, count: wanted, gang, priority };
         let Some(plan) = self.plan_stops(owner, &request, now) else { return };
+        // A step that only waits for others of its organisation needs no tickets yet.
+        if plan.runs.is_empty() && !self.limit_room.claims.contains_key(&step) {
+            return;
+        }
         let rooms = self.usable_rooms(candidate, spec, open, now);
         let places = rooms.iter().fold(0usize, |sum, (_, room)| sum.saturating_add(*room));
-        // A step that only waits for others of its organisation needs no tickets yet.
-        let room_comes = !plan.runs.is_empty() || self.limit_room.claims.contains_key(&step);
-        if places < plan.tasks && room_comes {
+        if places < plan.tasks {
             self.request_advice(candidate, spec, open, now);
         }
         if places == 0 || (gang && places < plan.tasks) {
@@ -200,11 +205,25 @@
     }
 
     /// Returns the runs that count against an organisation's limit.
-    fn limit_runs(&self, owner: OrganisationKey, now: Moment) -> Vec<LimitRun> {
-        let mut found = Vec::new();
-        for worker in &self.workers {
-            let owned = worker.runs.iter().filter(|(_, run)| run.owner == Some(owner));
-            found.extend(owned.filter_map(|(task, run)| self.limit_run(worker, task, run, now)));
+    fn limit_runs(&mut self, owner: OrganisationKey, now: Moment) -> Vec<LimitRun> {
+        let mut places = self.limit_room.places.take().unwrap_or_else(|| self.runs_by_owner());
+        let owned = places.remove(&owner).unwrap_or_default();
+        self.limit_room.places = Some(places);
+        let run = |(key, task): (WorkerKey, CellTask)| {
+            let worker = &self.workers[key.0];
+            self.limit_run(worker, &task, worker.runs.get(&task)?, now)
+        };
+        owned.into_iter().filter_map(run).collect()
+    }
+
+    fn runs_by_owner(&self) -> HashMap<OrganisationKey, Vec<(WorkerKey, CellTask)>> {
+        let mut found: HashMap<OrganisationKey, Vec<(WorkerKey, CellTask)>> = HashMap::new();
+        for (number, worker) in self.workers.iter().enumerate() {
+            for (task, run) in &worker.runs {
+                if let Some(owner) = run.owner {
+                    found.entry(owner).or_default().push((WorkerKey(number), *task));
+                }
+            }
         }
         found
     }
@@ -279,6 +298,7 @@
         self.events.push(CellEvent::LimitPreempted {
             step,
             organisation: self.organisations.name(owner).clone(),
+            key: owner,
             binding: plan.binding,
             tasks: plan.tasks,
             need,
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -23,6 +23,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OrganisationKey(usize);
 
+impl OrganisationKey {
+    /// The position of the organisation among all that this lead has known.
+    pub fn index(self) -> usize {
+        self.0
+    }
+}
+
 /// An organisation may send the jobs of its share for this span at once. It is also the span over
 /// which its rate is measured.
 const BURST_SPAN: TimeSpan = TimeSpan(1_000);
--- a/crates/sedgehill-cell/tests/testsuite/fake/ends.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/ends.rs
@@ -40,12 +40,13 @@
         }
     }
 
-    /// Ends runs with `Done` that have taken the time of their estimate.
-    pub fn end_by_estimate(&mut self) {
+    /// Ends runs with `Done` that have taken a percentage of their estimate, which may depend on the task.
+    pub fn end_by_estimate(&mut self, percent: impl Fn(&CellTask) -> u64) {
         for (number, task) in self.all_runs() {
             let spec = &self.store[&task.step.job].0.spec.steps[usize::from(task.step.step)];
             let run = self.workers[number].runs.get(&task);
-            if run.is_some_and(|run| self.now >= run.since.after(spec.estimate)) {
+            let span = TimeSpan(spec.estimate.0 * percent(&task) / 100);
+            if run.is_some_and(|run| self.now >= run.since.after(span)) {
                 self.end_gang_aware(number, task, RunEnd::Done);
             }
         }
--- a/crates/sedgehill-cell/tests/testsuite/limit_room.rs
+++ b/crates/sedgehill-cell/tests/testsuite/limit_room.rs
@@ -1,7 +1,7 @@
 //! Room under an organisation's limit: urgent work that has batch work of its own organisation stopped, and work that
 //! runs while a wide gang waits. The fakes check after each start that the limit is kept.
 
-use sedgehill_cell::ids::OrganisationName;
+use sedgehill_cell::ids::{JobId, OrganisationName};
 use sedgehill_cell::job::{JobRecord, StepSpec};
 use sedgehill_cell::scheduler::{CellEvent, LimitOrder, LimitResource, RunEnd, Scheduler};
 use sedgehill_core::units::{CoreCount, MemorySize, ResourceSet, TimeSpan};
@@ -237,21 +237,19 @@
     assert_eq!(next.open_jobs(), 0);
 }
 
-/// What a play of gangs and narrow work at a limit comes to.
+/// What a play of gangs and narrow work at a limit came to after 8 s.
 #[derive(Debug)]
 struct PlayResult {
-    /// When the last gang had started, in milliseconds from its submission.
-    gangs_started: u64,
-    /// The use of the limit until then, in gigabyte milliseconds.
-    used: u64,
-    /// The narrow tasks that had ended by then.
+    gangs_started: usize,
     narrow_ended: usize,
+    /// The mean use of the limit, in megabytes.
+    used: u64,
     backfilled: usize,
 }
 
 /// Plays a burst of gangs that need most of a limit of 40 GB each, beside narrow work of two lengths that keeps
-/// arriving. Each run takes the time of its estimate.
-fn play_gangs(order: LimitOrder) -> PlayResult {
+/// arriving. Each run takes the percentage of its estimate that `percent` gives for its job.
+fn play_gangs(order: LimitOrder, percent: impl Fn(u64) -> u64) -> PlayResult {
     let mut cell = FakeCell::new(8, 16);
     cell.policy.limit_order = order;
     let mut lead = cell.lead(false);
@@ -269,48 +267,54 @@
     }
     cell.turns(&mut lead, 4);
     let (began, mut next) = (cell.now, 10);
-    for id in 1_000..1_004 {
+    for id in GANGS {
         let mut gang = urgent(4, 8, true);
         gang.policy.target_latency = TimeSpan(6_000);
         cell.submit_led(&mut lead, id, gang);
     }
-    let mut result = PlayResult { gangs_started: 0, used: 0, narrow_ended: 0, backfilled: 0 };
-    let started = |cell: &FakeCell, id| cell.starts.iter().any(|(task, ..)| task.step.job.0 == id);
-    while !(1_000..1_004).all(|id| started(&cell, id)) {
-        assert!(cell.now.since(began) < TimeSpan(20_000), "{order:?}: the gangs get no turn");
-        if cell.now.0 % 100 == 0 {
+    let (mut used, mut backfilled) = (0, 0);
+    while cell.now.since(began) < TimeSpan(8_000) {
+        if cell.now.0.is_multiple_of(100) {
             cell.submit_led(&mut lead, next, narrow(if next % 3 == 0 { 2_400 } else { 400 }));
             next += 1;
         }
         cell.turn(&mut lead);
-        cell.end_by_estimate();
-        result.used += (cell.running_for(&ORG.into()).memory.0 >> 30) * 20;
-        let events = lead.take_events();
-        let backfilled = |event: &CellEvent| match event {
-            CellEvent::LimitBackfilled { tasks, .. } => *tasks,
-            _ => 0,
-        };
-        result.backfilled += events.iter().map(backfilled).sum::<usize>();
+        cell.end_by_estimate(|task| percent(task.step.job.0));
+        used += cell.running_for(&ORG.into()).memory.0 >> 20;
+        for event in lead.take_events() {
+            if let CellEvent::LimitBackfilled { tasks, .. } = event {
+                backfilled += tasks;
+            }
+        }
+    }
+    let started =
+        |id: &u64| cell.starts.iter().any(|(task, run, _)| (task.step.job.0, run.0) == (*id, 1));
+    PlayResult {
+        gangs_started: GANGS.filter(started).count(),
+        narrow_ended: (0..next).filter(|id| !lead.has_job(JobId(*id))).count(),
+        used: used / (8_000 / 20),
+        backfilled,
     }
-    result.gangs_started = cell.now.since(began).0;
-    let ended = (0..next).filter(|id| !lead.has_job(sedgehill_cell::ids::JobId(*id)));
-    result.narrow_ended = ended.count();
-    result
 }
 
+const GANGS: std::ops::Range<u64> = 1_000..1_004;
+
 // Under `in-order`, the room under a limit stands idle until a waiting gang has all of it; under `backfill`, narrow work
-// takes it, and the gang gets no turn.
+// takes it, and the gang gets no turn. Estimates are off by up to about two.
 #[test]
 fn a_burst_of_gangs_gets_its_turn_and_room_under_the_limit_does_not_stand_idle() {
-    let in_order = play_gangs(LimitOrder::InOrder);
-    let timed = play_gangs(LimitOrder::Timed);
-    println!("{in_order:?} {timed:?}");
-    let use_of = |result: &PlayResult| result.used / result.gangs_started;
-    assert!(timed.backfilled > 0 && in_order.backfilled == 0);
-    assert!(use_of(&timed) > use_of(&in_order), "{timed:?} uses no more than {in_order:?}");
-    assert!(timed.narrow_ended > in_order.narrow_ended);
-    // An upper forecast is exceeded by no run here, so no gang is delayed by more than reports take.
-    assert!(timed.gangs_started <= in_order.gangs_started + 100, "{timed:?} {in_order:?}");
+    for seed in 0..6 {
+        let percent = |id: u64| match seed {
+            0 => 100,
+            _ => [50, 70, 100, 150, 220][(id * 7_919 + seed * 104_729) as usize % 5],
+        };
+        let in_order = play_gangs(LimitOrder::InOrder, percent);
+        let timed = play_gangs(LimitOrder::Timed, percent);
+        println!("seed {seed}: {in_order:?} {timed:?}");
+        assert!(timed.gangs_started >= in_order.gangs_started, "seed {seed}");
+        assert!(timed.narrow_ended >= in_order.narrow_ended, "seed {seed}");
+        assert!(seed > 0 || timed.used > in_order.used && timed.backfilled > 0);
+    }
 }
 
 // Of the work beyond the shares, that of an organisation near its limit went first if it was older.
--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -17,7 +17,7 @@
 commands:
     demo         start a whole cell, send load, inject faults and count broken promises
                  [--seconds N] [--json FILE]
-    measure      path|capacity|organisations|stops [--json FILE] [--stops N]
+    measure      path|capacity|limits|organisations|stops [--json FILE] [--stops N]
                  path: latency that a box adds to a request, compared with a direct call
                  capacity: state, messages, time and memory at growing sizes
                  stops: calls that planned stops cut off, N stops for each row
--- a/crates/sedgehill-standin/src/measure/mod.rs
+++ b/crates/sedgehill-standin/src/measure/mod.rs
@@ -2,6 +2,7 @@
 //! figures as JSON. Figures that are compared with each other are measured in the same run.
 
 mod capacity;
+mod limits;
 mod organisations;
 mod path;
 mod stops;
@@ -27,12 +28,13 @@
         "capacity" => {
             write_report(json, &capacity::measure().await, capacity::CapacityReport::render)
         }
+        "limits" => write_report(json, &limits::measure(), limits::LimitReport::render),
         "organisations" => {
             write_report(json, &organisations::measure(), organisations::OrganisationReport::render)
         }
         "stops" => write_report(json, &stops::measure(stops).await, stops::StopReport::render),
         other => Err(format!(
-            "there is no measurement `{other}`, expected: path, capacity, organisations, stops"
+            "there is no measurement `{other}`, expected: path, capacity, limits, organisations, stops"
         )),
     }
 }
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -91,12 +91,12 @@
         CellEvent::FencedByWorker { .. } => telemetry::count_cell_event("fenced_by_worker", ""),
         CellEvent::TakeOverSettled(settled) => telemetry::count_settled(settled.by.name()),
         CellEvent::JobLedElsewhere { .. } => telemetry::count_cell_event("marked_late", ""),
-        CellEvent::LimitPreempted { organisation, binding, stopped, .. } => {
+        CellEvent::LimitPreempted { organisation, key, binding, stopped, .. } => {
             let binding = binding.map_or("none", LimitResource::name);
-            telemetry::count_limit_preemption(&organisation.0, binding, stopped.len());
+            telemetry::count_limit_preemption(organisation, *key, binding, stopped.len());
         }
-        CellEvent::LimitBackfilled { organisation, tasks, .. } => {
-            telemetry::count_limit_backfill(&organisation.0, *tasks);
+        CellEvent::LimitBackfilled { organisation, key, tasks, .. } => {
+            telemetry::count_limit_backfill(organisation, *key, *tasks);
         }
     }
 }
@@ -238,6 +238,7 @@
         CellEvent::LimitBackfilled {
             step,
             organisation,
+            key: _,
             tasks,
             ends_within,
             ahead,
@@ -256,6 +257,7 @@
     let CellEvent::LimitPreempted {
         step,
         organisation,
+        key: _,
         binding,
         tasks,
         need,
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -4,7 +4,9 @@
 
 use metrics::{Counter, Histogram, counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use sedgehill_cell::ids::OrganisationName;
 use sedgehill_cell::organisation::KeyOwner;
+use sedgehill_cell::scheduler::OrganisationKey;
 
 const REQUESTS_METRIC: &str = "sedgehill_requests_total";
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(2);
@@ -159,16 +161,29 @@
     counter!("sedgehill_cell_organisation_answers_total", &labels).increment(1);
 }
 
+/// Returns the label of an organisation, by its position among those that a lead has known.
+fn label_of(organisation: &OrganisationName, key: OrganisationKey) -> String {
+    match key.index() < MAX_LABELLED_ORGANISATIONS {
+        true => organisation.0.to_string(),
+        false => OTHERS_LABEL.to_owned(),
+    }
+}
+
 /// Counts a decision to stop runs of an organisation to make room under its limit, and the runs.
-pub fn count_limit_preemption(organisation: &str, binding: &'static str, stopped: usize) {
-    let label = [("organisation", organisation.to_owned()), ("binding", binding.to_owned())];
-    counter!("sedgehill_cell_limit_preemptions_total", &label).increment(1);
-    counter!("sedgehill_cell_limit_preempted_runs_total", &label).increment(stopped as u64);
+pub fn count_limit_preemption(
+    organisation: &OrganisationName,
+    key: OrganisationKey,
+    binding: &'static str,
+    stopped: usize,
+) {
+    let labels = [("organisation", label_of(organisation, key)), ("binding", binding.to_owned())];
+    counter!("sedgehill_cell_limit_preemptions_total", &labels).increment(1);
+    counter!("sedgehill_cell_limit_preempted_runs_total", &labels).increment(stopped as u64);
 }
 
 /// Counts tasks that were started by backfill under the limit of an organisation.
-pub fn count_limit_backfill(organisation: &str, tasks: usize) {
-    let label = [("organisation", organisation.to_owned())];
+pub fn count_limit_backfill(organisation: &OrganisationName, key: OrganisationKey, tasks: usize) {
+    let label = [("organisation", label_of(organisation, key))];
     counter!("sedgehill_cell_limit_backfills_total", &label).increment(tasks as u64);
 }
 
