--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -127,6 +127,8 @@
     pub emptied_halls: EmptiedHalls,
     /// Whether the lead cannot read the operators' requests.
     pub halls_unreadable: bool,
+    /// The states that tasks have saved.
+    pub saved: HashMap<CellTask, String>,
 }
 
 /// Time between two reads of the list of workers, as on a box.
@@ -238,6 +240,7 @@
             keeps_ids: false,
             emptied_halls: EmptiedHalls::default(),
             halls_unreadable: false,
+            saved: HashMap::new(),
         }
     }
 
@@ -245,9 +248,11 @@
     pub fn lead(&mut self, predecessor: bool) -> Scheduler {
         let earlier = self.token;
         self.token = earlier.next_lead();
-        let timing =
-            CellTiming { max_roster_record: self.max_roster_record, ..CellTiming::default() };
-        let timing = CellTiming { policy: self.policy, ..timing };
+        let timing = CellTiming {
+            max_roster_record: self.max_roster_record,
+            policy: self.policy,
+            ..CellTiming::default()
+        };
         let mut scheduler = Scheduler::take_over(timing, self.token, predecessor, self.now);
         scheduler.set_previous_token(earlier);
         scheduler.inherit_speeds(&self.speeds, 0, self.now);
