cell: admission decides by the backlog under the organisation's limit

Cause: every submission was accepted, whatever the organisation's backlog. Change: Scheduler::admit decides from the forecast wait under the limit; jobs admitted and not recorded, promised retries and refusals are kept in a ledger.

--- a/crates/sedgehill-cell/src/scheduler/admission.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission.rs
@@ -1,9 +1,27 @@
 //! Decides whether a submitted job is accepted, by its chance to end in time.
+//!
+//! The decision is a pure function of [`AdmissionInputs`]. A job is refused only if it would miss
+//! its objective even if its runs take as little time as one in ten does. Such a job is accepted
+//! nevertheless if it is expected to end while it still has a part of its value, since a retry could
+//! not start it earlier than its place in the queue does.
+
+use std::rc::Rc;
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
+use super::active_job::ActiveJob;
+use super::backlog::{BacklogGroup, StartQuery};
+use super::forecast::RunForecast;
+use super::organisations::OrganisationKey;
+use super::rank::LATE_FACTOR;
 use super::*;
 
+/// Callers are told the time to a retry in whole seconds, rounded up.
+const RETRY_STEP: TimeSpan = TimeSpan(1_000);
+/// A late job ranks after the work that is accepted later and can still end in time. From this share
+/// of the limit on, taken by newly accepted work, it is not expected to get its turn.
+const MAX_CATCH_UP_PERCENT: u64 = 95;
+
 /// What becomes of a submitted job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionDecision {
@@ -21,16 +39,271 @@
     },
 }
 
+impl AdmissionDecision {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            AdmissionDecision::Accept => "accept",
+            AdmissionDecision::Defer { .. } => "defer",
+            AdmissionDecision::Reject { .. } => "reject",
+        }
+    }
+
+    /// The time after which a refused caller should retry; none if the job is accepted.
+    pub fn retry_after(self) -> Option<TimeSpan> {
+        match self {
+            AdmissionDecision::Accept => None,
+            AdmissionDecision::Defer { retry_after }
+            | AdmissionDecision::Reject { retry_after } => Some(retry_after),
+        }
+    }
+}
+
+/// Why a submitted job was accepted or refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AdmissionReason {
+    /// Accepted: the take-over is not settled, so the backlog is not known.
+    TakeOver,
+    /// Accepted: it can meet its objective.
+    InTime,
+    /// Accepted: it can start at once.
+    RoomNow,
+    /// Accepted: it is expected to end late, but while it still has a part of its value.
+    StillUseful,
+    /// Deferred: there will be capacity while the job is useful.
+    RoomLater,
+    /// Rejected: there will be no capacity while the job is useful.
+    TooLate,
+    /// Rejected: a task, or a gang as a whole, needs more than the limit of its organisation.
+    ExceedsLimit,
+}
+
+impl AdmissionReason {
+    /// The reasons for refusals.
+    pub const REFUSALS: [AdmissionReason; 3] =
+        [AdmissionReason::RoomLater, AdmissionReason::TooLate, AdmissionReason::ExceedsLimit];
+
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AdmissionReason::TakeOver => "take_over",
+            AdmissionReason::InTime => "in_time",
+            AdmissionReason::RoomNow => "room_now",
+            AdmissionReason::StillUseful => "still_useful",
+            AdmissionReason::RoomLater => "room_later",
+            AdmissionReason::TooLate => "too_late",
+            AdmissionReason::ExceedsLimit => "exceeds_limit",
+        }
+    }
+}
+
+/// A decision with its reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionOutcome {
+    /// The decision.
+    pub decision: AdmissionDecision,
+    /// Its reason.
+    pub reason: AdmissionReason,
+}
+
+/// What a decision depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionInputs {
+    /// Time since the caller first sent the job, as far as this lead knows.
+    pub age: TimeSpan,
+    /// The objective of the job, which counts from the caller's first send.
+    pub objective: TimeSpan,
+    /// The forecast of the longest chain of its steps.
+    pub chain: RunForecast,
+    /// Whether the limit allows all its tasks to run at some time.
+    pub fits_limit: bool,
+    /// The time until its first tasks can start behind the backlog that ranks before it; none if that
+    /// is not within its useful time.
+    pub wait: Option<TimeSpan>,
+    /// The share of the limit that newly accepted work has taken lately.
+    pub inflow_percent: u64,
+    /// For a job that was deferred before, the time left until its caller was told to retry; zero
+    /// once that has passed.
+    pub promised_in: Option<TimeSpan>,
+    /// The time until the organisation's whole backlog is cleared.
+    pub time_to_clear: TimeSpan,
+    /// The number of tasks that wait and rank before it.
+    pub tasks_ahead: usize,
+    /// The age of the view of the backlog.
+    pub view_age: TimeSpan,
+}
+
+impl AdmissionInputs {
+    /// Returns the time left until a job that is not done is worth nothing.
+    pub fn useful_time(&self) -> TimeSpan {
+        TimeSpan((LATE_FACTOR * self.objective.0).saturating_sub(self.age.0))
+    }
+
+    /// Returns the time left to meet the objective.
+    fn time_left(&self) -> TimeSpan {
+        TimeSpan(self.objective.0.saturating_sub(self.age.0))
+    }
+
+    /// Returns whether the caller has come back at the time that it was told, or later.
+    fn is_kept_promise(&self) -> bool {
+        self.promised_in == Some(TimeSpan(0))
+    }
+
+    /// Returns how long the job waits once it is late, when newly accepted work goes first; none if
+    /// that leaves no room to catch up. The room promised to a caller that came back as told was
+    /// counted in the decisions on later jobs.
+    fn late_wait(&self, wait: TimeSpan) -> Option<TimeSpan> {
+        if self.is_kept_promise() {
+            return Some(wait);
+        }
+        let idle_percent = 100_u64.saturating_sub(self.inflow_percent);
+        (self.inflow_percent < MAX_CATCH_UP_PERCENT).then(|| TimeSpan(wait.0 * 100 / idle_percent))
+    }
+}
+
+/// Decides on a job.
+pub fn decide_admission(inputs: &AdmissionInputs) -> AdmissionOutcome {
+    let accept = |reason| AdmissionOutcome { decision: AdmissionDecision::Accept, reason };
+    let reject = |reason| {
+        let retry_after = inputs.time_to_clear.max(TimeSpan(1));
+        AdmissionOutcome { decision: AdmissionDecision::Reject { retry_after }, reason }
+    };
+    let chain = &inputs.chain;
+    let useful = inputs.useful_time();
+    if !inputs.fits_limit {
+        return reject(AdmissionReason::ExceedsLimit);
+    }
+    let Some(wait) = inputs.wait else { return reject(AdmissionReason::TooLate) };
+    let ends_within = |wait: TimeSpan, run: TimeSpan, limit: TimeSpan| wait.0 + run.0 <= limit.0;
+    if ends_within(wait, chain.lower, inputs.time_left()) {
+        return accept(AdmissionReason::InTime);
+    }
+    if wait == TimeSpan(0) && chain.lower <= useful {
+        return accept(AdmissionReason::RoomNow);
+    }
+    let late_wait = inputs.late_wait(wait);
+    if late_wait.is_some_and(|late_wait| ends_within(late_wait, chain.expected, useful)) {
+        return accept(AdmissionReason::StillUseful);
+    }
+    let retry_after = wait.max(inputs.promised_in.unwrap_or_default()).max(TimeSpan(1));
+    let retry_at = TimeSpan(retry_after.0.next_multiple_of(RETRY_STEP.0));
+    if !inputs.is_kept_promise() && ends_within(retry_at, chain.expected, useful) {
+        let decision = AdmissionDecision::Defer { retry_after };
+        return AdmissionOutcome { decision, reason: AdmissionReason::RoomLater };
+    }
+    reject(AdmissionReason::TooLate)
+}
+
 impl Scheduler {
     /// Decides whether a submitted job is accepted. An accepted job counts until
     /// [`Scheduler::add_own_job`] confirms it or [`Scheduler::withdraw_admission`] drops it.
     pub fn admit(&mut self, id: JobId, record: &JobRecord, now: Moment) -> AdmissionDecision {
-        let _ = (id, record, now);
-        AdmissionDecision::Accept
+        let Some(owner) = self.judged_owner(id, record, now) else {
+            return AdmissionDecision::Accept;
+        };
+        self.prepare_backlog(now);
+        self.admissions.ensure_load(owner);
+        let first_sent = self.admissions.first_sent(id).unwrap_or(now);
+        self.admissions.take_promise(id, owner);
+        let job = self.draft_job(id, record, owner, first_sent, now);
+        let groups = self.backlog_groups(&job, |forecast| forecast.expected, now);
+        let inputs = self.admission_inputs(&job, owner, &groups, now);
+        let outcome = match self.take_over.settled {
+            true => decide_admission(&inputs),
+            false => AdmissionOutcome {
+                decision: AdmissionDecision::Accept,
+                reason: AdmissionReason::TakeOver,
+            },
+        };
+        let forget_at = now.after(inputs.useful_time());
+        self.admissions.note_decision(id, owner, groups, outcome, forget_at, now);
+        self.events.push(CellEvent::AdmissionDecided {
+            job: id,
+            organisation: self.organisations.name(owner).clone(),
+            queue: record.queue.clone(),
+            inputs,
+            outcome,
+        });
+        outcome.decision
     }
 
     /// Drops an accepted job whose record did not reach the store.
     pub fn withdraw_admission(&mut self, id: JobId) {
-        let _ = id;
+        self.admissions.withdraw(id);
+    }
+
+    /// Returns the organisation by whose limit a job is judged; none if it is accepted in any case.
+    /// A job that was accepted a moment ago is not judged again.
+    fn judged_owner(
+        &mut self,
+        id: JobId,
+        record: &JobRecord,
+        now: Moment,
+    ) -> Option<OrganisationKey> {
+        let is_endless = record.spec.steps.iter().any(|step| step.long_running);
+        let is_known = self.jobs.contains_key(&id) || self.admissions.is_unrecorded(id);
+        if !self.timing.policy.admission || is_endless || record.spec.repeat.is_some() || is_known {
+            return None;
+        }
+        let owner = self.organisations.key_for_owner(record.owner.as_ref()?, now);
+        self.organisations.is_limited(owner).then_some(owner)
+    }
+
+    /// Returns the state that a job would have if it were accepted.
+    fn draft_job(
+        &self,
+        id: JobId,
+        record: &JobRecord,
+        owner: OrganisationKey,
+        first_sent: Moment,
+        now: Moment,
+    ) -> ActiveJob {
+        let progress = JobProgress::default();
+        let record = Rc::new(record.clone());
+        let mut job = ActiveJob::new(id, record, first_sent, &progress, self.token);
+        job.owner = Some(owner);
+        job.over_share = self.organisations.would_exceed_share(owner, now);
+        job
+    }
+
+    fn admission_inputs(
+        &self,
+        job: &ActiveJob,
+        owner: OrganisationKey,
+        groups: &[BacklogGroup],
+        now: Moment,
+    ) -> AdmissionInputs {
+        let limit = self.organisations.limit(owner);
+        let load = self.admissions.load(owner);
+        let usable = load.usable(limit);
+        let mut inputs = AdmissionInputs {
+            age: now.since(job.accepted),
+            objective: job.record.objective(),
+            chain: self.chain_forecast(job),
+            fits_limit: groups.iter().all(|group| limit.allows(&group.start_need())),
+            wait: None,
+            inflow_percent: self.admissions.inflow_percent(owner, &usable, now),
+            promised_in: self.admissions.promised_in(job.id, now),
+            time_to_clear: load.time_to_clear(limit, now),
+            tasks_ahead: 0,
+            view_age: self.admissions.view_age(now),
+        };
+        let useful = inputs.useful_time();
+        if useful >= inputs.chain.lower {
+            let mut first = self.backlog_groups(job, |forecast| forecast.lower, now);
+            first.retain(|group| group.available_at <= now);
+            let query = StartQuery {
+                groups: &first,
+                limit,
+                stop: self.timing.policy.limit_room.then_some(self.timing.stop),
+                horizon: TimeSpan(useful.0 - inputs.chain.lower.0),
+            };
+            inputs.wait = load.time_to_start(&query, now);
+        }
+        if let Some(group) = groups.first() {
+            let ahead = load.ahead_of(group.rank).iter();
+            inputs.tasks_ahead = ahead.map(|group| group.count as usize).sum();
+        }
+        inputs
     }
 }
--- /dev/null
+++ b/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
@@ -0,0 +1,362 @@
+//! Remembers what admission has decided: jobs accepted but not recorded, retries promised to callers,
+//! and what became of refused and accepted jobs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
+
+use super::admission::{AdmissionDecision, AdmissionOutcome, AdmissionReason};
+use super::backlog::{BacklogGroup, LimitLoad, ResourceWork};
+use super::organisations::OrganisationKey;
+use crate::ids::JobId;
+
+/// How long a promise is kept after the time that its caller was told: it is rounded up to whole
+/// seconds, and a caller may take as long again to send and reach the lead.
+const PROMISE_GRACE: TimeSpan = TimeSpan(2_000);
+/// An accepted job that is neither confirmed nor withdrawn no longer counts after this. An append
+/// whose answer was lost is repeated for 6 s, and a new link or lead may delay its answer further.
+const MAX_UNRECORDED: TimeSpan = TimeSpan(30_000);
+/// The most refused callers that are remembered: twenty seconds of a thousand refusals a second, at
+/// some 200 bytes each.
+const MAX_CALLERS: usize = 20_000;
+/// The time over which the rate of accepted work is averaged, about the length of a usual job.
+const INFLOW_SPAN: TimeSpan = TimeSpan(5_000);
+/// A refusal is compared with the room that becomes free within this time.
+const REFUSAL_CHECK: TimeSpan = TimeSpan(1_000);
+
+/// Figures about admission since this box took the lead.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AdmissionStats {
+    /// Retries that are promised to callers and have not come.
+    pub promised: usize,
+    /// Jobs that are accepted and not recorded yet.
+    pub unrecorded: usize,
+    /// Refusals by reason.
+    pub refused: BTreeMap<AdmissionReason, u64>,
+    /// Jobs that were refused although the limit left unreserved room for them within a second.
+    pub refused_with_room: u64,
+    /// Ended jobs that are subject to admission.
+    pub ended: u64,
+    /// Those that completed too late to be worth anything.
+    pub ended_late: u64,
+    /// Those that failed.
+    pub ended_failed: u64,
+}
+
+/// How a job ended, as far as its value is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndedValue {
+    /// It has a value.
+    Some,
+    /// It completed too late.
+    Late,
+    /// It failed.
+    Failed,
+}
+
+/// A job that is accepted and not recorded yet.
+#[derive(Debug)]
+struct UnrecordedJob {
+    owner: OrganisationKey,
+    groups: Vec<BacklogGroup>,
+    /// When its caller first sent it; none if that was not before it was accepted.
+    first_sent: Option<Moment>,
+    accepted: Moment,
+}
+
+/// A caller whose job was refused.
+#[derive(Debug)]
+struct RefusedCaller {
+    first_sent: Moment,
+    /// When the job is worth nothing any more.
+    forget_at: Moment,
+    promise: Option<RetryPromise>,
+    /// The time that the caller was told with its newest deferral.
+    retry_at: Option<Moment>,
+}
+
+/// Capacity that is promised to a caller's retry.
+#[derive(Debug)]
+struct RetryPromise {
+    owner: OrganisationKey,
+    groups: Vec<BacklogGroup>,
+}
+
+/// A refusal that is compared with the room of the next second.
+#[derive(Debug)]
+struct WatchedRefusal {
+    owner: OrganisationKey,
+    need: ResourceSet,
+    until: Moment,
+}
+
+/// The rate of accepted work, averaged with weights that decay over [`INFLOW_SPAN`].
+#[derive(Debug, Clone, Copy)]
+struct WorkRate {
+    sum: ResourceWork,
+    at: Moment,
+}
+
+impl WorkRate {
+    fn sum_at(&self, now: Moment) -> ResourceWork {
+        let spans = now.since(self.at).0 as f64 / INFLOW_SPAN.0 as f64;
+        self.sum.times((-spans).exp())
+    }
+}
+
+/// What admission remembers. None of it outlives the lead.
+#[derive(Debug, Default)]
+pub struct AdmissionLedger {
+    /// The load of each organisation with a limit, as of `viewed_at` and with what was admitted since.
+    loads: BTreeMap<OrganisationKey, LimitLoad>,
+    viewed_at: Option<Moment>,
+    /// When a job was last decided on.
+    asked_at: Option<Moment>,
+    unrecorded: BTreeMap<JobId, UnrecordedJob>,
+    callers: BTreeMap<JobId, RefusedCaller>,
+    inflows: BTreeMap<OrganisationKey, WorkRate>,
+    watched: Vec<WatchedRefusal>,
+    /// Jobs whose end is counted and that are still known.
+    counted: BTreeSet<JobId>,
+    stats: AdmissionStats,
+}
+
+impl AdmissionLedger {
+    /// Replaces the loads by those of jobs and runs as of `now`, and adds what is promised and what is
+    /// accepted but not recorded.
+    pub fn set_loads(&mut self, loads: BTreeMap<OrganisationKey, LimitLoad>, now: Moment) {
+        self.expire(now);
+        self.loads = loads;
+        self.viewed_at = Some(now);
+        let mut added: BTreeMap<OrganisationKey, Vec<BacklogGroup>> = BTreeMap::new();
+        for job in self.unrecorded.values() {
+            added.entry(job.owner).or_default().extend(&job.groups);
+        }
+        for promise in self.callers.values().filter_map(|caller| caller.promise.as_ref()) {
+            added.entry(promise.owner).or_default().extend(&promise.groups);
+        }
+        for (owner, groups) in added {
+            self.loads.entry(owner).or_default().extend_waiting(groups);
+        }
+    }
+
+    /// Drops what is no longer waited for.
+    fn expire(&mut self, now: Moment) {
+        self.unrecorded.retain(|_, job| now < job.accepted.after(MAX_UNRECORDED));
+        self.callers.retain(|_, caller| now < caller.forget_at);
+        for caller in self.callers.values_mut() {
+            if caller.retry_at.is_none_or(|at| now >= at.after(PROMISE_GRACE)) {
+                caller.promise = None;
+            }
+        }
+    }
+
+    /// The age of the view of jobs and runs.
+    pub fn view_age(&self, now: Moment) -> TimeSpan {
+        self.viewed_at.map_or(TimeSpan(0), |at| now.since(at))
+    }
+
+    /// Whether the view is older than `span`, or there is none.
+    pub fn is_view_older(&self, span: TimeSpan, now: Moment) -> bool {
+        self.viewed_at.is_none_or(|at| now.since(at) > span)
+    }
+
+    /// Notes that a decision is wanted.
+    pub fn note_asked(&mut self, now: Moment) {
+        self.asked_at = Some(now);
+    }
+
+    /// Whether a decision was wanted within `span`.
+    pub fn was_asked_within(&self, span: TimeSpan, now: Moment) -> bool {
+        self.asked_at.is_some_and(|at| now.since(at) <= span)
+    }
+
+    /// Adds an organisation that had no job when the view was made.
+    pub fn ensure_load(&mut self, owner: OrganisationKey) {
+        self.loads.entry(owner).or_default();
+    }
+
+    /// Returns the load of an organisation that [`AdmissionLedger::ensure_load`] was called for.
+    pub fn load(&self, owner: OrganisationKey) -> &LimitLoad {
+        self.loads.get(&owner).expect("the load of the organisation was added before")
+    }
+
+    /// Returns when a caller first sent a job that was refused.
+    pub fn first_sent(&self, id: JobId) -> Option<Moment> {
+        self.callers.get(&id).map(|caller| caller.first_sent)
+    }
+
+    /// Returns the time until a deferred caller was told to retry.
+    pub fn promised_in(&self, id: JobId, now: Moment) -> Option<TimeSpan> {
+        self.callers.get(&id)?.retry_at.map(|at| at.since(now))
+    }
+
+    /// Removes the promise of a job that is about to be decided on, so that it does not wait for
+    /// itself.
+    pub fn take_promise(&mut self, id: JobId, owner: OrganisationKey) {
+        let promise = self.callers.get_mut(&id).and_then(|caller| caller.promise.take());
+        if promise.is_some()
+            && let Some(load) = self.loads.get_mut(&owner)
+        {
+            load.remove_waiting(id);
+        }
+    }
+
+    /// Whether a job is accepted and not recorded yet.
+    pub fn is_unrecorded(&self, id: JobId) -> bool {
+        self.unrecorded.contains_key(&id)
+    }
+
+    /// Returns the share of an organisation's capacity that recently accepted work takes, in percent.
+    pub fn inflow_percent(
+        &self,
+        owner: OrganisationKey,
+        capacity: &ResourceSet,
+        now: Moment,
+    ) -> u64 {
+        let Some(rate) = self.inflows.get(&owner) else { return 0 };
+        let share = rate.sum_at(now).millis_on(capacity) / INFLOW_SPAN.0 as f64;
+        (share * 100.0) as u64
+    }
+
+    /// Notes a decision and counts the job as its outcome says. A refused caller is forgotten at
+    /// `forget_at`.
+    pub fn note_decision(
+        &mut self,
+        id: JobId,
+        owner: OrganisationKey,
+        groups: Vec<BacklogGroup>,
+        outcome: AdmissionOutcome,
+        forget_at: Moment,
+        now: Moment,
+    ) {
+        let earlier = self.callers.remove(&id).map(|caller| caller.first_sent);
+        match outcome.decision {
+            AdmissionDecision::Accept => {
+                self.count_inflow(owner, &groups, now);
+                self.add_waiting(owner, &groups);
+                let job = UnrecordedJob { owner, groups, first_sent: earlier, accepted: now };
+                self.unrecorded.insert(id, job);
+            }
+            AdmissionDecision::Defer { retry_after } => {
+                self.note_refusal(owner, &groups, outcome.reason, now);
+                let retry_at = Some(now.after(retry_after));
+                let first_sent = earlier.unwrap_or(now);
+                // A promise that cannot be remembered takes no capacity.
+                if self.callers.len() < MAX_CALLERS {
+                    self.add_waiting(owner, &groups);
+                    let promise = Some(RetryPromise { owner, groups });
+                    let caller = RefusedCaller { first_sent, forget_at, promise, retry_at };
+                    self.callers.insert(id, caller);
+                }
+            }
+            AdmissionDecision::Reject { .. } => {
+                self.note_refusal(owner, &groups, outcome.reason, now);
+                let first_sent = earlier.unwrap_or(now);
+                if self.callers.len() < MAX_CALLERS {
+                    let caller =
+                        RefusedCaller { first_sent, forget_at, promise: None, retry_at: None };
+                    self.callers.insert(id, caller);
+                }
+            }
+        }
+    }
+
+    fn add_waiting(&mut self, owner: OrganisationKey, groups: &[BacklogGroup]) {
+        let load = self.loads.entry(owner).or_default();
+        groups.iter().for_each(|group| load.add_waiting(*group));
+    }
+
+    fn count_inflow(&mut self, owner: OrganisationKey, groups: &[BacklogGroup], now: Moment) {
+        let none = WorkRate { sum: ResourceWork::default(), at: now };
+        let rate = self.inflows.entry(owner).or_insert(none);
+        let work = groups.iter().map(BacklogGroup::work);
+        let sum = work.fold(rate.sum_at(now), |sum, work| sum.plus(&work));
+        *rate = WorkRate { sum, at: now };
+    }
+
+    fn note_refusal(
+        &mut self,
+        owner: OrganisationKey,
+        groups: &[BacklogGroup],
+        reason: AdmissionReason,
+        now: Moment,
+    ) {
+        *self.stats.refused.entry(reason).or_default() += 1;
+        if let Some(group) = groups.first() {
+            let need = group.need.times(group.count);
+            self.watched.push(WatchedRefusal { owner, need, until: now.after(REFUSAL_CHECK) });
+        }
+    }
+
+    /// Counts refused jobs whose first step fits into the room that is free now, as `room` returns it
+    /// for an organisation.
+    pub fn check_refusals(&mut self, room: impl Fn(OrganisationKey) -> ResourceSet, now: Moment) {
+        if self.watched.is_empty() {
+            return;
+        }
+        let mut accepted: BTreeMap<OrganisationKey, ResourceSet> = BTreeMap::new();
+        for job in self.unrecorded.values() {
+            let need = accepted.entry(job.owner).or_default();
+            *need = job
+                .groups
+                .iter()
+                .fold(*need, |sum, group| sum.plus(&group.need.times(group.count)));
+        }
+        let free = |owner| {
+            room(owner).saturating_minus(&accepted.get(&owner).copied().unwrap_or_default())
+        };
+        let with_room =
+            self.watched.extract_if(.., |refusal| free(refusal.owner).fits(&refusal.need));
+        self.stats.refused_with_room += with_room.count() as u64;
+        self.watched.retain(|refusal| now < refusal.until);
+    }
+
+    /// Notes that an accepted job is recorded. Returns when its caller first sent it, if that was
+    /// before it was accepted.
+    pub fn confirm(&mut self, id: JobId) -> Option<Moment> {
+        self.unrecorded.remove(&id)?.first_sent
+    }
+
+    /// Drops an accepted job that is not recorded.
+    pub fn withdraw(&mut self, id: JobId) {
+        let Some(job) = self.unrecorded.remove(&id) else { return };
+        if let Some(load) = self.loads.get_mut(&job.owner) {
+            load.remove_waiting(id);
+        }
+        if let Some(rate) = self.inflows.get_mut(&job.owner) {
+            let work = job.groups.iter().map(BacklogGroup::work);
+            let taken_back = work.fold(ResourceWork::default(), |sum, work| sum.plus(&work));
+            let spans = rate.at.since(job.accepted).0 as f64 / INFLOW_SPAN.0 as f64;
+            rate.sum = rate.sum.plus(&taken_back.times(-(-spans).exp()));
+        }
+    }
+
+    /// Counts the end of a job, once.
+    pub fn count_ended(&mut self, id: JobId, value: EndedValue) {
+        if !self.counted.insert(id) {
+            return;
+        }
+        self.stats.ended += 1;
+        match value {
+            EndedValue::Some => {}
+            EndedValue::Late => self.stats.ended_late += 1,
+            EndedValue::Failed => self.stats.ended_failed += 1,
+        }
+    }
+
+    /// Forgets counted ends of jobs that are no longer known.
+    pub fn forget_ended(&mut self, is_known: impl Fn(&JobId) -> bool) {
+        self.counted.retain(is_known);
+    }
+
+    /// Returns the figures.
+    pub fn stats(&self) -> AdmissionStats {
+        let promises = self.callers.values().filter(|caller| caller.promise.is_some());
+        AdmissionStats {
+            promised: promises.count(),
+            unrecorded: self.unrecorded.len(),
+            ..self.stats.clone()
+        }
+    }
+}
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -4,12 +4,14 @@
 
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
+use super::admission::{AdmissionInputs, AdmissionOutcome};
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
 use super::restart::RestartCause;
 use super::stall::{StallDetails, StallReason};
 use super::suspects::CrashDetection;
 use crate::ids::{
-    CellTask, FencingToken, JobId, LifeStart, OrganisationName, RunNumber, StepId, WorkerLife,
+    CellTask, FencingToken, JobId, LifeStart, OrganisationName, QueueName, RunNumber, StepId,
+    WorkerLife,
 };
 use crate::organisation::ResourceLimit;
 use crate::progress::JobState;
@@ -354,6 +356,19 @@
         /// Time since the store began to refuse earlier leads.
         after: TimeSpan,
     },
+    /// A submitted job of an organisation with a limit was accepted or refused.
+    AdmissionDecided {
+        /// The job.
+        job: JobId,
+        /// Its organisation.
+        organisation: OrganisationName,
+        /// Its queue.
+        queue: QueueName,
+        /// What the decision was made from.
+        inputs: AdmissionInputs,
+        /// The decision with its reason.
+        outcome: AdmissionOutcome,
+    },
 }
 
 /// What settled whether an earlier lead's runs of a job still exist.
--- a/crates/sedgehill-cell/src/scheduler/forecast.rs
+++ b/crates/sedgehill-cell/src/scheduler/forecast.rs
@@ -58,7 +58,6 @@
         }
     }
 
-    #[allow(dead_code)]
     /// Returns how much longer a run is expected to take; none if it has no end or its expected
     /// time is not known.
     pub(super) fn remaining_time(&self, run: &WorkerRun, now: Moment) -> Option<TimeSpan> {
@@ -81,16 +80,20 @@
         let runs = self.workers.iter().flat_map(|worker| worker.runs.values());
         let owned = runs.filter(|run| owner.is_none() || run.owner == owner);
         let end = |run: &WorkerRun| {
-            let at = match run.phase {
-                RunPhase::Stopping(_) | RunPhase::Stopped => now.after(self.timing.stop),
-                RunPhase::Recording | RunPhase::Ordered | RunPhase::Confirmed => {
-                    now.after(self.remaining_time(run, now)?)
-                }
-            };
-            Some(ExpectedEnd { need: run.need?, at })
+            Some(ExpectedEnd { need: run.need?, at: self.expected_end(run, now)? })
         };
         let mut ends: Vec<ExpectedEnd> = owned.filter_map(end).collect();
         ends.sort_by_key(|end| end.at);
         ends
     }
+
+    /// Returns when a run is expected to release its resources; none if that is not known.
+    pub(super) fn expected_end(&self, run: &WorkerRun, now: Moment) -> Option<Moment> {
+        match run.phase {
+            RunPhase::Stopping(_) | RunPhase::Stopped => Some(now.after(self.timing.stop)),
+            RunPhase::Recording | RunPhase::Ordered | RunPhase::Confirmed => {
+                Some(now.after(self.remaining_time(run, now)?))
+            }
+        }
+    }
 }
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -12,10 +12,13 @@
 
 mod active_job;
 mod admission;
+mod admission_ledger;
 mod advice;
 mod advice_dispatch;
 mod answers;
 mod background_crashes;
+mod backlog;
+mod backlog_view;
 mod call_loss;
 mod diagnostics;
 mod displacement;
@@ -54,15 +57,23 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use self::active_job::{ActiveJob, ActiveTask, StartFlag, TaskPhase};
-pub use self::admission::AdmissionDecision;
+pub use self::admission::{
+    AdmissionDecision, AdmissionInputs, AdmissionOutcome, AdmissionReason, decide_admission,
+};
+use self::admission_ledger::AdmissionLedger;
+pub use self::admission_ledger::AdmissionStats;
 pub use self::advice::AllowedShare;
 pub use self::advice_dispatch::AdviceDispatcher;
 use self::background_crashes::BackgroundCrashes;
+pub use self::backlog::{
+    BacklogGroup, BacklogRank, CountedRun, LimitLoad, ResourceWork, StartQuery,
+};
 use self::call_loss::CallLossRate;
 pub use self::diagnostics::TakeOverStatus;
 pub use self::emptied_halls::HallStats;
 use self::emptied_halls::HallView;
 pub use self::event::*;
+pub use self::forecast::RunForecast;
 pub use self::message::*;
 pub use self::organisations::{OrganisationKey, OrganisationStats, OrganisationTable};
 use self::pace::FactorAverage;
@@ -129,6 +140,7 @@
     estimates: HashMap<QueueName, FactorAverage>,
     call_losses: CallLossRate,
     organisations: OrganisationTable,
+    admissions: AdmissionLedger,
     take_over: TakeOver,
     /// When the list of workers was last read from the store; none if it never was.
     workers_listed_at: Option<Moment>,
@@ -199,6 +211,7 @@
             estimates: HashMap::new(),
             call_losses: CallLossRate::default(),
             organisations: OrganisationTable::default(),
+            admissions: AdmissionLedger::default(),
             take_over: TakeOver {
                 since: now,
                 predecessor,
@@ -302,6 +315,7 @@
         age: TimeSpan,
         now: Moment,
     ) {
+        self.admissions.confirm(id);
         if progress.state.is_final() || self.jobs.contains_key(&id) {
             return;
         }
@@ -335,8 +349,9 @@
     /// its state is kept: a copy of a job that an earlier lead began must not make it new, or its
     /// tasks would start beside those that already run.
     pub fn add_own_job(&mut self, id: JobId, record: Rc<JobRecord>, now: Moment) {
+        let accepted = self.admissions.confirm(id).unwrap_or(now);
         let job = self.jobs.entry(id).or_insert_with(|| {
-            ActiveJob::new(id, record, now, &JobProgress::default(), self.token)
+            ActiveJob::new(id, record, accepted, &JobProgress::default(), self.token)
         });
         job.start_flag = StartFlag::Recorded;
         job.led_elsewhere = false;
@@ -381,6 +396,7 @@
         let state = job.state;
         if job.placed().is_empty() {
             self.events.push(CellEvent::JobEnded { job: id, state, after });
+            self.note_ended_value(id, after);
         }
     }
 
@@ -424,6 +440,7 @@
             self.place_all(now);
         }
         self.report_late_restarts(now);
+        self.update_admissions(now);
     }
 
     /// Orders a run to be stopped, unless that has been done. A start that was not sent is
--- a/crates/sedgehill-cell/src/scheduler/organisations.rs
+++ b/crates/sedgehill-cell/src/scheduler/organisations.rs
@@ -143,6 +143,39 @@
         account.weight.0 > 0 && !account.share_bucket.take(account.weight, now)
     }
 
+    /// Whether a job accepted at `now` would exceed its organisation's share. Counts nothing.
+    pub fn would_exceed_share(&self, key: OrganisationKey, now: Moment) -> bool {
+        let account = &self.accounts[key.0];
+        let mut bucket = account.share_bucket;
+        account.weight.0 > 0 && !bucket.take(account.weight, now)
+    }
+
+    /// Returns the name of an organisation.
+    pub fn name(&self, key: OrganisationKey) -> &OrganisationName {
+        &self.accounts[key.0].name
+    }
+
+    /// Whether an organisation has a limit in some dimension.
+    pub fn is_limited(&self, key: OrganisationKey) -> bool {
+        self.accounts[key.0].limit != ResourceLimit::default()
+    }
+
+    /// Returns the limit of an organisation.
+    pub fn limit(&self, key: OrganisationKey) -> &ResourceLimit {
+        &self.accounts[key.0].limit
+    }
+
+    /// Returns what counts against the limit of an organisation, without reservations.
+    pub fn occupied(&self, key: OrganisationKey) -> ResourceSet {
+        let account = &self.accounts[key.0];
+        account.running.plus(&account.unconfirmed)
+    }
+
+    /// Returns the room under the limit of an organisation that no waiting step has reserved.
+    pub fn unreserved_room(&self, key: OrganisationKey) -> ResourceSet {
+        self.accounts[key.0].room()
+    }
+
     fn take(&mut self, run: &WorkerRun) {
         let (Some(key), Some(need)) = (run.owner, run.need) else { return };
         let account = &mut self.accounts[key.0];
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -6,7 +6,7 @@
 use super::policy::CellPolicy;
 
 /// A late job still has a part of its value until this many times its objective.
-const LATE_FACTOR: u64 = 3;
+pub const LATE_FACTOR: u64 = 3;
 
 /// A job that could start this much later and still meet its objective leaves room to jobs that
 /// could not, including late jobs with remaining value.
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions of one cell.
 
+mod admission;
+mod admission_loads;
 mod advice;
 mod authority;
 mod cancelled;
