cell, daemon: admission by own late wait, its log line and metrics; tests under load

Change: late work waits behind everything, by the share that newly accepted work takes; work of more urgent queues that keeps arriving stretches waits; equal ranks count as ahead. CellEvent::AdmissionDecided, log line, gauges.

--- a/crates/sedgehill-cell/src/scheduler/admission.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission.rs
@@ -10,6 +10,7 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::active_job::ActiveJob;
+use super::admission_ledger::InflowShare;
 use super::backlog::{BacklogGroup, StartQuery};
 use super::forecast::RunForecast;
 use super::organisations::OrganisationKey;
@@ -18,9 +19,9 @@
 
 /// Callers are told the time to a retry in whole seconds, rounded up.
 const RETRY_STEP: TimeSpan = TimeSpan(1_000);
-/// A late job ranks after the work that is accepted later and can still end in time. From this share
-/// of the limit on, taken by newly accepted work, it is not expected to get its turn.
-const MAX_CATCH_UP_PERCENT: u64 = 95;
+/// From this share of the limit on, taken by work that goes first, a job is not expected to get its
+/// turn: what is left does not exceed the error of the forecast.
+const MAX_INFLOW_PERCENT: u64 = 95;
 
 /// What becomes of a submitted job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,11 +118,16 @@
     pub chain: RunForecast,
     /// Whether the limit allows all its tasks to run at some time.
     pub fits_limit: bool,
-    /// The time until its first tasks can start behind the backlog that ranks before it; none if that
-    /// is not within its useful time.
+    /// The time until its first tasks can start behind the accepted work that ranks before it; none if
+    /// that is not within its useful time.
     pub wait: Option<TimeSpan>,
-    /// The share of the limit that newly accepted work has taken lately.
-    pub inflow_percent: u64,
+    /// The share of the limit that newly accepted work of more urgent queues takes.
+    pub urgent: InflowShare,
+    /// The time until they can start behind everything that is accepted or promised, as placement
+    /// ranks late work; none if that is not within its useful time.
+    pub late_wait: Option<TimeSpan>,
+    /// The share of the limit that all newly accepted work takes.
+    pub inflow: InflowShare,
     /// For a job that was deferred before, the time left until its caller was told to retry; zero
     /// once that has passed.
     pub promised_in: Option<TimeSpan>,
@@ -148,50 +154,60 @@
     fn is_kept_promise(&self) -> bool {
         self.promised_in == Some(TimeSpan(0))
     }
+}
 
-    /// Returns how long the job waits once it is late, when newly accepted work goes first; none if
-    /// that leaves no room to catch up. The room promised to a caller that came back as told was
-    /// counted in the decisions on later jobs.
-    fn late_wait(&self, wait: TimeSpan) -> Option<TimeSpan> {
-        if self.is_kept_promise() {
-            return Some(wait);
-        }
-        let idle_percent = 100_u64.saturating_sub(self.inflow_percent);
-        (self.inflow_percent < MAX_CATCH_UP_PERCENT).then(|| TimeSpan(wait.0 * 100 / idle_percent))
+/// Returns how long a job waits if a share of the capacity goes to work that arrives after it and is
+/// started first; none if that leaves nothing.
+fn stretched(wait: Option<TimeSpan>, inflow_percent: u64) -> Option<TimeSpan> {
+    let wait = wait?;
+    match inflow_percent {
+        _ if wait == TimeSpan(0) => Some(wait),
+        MAX_INFLOW_PERCENT.. => None,
+        percent => Some(TimeSpan(wait.0 * 100 / (100 - percent))),
     }
 }
 
 /// Decides on a job.
 pub fn decide_admission(inputs: &AdmissionInputs) -> AdmissionOutcome {
-    let accept = |reason| AdmissionOutcome { decision: AdmissionDecision::Accept, reason };
+    let outcome = |decision, reason| AdmissionOutcome { decision, reason };
+    let accept = |reason| outcome(AdmissionDecision::Accept, reason);
     let reject = |reason| {
         let retry_after = inputs.time_to_clear.max(TimeSpan(1));
-        AdmissionOutcome { decision: AdmissionDecision::Reject { retry_after }, reason }
+        outcome(AdmissionDecision::Reject { retry_after }, reason)
     };
-    let chain = &inputs.chain;
-    let useful = inputs.useful_time();
     if !inputs.fits_limit {
         return reject(AdmissionReason::ExceedsLimit);
     }
-    let Some(wait) = inputs.wait else { return reject(AdmissionReason::TooLate) };
-    let ends_within = |wait: TimeSpan, run: TimeSpan, limit: TimeSpan| wait.0 + run.0 <= limit.0;
+    let ends_within = |wait: Option<TimeSpan>, run: TimeSpan, limit: TimeSpan| {
+        wait.is_some_and(|wait| wait.0 + run.0 <= limit.0)
+    };
+    let (chain, useful) = (&inputs.chain, inputs.useful_time());
+    let wait = stretched(inputs.wait, inputs.urgent.lower);
     if ends_within(wait, chain.lower, inputs.time_left()) {
         return accept(AdmissionReason::InTime);
     }
-    if wait == TimeSpan(0) && chain.lower <= useful {
+    if inputs.late_wait == Some(TimeSpan(0)) && chain.lower <= useful {
         return accept(AdmissionReason::RoomNow);
     }
-    let late_wait = inputs.late_wait(wait);
-    if late_wait.is_some_and(|late_wait| ends_within(late_wait, chain.expected, useful)) {
+    // The room of a caller that comes back as told was promised by the lower share.
+    let inflow_percent = match inputs.is_kept_promise() {
+        true => inputs.inflow.lower,
+        false => inputs.inflow.upper,
+    };
+    let late_wait = stretched(inputs.late_wait, inflow_percent);
+    if ends_within(late_wait, chain.expected, useful) {
         return accept(AdmissionReason::StillUseful);
     }
-    let retry_after = wait.max(inputs.promised_in.unwrap_or_default()).max(TimeSpan(1));
+    let room_after = stretched(inputs.late_wait, inputs.inflow.lower);
+    let Some(room_after) = room_after.filter(|_| !inputs.is_kept_promise()) else {
+        return reject(AdmissionReason::TooLate);
+    };
+    let retry_after = room_after.max(inputs.promised_in.unwrap_or_default()).max(TimeSpan(1));
     let retry_at = TimeSpan(retry_after.0.next_multiple_of(RETRY_STEP.0));
-    if !inputs.is_kept_promise() && ends_within(retry_at, chain.expected, useful) {
-        let decision = AdmissionDecision::Defer { retry_after };
-        return AdmissionOutcome { decision, reason: AdmissionReason::RoomLater };
+    match ends_within(Some(retry_at), chain.expected, useful) {
+        true => outcome(AdmissionDecision::Defer { retry_after }, AdmissionReason::RoomLater),
+        false => reject(AdmissionReason::TooLate),
     }
-    reject(AdmissionReason::TooLate)
 }
 
 impl Scheduler {
@@ -282,7 +298,9 @@
             chain: self.chain_forecast(job),
             fits_limit: groups.iter().all(|group| limit.allows(&group.start_need())),
             wait: None,
-            inflow_percent: self.admissions.inflow_percent(owner, &usable, now),
+            urgent: self.admissions.inflow(owner, job.record.policy.priority, &usable, now),
+            late_wait: None,
+            inflow: self.admissions.inflow(owner, u32::MAX, &usable, now),
             promised_in: self.admissions.promised_in(job.id, now),
             time_to_clear: load.time_to_clear(limit, now),
             tasks_ahead: 0,
@@ -299,6 +317,7 @@
                 horizon: TimeSpan(useful.0 - inputs.chain.lower.0),
             };
             inputs.wait = load.time_to_start(&query, now);
+            inputs.late_wait = load.time_to_start_last(&query, now);
         }
         if let Some(group) = groups.first() {
             let ahead = load.ahead_of(group.rank).iter();
--- a/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
@@ -19,8 +19,10 @@
 /// The most refused callers that are remembered: twenty seconds of a thousand refusals a second, at
 /// some 200 bytes each.
 const MAX_CALLERS: usize = 20_000;
-/// The time over which the rate of accepted work is averaged, about the length of a usual job.
-const INFLOW_SPAN: TimeSpan = TimeSpan(5_000);
+/// The times over which the rate of accepted work is averaged: the length of a short job with its
+/// wait, and of a long one. After a burst the first is soon low again, and as a lasting load begins
+/// the second is still low.
+const INFLOW_SPANS: [TimeSpan; 2] = [TimeSpan(2_000), TimeSpan(6_000)];
 /// A refusal is compared with the room that becomes free within this time.
 const REFUSAL_CHECK: TimeSpan = TimeSpan(1_000);
 
@@ -62,6 +64,8 @@
     /// When its caller first sent it; none if that was not before it was accepted.
     first_sent: Option<Moment>,
     accepted: Moment,
+    /// Whether it was accepted since it can meet its objective.
+    in_time: bool,
 }
 
 /// A caller whose job was refused.
@@ -90,18 +94,57 @@
     until: Moment,
 }
 
-/// The rate of accepted work, averaged with weights that decay over [`INFLOW_SPAN`].
-#[derive(Debug, Clone, Copy)]
+/// The rates of work accepted to end in time, averaged with weights that decay over [`INFLOW_SPANS`].
+#[derive(Debug, Clone, Copy, Default)]
 struct WorkRate {
-    sum: ResourceWork,
+    sums: [ResourceWork; 2],
     at: Moment,
 }
 
 impl WorkRate {
-    fn sum_at(&self, now: Moment) -> ResourceWork {
-        let spans = now.since(self.at).0 as f64 / INFLOW_SPAN.0 as f64;
-        self.sum.times((-spans).exp())
+    fn at(&self, now: Moment) -> WorkRate {
+        let decayed = |number: usize| {
+            let spans = now.since(self.at).0 as f64 / INFLOW_SPANS[number].0 as f64;
+            self.sums[number].times((-spans).exp())
+        };
+        WorkRate { sums: [decayed(0), decayed(1)], at: now }
+    }
+
+    fn plus(&self, other: &WorkRate) -> WorkRate {
+        let sum = |number: usize| self.sums[number].plus(&other.sums[number]);
+        WorkRate { sums: [sum(0), sum(1)], at: self.at }
+    }
+
+    /// Returns the rates without those of tasks that still wait.
+    fn without<'a>(
+        &self,
+        waiting: impl Iterator<Item = &'a BacklogGroup>,
+        now: Moment,
+    ) -> WorkRate {
+        let counted = |group: &BacklogGroup| {
+            WorkRate { sums: [group.work().times(-1.0); 2], at: group.accepted }.at(now)
+        };
+        waiting.fold(*self, |sum, group| sum.plus(&counted(group)))
     }
+
+    /// Returns the share of a capacity that the work takes, in percent, by each average.
+    fn percent_of(&self, capacity: &ResourceSet) -> [u64; 2] {
+        [0, 1].map(|number| {
+            let millis = self.sums[number].millis_on(capacity);
+            (100.0 * millis / INFLOW_SPANS[number].0 as f64) as u64
+        })
+    }
+}
+
+/// The share of an organisation's limit that is taken by work that was newly accepted to end in time,
+/// in percent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct InflowShare {
+    /// The share that it surely takes beside what waits: the lower one of a short and a long average
+    /// over the work that has started.
+    pub lower: u64,
+    /// The share that it may take: the higher average over all accepted work. It may exceed 100.
+    pub upper: u64,
 }
 
 /// What admission remembers. None of it outlives the lead.
@@ -114,7 +157,8 @@
     asked_at: Option<Moment>,
     unrecorded: BTreeMap<JobId, UnrecordedJob>,
     callers: BTreeMap<JobId, RefusedCaller>,
-    inflows: BTreeMap<OrganisationKey, WorkRate>,
+    /// The work accepted to end in time of each organisation and priority.
+    inflows: BTreeMap<(OrganisationKey, u32), WorkRate>,
     watched: Vec<WatchedRefusal>,
     /// Jobs whose end is counted and that are still known.
     counted: BTreeSet<JobId>,
@@ -133,7 +177,8 @@
             added.entry(job.owner).or_default().extend(&job.groups);
         }
         for promise in self.callers.values().filter_map(|caller| caller.promise.as_ref()) {
-            added.entry(promise.owner).or_default().extend(&promise.groups);
+            let load = self.loads.entry(promise.owner).or_default();
+            promise.groups.iter().for_each(|group| load.add_promised(*group));
         }
         for (owner, groups) in added {
             self.loads.entry(owner).or_default().extend_waiting(groups);
@@ -198,7 +243,7 @@
         if promise.is_some()
             && let Some(load) = self.loads.get_mut(&owner)
         {
-            load.remove_waiting(id);
+            load.remove(id);
         }
     }
 
@@ -207,16 +252,23 @@
         self.unrecorded.contains_key(&id)
     }
 
-    /// Returns the share of an organisation's capacity that recently accepted work takes, in percent.
-    pub fn inflow_percent(
+    /// Returns the share of an organisation's capacity that recently accepted work of queues before
+    /// `priority` takes.
+    pub fn inflow(
         &self,
         owner: OrganisationKey,
+        priority: u32,
         capacity: &ResourceSet,
         now: Moment,
-    ) -> u64 {
-        let Some(rate) = self.inflows.get(&owner) else { return 0 };
-        let share = rate.sum_at(now).millis_on(capacity) / INFLOW_SPAN.0 as f64;
-        (share * 100.0) as u64
+    ) -> InflowShare {
+        let rates = self.inflows.range((owner, 0)..(owner, priority));
+        let none = WorkRate { at: now, ..WorkRate::default() };
+        let rate = rates.fold(none, |sum, (_, rate)| sum.plus(&rate.at(now)));
+        let waiting = self.load(owner).waiting().iter();
+        let waiting = waiting.filter(|group| group.rank.priority < priority);
+        let started = rate.without(waiting, now).percent_of(capacity);
+        let accepted = rate.percent_of(capacity);
+        InflowShare { lower: started[0].min(started[1]), upper: accepted[0].max(accepted[1]) }
     }
 
     /// Notes a decision and counts the job as its outcome says. A refused caller is forgotten at
@@ -233,9 +285,15 @@
         let earlier = self.callers.remove(&id).map(|caller| caller.first_sent);
         match outcome.decision {
             AdmissionDecision::Accept => {
-                self.count_inflow(owner, &groups, now);
-                self.add_waiting(owner, &groups);
-                let job = UnrecordedJob { owner, groups, first_sent: earlier, accepted: now };
+                // Placement ranks late work last, so it takes no room from other late work's wait.
+                let in_time = outcome.reason == AdmissionReason::InTime;
+                if in_time {
+                    self.count_inflow(owner, &groups, now);
+                }
+                let load = self.loads.entry(owner).or_default();
+                groups.iter().for_each(|group| load.add_waiting(*group));
+                let first_sent = earlier;
+                let job = UnrecordedJob { owner, groups, first_sent, accepted: now, in_time };
                 self.unrecorded.insert(id, job);
             }
             AdmissionDecision::Defer { retry_after } => {
@@ -244,7 +302,8 @@
                 let first_sent = earlier.unwrap_or(now);
                 // A promise that cannot be remembered takes no capacity.
                 if self.callers.len() < MAX_CALLERS {
-                    self.add_waiting(owner, &groups);
+                    let load = self.loads.entry(owner).or_default();
+                    groups.iter().for_each(|group| load.add_promised(*group));
                     let promise = Some(RetryPromise { owner, groups });
                     let caller = RefusedCaller { first_sent, forget_at, promise, retry_at };
                     self.callers.insert(id, caller);
@@ -262,17 +321,11 @@
         }
     }
 
-    fn add_waiting(&mut self, owner: OrganisationKey, groups: &[BacklogGroup]) {
-        let load = self.loads.entry(owner).or_default();
-        groups.iter().for_each(|group| load.add_waiting(*group));
-    }
-
     fn count_inflow(&mut self, owner: OrganisationKey, groups: &[BacklogGroup], now: Moment) {
-        let none = WorkRate { sum: ResourceWork::default(), at: now };
-        let rate = self.inflows.entry(owner).or_insert(none);
-        let work = groups.iter().map(BacklogGroup::work);
-        let sum = work.fold(rate.sum_at(now), |sum, work| sum.plus(&work));
-        *rate = WorkRate { sum, at: now };
+        for group in groups {
+            let rate = self.inflows.entry((owner, group.rank.priority)).or_default();
+            *rate = rate.at(now).plus(&WorkRate { sums: [group.work(); 2], at: now });
+        }
     }
 
     fn note_refusal(
@@ -322,13 +375,14 @@
     pub fn withdraw(&mut self, id: JobId) {
         let Some(job) = self.unrecorded.remove(&id) else { return };
         if let Some(load) = self.loads.get_mut(&job.owner) {
-            load.remove_waiting(id);
+            load.remove(id);
         }
-        if let Some(rate) = self.inflows.get_mut(&job.owner) {
-            let work = job.groups.iter().map(BacklogGroup::work);
-            let taken_back = work.fold(ResourceWork::default(), |sum, work| sum.plus(&work));
-            let spans = rate.at.since(job.accepted).0 as f64 / INFLOW_SPAN.0 as f64;
-            rate.sum = rate.sum.plus(&taken_back.times(-(-spans).exp()));
+        for group in job.groups.iter().filter(|_| job.in_time) {
+            let Some(rate) = self.inflows.get_mut(&(job.owner, group.rank.priority)) else {
+                continue;
+            };
+            let counted = WorkRate { sums: [group.work().times(-1.0); 2], at: job.accepted };
+            *rate = rate.plus(&counted.at(rate.at));
         }
     }
 
--- a/crates/sedgehill-cell/src/scheduler/backlog.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog.rs
@@ -45,6 +45,8 @@
     pub duration: Option<TimeSpan>,
     /// When the steps before it are expected to be done.
     pub available_at: Moment,
+    /// When the job was accepted.
+    pub accepted: Moment,
 }
 
 impl BacklogGroup {
@@ -117,8 +119,10 @@
     pub occupied: ResourceSet,
     /// The runs that are expected to release it.
     pub runs: Vec<CountedRun>,
-    /// The waiting tasks, by rank.
+    /// The waiting tasks of accepted jobs, by rank.
     waiting: Vec<BacklogGroup>,
+    /// The tasks of deferred jobs whose callers will retry, by rank.
+    promised: Vec<BacklogGroup>,
 }
 
 /// The tasks of a new job that can start first, with what the estimate of their wait depends on.
@@ -138,13 +142,12 @@
 impl LimitLoad {
     /// Creates the load of these runs, with nothing that waits.
     pub fn new(occupied: ResourceSet, runs: Vec<CountedRun>) -> LimitLoad {
-        LimitLoad { occupied, runs, waiting: Vec::new() }
+        LimitLoad { occupied, runs, ..LimitLoad::default() }
     }
 
     /// Adds waiting tasks.
     pub fn add_waiting(&mut self, group: BacklogGroup) {
-        let position = self.waiting.partition_point(|other| other.rank <= group.rank);
-        self.waiting.insert(position, group);
+        insert_by_rank(&mut self.waiting, group);
     }
 
     /// Adds many waiting tasks.
@@ -153,19 +156,26 @@
         self.waiting.sort_by_key(|group| group.rank);
     }
 
-    /// Removes the waiting tasks of a job.
-    pub fn remove_waiting(&mut self, job: JobId) {
-        self.waiting.retain(|group| group.job != job);
+    /// Adds tasks of a job whose caller will retry.
+    pub fn add_promised(&mut self, group: BacklogGroup) {
+        insert_by_rank(&mut self.promised, group);
     }
 
-    /// Returns the waiting tasks, by rank.
-    pub fn waiting(&self) -> &[BacklogGroup] {
-        &self.waiting
+    /// Removes the tasks of a job.
+    pub fn remove(&mut self, job: JobId) {
+        self.waiting.retain(|group| group.job != job);
+        self.promised.retain(|group| group.job != job);
     }
 
-    /// Returns the waiting tasks that start before those of a rank.
+    /// Returns the waiting tasks that start before those of a new job of a rank: also those of an
+    /// equal rank, which were accepted before.
     pub fn ahead_of(&self, rank: BacklogRank) -> &[BacklogGroup] {
-        &self.waiting[..self.waiting.partition_point(|group| group.rank < rank)]
+        &self.waiting[..self.waiting.partition_point(|group| group.rank <= rank)]
+    }
+
+    /// Returns the waiting tasks of accepted jobs, by rank.
+    pub fn waiting(&self) -> &[BacklogGroup] {
+        &self.waiting
     }
 
     /// Returns what is left of the limit beside the runs that have no end.
@@ -180,30 +190,46 @@
         let left = |run: &CountedRun| run.end.map_or(0, |end| end.since(now).0);
         let running = self.runs.iter().map(|run| ResourceWork::of(&run.need, left(run)));
         let usable = self.usable(limit);
-        let waiting = self.waiting.iter().filter(|group| usable.fits(&group.start_need()));
+        let waiting = self.waiting.iter().chain(&self.promised);
+        let waiting = waiting.filter(|group| usable.fits(&group.start_need()));
         let all = running.chain(waiting.map(BacklogGroup::work));
         let work = all.fold(ResourceWork::default(), |sum, work| sum.plus(&work));
         TimeSpan(work.millis_on(&usable).ceil() as u64)
     }
 
-    /// Returns the time until all tasks of a query have started; none if that is not before its
-    /// horizon. Waiting tasks of a lower rank are started first.
+    /// Returns the time until all tasks of a query have started behind the work that ranks before
+    /// them; none if that is not before its horizon.
     pub fn time_to_start(&self, query: &StartQuery<'_>, now: Moment) -> Option<TimeSpan> {
         let rank = query.groups.first()?.rank;
+        self.time_behind(self.ahead_of(rank).iter(), query, now)
+    }
+
+    /// Returns the same behind everything that waits or is promised, as late work starts.
+    pub fn time_to_start_last(&self, query: &StartQuery<'_>, now: Moment) -> Option<TimeSpan> {
+        self.time_behind(self.waiting.iter().chain(&self.promised), query, now)
+    }
+
+    fn time_behind<'a>(
+        &'a self,
+        ahead: impl Iterator<Item = &'a BacklogGroup>,
+        query: &StartQuery<'_>,
+        now: Moment,
+    ) -> Option<TimeSpan> {
+        let priority = query.groups.first()?.rank.priority;
         let usable = self.usable(query.limit);
         if query.groups.iter().any(|group| !usable.fits(&group.start_need())) {
             return None;
         }
         let mut timeline = LimitTimeline::new(self.occupied, query);
         for run in &self.runs {
-            let stop = query.stop.filter(|_| run.stoppable && run.priority > rank.priority);
+            let stop = query.stop.filter(|_| run.stoppable && run.priority > priority);
             let end = run.end.map(|end| end.since(now));
             if let Some(left) = end.into_iter().chain(stop).min() {
                 timeline.release_after(&run.need, left);
             }
         }
         let mut not_available = Vec::new();
-        for group in self.ahead_of(rank).iter().filter(|group| usable.fits(&group.start_need())) {
+        for group in ahead.filter(|group| usable.fits(&group.start_need())) {
             match timeline.has_reached(group.available_at.since(now)) {
                 true => timeline.start_all(group)?,
                 false => not_available.push(group),
@@ -221,6 +247,11 @@
     }
 }
 
+fn insert_by_rank(groups: &mut Vec<BacklogGroup>, group: BacklogGroup) {
+    let position = groups.partition_point(|other| other.rank <= group.rank);
+    groups.insert(position, group);
+}
+
 /// The use of a limit over time, in slots of equal width.
 struct LimitTimeline<'a> {
     limit: &'a ResourceLimit,
--- a/crates/sedgehill-cell/src/scheduler/backlog_view.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog_view.rs
@@ -153,6 +153,7 @@
                     need: spec.need,
                     duration: (!spec.long_running).then(|| duration(forecast)),
                     available_at,
+                    accepted: job.accepted,
                 });
             }
         }
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -61,7 +61,7 @@
     AdmissionDecision, AdmissionInputs, AdmissionOutcome, AdmissionReason, decide_admission,
 };
 use self::admission_ledger::AdmissionLedger;
-pub use self::admission_ledger::AdmissionStats;
+pub use self::admission_ledger::{AdmissionStats, InflowShare};
 pub use self::advice::AllowedShare;
 pub use self::advice_dispatch::AdviceDispatcher;
 use self::background_crashes::BackgroundCrashes;
--- a/crates/sedgehill-cell/tests/testsuite/admission.rs
+++ b/crates/sedgehill-cell/tests/testsuite/admission.rs
@@ -6,7 +6,7 @@
 use sedgehill_cell::organisation::ResourceLimit;
 use sedgehill_cell::scheduler::{
     AdmissionDecision, AdmissionInputs, AdmissionReason, BacklogGroup, BacklogRank, CountedRun,
-    LimitLoad, RunForecast, StartQuery, decide_admission,
+    InflowShare, LimitLoad, RunForecast, StartQuery, decide_admission,
 };
 use sedgehill_core::units::{CoreCount, Moment, TimeSpan};
 
@@ -15,6 +15,11 @@
 const NOW: Moment = Moment(50_000);
 const ACCEPT: AdmissionDecision = AdmissionDecision::Accept;
 
+/// The same while accepted work may fill the limit from now on.
+fn busy(wait: u64) -> AdmissionInputs {
+    AdmissionInputs { inflow: InflowShare { lower: 0, upper: 100 }, ..inputs(wait) }
+}
+
 /// A job with an objective of 3 s, worth a part until 9 s, that waits for `wait` milliseconds.
 fn inputs(wait: u64) -> AdmissionInputs {
     AdmissionInputs {
@@ -27,7 +32,9 @@
         },
         fits_limit: true,
         wait: Some(TimeSpan(wait)),
-        inflow_percent: 0,
+        urgent: InflowShare::default(),
+        late_wait: Some(TimeSpan(wait)),
+        inflow: InflowShare::default(),
         promised_in: None,
         time_to_clear: TimeSpan(20_000),
         tasks_ahead: 0,
@@ -50,7 +57,6 @@
 
 #[test]
 fn a_job_is_refused_only_if_it_is_late_by_its_optimistic_forecast() {
-    let busy = |wait| AdmissionInputs { inflow_percent: 100, ..inputs(wait) };
     // In time by the lower forecast, although late by the expected and the upper one.
     assert_eq!(decide(busy(2_000)), (ACCEPT, AdmissionReason::InTime));
     assert_eq!(decide(busy(2_001)), defer(2_001));
@@ -62,7 +68,8 @@
 
 #[test]
 fn a_late_job_is_accepted_if_the_organisation_can_catch_up_in_time() {
-    let filled = |inflow_percent| AdmissionInputs { inflow_percent, ..inputs(3_000) };
+    let filled =
+        |upper| AdmissionInputs { inflow: InflowShare { lower: 0, upper }, ..inputs(3_000) };
     assert_eq!(decide(filled(0)), (ACCEPT, AdmissionReason::StillUseful));
     assert_eq!(decide(filled(60)), (ACCEPT, AdmissionReason::StillUseful), "7.5 s and 1.5 s");
     assert_eq!(decide(filled(61)), defer(3_000));
@@ -70,29 +77,44 @@
 
 #[test]
 fn a_caller_is_deferred_only_if_its_retry_in_whole_seconds_helps() {
-    let busy = |wait| AdmissionInputs { inflow_percent: 100, ..inputs(wait) };
     assert_eq!(decide(busy(7_000)), defer(7_000));
     assert_eq!(decide(busy(7_001)), TOO_LATE, "it would come back after 8 s and end after 9.5 s");
     let old = AdmissionInputs { age: TimeSpan(5_000), ..busy(2_000) };
     assert_eq!(decide(old), defer(2_000));
     let older = AdmissionInputs { age: TimeSpan(7_000), ..busy(2_000) };
     assert_eq!(decide(older), TOO_LATE);
-    assert_eq!(decide(AdmissionInputs { wait: None, ..busy(0) }), TOO_LATE);
+    assert_eq!(decide(AdmissionInputs { wait: None, late_wait: None, ..busy(0) }), TOO_LATE);
+    // While accepted work is sure to take the room, no retry helps.
+    let lasting = InflowShare { lower: 95, upper: 100 };
+    assert_eq!(decide(AdmissionInputs { inflow: lasting, ..busy(2_001) }), TOO_LATE);
+}
+
+#[test]
+fn work_of_more_urgent_queues_that_keeps_arriving_makes_a_job_wait_longer() {
+    let beside =
+        |lower| AdmissionInputs { urgent: InflowShare { lower, upper: 100 }, ..busy(1_000) };
+    assert_eq!(decide(beside(50)), (ACCEPT, AdmissionReason::InTime));
+    assert_eq!(decide(beside(51)), defer(1_000));
+    let at_once = AdmissionInputs { wait: Some(TimeSpan(0)), ..beside(200) };
+    assert_eq!(decide(at_once), (ACCEPT, AdmissionReason::InTime));
 }
 
 #[test]
 fn a_caller_that_comes_back_as_told_is_accepted_or_told_for_good() {
-    let back = |wait| AdmissionInputs {
+    let back = |late_wait, promised| AdmissionInputs {
         age: TimeSpan(4_000),
-        inflow_percent: 100,
-        promised_in: Some(TimeSpan(0)),
-        ..inputs(wait)
+        late_wait: Some(TimeSpan(late_wait)),
+        promised_in: Some(TimeSpan(promised)),
+        ..busy(4_000)
     };
-    assert_eq!(decide(back(3_500)), (ACCEPT, AdmissionReason::StillUseful));
-    assert_eq!(decide(back(3_501)), TOO_LATE);
+    assert_eq!(decide(back(0, 0)), (ACCEPT, AdmissionReason::RoomNow));
+    assert_eq!(decide(back(3_500, 0)), (ACCEPT, AdmissionReason::StillUseful));
+    assert_eq!(decide(back(3_501, 0)), TOO_LATE);
+    let filled = InflowShare { lower: 95, upper: 100 };
+    assert_eq!(decide(AdmissionInputs { inflow: filled, ..back(600, 0) }), TOO_LATE);
     // One that comes back early keeps its time.
-    let early = AdmissionInputs { promised_in: Some(TimeSpan(1_200)), ..back(600) };
-    assert_eq!(decide(early), defer(1_200));
+    assert_eq!(decide(back(600, 1_200)), defer(1_200));
+    assert_eq!(decide(back(0, 1_200)), (ACCEPT, AdmissionReason::RoomNow));
 }
 
 #[test]
@@ -116,6 +138,7 @@
         need: cores(1),
         duration: Some(TimeSpan(1_000)),
         available_at: NOW,
+        accepted: NOW,
     }
 }
 
@@ -153,7 +176,10 @@
     assert!(is_about(wait(&load, group(9, 1, 1), None), 2_000));
     assert!(is_about(wait(&load, group(9, 1, 2), None), 3_000));
     assert!(is_about(wait(&load, group(0, 0, 1), None), 1_000));
-    load.remove_waiting(JobId(1));
+    // A promise delays late work, but none that can still end in time.
+    load.add_promised(group(3, 0, 1));
+    assert!(is_about(wait(&load, group(9, 1, 1), None), 2_000));
+    load.remove(JobId(1));
     assert!(is_about(wait(&load, group(9, 1, 1), None), 1_000));
 }
 
--- a/crates/sedgehill-cell/tests/testsuite/admission_loads.rs
+++ b/crates/sedgehill-cell/tests/testsuite/admission_loads.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sedgehill_cell::ids::{CellTask, JobId};
-use sedgehill_cell::job::{JobRecord, QueuePolicy};
+use sedgehill_cell::job::{JobRecord, QueuePolicy, RepeatSpec};
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::scheduler::{AdmissionDecision, CellEvent, RunEnd, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -75,15 +75,8 @@
         let id = self.jobs.len() as u64 + 1;
         let (record, first_sent) = (owned(organisation, LIMIT, record), self.cell.now);
         let (attempts, deferred, accepted, completed) = (0, false, false, None);
-        let job = CallerJob {
-            organisation,
-            record,
-            first_sent,
-            attempts,
-            deferred,
-            accepted,
-            completed,
-        };
+        let job =
+            CallerJob { organisation, record, first_sent, attempts, deferred, accepted, completed };
         self.jobs.insert(id, job);
         self.calls.insert((first_sent, id));
         id
@@ -109,7 +102,9 @@
 
     fn turn(&mut self) {
         let recorded = std::mem::take(&mut self.unrecorded);
-        while let Some((at, id)) = self.calls.first().copied().filter(|(at, _)| *at <= self.cell.now) {
+        while let Some((at, id)) =
+            self.calls.first().copied().filter(|(at, _)| *at <= self.cell.now)
+        {
             self.calls.remove(&(at, id));
             self.send(id);
         }
@@ -163,8 +158,6 @@
     fn check_worthless(&self, name: &str) {
         let accepted = self.count(name, |job| job.accepted);
         let worthless = self.count(name, |job| job.accepted && job.is_worthless());
-        println!("{name}: {} jobs, {accepted} accepted, {worthless} worthless, {} deferred, {} deferred and accepted, {:?}",
-            self.count(name, |_| true), self.count(name, |job| job.deferred), self.count(name, |job| job.deferred && job.accepted), self.lead.admission_stats());
         assert!(worthless * 100 < accepted * 2, "{worthless} of {accepted} ended worth nothing");
     }
 }
@@ -174,7 +167,12 @@
     (name.to_owned(), QueuePolicy { priority, stretch_milli, target_latency, ..policy() })
 }
 
-fn record((name, policy): (String, QueuePolicy), count: u16, need: u64, estimate: u64) -> JobRecord {
+fn record(
+    (name, policy): (String, QueuePolicy),
+    count: u16,
+    need: u64,
+    estimate: u64,
+) -> JobRecord {
     let mut spec = step(count, need);
     spec.estimate = TimeSpan(estimate);
     JobRecord { queue: name.as_str().into(), policy, ..job(vec![spec]) }
@@ -190,10 +188,9 @@
     record
 }
 
+/// Batch work that saves no state, so that nothing may stop it.
 fn rebuild() -> JobRecord {
-    let mut record = record(queue("rebuild", 2, 4_000, 3_000), 10, 2, 3_400);
-    record.spec.steps[0].checkpointing = true;
-    record
+    record(queue("rebuild", 2, 4_000, 3_000), 10, 2, 3_400)
 }
 
 /// The usual load of an organisation, some half of its limit, times `factor`.
@@ -221,5 +218,138 @@
     });
     world.check_worthless("crowd");
     world.check_worthless("quiet");
-    assert_eq!(world.count("quiet", |job| job.attempts != 1 || !job.accepted), 0);
+    let refused_at_quiet = world.count("quiet", |job| job.attempts != 1 || !job.accepted);
+    assert_eq!(refused_at_quiet, 0, "another organisation's load refuses nobody");
+    let refused = world.count("crowd", |job| !job.accepted);
+    assert!(refused > 0);
+    let stats = world.lead.admission_stats();
+    let counted: u64 = stats.refused.values().sum();
+    assert!(counted >= refused as u64);
+    assert_eq!((stats.unrecorded, stats.promised), (0, 0));
+    let worthless = world.jobs.values().filter(|job| job.accepted && job.is_worthless()).count();
+    assert_eq!(stats.ended_late, worthless as u64, "the lead counts what callers see");
+}
+
+#[test]
+fn short_urgent_jobs_are_accepted_behind_batch_work_that_can_be_stopped() {
+    let mut world = LoadWorld::new(&["office"]);
+    let mut batch = rebuild();
+    batch.spec.steps[0].count = 60;
+    batch.spec.steps[0].checkpointing = true;
+    let mut previews = Vec::new();
+    world.call("office", batch);
+    for turn in 0..150 {
+        if turn % 25 == 24 {
+            previews.push(world.call("office", preview()));
+        }
+        world.turn();
+    }
+    assert!(previews.iter().all(|id| world.jobs[id].accepted));
+    // More batch work than fits in its time is refused, and holds up no preview.
+    let batches: Vec<u64> = (0..40).map(|_| world.call("office", rebuild())).collect();
+    let urgent = world.call("office", preview());
+    world.turn();
+    assert!(batches.iter().any(|id| !world.jobs[id].accepted));
+    assert!(world.jobs[&urgent].accepted);
+}
+
+#[test]
+fn a_burst_of_wide_gangs_is_accepted_as_far_as_it_can_end_in_time() {
+    let mut world = LoadWorld::new(&["office"]);
+    world.play(40, |world, turn| {
+        if turn == 0 {
+            (0..30).for_each(|_| _ = world.call("office", render()));
+        }
+    });
+    world.check_worthless("office");
+    // Two gangs run at once for 4 s, so within 9.8 s six can end, and within 29.4 s fourteen.
+    let accepted = world.count("office", |job| job.accepted);
+    assert!((6..=14).contains(&accepted), "{accepted}");
+    let deferred = world.count("office", |job| job.deferred);
+    let returned = world.count("office", |job| job.deferred && job.accepted);
+    assert!(returned > 0);
+    assert_eq!(returned, deferred, "nothing else came, so all that were deferred find room");
+}
+
+#[test]
+fn a_wide_gang_beyond_the_limit_is_refused_for_good() {
+    let mut world = LoadWorld::new(&["office"]);
+    let mut wide = render();
+    wide.spec.steps[0].count = 21;
+    let id = world.call("office", wide);
+    world.turn();
+    assert!(!world.jobs[&id].accepted && !world.jobs[&id].deferred);
+}
+
+/// Fills the limit for the time of a preview's objective and more. Returns the ids.
+fn fill(world: &mut LoadWorld) -> Vec<u64> {
+    (0..40).map(|_| world.call("office", preview())).collect()
+}
+
+#[test]
+fn jobs_that_are_admitted_and_not_recorded_count_until_they_are_withdrawn() {
+    let mut world = LoadWorld::new(&["office"]);
+    let ids = fill(&mut world);
+    let now = world.cell.now;
+    let record = world.jobs[&1].record.clone();
+    let admit = |lead: &mut Scheduler, id: u64| lead.admit(JobId(id), &record, now);
+    let is_accepted = |id: &&u64| admit(&mut world.lead, **id) == AdmissionDecision::Accept;
+    let accepted: Vec<u64> = ids.iter().filter(is_accepted).copied().collect();
+    assert!((26..40).contains(&accepted.len()), "13 run at once, and as many after 0.8 s");
+    assert_eq!(admit(&mut world.lead, accepted[0]), AdmissionDecision::Accept, "repeated");
+    assert_eq!(world.lead.admission_stats().unrecorded, accepted.len());
+    assert_ne!(admit(&mut world.lead, 100), AdmissionDecision::Accept);
+    accepted.iter().for_each(|id| world.lead.withdraw_admission(JobId(*id)));
+    assert_eq!(world.lead.admission_stats().unrecorded, 0);
+    assert_eq!(admit(&mut world.lead, 101), AdmissionDecision::Accept);
+}
+
+#[test]
+fn a_new_lead_accepts_everything_until_its_take_over_is_settled() {
+    let mut world = LoadWorld::new(&["office"]);
+    fill(&mut world);
+    world.turn();
+    world.turn();
+    let record = owned("office", LIMIT, preview());
+    let cut = 0;
+    world.cell.workers[cut].cut = true;
+    let mut next = world.cell.lead(true);
+    next.note_fenced(world.cell.now);
+    world.cell.turns(&mut next, 5);
+    assert!(!next.is_settled());
+    let extra: Vec<u64> = (100..160).collect();
+    let admit = |lead: &mut Scheduler, id: u64, now| lead.admit(JobId(id), &record, now);
+    assert!(
+        extra.iter().all(|id| admit(&mut next, *id, world.cell.now) == AdmissionDecision::Accept)
+    );
+    extra.iter().for_each(|id| next.withdraw_admission(JobId(*id)));
+    // It knows the backlog from the jobs topic, and the runs from the workers.
+    world.cell.workers[cut].cut = false;
+    world.cell.turns(&mut next, 30);
+    assert!(next.is_settled());
+    let accepted = extra
+        .iter()
+        .filter(|id| admit(&mut next, **id, world.cell.now) == AdmissionDecision::Accept);
+    let accepted = accepted.count();
+    assert!((1..40).contains(&accepted), "{accepted}");
+}
+
+#[test]
+fn only_jobs_of_organisations_with_a_limit_that_end_are_judged() {
+    let mut world = LoadWorld::new(&["office"]);
+    fill(&mut world);
+    world.turn();
+    let now = world.cell.now;
+    let mut endless = preview();
+    endless.spec.steps[0].long_running = true;
+    let mut scheduled = preview();
+    let interval = TimeSpan(1_000);
+    scheduled.spec.repeat = Some(RepeatSpec { start_at_ms: 0, interval, count: 2 });
+    let records = [owned("office", LIMIT, endless), owned("office", LIMIT, scheduled), preview()];
+    for (number, record) in (200..).zip(records) {
+        let decision = world.lead.admit(JobId(number), &record, now);
+        assert_eq!(decision, AdmissionDecision::Accept);
+    }
+    let judged = |event: &CellEvent| matches!(event, CellEvent::AdmissionDecided { job, .. } if job.0 >= 200);
+    assert!(!world.lead.take_events().iter().any(judged));
 }
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -2,7 +2,7 @@
 
 use sedgehill_cell::ids::{FencingToken, WorkerLife};
 use sedgehill_cell::scheduler::{
-    CellEvent, KnownTaskState, LossCause, SettlementCause, TakeOverSettled,
+    AdmissionInputs, CellEvent, KnownTaskState, LossCause, SettlementCause, TakeOverSettled,
 };
 use slog::{KV, Logger, Record, Serializer, info, warn};
 
@@ -89,6 +89,9 @@
         CellEvent::FencedByWorker { .. } => telemetry::count_cell_event("fenced_by_worker", ""),
         CellEvent::TakeOverSettled(settled) => telemetry::count_settled(settled.by.name()),
         CellEvent::JobLedElsewhere { .. } => telemetry::count_cell_event("marked_late", ""),
+        CellEvent::AdmissionDecided { outcome, .. } => {
+            telemetry::count_cell_event("admission", outcome.reason.name());
+        }
     }
 }
 
@@ -225,6 +228,12 @@
         CellEvent::JobLedElsewhere { job, after } => {
             info!(log, "job marked by another lead"; "token" => %token, "job" => %job, "after_ms" => after.0);
         }
+        CellEvent::AdmissionDecided { job, organisation, queue, inputs, outcome } => {
+            info!(log, "admission"; "token" => %token, AdmissionFields(inputs), "job" => %job,
+                "organisation" => %organisation, "queue" => %queue, "outcome" => outcome.decision.name(),
+                "reason" => outcome.reason.name(),
+                "retry_after_ms" => outcome.decision.retry_after().map(|span| span.0));
+        }
     }
 }
 
@@ -247,6 +256,35 @@
     }
 }
 
+/// Log fields with what an admission was decided from. Times that are not within the job's useful time
+/// are left out.
+struct AdmissionFields<'a>(&'a AdmissionInputs);
+
+impl KV for AdmissionFields<'_> {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let inputs = self.0;
+        serializer.emit_u64("view_age_ms", inputs.view_age.0)?;
+        serializer.emit_u64("clear_ms", inputs.time_to_clear.0)?;
+        if let Some(left) = inputs.promised_in {
+            serializer.emit_u64("promised_in_ms", left.0)?;
+        }
+        serializer.emit_u64("inflow_upper_percent", inputs.inflow.upper)?;
+        serializer.emit_u64("inflow_lower_percent", inputs.inflow.lower)?;
+        if let Some(wait) = inputs.late_wait {
+            serializer.emit_u64("late_wait_ms", wait.0)?;
+        }
+        serializer.emit_u64("urgent_percent", inputs.urgent.lower)?;
+        if let Some(wait) = inputs.wait {
+            serializer.emit_u64("wait_ms", wait.0)?;
+        }
+        serializer.emit_usize("tasks_ahead", inputs.tasks_ahead)?;
+        serializer.emit_u64("run_expected_ms", inputs.chain.expected.0)?;
+        serializer.emit_u64("run_lower_ms", inputs.chain.lower.0)?;
+        serializer.emit_u64("objective_ms", inputs.objective.0)?;
+        serializer.emit_u64("age_ms", inputs.age.0)
+    }
+}
+
 /// Log fields with the reason why a run counts as lost.
 struct LossCauseFields<'a>(&'a LossCause);
 
--- a/crates/sedgehilld/src/cell/lead_metrics.rs
+++ b/crates/sedgehilld/src/cell/lead_metrics.rs
@@ -1,12 +1,13 @@
-//! Exports metrics of organisations, emptied halls, stalled steps and late restarts while this box
-//! leads.
+//! Exports metrics of organisations, emptied halls, stalled steps, late restarts and admission while
+//! this box leads.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgehill_cell::ids::HallName;
 use sedgehill_cell::scheduler::{
-    HallStats, OrganisationStats, RestartStats, StallReason, StallStats,
+    AdmissionReason, AdmissionStats, HallStats, OrganisationStats, RestartStats, StallReason,
+    StallStats,
 };
 use sedgehill_core::units::{CoreCount, ResourceSet};
 
@@ -35,6 +36,7 @@
         set_organisation_metrics(&session.scheduler.borrow().organisation_stats());
         set_stall_metrics(&session.scheduler.borrow().stall_stats(clock::now()), &mut exported);
         set_restart_metrics(session.scheduler.borrow().restart_stats(clock::now()));
+        set_admission_metrics(&session.scheduler.borrow().admission_stats());
     }
 }
 
@@ -86,6 +88,24 @@
     let stalls = session.scheduler.borrow().stall_stats(clock::now());
     set_stall_metrics(&[], &mut stalls.iter().map(|stall| stall.reason).collect());
     set_restart_metrics(RestartStats::default());
+    set_admission_metrics(&AdmissionStats::default());
+}
+
+/// Sets the metrics of admission.
+fn set_admission_metrics(stats: &AdmissionStats) {
+    telemetry::set_gauge("sedgehill_cell_admission_promised", stats.promised as f64);
+    telemetry::set_gauge("sedgehill_cell_admission_unrecorded", stats.unrecorded as f64);
+    for reason in AdmissionReason::REFUSALS {
+        let count = stats.refused.get(&reason).copied().unwrap_or(0);
+        telemetry::set_admission_refused(reason.name(), count);
+    }
+    telemetry::set_gauge(
+        "sedgehill_cell_admission_refused_with_room",
+        stats.refused_with_room as f64,
+    );
+    telemetry::set_gauge("sedgehill_cell_admission_ended", stats.ended as f64);
+    telemetry::set_admission_worthless("late", stats.ended_late);
+    telemetry::set_admission_worthless("failed", stats.ended_failed);
 }
 
 fn set_organisation_metrics(stats: &[OrganisationStats]) {
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -184,3 +184,13 @@
     gauge!("sedgehill_cell_restarts_due").set(tasks as f64);
     gauge!("sedgehill_cell_restart_longest_seconds").set(longest_seconds);
 }
+
+/// Sets the gauge of jobs that the lead refused since it took the lead, by reason.
+pub fn set_admission_refused(reason: &'static str, count: u64) {
+    gauge!("sedgehill_cell_admission_refused", "reason" => reason).set(count as f64);
+}
+
+/// Sets the gauge of ended jobs that were worth nothing, since the lead was taken, by cause: `late` or `failed`.
+pub fn set_admission_worthless(cause: &'static str, count: u64) {
+    gauge!("sedgehill_cell_admission_worthless", "cause" => cause).set(count as f64);
+}
