--- a/crates/sedgehill-cell/src/scheduler/admission.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission.rs
@@ -124,7 +124,7 @@
     /// The share of the limit that newly accepted work of more urgent queues takes.
     pub urgent: InflowShare,
     /// The time until they can start behind everything that is accepted or promised, as placement
-    /// ranks late work; none if that is not within its useful time.
+    /// ranks late work; none if that is not within its useful time, or if the job can meet its objective.
     pub late_wait: Option<TimeSpan>,
     /// The share of the limit that all newly accepted work takes.
     pub inflow: InflowShare,
@@ -150,6 +150,12 @@
         TimeSpan(self.objective.0.saturating_sub(self.age.0))
     }
 
+    /// Returns whether the job can meet its objective, by the optimistic side of its forecast.
+    fn is_in_time(&self) -> bool {
+        let wait = stretched(self.wait, self.urgent.lower);
+        ends_within(wait, self.chain.lower, self.time_left())
+    }
+
     /// Returns whether the caller has come back at the time that it was told, or later.
     fn is_kept_promise(&self) -> bool {
         self.promised_in == Some(TimeSpan(0))
@@ -167,6 +173,11 @@
     }
 }
 
+/// Returns whether a job ends within a limit if it runs for `run` after a wait.
+fn ends_within(wait: Option<TimeSpan>, run: TimeSpan, limit: TimeSpan) -> bool {
+    wait.is_some_and(|wait| wait.0 + run.0 <= limit.0)
+}
+
 /// Decides on a job.
 pub fn decide_admission(inputs: &AdmissionInputs) -> AdmissionOutcome {
     let outcome = |decision, reason| AdmissionOutcome { decision, reason };
@@ -178,12 +189,8 @@
     if !inputs.fits_limit {
         return reject(AdmissionReason::ExceedsLimit);
     }
-    let ends_within = |wait: Option<TimeSpan>, run: TimeSpan, limit: TimeSpan| {
-        wait.is_some_and(|wait| wait.0 + run.0 <= limit.0)
-    };
     let (chain, useful) = (&inputs.chain, inputs.useful_time());
-    let wait = stretched(inputs.wait, inputs.urgent.lower);
-    if ends_within(wait, chain.lower, inputs.time_left()) {
+    if inputs.is_in_time() {
         return accept(AdmissionReason::InTime);
     }
     if inputs.late_wait == Some(TimeSpan(0)) && chain.lower <= useful {
@@ -317,7 +324,9 @@
                 horizon: TimeSpan(useful.0 - inputs.chain.lower.0),
             };
             inputs.wait = load.time_to_start(&query, now);
-            inputs.late_wait = load.time_to_start_last(&query, now);
+            if !inputs.is_in_time() {
+                inputs.late_wait = load.time_to_start_last(&query, now);
+            }
         }
         if let Some(group) = groups.first() {
             let ahead = load.ahead_of(group.rank).iter();
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions of one cell.
 
 mod admission;
+mod admission_cost;
 mod admission_loads;
 mod advice;
 mod authority;
