cell: an admission decision walks the runs of its organisation once

Cause: beside load 28 the mean of decisions in an unoptimised build was 2.0 ms at 3,000 workers and 20 organisations, over the bound of the test (1 ms).

--- a/crates/sedgehill-cell/src/scheduler/admission.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission.rs
@@ -126,7 +126,7 @@
     /// The time until they can start behind everything that is accepted or promised, as placement
     /// ranks late work; none if that is not within its useful time, or if the job can meet its objective.
     pub late_wait: Option<TimeSpan>,
-    /// The share of the limit that all newly accepted work takes.
+    /// The share of the limit that all newly accepted work takes; zero if the job can meet its objective.
     pub inflow: InflowShare,
     /// For a job that was deferred before, the time left until its caller was told to retry; zero
     /// once that has passed.
@@ -307,9 +307,9 @@
             wait: None,
             urgent: self.admissions.inflow(owner, job.record.policy.priority, &usable, now),
             late_wait: None,
-            inflow: self.admissions.inflow(owner, u32::MAX, &usable, now),
+            inflow: InflowShare::default(),
             promised_in: self.admissions.promised_in(job.id, now),
-            time_to_clear: load.time_to_clear(limit, now),
+            time_to_clear: load.time_to_clear(limit),
             tasks_ahead: 0,
             view_age: self.admissions.view_age(now),
         };
@@ -326,6 +326,7 @@
             inputs.wait = load.time_to_start(&query, now);
             if !inputs.is_in_time() {
                 inputs.late_wait = load.time_to_start_last(&query, now);
+                inputs.inflow = self.admissions.inflow(owner, u32::MAX, &usable, now);
             }
         }
         if let Some(group) = groups.first() {
--- a/crates/sedgehill-cell/src/scheduler/backlog.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog.rs
@@ -116,9 +116,13 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct LimitLoad {
     /// What counts against the limit.
-    pub occupied: ResourceSet,
+    occupied: ResourceSet,
     /// The runs that are expected to release it.
-    pub runs: Vec<CountedRun>,
+    runs: Vec<CountedRun>,
+    /// What the runs without an end occupy.
+    held: ResourceSet,
+    /// The work that was left of the runs when the load was taken.
+    running_work: ResourceWork,
     /// The waiting tasks of accepted jobs, by rank.
     waiting: Vec<BacklogGroup>,
     /// The tasks of deferred jobs whose callers will retry, by rank.
@@ -140,9 +144,19 @@
 }
 
 impl LimitLoad {
-    /// Creates the load of these runs, with nothing that waits.
-    pub fn new(occupied: ResourceSet, runs: Vec<CountedRun>) -> LimitLoad {
-        LimitLoad { occupied, runs, ..LimitLoad::default() }
+    /// Creates the load of these runs as of `now`, with nothing that waits.
+    pub fn new(occupied: ResourceSet, runs: Vec<CountedRun>, now: Moment) -> LimitLoad {
+        let mut load = LimitLoad { occupied, ..LimitLoad::default() };
+        for run in &runs {
+            match run.end {
+                Some(end) => {
+                    let left = ResourceWork::of(&run.need, end.since(now).0);
+                    load.running_work = load.running_work.plus(&left);
+                }
+                None => load.held = load.held.plus(&run.need),
+            }
+        }
+        LimitLoad { runs, ..load }
     }
 
     /// Adds waiting tasks.
@@ -180,20 +194,16 @@
 
     /// Returns what is left of the limit beside the runs that have no end.
     pub fn usable(&self, limit: &ResourceLimit) -> ResourceSet {
-        let endless = self.runs.iter().filter(|run| run.end.is_none());
-        let held = endless.fold(ResourceSet::default(), |sum, run| sum.plus(&run.need));
-        limit.remaining(&held)
+        limit.remaining(&self.held)
     }
 
-    /// Returns the time until everything that runs and waits now is expected to be done.
-    pub fn time_to_clear(&self, limit: &ResourceLimit, now: Moment) -> TimeSpan {
-        let left = |run: &CountedRun| run.end.map_or(0, |end| end.since(now).0);
-        let running = self.runs.iter().map(|run| ResourceWork::of(&run.need, left(run)));
+    /// Returns the time until everything that runs and waits is expected to be done.
+    pub fn time_to_clear(&self, limit: &ResourceLimit) -> TimeSpan {
         let usable = self.usable(limit);
         let waiting = self.waiting.iter().chain(&self.promised);
         let waiting = waiting.filter(|group| usable.fits(&group.start_need()));
-        let all = running.chain(waiting.map(BacklogGroup::work));
-        let work = all.fold(ResourceWork::default(), |sum, work| sum.plus(&work));
+        let waiting = waiting.map(BacklogGroup::work);
+        let work = waiting.fold(self.running_work, |sum, work| sum.plus(&work));
         TimeSpan(work.millis_on(&usable).ceil() as u64)
     }
 
--- a/crates/sedgehill-cell/src/scheduler/backlog_view.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog_view.rs
@@ -52,24 +52,26 @@
     }
 
     fn view_backlog(&mut self, now: Moment) {
-        let mut loads: BTreeMap<OrganisationKey, LimitLoad> = BTreeMap::new();
+        let mut runs: BTreeMap<OrganisationKey, Vec<CountedRun>> = BTreeMap::new();
         let mut waiting: BTreeMap<OrganisationKey, Vec<BacklogGroup>> = BTreeMap::new();
         for job in self.jobs.values() {
             let Some(owner) = job.owner.filter(|owner| self.organisations.is_limited(*owner))
             else {
                 continue;
             };
-            let load = loads.entry(owner).or_default();
-            load.runs.extend(self.counted_runs(job, now));
+            runs.entry(owner).or_default().extend(self.counted_runs(job, now));
             if !job.is_over() && !job.led_elsewhere {
                 let groups = self.backlog_groups(job, |forecast| forecast.expected, now);
                 waiting.entry(owner).or_default().extend(groups);
             }
         }
-        for (owner, load) in &mut loads {
-            load.occupied = self.organisations.occupied(*owner);
-            load.extend_waiting(waiting.remove(owner).unwrap_or_default());
-            self.count_leftover(load, now);
+        let mut loads: BTreeMap<OrganisationKey, LimitLoad> = BTreeMap::new();
+        for (owner, mut runs) in runs {
+            let occupied = self.organisations.occupied(owner);
+            runs.extend(self.leftover_run(&runs, &occupied, now));
+            let mut load = LimitLoad::new(occupied, runs, now);
+            load.extend_waiting(waiting.remove(&owner).unwrap_or_default());
+            loads.insert(owner, load);
         }
         self.admissions.set_loads(loads, now);
         let jobs = &self.jobs;
@@ -100,15 +102,18 @@
         runs
     }
 
-    /// Adds what counts against a limit and belongs to no placed task, such as a second run that is
-    /// being stopped.
-    fn count_leftover(&self, load: &mut LimitLoad, now: Moment) {
-        let placed = load.runs.iter().fold(ResourceSet::default(), |sum, run| sum.plus(&run.need));
-        let need = load.occupied.saturating_minus(&placed);
-        if !need.is_empty() {
-            let end = Some(now.after(self.timing.stop));
-            load.runs.push(CountedRun { need, end, priority: 0, stoppable: false });
-        }
+    /// Returns what counts against a limit and belongs to no placed task, such as a second run that is
+    /// being stopped, as a run that ends soon.
+    fn leftover_run(
+        &self,
+        runs: &[CountedRun],
+        occupied: &ResourceSet,
+        now: Moment,
+    ) -> Option<CountedRun> {
+        let placed = runs.iter().fold(ResourceSet::default(), |sum, run| sum.plus(&run.need));
+        let need = occupied.saturating_minus(&placed);
+        let end = Some(now.after(self.timing.stop));
+        (!need.is_empty()).then_some(CountedRun { need, end, priority: 0, stoppable: false })
     }
 
     /// Returns the waiting tasks of a job that has value, by step, with the time of each task that
