--- a/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
@@ -17,7 +17,7 @@
 /// whose answer was lost is repeated for 6 s, and a new link or lead may delay its answer further.
 const MAX_UNRECORDED: TimeSpan = TimeSpan(30_000);
 /// The most refused callers that are remembered: twenty seconds of a thousand refusals a second, at
-/// some 200 bytes each.
+/// about 200 bytes each by the size of their fields.
 const MAX_CALLERS: usize = 20_000;
 /// The times over which the rate of accepted work is averaged: the length of a short job with its
 /// wait, and of a long one. After a burst the first is soon low again, and as a lasting load begins
--- a/crates/sedgehill-cell/src/scheduler/backlog_view.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog_view.rs
@@ -15,8 +15,8 @@
 use super::rank::{LATE_FACTOR, latest_start};
 use super::*;
 
-/// The view is renewed in the turn after it has reached this age: some four turns, in which a run of
-/// the shortest usual step gets an eighth of its way.
+/// The view is renewed in the turn after it has reached this age: an eighth of the shortest usual run
+/// time, which is 0.8 s.
 const VIEW_SPAN: TimeSpan = TimeSpan(100);
 /// The view is renewed by the decision itself if it is older than this, as after a pause without
 /// submissions or turns.
