--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -4,6 +4,7 @@
 
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
+use super::admission::{AdmissionInputs, AdmissionOutcome};
 use super::limit_stops::LimitResource;
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
 use super::organisations::OrganisationKey;
@@ -13,7 +14,8 @@
 use super::suspects::CrashDetection;
 use super::worker_speeds::SpeedStats;
 use crate::ids::{
-    CellTask, FencingToken, JobId, LifeStart, OrganisationName, RunNumber, StepId, WorkerLife,
+    CellTask, FencingToken, JobId, LifeStart, OrganisationName, QueueName, RunNumber, StepId,
+    WorkerLife,
 };
 use crate::organisation::ResourceLimit;
 use crate::progress::JobState;
@@ -418,6 +420,19 @@
         /// The time until that step is expected to get its room; none if it is not known.
         ahead_starts_in: Option<TimeSpan>,
     },
+    /// A submitted job of an organisation with a limit was accepted or refused.
+    AdmissionDecided {
+        /// The job.
+        job: JobId,
+        /// Its organisation.
+        organisation: OrganisationName,
+        /// Its queue.
+        queue: QueueName,
+        /// What the decision was made from.
+        inputs: AdmissionInputs,
+        /// The decision with its reason.
+        outcome: AdmissionOutcome,
+    },
 }
 
 /// What settled whether an earlier lead's runs of a job still exist.
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the decisions of one cell.
 
+mod admission;
+mod admission_cost;
+mod admission_loads;
 mod advice;
 mod authority;
 mod cancelled;
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -2,8 +2,8 @@
 
 use sedgehill_cell::ids::{CellTask, FencingToken, WorkerLife};
 use sedgehill_cell::scheduler::{
-    CellEvent, KnownTaskState, LimitResource, LossCause, SettlementCause, SpeedStats,
-    TakeOverSettled,
+    AdmissionInputs, CellEvent, KnownTaskState, LimitResource, LossCause, SettlementCause,
+    SpeedStats, TakeOverSettled,
 };
 use slog::{KV, Logger, Record, Serializer, info, warn};
 
@@ -104,6 +104,9 @@
         CellEvent::LimitBackfilled { organisation, key, tasks, .. } => {
             telemetry::count_limit_backfill(organisation, *key, *tasks);
         }
+        CellEvent::AdmissionDecided { outcome, .. } => {
+            telemetry::count_cell_event("admission", outcome.reason.name());
+        }
     }
 }
 
@@ -274,6 +277,12 @@
                 "ends_within_ms" => ends_within.map(|span| span.0), "ahead" => %ahead,
                 "ahead_starts_ms" => ahead_starts_in.map(|span| span.0));
         }
+        CellEvent::AdmissionDecided { job, organisation, queue, inputs, outcome } => {
+            info!(log, "admission"; "token" => %token, AdmissionFields(inputs), "job" => %job,
+                "organisation" => %organisation, "queue" => %queue, "outcome" => outcome.decision.name(),
+                "reason" => outcome.reason.name(),
+                "retry_after_ms" => outcome.decision.retry_after().map(|span| span.0));
+        }
     }
 }
 
@@ -322,6 +331,35 @@
     }
 }
 
+/// Log fields with what an admission was decided from. Times that are not within the job's useful time
+/// are left out.
+struct AdmissionFields<'a>(&'a AdmissionInputs);
+
+impl KV for AdmissionFields<'_> {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let inputs = self.0;
+        serializer.emit_u64("view_age_ms", inputs.view_age.0)?;
+        serializer.emit_u64("clear_ms", inputs.time_to_clear.0)?;
+        if let Some(left) = inputs.promised_in {
+            serializer.emit_u64("promised_in_ms", left.0)?;
+        }
+        serializer.emit_u64("inflow_upper_percent", inputs.inflow.upper)?;
+        serializer.emit_u64("inflow_lower_percent", inputs.inflow.lower)?;
+        if let Some(wait) = inputs.late_wait {
+            serializer.emit_u64("late_wait_ms", wait.0)?;
+        }
+        serializer.emit_u64("urgent_percent", inputs.urgent.lower)?;
+        if let Some(wait) = inputs.wait {
+            serializer.emit_u64("wait_ms", wait.0)?;
+        }
+        serializer.emit_usize("tasks_ahead", inputs.tasks_ahead)?;
+        serializer.emit_u64("run_expected_ms", inputs.chain.expected.0)?;
+        serializer.emit_u64("run_lower_ms", inputs.chain.lower.0)?;
+        serializer.emit_u64("objective_ms", inputs.objective.0)?;
+        serializer.emit_u64("age_ms", inputs.age.0)
+    }
+}
+
 /// Log fields with the reason why a run counts as lost.
 struct LossCauseFields<'a>(&'a LossCause);
 
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -222,3 +222,13 @@
     gauge!("sedgehill_cell_speed_known_workers", &label).set(known as f64);
     gauge!("sedgehill_cell_speeds_in_effect", &label).set(f64::from(u8::from(in_effect)));
 }
+
+/// Sets the gauge of jobs that the lead refused since it took the lead, by reason.
+pub fn set_admission_refused(reason: &'static str, count: u64) {
+    gauge!("sedgehill_cell_admission_refused", "reason" => reason).set(count as f64);
+}
+
+/// Sets the gauge of ended jobs that were worth nothing, since the lead was taken, by cause: `late` or `failed`.
+pub fn set_admission_worthless(cause: &'static str, count: u64) {
+    gauge!("sedgehill_cell_admission_worthless", "cause" => cause).set(count as f64);
+}
