cell: the request path of admission control

Cause: a job that cannot end in time was accepted and ended worth nothing, and a refused call was always told to come back after one second.

Change: the lead asks Scheduler::admit before it queues a job, and withdraws the admission where the record is certain not to reach the store. The outcomes Deferred and Rejected carry a time and are answered with 429. The lead decides only where a refusal is certain to be true: not on jobs in flight, not on jobs that a box may have appended by itself (new frame Unsettled), not without authority, not with outdated jobs. Hello and Ping say at their end what a box and a lead understand; frames of the previous release are read with defaults. Frames on a connection that a box has replaced are no longer handled, so that a late copy of a refused job is not accepted.

The scheduler accepts everything so far, so no job is refused yet.

--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -15,6 +15,8 @@
 //! - [`reading`] decides how often a box reads the topics that every box follows.
 //! - [`timeout`] derives call timeouts from measured answer times.
 //! - [`silence`] distinguishes silent connections from peers that do not answer.
+//! - [`unsettled`] lists the jobs that boxes may have stored without the lead.
+//! - [`stored`] decodes values that gained fields at their end.
 //! - [`crash_history`] records the worker crashes under each task.
 //! - [`scheduler`] is the state of the lead: workers, runs, waiting tasks and orders.
 
@@ -30,6 +32,7 @@
 pub mod scheduler;
 pub mod silence;
 pub mod standby;
-mod stored;
+pub mod stored;
 pub mod summary;
 pub mod timeout;
+pub mod unsettled;
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -40,3 +40,4 @@
 mod summary;
 mod timeout;
 mod unheard_crashes;
+mod unsettled;
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -23,6 +23,7 @@
 use sedgehill_cell::organisation::{JobOwner, KeyOwner};
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::CellRecord;
+use sedgehill_core::units::TimeSpan;
 use slog::{debug, info};
 use tokio::net::TcpListener;
 
@@ -121,6 +122,8 @@
             info!(host.log, "submission"; "job" => %id, "queue" => %route.queue,
                 "organisation" => organisation.map(ToString::to_string),
                 "config" => config.version, "answer" => ?answer,
+                "outcome" => answer.name(),
+                "retry_after_ms" => answer.retry_after().map(|after| after.as_millis() as u64),
                 "store_silent" => host.store_contact.is_silent(),
                 "store_usual_ms" => host.store_timeout.borrow().average().as_millis() as u64,
                 "patience_ms" => timeout.as_millis() as u64);
@@ -217,9 +220,11 @@
         StateAnswer::Known(_) => {
             match context.submissions.submit(host, id, &CellRecord::Cancel, timeout).await {
                 SubmissionOutcome::Kept => CallerAnswer::Cancelled,
-                SubmissionOutcome::NotDone | SubmissionOutcome::StoreAway => {
-                    CallerAnswer::NotDone(RETRY_AFTER)
-                }
+                // Cancellations are never deferred or rejected.
+                SubmissionOutcome::NotDone
+                | SubmissionOutcome::StoreAway
+                | SubmissionOutcome::Deferred { .. }
+                | SubmissionOutcome::Rejected { .. } => CallerAnswer::NotDone(RETRY_AFTER),
                 SubmissionOutcome::Unknown => CallerAnswer::Unknown,
                 SubmissionOutcome::Taken => CallerAnswer::NoJob,
                 SubmissionOutcome::TooLarge => CallerAnswer::TooLong,
@@ -295,9 +300,19 @@
         SubmissionOutcome::Unknown => CallerAnswer::Unknown,
         SubmissionOutcome::Taken => CallerAnswer::Taken,
         SubmissionOutcome::TooLarge => CallerAnswer::TooLong,
+        SubmissionOutcome::Deferred { retry_after } => {
+            CallerAnswer::Deferred(retry_time(retry_after))
+        }
+        SubmissionOutcome::Rejected { retry_after } => {
+            CallerAnswer::Rejected(retry_time(retry_after))
+        }
     }
 }
 
+fn retry_time(span: TimeSpan) -> Duration {
+    Duration::from_millis(span.0)
+}
+
 /// Answers the platform's readiness checks.
 pub async fn serve_ready(host: Rc<CellBox>, listener: TcpListener) {
     loop {
--- a/crates/sedgehilld/src/cell/frames.rs
+++ b/crates/sedgehilld/src/cell/frames.rs
@@ -9,7 +9,9 @@
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::AdviceQuestion;
+use sedgehill_cell::stored::decode_with_defaults;
 use sedgehill_cell::summary::{JobSummary, SummaryFilter};
+use sedgehill_cell::unsettled::UnsettledReport;
 use sedgehill_core::units::TimeSpan;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -172,6 +174,9 @@
         name: BoxName,
         /// The share of a core that the box can use if it leads.
         strength: BoxStrength,
+        /// Whether the box understands [`SubmissionOutcome::Deferred`] and
+        /// [`SubmissionOutcome::Rejected`]. Earlier releases ignore this field and send none.
+        takes_refusals: bool,
     },
     /// Sent regularly by the lead as a sign of life.
     Ping {
@@ -180,6 +185,9 @@
         store_answers: bool,
         /// The strength of the strongest box that the lead knows of.
         strongest: BoxStrength,
+        /// Whether the lead understands [`PeerFrame::Unsettled`]. Earlier releases ignore this field
+        /// and send none; a frame that they do not know ends their link.
+        takes_unsettled: bool,
     },
     /// The lead asks a box to query the advice service.
     AskAdvice(HelperQuestion),
@@ -287,8 +295,19 @@
         /// How far the views of the lead reach; none if it has not read all topics yet.
         proof: Option<ViewProof>,
     },
+    /// A box reports jobs that it may have put into the store by itself, so that the lead does not
+    /// refuse them.
+    Unsettled(UnsettledReport),
 }
 
+/// The first byte of an encoded [`PeerFrame::Hello`].
+const HELLO_TAG: u8 = 0;
+/// The first byte of an encoded [`PeerFrame::Ping`].
+const PING_TAG: u8 = 1;
+/// The encoded last field of a [`PeerFrame::Hello`] or [`PeerFrame::Ping`] of releases without it:
+/// the sender does not understand what the field stands for.
+const NOT_UNDERSTOOD: u8 = 0;
+
 impl PeerFrame {
     /// Encodes the frame with its length in front.
     pub fn encode(&self) -> Rc<[u8]> {
@@ -299,6 +318,14 @@
         bytes.extend_from_slice(&body);
         bytes.into()
     }
+
+    /// Decodes a frame without its length.
+    fn decode(body: &[u8]) -> Result<PeerFrame, postcard::Error> {
+        match body.first() {
+            Some(&(HELLO_TAG | PING_TAG)) => decode_with_defaults(body, &[NOT_UNDERSTOOD]),
+            _ => postcard::from_bytes(body),
+        }
+    }
 }
 
 /// Writes a frame to a link.
@@ -315,5 +342,5 @@
     }
     let mut body = vec![0; length as usize];
     stream.read_exact(&mut body).await?;
-    postcard::from_bytes(&body).map_err(std::io::Error::other)
+    PeerFrame::decode(&body).map_err(std::io::Error::other)
 }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -12,6 +12,7 @@
 use sedgehill_cell::standby::StandbySet;
 use sedgehill_cell::summary::SummaryFilter;
 use sedgehill_cell::timeout::{AdaptiveTimeout, ORDER_TIMEOUT, ResendBudget};
+use sedgehill_cell::unsettled::UnsettledJobs;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{info, warn};
 use tokio::sync::Notify;
@@ -24,7 +25,9 @@
 use super::relay::StoreRelay;
 use super::renewal::{release_lead, renew};
 use super::state::CellBox;
-use super::{events, lead_log, lead_metrics, link_server, orders, recorder, worker_watch};
+use super::{
+    events, lead_log, lead_metrics, link_server, orders, recorder, unsettled, worker_watch,
+};
 use crate::{clock, telemetry};
 
 /// Interval at which a box checks whether it should claim the lead.
@@ -85,6 +88,8 @@
     pub submissions: RefCell<Vec<LeadSubmission>>,
     /// The jobs of the submissions in the append under way, with their owners.
     pub in_flight_owners: RefCell<HashMap<JobId, Option<OrganisationName>>>,
+    /// The jobs that other boxes may have put into the store without this lead.
+    pub unsettled: RefCell<UnsettledJobs>,
     /// Whether the append under way takes so long that the store counts as not answering.
     pub append_stuck: Cell<bool>,
     /// The strengths of the linked boxes.
@@ -302,6 +307,7 @@
         sent_summaries: RefCell::default(),
         submissions: RefCell::default(),
         in_flight_owners: RefCell::default(),
+        unsettled: RefCell::new(UnsettledJobs::new(unsettled::LEAD_CAPACITY)),
         append_stuck: Cell::default(),
         helper_strengths: RefCell::default(),
         standbys: RefCell::new(StandbySet::new(
--- a/crates/sedgehilld/src/cell/lead_link.rs
+++ b/crates/sedgehilld/src/cell/lead_link.rs
@@ -70,6 +70,9 @@
     pub outbox: mpsc::Sender<PeerFrame>,
     /// The number of the last probe of the lead's views, and when it was sent.
     pub last_probe: Cell<Option<(u64, Moment)>>,
+    /// Whether the lead of the present connection understands reports of unsettled jobs, and has
+    /// been sent all of them.
+    pub takes_unsettled: Cell<bool>,
     /// Whether the store answers the lead, by the lead's last ping.
     store_answers: Cell<bool>,
     next_number: Cell<u64>,
@@ -86,6 +89,7 @@
         LeadLink {
             outbox,
             last_probe: Cell::default(),
+            takes_unsettled: Cell::new(false),
             store_answers: Cell::new(false),
             next_number: Cell::new(0),
             submit_requests: PendingRequests::default(),
--- a/crates/sedgehilld/src/cell/link_client.rs
+++ b/crates/sedgehilld/src/cell/link_client.rs
@@ -139,8 +139,13 @@
     loop {
         stream.set_nodelay(true)?;
         let (reader, mut writer) = stream.into_split();
-        let hello =
-            PeerFrame::Hello { name: host.settings.name.clone(), strength: host.settings.strength };
+        let hello = PeerFrame::Hello {
+            name: host.settings.name.clone(),
+            strength: host.settings.strength,
+            takes_refusals: true,
+        };
+        // The process at the address may be another one than before.
+        link.takes_unsettled.set(false);
         write_frame(&mut writer, &hello).await?;
         for frame in link.pending_frames() {
             write_frame(&mut writer, &frame).await?;
@@ -244,7 +249,10 @@
         };
         timeout = LEAD_SILENT_AFTER;
         match frame {
-            PeerFrame::Ping { store_answers, strongest } => {
+            PeerFrame::Ping { store_answers, strongest, takes_unsettled } => {
+                if takes_unsettled && !link.takes_unsettled.replace(true) {
+                    host.report_unsettled(link);
+                }
                 link.note_store_answers(store_answers);
                 host.note_lead_heard();
                 let mut watch = host.watch.borrow_mut();
@@ -323,6 +331,7 @@
             | PeerFrame::Fetch { .. }
             | PeerFrame::AskSummaries
             | PeerFrame::AskWaiting { .. }
+            | PeerFrame::Unsettled(_)
             | PeerFrame::Probe { .. } => {}
         }
         if lead_address(host) != Some(address) {
--- a/crates/sedgehilld/src/cell/link_server.rs
+++ b/crates/sedgehilld/src/cell/link_server.rs
@@ -22,7 +22,8 @@
 use super::lead::LeadSession;
 use super::orders;
 use super::state::CellBox;
-use crate::clock;
+use super::submission::SubmissionOutcome;
+use crate::{clock, telemetry};
 
 /// Time between two pings to a box.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
@@ -68,7 +69,10 @@
     // A link works without it, only slower.
     let _ = stream.set_nodelay(true);
     let (mut reader, writer) = stream.into_split();
-    let Ok(PeerFrame::Hello { name, strength }) = read_frame(&mut reader).await else { return };
+    let Ok(PeerFrame::Hello { name, strength, takes_refusals }) = read_frame(&mut reader).await
+    else {
+        return;
+    };
     let (queue, frames) = mpsc::channel(QUEUE_CAPACITY);
     // A box that connects again has found its earlier connection silent.
     let earlier = session.helper_ids.borrow_mut().insert(name.clone(), helper);
@@ -78,7 +82,7 @@
     register_helper(&host, &session, helper, &name, strength, queue.clone());
     tokio::select! {
         () = send_frames(&host, &session, writer, frames, helper) => {}
-        () = receive_frames(&host, &session, reader, helper, &queue) => {}
+        () = receive_frames(&host, &session, reader, (helper, takes_refusals), &queue) => {}
     }
     session.remove_helper(helper);
     info!(host.log, "helper left"; "box" => %name, "helper" => helper.0);
@@ -110,7 +114,8 @@
 
 fn ping_frame(host: &CellBox, session: &LeadSession) -> Rc<[u8]> {
     let strongest = host.watch.borrow().strongest();
-    PeerFrame::Ping { store_answers: session.store_answers(host), strongest }.encode()
+    let store_answers = session.store_answers(host);
+    PeerFrame::Ping { store_answers, strongest, takes_unsettled: true }.encode()
 }
 
 async fn send_frames(
@@ -141,10 +146,15 @@
     host: &Rc<CellBox>,
     session: &Rc<LeadSession>,
     mut reader: OwnedReadHalf,
-    helper: HelperId,
+    (helper, takes_refusals): (HelperId, bool),
     queue: &FrameQueue,
 ) {
     while let Ok(frame) = read_frame(&mut reader).await {
+        // The box has connected again and repeated its requests. A late first copy of a job whose
+        // second copy was refused must not be accepted.
+        if !session.helpers.borrow().contains_key(&helper) {
+            return;
+        }
         match frame {
             PeerFrame::Advice { question, allowed, valid } => {
                 let asked_question =
@@ -156,8 +166,8 @@
                 tokio::task::spawn_local(answer_submission(
                     host.clone(),
                     session.clone(),
-                    queue.clone(),
-                    (number, job, record),
+                    SubmissionReply { number, takes_refusals, queue: queue.clone() },
+                    (job, record),
                 ));
             }
             PeerFrame::Relayed { number, answer } => session.relay.complete_call(number, answer),
@@ -198,6 +208,9 @@
                     return;
                 }
             }
+            PeerFrame::Unsettled(report) => {
+                session.unsettled.borrow_mut().merge(&report, clock::now());
+            }
             PeerFrame::Hello { .. }
             | PeerFrame::Ping { .. }
             | PeerFrame::AskAdvice(_)
@@ -215,18 +228,49 @@
     }
 }
 
+/// Where the outcome of a submission goes.
+struct SubmissionReply {
+    number: u64,
+    /// Whether the box understands that a job is deferred or rejected.
+    takes_refusals: bool,
+    queue: FrameQueue,
+}
+
 async fn answer_submission(
     host: Rc<CellBox>,
     session: Rc<LeadSession>,
-    queue: FrameQueue,
-    (number, job, record): (u64, JobId, CellRecord),
+    reply: SubmissionReply,
+    (job, record): (JobId, CellRecord),
 ) {
     // Without an outcome this lead has ended: the box notices and submits in another way.
-    if let Some(outcome) = session.submit(&host, job, &record).await {
-        // If the queue is full, the box gets no outcome: its wait times out, or it is disconnected
-        // with the next records.
-        let _ = queue.try_send(PeerFrame::Submitted { number, outcome }.encode());
+    let Some(outcome) = session.submit(&host, job, &record).await else { return };
+    let outcome = match reply.takes_refusals {
+        true => outcome,
+        false => outcome_for_earlier_release(&session, job, outcome),
+    };
+    // If the queue is full, the box gets no outcome: its wait times out, or it is disconnected
+    // with the next records.
+    let _ = reply.queue.try_send(PeerFrame::Submitted { number: reply.number, outcome }.encode());
+}
+
+/// Returns the outcome as it is sent to a box of a release without admission control. Where such a
+/// box then appends the job by itself, it does not report the job, so the lead notes it here.
+fn outcome_for_earlier_release(
+    session: &LeadSession,
+    job: JobId,
+    outcome: SubmissionOutcome,
+) -> SubmissionOutcome {
+    let sent = match outcome {
+        SubmissionOutcome::Deferred { .. } | SubmissionOutcome::Rejected { .. } => {
+            telemetry::count_cell_event("admission_undecided", "earlier_release");
+            SubmissionOutcome::NotDone
+        }
+        other => other,
+    };
+    if matches!(sent, SubmissionOutcome::NotDone | SubmissionOutcome::Unknown) {
+        session.unsettled.borrow_mut().note(job, clock::now());
     }
+    sent
 }
 
 /// Reads records from the store for a box that cannot.
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -5,6 +5,7 @@
 //! a fixed role, and none keeps state on disk. All tasks run on one thread, since a box has a
 //! fraction of one core.
 
+mod admission;
 mod apply;
 mod callers;
 mod events;
@@ -27,6 +28,7 @@
 mod stop;
 mod submission;
 mod topic_follower;
+mod unsettled;
 mod worker_watch;
 
 use std::net::SocketAddr;
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -129,6 +129,11 @@
         if self.append_stuck.get() {
             return Some(self.refusal_outcome(job));
         }
+        if let CellRecord::Job(record) = record
+            && let Some(refusal) = self.refuse_late_job(host, job, record)
+        {
+            return Some(refusal);
+        }
         let record = match record {
             CellRecord::Job(record) => CellRecord::LeadJob(record.clone()),
             other => other.clone(),
@@ -150,6 +155,12 @@
         others.any(|other| other != owner)
     }
 
+    /// Returns whether a record of the job is queued or being appended.
+    pub fn is_on_its_way(&self, job: JobId) -> bool {
+        self.submissions.borrow().iter().any(|submission| submission.job == job)
+            || self.in_flight_owners.borrow().contains_key(&job)
+    }
+
     /// Returns the outcome of a submission that is refused while an append is stuck. If the stuck
     /// append holds the same job, the store may still keep it.
     fn refusal_outcome(&self, job: JobId) -> SubmissionOutcome {
@@ -164,6 +175,9 @@
         self.append_stuck.set(true);
         for submission in self.submissions.take() {
             let outcome = self.refusal_outcome(submission.job);
+            if outcome == SubmissionOutcome::StoreAway {
+                self.withdraw_admission(submission.job);
+            }
             // A caller that no longer waits will retry.
             let _ = submission.reply.send(outcome);
         }
@@ -173,7 +187,11 @@
     pub fn take_submissions(&self) -> Vec<LeadSubmission> {
         let mut waiting = self.submissions.borrow_mut();
         // A caller that no longer waits will retry.
-        waiting.retain(|submission| !submission.reply.is_closed());
+        let abandoned: Vec<LeadSubmission> =
+            waiting.extract_if(.., |submission| submission.reply.is_closed()).collect();
+        let is_waiting = |job: JobId| waiting.iter().any(|submission| submission.job == job);
+        let not_recorded = abandoned.iter().filter(|submission| !is_waiting(submission.job));
+        not_recorded.for_each(|submission| self.withdraw_admission(submission.job));
         let count = waiting.len().min(MAX_BATCH_SUBMISSIONS);
         waiting.drain(..count).collect()
     }
@@ -217,7 +235,10 @@
             session.wake.notify_one();
             for (number, submission) in batch.submissions.into_iter().enumerate() {
                 let outcome = match too_large.contains(&number) {
-                    true => SubmissionOutcome::TooLarge,
+                    true => {
+                        session.withdraw_admission(submission.job);
+                        SubmissionOutcome::TooLarge
+                    }
                     false => SubmissionOutcome::Kept,
                 };
                 // A caller that no longer waits will retry.
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -17,6 +17,7 @@
 use sedgehill_cell::reading::{ReadPlan, ReaderRole, ViewAges};
 use sedgehill_cell::replica::CellReplica;
 use sedgehill_cell::timeout::{AdaptiveTimeout, STORE_TIMEOUT};
+use sedgehill_cell::unsettled::UnsettledJobs;
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{Logger, warn};
 use tokio::sync::Notify;
@@ -26,6 +27,7 @@
 use super::lead::LeadSession;
 use super::lead_link::LeadLink;
 use super::settings::CellSettings;
+use super::unsettled;
 use crate::clock;
 use crate::connection::ConnectionManager;
 
@@ -240,6 +242,8 @@
     /// In query mode, when this box last heard from the lead; none outside query mode. In query
     /// mode the box keeps no jobs, and asks the lead for each job state.
     lead_heard_at: Cell<Option<Moment>>,
+    /// The jobs that this box may have put into the store without the lead.
+    pub unsettled: RefCell<UnsettledJobs>,
     /// The link to the lead; none while there is none.
     pub link: RefCell<Option<Rc<LeadLink>>>,
     /// Whether the box is stopping.
@@ -312,6 +316,7 @@
             session: RefCell::default(),
             lead_sends_summaries: Cell::new(true),
             lead_heard_at: Cell::default(),
+            unsettled: RefCell::new(UnsettledJobs::new(unsettled::BOX_CAPACITY)),
             link: RefCell::default(),
             stopping: Cell::new(false),
             stop_requested: Notify::new(),
--- a/crates/sedgehilld/src/cell/submission.rs
+++ b/crates/sedgehilld/src/cell/submission.rs
@@ -47,10 +47,24 @@
     StoreAway,
     /// The record is too large for the store: it is not there and will not be.
     TooLarge,
+    /// The lead refuses the job, since it could not end in time: the record is not in the store and
+    /// will not be. A retry after this time can still be of use. Boxes of releases without this
+    /// variant are not sent it.
+    Deferred {
+        /// The time until there is capacity for the job.
+        retry_after: TimeSpan,
+    },
+    /// The lead refuses the job, and no retry within its useful time can help: the record is not in
+    /// the store and will not be. Boxes of releases without this variant are not sent it.
+    Rejected {
+        /// The time until the backlog of the job's organisation is cleared.
+        retry_after: TimeSpan,
+    },
 }
 
 /// A record that waits to be appended.
 pub struct Submission {
+    job: JobId,
     record: KeyedRecord,
     reply: oneshot::Sender<SubmissionOutcome>,
 }
@@ -80,6 +94,21 @@
         if !fits_store(host, job, record) {
             return SubmissionOutcome::TooLarge;
         }
+        let outcome = self.submit_fitting(host, job, record, timeout).await;
+        if outcome == SubmissionOutcome::Unknown && record.owner().is_some() {
+            host.note_unsettled(&[job]);
+        }
+        outcome
+    }
+
+    /// Submits a record that the store takes.
+    async fn submit_fitting(
+        &self,
+        host: &CellBox,
+        job: JobId,
+        record: &CellRecord,
+        timeout: Duration,
+    ) -> SubmissionOutcome {
         let started = Instant::now();
         let submitting = submit_to_lead(host, job, record);
         let lead_outcome = match tokio::time::timeout(timeout, submitting).await {
@@ -87,7 +116,9 @@
                 settled @ (SubmissionOutcome::Kept
                 | SubmissionOutcome::Taken
                 | SubmissionOutcome::StoreAway
-                | SubmissionOutcome::TooLarge),
+                | SubmissionOutcome::TooLarge
+                | SubmissionOutcome::Deferred { .. }
+                | SubmissionOutcome::Rejected { .. }),
             )) => return settled,
             Ok(lead_outcome) => lead_outcome,
             // The lead is alive, or the link to it would have been lost: this box has no better
@@ -116,7 +147,7 @@
     ) -> SubmissionOutcome {
         let keyed_record = KeyedRecord { key: record.key(job), value: record.encode().into() };
         let (reply, answer) = oneshot::channel();
-        if self.queue.try_send(Submission { record: keyed_record, reply }).is_err() {
+        if self.queue.try_send(Submission { job, record: keyed_record, reply }).is_err() {
             return SubmissionOutcome::NotDone;
         }
         match tokio::time::timeout(timeout, answer).await {
@@ -193,10 +224,18 @@
     let records: Vec<KeyedRecord> =
         batch.iter().map(|submission| submission.record.clone()).collect();
     let started = clock::now();
+    // Noted before the append, since a caller may give up and repeat its call meanwhile.
+    let jobs: Vec<JobId> = batch.iter().map(|submission| submission.job).collect();
+    let newly_noted = host.note_unsettled(&jobs);
     let mut submissions = batch.into_iter();
     for range in host.settings.store_limits.divide(&records) {
         let count = range.len();
+        let jobs = &jobs[range.clone()];
         let outcome = append_until_settled(host, &records[range], started).await;
+        match outcome {
+            SubmissionOutcome::NotDone => forget_unsettled(host, jobs, &newly_noted),
+            _ => drop(host.note_unsettled(jobs)),
+        }
         for submission in submissions.by_ref().take(count) {
             // A caller that no longer waits will retry.
             let _ = submission.reply.send(outcome);
@@ -204,6 +243,13 @@
     }
 }
 
+/// Removes the notes that were made for an append that did not happen. Earlier notes of the same
+/// jobs stay.
+fn forget_unsettled(host: &CellBox, jobs: &[JobId], newly_noted: &[JobId]) {
+    let mut unsettled = host.unsettled.borrow_mut();
+    jobs.iter().filter(|job| newly_noted.contains(job)).for_each(|job| unsettled.forget(*job));
+}
+
 /// Returns whether the store takes the record of a submission, and all later records of its job.
 fn fits_store(host: &CellBox, job: JobId, record: &CellRecord) -> bool {
     let limits = &host.settings.store_limits;
