standin: tests of the request path of admission control with scripted peers

Cause: the frames between boxes and leads of two releases have to agree byte by byte, and the scheduler refuses nothing yet.

Change: a script takes the place of the lead or of a box and writes the frames of the previous release byte by byte, with and without the added fields. Tests: a refused job is answered 429 with its time and appended nowhere; a box reports the jobs that it appends itself, also on the next connection; a lead lost after a submission refuses nothing; a lead of the previous release is sent no unknown frame; a box of the previous release submits through the lead.

--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests that run the system as separate processes against stand-ins with injected faults.
 
+mod admission_path;
 mod cell;
 mod cell_support;
 mod client;
@@ -15,6 +16,7 @@
 mod halls;
 mod leaving_endpoints;
 mod ledger;
+mod link_script;
 mod logging;
 mod messages;
 mod network;
