--- a/crates/sedgehill-standin/tests/testsuite/admission_path.rs
+++ b/crates/sedgehill-standin/tests/testsuite/admission_path.rs
@@ -4,7 +4,7 @@
 //! [`crate::admission_limits`].
 
 use std::cell::RefCell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sedgehill_cell::ids::{OrganisationName, PoolName, QueueName};
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, JobSpec, QueuePolicy, StepSpec};
@@ -24,6 +24,8 @@
 pub const JOBS_TOPIC: &str = "keyed.sedgehill-jobs";
 pub const OFFICE_KEY: &str = "office-key-3f9d";
 pub const OTHER_KEY: &str = "other-key-81aa";
+/// Time within which a lead has fenced earlier leads on a busy machine.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(20);
 /// Estimate of the tasks of a short job.
 pub const SHORT_RUN_MS: u64 = 150;
 /// The last byte of a ping of a lead that understands reports of unsettled jobs.
@@ -258,10 +260,24 @@
     record.encode()
 }
 
-/// Connects a scripted box to the lead, with the given bytes after the fields of the previous release.
-pub async fn join_lead(platform: &CellPlatform, name: &str, added: &[u8]) -> ScriptedLink {
+/// Connects a scripted box to the lead, with the given bytes after the fields of the previous release. Returns the link and
+/// the lead's first ping. Until a box has fenced earlier leads, it closes the links of other boxes.
+pub async fn join_lead(
+    platform: &CellPlatform,
+    name: &str,
+    added: &[u8],
+) -> (ScriptedLink, Vec<u8>) {
     let lead = platform.lead().expect("a box leads");
-    ScriptedLink::join(lead.peer_address.parse().unwrap(), name, added).await
+    let address = lead.peer_address.parse().unwrap();
+    let deadline = Instant::now() + JOIN_TIMEOUT;
+    loop {
+        let mut link = ScriptedLink::join(address, name, added).await;
+        if let Some(ping) = link.read_tagged(tag::PING).await {
+            return (link, ping);
+        }
+        assert!(Instant::now() < deadline, "the lead keeps no link");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
 }
 
 /// A lead must understand the first frame of a box of the previous release, and take its jobs.
@@ -273,8 +289,7 @@
     let lead = start_box(directory.path(), "lead", &platform);
     wait_ready(&lead).await;
     wait_for_lead(directory.path(), "lead").await;
-    let mut link = join_lead(&platform, "earlier", &[]).await;
-    let ping = link.read_tagged(tag::PING).await.expect("the lead keeps the link");
+    let (mut link, ping) = join_lead(&platform, "earlier", &[]).await;
     assert_eq!(ping.last(), Some(&1), "the lead says that it understands reports: {ping:?}");
     assert_eq!(link.submit(0, 7, &short_record()).await, [outcome::KEPT]);
     wait_for("completion", async || {
@@ -284,3 +299,26 @@
     .await;
     assert_no_violation(&platform);
 }
+
+/// A box has replaced a silent connection and repeated its submissions. If the lead refuses the repeated one, a late copy
+/// on the replaced connection must not be accepted: the caller was told that the job does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_submission_on_a_replaced_connection_is_not_accepted() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(2).await.unwrap();
+    configure(&platform);
+    let lead = start_box(directory.path(), "lead", &platform);
+    wait_ready(&lead).await;
+    wait_for_lead(directory.path(), "lead").await;
+    let (mut replaced, _) = join_lead(&platform, "present", &[1]).await;
+    let (mut link, _) = join_lead(&platform, "present", &[1]).await;
+    replaced.send_submission(0, 7, &short_record()).await;
+    assert_eq!(link.submit(1, 8, &short_record()).await, [outcome::KEPT]);
+    // The late copy would be in the store by now.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for (id, status) in [(7, 410), (8, 200)] {
+        let answer = call_with_key(lead.callers, "GET", &job_path(id), "", Some(OFFICE_KEY)).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(status), "job {id}");
+    }
+    assert_no_violation(&platform);
+}
--- a/crates/sedgehill-standin/tests/testsuite/link_script.rs
+++ b/crates/sedgehill-standin/tests/testsuite/link_script.rs
@@ -109,13 +109,18 @@
         }
     }
 
-    /// Submits a job as a box, and returns the bytes of the outcome.
-    pub async fn submit(&mut self, number: u64, job: u64, record: &[u8]) -> Vec<u8> {
+    /// Sends a job as a box.
+    pub async fn send_submission(&mut self, number: u64, job: u64, record: &[u8]) {
         let mut submit = vec![tag::SUBMIT];
         put_number(&mut submit, number);
         put_number(&mut submit, job);
         submit.extend_from_slice(record);
         self.write(&submit).await;
+    }
+
+    /// Submits a job as a box, and returns the bytes of the outcome.
+    pub async fn submit(&mut self, number: u64, job: u64, record: &[u8]) -> Vec<u8> {
+        self.send_submission(number, job, record).await;
         loop {
             let body = self.read_tagged(tag::SUBMITTED).await.expect("the lead keeps the link");
             let mut rest = &body[1..];
