standin: a soak with organisations that send more than their limits carry

Cause: no soak had several organisations, and none met refusals for lateness.

An answer 429 counts as not accepted in all soaks, so the check that no job runs that was refused at each call covers it.

--- a/crates/sedgehill-standin/src/main.rs
+++ b/crates/sedgehill-standin/src/main.rs
@@ -23,11 +23,13 @@
                  stops: calls that planned stops cut off, N stops for each row
     soak         run boxes in cell mode under random faults and check their promises
                  [--seed N] [--seeds COUNT] [--seconds N] [--boxes N] [--workers N] [--keep DIR]
-                 [--wide] [--full] [--calm] [--series]
+                 [--wide] [--full] [--limits] [--calm] [--series]
                  --seed: the first seed, random by default; --seeds: number of seeds to run from it on;
                  --keep: copy the logs of runs that break a promise to DIR; --wide: larger workers,
                  gangs as wide as half of the cell, slow advice, and a check that no job stalls;
                  --full: a cell that narrow jobs fill, and a check that long-running tasks run again;
+                 --limits: three organisations with limits, of which one at a time sends several times
+                 its share, and a check that a job refused at each of its calls never runs;
                  --calm: no faults except of advice; --series: also series of signals, restarts and
                  changes, and workers that come back 40 s after a crash or later
     log          --listen ADDRESS
--- a/crates/sedgehill-standin/src/soak/callers.rs
+++ b/crates/sedgehill-standin/src/soak/callers.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
@@ -19,8 +19,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::kept::KeptConnections;
-use super::keys::SOAK_KEY;
-use super::{RUN_MS, SoakProfile, SoakSize, full, wide};
+use super::{RUN_MS, SoakProfile, SoakSize, full, limits, wide};
 use crate::cell_platform::{CRASH_SPEC, CellPlatform, GANG_SPEC, run_duration_ms};
 
 /// Number of accepted jobs that wait for their first start, for each worker, above which callers submit no further ones.
@@ -61,7 +60,8 @@
     pub cancelled: BTreeSet<u64>,
     /// Accepted jobs whose tasks run until the job is cancelled.
     pub long_running: BTreeSet<u64>,
-    /// Jobs of which every attempt was answered with status 503: they were not accepted and must not run.
+    /// Jobs of which every attempt was answered with status 429 or 503: they were not accepted and must not
+    /// run.
     pub refused: BTreeSet<u64>,
     /// The request bodies of jobs in `accepted` and `cancelled`.
     pub bodies: BTreeMap<u64, String>,
@@ -115,6 +115,7 @@
         let mut rng = StdRng::seed_from_u64(seed ^ (caller << 32));
         let mut resubmit_rng = StdRng::seed_from_u64(seed ^ (caller << 32) ^ RESUBMIT_SALT);
         let mut accepted: VecDeque<(u64, String)> = VecDeque::new();
+        let started = Instant::now();
         for number in 0.. {
             while self.is_full.load(Relaxed) {
                 tokio::time::sleep(JOB_PAUSE).await;
@@ -122,6 +123,7 @@
             let id = match self.size.profile {
                 SoakProfile::Narrow => (caller << 48) | number,
                 SoakProfile::Wide | SoakProfile::Full => wide::job_id(caller, number),
+                SoakProfile::Limits => limits::job_id(caller, number),
             };
             if let Some(body) = self.submit_drawn(&client, &mut rng, id).await {
                 accepted.push_back((id, body));
@@ -135,7 +137,11 @@
                 // A repeated submission must not create a second job. The answer does not matter.
                 self.call(&client, address, Method::POST, *id, body).await;
             }
-            tokio::time::sleep(JOB_PAUSE).await;
+            let pause = match self.size.profile {
+                SoakProfile::Limits => limits::job_pause(caller, started.elapsed(), JOB_PAUSE),
+                SoakProfile::Narrow | SoakProfile::Wide | SoakProfile::Full => JOB_PAUSE,
+            };
+            tokio::time::sleep(pause).await;
         }
     }
 
@@ -210,7 +216,7 @@
             let address = self.boxes[rng.random_range(0..self.boxes.len())];
             match self.call(client, address, Method::POST, id, body).await {
                 Some(StatusCode::OK) => return Some(address),
-                Some(StatusCode::SERVICE_UNAVAILABLE) => {}
+                Some(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {}
                 Some(_) | None => may_be_accepted = true,
             }
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -251,7 +257,7 @@
             .uri(format!("http://{address}{}", wide::job_path(id)))
             .header("host", "cell.example")
             .header("deadline-ms", "3000")
-            .header("authorization", format!("Token {SOAK_KEY}"))
+            .header("authorization", format!("Token {}", self.size.key_of(id)))
             .body(Full::new(Bytes::from(body.to_owned())))
             .expect("the parts are valid");
         let number = self.boxes.iter().position(|other| *other == address);
--- a/crates/sedgehill-standin/src/soak/faults.rs
+++ b/crates/sedgehill-standin/src/soak/faults.rs
@@ -8,7 +8,7 @@
 use super::SoakProfile;
 use super::plan::SoakFault;
 use super::proxy::PathState;
-use super::{full, wide};
+use super::{full, limits, wide};
 use crate::cell_platform::{
     AffectedLeads, CallFault, HALL_COUNT, PROGRESS_TOPIC, PathFault, hall_name,
 };
@@ -186,6 +186,9 @@
             SoakProfile::Wide => {
                 wide::configure(&self.platform, self.platform.next_config_version())
             }
+            SoakProfile::Limits => {
+                limits::configure(&self.platform, self.platform.next_config_version())
+            }
             SoakProfile::Full => {
                 full::configure(&self.platform, self.platform.next_config_version())
             }
--- a/crates/sedgehill-standin/src/soak/mod.rs
+++ b/crates/sedgehill-standin/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod full;
 mod kept;
 mod keys;
+mod limits;
 mod plan;
 mod progress;
 mod proxy;
@@ -49,6 +50,9 @@
     /// Workers with sixteen cores that narrow jobs fill, and long-running jobs with costly advice whose runs fail. Their
     /// tasks have to run again in time.
     Full,
+    /// As [`SoakProfile::Narrow`], with three organisations that have limits, of which one at a time sends several times
+    /// its share.
+    Limits,
 }
 
 /// The size of the cell, its load, and whether it meets faults.
@@ -83,15 +87,23 @@
     /// Returns the cores of a worker.
     pub fn cores(&self) -> usize {
         match self.profile {
-            SoakProfile::Narrow => CORES,
+            SoakProfile::Narrow | SoakProfile::Limits => CORES,
             SoakProfile::Wide | SoakProfile::Full => wide::WIDE_CORES,
         }
     }
 
+    /// Returns the key with which a job is submitted.
+    fn key_of(&self, id: u64) -> &'static str {
+        match self.profile {
+            SoakProfile::Limits => limits::key_of(id),
+            SoakProfile::Narrow | SoakProfile::Wide | SoakProfile::Full => SOAK_KEY,
+        }
+    }
+
     /// Returns the number of callers.
     fn callers(&self) -> u64 {
         match self.profile {
-            SoakProfile::Narrow => self.workers as u64,
+            SoakProfile::Narrow | SoakProfile::Limits => self.workers as u64,
             SoakProfile::Wide | SoakProfile::Full => WIDE_CALLERS,
         }
     }
@@ -106,6 +118,8 @@
     pub accepted: usize,
     /// Number of jobs that were refused at every attempt.
     pub refused: usize,
+    /// Number of answers that a job could not end in time.
+    pub too_late: u64,
     /// Number of accepted jobs with a task that crashes its workers. Each of them has to be given up.
     pub crashing: usize,
     /// Number of accepted jobs that were given up though they crash no worker. This is allowed once at least two lives of
@@ -169,7 +183,9 @@
         async move {
             match size.profile {
                 SoakProfile::Full => full::run_caller(callers, platform, seed, caller + 1).await,
-                SoakProfile::Narrow | SoakProfile::Wide => callers.run(seed, caller + 1).await,
+                SoakProfile::Narrow | SoakProfile::Wide | SoakProfile::Limits => {
+                    callers.run(seed, caller + 1).await
+                }
             }
         }
     }));
@@ -180,7 +196,7 @@
     let (progress, restarts) = (soak.progress.clone(), soak.restarts.clone());
     let watching = async {
         match size.profile {
-            SoakProfile::Narrow => std::future::pending().await,
+            SoakProfile::Narrow | SoakProfile::Limits => std::future::pending().await,
             SoakProfile::Wide => progress.run(&platform, callers.jobs()).await,
             SoakProfile::Full => restarts.run(&platform).await,
         }
@@ -229,7 +245,7 @@
     async fn start(seed: u64, size: SoakSize, directory: &'a Path) -> std::io::Result<Soak<'a>> {
         let mut platform = CellPlatform::start_with_cores(size.workers, size.cores()).await?;
         platform.workers.set_run_ms(match size.profile {
-            SoakProfile::Narrow | SoakProfile::Wide => RUN_MS,
+            SoakProfile::Narrow | SoakProfile::Wide | SoakProfile::Limits => RUN_MS,
             SoakProfile::Full => FULL_RUN_MS,
         });
         if !seed.is_multiple_of(NEW_IDS_ONE_IN) {
@@ -244,6 +260,7 @@
             SoakProfile::Narrow => keys.configure(&platform),
             SoakProfile::Wide => wide::configure(&platform, 1),
             SoakProfile::Full => full::configure(&platform, 1),
+            SoakProfile::Limits => limits::configure(&platform, 1),
         }
         let mut boxes = Vec::new();
         for number in 0..size.boxes {
@@ -302,7 +319,7 @@
         if self.size.faults {
             self.record_fault();
         }
-        if self.size.profile != SoakProfile::Narrow {
+        if matches!(self.size.profile, SoakProfile::Wide | SoakProfile::Full) {
             self.execute_plan(&SoakPlan::new(), CALM_LOAD.as_secs()).await?;
         }
         Ok(())
@@ -375,6 +392,7 @@
         report.crashing = crashing.intersection(&accepted).count();
         report.accepted = accepted.len();
         report.refused = refused.len();
+        report.too_late = callers.jobs().lock().answers.get(&429).copied().unwrap_or_default();
         tokio::time::sleep(MAX_VISIBILITY_DELAY).await;
         let deadline = Instant::now() + SETTLE_TIMEOUT;
         for id in accepted {
@@ -414,7 +432,7 @@
                 return Some(format!("not to be asked for: {error}"));
             }
             for soak_box in &self.boxes {
-                let key = Some(SOAK_KEY);
+                let key = Some(self.size.key_of(id));
                 match call_with_key(soak_box.config.callers, "GET", &path, "", key).await {
                     Some((200, body)) if body.contains(wanted) => return None,
                     // A failed job does not change its state any more.
--- a/crates/sedgehill-standin/src/soak_command.rs
+++ b/crates/sedgehill-standin/src/soak_command.rs
@@ -28,6 +28,9 @@
     if args.contains("--full") {
         size.profile = SoakProfile::Full;
     }
+    if args.contains("--limits") {
+        size.profile = SoakProfile::Limits;
+    }
     size.faults = !args.contains("--calm");
     size.series = args.contains("--series");
     finish(args)?;
@@ -57,11 +60,12 @@
         }
     };
     println!(
-        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} others given up, stalled {} ms, {} long-running tasks, without a run {} ms, {} calls on kept connections, {} broken",
+        "seed {seed}: {} faults, {} accepted ({} crashing), {} refused, {} answers 429, {} others given up, stalled {} ms, {} long-running tasks, without a run {} ms, {} calls on kept connections, {} broken",
         report.faults,
         report.accepted,
         report.crashing,
         report.refused,
+        report.too_late,
         report.given_up,
         report.stalled.as_millis(),
         report.long_running,
--- a/crates/sedgehill-standin/tests/testsuite/soak.rs
+++ b/crates/sedgehill-standin/tests/testsuite/soak.rs
@@ -37,6 +37,17 @@
     }
 }
 
+/// One of three organisations at a time sends several times what its limit carries, under all faults. A job that boxes
+/// refused at each of its calls must not run, also when a lead is lost or a box appends jobs by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_runs_that_was_refused_at_each_call_beside_limits_seed_302() {
+    let directory = tempfile::tempdir().unwrap();
+    let size = SoakSize { profile: SoakProfile::Limits, ..SoakSize::default() };
+    let report = run_soak(302, LOAD_SECONDS, size, directory.path()).await.unwrap();
+    assert!(report.accepted > 20, "{report:?}");
+    assert!(report.broken.is_empty(), "{report:?}");
+}
+
 /// Gangs as wide as half of the cell run among narrow jobs, with slow advice and boxes whose questions fail. The scheduler
 /// must also ask about gangs for which it expects too little room. When it did not, some gangs stalled until the end:
 /// `"msg":"step stalled","reason":"expected_room","share_percent":30,"places":96,"waiting":43,"asked_ms_ago":null`.
