standin: real boxes refuse the jobs of an organisation at its limit

Cause: the path of a refusal between real boxes needs a decision that refuses.

Change: an organisation at its limit is refused with a time at every box and under a repeated call, another one is not, the refused job does not run, and a job is accepted again once there is room; a job reported as unsettled, and the jobs of a box of the previous release, are not refused.

Observed: both fail as long as Scheduler::admit accepts everything.

--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests that run the system as separate processes against stand-ins with injected faults.
 
+mod admission_limits;
 mod admission_path;
 mod cell;
 mod cell_support;
