--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -48,3 +48,4 @@
 mod summary;
 mod timeout;
 mod unheard_crashes;
+mod unsettled;
