cell: questions to the advice service ordered by cost and time left

Steps asked in the order of their ranks, boxes kept for short questions helped only after 3 s, and each question was filled up with unknown workers, however many waited. 16 gangs therefore queued for three of six boxes for more than 3 s.

Once a question has found no box, those of its class are collected in the next turn and asked in order: urgent, value, wait beyond a bound, time left less cost. Kept boxes help long questions as far as the load and the backlog of short ones leave them free. Questions are not filled up while more long ones wait than boxes can take. Boxes whose answers exceed their cost are used less. The order and the choice of the box are pure functions in question_order.rs. The line asked gets class, time left and wait. `rank` keeps the previous order.

--- a/crates/sedgehill-cell/src/scheduler/advice.rs
+++ b/crates/sedgehill-cell/src/scheduler/advice.rs
@@ -6,6 +6,7 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::message::{HelperId, WorkerKey};
+use super::question_round::HelperWait;
 
 /// When too few workers may run a step, rejected workers are asked about again after this time, and
 /// after twice the time with each further repetition, up to [`MAX_RECHECK_DOUBLINGS`].
@@ -45,6 +46,8 @@
     pub retry_at: Moment,
     /// When the last question was sent; none if there was none.
     pub last_asked_at: Option<Moment>,
+    /// Set while the step finds no box to ask.
+    pub(super) helper_wait: Option<HelperWait>,
     /// How often rejected workers have been asked about again.
     pub rechecks: u32,
     /// When they may be asked about again; 0 until too few workers are found for the first time.
--- a/crates/sedgehill-cell/src/scheduler/advice_dispatch.rs
+++ b/crates/sedgehill-cell/src/scheduler/advice_dispatch.rs
@@ -14,11 +14,13 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::message::HelperId;
+use super::policy::QuestionOrder;
+use super::question_order::{
+    BoxLateness, QuestionBox, QuestionClass, QuestionLoad, WaitingQuestion, choose_box, saves_cost,
+};
 use crate::ids::StepId;
 use crate::timeout::ResendBudget;
 
-/// Questions that cost at least this much are long, and go only to some boxes.
-const LONG_QUESTION_COST: TimeSpan = TimeSpan(200);
 /// One box in this many is kept free of long questions.
 const SHORT_ONLY_ONE_IN: usize = 3;
 /// Of the boxes that are kept free of long questions, one in this many, and at least one, takes
@@ -39,6 +41,8 @@
 /// Backoff of a box after a failed question. It doubles with each further failure, up to
 /// [`MAX_HELPER_BACKOFF`].
 const MIN_HELPER_BACKOFF: TimeSpan = TimeSpan(250);
+/// Time over which the load of short questions is averaged: some bursts of previews.
+const SHORT_LOAD_SPAN: TimeSpan = TimeSpan(2_000);
 /// Longest backoff of a box. It is short, since the service may recover at any time and there may
 /// be no other box.
 const MAX_HELPER_BACKOFF: TimeSpan = TimeSpan(2_000);
@@ -56,7 +60,10 @@
 #[derive(Debug)]
 struct PendingQuestion {
     step: StepId,
+    class: QuestionClass,
     cost: TimeSpan,
+    /// The cost of this question and of those before it.
+    expected: TimeSpan,
     sent: Moment,
     overdue_at: Moment,
     overdue: bool,
@@ -64,7 +71,7 @@
 
 impl PendingQuestion {
     fn is_long(&self) -> bool {
-        self.cost >= LONG_QUESTION_COST
+        self.class == QuestionClass::Long
     }
 
     /// Whether the question is given up.
@@ -82,6 +89,9 @@
     failures: u32,
     /// The box asks nothing before this moment.
     backoff_until: Moment,
+    /// When its questions are expected to be answered.
+    busy_until: Moment,
+    lateness: BoxLateness,
 }
 
 impl AdviceHelper {
@@ -100,6 +110,58 @@
     fn queued_ms(&self) -> u64 {
         self.in_flight.iter().map(|question| question.cost.0).sum()
     }
+
+    fn asks_long(&self) -> bool {
+        self.in_flight.iter().any(PendingQuestion::is_long)
+    }
+
+    /// Returns the time until its questions are expected to be answered.
+    fn busy(&self, now: Moment) -> TimeSpan {
+        match self.in_flight.is_empty() {
+            true => TimeSpan(0),
+            false => self.busy_until.since(now),
+        }
+    }
+}
+
+/// The time that short questions took of late, as an exponential average.
+#[derive(Debug, Clone, Copy, Default)]
+struct ShortLoad {
+    busy_ms: f64,
+    noted_at: Moment,
+}
+
+impl ShortLoad {
+    fn busy_ms(&self, now: Moment) -> f64 {
+        let passed = now.since(self.noted_at).0 as f64 / SHORT_LOAD_SPAN.0 as f64;
+        self.busy_ms * (-passed).exp()
+    }
+
+    fn note(&mut self, cost: TimeSpan, now: Moment) {
+        self.busy_ms = self.busy_ms(now) + cost.0 as f64;
+        self.noted_at = now;
+    }
+
+    fn percent(&self, now: Moment) -> u64 {
+        (self.busy_ms(now) * 100.0 / SHORT_LOAD_SPAN.0 as f64) as u64
+    }
+}
+
+/// Figures about the boxes that ask the advice service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QuestionBoxStats {
+    /// The number of boxes.
+    pub boxes: usize,
+    /// Those with a question in flight.
+    pub busy: usize,
+    /// Those that back off after a failure or have an overdue question.
+    pub unusable: usize,
+    /// Those whose answers take longer than the questions cost.
+    pub late: usize,
+    /// The time until all questions in flight are expected to be answered, added up over boxes.
+    pub busy_total: TimeSpan,
+    /// The same for the box that is busy for longest.
+    pub busy_longest: TimeSpan,
 }
 
 /// Spreads questions over the boxes that can ask.
@@ -107,17 +169,24 @@
 pub struct AdviceDispatcher {
     helpers: BTreeMap<HelperId, AdviceHelper>,
     keep_short_only: bool,
+    order: QuestionOrder,
+    /// Questions that found no box in the last turn.
+    load: QuestionLoad,
+    short_load: ShortLoad,
     /// Limits how many overdue questions are asked again.
     repeats: ResendBudget,
 }
 
 impl AdviceDispatcher {
     /// Creates a dispatcher without boxes. `keep_short_only` tells whether some boxes are kept free
-    /// of long questions.
-    pub fn new(keep_short_only: bool) -> AdviceDispatcher {
+    /// of long questions, and `order` how boxes are chosen.
+    pub fn new(keep_short_only: bool, order: QuestionOrder) -> AdviceDispatcher {
         AdviceDispatcher {
             helpers: BTreeMap::new(),
             keep_short_only,
+            order,
+            load: QuestionLoad::default(),
+            short_load: ShortLoad::default(),
             repeats: ResendBudget::default(),
         }
     }
@@ -133,23 +202,88 @@
         in_flight.into_iter().map(|question| question.step).collect()
     }
 
-    /// Returns the box that should ask a question of this cost now, if one is free for it. Boxes
+    /// Notes the questions that found no box in the last turn.
+    pub fn note_waiting(&mut self, waiting: &[WaitingQuestion], now: Moment) {
+        let long = || waiting.iter().filter(|question| question.class == QuestionClass::Long);
+        let long_waiting = long().count();
+        self.load = QuestionLoad {
+            short_waiting: waiting.len() - long_waiting,
+            short_load_percent: self.short_load.percent(now),
+            long_waiting,
+            long_waiting_cost: TimeSpan(long().map(|question| question.cost.0).sum()),
+        };
+    }
+
+    /// Whether questions should name no more workers than needed.
+    pub fn saves_cost(&self) -> bool {
+        let boxes = self.helpers.len() - self.short_only_count();
+        self.order == QuestionOrder::Deadline && saves_cost(boxes, &self.load)
+    }
+
+    /// Returns the box that should ask a question now, if one is free for it.
+    pub fn choose(&self, question: &WaitingQuestion, now: Moment) -> Option<HelperId> {
+        match self.order {
+            QuestionOrder::Rank => {
+                let urgency = match question.urgent {
+                    true => QuestionUrgency::Urgent,
+                    false => QuestionUrgency::Normal,
+                };
+                self.free_helper(question.class, urgency, now)
+            }
+            QuestionOrder::Deadline => {
+                let boxes = self.boxes(now);
+                choose_box(question.class, question.help_grade(), &boxes, &self.load)
+            }
+        }
+    }
+
+    fn boxes(&self, now: Moment) -> Vec<QuestionBox> {
+        let kept = self.short_only_count();
+        let view = |(index, (helper, state)): (usize, (&HelperId, &AdviceHelper))| QuestionBox {
+            helper: *helper,
+            kept: index < kept,
+            can_ask: state.can_ask(now),
+            questions: state.in_flight.len(),
+            asks_long: state.asks_long(),
+            queued: TimeSpan(state.queued_ms()),
+            busy: state.busy(now),
+            lateness: state.lateness.current(now),
+            failures: state.failures,
+        };
+        self.helpers.iter().enumerate().map(view).collect()
+    }
+
+    /// Returns figures about the boxes.
+    pub fn box_stats(&self, now: Moment) -> QuestionBoxStats {
+        let mut stats = QuestionBoxStats::default();
+        for entry in self.boxes(now) {
+            stats.boxes += 1;
+            stats.busy += usize::from(entry.questions > 0);
+            stats.unusable += usize::from(!entry.can_ask);
+            stats.late += usize::from(entry.lateness > TimeSpan(0));
+            stats.busy_total = TimeSpan(stats.busy_total.0 + entry.busy.0);
+            stats.busy_longest = stats.busy_longest.max(entry.busy);
+        }
+        stats
+    }
+
+    /// Returns the box that should ask a question of this class now by the order of ranks, if one is free for it. Boxes
     /// whose last questions failed are chosen last. An urgent long question may also go to some of
     /// the boxes that are kept for short questions.
     pub fn free_helper(
         &self,
-        cost: TimeSpan,
+        class: QuestionClass,
         urgency: QuestionUrgency,
         now: Moment,
     ) -> Option<HelperId> {
-        match cost >= LONG_QUESTION_COST {
-            true => {
+        match class {
+            QuestionClass::Long => {
                 let free = self.free_for_long(now);
                 free.or_else(|| {
                     (urgency == QuestionUrgency::Urgent).then(|| self.free_short_only(now))?
                 })
             }
-            false => self.free_for_short(now),
+            QuestionClass::Short => self.free_for_short(now),
         }
     }
 
@@ -167,8 +301,7 @@
     /// questions already.
     fn free_short_only(&self, now: Moment) -> Option<HelperId> {
         let short_only = || self.helpers.iter().take(self.short_only_count());
-        let asks_long = |state: &AdviceHelper| state.in_flight.iter().any(PendingQuestion::is_long);
-        let long_count = short_only().filter(|(_, state)| asks_long(state)).count();
+        let long_count = short_only().filter(|(_, state)| state.asks_long()).count();
         if long_count >= (self.short_only_count() / LONG_ON_SHORT_ONLY_ONE_IN).max(1) {
             return None;
         }
@@ -196,19 +329,31 @@
             .iter()
             .filter(|(_, state)| {
                 let room = state.in_flight.len() < MAX_SHORT_QUESTIONS;
-                room && state.can_ask(now)
-                    && (only_helper || !state.in_flight.iter().any(PendingQuestion::is_long))
+                room && state.can_ask(now) && (only_helper || !state.asks_long())
             })
             .min_by_key(|(_, state)| (state.failures, state.queued_ms()))
             .map(|(helper, _)| *helper)
     }
 
     /// Notes that a box asks a question.
-    pub fn begin(&mut self, helper: HelperId, step: StepId, cost: TimeSpan, now: Moment) {
+    pub fn begin(
+        &mut self,
+        helper: HelperId,
+        step: StepId,
+        class: QuestionClass,
+        cost: TimeSpan,
+        now: Moment,
+    ) {
         let state = self.helpers.entry(helper).or_default();
-        let total_ms = state.queued_ms() + cost.0;
-        let overdue_at = now.after(TimeSpan(total_ms * OVERDUE_PERCENT / 100 + OVERDUE_SLACK.0));
-        state.in_flight.push(PendingQuestion { step, cost, sent: now, overdue_at, overdue: false });
+        state.busy_until = now.after(TimeSpan(state.busy(now).0 + cost.0));
+        let expected = TimeSpan(state.queued_ms() + cost.0);
+        let overdue_at = now.after(TimeSpan(expected.0 * OVERDUE_PERCENT / 100 + OVERDUE_SLACK.0));
+        let question =
+            PendingQuestion { step, class, cost, expected, sent: now, overdue_at, overdue: false };
+        state.in_flight.push(question);
+        if class == QuestionClass::Short {
+            self.short_load.note(cost, now);
+        }
         self.repeats.note_first_call();
     }
 
@@ -227,11 +372,14 @@
             state.backoff_until = now;
         }
         let place = state.in_flight.iter().position(|question| question.step == step)?;
-        let sent = state.in_flight.remove(place).sent;
-        if !answered {
-            state.note_failure(now);
+        let question = state.in_flight.remove(place);
+        match answered {
+            true => {
+                state.lateness.note_answer(question.expected, now.since(question.sent), now);
+            }
+            false => state.note_failure(now),
         }
-        Some(sent)
+        Some(question.sent)
     }
 
     /// Marks questions that have become overdue and may be asked again. Returns the box that asked
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -5,6 +5,7 @@
 use sedgehill_core::units::{ResourceSet, TimeSpan};
 
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
+use super::question_order::QuestionClass;
 use super::restart::RestartCause;
 use super::stall::{StallDetails, StallReason};
 use super::suspects::CrashDetection;
@@ -202,6 +203,12 @@
         named: usize,
         /// The box that asks.
         helper: HelperId,
+        /// Whether the question is short or long.
+        class: QuestionClass,
+        /// The time until the step must start to meet the objective; zero if that has passed.
+        time_left: TimeSpan,
+        /// The time for which the step found no box.
+        waited: TimeSpan,
     },
     /// A question to the advice service was answered or failed.
     AdviceReceived {
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -30,6 +30,8 @@
 mod pace;
 mod placement;
 mod policy;
+mod question_order;
+mod question_round;
 mod questions;
 mod rank;
 mod record;
@@ -56,7 +58,7 @@
 use self::active_job::{ActiveJob, ActiveTask, StartFlag, TaskPhase};
 pub use self::admission::AdmissionDecision;
 pub use self::advice::AllowedShare;
-pub use self::advice_dispatch::AdviceDispatcher;
+pub use self::advice_dispatch::{AdviceDispatcher, QuestionBoxStats, QuestionUrgency};
 use self::background_crashes::BackgroundCrashes;
 use self::call_loss::CallLossRate;
 pub use self::diagnostics::TakeOverStatus;
@@ -70,6 +72,13 @@
     CellPolicy, LimitOrder, LimitOrderError, QuestionOrder, QuestionOrderError, SharingError,
     SharingMode,
 };
+pub use self::question_order::{
+    BoxLateness, HelpGrade, QuestionBox, QuestionClass, QuestionLoad, WaitingQuestion, choose_box,
+    order_questions,
+};
+use self::question_round::QuestionRound;
+pub use self::question_round::QuestionWaitStats;
+pub use self::rank::ValueClass;
 use self::restart::RestartTracker;
 pub use self::restart::{PendingRestart, RestartCause, RestartStats};
 use self::room::Candidate;
@@ -124,6 +133,8 @@
     unpolled_lives: Vec<WorkerKey>,
     jobs: BTreeMap<JobId, ActiveJob>,
     advice_dispatcher: AdviceDispatcher,
+    /// The questions that wait for boxes.
+    question_round: QuestionRound,
     shares: HashMap<QueueName, AllowedShare>,
     /// How much longer runs take than estimated, by queue.
     estimates: HashMap<QueueName, FactorAverage>,
@@ -194,7 +205,11 @@
             ids: HashMap::new(),
             unpolled_lives: Vec::new(),
             jobs: BTreeMap::new(),
-            advice_dispatcher: AdviceDispatcher::new(timing.policy.short_only),
+            advice_dispatcher: AdviceDispatcher::new(
+                timing.policy.short_only,
+                timing.policy.question_order,
+            ),
+            question_round: QuestionRound::default(),
             shares: HashMap::new(),
             estimates: HashMap::new(),
             call_losses: CallLossRate::default(),
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -25,6 +25,7 @@
     /// Starts whatever can be started and requests missing advice, in the order of the steps'
     /// ranks.
     pub(super) fn place_all(&mut self, now: Moment) {
+        self.begin_question_round(now);
         self.predict_restarts(now);
         self.suspects_seen = self.suspects_seen && self.jobs.values().any(ActiveJob::has_suspects);
         let open = self.open_workers(now);
@@ -43,6 +44,7 @@
             self.note_stall(&candidate, reason, now);
             self.note_restart_stall(&candidate, reason, ahead);
         }
+        self.ask_in_order(&open, now);
         self.report_stalls(&open, now);
     }
 
--- a/crates/sedgehill-cell/src/scheduler/questions.rs
+++ b/crates/sedgehill-cell/src/scheduler/questions.rs
@@ -10,7 +10,6 @@
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::advice::InFlightQuestion;
-use super::advice_dispatch::QuestionUrgency;
 use super::isolation::split_alone;
 use super::room::{Candidate, OpenWorkers};
 use super::*;
@@ -62,6 +61,15 @@
     expected_max: usize,
 }
 
+/// What became of a step's attempt to ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AskOutcome {
+    /// A question was sent.
+    Asked,
+    /// None was sent, for this reason.
+    Waits(StallReason),
+}
+
 impl Scheduler {
     /// Asks which workers may run a step, if there is room that an answer could open. Returns what
     /// the step waits for.
@@ -72,9 +80,32 @@
         open: &OpenWorkers,
         now: Moment,
     ) -> StallReason {
-        let Some(job) = self.jobs.get(&candidate.job) else { return StallReason::NoRoom };
-        let no_room = if spec.gang { StallReason::PartialGangRoom } else { StallReason::NoRoom };
-        let Some(policy) = job.record.policy.advice else { return no_room };
+        if let Some(reason) = self.question_block(candidate, spec, now) {
+            return reason;
+        }
+        if self.defer_question(candidate, now) {
+            return StallReason::NoFreeHelper;
+        }
+        match self.ask(candidate, spec, open, now) {
+            AskOutcome::Asked => StallReason::AwaitingAdvice,
+            AskOutcome::Waits(reason) => reason,
+        }
+    }
+
+    /// Returns what keeps a step from asking, apart from boxes and room; none if nothing does.
+    pub(super) fn question_block(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        now: Moment,
+    ) -> Option<StallReason> {
+        let Some(job) = self.jobs.get(&candidate.job) else { return Some(StallReason::NoRoom) };
+        if job.record.policy.advice.is_none() {
+            return Some(match spec.gang {
+                true => StallReason::PartialGangRoom,
+                false => StallReason::NoRoom,
+            });
+        }
         let advice = &job.steps[candidate.step].advice;
         let max_questions = match spec.gang {
             true => MAX_GANG_QUESTIONS,
@@ -83,52 +114,122 @@
             false => 1,
         };
         if advice.expected_answers() >= max_questions {
-            return StallReason::AwaitingAdvice;
-        }
-        if now < advice.retry_at {
-            return StallReason::RecentFailure;
+            return Some(StallReason::AwaitingAdvice);
         }
+        (now < advice.retry_at).then_some(StallReason::RecentFailure)
+    }
+
+    /// Asks one question about a step, if a box is free and an answer could open room.
+    pub(super) fn ask(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        open: &OpenWorkers,
+        now: Moment,
+    ) -> AskOutcome {
+        let no_job = AskOutcome::Waits(StallReason::NoRoom);
+        let Some(question) = self.waiting_question(candidate, now) else { return no_job };
         // Checked first, because selecting the workers to name takes much longer.
-        let urgency = match candidate.restarts || self.starved_step == Some(*candidate) {
-            true => QuestionUrgency::Urgent,
-            false => QuestionUrgency::Normal,
-        };
-        if self.advice_dispatcher.free_helper(policy.cost(1), urgency, now).is_none() {
-            return StallReason::NoFreeHelper;
+        if self.advice_dispatcher.choose(&question, now).is_none() {
+            self.note_helper_wait(candidate, question.class, question.cost, now);
+            return AskOutcome::Waits(StallReason::NoFreeHelper);
         }
-        let named = match candidate.restarts && !spec.gang {
-            true => self.select_restart_workers(candidate, job, spec, now),
-            false => self.select_workers(candidate, job, spec, open, now),
+        let Some(job) = self.jobs.get(&candidate.job) else { return no_job };
+        let Some(policy) = job.record.policy.advice else { return no_job };
+        let selected = match candidate.restarts && !spec.gang {
+            true => self
+                .select_restart_workers(candidate, job, spec, now)
+                .map(|named| (QuestionClass::of(policy.cost(named.len())), named)),
+            false => self
+                .select_workers(candidate, job, spec, open, now)
+                .map(|named| self.fill_or_save(candidate, job, spec, named, now)),
         };
-        let named = match named {
-            Ok(named) => named,
-            Err(_) if !advice.in_flight.is_empty() => return StallReason::AwaitingAdvice,
-            Err(reason) => {
-                if reason == StallReason::NoneAllowed
-                    && let Some(job) = self.jobs.get_mut(&candidate.job)
-                {
-                    job.steps[candidate.step].advice.recheck_rejected(now);
-                }
-                return reason;
-            }
+        let (class, named) = match selected {
+            Ok(selected) => selected,
+            Err(reason) => return AskOutcome::Waits(self.note_no_question(candidate, reason, now)),
         };
-        let cost = policy.cost(named.len());
-        let Some(helper) = self.advice_dispatcher.free_helper(cost, urgency, now) else {
-            return StallReason::NoFreeHelper;
+        let question = WaitingQuestion { class, cost: policy.cost(named.len()), ..question };
+        let Some(helper) = self.advice_dispatcher.choose(&question, now) else {
+            self.note_helper_wait(candidate, class, question.cost, now);
+            return AskOutcome::Waits(StallReason::NoFreeHelper);
         };
-        let step = job.steps[candidate.step].id;
-        self.advice_dispatcher.begin(helper, step, cost, now);
+        self.send_question(candidate, &question, helper, named, now);
+        AskOutcome::Asked
+    }
+
+    /// Notes that no question would help a step. Returns what it waits for.
+    fn note_no_question(
+        &mut self,
+        candidate: &Candidate,
+        reason: StallReason,
+        now: Moment,
+    ) -> StallReason {
+        let Some(job) = self.jobs.get_mut(&candidate.job) else { return reason };
+        let advice = &mut job.steps[candidate.step].advice;
+        advice.helper_wait = None;
+        if !advice.in_flight.is_empty() {
+            return StallReason::AwaitingAdvice;
+        }
+        if reason == StallReason::NoneAllowed {
+            advice.recheck_rejected(now);
+        }
+        reason
+    }
+
+    /// Sends a question about a step through a box.
+    fn send_question(
+        &mut self,
+        candidate: &Candidate,
+        question: &WaitingQuestion,
+        helper: HelperId,
+        named: Vec<WorkerKey>,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
+        let active_step = &mut job.steps[candidate.step];
+        let step = active_step.id;
+        let WaitingQuestion { class, cost, time_left, waited, .. } = *question;
+        self.advice_dispatcher.begin(helper, step, class, cost, now);
         self.starved_step.take_if(|step| *step == *candidate);
-        self.events.push(CellEvent::AdviceRequested { step, named: named.len(), helper });
-        let ids = named.iter().map(|key| self.workers[key.0].entry.life.id.clone()).collect();
-        self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers: ids }));
-        if let Some(job) = self.jobs.get_mut(&candidate.job) {
-            let question = InFlightQuestion { helper, workers: named, overdue: false };
-            let advice = &mut job.steps[candidate.step].advice;
-            advice.in_flight.push(question);
-            advice.last_asked_at = Some(now);
+        let named_count = named.len();
+        let requested = CellEvent::AdviceRequested {
+            step,
+            named: named_count,
+            helper,
+            class,
+            time_left,
+            waited,
+        };
+        self.events.push(requested);
+        let workers = named.iter().map(|key| self.workers[key.0].entry.life.id.clone()).collect();
+        self.orders.push(CellOrder::Ask(AdviceQuestion { helper, step, workers }));
+        let advice = &mut active_step.advice;
+        advice.in_flight.push(InFlightQuestion { helper, workers: named, overdue: false });
+        advice.last_asked_at = Some(now);
+        advice.helper_wait = None;
+    }
+
+    /// Fills a question with unknown workers, unless so many long questions wait that those that
+    /// are needed go first. Returns its class, which is that of the filled question in both cases:
+    /// otherwise questions made cheaper would queue with the short ones.
+    fn fill_or_save(
+        &self,
+        candidate: &Candidate,
+        job: &ActiveJob,
+        spec: &StepSpec,
+        mut named: Vec<WorkerKey>,
+        now: Moment,
+    ) -> (QuestionClass, Vec<WorkerKey>) {
+        let needed = named.len();
+        if self.timing.policy.fill_questions {
+            self.fill_question(candidate, job, spec, &mut named, now);
+        }
+        let cost = job.record.policy.advice.map(|policy| policy.cost(named.len()));
+        let class = QuestionClass::of(cost.unwrap_or_default());
+        if class == QuestionClass::Long && self.advice_dispatcher.saves_cost() {
+            named.truncate(needed);
         }
-        StallReason::AwaitingAdvice
+        (class, named)
     }
 
     /// The share of workers that is assumed to be allowed to run a step of the queue.
@@ -189,9 +290,6 @@
         if named.is_empty() {
             return Err(self.no_candidates_reason(candidate, job, spec, now));
         }
-        if self.timing.policy.fill_questions {
-            self.fill_question(candidate, job, spec, &mut named, now);
-        }
         Ok(named)
     }
 
--- a/crates/sedgehill-cell/src/scheduler/rank.rs
+++ b/crates/sedgehill-cell/src/scheduler/rank.rs
@@ -15,7 +15,7 @@
 /// The value that a job still has, and how urgently it must start to keep it. Lower classes rank
 /// first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum ValueClass {
+pub enum ValueClass {
     /// It meets its objective if it starts soon.
     OnTime,
     /// It misses its objective, but keeps a part of its value.
@@ -55,6 +55,11 @@
         JobRank { over_share, ..self }
     }
 
+    /// Returns the value that the job still has.
+    pub fn value_class(&self) -> ValueClass {
+        self.value_class
+    }
+
     /// Whether the job still has value.
     pub fn has_value(&self) -> bool {
         !self.worthless
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -188,6 +188,20 @@
         });
     }
 
+    /// Replaces the reason of a stalled step if it is `from`.
+    pub(super) fn replace_stall_reason(
+        &mut self,
+        candidate: &Candidate,
+        from: StallReason,
+        to: StallReason,
+    ) {
+        let Some(job) = self.jobs.get_mut(&candidate.job) else { return };
+        let stall = &mut job.steps[candidate.step].stall;
+        if let Some(stall) = stall.as_mut().filter(|stall| stall.reason == from) {
+            stall.reason = to;
+        }
+    }
+
     /// Finds the step that has waited longest for a box to ask, if that is long. Steps without
     /// value rank last, so as long as others arrive they would never find a free box.
     pub(super) fn update_starved_step(&mut self, candidates: &[Candidate], now: Moment) {
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -163,8 +163,9 @@
             info!(log, "run not wanted"; "token" => %token, KnownStateFields(known_state), "task" => %task, "run" => run.0,
                 "worker" => %worker);
         }
-        CellEvent::AdviceRequested { step, named, helper } => {
-            info!(log, "asked"; "step" => %step, "named" => named, "helper" => helper.0);
+        CellEvent::AdviceRequested { step, named, helper, class, time_left, waited } => {
+            info!(log, "asked"; "step" => %step, "named" => named, "helper" => helper.0, "class" => class.name(),
+                "time_left_ms" => time_left.0, "waited_ms" => waited.0);
         }
         CellEvent::AdviceReceived { step, helper, allowed, took } => {
             info!(log, "advised"; "step" => %step, "good" => allowed, "helper" => helper.0,
