--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -8,6 +8,7 @@
 use super::limit_stops::LimitResource;
 use super::message::{HelperId, RunEnd, WorkerRefusal, WorkerTime};
 use super::organisations::OrganisationKey;
+use super::question_order::QuestionClass;
 use super::restart::RestartCause;
 use super::speeds::LogFactor;
 use super::stall::{StallDetails, StallReason};
@@ -211,6 +212,12 @@
         named: usize,
         /// The box that asks.
         helper: HelperId,
+        /// Whether the question is short or long.
+        class: QuestionClass,
+        /// The time until the step must start to meet the objective; zero if that has passed.
+        time_left: TimeSpan,
+        /// The time for which the step found no box.
+        waited: TimeSpan,
     },
     /// A question to the advice service was answered or failed.
     AdviceReceived {
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -36,6 +36,8 @@
 mod organisations;
 mod placement;
 mod policy;
+mod question_order;
+mod question_round;
 mod questions;
 mod rank;
 mod record;
@@ -71,7 +73,7 @@
 use self::admission_ledger::AdmissionLedger;
 pub use self::admission_ledger::{AdmissionStats, InflowShare};
 pub use self::advice::AllowedShare;
-pub use self::advice_dispatch::AdviceDispatcher;
+pub use self::advice_dispatch::{AdviceDispatcher, QuestionBoxStats, QuestionUrgency};
 use self::background_crashes::BackgroundCrashes;
 pub use self::backlog::{
     BacklogGroup, BacklogRank, CountedRun, LimitLoad, ResourceWork, StartQuery,
@@ -93,6 +95,13 @@
     CellPolicy, LimitOrder, LimitOrderError, QuestionOrder, QuestionOrderError, SharingError,
     SharingMode,
 };
+pub use self::question_order::{
+    BoxLateness, HelpGrade, QuestionBox, QuestionClass, QuestionLoad, WaitingQuestion, choose_box,
+    order_questions,
+};
+use self::question_round::QuestionRound;
+pub use self::question_round::QuestionWaitStats;
+pub use self::rank::ValueClass;
 pub use self::rank::{LimitUse, ShareRank};
 use self::restart::RestartTracker;
 pub use self::restart::{PendingRestart, RestartCause, RestartStats};
@@ -158,6 +167,8 @@
     unpolled_lives: Vec<WorkerKey>,
     jobs: BTreeMap<JobId, ActiveJob>,
     advice_dispatcher: AdviceDispatcher,
+    /// The questions that wait for boxes.
+    question_round: QuestionRound,
     shares: HashMap<QueueName, AllowedShare>,
     /// How much longer runs take than estimated, by queue and by worker.
     speeds: WorkerSpeeds,
@@ -231,7 +242,11 @@
             ids: HashMap::new(),
             unpolled_lives: Vec::new(),
             jobs: BTreeMap::new(),
-            advice_dispatcher: AdviceDispatcher::new(timing.policy.short_only),
+            advice_dispatcher: AdviceDispatcher::new(
+                timing.policy.short_only,
+                timing.policy.question_order,
+            ),
+            question_round: QuestionRound::default(),
             shares: HashMap::new(),
             speeds: WorkerSpeeds::default(),
             call_losses: CallLossRate::default(),
--- a/crates/sedgehilld/src/cell/lead_metrics.rs
+++ b/crates/sedgehilld/src/cell/lead_metrics.rs
@@ -1,15 +1,15 @@
-//! Exports metrics of organisations, emptied halls, stalled steps, late restarts, admission and the
-//! speeds of workers while this box leads.
+//! Exports metrics of organisations, emptied halls, stalled steps, waiting questions, late restarts,
+//! admission and the speeds of workers while this box leads.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sedgehill_cell::ids::HallName;
 use sedgehill_cell::scheduler::{
-    AdmissionReason, AdmissionStats, HallStats, OrganisationStats, PoolSpread, RestartStats,
-    SpeedStats, StallReason, StallStats,
+    AdmissionReason, AdmissionStats, HallStats, OrganisationStats, PoolSpread, QuestionBoxStats,
+    QuestionClass, QuestionWaitStats, RestartStats, SpeedStats, StallReason, StallStats,
 };
-use sedgehill_core::units::{CoreCount, ResourceSet};
+use sedgehill_core::units::{CoreCount, ResourceSet, TimeSpan};
 
 use super::lead::LeadSession;
 use crate::{clock, telemetry};
@@ -41,6 +41,11 @@
         set_restart_metrics(session.scheduler.borrow().restart_stats(clock::now()));
         set_speed_metrics(&session.scheduler.borrow().speed_stats());
         set_admission_metrics(&session.scheduler.borrow().admission_stats());
+        let scheduler = session.scheduler.borrow();
+        set_question_metrics(
+            &scheduler.question_wait_stats(),
+            scheduler.question_box_stats(clock::now()),
+        );
     }
 }
 
@@ -106,6 +111,9 @@
     }
     set_speed_metrics(&speeds);
     set_admission_metrics(&AdmissionStats::default());
+    let nothing_waits =
+        QuestionClass::ALL.map(|class| QuestionWaitStats { class, ..QuestionWaitStats::default() });
+    set_question_metrics(&nothing_waits, QuestionBoxStats::default());
 }
 
 /// Sets the metrics of admission.
@@ -125,6 +133,24 @@
     telemetry::set_admission_worthless("failed", stats.ended_failed);
 }
 
+/// Sets the metrics of questions that wait for boxes, and of the boxes.
+fn set_question_metrics(waits: &[QuestionWaitStats], boxes: QuestionBoxStats) {
+    for wait in waits {
+        let longest = wait.longest.0 as f64 / MILLIS_PER_SECOND;
+        telemetry::set_waiting_questions(wait.class.name(), wait.waiting, longest);
+    }
+    telemetry::set_question_boxes("all", boxes.boxes);
+    telemetry::set_question_boxes("busy", boxes.busy);
+    telemetry::set_question_boxes("unusable", boxes.unusable);
+    telemetry::set_question_boxes("late", boxes.late);
+    let seconds = |span: TimeSpan| span.0 as f64 / MILLIS_PER_SECOND;
+    telemetry::set_gauge("sedgehill_cell_question_busy_seconds", seconds(boxes.busy_total));
+    telemetry::set_gauge(
+        "sedgehill_cell_question_busy_longest_seconds",
+        seconds(boxes.busy_longest),
+    );
+}
+
 fn set_organisation_metrics(stats: &[OrganisationStats]) {
     for organisation in stats.iter().take(telemetry::MAX_LABELLED_ORGANISATIONS) {
         let cores = |count: CoreCount| count.0 as f64 / THOUSANDTHS_PER_UNIT;
