cell: a refusal assumes at most two thirds of the expected run time

The forecast of the wait errs too. With the learned spread of a queue's run times alone, which may be narrow, a job of a quiet organisation was deferred beside another organisation's crowd.

--- a/crates/sedgehill-cell/src/scheduler/admission.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission.rs
@@ -12,6 +12,7 @@
 use super::active_job::ActiveJob;
 use super::admission_ledger::InflowShare;
 use super::backlog::{BacklogGroup, StartQuery};
+use super::backlog_view::optimistic_time;
 use super::forecast::RunForecast;
 use super::organisations::OrganisationKey;
 use super::rank::LATE_FACTOR;
@@ -315,7 +316,7 @@
         };
         let useful = inputs.useful_time();
         if useful >= inputs.chain.lower {
-            let mut first = self.backlog_groups(job, |forecast| forecast.lower, now);
+            let mut first = self.backlog_groups(job, |forecast| optimistic_time(&forecast), now);
             first.retain(|group| group.available_at <= now);
             let query = StartQuery {
                 groups: &first,
--- a/crates/sedgehill-cell/src/scheduler/backlog_view.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog_view.rs
@@ -26,6 +26,15 @@
 /// A run of unknown age, which an earlier lead started, is assumed to be halfway.
 const UNKNOWN_AGE_DIVISOR: u64 = 2;
 
+/// The largest part of a run's expected time, in percent, that a refusal assumes. The forecast of
+/// the wait errs too, which the spread of a queue's run times does not show.
+const OPTIMISTIC_PERCENT: u64 = 67;
+
+/// Returns the least time that a run of a job may take, as far as refusing the job is concerned.
+pub(super) fn optimistic_time(run: &RunForecast) -> TimeSpan {
+    run.lower.min(TimeSpan(run.expected.0 * OPTIMISTIC_PERCENT / 100))
+}
+
 impl Scheduler {
     /// Returns figures about admission.
     pub fn admission_stats(&self) -> AdmissionStats {
@@ -165,7 +174,8 @@
         groups
     }
 
-    /// Returns the forecast of the longest chain of a job's steps in one repetition.
+    /// Returns the forecast of the longest chain of a job's steps in one repetition, with
+    /// [`optimistic_time`] as its lower side.
     pub(super) fn chain_forecast(&self, job: &ActiveJob) -> RunForecast {
         let none = RunForecast { lower: TimeSpan(0), expected: TimeSpan(0), upper: TimeSpan(0) };
         let mut ends: Vec<RunForecast> = Vec::new();
@@ -174,7 +184,7 @@
             let begin = before.max_by_key(|end| end.expected).unwrap_or(none);
             let run = self.forecast_run(job, step, None);
             ends.push(RunForecast {
-                lower: TimeSpan(begin.lower.0 + run.lower.0),
+                lower: TimeSpan(begin.lower.0 + optimistic_time(&run).0),
                 expected: TimeSpan(begin.expected.0 + run.expected.0),
                 upper: TimeSpan(begin.upper.0 + run.upper.0),
             });
