cell: a step for which runs are stopped on workers claims its room under the limit

Cause: an urgent step had saved runs stopped on workers, and then a gang of its organisation that ranked before it reserved all room under the limit. The step did not start, the saved work did once the worker's reservation had expired, and it was stopped again every 720 ms, so that its job never ended. Change: displacement also claims the room under the limit for as long as it reserves the worker. The new course also checks that no task is stopped again under a limit before it has saved new state; it fails without that rule.

--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -108,6 +108,9 @@
             let until = now.after(self.timing.stop).after(RESERVATION_MARGIN);
             self.workers[key.0].reservation =
                 Some(WorkerReservation { step, need: spec.need, until, alone: false });
+            // A step that ranks before and waits for more room under the limit would otherwise keep
+            // this one from starting, and the runs would be stopped again and again.
+            self.claim_limit_room(candidate, 1, until);
             for (task, run) in displacement.runs {
                 self.note_preempted(&task, run);
                 self.stop_run(key, task, run, "displaced", now);
--- a/crates/sedgehill-cell/src/scheduler/limit_room.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_room.rs
@@ -319,6 +319,18 @@
         Some(key)
     }
 
+    /// Claims room under the limit of a step's organisation for further tasks, for which runs are
+    /// stopped on workers. The claim counts from the next turn.
+    pub(super) fn claim_limit_room(&mut self, candidate: &Candidate, tasks: usize, until: Moment) {
+        let Some(job) = self.jobs.get(&candidate.job) else { return };
+        let Some(owner) = job.owner else { return };
+        let step = job.steps[candidate.step].id;
+        let claims = &mut self.limit_room.claims;
+        let claim = claims.entry(step).or_insert(LimitClaim { owner, tasks: 0, until });
+        claim.tasks += tasks;
+        claim.until = claim.until.max(until);
+    }
+
     /// Notes that a run is stopped for more urgent work, so that its task is not stopped under a
     /// limit again before it has saved new state.
     pub(super) fn note_preempted(&mut self, task: &CellTask, run: RunNumber) {
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -4,11 +4,13 @@
 //! after its end, when runs exceed the capacity of a worker or the highest limit that their organisation has had, or
 //! when a start is sent into a hall that was emptied seconds ago.
 
+use std::collections::HashMap;
+
 use proptest::prelude::*;
-use sedgehill_cell::ids::JobId;
+use sedgehill_cell::ids::{CellTask, JobId};
 use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::progress::JobState;
-use sedgehill_cell::scheduler::{CellPolicy, LimitOrder, RunEnd, Scheduler};
+use sedgehill_cell::scheduler::{CellEvent, CellPolicy, LimitOrder, RunEnd, Scheduler};
 use sedgehill_core::units::{CoreCount, TimeSpan};
 
 use crate::cases::cases;
@@ -139,6 +141,57 @@
     ]
 }
 
+/// Generates mostly jobs of organisations at their limits, with those faults that concern stops and limits.
+fn any_limit_move() -> impl Strategy<Value = Move> {
+    let worker = 0..usize::from(WORKERS);
+    let submit = (
+        1u16..5,
+        1u64..4,
+        prop::bool::weighted(0.2),
+        0usize..2,
+        0u32..3,
+        prop::bool::weighted(0.9),
+    );
+    prop_oneof![
+        8 => submit.prop_map(|(count, need, gang, owner, priority, saves)| {
+            Move::SubmitRanked { count, need, gang, owner, priority, saves }
+        }),
+        4 => (0u64..24, 0u16..5).prop_map(|(id, index)| Move::Save(id, index)),
+        1 => (0usize..2, 3u64..16).prop_map(|(owner, max_cores)| Move::Limit(owner, max_cores)),
+        1 => (0u64..24).prop_map(Move::Cancel),
+        1 => (worker.clone(), any::<bool>()).prop_map(|(number, cut)| Move::Cut(number, cut)),
+        1 => (worker.clone(), any::<bool>()).prop_map(|(number, mute)| Move::Mute(number, mute)),
+        1 => (worker.clone(), 20u64..9_000).prop_map(|(number, back)| Move::Crash(number, back)),
+        4 => (0usize..16).prop_map(|pick| Move::End { pick, end: RunEnd::Done }),
+        12 => (1usize..40).prop_map(Move::Turns),
+        1 => Just(Move::StaleReports),
+        1 => worker.prop_map(Move::LoseAnswers),
+        1 => Just(Move::CarryOutLate),
+        1 => Just(Move::NewLead),
+    ]
+}
+
+/// The states that tasks had saved when a lead last had them stopped to make room under a limit.
+#[derive(Default)]
+struct PreemptedStates(HashMap<CellTask, Option<String>>);
+
+impl PreemptedStates {
+    /// Checks that no task is stopped again by the same lead before it has saved new state.
+    fn check(&mut self, cell: &FakeCell, lead: &mut Scheduler) {
+        for event in lead.take_events() {
+            let CellEvent::LimitPreempted { stopped, .. } = event else { continue };
+            for task in stopped {
+                let state = cell.saved.get(&task).cloned();
+                let earlier = self.0.insert(task, state.clone());
+                assert!(
+                    earlier != Some(state),
+                    "{task} is stopped again before it saved new state"
+                );
+            }
+        }
+    }
+}
+
 fn apply(cell: &mut FakeCell, lead: &mut Scheduler, jobs: &mut u64, chosen: Move) {
     match chosen {
         Move::Submit { count, need, gang, chained, owner, crashes } => {
@@ -245,8 +298,13 @@
         cell.limit(&mut lead, name, max_cores);
     }
     let mut jobs = 0;
+    let mut preempted = PreemptedStates::default();
     for chosen in moves {
+        if matches!(chosen, Move::NewLead) {
+            preempted = PreemptedStates::default();
+        }
         apply(&mut cell, &mut lead, &mut jobs, chosen);
+        preempted.check(&cell, &mut lead);
     }
     for worker in &mut cell.workers {
         (worker.cut, worker.mute, worker.unlisted) = (false, false, false);
@@ -295,6 +353,15 @@
         let policy = CellPolicy { limit_order: LimitOrder::Timed, ..CellPolicy::default() };
         run_moves_with(policy, keeps_ids, usize::MAX, moves)?;
     }
+
+    #[test]
+    fn random_loads_at_limits_break_no_rule_and_every_job_ends(
+        timed in any::<bool>(),
+        moves in prop::collection::vec(any_limit_move(), 1..120),
+    ) {
+        let limit_order = if timed { LimitOrder::Timed } else { LimitOrder::InOrder };
+        run_moves_with(CellPolicy { limit_order, ..CellPolicy::default() }, true, usize::MAX, moves)?;
+    }
 }
 
 // A task may be started at most twice after three workers have crashed under it; here it is started three times.
@@ -324,3 +391,169 @@
     ];
     run_moves(true, usize::MAX, moves).unwrap();
 }
+
+// Urgent work had saved work stopped on workers and could not start there, since a gang that ranked before it reserved
+// all room under the limit of their organisation. The saved work started again once the reservation of the worker had
+// expired, and was stopped again every 720 ms, also without preemption under limits.
+#[test]
+fn work_is_not_stopped_in_turns_for_a_step_that_its_limit_keeps_waiting_seed_0809978e() {
+    for limit_room in [false, true] {
+        let moves = vec![
+            Move::SubmitRanked {
+                count: 1,
+                need: 3,
+                gang: false,
+                owner: 0,
+                priority: 1,
+                saves: true,
+            },
+            Move::SubmitRanked {
+                count: 3,
+                need: 2,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::Cancel(2),
+            Move::LoseAnswers(2),
+            Move::End { pick: 3, end: RunEnd::Done },
+            Move::SubmitRanked {
+                count: 1,
+                need: 1,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::Turns(1),
+            Move::Turns(23),
+            Move::SubmitRanked {
+                count: 4,
+                need: 3,
+                gang: false,
+                owner: 0,
+                priority: 1,
+                saves: true,
+            },
+            Move::SubmitRanked {
+                count: 1,
+                need: 1,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::Cut(1, true),
+            Move::SubmitRanked {
+                count: 4,
+                need: 2,
+                gang: false,
+                owner: 1,
+                priority: 1,
+                saves: true,
+            },
+            Move::SubmitRanked {
+                count: 1,
+                need: 1,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::Turns(1),
+            Move::SubmitRanked {
+                count: 1,
+                need: 1,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::SubmitRanked {
+                count: 1,
+                need: 1,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::Cancel(6),
+            Move::SubmitRanked {
+                count: 1,
+                need: 2,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::Turns(1),
+            Move::Turns(1),
+            Move::Turns(1),
+            Move::SubmitRanked {
+                count: 1,
+                need: 2,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::Turns(1),
+            Move::Turns(2),
+            Move::SubmitRanked {
+                count: 1,
+                need: 1,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::SubmitRanked {
+                count: 3,
+                need: 3,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::SubmitRanked {
+                count: 1,
+                need: 1,
+                gang: false,
+                owner: 0,
+                priority: 0,
+                saves: false,
+            },
+            Move::Turns(1),
+            Move::Turns(7),
+            Move::SubmitRanked {
+                count: 1,
+                need: 1,
+                gang: false,
+                owner: 1,
+                priority: 0,
+                saves: false,
+            },
+            Move::Turns(10),
+            Move::SubmitRanked {
+                count: 1,
+                need: 2,
+                gang: false,
+                owner: 1,
+                priority: 1,
+                saves: true,
+            },
+            Move::End { pick: 8, end: RunEnd::Done },
+            Move::SubmitRanked {
+                count: 4,
+                need: 3,
+                gang: false,
+                owner: 1,
+                priority: 0,
+                saves: true,
+            },
+        ];
+        let policy = CellPolicy { limit_room, ..CellPolicy::default() };
+        run_moves_with(policy, true, usize::MAX, moves).unwrap();
+    }
+}
