cell: claims under a limit never exceed it, and are used with backfill

Cause: a step claimed room for the same tasks once for stops under the limit and once for stops on workers, so that claims exceeded the limit; and with `timed`, a step whose time was not known reserved claimed room on the timeline, so that the claiming step did not start. Saved work was stopped again and again. Change: the two claims are one, and a claiming step may always use its claim.

--- a/crates/sedgehill-cell/src/scheduler/displacement.rs
+++ b/crates/sedgehill-cell/src/scheduler/displacement.rs
@@ -102,7 +102,7 @@
             worker.active_reservation(now).is_some_and(|reservation| reservation.step == step)
         };
         let reserved = self.workers.iter().filter(has_reserved).count();
-        for _ in reserved..remaining {
+        for earlier in reserved..remaining {
             let Some(displacement) = self.find_displacement(candidate, spec, now) else { return };
             let key = displacement.worker;
             let until = now.after(self.timing.stop).after(RESERVATION_MARGIN);
@@ -110,7 +110,7 @@
                 Some(WorkerReservation { step, need: spec.need, until, alone: false });
             // A step that ranks before and waits for more room under the limit would otherwise keep
             // this one from starting, and the runs would be stopped again and again.
-            self.claim_limit_room(candidate, 1, until);
+            self.claim_limit_room(candidate, earlier + 1, until);
             for (task, run) in displacement.runs {
                 self.note_preempted(&task, run);
                 self.stop_run(key, task, run, "displaced", now);
--- a/crates/sedgehill-cell/src/scheduler/limit_backfill.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_backfill.rs
@@ -55,7 +55,10 @@
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let Some(owner) = job.owner else { return usize::MAX };
         let Some(waiting) = self.limit_room.timelines.get(&owner) else { return usize::MAX };
-        waiting.timeline.tasks_now(&spec.need, self.upper_span(job, step))
+        // A step that reserves room from now on because its time is not known reserves none that is
+        // claimed, though the timeline holds it.
+        let claimed = self.limit_room.claimed_tasks(&job.steps[step].id);
+        waiting.timeline.tasks_now(&spec.need, self.upper_span(job, step)).max(claimed)
     }
 
     /// Gives the remaining tasks of a step their place on the timeline of its organisation.
--- a/crates/sedgehill-cell/src/scheduler/limit_room.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_room.rs
@@ -49,6 +49,13 @@
     pub(super) timelines: HashMap<OrganisationKey, WaitTimeline>,
 }
 
+impl LimitRoom {
+    /// Returns the number of tasks for which a step has claimed room.
+    pub(super) fn claimed_tasks(&self, step: &StepId) -> usize {
+        self.claims.get(step).map_or(0, |claim| claim.tasks)
+    }
+}
+
 /// A claim that does not count while its own step is placed.
 pub(super) struct ReleasedClaim {
     owner: OrganisationKey,
@@ -319,15 +326,16 @@
         Some(key)
     }
 
-    /// Claims room under the limit of a step's organisation for further tasks, for which runs are
-    /// stopped on workers. The claim counts from the next turn.
+    /// Claims room under the limit of a step's organisation for tasks for which runs are stopped on
+    /// workers. They may be among those for which the step has a claim already: claims beyond the
+    /// limit would keep several steps from starting for each other's sake.
     pub(super) fn claim_limit_room(&mut self, candidate: &Candidate, tasks: usize, until: Moment) {
         let Some(job) = self.jobs.get(&candidate.job) else { return };
         let Some(owner) = job.owner else { return };
         let step = job.steps[candidate.step].id;
         let claims = &mut self.limit_room.claims;
         let claim = claims.entry(step).or_insert(LimitClaim { owner, tasks: 0, until });
-        claim.tasks += tasks;
+        claim.tasks = claim.tasks.max(tasks);
         claim.until = claim.until.max(until);
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -557,3 +557,38 @@
         run_moves_with(policy, true, usize::MAX, moves).unwrap();
     }
 }
+
+// With `timed`, a step whose time was not known reserved room on the timeline that another step had claimed, so the
+// claiming step did not start. Steps also claimed room twice, for stops under the limit and on workers, so that claims
+// exceeded the limit. Saved work was stopped again and again, and nothing else ran.
+#[test]
+fn claimed_room_under_a_limit_is_used_with_backfill_seed_f869da85() {
+    let moves = vec![
+        Move::LoseAnswers(1),
+        Move::LoseAnswers(0),
+        Move::End { pick: 0, end: RunEnd::Done },
+        Move::SubmitRanked { count: 3, need: 3, gang: false, owner: 1, priority: 2, saves: true },
+        Move::SubmitRanked { count: 1, need: 2, gang: false, owner: 0, priority: 2, saves: true },
+        Move::Turns(1),
+        Move::SubmitRanked { count: 3, need: 1, gang: false, owner: 0, priority: 2, saves: true },
+        Move::Save(0, 0),
+        Move::Cut(3, true),
+        Move::Turns(1),
+        Move::Turns(1),
+        Move::Turns(1),
+        Move::StaleReports,
+        Move::SubmitRanked { count: 2, need: 2, gang: false, owner: 0, priority: 1, saves: true },
+        Move::SubmitRanked { count: 3, need: 2, gang: false, owner: 0, priority: 0, saves: false },
+        Move::SubmitRanked { count: 2, need: 3, gang: false, owner: 0, priority: 0, saves: true },
+        Move::End { pick: 0, end: RunEnd::Done },
+        Move::SubmitRanked { count: 1, need: 1, gang: false, owner: 0, priority: 1, saves: true },
+        Move::Turns(20),
+        Move::SubmitRanked { count: 2, need: 3, gang: false, owner: 1, priority: 1, saves: true },
+        Move::End { pick: 0, end: RunEnd::Done },
+        Move::SubmitRanked { count: 3, need: 3, gang: true, owner: 0, priority: 2, saves: true },
+        Move::End { pick: 5, end: RunEnd::Done },
+        Move::SubmitRanked { count: 1, need: 1, gang: false, owner: 1, priority: 0, saves: false },
+    ];
+    let policy = CellPolicy { limit_order: LimitOrder::Timed, ..CellPolicy::default() };
+    run_moves_with(policy, true, usize::MAX, moves).unwrap();
+}
