cell: starts are noted in the view of the backlog; questions are asked by rank unless set otherwise

A job that had started since the view was made still counted as waiting, and behind more urgent work, so a job was accepted although the limit of its organisation was used up for longer than it is useful.

The switch for second runs of late tasks is removed, since they are not built.

--- a/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
@@ -6,7 +6,7 @@
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
 use super::admission::{AdmissionDecision, AdmissionOutcome, AdmissionReason};
-use super::backlog::{BacklogGroup, LimitLoad, ResourceWork};
+use super::backlog::{BacklogGroup, CountedRun, LimitLoad, ResourceWork};
 use super::organisations::OrganisationKey;
 use crate::ids::JobId;
 
@@ -247,6 +247,13 @@
         }
     }
 
+    /// Notes in the load of an organisation that a task of a job has started.
+    pub fn note_start(&mut self, owner: OrganisationKey, job: JobId, run: CountedRun, now: Moment) {
+        if let Some(load) = self.loads.get_mut(&owner) {
+            load.note_start(job, run, now);
+        }
+    }
+
     /// Whether a job is accepted and not recorded yet.
     pub fn is_unrecorded(&self, id: JobId) -> bool {
         self.unrecorded.contains_key(&id)
--- a/crates/sedgehill-cell/src/scheduler/backlog.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog.rs
@@ -147,16 +147,18 @@
     /// Creates the load of these runs as of `now`, with nothing that waits.
     pub fn new(occupied: ResourceSet, runs: Vec<CountedRun>, now: Moment) -> LimitLoad {
         let mut load = LimitLoad { occupied, ..LimitLoad::default() };
-        for run in &runs {
-            match run.end {
-                Some(end) => {
-                    let left = ResourceWork::of(&run.need, end.since(now).0);
-                    load.running_work = load.running_work.plus(&left);
-                }
-                None => load.held = load.held.plus(&run.need),
+        runs.iter().for_each(|run| load.count_run(run, now));
+        LimitLoad { runs, ..load }
+    }
+
+    fn count_run(&mut self, run: &CountedRun, now: Moment) {
+        match run.end {
+            Some(end) => {
+                let left = ResourceWork::of(&run.need, end.since(now).0);
+                self.running_work = self.running_work.plus(&left);
             }
+            None => self.held = self.held.plus(&run.need),
         }
-        LimitLoad { runs, ..load }
     }
 
     /// Adds waiting tasks.
@@ -175,6 +177,19 @@
         insert_by_rank(&mut self.promised, group);
     }
 
+    /// Turns a waiting task of a job into a run. Without this, work that has started would count as
+    /// waiting, and behind more urgent work, until the load is gathered anew.
+    pub fn note_start(&mut self, job: JobId, run: CountedRun, now: Moment) {
+        let is_started = |group: &&mut BacklogGroup| group.job == job && group.need == run.need;
+        if let Some(group) = self.waiting.iter_mut().find(is_started) {
+            group.count -= 1;
+            self.waiting.retain(|group| group.count > 0);
+            self.occupied = self.occupied.plus(&run.need);
+            self.count_run(&run, now);
+            self.runs.push(run);
+        }
+    }
+
     /// Removes the tasks of a job.
     pub fn remove(&mut self, job: JobId) {
         self.waiting.retain(|group| group.job != job);
--- a/crates/sedgehill-cell/src/scheduler/backlog_view.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog_view.rs
@@ -111,6 +111,27 @@
         runs
     }
 
+    /// Notes in the view that a task was started whose run is expected to take this long; none if it
+    /// has no end.
+    pub(super) fn note_backlog_start(
+        &mut self,
+        task: &CellTask,
+        need: ResourceSet,
+        expected: Option<TimeSpan>,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let (Some(owner), Some(step)) = (job.owner, job.step_index(&task.step)) else { return };
+        let spec = job.step_spec(step);
+        let run = CountedRun {
+            need,
+            end: expected.map(|expected| now.after(expected)),
+            priority: job.record.policy.priority,
+            stoppable: spec.checkpointing && !spec.gang && !spec.long_running,
+        };
+        self.admissions.note_start(owner, task.step.job, run, now);
+    }
+
     /// Returns what counts against a limit and belongs to no placed task, such as a second run that is
     /// being stopped, as a run that ends soon.
     fn leftover_run(
--- a/crates/sedgehill-cell/src/scheduler/forecast.rs
+++ b/crates/sedgehill-cell/src/scheduler/forecast.rs
@@ -1,7 +1,7 @@
 //! Forecasts how long runs take and when running work releases its resources.
 //!
-//! Admission, room under limits, questions to the advice service and copies all depend on the same
-//! forecast, so that their decisions do not contradict each other.
+//! Admission, room under limits and the choice of workers depend on the same forecast, so that their
+//! decisions do not contradict each other.
 
 use sedgehill_core::units::{Moment, ResourceSet, TimeSpan};
 
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -383,7 +383,9 @@
         if matches!(worker.trust, WorkerTrust::Suspended(_)) {
             worker.trust = WorkerTrust::Probing;
         }
+        let expected = entry.expected;
         self.add_run(key, task, entry);
+        self.note_backlog_start(&task, need, expected, now);
         match ahead {
             true => self.defer_start(start, now),
             false => self.send_start(key, task, run, start.checkpoint, now),
--- a/crates/sedgehill-cell/src/scheduler/policy.rs
+++ b/crates/sedgehill-cell/src/scheduler/policy.rs
@@ -136,8 +136,6 @@
     pub limit_room: bool,
     /// Run times are forecast by worker, and gangs get workers of similar speed.
     pub worker_speeds: bool,
-    /// Late tasks of steps that allow it get a second run.
-    pub copies: bool,
     /// The order in which steps ask the advice service.
     pub question_order: QuestionOrder,
 }
@@ -158,8 +156,7 @@
             admission: true,
             limit_room: true,
             worker_speeds: true,
-            copies: true,
-            question_order: QuestionOrder::Deadline,
+            question_order: QuestionOrder::Rank,
         }
     }
 }
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -200,7 +200,6 @@
     let admission = group.flag_or("admission", default.admission);
     let limit_room = group.flag_or("limit_room", default.limit_room);
     let worker_speeds = group.flag_or("worker_speeds", default.worker_speeds);
-    let copies = group.flag_or("copies", default.copies);
     let question_order = group.text_or("question_order", default.question_order);
     Some(CellPolicy {
         fill_questions: fill_questions?,
@@ -216,7 +215,6 @@
         admission: admission?,
         limit_room: limit_room?,
         worker_speeds: worker_speeds?,
-        copies: copies?,
         question_order: question_order?,
     })
 }
