cell, daemon: findings of the review of admission, limits and speeds

Admission: ends are counted only while jobs are judged, and forgotten with their jobs; a new job is judged by its forecast, not by its caller's estimate; capacity that has gone no longer makes shares infinite; a refused caller is forgotten after two minutes, and counts for its own organisation alone; promises are sorted once for each view; a box that has an append of its own with an unknown outcome reports no refusal of that job.

Speeds: factors of queues are not inherited from old records; runs on workers that cannot be reached, and ends that were reported late, teach nothing; a worker that becomes slower and slower is still suspended; sums of places cannot overflow.

--- a/crates/sedgehill-cell/src/scheduler/admission.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission.rs
@@ -227,7 +227,7 @@
         };
         self.prepare_backlog(now);
         self.admissions.ensure_load(owner);
-        let first_sent = self.admissions.first_sent(id).unwrap_or(now);
+        let first_sent = self.admissions.first_sent(id, owner).unwrap_or(now);
         self.admissions.take_promise(id, owner);
         let job = self.draft_job(id, record, owner, first_sent, now);
         let groups = self.backlog_groups(&job, |forecast| forecast.expected, now);
@@ -309,7 +309,7 @@
             urgent: self.admissions.inflow(owner, job.record.policy.priority, &usable, now),
             late_wait: None,
             inflow: InflowShare::default(),
-            promised_in: self.admissions.promised_in(job.id, now),
+            promised_in: self.admissions.promised_in(job.id, owner, now),
             time_to_clear: load.time_to_clear(limit),
             tasks_ahead: 0,
             view_age: self.admissions.view_age(now),
--- a/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
+++ b/crates/sedgehill-cell/src/scheduler/admission_ledger.rs
@@ -19,6 +19,9 @@
 /// The most refused callers that are remembered: twenty seconds of a thousand refusals a second, at
 /// about 200 bytes each by the size of their fields.
 const MAX_CALLERS: usize = 20_000;
+/// A refused caller is forgotten after this at the latest. The estimate in a job sets its useful time, so
+/// a few large ones would otherwise fill the table for days.
+const MAX_CALLER_AGE: TimeSpan = TimeSpan(120_000);
 /// The times over which the rate of accepted work is averaged: the length of a short job with its
 /// wait, and of a long one. After a burst the first is soon low again, and as a lasting load begins
 /// the second is still low.
@@ -71,6 +74,7 @@
 /// A caller whose job was refused.
 #[derive(Debug)]
 struct RefusedCaller {
+    owner: OrganisationKey,
     first_sent: Moment,
     /// When the job is worth nothing any more.
     forget_at: Moment,
@@ -176,9 +180,12 @@
         for job in self.unrecorded.values() {
             added.entry(job.owner).or_default().extend(&job.groups);
         }
+        let mut promised: BTreeMap<OrganisationKey, Vec<BacklogGroup>> = BTreeMap::new();
         for promise in self.callers.values().filter_map(|caller| caller.promise.as_ref()) {
-            let load = self.loads.entry(promise.owner).or_default();
-            promise.groups.iter().for_each(|group| load.add_promised(*group));
+            promised.entry(promise.owner).or_default().extend(&promise.groups);
+        }
+        for (owner, groups) in promised {
+            self.loads.entry(owner).or_default().extend_promised(groups);
         }
         for (owner, groups) in added {
             self.loads.entry(owner).or_default().extend_waiting(groups);
@@ -227,19 +234,24 @@
     }
 
     /// Returns when a caller first sent a job that was refused.
-    pub fn first_sent(&self, id: JobId) -> Option<Moment> {
-        self.callers.get(&id).map(|caller| caller.first_sent)
+    pub fn first_sent(&self, id: JobId, owner: OrganisationKey) -> Option<Moment> {
+        self.caller(id, owner).map(|caller| caller.first_sent)
+    }
+
+    fn caller(&self, id: JobId, owner: OrganisationKey) -> Option<&RefusedCaller> {
+        self.callers.get(&id).filter(|caller| caller.owner == owner)
     }
 
     /// Returns the time until a deferred caller was told to retry.
-    pub fn promised_in(&self, id: JobId, now: Moment) -> Option<TimeSpan> {
-        self.callers.get(&id)?.retry_at.map(|at| at.since(now))
+    pub fn promised_in(&self, id: JobId, owner: OrganisationKey, now: Moment) -> Option<TimeSpan> {
+        self.caller(id, owner)?.retry_at.map(|at| at.since(now))
     }
 
     /// Removes the promise of a job that is about to be decided on, so that it does not wait for
     /// itself.
     pub fn take_promise(&mut self, id: JobId, owner: OrganisationKey) {
-        let promise = self.callers.get_mut(&id).and_then(|caller| caller.promise.take());
+        let caller = self.callers.get_mut(&id).filter(|caller| caller.owner == owner);
+        let promise = caller.and_then(|caller| caller.promise.take());
         if promise.is_some()
             && let Some(load) = self.loads.get_mut(&owner)
         {
@@ -289,7 +301,10 @@
         forget_at: Moment,
         now: Moment,
     ) {
-        let earlier = self.callers.remove(&id).map(|caller| caller.first_sent);
+        // Another organisation's refused job of the same id says nothing about this one.
+        let earlier = self.callers.remove(&id).filter(|caller| caller.owner == owner);
+        let earlier = earlier.map(|caller| caller.first_sent);
+        let forget_at = forget_at.min(now.after(MAX_CALLER_AGE));
         match outcome.decision {
             AdmissionDecision::Accept => {
                 // Placement ranks late work last, so it takes no room from other late work's wait.
@@ -312,7 +327,7 @@
                     let load = self.loads.entry(owner).or_default();
                     groups.iter().for_each(|group| load.add_promised(*group));
                     let promise = Some(RetryPromise { owner, groups });
-                    let caller = RefusedCaller { first_sent, forget_at, promise, retry_at };
+                    let caller = RefusedCaller { owner, first_sent, forget_at, promise, retry_at };
                     self.callers.insert(id, caller);
                 }
             }
@@ -320,8 +335,13 @@
                 self.note_refusal(owner, &groups, outcome.reason, now);
                 let first_sent = earlier.unwrap_or(now);
                 if self.callers.len() < MAX_CALLERS {
-                    let caller =
-                        RefusedCaller { first_sent, forget_at, promise: None, retry_at: None };
+                    let caller = RefusedCaller {
+                        owner,
+                        first_sent,
+                        forget_at,
+                        promise: None,
+                        retry_at: None,
+                    };
                     self.callers.insert(id, caller);
                 }
             }
@@ -406,6 +426,11 @@
         }
     }
 
+    /// Returns the number of jobs whose end is counted and that may still be known.
+    pub fn counted_ends(&self) -> usize {
+        self.counted.len()
+    }
+
     /// Forgets counted ends of jobs that are no longer known.
     pub fn forget_ended(&mut self, is_known: impl Fn(&JobId) -> bool) {
         self.counted.retain(is_known);
--- a/crates/sedgehill-cell/src/scheduler/backlog.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog.rs
@@ -105,7 +105,8 @@
     pub fn millis_on(&self, capacity: &ResourceSet) -> f64 {
         let capacity = ResourceWork::of(capacity, 1);
         let times = [0, 1, 2].map(|dimension| match self.0[dimension] {
-            0.0 => 0.0,
+            // Work that no longer fits at all, since the capacity has gone, takes nothing from others.
+            _ if capacity.0[dimension] == 0.0 => 0.0,
             work => work / capacity.0[dimension],
         });
         times.into_iter().fold(0.0, f64::max)
@@ -172,6 +173,12 @@
         self.waiting.sort_by_key(|group| group.rank);
     }
 
+    /// Adds tasks of many jobs whose callers will retry.
+    pub fn extend_promised(&mut self, groups: impl IntoIterator<Item = BacklogGroup>) {
+        self.promised.extend(groups);
+        self.promised.sort_by_key(|group| group.rank);
+    }
+
     /// Adds tasks of a job whose caller will retry.
     pub fn add_promised(&mut self, group: BacklogGroup) {
         insert_by_rank(&mut self.promised, group);
--- a/crates/sedgehill-cell/src/scheduler/backlog_view.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog_view.rs
@@ -23,6 +23,8 @@
 const MAX_VIEW_AGE: TimeSpan = TimeSpan(500);
 /// The view is not renewed by turns if no decision was wanted for this long.
 const IDLE_SPAN: TimeSpan = TimeSpan(400);
+/// Counted ends of jobs that are no longer known are forgotten once there are so many more than jobs.
+const MAX_SURPLUS_ENDS: usize = 1_000;
 /// A run of unknown age, which an earlier lead started, is assumed to be halfway.
 const UNKNOWN_AGE_DIVISOR: u64 = 2;
 
@@ -48,6 +50,10 @@
         {
             self.view_backlog(now);
         }
+        if self.admissions.counted_ends() > self.jobs.len() + MAX_SURPLUS_ENDS {
+            let jobs = &self.jobs;
+            self.admissions.forget_ended(|id| jobs.contains_key(id));
+        }
         let organisations = &self.organisations;
         self.admissions.check_refusals(|owner| organisations.unreserved_room(owner), now);
     }
@@ -155,6 +161,7 @@
         now: Moment,
     ) -> Vec<BacklogGroup> {
         let unix_ms = self.unix_ms_at(now);
+        let is_accepted = self.jobs.contains_key(&job.id);
         let mut groups = Vec::new();
         let mut ready: Vec<Moment> = Vec::new();
         for (step, active_step) in job.steps.iter().enumerate() {
@@ -170,7 +177,10 @@
             let is_later_repetition = job.objective_start(step, unix_ms, now) > now;
             if !is_open
                 || is_later_repetition
-                || !self.rank_of(job, step, now).has_value() && !spec.long_running
+                // A new job is judged by its forecast, not by its caller's estimate.
+                || is_accepted
+                    && !self.rank_of(job, step, now).has_value()
+                    && !spec.long_running
             {
                 continue;
             }
@@ -225,6 +235,7 @@
             JobState::Failed => EndedValue::Failed,
             _ => EndedValue::Some,
         };
+        let is_judged = is_judged && self.timing.policy.admission;
         if is_judged && job.state != JobState::Cancelled {
             self.admissions.count_ended(id, value);
         }
--- a/crates/sedgehill-cell/src/scheduler/limit_room.rs
+++ b/crates/sedgehill-cell/src/scheduler/limit_room.rs
@@ -267,6 +267,9 @@
             return Some(fixed);
         };
         let spec = job.step_spec(step);
+        if !matches!(job.tasks[index].phase, TaskPhase::Placed(_, placed) if placed == run.run) {
+            return Some(fixed);
+        }
         let preempted = job.tasks[index].preempted_run.is_some();
         if !spec.checkpointing || spec.gang || spec.long_running || preempted {
             return Some(fixed);
--- a/crates/sedgehill-cell/src/scheduler/reports.rs
+++ b/crates/sedgehill-cell/src/scheduler/reports.rs
@@ -98,6 +98,7 @@
         self.report_contact(key, &report, now);
         self.call_losses.note(true);
         let worker = &mut self.workers[key.0];
+        worker.report_gap = worker.last_report_at.map_or(TimeSpan(0), |last| now.since(last));
         worker.last_report_at = Some(now);
         worker.note_answer(report.clock, now, &self.timing);
         if is_first {
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -189,7 +189,9 @@
         };
         let trusted = rooms.iter().take_while(|(key, _)| !self.probes_untrusted(spec, *key));
         let trusted: Vec<GangRoom> = trusted.map(gang_room).collect();
-        let order = match trusted.iter().map(|room| room.places).sum::<usize>() >= needed {
+        let order = match trusted.iter().fold(0usize, |sum, room| sum.saturating_add(room.places))
+            >= needed
+        {
             true => gang_order(&trusted, needed, preference),
             false => {
                 let all: Vec<GangRoom> = rooms.iter().map(gang_room).collect();
--- a/crates/sedgehill-cell/src/scheduler/speed_choice.rs
+++ b/crates/sedgehill-cell/src/scheduler/speed_choice.rs
@@ -87,9 +87,10 @@
         let mut indexes: Vec<usize> = (0..rooms.len()).collect();
         indexes.sort_by(|one, other| rooms[*one].speed.0.total_cmp(&rooms[*other].speed.0));
         let speeds = indexes.iter().map(|index| rooms[*index].speed.0).collect();
-        let mut sums = vec![0];
+        let mut sums = vec![0usize];
         for index in &indexes {
-            sums.push(sums[sums.len() - 1] + rooms[*index].places);
+            // Tasks that need nothing fit any number of times.
+            sums.push(sums[sums.len() - 1].saturating_add(rooms[*index].places));
         }
         SortedRooms { indexes, speeds, sums }
     }
--- a/crates/sedgehill-cell/src/scheduler/stragglers.rs
+++ b/crates/sedgehill-cell/src/scheduler/stragglers.rs
@@ -39,6 +39,7 @@
                 else {
                     continue;
                 };
+                let expected = run.basis.least_suspect_time(expected);
                 let limit = TimeSpan(expected.0 * percent / 100 + slack.0);
                 if now < run.since.after(limit) {
                     continue;
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -147,6 +147,8 @@
     pub replaces_earlier: bool,
     /// When its last report arrived.
     pub last_report_at: Option<Moment>,
+    /// The time from the report before it to the last one.
+    pub report_gap: TimeSpan,
     /// Jobs that had runs on it when it was lost.
     pub lost_jobs: Vec<JobId>,
     /// The entry in the store under its id, if it is that of another life. The worker gets no work
@@ -203,6 +205,7 @@
             replaced_at: None,
             replaces_earlier: false,
             last_report_at: None,
+            report_gap: TimeSpan(0),
             lost_jobs: Vec::new(),
             other_listed_entry: None,
             free: entry.capacity,
--- a/crates/sedgehill-cell/src/scheduler/worker_speeds.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker_speeds.rs
@@ -35,6 +35,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct MachineKey(usize);
 
+/// A worker that takes more than this many times as long as the usual one is not taken as healthy,
+/// however well that is known. Workers of unlike pools take up to about twice as long.
+const MAX_HEALTHY_FACTOR: f64 = 2.2;
+/// The factors of queues in a record that is older than this are not used: callers' estimates and the
+/// workers may have changed, and a few runs of each queue teach them again.
+const MAX_QUEUE_AGE: TimeSpan = TimeSpan(600_000);
+
 /// What the duration of a run shows.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RunBasis {
@@ -51,6 +58,13 @@
     /// The basis of a run that this lead did not start.
     pub const UNKNOWN: RunBasis =
         RunBasis { is_whole: false, is_slowest: false, slowest: LogFactor(0.0) };
+
+    /// Returns the part of a run's expected time by which it is judged overdue. A worker that is
+    /// known to be ever slower would otherwise never be suspended.
+    pub fn least_suspect_time(&self, expected: TimeSpan) -> TimeSpan {
+        let usual = expected.0 as f64 / self.slowest.factor();
+        expected.min(TimeSpan((usual * MAX_HEALTHY_FACTOR) as u64))
+    }
 }
 
 /// A machine whose speed is tracked.
@@ -189,7 +203,9 @@
             return;
         }
         for record in parts.records() {
-            self.speeds.queues.extend(record.queues());
+            if record.age(unix_ms) <= MAX_QUEUE_AGE {
+                self.speeds.queues.extend(record.queues());
+            }
             for (identity, estimate) in record.machines(unix_ms) {
                 let key = self.speeds.find_or_add(identity, now);
                 self.speeds.update(key, now, |known, _| *known = estimate);
@@ -328,6 +344,10 @@
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.step_index(&task.step) else { return };
         let spec = job.step_spec(step);
+        if self.workers[key.0].report_gap > self.timing.max_answer_age {
+            // The run may have ended at any time since the report before.
+            return;
+        }
         let taken = run_factor(now.since(run.since), spec.estimate);
         let Some(value) = taken.filter(|_| run.expected.is_some() && !spec.long_running) else {
             return;
@@ -395,7 +415,9 @@
             let value = run_factor(taken, spec.estimate).filter(|_| queue.is_known())?;
             Some(LogFactor(value.0 - queue.usual().0))
         };
-        let workers = self.workers.iter().filter(|worker| !worker.is_over());
+        // On a worker that cannot be reached the run may have ended long ago.
+        let reached = |worker: &&WorkerState| !worker.is_over() && worker.silent_calls == 0;
+        let workers = self.workers.iter().filter(reached);
         let bounds = workers.map(|worker| {
             let runs = worker.runs.iter();
             let mut bounds: Vec<LogFactor> =
--- a/crates/sedgehilld/src/cell/submission.rs
+++ b/crates/sedgehilld/src/cell/submission.rs
@@ -112,6 +112,12 @@
         let started = Instant::now();
         let submitting = submit_to_lead(host, job, record);
         let lead_outcome = match tokio::time::timeout(timeout, submitting).await {
+            // The lead may not know yet of an append by this box whose outcome is unknown.
+            Ok(LeadOutcome::Answered(
+                SubmissionOutcome::Deferred { .. } | SubmissionOutcome::Rejected { .. },
+            )) if host.unsettled.borrow().may_include(job, clock::now()) => {
+                return SubmissionOutcome::Unknown;
+            }
             Ok(LeadOutcome::Answered(
                 settled @ (SubmissionOutcome::Kept
                 | SubmissionOutcome::Taken
