--- a/crates/sedgehill-cell/tests/testsuite/admission_loads.rs
+++ b/crates/sedgehill-cell/tests/testsuite/admission_loads.rs
@@ -246,6 +246,24 @@
     assert_eq!(stats.ended_late, worthless as u64, "the lead counts what callers see");
 }
 
+/// Guards against a refusal that carries over to another organisation's job of the same id.
+#[test]
+fn a_refusal_says_nothing_about_another_organisations_job_of_the_same_id() {
+    let mut world = LoadWorld::new(&["office", "other"]);
+    fill(&mut world);
+    world.turn();
+    let mine = owned("office", LIMIT, preview());
+    assert_ne!(world.lead.admit(JobId(900), &mine, world.cell.now), AdmissionDecision::Accept);
+    world.cell.turns(&mut world.lead, 20);
+    let theirs = owned("other", LIMIT, preview());
+    assert_eq!(world.lead.admit(JobId(900), &theirs, world.cell.now), AdmissionDecision::Accept);
+    let decided = world.lead.take_events().into_iter().rev().find_map(|event| match event {
+        CellEvent::AdmissionDecided { inputs, .. } => Some(inputs.age),
+        _ => None,
+    });
+    assert_eq!(decided, Some(TimeSpan(0)));
+}
+
 #[test]
 fn an_overload_after_a_calm_time_is_met_although_estimates_are_off_by_two() {
     for bias_percent in [50, 200] {
