--- a/crates/sedgehill-cell/src/scheduler/speed_spread.rs
+++ b/crates/sedgehill-cell/src/scheduler/speed_spread.rs
@@ -9,6 +9,9 @@
 /// Speeds that are taken into account are until the ratio is below this, so that a pool near the
 /// threshold does not change its order of workers every few runs.
 const END_SPREAD_RATIO: f64 = 1.6;
+/// Speeds are not taken into account in larger pools. With 1,000 workers the order by speed served
+/// less than the order without it, and with 3,000 the lead could no longer start what had room.
+const MAX_WORKERS: usize = 500;
 /// The workers are compared by this part of them at each end.
 const FIFTH: usize = 5;
 /// The mean of the largest fifth of many normally distributed values, in standard deviations.
@@ -62,9 +65,10 @@
         }
     }
 
-    /// Whether the workers differ enough, given whether they did before.
+    /// Whether the workers differ enough, given whether they did before, and are not too many.
     pub fn differs(&self, before: bool) -> bool {
-        self.ratio >= if before { END_SPREAD_RATIO } else { MIN_SPREAD_RATIO }
+        let least_ratio = if before { END_SPREAD_RATIO } else { MIN_SPREAD_RATIO };
+        self.workers <= MAX_WORKERS && self.ratio >= least_ratio
     }
 }
 
