--- a/crates/sedgehill-cell/src/scheduler/stragglers.rs
+++ b/crates/sedgehill-cell/src/scheduler/stragglers.rs
@@ -39,7 +39,6 @@
                 else {
                     continue;
                 };
-                let expected = run.basis.least_suspect_time(expected);
                 let limit = TimeSpan(expected.0 * percent / 100 + slack.0);
                 if now < run.since.after(limit) {
                     continue;
--- a/crates/sedgehill-cell/src/scheduler/worker_speeds.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker_speeds.rs
@@ -35,9 +35,6 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct MachineKey(usize);
 
-/// A worker that takes more than this many times as long as the usual one is not taken as healthy,
-/// however well that is known. Workers of unlike pools take up to about twice as long.
-const MAX_HEALTHY_FACTOR: f64 = 2.2;
 /// The factors of queues in a record that is older than this are not used: callers' estimates and the
 /// workers may have changed, and a few runs of each queue teach them again.
 const MAX_QUEUE_AGE: TimeSpan = TimeSpan(600_000);
@@ -58,13 +55,6 @@
     /// The basis of a run that this lead did not start.
     pub const UNKNOWN: RunBasis =
         RunBasis { is_whole: false, is_slowest: false, slowest: LogFactor(0.0) };
-
-    /// Returns the part of a run's expected time by which it is judged overdue. A worker that is
-    /// known to be ever slower would otherwise never be suspended.
-    pub fn least_suspect_time(&self, expected: TimeSpan) -> TimeSpan {
-        let usual = expected.0 as f64 / self.slowest.factor();
-        expected.min(TimeSpan((usual * MAX_HEALTHY_FACTOR) as u64))
-    }
 }
 
 /// A machine whose speed is tracked.
