--- a/crates/sedgehill-cell/src/scheduler/backlog.rs
+++ b/crates/sedgehill-cell/src/scheduler/backlog.rs
@@ -11,7 +11,8 @@
 use crate::organisation::ResourceLimit;
 
 /// The number of time slots into which the time until the horizon is divided. It bounds the cost of
-/// an estimate, whatever the length of the backlog, at an error of a thousandth of the horizon.
+/// an estimate, whatever the length of the backlog, at an error of
+/// one slot, a five-hundredth of the horizon, for each start in a row.
 const SLOTS: u64 = 512;
 
 /// The order in which an organisation's waiting work starts; the lowest goes first.
