--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -9,6 +9,8 @@
 
 /// The most entries on a page of the newest records.
 const PAGE: usize = 500;
+/// The most bytes of a record.
+const RECORD_BYTES: usize = 262_144;
 /// How long an append takes.
 const APPEND_TIME: Duration = Duration::from_millis(2);
 
@@ -62,6 +64,9 @@
             return Reply::json(403, "{}".to_owned());
         }
         let Some(records) = decode(&request.body) else { return Reply::json(400, "{}".to_owned()) };
+        if records.iter().any(|(key, value)| 1 + key.len() + value.len() > RECORD_BYTES) {
+            return Reply::json(413, "{}".to_owned());
+        }
         let mut topics = self.topics.lock().unwrap();
         let topic = topics.entry(name).or_default();
         let end = topic.records.len();
