--- a/review/standin-2/src/cases/crashing_task.rs
+++ b/review/standin-2/src/cases/crashing_task.rs
@@ -34,7 +34,7 @@
         "crash" if trouble => Behaviour::Crashes(CRASHES_AFTER),
         _ => Behaviour::Done(Duration::from_millis(500)),
     };
-    let come_back = ComeBack { after: AWAY, same_address: false };
+    let come_back = ComeBack { after: AWAY, same_address: false, same_id: false };
     let fleet = Fleet::new(store, record.clone(), MAX_HOLD_MS, come_back, plan);
     for number in 0..RUNNERS {
         fleet.add_machine(runner_spec(number));
--- a/review/standin-2/src/cases/lost_lead.rs
+++ b/review/standin-2/src/cases/lost_lead.rs
@@ -34,7 +34,7 @@
     let address = store::start(store.clone()).map_err(|error| error.to_string())?;
     store.put("keyed.op", "config", &config(&[("serve", "/serve/", 1)]));
     let plan = |_: &StartInfo<'_>| Behaviour::Lasts;
-    let come_back = ComeBack { after: Duration::from_secs(3), same_address: true };
+    let come_back = ComeBack { after: Duration::from_secs(3), same_address: true, same_id: false };
     let fleet = Fleet::new(store, record.clone(), MAX_HOLD_MS, come_back, plan);
     for number in 0..RUNNERS {
         fleet.add_machine(runner_spec(number));
--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod crashing_task;
+mod late_start;
 mod lost_lead;
 mod lost_runner;
 mod probing_worker;
@@ -21,6 +22,8 @@
         "probing-worker" => probing_worker::play(trouble, record),
         "lost-runner" => lost_runner::play(trouble, record),
         "lost-lead" => lost_lead::play(trouble, record),
+        "late-start" => late_start::play(late_start::LONG, trouble, record),
+        "late-end" => late_start::play(late_start::SHORT, trouble, record),
         "crashing-task" => crashing_task::play(trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -16,12 +16,30 @@
     pub body: Vec<u8>,
 }
 
+impl Call {
+    /// Makes the same call at another address. Returns none without a whole answer in time.
+    pub fn pass_on(&self, address: SocketAddr, timeout: Duration) -> Option<(u16, String)> {
+        let stream = TcpStream::connect_timeout(&address, timeout).ok()?;
+        stream.set_nodelay(true).ok()?;
+        let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        exchange(stream, &bytes, timeout)
+    }
+}
+
 /// What becomes of a call.
 pub enum Reply {
     /// It is answered.
     Answer(u16, Vec<u8>),
     /// It gets no answer: the connection stays open and says nothing further.
     Silence,
+    /// It gets no answer, and the connection ends.
+    Close,
 }
 
 impl Reply {
@@ -102,6 +120,7 @@
                 let _ = reader.read_to_end(&mut rest);
                 return;
             }
+            Reply::Close => return,
         }
     }
 }
@@ -172,16 +191,20 @@
     timeout: Duration,
 ) -> Option<(u16, String)> {
     let stream = TcpStream::connect_timeout(&address, timeout).ok()?;
-    stream.set_read_timeout(Some(timeout)).ok()?;
     stream.set_nodelay(true).ok()?;
-    let mut writer = stream.try_clone().ok()?;
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n\
          Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
         timeout.as_millis(),
         body.len()
     );
-    writer.write_all(request.as_bytes()).ok()?;
+    exchange(stream, request.as_bytes(), timeout)
+}
+
+/// Sends a call and reads its answer.
+fn exchange(mut stream: TcpStream, request: &[u8], timeout: Duration) -> Option<(u16, String)> {
+    stream.set_read_timeout(Some(timeout)).ok()?;
+    stream.write_all(request).ok()?;
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
     reader.read_line(&mut line).ok()?;
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,6 +8,7 @@
 mod record;
 mod runner;
 mod store;
+mod way;
 
 use std::process::ExitCode;
 
--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -9,6 +9,7 @@
 use crate::json::Json;
 use crate::record::Record;
 use crate::store::Store;
+use crate::way::Way;
 
 /// The topic in which runners list themselves.
 pub const RUNNERS_TOPIC: &str = "keyed.servers";
@@ -75,6 +76,8 @@
     pub after: Duration,
     /// Whether the next life answers at the address of the one before it.
     pub same_address: bool,
+    /// Whether the next life has the id of the one before it.
+    pub same_id: bool,
 }
 
 type Plan = dyn Fn(&StartInfo<'_>) -> Behaviour + Send + Sync;
@@ -94,6 +97,8 @@
     /// The highest run of each task that was stopped or has ended here.
     floor: HashMap<String, u64>,
     ends: Vec<(u64, String, u64, &'static str)>,
+    /// When the runs ended, by the number of the end.
+    ended_at: HashMap<u64, Duration>,
     last_end: u64,
 }
 
@@ -128,6 +133,12 @@
     pub starts: Mutex<Vec<StartSeen>>,
     pub ends: Mutex<Vec<EndSeen>>,
     pub crashes: Mutex<Vec<Duration>>,
+    /// The tasks that run now, with the ids of their runners and their runs.
+    running: Mutex<BTreeMap<String, Vec<(String, u64)>>>,
+    /// The tasks that were started while another run of them went on.
+    pub doubles: Mutex<Vec<String>>,
+    /// The ends `done` of which note was taken: the task, when it ended, and when note was taken.
+    pub noted: Mutex<Vec<(String, Duration, Duration)>>,
     ordered_crashes: Mutex<BTreeSet<usize>>,
     lost: Mutex<BTreeSet<usize>>,
 }
@@ -152,6 +163,9 @@
             starts: Mutex::default(),
             ends: Mutex::default(),
             crashes: Mutex::default(),
+            running: Mutex::default(),
+            doubles: Mutex::default(),
+            noted: Mutex::default(),
             ordered_crashes: Mutex::default(),
             lost: Mutex::default(),
         })
@@ -159,12 +173,17 @@
 
     /// Adds a machine and starts its first runner.
     pub fn add_machine(self: &Arc<Self>, spec: MachineSpec) -> usize {
+        self.add_machine_behind(spec, None)
+    }
+
+    /// Adds a machine that is reached on a way of its own, whose address it lists.
+    pub fn add_machine_behind(self: &Arc<Self>, spec: MachineSpec, way: Option<Arc<Way>>) -> usize {
         let machine = {
             let mut specs = self.specs.lock().unwrap();
             specs.push(spec);
             specs.len() - 1
         };
-        self.begin_life(machine, 0);
+        self.begin_life(machine, 0, way);
         machine
     }
 
@@ -179,16 +198,21 @@
         self.crash(machine);
     }
 
-    /// Starts a runner with an id of its own, at a port or, with 0, at a free one.
-    fn begin_life(self: &Arc<Self>, machine: usize, port: u16) {
+    /// Starts a runner at a port or, with 0, at a free one.
+    fn begin_life(self: &Arc<Self>, machine: usize, port: u16, way: Option<Arc<Way>>) {
         let number = self.lives.fetch_add(1, Ordering::SeqCst);
+        let id_number = if self.come_back.same_id { machine } else { number };
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let life = Arc::new(Life {
-            id: format!("i-{machine:02}{number:06x}"),
+            id: format!("i-{machine:02}{id_number:06x}"),
             machine,
             born,
             started: Instant::now(),
-            clock_base: 100_000 + 50_000 * (number as u64 % 7),
+            clock_base: if self.come_back.same_id {
+                0
+            } else {
+                100_000 + 50_000 * (number as u64 % 7)
+            },
             alive: AtomicBool::new(true),
             state: Mutex::default(),
             changed: Condvar::new(),
@@ -198,9 +222,13 @@
             Server::start("127.0.0.1", port, Arc::new(move |call| fleet.answer(&called, call)))
                 .expect("a free port for a runner");
         let address = server.address;
+        let listed_address = match &way {
+            Some(way) => way.lead_to(address),
+            None => address,
+        };
         self.record.line(&format!("runner {} of machine {machine} begins at {address}", life.id));
         let (fleet, listed) = (self.clone(), life.clone());
-        std::thread::spawn(move || fleet.write_entries(&listed, &address.to_string()));
+        std::thread::spawn(move || fleet.write_entries(&listed, &listed_address.to_string()));
         let fleet = self.clone();
         std::thread::spawn(move || {
             while life.alive.load(Ordering::SeqCst) {
@@ -213,7 +241,7 @@
             }
             std::thread::sleep(fleet.come_back.after);
             let port = if fleet.come_back.same_address { address.port() } else { 0 };
-            fleet.begin_life(life.machine, port);
+            fleet.begin_life(life.machine, port, way);
         });
     }
 
@@ -249,6 +277,9 @@
                 std::thread::sleep(TICK);
             }
         }
+        if self.come_back.same_id && !self.lost.lock().unwrap().contains(&life.machine) {
+            return;
+        }
         std::thread::sleep(ENTRY_LASTS);
         self.store.put(RUNNERS_TOPIC, &life.id, "");
     }
@@ -288,6 +319,9 @@
             ));
             self.crashes.lock().unwrap().push(self.record.now());
             life.alive.store(false, Ordering::SeqCst);
+            for task in state.runs.keys() {
+                self.note_not_running(life, task);
+            }
             state.runs.clear();
             return;
         }
@@ -298,9 +332,11 @@
 
     fn end_run(&self, life: &Life, state: &mut LifeState, task: &str, how: &'static str) {
         let Some(run) = state.runs.remove(task) else { return };
+        self.note_not_running(life, task);
         state.last_end += 1;
         let number = state.last_end;
         state.ends.push((number, task.to_owned(), run.run, how));
+        state.ended_at.insert(number, self.record.now());
         let floor = state.floor.entry(task.to_owned()).or_default();
         *floor = run.run.max(*floor);
         self.record.line(&format!(
@@ -312,6 +348,25 @@
         life.changed.notify_all();
     }
 
+    fn note_running(&self, life: &Life, task: &str, run: u64) {
+        let mut running = self.running.lock().unwrap();
+        let runs = running.entry(task.to_owned()).or_default();
+        for (id, other) in runs.iter() {
+            self.record.line(&format!(
+                "TWICE: {task} run {run} on {} beside run {other} on {id}",
+                life.id
+            ));
+            self.doubles.lock().unwrap().push(task.to_owned());
+        }
+        runs.push((life.id.clone(), run));
+    }
+
+    fn note_not_running(&self, life: &Life, task: &str) {
+        if let Some(runs) = self.running.lock().unwrap().get_mut(task) {
+            runs.retain(|(id, _)| *id != life.id);
+        }
+    }
+
     fn answer(&self, life: &Life, call: Call) -> Reply {
         if !life.alive.load(Ordering::SeqCst) {
             return Reply::Silence;
@@ -388,6 +443,7 @@
         let behaviour = (self.plan)(&StartInfo { earlier, spec });
         let new = Run { run, since: Instant::now(), behaviour, stop_at: None };
         state.runs.insert(task.to_owned(), new);
+        self.note_running(life, task, run);
         self.record.line(&format!(
             "runner {} of machine {}: {task} run {run} starts ({spec})",
             life.id, life.machine
@@ -422,8 +478,22 @@
         if !Fleet::fence(&mut state, body) {
             return self.plain(life, Some("fence"));
         }
+        let lapsed = life.clock() > state.lease_until;
         self.extend(life, &mut state, body);
         let last_seen = body.number("last_seen").unwrap_or(0);
+        for (number, task, _, how) in state.ends.iter().filter(|end| end.0 <= last_seen) {
+            if *how == "done" && !lapsed {
+                let ended = state.ended_at[number];
+                self.noted.lock().unwrap().push((task.clone(), ended, self.record.now()));
+            }
+        }
+        let forgotten = state.ends.iter().filter(|(number, ..)| *number <= last_seen).count();
+        if forgotten > 0 && last_seen > state.last_end {
+            self.record.line(&format!(
+                "runner {} is told last_seen {last_seen}, its last end is {}: {forgotten} ends are forgotten",
+                life.id, state.last_end
+            ));
+        }
         state.ends.retain(|(number, ..)| *number > last_seen);
         let wait = body.number("wait_ms").unwrap_or(0).min(2_000);
         let until = Instant::now() + Duration::from_millis(wait);
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -54,10 +54,10 @@
         let mut topics = self.topics.lock().unwrap();
         let topic = topics.entry(name.clone()).or_default();
         let end = topic.records.len() as u64;
-        if let Some(at) = number("at") {
-            if at != end {
-                return Reply::json(412, Json::object([("end", end.into())]).write());
-            }
+        if let Some(at) = number("at")
+            && at != end
+        {
+            return Reply::json(412, Json::object([("end", end.into())]).write());
         }
         let answer = |offset: u64, end: u64| {
             Reply::json(200, Json::object([("offset", offset.into()), ("end", end.into())]).write())
