cell: log steps that wait for trust or are kept apart from suspects

Change: `step stalled` and `task without a run` count places on workers that may get no other run until they are trusted (`places_shunned`), and have the reasons `shunned` and `suspects_apart`.

--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -20,6 +20,18 @@
     /// Tasks that must run alone.
     alone: usize,
     others: usize,
+    /// Whether any of them would fit on a worker where it would not be kept apart from suspects.
+    kept_apart: bool,
+}
+
+impl UnplacedTasks {
+    /// Replaces a lack of room by its cause if tasks were kept apart from suspects.
+    fn explain(&self, reason: StallReason) -> StallReason {
+        match self.kept_apart && reason.lacks_room() {
+            true => StallReason::SuspectsApart,
+            false => reason,
+        }
+    }
 }
 
 impl Scheduler {
@@ -33,8 +45,11 @@
         let needs_alone_worker =
             || self.suspects_seen && self.jobs.values().any(ActiveJob::wants_alone);
         let nothing_urgent = || self.restarts.is_empty() && !needs_alone_worker();
-        let hall_emptied = !open.max_free_emptied.is_empty();
-        if open.list.is_empty() && open.least_urgent == 0 && nothing_urgent() && !hall_emptied {
+        if open.list.is_empty()
+            && open.least_urgent == 0
+            && nothing_urgent()
+            && !open.has_barred_room()
+        {
             return;
         }
         self.begin_limit_turn(now);
@@ -135,10 +150,7 @@
             && !needs_alone_worker
             && !candidate.restarts
         {
-            return Some(match open.max_free_emptied.fits(&spec.need) {
-                true => StallReason::HallEmptied,
-                false => StallReason::NoRoom,
-            });
+            return Some(open.explain_no_room(StallReason::NoRoom, &spec.need));
         }
         let step_id = job.steps[candidate.step].id;
         let mut waiting = self.waiting_in_group(candidate, job, now);
@@ -159,8 +171,9 @@
             return Some(StallReason::OrganisationLimit);
         }
         waiting.truncate(allowed);
+        let mut remaining = UnplacedTasks::default();
         if may_start {
-            let remaining = self.start_waiting(candidate, spec, open, &waiting, now);
+            remaining = self.start_waiting(candidate, spec, open, &waiting, now);
             let started = waiting.len() - remaining.alone - remaining.others;
             self.note_limit_starts(candidate, spec, started, now);
             if remaining.alone + remaining.others == 0 {
@@ -175,7 +188,8 @@
             }
             if candidate.restarts && !spec.gang {
                 let wanted = remaining.others + expected;
-                return Some(self.find_restart_room(candidate, spec, wanted, open, now));
+                let reason = self.find_restart_room(candidate, spec, wanted, open, now);
+                return Some(remaining.explain(reason));
             }
             if displaces && remaining.others > 0 {
                 self.displace_for(candidate, spec, remaining.others, now);
@@ -185,10 +199,7 @@
         Some(match may_start {
             false => StallReason::NotRecorded,
             true if is_deferred => StallReason::StartDeferred,
-            true if reason.lacks_room() && open.max_free_emptied.fits(&spec.need) => {
-                StallReason::HallEmptied
-            }
-            true => reason,
+            true => open.explain_no_room(remaining.explain(reason), &spec.need),
         })
     }
 
@@ -203,7 +214,8 @@
     ) -> UnplacedTasks {
         let Some(job) = self.jobs.get(&candidate.job) else { return UnplacedTasks::default() };
         let (alone, others) = split_alone(job, candidate.step, waiting);
-        let mut remaining = UnplacedTasks { alone: alone.len(), others: others.len() };
+        let mut remaining =
+            UnplacedTasks { alone: alone.len(), others: others.len(), kept_apart: false };
         if spec.gang {
             let assignment = self.assign_gang(candidate, spec, open, waiting, now);
             if assignment.len() == waiting.len() {
@@ -218,6 +230,9 @@
         let assignment = self.assign_each(candidate, spec, open, &others, now);
         remaining.others -= assignment.len();
         self.start_all(candidate, spec, assignment, now);
+        remaining.kept_apart = self.suspects_seen
+            && remaining.alone + remaining.others > 0
+            && !self.usable_rooms(candidate, spec, open, now).is_empty();
         remaining
     }
 
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -31,23 +31,47 @@
     pub(super) max_free: ResourceSet,
     /// The largest free amount of each resource on any worker whose hall is emptied.
     pub(super) max_free_emptied: ResourceSet,
+    /// The largest free amount of each resource on any worker that would take work if it were
+    /// trusted.
+    pub(super) max_free_untrusted: ResourceSet,
     /// The priority of the least urgent running job; 0, the most urgent, if displacement is
     /// switched off. A step of this priority or a less urgent one finds no work to displace.
     pub(super) least_urgent: u32,
 }
 
+impl OpenWorkers {
+    /// Whether there is room on workers that take no work until a request or their trust changes.
+    pub(super) fn has_barred_room(&self) -> bool {
+        !self.max_free_emptied.is_empty() || !self.max_free_untrusted.is_empty()
+    }
+
+    /// Replaces a lack of room for `need` by its cause, if other workers have the room.
+    pub(super) fn explain_no_room(&self, reason: StallReason, need: &ResourceSet) -> StallReason {
+        match reason.lacks_room() {
+            true if self.max_free_emptied.fits(need) => StallReason::HallEmptied,
+            true if self.max_free_untrusted.fits(need) => StallReason::UntrustedWorkers,
+            _ => reason,
+        }
+    }
+}
+
 impl Scheduler {
     pub(super) fn open_workers(&self, now: Moment) -> OpenWorkers {
         let mut is_open = vec![false; self.workers.len()];
         let mut list = Vec::new();
         let mut max_free = ResourceSet::default();
         let mut max_free_emptied = ResourceSet::default();
+        let mut max_free_untrusted = ResourceSet::default();
         for (number, worker) in self.workers.iter().enumerate() {
             let free = &worker.free;
-            if free.is_empty() || worker.runs_allowed(now) == 0 {
+            if free.is_empty() {
                 continue;
             }
-            if worker.takes_work(now, &self.timing) {
+            if worker.runs_allowed(now) == 0 {
+                if worker.takes_work(now, &self.timing) {
+                    max_free_untrusted = largest_of_each(&max_free_untrusted, free);
+                }
+            } else if worker.takes_work(now, &self.timing) {
                 is_open[number] = true;
                 list.push(WorkerKey(number));
                 max_free = largest_of_each(&max_free, free);
@@ -59,7 +83,7 @@
             true => self.least_urgent(),
             false => 0,
         };
-        OpenWorkers { list, is_open, max_free, max_free_emptied, least_urgent }
+        OpenWorkers { list, is_open, max_free, max_free_emptied, max_free_untrusted, least_urgent }
     }
 
     /// Returns the priority of the least urgent running job of any pool.
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -47,6 +47,10 @@
     OrganisationLimit,
     /// There is room, but only in halls that operators have emptied.
     HallEmptied,
+    /// There is room, but only on workers that may not get another run until they are trusted.
+    UntrustedWorkers,
+    /// There is room, but only beside tasks that may have caused the same crash.
+    SuspectsApart,
     /// No worker that takes work has room for a single task.
     NoRoom,
     /// There is room for some members of the gang, but not for all.
@@ -77,6 +81,8 @@
             StallReason::NotRecorded => "not_recorded",
             StallReason::StartDeferred => "suspect",
             StallReason::OrganisationLimit => "limit",
+            StallReason::UntrustedWorkers => "shunned",
+            StallReason::SuspectsApart => "suspects_apart",
             StallReason::NoRoom => "no_room",
             StallReason::PartialGangRoom => "gang_room",
             StallReason::NoAllowedRoom => "known_room",
@@ -129,6 +135,8 @@
     pub places_allowed: usize,
     /// Those of the places that are on workers that were never asked about.
     pub places_unknown: usize,
+    /// Further places, on workers that may not get another run until they are trusted.
+    pub places_untrusted: usize,
     /// Workers that may run it.
     pub allowed: usize,
     /// Workers that may not run it.
@@ -255,7 +263,7 @@
             // Also delays the next check of steps that are not reported, since a check looks at all
             // workers.
             stall.reported_at = Some(now);
-            if details.places < MIN_ROOM_FACTOR * details.waiting {
+            if details.places + details.places_untrusted < MIN_ROOM_FACTOR * details.waiting {
                 continue;
             }
             report_count += 1;
@@ -283,6 +291,7 @@
             places: 0,
             places_allowed: 0,
             places_unknown: 0,
+            places_untrusted: 0,
             allowed: advice.known.values().filter(|known| known.is_some()).count(),
             rejected: advice.known.values().filter(|known| known.is_none()).count(),
             tickets: advice.ticketed(now, self.timing.ticket_margin).count(),
@@ -304,6 +313,14 @@
                 None => details.places_unknown += places,
             }
         }
+        let barred = self.workers.iter().enumerate().filter(|(_, worker)| {
+            worker.runs_allowed(now) == 0 && worker.takes_work(now, &self.timing)
+        });
+        for (number, worker) in barred {
+            if self.admits(WorkerKey(number), job, candidate.step, spec, now) {
+                details.places_untrusted += worker.free.capacity_for(&spec.need) as usize;
+            }
+        }
         Some(details)
     }
 
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -211,7 +211,7 @@
             warn!(log, "step stalled"; "token" => %token, "step" => %step, "reason" => %reason,
                 "stalled_ms" => stalled_for.0, "waiting" => details.waiting, "places" => details.places,
                 "places_good" => details.places_allowed, "places_unknown" => details.places_unknown,
-                "good" => details.allowed, "not_good" => details.rejected, "tickets" => details.tickets,
+                "places_shunned" => details.places_untrusted, "good" => details.allowed, "not_good" => details.rejected, "tickets" => details.tickets,
                 "shunned" => details.untrusted,
                 "share_percent" => details.share_percent, "asking" => details.asking,
                 "asked_ms_ago" => details.asked_ago.map(|ago| ago.0));
@@ -220,7 +220,8 @@
             warn!(log, "task without a run"; "token" => %token, "task" => %task, "cause" => %cause,
                 "without_run_ms" => without_run.0, "reason" => %reason, "ahead" => ahead,
                 "places" => details.places, "places_good" => details.places_allowed,
-                "places_unknown" => details.places_unknown, "good" => details.allowed,
+                "places_unknown" => details.places_unknown, "places_shunned" => details.places_untrusted,
+                "shunned" => details.untrusted, "good" => details.allowed,
                 "not_good" => details.rejected, "tickets" => details.tickets, "asking" => details.asking,
                 "asked_ms_ago" => details.asked_ago.map(|ago| ago.0));
         }
