cell: a worker on probation takes work again whatever runs there

Cause: after three faults a worker gets one run as a probe and no other until a run has ended well. The probe was a task of a service, which never ends. The same belief kept restarts away from all untrusted workers, and questions to the advice service with them; a probe that was stopped left the gate shut beside older runs; a service that fails wherever it runs had its workers suspended by each probe.

Evidence: `step stalled reason=shunned places=0 places_shunned=45` for 33 s after `fails what it runs` on all three workers. No advice, limit or take-over was involved.

Fix: scheduler/trust.rs. A long-running probe proves its worker after 2.5 s; without a fault the number of probes doubles from 10 s on, and ends with trust after 14 s. Only runs since the first probe count. Restarts use untrusted workers last and without a limit. The first two failures of a task in a row count against workers. So whatever opens the gate, time does too, and the number let through grows with it.

Before: 7 of 9 tests in probation.rs fail on.

--- a/crates/sedgehill-cell/src/scheduler/active_job.rs
+++ b/crates/sedgehill-cell/src/scheduler/active_job.rs
@@ -36,6 +36,8 @@
     pub progress: TaskProgress,
     /// The worker on which its last run failed.
     pub failed_at: Option<WorkerKey>,
+    /// The number of its runs in a row that failed soon after their start.
+    pub consecutive_failures: u32,
     /// Its history of workers that were lost while it ran there.
     pub crash_history: CrashHistory,
     /// The current run, if its start counts against the number of starts allowed after crashes.
@@ -142,6 +144,7 @@
                 started_by_earlier_lead: progress.run.0 > 0,
                 progress,
                 failed_at: None,
+                consecutive_failures: 0,
                 crash_history: CrashHistory::default(),
                 counted_start: None,
                 location: None,
--- a/crates/sedgehill-cell/src/scheduler/ends.rs
+++ b/crates/sedgehill-cell/src/scheduler/ends.rs
@@ -1,6 +1,6 @@
 //! Processes the ends of runs, and their effect on jobs.
 
-use sedgehill_core::units::Moment;
+use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::*;
 
@@ -9,9 +9,12 @@
     pub(super) fn take_end(&mut self, key: WorkerKey, row: &EndRow, now: Moment) -> bool {
         let worker = &self.workers[key.0];
         let life = worker.entry.life.clone();
-        if worker.has_run(&row.task, row.run) {
-            let run = self.remove_run(key, &row.task);
-            if let (Some(run), RunEnd::Done | RunEnd::Stopped) = (run, row.end) {
+        let mut lasted = TimeSpan(0);
+        if worker.has_run(&row.task, row.run)
+            && let Some(run) = self.remove_run(key, &row.task)
+        {
+            lasted = now.since(run.since);
+            if let RunEnd::Done | RunEnd::Stopped = row.end {
                 self.learn_from_run(key, &row.task, &run, row.end == RunEnd::Done, now);
             }
         }
@@ -27,6 +30,9 @@
             return false;
         }
         self.resolve_run(&row.task, row.run);
+        if row.end == RunEnd::Failed && self.blames_worker(&row.task, lasted) {
+            self.note_fault(key, "fails what it runs", now);
+        }
         self.take_end_of(key, row, now);
         self.note_run_ended(&row.task, RestartCause::Ended(row.end), now);
         self.dirty.insert(id);
@@ -84,7 +90,6 @@
     }
 
     fn take_failed(&mut self, key: WorkerKey, row: &EndRow, now: Moment) {
-        self.note_fault(key, "fails what it runs", now);
         let Some(job) = self.jobs.get_mut(&row.task.step.job) else { return };
         let (Some(step), Some(index)) = (job.step_index(&row.task.step), job.task_index(&row.task))
         else {
--- a/crates/sedgehill-cell/src/scheduler/isolation.rs
+++ b/crates/sedgehill-cell/src/scheduler/isolation.rs
@@ -157,14 +157,16 @@
             let worker = &self.workers[key.0];
             usable(&worker)
                 && worker.active_reservation(now).is_none()
-                && worker.trust == WorkerTrust::Trusted
+                && worker.runs_allowed(now) > 0
                 && worker.entry.capacity.fits(&spec.need)
                 && self.admits(*key, job, candidate.step, spec, now)
                 && !matches!(advice.known.get(key), Some(None))
         });
         fitting.min_by_key(|key| {
+            let worker = &self.workers[key.0];
             let known = matches!(advice.known.get(key), Some(Some(_)));
-            (!known, self.workers[key.0].time_until_exclusive(candidate.job, now), *key)
+            let untrusted = worker.trust != WorkerTrust::Trusted;
+            (!known, untrusted, worker.time_until_exclusive(candidate.job, now), *key)
         })
     }
 
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -56,6 +56,7 @@
 mod suspects;
 mod take_over;
 mod timing;
+mod trust;
 mod unresolved;
 mod worker;
 mod worker_run;
@@ -120,8 +121,9 @@
 pub use self::stall::{StallDetails, StallReason, StallStats};
 pub use self::suspects::CrashDetection;
 pub use self::timing::CellTiming;
+use self::trust::WorkerTrust;
 use self::unresolved::UnresolvedRuns;
-use self::worker::{WorkerState, WorkerTrust};
+use self::worker::WorkerState;
 use self::worker_run::{RunPhase, StopAttempt};
 pub use self::worker_speeds::SpeedStats;
 use self::worker_speeds::WorkerSpeeds;
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -3,7 +3,6 @@
 use super::isolation::{split_alone, start_restriction_of};
 use super::rank::{JobRank, StepRank, rank_job};
 use super::room::{Candidate, OpenWorkers};
-use super::worker::WorkerTrust;
 use super::worker_run::WorkerRun;
 use super::write_ahead::{StartPlan, StartRecord};
 use super::*;
@@ -397,9 +396,7 @@
         if worker.reservation.is_some_and(|reservation| reservation.step == task.step) {
             worker.reservation = None;
         }
-        if matches!(worker.trust, WorkerTrust::Suspended(_)) {
-            worker.trust = WorkerTrust::Probing;
-        }
+        worker.note_probe(now);
         let expected = entry.expected;
         self.add_run(key, task, entry);
         self.note_backlog_start(&task, need, expected, now);
--- a/crates/sedgehill-cell/src/scheduler/questions.rs
+++ b/crates/sedgehill-cell/src/scheduler/questions.rs
@@ -328,7 +328,7 @@
             if matches!(known, Some(None)) || !useful {
                 continue;
             }
-            let places = match self.room_on(key, job, candidate.step, spec, now) {
+            let places = match self.room_on(key, candidate, job, spec, now) {
                 0 if displaces && self.could_displace_on(key, job, candidate.step, spec, now) => 1,
                 places => places,
             };
@@ -345,7 +345,7 @@
                     result.usable += places;
                 }
                 _ => result.candidates.push(QuestionCandidate {
-                    untrusted: self.probes_untrusted(spec, key),
+                    untrusted: self.probes_untrusted(candidate, spec, key),
                     speed: preference.map_or(0, |preference| self.speed_place(preference, key)),
                     unknown: known.is_none(),
                     most_places: Reverse(places),
--- a/crates/sedgehill-cell/src/scheduler/restart_room.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart_room.rs
@@ -44,6 +44,8 @@
 struct RestartPlace {
     /// The step has not reserved it yet.
     is_new: bool,
+    /// The worker is not trusted.
+    untrusted: bool,
     /// The time until there is room, by the estimates of its runs or by stopping less urgent ones.
     wait: TimeSpan,
     /// Runs must be stopped to make room.
@@ -211,7 +213,7 @@
             let worker = &self.workers[key.0];
             let reservation = worker.active_reservation(now);
             let usable = worker.takes_work(now, &self.timing)
-                && worker.trust == WorkerTrust::Trusted
+                && worker.restarts_allowed(now) > 0
                 && reservation.is_none_or(|reservation| reservation.step == step)
                 && worker.entry.capacity.fits(&spec.need)
                 && self.admits(key, job, candidate.step, spec, now);
@@ -230,7 +232,8 @@
             let wait = sooner.or(wait_without_stops)?;
             let penalty = if failed_at(key) { FAILED_THERE_PENALTY } else { TimeSpan(0) };
             let wait = TimeSpan(wait.0 + penalty.0);
-            Some(RestartPlace { is_new: reservation.is_none(), wait, stops, key })
+            let untrusted = worker.trust != WorkerTrust::Trusted;
+            Some(RestartPlace { is_new: reservation.is_none(), untrusted, wait, stops, key })
         };
         let mut places: Vec<RestartPlace> = keys.filter_map(place).collect();
         places.sort();
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -40,6 +40,10 @@
 }
 
 impl OpenWorkers {
+    pub(super) fn contains(&self, key: WorkerKey) -> bool {
+        self.is_open[key.0]
+    }
+
     /// Whether there is room on workers that take no work until a request or their trust changes.
     pub(super) fn has_barred_room(&self) -> bool {
         !self.max_free_emptied.is_empty() || !self.max_free_untrusted.is_empty()
@@ -62,20 +66,22 @@
         let mut max_free = ResourceSet::default();
         let mut max_free_emptied = ResourceSet::default();
         let mut max_free_untrusted = ResourceSet::default();
+        let restarting = !self.restarts.is_empty();
         for (number, worker) in self.workers.iter().enumerate() {
             let free = &worker.free;
             if free.is_empty() {
                 continue;
             }
-            if worker.runs_allowed(now) == 0 {
-                if worker.takes_work(now, &self.timing) {
-                    max_free_untrusted = largest_of_each(&max_free_untrusted, free);
+            let admits_runs = worker.runs_allowed(now) > 0;
+            if worker.takes_work(now, &self.timing) {
+                let admits_restarts = restarting && worker.restarts_allowed(now) > 0;
+                if admits_runs || admits_restarts {
+                    is_open[number] = true;
+                    list.push(WorkerKey(number));
                 }
-            } else if worker.takes_work(now, &self.timing) {
-                is_open[number] = true;
-                list.push(WorkerKey(number));
-                max_free = largest_of_each(&max_free, free);
-            } else if worker.hall_emptied && !worker.is_over() {
+                let largest = if admits_runs { &mut max_free } else { &mut max_free_untrusted };
+                *largest = largest_of_each(largest, free);
+            } else if admits_runs && worker.hall_emptied && !worker.is_over() {
                 max_free_emptied = largest_of_each(&max_free_emptied, free);
             }
         }
@@ -96,19 +102,20 @@
     pub(super) fn room_on(
         &self,
         key: WorkerKey,
+        candidate: &Candidate,
         job: &ActiveJob,
-        step: usize,
         spec: &StepSpec,
         now: Moment,
     ) -> usize {
         let worker = &self.workers[key.0];
-        let step_id = job.steps[step].id;
+        let step_id = job.steps[candidate.step].id;
         let fits = worker.free_for(&step_id, now).capacity_for(&spec.need) as usize;
-        if fits == 0 || !self.admits(key, job, step, spec, now) {
+        if fits == 0 || !self.admits(key, job, candidate.step, spec, now) {
             return 0;
         }
         let fits = match spec.gang {
             true => fits.min(worker.members_allowed(now)),
+            false if candidate.restarts => fits.min(worker.restarts_allowed(now)),
             false => fits.min(worker.runs_allowed(now)),
         };
         let Some(max) = spec.max_per_worker else { return fits };
@@ -116,10 +123,16 @@
         fits.min(usize::from(max).saturating_sub(worker.runs_of_step(&probe)))
     }
 
-    /// Whether the step would probe a worker that is not trusted. Only gangs are counted, whose
-    /// members probe a worker together and choose such workers last.
-    pub(super) fn probes_untrusted(&self, spec: &StepSpec, key: WorkerKey) -> bool {
-        spec.gang && self.workers[key.0].trust != WorkerTrust::Trusted
+    /// Whether the candidate would probe a worker that is not trusted. Only gangs and restarts are
+    /// counted, whose tasks may probe a worker together and choose such workers last.
+    pub(super) fn probes_untrusted(
+        &self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        key: WorkerKey,
+    ) -> bool {
+        let together = spec.gang || candidate.restarts;
+        together && self.workers[key.0].trust != WorkerTrust::Trusted
     }
 
     /// Whether a worker is of the right pool and kind for the step, and has not reached the step's
@@ -143,7 +156,7 @@
     }
 
     /// Returns the workers that may run the step now with the number of tasks they can take.
-    /// For gangs, trusted workers come first. Then come those near the step's data, those of
+    /// For gangs and restarts, trusted workers come first. Then come those near the step's data, those of
     /// preferred speed, and those with the fewest free cores.
     pub(super) fn usable_rooms(
         &self,
@@ -157,7 +170,7 @@
         let preference = self.speed_preference(job, candidate.step, now);
         let mut rooms = Vec::new();
         let mut look_at = |key: WorkerKey| {
-            let room = self.room_on(key, job, candidate.step, spec, now);
+            let room = self.room_on(key, candidate, job, spec, now);
             if room > 0 {
                 let worker = &self.workers[key.0];
                 let near =
@@ -168,7 +181,7 @@
                     None => 0,
                 };
                 rooms.push((
-                    self.probes_untrusted(spec, key),
+                    self.probes_untrusted(candidate, spec, key),
                     !near,
                     pace,
                     worker.free.cores,
@@ -181,7 +194,7 @@
             Some(_) => job.steps[candidate.step]
                 .advice
                 .ticketed(now, self.timing.ticket_margin)
-                .filter(|key| open.is_open[key.0])
+                .filter(|key| open.contains(*key))
                 .for_each(&mut look_at),
             None => open.list.iter().copied().for_each(&mut look_at),
         }
@@ -211,7 +224,8 @@
             speed: self.speed_of(*key).speed,
             places: *places,
         };
-        let trusted = rooms.iter().take_while(|(key, _)| !self.probes_untrusted(spec, *key));
+        let trusted =
+            rooms.iter().take_while(|(key, _)| !self.probes_untrusted(candidate, spec, *key));
         let trusted: Vec<GangRoom> = trusted.map(gang_room).collect();
         let order = match trusted.iter().fold(0usize, |sum, room| sum.saturating_add(room.places))
             >= needed
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -12,7 +12,7 @@
 
 use super::placement::waiting_tasks;
 use super::room::{Candidate, OpenWorkers};
-use super::worker::WorkerTrust;
+use super::trust::WorkerTrust;
 use super::*;
 
 /// A step stalled for this long beside enough room is reported. Users accept a stall of this
@@ -313,13 +313,15 @@
                 None => details.places_unknown += places,
             }
         }
-        let barred = self.workers.iter().enumerate().filter(|(_, worker)| {
-            worker.runs_allowed(now) == 0 && worker.takes_work(now, &self.timing)
+        let barred = (0..self.workers.len()).map(WorkerKey).filter(|key| {
+            let worker = &self.workers[key.0];
+            worker.runs_allowed(now) == 0
+                && !open.contains(*key)
+                && worker.takes_work(now, &self.timing)
         });
-        for (number, worker) in barred {
-            if self.admits(WorkerKey(number), job, candidate.step, spec, now) {
-                details.places_untrusted += worker.free.capacity_for(&spec.need) as usize;
-            }
+        for key in barred.filter(|key| self.admits(*key, job, candidate.step, spec, now)) {
+            let places = self.workers[key.0].free.capacity_for(&spec.need) as usize;
+            details.places_untrusted += places;
         }
         Some(details)
     }
--- a/crates/sedgehill-cell/src/scheduler/stragglers.rs
+++ b/crates/sedgehill-cell/src/scheduler/stragglers.rs
@@ -32,8 +32,12 @@
         let policy = self.timing.policy;
         let mut overdue = Vec::new();
         let mut moved = Vec::new();
+        let mut trusted = Vec::new();
         for (number, worker) in self.workers.iter_mut().enumerate() {
             let key = WorkerKey(number);
+            if worker.end_probing(now, &self.timing) {
+                trusted.push(key);
+            }
             for (task, run) in &mut worker.runs {
                 let Some(expected) = run.expected.filter(|_| run.phase == RunPhase::Confirmed)
                 else {
@@ -53,6 +57,9 @@
                 }
             }
         }
+        for key in trusted {
+            self.report_worker_change(key, "trusted again");
+        }
         for key in overdue {
             self.note_fault(key, "is slow", now);
         }
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -8,6 +8,7 @@
 use super::event::LeaseReading;
 use super::message::{WorkerEntry, WorkerTime};
 use super::timing::CellTiming;
+use super::trust::WorkerTrust;
 use super::worker_run::{RunPhase, WorkerRun};
 use super::worker_speeds::MachineKey;
 use crate::ids::{CellTask, FencingToken, JobId, RunNumber, StepId};
@@ -20,17 +21,6 @@
 /// Most doublings of the time for which a worker that leaves orders unanswered gets no new work.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
-/// How far a worker is trusted with work, similar to a circuit breaker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WorkerTrust {
-    /// It gets as much work as fits.
-    Trusted,
-    /// It gets no work before the given moment, and then one run as a probe.
-    Suspended(Moment),
-    /// It gets one run at a time, until one ends well.
-    Probing,
-}
-
 /// The state of one life of a worker.
 #[derive(Debug)]
 pub struct WorkerState {
@@ -362,48 +352,6 @@
         }
     }
 
-    /// Returns how many runs may be added now, by its trust.
-    pub fn runs_allowed(&self, now: Moment) -> usize {
-        match self.trust {
-            WorkerTrust::Trusted => usize::MAX,
-            WorkerTrust::Suspended(until) if now < until => 0,
-            WorkerTrust::Suspended(_) => 1,
-            WorkerTrust::Probing => usize::from(self.runs.is_empty()),
-        }
-    }
-
-    /// Returns how many members of a gang may be added now. Gang members probe a worker together:
-    /// limited to one member each, workers suspended long ago that nothing else had probed could
-    /// not hold a gang wider than their number. They are chosen last.
-    pub fn members_allowed(&self, now: Moment) -> usize {
-        match self.trust {
-            WorkerTrust::Trusted => usize::MAX,
-            WorkerTrust::Suspended(until) if now < until => 0,
-            WorkerTrust::Suspended(_) => usize::MAX,
-            WorkerTrust::Probing if self.runs.is_empty() => usize::MAX,
-            WorkerTrust::Probing => 0,
-        }
-    }
-
-    /// Notes a fault. Returns whether the worker is suspended for it.
-    pub fn note_fault(&mut self, now: Moment, timing: &CellTiming) -> bool {
-        self.consecutive_faults += 1;
-        let on_trial = self.trust != WorkerTrust::Trusted;
-        let suspended = timing.policy.shunning
-            && (on_trial || self.consecutive_faults >= timing.max_consecutive_faults);
-        if suspended {
-            self.trust = WorkerTrust::Suspended(now.after(timing.suspension));
-            self.consecutive_faults = 0;
-        }
-        suspended
-    }
-
-    /// Notes that a run ended well.
-    pub fn note_success(&mut self) {
-        self.consecutive_faults = 0;
-        self.trust = WorkerTrust::Trusted;
-    }
-
     /// Adds a run, which occupies room.
     pub fn add_run(&mut self, task: CellTask, run: WorkerRun) {
         let previous = self.runs.insert(task, run);
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod overlap;
 mod overlapping;
 mod predecessor;
+mod probation;
 mod progress;
 mod question_load;
 mod question_order;
