cell: tasks of a crashed worker are kept apart for a bounded time

Cause: every task on a crashed worker is a suspect, and no two of them start on one worker within 10 s. N tasks on W workers take N / W times 10 s. Tasks with two losses want a worker each, by the same 10 s; with three, they wait 20 s for news, however long they had run.

Evidence: `task without a run reason=suspects_apart places=217` in 33 of 40 lines; starts in groups of eight, 10 s apart.

Fix: runs that had lasted for 10 s at the loss are not kept from each other. For others the distance between starts falls to nothing while they are kept apart, in 3 s for a long-running task and in 10 s for others while half of the pool is free. All are spread over the workers. A crash right after a start counts against that run if all others began earlier, so that starts which are close together still show the cause.

--- a/crates/sedgehill-cell/src/crash_history.rs
+++ b/crates/sedgehill-cell/src/crash_history.rs
@@ -5,6 +5,10 @@
 //! suspect is restarted at once, but not beside other suspects of the same crash. After a second crash it runs on a
 //! worker without other jobs. If that worker crashes too, the task is taken as the cause. So a task that crashes its
 //! workers takes down three of them, while a task that only ran beside it is cleared by running alone.
+//!
+//! A run that had lasted for long when its worker crashed is most likely not the cause. Such losses count for what users
+//! accept, but are no reason to keep the tasks apart or to wait for news: a worker with many long-running tasks would
+//! leave more suspects than there are workers.
 
 use std::net::SocketAddr;
 
@@ -17,6 +21,8 @@
 /// a full worker would ask for about eight empty workers at once. With two, the second crash distinguishes the cause
 /// from the tasks that ran beside it.
 pub const EXCLUSIVE_AFTER_LOSSES: usize = 2;
+/// The same for workers that were lost while the task had run there for long.
+const EXCLUSIVE_AFTER_SETTLED_LOSSES: usize = FAIL_AFTER_CRASHES;
 /// A task is taken as the cause once this many workers that had reported its run crashed, if it ran there without
 /// other jobs in enough of these crashes: one, or two where workers often crash by themselves. Users accept that a
 /// task is failed after two crashes. But two crashes can be caused by two other tasks that ran beside it; the third,
@@ -82,6 +88,17 @@
     }
 }
 
+/// How the loss of a worker under two tasks speaks against starting them on one worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SharedLoss {
+    /// They lost no worker together.
+    None,
+    /// Both had run for long on each of them.
+    Settled,
+    /// One of them may have caused the loss.
+    Suspect,
+}
+
 /// Where a task may be started, given the losses of its earlier workers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartRestriction {
@@ -117,6 +134,9 @@
     /// [`JobProgress::unanswered`](crate::progress::JobProgress::unanswered).
     #[serde(skip)]
     pub unanswered: Vec<WorkerCrash>,
+    /// The lost workers on which the task had run for long. Not stored: to a later lead all losses are equal.
+    #[serde(skip)]
+    settled: Vec<WorkerLife>,
 }
 
 impl CrashHistory {
@@ -145,12 +165,17 @@
 
     /// Returns where the task may be started while none of its runs is active.
     pub fn start_restriction(&self) -> StartRestriction {
-        let lost = self.crashes.len() + self.unanswered.len() + self.unresolved.len();
-        let awaits_news = || self.unresolved.iter().any(UnresolvedRun::defers_start);
+        let lost = self.lost_lives().count();
+        let settled = self.lost_lives().filter(|life| self.is_settled(life)).count();
+        let awaits_news = || {
+            let unsettled = self.unresolved.iter().filter(|run| !self.is_settled(&run.life));
+            unsettled.into_iter().any(UnresolvedRun::defers_start)
+        };
         match lost {
             _ if self.losses() >= DEFER_AFTER_LOSSES && awaits_news() => StartRestriction::Deferred,
             0 => StartRestriction::Unrestricted,
-            lost if lost >= EXCLUSIVE_AFTER_LOSSES => StartRestriction::Exclusive,
+            lost if lost >= EXCLUSIVE_AFTER_SETTLED_LOSSES => StartRestriction::Exclusive,
+            lost if lost >= EXCLUSIVE_AFTER_LOSSES && settled < lost => StartRestriction::Exclusive,
             _ => StartRestriction::Separate,
         }
     }
@@ -170,9 +195,27 @@
         proven || (self.known_crashes() >= MIN_CRASHES_TO_FAIL && used_up) || all_lost
     }
 
-    /// Returns whether one life of a worker was lost under both tasks.
-    pub fn shares_lost_worker(&self, other: &CrashHistory) -> bool {
-        self.lost_lives().any(|life| other.lost_lives().any(|lost| lost == life))
+    /// Returns how a life of a worker that was lost under both tasks speaks against starting them on one worker.
+    pub fn shared_loss(&self, other: &CrashHistory) -> SharedLoss {
+        let shared = |life: &&WorkerLife| other.lost_lives().any(|lost| lost == *life);
+        let grade = |life: &WorkerLife| match self.is_settled(life) && other.is_settled(life) {
+            true => SharedLoss::Settled,
+            false => SharedLoss::Suspect,
+        };
+        self.lost_lives().filter(shared).map(grade).max().unwrap_or(SharedLoss::None)
+    }
+
+    /// Notes that the task had run for long on a worker that is lost.
+    pub fn note_settled(&mut self, life: WorkerLife) {
+        let lost: Vec<WorkerLife> = self.lost_lives().cloned().collect();
+        self.settled.retain(|settled| lost.contains(settled));
+        if !self.settled.contains(&life) {
+            self.settled.push(life);
+        }
+    }
+
+    fn is_settled(&self, life: &WorkerLife) -> bool {
+        self.settled.contains(life)
     }
 
     /// Returns the lives that crashed or may have crashed under the task.
--- a/crates/sedgehill-cell/src/scheduler/active_job.rs
+++ b/crates/sedgehill-cell/src/scheduler/active_job.rs
@@ -40,6 +40,8 @@
     pub consecutive_failures: u32,
     /// Its history of workers that were lost while it ran there.
     pub crash_history: CrashHistory,
+    /// Since when it has been kept apart from other suspects although there is room.
+    pub kept_apart_since: Option<Moment>,
     /// The current run, if its start counts against the number of starts allowed after crashes.
     pub counted_start: Option<RunNumber>,
     /// An earlier lead recorded a start of it.
@@ -146,6 +148,7 @@
                 failed_at: None,
                 consecutive_failures: 0,
                 crash_history: CrashHistory::default(),
+                kept_apart_since: None,
                 counted_start: None,
                 location: None,
                 preempted_run: None,
--- a/crates/sedgehill-cell/src/scheduler/isolation.rs
+++ b/crates/sedgehill-cell/src/scheduler/isolation.rs
@@ -5,19 +5,36 @@
 //! without recent runs of other jobs. If there is none, a worker is reserved, which becomes free as
 //! its runs end. Runs beside a suspect task would be lost with it, and could not be ruled out as
 //! the cause.
+//!
+//! A worker that is lost with many tasks leaves more suspects than there are workers to keep them
+//! apart, and long-running ones never make room for the next. So tasks whose runs had lasted for
+//! long at the loss are not kept from each other. For all others, the distance between the starts
+//! of suspects on one worker shrinks while they are kept apart, down to none after a bounded time.
+//! Both are spread over all workers that have room, so that a second crash hits few of them.
+
+use std::cmp::Reverse;
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use super::displacement::WorkerReservation;
 use super::placement::Assignment;
 use super::room::{Candidate, OpenWorkers};
+use super::worker_run::WorkerRun;
 use super::*;
-use crate::crash_history::{CrashHistory, StartRestriction};
+use crate::crash_history::{CrashHistory, SharedLoss, StartRestriction};
+use crate::ids::PoolName;
 use crate::job::StepSpec;
 
 /// A run that has lasted this long is not considered the cause of a crash. Users' tasks that crash
 /// workers do so within a second of their start, and the longest usual tasks take some six seconds.
 const CRASH_SUSPECT_SPAN: TimeSpan = TimeSpan(10_000);
+/// A run that was lost at this age or sooner may have crashed its worker as it started.
+const START_CRASH_SPAN: TimeSpan = TimeSpan(3_000);
+/// Runs that started this much earlier than one whose start crashed the worker are not the cause.
+const MIN_START_DISTANCE: TimeSpan = TimeSpan(1_500);
+/// The longest time for which a long-running task is kept apart from suspects. It is owed a run
+/// within seconds, most of which its lease may have taken.
+const MAX_RESTART_SEPARATION: TimeSpan = TimeSpan(3_000);
 /// How long a reservation for a task that must run alone lasts. It is renewed each turn.
 const ALONE_RESERVATION_SPAN: TimeSpan = TimeSpan(1_000);
 /// One worker in this many of a pool may be reserved for such tasks; the others go on with all
@@ -27,20 +44,51 @@
 impl WorkerState {
     /// Whether no run of another job that could cause a crash is there.
     pub(super) fn is_exclusive_for(&self, job: JobId, now: Moment) -> bool {
-        let trusted = |run: &worker_run::WorkerRun| now >= run.since.after(CRASH_SUSPECT_SPAN);
-        self.runs.iter().all(|(task, run)| task.step.job == job || trusted(run))
+        self.is_separate_for(job, CRASH_SUSPECT_SPAN, now)
+    }
+
+    /// Whether all runs of other jobs there have lasted for at least `distance`.
+    pub(super) fn is_separate_for(&self, job: JobId, distance: TimeSpan, now: Moment) -> bool {
+        self.youngest_other(job, now).is_none_or(|age| age >= distance)
     }
 
-    /// Whether a run of another job must stay alone on the worker.
-    pub(super) fn excludes_job(&self, job: JobId, now: Moment) -> bool {
-        let wants =
-            |run: &worker_run::WorkerRun| run.alone && now < run.since.after(CRASH_SUSPECT_SPAN);
-        self.has_alone_run && self.runs.iter().any(|(task, run)| task.step.job != job && wants(run))
+    /// Whether a run that is lost with the worker could be the cause of a crash and no run of
+    /// another job could: either none was there that had begun of late, or the crash came with the
+    /// start of the run.
+    pub(super) fn was_alone(&self, task: &CellTask, run: &WorkerRun, now: Moment) -> bool {
+        let others = || self.runs.iter().filter(|(other, _)| other.step.job != task.step.job);
+        let is_earlier = |other: &WorkerRun| run.since >= other.since.after(MIN_START_DISTANCE);
+        let lost_at = self.silent_since.or(self.replaced_at).unwrap_or(now);
+        let with_start = lost_at.since(run.since) <= START_CRASH_SPAN;
+        let alone = match self.was_settled(run) {
+            true => others().next().is_none(),
+            false => self.is_exclusive_for(task.step.job, now),
+        };
+        alone || (with_start && others().all(|(_, other)| is_earlier(other)))
+    }
+
+    /// Whether a run that is lost with the worker had lasted for so long that it is most likely not
+    /// the cause of a crash.
+    pub(super) fn was_settled(&self, run: &WorkerRun) -> bool {
+        let lasted = |reported: Moment| reported.since(run.since) >= CRASH_SUSPECT_SPAN;
+        run.seen && self.last_report_at.is_some_and(lasted)
+    }
+
+    /// Returns the age of the youngest run of another job.
+    fn youngest_other(&self, job: JobId, now: Moment) -> Option<TimeSpan> {
+        let others = self.runs.iter().filter(|(task, _)| task.step.job != job);
+        others.map(|(_, run)| now.since(run.since)).min()
+    }
+
+    /// Whether a run of another job that must stay alone has lasted for less than `distance`.
+    fn has_younger_alone_run(&self, job: JobId, distance: TimeSpan, now: Moment) -> bool {
+        let wants = |run: &WorkerRun| run.alone && now < run.since.after(distance);
+        self.runs.iter().any(|(task, run)| task.step.job != job && wants(run))
     }
 
     /// Returns the longest time until no run of another job that could cause a crash is there.
     fn time_until_exclusive(&self, job: JobId, now: Moment) -> TimeSpan {
-        let time_left = |run: &worker_run::WorkerRun| {
+        let time_left = |run: &WorkerRun| {
             let age = now.since(run.since);
             let suspect_span = run.expected.unwrap_or(CRASH_SUSPECT_SPAN).min(CRASH_SUSPECT_SPAN);
             TimeSpan(suspect_span.0.saturating_sub(age.0))
@@ -80,9 +128,15 @@
         if tasks.is_empty() {
             return Vec::new();
         }
+        let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
+        let distance = self.separation_of(job, candidate.step, now);
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
-        rooms.retain(|(key, _)| self.workers[key.0].is_exclusive_for(candidate.job, now));
-        rooms.sort_by_key(|(key, _)| !self.workers[key.0].runs.is_empty());
+        rooms.retain(|(key, _)| self.workers[key.0].is_separate_for(job.id, distance, now));
+        rooms.sort_by_key(|(key, _)| {
+            let worker = &self.workers[key.0];
+            let youngest = worker.youngest_other(job.id, now).unwrap_or(CRASH_SUSPECT_SPAN);
+            (Reverse(youngest.min(CRASH_SUSPECT_SPAN)), !worker.runs.is_empty())
+        });
         // Gang members may share a worker, since they are lost together wherever they run.
         let slots = |(key, room)| std::iter::repeat_n(key, if spec.gang { room } else { 1 });
         tasks.iter().copied().zip(rooms.into_iter().flat_map(slots)).collect()
@@ -170,26 +224,145 @@
         })
     }
 
-    /// Whether a task may run on a worker beside what runs there: no suspect run of another job may
-    /// have lost a worker together with it.
-    pub(super) fn may_share_worker(
+    /// Returns how long runs of other jobs must have lasted on a worker before a suspect task of a
+    /// step starts there. It shrinks while the step's tasks are kept apart, down to zero.
+    pub(super) fn separation_of(&self, job: &ActiveJob, step: usize, now: Moment) -> TimeSpan {
+        if !self.suspects_seen {
+            return CRASH_SUSPECT_SPAN;
+        }
+        let longest = match job.step_spec(step).long_running {
+            true => MAX_RESTART_SEPARATION,
+            false => CRASH_SUSPECT_SPAN,
+        };
+        let waiting = job.step_tasks(step).iter().filter(|task| task.waits());
+        match waiting.filter_map(|task| task.kept_apart_since).min() {
+            None => CRASH_SUSPECT_SPAN,
+            Some(since) => TimeSpan(longest.0.saturating_sub(now.since(since).0)),
+        }
+    }
+
+    /// Whether a run on the worker must stay alone and keeps the tasks of a step away.
+    pub(super) fn is_kept_from(
+        &self,
+        key: WorkerKey,
+        job: &ActiveJob,
+        step: usize,
+        now: Moment,
+    ) -> bool {
+        let worker = &self.workers[key.0];
+        if !worker.has_alone_run {
+            return false;
+        }
+        let distance = self.separation_of(job, step, now);
+        worker.has_younger_alone_run(job.id, distance, now)
+    }
+
+    /// Notes since when the suspect tasks of a step that wait are kept apart although there is room.
+    /// Returns whether they are.
+    pub(super) fn note_kept_apart(
+        &mut self,
+        candidate: &Candidate,
+        spec: &StepSpec,
+        open: &OpenWorkers,
+        now: Moment,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&candidate.job) else { return false };
+        let is_suspect = |task: &ActiveTask| task.is_ready(now) && !task.crash_history.is_empty();
+        let pool = &job.record.policy.pool;
+        let has_room = |key: &WorkerKey| {
+            let worker = &self.workers[key.0];
+            worker.free.fits(&spec.need) && worker.entry.pool == *pool
+        };
+        let suspects = || job.step_tasks(candidate.step).iter().filter(|task| is_suspect(task));
+        let kept_apart = suspects().next().is_some() && open.list.iter().any(has_room);
+        let is_noted = || suspects().any(|task| task.kept_apart_since.is_some());
+        // A busy pool soon has workers that are separate enough, since its runs end. Long-running
+        // tasks are owed a run however busy it is.
+        let counts =
+            (kept_apart || is_noted()) && (spec.long_running || self.is_mostly_free(pool, now));
+        let Some(job) = self.jobs.get_mut(&candidate.job) else { return false };
+        let (first, count) = (job.steps[candidate.step].first_task, usize::from(spec.count));
+        for task in job.tasks[first..first + count].iter_mut().filter(|task| is_suspect(task)) {
+            let since = task.kept_apart_since.unwrap_or(now);
+            task.kept_apart_since = counts.then_some(since);
+        }
+        kept_apart
+    }
+
+    /// Whether less than half of a pool's cores are in use.
+    fn is_mostly_free(&self, pool: &PoolName, now: Moment) -> bool {
+        let workers = self.workers.iter().filter(|worker| {
+            worker.entry.pool == *pool && !worker.is_over() && worker.is_listed(now, &self.timing)
+        });
+        let cores = workers.map(|worker| (worker.free.cores.0, worker.entry.capacity.cores.0));
+        let (free, all) = cores.fold((0, 0), |sum, (free, all)| (sum.0 + free, sum.1 + all));
+        2 * free > all
+    }
+
+    /// Returns the index of the room that a task should take: the first without tasks that lost a
+    /// worker together with it, but one on the worker `avoided` last. If there is none, the room
+    /// where the youngest suspect among them is oldest and which has the fewest of them; suspects
+    /// must have run there for `distance`.
+    pub(super) fn choose_room(
+        &self,
+        rooms: &[(WorkerKey, usize)],
+        job: JobId,
+        crash_history: &CrashHistory,
+        avoided: Option<WorkerKey>,
+        distance: TimeSpan,
+        now: Moment,
+    ) -> Option<usize> {
+        let related = |key: WorkerKey| self.related_runs(key, job, crash_history, now);
+        let is_clear = |key: WorkerKey| related(key).count == 0;
+        let clear = rooms
+            .iter()
+            .position(|(key, _)| Some(*key) != avoided && is_clear(*key))
+            .or_else(|| rooms.iter().position(|(key, _)| is_clear(*key)));
+        let best = || {
+            let ranks = rooms.iter().enumerate().filter_map(|(index, (key, _))| {
+                let RelatedRuns { youngest_suspect, count } = related(*key);
+                let age = youngest_suspect.unwrap_or(CRASH_SUSPECT_SPAN);
+                (age >= distance).then_some((Reverse(age), count, index))
+            });
+            ranks.min().map(|(.., index)| index)
+        };
+        clear.or_else(best)
+    }
+
+    /// Returns the runs of other jobs on a worker that have begun of late and lost a worker together
+    /// with a task.
+    fn related_runs(
         &self,
         key: WorkerKey,
         id: JobId,
         crash_history: &CrashHistory,
         now: Moment,
-    ) -> bool {
+    ) -> RelatedRuns {
+        let mut related = RelatedRuns { youngest_suspect: None, count: 0 };
         if crash_history.is_empty() {
-            return true;
+            return related;
         }
-        let others = self.workers[key.0]
-            .runs
-            .iter()
-            .filter(|(task, run)| task.step.job != id && now < run.since.after(CRASH_SUSPECT_SPAN));
-        let mut suspects = others.filter_map(|(task, _)| {
-            let job = self.jobs.get(&task.step.job)?;
-            Some(&job.tasks[job.task_index(task)?].crash_history)
-        });
-        !suspects.any(|other| crash_history.shares_lost_worker(other))
+        for (task, run) in &self.workers[key.0].runs {
+            let age = now.since(run.since);
+            if task.step.job == id || age >= CRASH_SUSPECT_SPAN {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&task.step.job) else { continue };
+            let Some(index) = job.task_index(task) else { continue };
+            let shared = crash_history.shared_loss(&job.tasks[index].crash_history);
+            related.count += usize::from(shared != SharedLoss::None);
+            if shared == SharedLoss::Suspect {
+                related.youngest_suspect = related.youngest_suspect.into_iter().chain([age]).min();
+            }
+        }
+        related
     }
 }
+
+/// Runs on a worker whose tasks lost a worker together with a task that is to be placed.
+struct RelatedRuns {
+    /// The age of the youngest one that may have caused the loss, or whose task may be harmed.
+    youngest_suspect: Option<TimeSpan>,
+    /// The number of them.
+    count: usize,
+}
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -173,6 +173,9 @@
         let mut remaining = UnplacedTasks::default();
         if may_start {
             remaining = self.start_waiting(candidate, spec, open, &waiting, now);
+            remaining.kept_apart = self.suspects_seen
+                && remaining.alone + remaining.others > 0
+                && self.note_kept_apart(candidate, spec, open, now);
             let started = waiting.len() - remaining.alone - remaining.others;
             self.note_limit_starts(candidate, spec, started, now);
             if remaining.alone + remaining.others == 0 {
@@ -229,9 +232,6 @@
         let assignment = self.assign_each(candidate, spec, open, &others, now);
         remaining.others -= assignment.len();
         self.start_all(candidate, spec, assignment, now);
-        remaining.kept_apart = self.suspects_seen
-            && remaining.alone + remaining.others > 0
-            && !self.usable_rooms(candidate, spec, open, now).is_empty();
         remaining
     }
 
@@ -246,18 +246,15 @@
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
         rooms.retain(|(key, _)| !self.workers[key.0].has_alone_reservation(now));
         let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
+        let distance = self.separation_of(job, candidate.step, now);
         let mut assignment = Vec::new();
         for index in waiting {
             if rooms.is_empty() {
                 break;
             }
             let task = &job.step_tasks(candidate.step)[usize::from(*index)];
-            let joins =
-                |key: WorkerKey| self.may_share_worker(key, job.id, &task.crash_history, now);
-            let choice = rooms
-                .iter()
-                .position(|(key, _)| Some(*key) != task.failed_at && joins(*key))
-                .or_else(|| rooms.iter().position(|(key, _)| joins(*key)));
+            let history = &task.crash_history;
+            let choice = self.choose_room(&rooms, job.id, history, task.failed_at, distance, now);
             if let Some(choice) = choice {
                 assignment.push((*index, take_slot(&mut rooms, choice)));
             }
@@ -286,13 +283,12 @@
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
         rooms.retain(|(key, _)| assignment.iter().all(|(_, taken)| taken != key));
         self.order_for_gang(candidate, spec, others.len(), &mut rooms, now);
+        let distance = self.separation_of(job, candidate.step, now);
         for index in others {
             let task = &job.step_tasks(candidate.step)[usize::from(index)];
-            let joins =
-                |key: WorkerKey| self.may_share_worker(key, job.id, &task.crash_history, now);
-            let Some(choice) = rooms.iter().position(|(key, _)| joins(*key)) else {
-                return Vec::new();
-            };
+            let history = &task.crash_history;
+            let choice = self.choose_room(&rooms, job.id, history, None, distance, now);
+            let Some(choice) = choice else { return Vec::new() };
             assignment.push((index, take_slot(&mut rooms, choice)));
         }
         assignment
@@ -345,6 +341,7 @@
             let run = if spec.gang { gang_run } else { active_task.progress.run.next() };
             active_task.progress.run = run;
             active_task.phase = TaskPhase::Placed(key, run);
+            active_task.kept_apart_since = None;
             active_task.location = spec.long_running.then_some(location);
             let checkpoint = match spec.gang {
                 true => gang_checkpoint.clone(),
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -152,7 +152,7 @@
         worker.entry.pool == job.record.policy.pool
             && spec.label.as_ref().is_none_or(|label| labels.contains(label))
             && !spec.max_per_worker.is_some_and(full)
-            && !worker.excludes_job(job.id, now)
+            && !self.is_kept_from(key, job, step, now)
     }
 
     /// Returns the workers that may run the step now with the number of tasks they can take.
--- a/crates/sedgehill-cell/src/scheduler/suspects.rs
+++ b/crates/sedgehill-cell/src/scheduler/suspects.rs
@@ -53,6 +53,8 @@
     seen: bool,
     /// No run of another job that could have caused a crash was there.
     alone: bool,
+    /// It had run for so long that it is most likely not the cause.
+    settled: bool,
     /// The number of other runs that were there.
     other_runs: usize,
 }
@@ -100,7 +102,8 @@
             run: run.run,
             sent: sent(run.phase),
             seen: run.seen,
-            alone: worker.is_exclusive_for(task.step.job, now),
+            alone: worker.was_alone(task, run, now),
+            settled: worker.was_settled(run),
             other_runs: sent_count.saturating_sub(1),
         };
         worker.runs.iter().map(lost).collect()
@@ -116,11 +119,15 @@
     ) {
         let worker = &self.workers[key.0];
         let (life, address) = (worker.entry.life.clone(), worker.entry.address);
+        let leaving = worker.is_leaving();
         if !lost.sent {
             return self.resolve_run(&lost.task, lost.run);
         }
+        if lost.settled {
+            self.note_settled_loss(&lost.task, &life);
+        }
         match cause {
-            LossCause::WorkerEnded { .. } | LossCause::LeaseEnded(_) if worker.is_leaving() => {
+            LossCause::WorkerEnded { .. } | LossCause::LeaseEnded(_) if leaving => {
                 self.note_possible_crash(&lost.task, lost.run, now);
             }
             LossCause::WorkerEnded { .. } => {
@@ -150,6 +157,12 @@
         }
     }
 
+    fn note_settled_loss(&mut self, task: &CellTask, life: &WorkerLife) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(index) = job.task_index(task) else { return };
+        job.tasks[index].crash_history.note_settled(life.clone());
+    }
+
     /// Notes a run that was lost with a worker that most likely left as planned.
     fn note_possible_crash(&mut self, task: &CellTask, run: RunNumber, now: Moment) {
         self.remove_unresolved(task, run);
--- a/crates/sedgehill-cell/src/scheduler/write_ahead.rs
+++ b/crates/sedgehill-cell/src/scheduler/write_ahead.rs
@@ -39,8 +39,9 @@
     pub(super) fn defer_start(&mut self, start: StartPlan, now: Moment) {
         let StartPlan { worker, task, run, checkpoint, alone, record } = start;
         if record == StartRecord::Suspect {
-            let entry = &self.workers[worker.0].entry;
-            let (life, address) = (entry.life.clone(), entry.address);
+            let state = &self.workers[worker.0];
+            let (life, address) = (state.entry.life.clone(), state.entry.address);
+            let alone = alone && state.is_exclusive_for(task.step.job, now);
             let unresolved = UnresolvedRun { run, life, address, alone, seen: false, waited: None };
             self.count_suspect_start(&task, run);
             self.add_unresolved_run(&task, unresolved, now);
@@ -116,6 +117,8 @@
     pub(super) task: CellTask,
     pub(super) run: RunNumber,
     pub(super) checkpoint: String,
+    /// The task must run alone. It may still be started beside runs of other jobs that are not old
+    /// enough, once it has been kept apart for long.
     pub(super) alone: bool,
     pub(super) record: StartRecord,
 }
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -47,6 +47,7 @@
 mod restarts;
 mod roster;
 mod scheduler;
+mod separation;
 mod silence;
 mod speed_course;
 mod speeds;
