--- a/crates/sedgehill-cell/src/crash_history.rs
+++ b/crates/sedgehill-cell/src/crash_history.rs
@@ -147,6 +147,12 @@
         none && self.unanswered.is_empty() && self.unconfirmed == 0
     }
 
+    /// Returns whether nothing is recorded but that a run was started, which its worker has reported.
+    pub fn is_only_run(&self, run: RunNumber) -> bool {
+        let is_run = |unresolved: &UnresolvedRun| unresolved.run == run && unresolved.seen;
+        self.possible_crashes() == 0 && matches!(&self.unresolved[..], [only] if is_run(only))
+    }
+
     /// Returns the number of workers that crashed, or may have crashed, under the task.
     fn possible_crashes(&self) -> usize {
         self.known_crashes() + self.unanswered.len() + usize::from(self.unconfirmed)
--- a/crates/sedgehill-cell/src/scheduler/active_job.rs
+++ b/crates/sedgehill-cell/src/scheduler/active_job.rs
@@ -40,6 +40,8 @@
     pub consecutive_failures: u32,
     /// Its history of workers that were lost while it ran there.
     pub crash_history: CrashHistory,
+    /// How often a run of it was stopped because it took far too long.
+    pub moves: u32,
     /// Since when it has been kept apart from other suspects although there is room.
     pub kept_apart_since: Option<Moment>,
     /// The current run, if its start counts against the number of starts allowed after crashes.
@@ -148,6 +150,7 @@
                 failed_at: None,
                 consecutive_failures: 0,
                 crash_history: CrashHistory::default(),
+                moves: 0,
                 kept_apart_since: None,
                 counted_start: None,
                 location: None,
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -475,6 +475,7 @@
         }
         self.expire_leases(now);
         self.retry_stops(now);
+        self.restore_trust(now);
         self.move_stragglers(now);
         self.refresh_speeds(now);
         self.find_settled_restarts();
--- a/crates/sedgehill-cell/src/scheduler/trust.rs
+++ b/crates/sedgehill-cell/src/scheduler/trust.rs
@@ -107,9 +107,9 @@
         self.trust = WorkerTrust::Trusted;
     }
 
-    /// Restores the trust in a worker whose probes have shown no fault for long enough. The next
-    /// fault suspends it again, since no run has ended well yet. Returns whether it is trusted anew.
-    pub fn end_probing(&mut self, now: Moment, timing: &CellTiming) -> bool {
+    /// Trusts a worker whose probes have shown no fault for long enough. The next fault suspends it
+    /// again, since no run has ended well yet. Returns whether it is trusted anew.
+    fn end_probing(&mut self, now: Moment, timing: &CellTiming) -> bool {
         let WorkerTrust::Probing(since) = self.trust else { return false };
         let is_proof = |run: &WorkerRun| {
             let lasted = run.since >= since && now >= run.since.after(PROBE_PROOF);
@@ -125,6 +125,15 @@
 }
 
 impl Scheduler {
+    /// Restores the trust in workers whose probes have shown no fault for long enough.
+    pub(super) fn restore_trust(&mut self, now: Moment) {
+        for key in (0..self.workers.len()).map(WorkerKey) {
+            if self.workers[key.0].end_probing(now, &self.timing) {
+                self.report_worker_change(key, "trusted again");
+            }
+        }
+    }
+
     /// Counts a failed run of a task. Returns whether it counts against its worker. `lasted` is how
     /// long the run is known to have lasted.
     pub(super) fn blames_worker(&mut self, task: &CellTask, lasted: TimeSpan) -> bool {
--- a/crates/sedgehill-cell/src/scheduler/unresolved.rs
+++ b/crates/sedgehill-cell/src/scheduler/unresolved.rs
@@ -166,7 +166,14 @@
         if let Some(job) = self.jobs.get_mut(&task.step.job)
             && let Some(index) = job.task_index(task)
         {
-            job.tasks[index].crash_history.reset_further_starts();
+            let active_task = &mut job.tasks[index];
+            active_task.crash_history.reset_further_starts();
+            // The start of the current run was recorded ahead because of losses that are resolved.
+            if let TaskPhase::Placed(_, placed) = active_task.phase
+                && active_task.crash_history.is_only_run(placed)
+            {
+                self.remove_unresolved(task, placed);
+            }
         }
     }
 
--- a/crates/sedgehill-cell/tests/testsuite/probation.rs
+++ b/crates/sedgehill-cell/tests/testsuite/probation.rs
@@ -12,6 +12,7 @@
 
 use sedgehill_cell::ids::CellTask;
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
+use sedgehill_cell::progress::JobState;
 use sedgehill_cell::scheduler::{CellEvent, HelperId, RunEnd, Scheduler, StallReason};
 use sedgehill_core::units::TimeSpan;
 
@@ -251,6 +252,20 @@
     }
 }
 
+// The tasks take 40 times their estimate. All workers are on probation, where runs that take far too long are moved.
+#[test]
+fn tasks_that_take_far_longer_than_estimated_end_although_no_worker_is_trusted() {
+    let mut scenario = ProbationScenario::new(WORKERS);
+    scenario.suspend_all();
+    scenario.submit(LATER_JOB, batch(WORKERS, 1, TimeSpan(500)));
+    let begin = scenario.cell.now;
+    while scenario.cell.progress(LATER_JOB).state != JobState::Completed {
+        assert!(scenario.cell.now < begin.after(TimeSpan(60_000)), "the job has not ended");
+        scenario.turn();
+        scenario.cell.end_older_than(TimeSpan(20_000));
+    }
+}
+
 // A service fails a moment after each start, on every worker. Other work goes on beside it.
 #[test]
 fn services_that_fail_for_ever_keep_no_work_from_the_workers() {
