cell: examine steps more rarely while only untrusted workers have room

Cause: since steps are examined where only workers without trust have room, a full cell is looked through in each turn.

Change: such a look every 500 ms, which is for the reasons of stalls only.

--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -227,6 +227,8 @@
     starved_step: Option<Candidate>,
     /// When to search for that step next.
     starved_search_from: Moment,
+    /// The next time at which steps are examined while only untrusted workers have room.
+    untrusted_check_from: Moment,
 }
 
 impl Scheduler {
@@ -289,6 +291,7 @@
             restarts: RestartTracker::default(),
             starved_step: None,
             starved_search_from: now,
+            untrusted_check_from: now,
             timing,
         }
     }
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -44,10 +44,12 @@
         let needs_alone_worker =
             || self.suspects_seen && self.jobs.values().any(ActiveJob::wants_alone);
         let nothing_urgent = || self.restarts.is_empty() && !needs_alone_worker();
+        let hall_emptied = !open.max_free_emptied.is_empty();
         if open.list.is_empty()
             && open.least_urgent == 0
             && nothing_urgent()
-            && !open.has_barred_room()
+            && !hall_emptied
+            && !self.begin_untrusted_check(&open, now)
         {
             return;
         }
--- a/crates/sedgehill-cell/src/scheduler/room.rs
+++ b/crates/sedgehill-cell/src/scheduler/room.rs
@@ -44,11 +44,6 @@
         self.is_open[key.0]
     }
 
-    /// Whether there is room on workers that take no work until a request or their trust changes.
-    pub(super) fn has_barred_room(&self) -> bool {
-        !self.max_free_emptied.is_empty() || !self.max_free_untrusted.is_empty()
-    }
-
     /// Replaces a lack of room for `need` by its cause, if other workers have the room.
     pub(super) fn explain_no_room(&self, reason: StallReason, need: &ResourceSet) -> StallReason {
         match reason.lacks_room() {
--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -23,6 +23,8 @@
 /// The interval between searches for the step that has waited longest for a box to ask, since a
 /// search looks at all candidates.
 const STARVED_SEARCH_INTERVAL: TimeSpan = TimeSpan(100);
+/// The interval between searches for what steps wait for while only untrusted workers have room.
+const UNTRUSTED_CHECK_INTERVAL: TimeSpan = TimeSpan(500);
 /// The most steps reported in one turn. If everything is stalled, further lines add nothing.
 const MAX_REPORTS_PER_TURN: usize = 4;
 /// A step is reported only if there is room for this many times its waiting tasks.
@@ -210,6 +212,17 @@
         }
     }
 
+    /// Whether steps should be examined although no worker takes work, to note that they wait for
+    /// workers to be trusted. If so, the check counts as made. Examining all steps in each turn of a
+    /// full cell would cost the lead most of its processor time.
+    pub(super) fn begin_untrusted_check(&mut self, open: &OpenWorkers, now: Moment) -> bool {
+        let due = !open.max_free_untrusted.is_empty() && now >= self.untrusted_check_from;
+        if due {
+            self.untrusted_check_from = now.after(UNTRUSTED_CHECK_INTERVAL);
+        }
+        due
+    }
+
     /// Finds the step that has waited longest for a box to ask, if that is long. Steps without
     /// value rank last, so as long as others arrive they would never find a free box.
     pub(super) fn update_starved_step(&mut self, candidates: &[Candidate], now: Moment) {
