--- a/crates/sedgehill-cell/src/crash_history.rs
+++ b/crates/sedgehill-cell/src/crash_history.rs
@@ -21,7 +21,7 @@
 /// a full worker would ask for about eight empty workers at once. With two, the second crash distinguishes the cause
 /// from the tasks that ran beside it.
 pub const EXCLUSIVE_AFTER_LOSSES: usize = 2;
-/// The same for workers that were lost while the task had run there for long.
+/// The same where the task had run for long on each of the workers.
 const EXCLUSIVE_AFTER_SETTLED_LOSSES: usize = FAIL_AFTER_CRASHES;
 /// A task is taken as the cause once this many workers that had reported its run crashed, if it ran there without
 /// other jobs in enough of these crashes: one, or two where workers often crash by themselves. Users accept that a
@@ -173,10 +173,8 @@
     pub fn start_restriction(&self) -> StartRestriction {
         let lost = self.lost_lives().count();
         let settled = self.lost_lives().filter(|life| self.is_settled(life)).count();
-        let awaits_news = || {
-            let unsettled = self.unresolved.iter().filter(|run| !self.is_settled(&run.life));
-            unsettled.into_iter().any(UnresolvedRun::defers_start)
-        };
+        let defers = |run: &UnresolvedRun| run.defers_start() && !self.is_settled(&run.life);
+        let awaits_news = || self.unresolved.iter().any(defers);
         match lost {
             _ if self.losses() >= DEFER_AFTER_LOSSES && awaits_news() => StartRestriction::Deferred,
             0 => StartRestriction::Unrestricted,
--- a/crates/sedgehill-cell/src/scheduler/ends.rs
+++ b/crates/sedgehill-cell/src/scheduler/ends.rs
@@ -30,7 +30,7 @@
             return false;
         }
         self.resolve_run(&row.task, row.run);
-        if row.end == RunEnd::Failed && self.blames_worker(&row.task, lasted) {
+        if row.end == RunEnd::Failed && self.count_failure(&row.task, lasted) {
             self.note_fault(key, "fails what it runs", now);
         }
         self.take_end_of(key, row, now);
--- a/crates/sedgehill-cell/src/scheduler/isolation.rs
+++ b/crates/sedgehill-cell/src/scheduler/isolation.rs
@@ -8,8 +8,8 @@
 //!
 //! A worker that is lost with many tasks leaves more suspects than there are workers to keep them
 //! apart, and long-running ones never make room for the next. So tasks whose runs had lasted for
-//! long at the loss are not kept from each other. For all others, the distance between the starts
-//! of suspects on one worker shrinks while they are kept apart, down to none after a bounded time.
+//! long at the loss are not kept from each other. For all others, the time between the starts of
+//! suspects on one worker shrinks while they are kept apart, down to none after a bounded time.
 //! Both are spread over all workers that have room, so that a second crash hits few of them.
 
 use std::cmp::Reverse;
@@ -44,12 +44,12 @@
 impl WorkerState {
     /// Whether no run of another job that could cause a crash is there.
     pub(super) fn is_exclusive_for(&self, job: JobId, now: Moment) -> bool {
-        self.is_separate_for(job, CRASH_SUSPECT_SPAN, now)
+        self.runs_only_older(job, CRASH_SUSPECT_SPAN, now)
     }
 
-    /// Whether all runs of other jobs there have lasted for at least `distance`.
-    pub(super) fn is_separate_for(&self, job: JobId, distance: TimeSpan, now: Moment) -> bool {
-        self.youngest_other(job, now).is_none_or(|age| age >= distance)
+    /// Whether all runs of other jobs there are at least `min_age` old.
+    pub(super) fn runs_only_older(&self, job: JobId, min_age: TimeSpan, now: Moment) -> bool {
+        self.youngest_other(job, now).is_none_or(|age| age >= min_age)
     }
 
     /// Whether a run that is lost with the worker could be the cause of a crash and no run of
@@ -80,9 +80,9 @@
         others.map(|(_, run)| now.since(run.since)).min()
     }
 
-    /// Whether a run of another job that must stay alone has lasted for less than `distance`.
-    fn has_younger_alone_run(&self, job: JobId, distance: TimeSpan, now: Moment) -> bool {
-        let wants = |run: &WorkerRun| run.alone && now < run.since.after(distance);
+    /// Whether a run of another job that must stay alone is younger than `min_age`.
+    fn has_younger_alone_run(&self, job: JobId, min_age: TimeSpan, now: Moment) -> bool {
+        let wants = |run: &WorkerRun| run.alone && now < run.since.after(min_age);
         self.runs.iter().any(|(task, run)| task.step.job != job && wants(run))
     }
 
@@ -129,9 +129,9 @@
             return Vec::new();
         }
         let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
-        let distance = self.separation_of(job, candidate.step, now);
+        let min_age = self.required_run_age(job, candidate.step, now);
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
-        rooms.retain(|(key, _)| self.workers[key.0].is_separate_for(job.id, distance, now));
+        rooms.retain(|(key, _)| self.workers[key.0].runs_only_older(job.id, min_age, now));
         rooms.sort_by_key(|(key, _)| {
             let worker = &self.workers[key.0];
             let youngest = worker.youngest_other(job.id, now).unwrap_or(CRASH_SUSPECT_SPAN);
@@ -224,9 +224,9 @@
         })
     }
 
-    /// Returns how long runs of other jobs must have lasted on a worker before a suspect task of a
-    /// step starts there. It shrinks while the step's tasks are kept apart, down to zero.
-    pub(super) fn separation_of(&self, job: &ActiveJob, step: usize, now: Moment) -> TimeSpan {
+    /// Returns the age that runs of other jobs must have on a worker before a suspect task of a step
+    /// starts there. It shrinks while the step's tasks are kept apart, down to zero.
+    pub(super) fn required_run_age(&self, job: &ActiveJob, step: usize, now: Moment) -> TimeSpan {
         if !self.suspects_seen {
             return CRASH_SUSPECT_SPAN;
         }
@@ -253,8 +253,8 @@
         if !worker.has_alone_run {
             return false;
         }
-        let distance = self.separation_of(job, step, now);
-        worker.has_younger_alone_run(job.id, distance, now)
+        let min_age = self.required_run_age(job, step, now);
+        worker.has_younger_alone_run(job.id, min_age, now)
     }
 
     /// Notes since when the suspect tasks of a step that wait are kept apart although there is room.
@@ -302,14 +302,14 @@
     /// Returns the index of the room that a task should take: the first without tasks that lost a
     /// worker together with it, but one on the worker `avoided` last. If there is none, the room
     /// where the youngest suspect among them is oldest and which has the fewest of them; suspects
-    /// must have run there for `distance`.
+    /// must be at least `min_age` old.
     pub(super) fn choose_room(
         &self,
         rooms: &[(WorkerKey, usize)],
         job: JobId,
         crash_history: &CrashHistory,
         avoided: Option<WorkerKey>,
-        distance: TimeSpan,
+        min_age: TimeSpan,
         now: Moment,
     ) -> Option<usize> {
         let related = |key: WorkerKey| self.related_runs(key, job, crash_history, now);
@@ -322,7 +322,7 @@
             let ranks = rooms.iter().enumerate().filter_map(|(index, (key, _))| {
                 let RelatedRuns { youngest_suspect, count } = related(*key);
                 let age = youngest_suspect.unwrap_or(CRASH_SUSPECT_SPAN);
-                (age >= distance).then_some((Reverse(age), count, index))
+                (age >= min_age).then_some((Reverse(age), count, index))
             });
             ranks.min().map(|(.., index)| index)
         };
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -248,7 +248,7 @@
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
         rooms.retain(|(key, _)| !self.workers[key.0].has_alone_reservation(now));
         let Some(job) = self.jobs.get(&candidate.job) else { return Vec::new() };
-        let distance = self.separation_of(job, candidate.step, now);
+        let min_age = self.required_run_age(job, candidate.step, now);
         let mut assignment = Vec::new();
         for index in waiting {
             if rooms.is_empty() {
@@ -256,7 +256,7 @@
             }
             let task = &job.step_tasks(candidate.step)[usize::from(*index)];
             let history = &task.crash_history;
-            let choice = self.choose_room(&rooms, job.id, history, task.failed_at, distance, now);
+            let choice = self.choose_room(&rooms, job.id, history, task.failed_at, min_age, now);
             if let Some(choice) = choice {
                 assignment.push((*index, take_slot(&mut rooms, choice)));
             }
@@ -285,11 +285,11 @@
         let mut rooms = self.usable_rooms(candidate, spec, open, now);
         rooms.retain(|(key, _)| assignment.iter().all(|(_, taken)| taken != key));
         self.order_for_gang(candidate, spec, others.len(), &mut rooms, now);
-        let distance = self.separation_of(job, candidate.step, now);
+        let min_age = self.required_run_age(job, candidate.step, now);
         for index in others {
             let task = &job.step_tasks(candidate.step)[usize::from(index)];
             let history = &task.crash_history;
-            let choice = self.choose_room(&rooms, job.id, history, None, distance, now);
+            let choice = self.choose_room(&rooms, job.id, history, None, min_age, now);
             let Some(choice) = choice else { return Vec::new() };
             assignment.push((index, take_slot(&mut rooms, choice)));
         }
--- a/crates/sedgehill-cell/src/scheduler/questions.rs
+++ b/crates/sedgehill-cell/src/scheduler/questions.rs
@@ -319,13 +319,13 @@
             && self.has_value(candidate, job, now);
         let offset = self.naming_offset(job);
         // Tasks that must run alone cannot use tickets for workers on which other jobs run.
-        let distance = self.separation_of(job, candidate.step, now);
+        let min_age = self.required_run_age(job, candidate.step, now);
         let is_alone = split_alone(job, candidate.step, waiting).1.is_empty();
         let preference = self.speed_preference(job, candidate.step, now);
         let mut result = AdvicePlaces::default();
         for key in open.list.iter().copied() {
             let known = advice.known.get(&key);
-            let useful = !is_alone || self.workers[key.0].is_separate_for(job.id, distance, now);
+            let useful = !is_alone || self.workers[key.0].runs_only_older(job.id, min_age, now);
             if matches!(known, Some(None)) || !useful {
                 continue;
             }
--- a/crates/sedgehill-cell/src/scheduler/trust.rs
+++ b/crates/sedgehill-cell/src/scheduler/trust.rs
@@ -1,12 +1,13 @@
 //! Decides how far a worker is trusted with work, similar to a circuit breaker.
 //!
-//! A worker that fails or delays its runs gets no work for a while, and then a single run as a probe. It is trusted again
-//! once a run ends well. That end may never come: long-running tasks have none, and other runs may take hours. Time
-//! therefore counts as well. A long-running run that has lasted for [`PROBE_PROOF`] is as good as one that ended well, and
-//! after [`PROBE_GROWTH_DELAY`] without a fault the number of probes doubles at short intervals until there is no limit.
+//! A worker that fails or delays its runs gets no work for a while, and then a single run as a
+//! probe. It is trusted again once a run ends well. That end may never come: long-running tasks have
+//! none, and other runs may take hours. Time therefore counts as well. A long-running run that has
+//! lasted for [`PROBE_PROOF`] is as good as one that ended well, and after [`PROBE_GROWTH_DELAY`]
+//! without a fault the number of probes doubles at short intervals until there is no limit.
 //!
-//! A run fails through its worker's fault or its own. A task that fails wherever it runs must not have all workers
-//! suspended, so only its first failures in a row count against workers.
+//! A run fails through its worker's fault or its own. A task that fails wherever it runs must not
+//! have all workers suspended, so only its first failures in a row count against workers.
 
 use sedgehill_core::units::{Moment, TimeSpan};
 
@@ -14,13 +15,16 @@
 use super::worker_run::{RunPhase, WorkerRun};
 use super::*;
 
-/// A long-running run that has lasted this long proves its worker sound. Tasks that fail while they start do so earlier.
+/// A long-running run that has lasted this long proves its worker sound. Tasks that fail while they
+/// start do so earlier.
 const PROBE_PROOF: TimeSpan = TimeSpan(2_500);
-/// The time from the first probe until more than one is allowed. Usual runs have ended or are overdue by then.
+/// The time from the first probe until more than one is allowed. Usual runs have ended or are
+/// overdue by then.
 const PROBE_GROWTH_DELAY: TimeSpan = TimeSpan(10_000);
 /// The interval at which the number of probes doubles.
 const PROBE_GROWTH_INTERVAL: TimeSpan = TimeSpan(1_000);
-/// The number of doublings after which the worker is trusted again. Few workers run more than this many tasks.
+/// The number of doublings after which the worker is trusted again. Few workers have room for more
+/// tasks.
 const MAX_PROBE_DOUBLINGS: u64 = 4;
 /// The failures of one task in a row that count against workers.
 const MAX_BLAMED_FAILURES: u32 = 2;
@@ -38,7 +42,8 @@
     Probing(Moment),
 }
 
-/// Returns how many probes there may be after probing for `elapsed`; none if there is no limit any more.
+/// Returns how many probes there may be after probing for `elapsed`; none if there is no limit any
+/// more.
 fn probe_limit(elapsed: TimeSpan) -> Option<usize> {
     let Some(growth) = elapsed.0.checked_sub(PROBE_GROWTH_DELAY.0) else { return Some(1) };
     let doublings = growth / PROBE_GROWTH_INTERVAL.0 + 1;
@@ -136,7 +141,7 @@
 
     /// Counts a failed run of a task. Returns whether it counts against its worker. `lasted` is how
     /// long the run is known to have lasted.
-    pub(super) fn blames_worker(&mut self, task: &CellTask, lasted: TimeSpan) -> bool {
+    pub(super) fn count_failure(&mut self, task: &CellTask, lasted: TimeSpan) -> bool {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return true };
         let Some(index) = job.task_index(task) else { return true };
         let failures = &mut job.tasks[index].consecutive_failures;
