--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -24,7 +24,7 @@
 /// search looks at all candidates.
 const STARVED_SEARCH_INTERVAL: TimeSpan = TimeSpan(100);
 /// The interval between searches for what steps wait for while only untrusted workers have room.
-const UNTRUSTED_CHECK_INTERVAL: TimeSpan = TimeSpan(200);
+const UNTRUSTED_CHECK_INTERVAL: TimeSpan = TimeSpan(1_000);
 /// The most steps reported in one turn. If everything is stalled, further lines add nothing.
 const MAX_REPORTS_PER_TURN: usize = 4;
 /// A step is reported only if there is room for this many times its waiting tasks.
