--- a/crates/sedgehill-cell/src/scheduler/stall.rs
+++ b/crates/sedgehill-cell/src/scheduler/stall.rs
@@ -213,8 +213,8 @@
     }
 
     /// Whether steps should be examined although no worker takes work, to note that they wait for
-    /// workers to be trusted. If so, the check counts as made. Examining all steps in each turn of a
-    /// full cell would cost the lead most of its processor time.
+    /// workers to be trusted. If so, the check counts as made. It only finds reasons for logs, and
+    /// ranks all steps, so it is not made in each turn of a full cell.
     pub(super) fn begin_untrusted_check(&mut self, open: &OpenWorkers, now: Moment) -> bool {
         let due = !open.max_free_untrusted.is_empty() && now >= self.untrusted_check_from;
         if due {
--- a/crates/sedgehill-cell/tests/testsuite/probation.rs
+++ b/crates/sedgehill-cell/tests/testsuite/probation.rs
@@ -160,7 +160,7 @@
     scenario.submit(SERVICE, batch(WORKERS, 1, TimeSpan(60_000)));
     scenario.turns(150);
     scenario.submit(LATER_JOB, short_batch());
-    // 3 s, and the interval between looks before and after them.
+    // A stall of 3 s is reported, after up to one second until it is noted and one until it is looked at again.
     scenario.turns(260);
     let stalled = scenario.lead.take_events().into_iter().find_map(|event| match event {
         CellEvent::Stalled { reason, details, .. } => Some((reason, details.places_untrusted)),
@@ -169,7 +169,7 @@
     assert_eq!(stalled, Some((StallReason::UntrustedWorkers, 45)));
 }
 
-// Every worker has one run of an hour as its probe, and a hundred jobs wait.
+// Every worker has one run of an hour as its probe, and many jobs wait.
 #[test]
 fn all_waiting_jobs_start_although_all_probes_last_for_hours() {
     const JOBS: u64 = 40;
