--- a/crates/sedgehill-standin/src/cell_process.rs
+++ b/crates/sedgehill-standin/src/cell_process.rs
@@ -38,6 +38,8 @@
     link_mbps: Option<String>,
     /// The `store_record_bytes` and `store_call_bytes` settings, if they are not left at their defaults.
     store_limits: Option<(usize, usize)>,
+    /// The `descriptors` setting, if it is not left at its default.
+    descriptors: Option<usize>,
 }
 
 impl CellBoxConfig {
@@ -61,6 +63,7 @@
             cores: cores.to_owned(),
             link_mbps: None,
             store_limits: None,
+            descriptors: None,
         }
     }
 
@@ -76,6 +79,12 @@
         self
     }
 
+    /// Sets the `descriptors` setting.
+    pub fn with_descriptors(mut self, descriptors: usize) -> CellBoxConfig {
+        self.descriptors = Some(descriptors);
+        self
+    }
+
     /// Sets the address of the advice service for this box; see [`CellPlatform::add_advice_address`].
     pub fn with_advice(mut self, advice: SocketAddr) -> CellBoxConfig {
         self.advice = advice;
@@ -101,6 +110,9 @@
             settings["store_record_bytes"] = json!(record_bytes.to_string());
             settings["store_call_bytes"] = json!(call_bytes.to_string());
         }
+        if let Some(descriptors) = self.descriptors {
+            settings["descriptors"] = json!(descriptors.to_string());
+        }
         let path = directory.join(format!("{}.json", self.name));
         std::fs::write(&path, settings.to_string())?;
         let log =
@@ -144,6 +156,11 @@
         lines[lines.len().saturating_sub(MAX_LINES)..].join("\n")
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         // Fails if the process has ended, which callers detect themselves.
