core: a budget of memory and connections for the clients of a box

Nothing bounds what clients make a box hold together: limits apply to a single call. The budget decides, without I/O, who has to make room: incomplete calls give up their memory, stalled clients their connections, the one that has been stalled for longest first. Calls that were read in full and idle connections make no room. Calls leave the memory that all connections need, so that a refused client still has a connection for its answer.

--- a/crates/sedgehill-core/src/lib.rs
+++ b/crates/sedgehill-core/src/lib.rs
@@ -11,7 +11,9 @@
 //! - [`placement`] places tasks on the workers of one data hall.
 //! - [`dispatch`] chooses the endpoint of each request.
 //! - [`member`] tracks the state of the other boxes.
+//! - [`client_budget`] decides what clients may hold of a box's memory and connections.
 
+pub mod client_budget;
 pub mod dispatch;
 pub mod fields;
 pub mod ids;
--- a/crates/sedgehill-core/tests/testsuite/main.rs
+++ b/crates/sedgehill-core/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduling core, which does no I/O.
 
 mod cell;
+mod client_budget;
 mod dispatch;
 mod lead;
 mod manifest;
