daemon: what callers hold is bounded, in both modes

Callers saw a box end for want of memory, or take no connection any more, when others sent bodies that stopped short of their end, read no answers, or kept connections open without a word.

Cause: each call had a limit and all calls together had none. A body was collected as hyper's frames, so that each very small chunk kept a read buffer; `drain_body` collected what nobody read; a client that read no answers was served on, and the kernel let its buffers grow; a connection without a call was kept for ever, and in the daemon's own mode the time limit of heads also closed idle connections after an answer.

Change: all connections of a port share a ClientRegistry. Bodies are copied into buffers that are charged before they grow; a body that is not used is discarded; a submission is charged four times its body until it is stored; answers are charged until they are written. A client that reads no answers is not read from, and calls that were sent together with earlier ones have eight turns between two turns of everything else. Listeners accept while there is a connection, and the buffers of callers' sockets are fixed at 64 KiB. The checks of readiness and the metrics have a budget of their own.

--- a/crates/sedgehill-standin/tests/testsuite/cell.rs
+++ b/crates/sedgehill-standin/tests/testsuite/cell.rs
@@ -372,6 +372,7 @@
         ("{{limits.cpu_share}}", "0.25"),
         ("{{limits.link_mbps}}", "1000.0"),
         ("{{limits.max_fds}}", "4200"),
+        ("{{limits.memory_mb}}", "260"),
         ("{{bounds.max_hold_ms}}", "6000"),
         ("{{bounds.stop_ms}}", "400"),
         ("{{bounds.contact_ms}}", "3000"),
--- a/crates/sedgehilld/src/cell/callers.rs
+++ b/crates/sedgehilld/src/cell/callers.rs
@@ -1,16 +1,12 @@
 //! Serves callers, who submit jobs, ask for their state and cancel them.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
 use sedgehill_adapter::api_key::decode_key;
 use sedgehill_adapter::caller::{
@@ -19,17 +15,20 @@
 };
 use sedgehill_adapter::config::{CellConfig, QueueRoute};
 use sedgehill_cell::ids::{JobId, OrganisationName};
-use sedgehill_cell::job::JobRecord;
+use sedgehill_cell::job::{JobRecord, JobSpec};
 use sedgehill_cell::organisation::{JobOwner, KeyOwner};
 use sedgehill_cell::progress::JobState;
 use sedgehill_cell::replica::CellRecord;
-use sedgehill_core::units::TimeSpan;
+use sedgehill_core::units::{MemorySize, TimeSpan};
 use slog::{debug, info};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 use super::frames::StateAnswer;
 use super::state::CellBox;
 use super::submission::{SubmissionHandle, SubmissionOutcome};
+use crate::call_body::{BodyError, discard_body, read_body};
+use crate::client::{BudgetExhausted, CallMemory};
 use crate::connection::{CallerConnection, ConnectionLimits};
 use crate::{clock, telemetry};
 
@@ -47,8 +46,8 @@
 const MAX_SUBMIT_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// The time after which a caller with a refused call should retry.
 const RETRY_AFTER: Duration = Duration::from_millis(1_000);
-/// Pause after the operating system could not accept a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// What a submission holds while it waits to be stored, as a multiple of its body: the decoded job and its records.
+const SUBMISSION_FACTOR: u64 = 4;
 
 /// The state that the handlers of calls share.
 struct CallContext {
@@ -75,9 +74,9 @@
     let spawn = |connection: CallerConnection| {
         let context = context.clone();
         tokio::task::spawn_local(async move {
-            let handle = |request| {
+            let handle = |request, memory| {
                 let context = context.clone();
-                async move { encode_answer(&answer_call(&context, request).await) }
+                async move { encode_answer(&answer_call(&context, request, memory).await) }
             };
             connection.serve(handle).await;
         });
@@ -85,7 +84,11 @@
     host.connections.accept(listener, spawn).await;
 }
 
-async fn answer_call(context: &CallContext, request: Request<Incoming>) -> CallerAnswer {
+async fn answer_call(
+    context: &CallContext,
+    request: Request<Incoming>,
+    mut memory: CallMemory,
+) -> CallerAnswer {
     let host = &context.host;
     let config = host.config();
     let (parts, body) = request.into_parts();
@@ -101,7 +104,8 @@
     let caller = match identify(host, &config, route, &parts.headers) {
         Ok(caller) => caller,
         Err(answer) => {
-            drain_body(body, config.max_body_bytes).await;
+            let deadline = Instant::now() + RECEIVE_TIMEOUT;
+            discard_body(body, config.max_body_bytes, deadline, &memory).await;
             telemetry::count_caller_answer("refused", answer.name());
             info!(host.log, "call refused"; "method" => %parts.method, "queue" => %route.queue,
                 "config" => config.version, "config_age_ms" => config_age_ms(host), "answer" => ?answer);
@@ -118,7 +122,7 @@
         }
         Ok(CallerRequest::Submit(id)) => {
             let submission = JobSubmission { id, route, config: &config, caller: caller.clone() };
-            let answer = submit_job(context, &submission, body, timeout).await;
+            let answer = submit_job(context, &submission, body, timeout, &mut memory).await;
             info!(host.log, "submission"; "job" => %id, "queue" => %route.queue,
                 "organisation" => organisation.map(ToString::to_string),
                 "config" => config.version, "answer" => ?answer,
@@ -159,31 +163,16 @@
     host.config_view.age().map(|age| age.as_millis())
 }
 
-/// Reads a body that is not used. Closing the connection with unread bytes could destroy the
-/// answer.
-async fn drain_body(body: Incoming, max_bytes: usize) {
-    // It does not matter whether the body was complete.
-    let _ = tokio::time::timeout(RECEIVE_TIMEOUT, Limited::new(body, max_bytes).collect()).await;
-}
-
 /// Serves metrics in the text format of Prometheus.
-pub async fn serve_metrics(metrics: PrometheusHandle, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+pub async fn serve_metrics(host: Rc<CellBox>, metrics: PrometheusHandle, listener: TcpListener) {
+    let spawn = |connection: CallerConnection| {
         let metrics = metrics.clone();
-        let service = service_fn(move |_: Request<Incoming>| {
-            let text = Full::new(Bytes::from(metrics.render()));
-            async move { Ok::<Response<Full<Bytes>>, Infallible>(Response::new(text)) }
-        });
         tokio::task::spawn_local(async move {
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // The client notices by itself that the connection has ended.
-            let _ = connection.await;
+            let handle = |_, _| async { Response::new(Full::new(Bytes::from(metrics.render()))) };
+            connection.serve(handle).await;
         });
-    }
+    };
+    host.monitoring_connections.accept(listener, spawn).await;
 }
 
 async fn answer_waiting(host: &CellBox, route: &QueueRoute) -> CallerAnswer {
@@ -258,17 +247,11 @@
     submission: &JobSubmission<'_>,
     body: Incoming,
     timeout: Duration,
+    memory: &mut CallMemory,
 ) -> CallerAnswer {
     let host = &context.host;
     let JobSubmission { id, route, config, .. } = *submission;
-    let body_bytes = config.max_body_bytes;
-    let receiving = Limited::new(body, body_bytes).collect();
-    let body = match tokio::time::timeout(RECEIVE_TIMEOUT, receiving).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return CallerAnswer::TooLong,
-        Ok(Err(_)) | Err(_) => return CallerAnswer::Wrong("the body did not arrive".to_owned()),
-    };
-    let spec = match decode_submission(&body) {
+    let spec = match read_job(body, config.max_body_bytes, memory).await {
         Ok(spec) => spec,
         Err(answer) => return answer,
     };
@@ -311,28 +294,38 @@
     }
 }
 
+/// Reads and decodes the body of a submission, and charges what it holds until it is stored.
+async fn read_job(
+    body: Incoming,
+    max_bytes: usize,
+    memory: &mut CallMemory,
+) -> Result<JobSpec, CallerAnswer> {
+    let body = read_body(body, max_bytes, RECEIVE_TIMEOUT, memory).await;
+    let body = body.map_err(|error| match error {
+        BodyError::TooLarge => CallerAnswer::TooLong,
+        BodyError::Incomplete => CallerAnswer::Wrong("the body did not arrive".to_owned()),
+        BodyError::NoMemory => CallerAnswer::NotDone(RETRY_AFTER),
+    })?;
+    let size = MemorySize(body.len() as u64 * SUBMISSION_FACTOR);
+    memory.resize(size).await.map_err(|BudgetExhausted| CallerAnswer::NotDone(RETRY_AFTER))?;
+    decode_submission(&body)
+}
+
 fn retry_time(span: TimeSpan) -> Duration {
     Duration::from_millis(span.0)
 }
 
 /// Answers the platform's readiness checks.
 pub async fn serve_ready(host: Rc<CellBox>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let spawn = |connection: CallerConnection| {
         let host = host.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let answer = encode_ready(request.uri().path(), host.is_ready());
-            async move { Ok::<Response<Full<Bytes>>, Infallible>(answer) }
-        });
         tokio::task::spawn_local(async move {
-            let connection = http1::Builder::new()
-                .max_buf_size(MAX_HEADER_BYTES)
-                .serve_connection(TokioIo::new(stream), service);
-            // The client notices by itself that the connection has ended.
-            let _ = connection.await;
+            let handle = |request: Request<Incoming>, _| {
+                let answer = encode_ready(request.uri().path(), host.is_ready());
+                async move { answer }
+            };
+            connection.serve(handle).await;
         });
-    }
+    };
+    host.monitoring_connections.accept(listener, spawn).await;
 }
--- a/crates/sedgehilld/src/cell/mod.rs
+++ b/crates/sedgehilld/src/cell/mod.rs
@@ -87,7 +87,7 @@
     spawn_local(callers::serve_ready(host.clone(), ready));
     let recorder = telemetry::install();
     spawn_local(telemetry::run_upkeep(recorder.clone()));
-    spawn_local(callers::serve_metrics(recorder, metrics));
+    spawn_local(callers::serve_metrics(host.clone(), recorder, metrics));
     spawn_local(link_server::run(host.clone(), peers));
     spawn_local(link_client::run(host.clone()));
     spawn_local(lead::run(host.clone()));
--- a/crates/sedgehilld/src/cell/settings.rs
+++ b/crates/sedgehilld/src/cell/settings.rs
@@ -9,8 +9,9 @@
 use sedgehill_cell::ids::BoxName;
 use sedgehill_cell::scheduler::{CellPolicy, CellTiming};
 use sedgehill_cell::standby::LinkRate;
+use sedgehill_core::client_budget::BudgetLimits;
 use sedgehill_core::fields::{FieldReader, ManifestError, ManifestErrors};
-use sedgehill_core::units::TimeSpan;
+use sedgehill_core::units::{MemorySize, TimeSpan};
 use serde_json::{Map, Value};
 
 use super::frames::MAX_RELAYED_APPEND_BYTES;
@@ -57,6 +58,8 @@
     pub link: LinkRate,
     /// The file descriptors that the process may use.
     pub descriptors: usize,
+    /// The memory of the box.
+    pub memory: MemorySize,
     /// The limits of the store on appends.
     pub store_limits: StoreLimits,
     /// The timing and the policy of the scheduler.
@@ -99,6 +102,11 @@
 /// The file descriptors of a process without the setting `descriptors`, as on the platform's usual
 /// boxes.
 const DEFAULT_DESCRIPTORS: usize = 4_096;
+/// The memory of a box without the setting `memory`, as the platform's smallest boxes have.
+const DEFAULT_MEMORY: MemorySize = MemorySize(120 << 20);
+/// Part of the memory of a box that its callers may use, as a divisor. The scheduler, the store's records and the links
+/// of other boxes need the rest.
+const CALLER_MEMORY_DIVISOR: u64 = 4;
 
 impl CellSettings {
     /// Reads and checks a settings file.
@@ -107,6 +115,11 @@
         CellSettings::parse(&fields).map_err(|errors| SettingsError::Check(path.to_owned(), errors))
     }
 
+    /// Returns what callers may hold together.
+    pub fn caller_limits(&self) -> BudgetLimits {
+        BudgetLimits::new(MemorySize(self.memory.0 / CALLER_MEMORY_DIVISOR), self.descriptors)
+    }
+
     /// Checks settings, and collects all errors.
     pub fn parse(fields: &Map<String, Value>) -> Result<CellSettings, ManifestErrors> {
         let mut errors = Vec::new();
@@ -138,6 +151,7 @@
     let strength = reader.text_or("cores", DEFAULT_STRENGTH);
     let link = reader.text_or("link_mbps", DEFAULT_LINK_RATE);
     let descriptors = reader.text_or("descriptors", DEFAULT_DESCRIPTORS);
+    let memory = reader.text_or("memory", DEFAULT_MEMORY);
     let record_bytes = reader.text_or("store_record_bytes", DEFAULT_STORE_LIMITS.record_bytes);
     let call_bytes = reader.text_or("store_call_bytes", DEFAULT_STORE_LIMITS.call_bytes);
     let cell = optional_group(reader, "cell", read_cell);
@@ -161,6 +175,7 @@
         strength: strength?.bounded_by(link?),
         link: link?,
         descriptors: descriptors?,
+        memory: memory?,
         store_limits,
         cell: CellTiming { policy: policy?, max_roster_record, ..cell },
         authority: AuthorityTiming::default(),
--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -20,7 +20,8 @@
 use sedgehill_cell::scheduler::WorkerCall;
 use sedgehill_cell::timeout::{AdaptiveTimeout, STORE_TIMEOUT};
 use sedgehill_cell::unsettled::UnsettledJobs;
-use sedgehill_core::units::{Moment, TimeSpan};
+use sedgehill_core::client_budget::BudgetLimits;
+use sedgehill_core::units::{MemorySize, Moment, TimeSpan};
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
@@ -30,6 +31,7 @@
 use super::lead_link::LeadLink;
 use super::settings::CellSettings;
 use super::unsettled;
+use crate::client::ClientRegistry;
 use crate::connection::ConnectionManager;
 use crate::{clock, telemetry};
 
@@ -262,6 +264,8 @@
     pub stop_requested: Notify,
     /// The connections of callers.
     pub connections: Arc<ConnectionManager>,
+    /// The connections of readiness checks and of readers of metrics.
+    pub monitoring_connections: Arc<ConnectionManager>,
     /// A random number that distinguishes this process from earlier ones of the box.
     pub life: u64,
     /// When the process started.
@@ -274,6 +278,10 @@
 /// instead of 0.81.
 const DESCRIPTORS_PER_IDLE_CONNECTION: usize = 4;
 
+/// What the platform's readiness checks and readers of metrics may hold, apart from callers.
+const MONITORING_LIMITS: BudgetLimits =
+    BudgetLimits { memory: MemorySize(4 << 20), connections: 64, idle_connections: 48 };
+
 /// How long a box in query mode waits for a sign of the lead. If all boxes restart, the strong ones
 /// need about a second to lead.
 const QUERY_PATIENCE: TimeSpan = TimeSpan(2_500);
@@ -311,11 +319,14 @@
             advice: settings.advice.map(|address| AdviceClient::new(http.clone(), address)),
             http,
         };
-        let connections = ConnectionManager::new(
-            log.clone(),
-            callers::CONNECTION_LIMITS,
-            callers::build_idle_response,
-        );
+        let connect = |clients| {
+            let limits = callers::CONNECTION_LIMITS;
+            ConnectionManager::new(log.clone(), limits, clients, callers::build_idle_response)
+        };
+        let connections =
+            connect(ClientRegistry::new(log.clone(), "callers", settings.caller_limits()));
+        let monitoring_connections =
+            connect(ClientRegistry::new(log.clone(), "monitoring", MONITORING_LIMITS));
         let watch = LeadWatch::new(settings.name.clone(), life, settings.strength, clock::now());
         CellBox {
             settings,
@@ -344,6 +355,7 @@
             stopping: Cell::new(false),
             stop_requested: Notify::new(),
             connections,
+            monitoring_connections,
             life,
             started_at: clock::now(),
         }
--- a/crates/sedgehilld/src/connection.rs
+++ b/crates/sedgehilld/src/connection.rs
@@ -9,33 +9,39 @@
 //! connection, and the caller may lose the response.
 
 use std::convert::Infallible;
-use std::io::IoSlice;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sedgehill_core::units::{Moment, TimeSpan};
+use sedgehill_core::client_budget::{ClientPhase, Eviction};
+use sedgehill_core::units::TimeSpan;
 use sedgehill_net::listener;
-use slog::{Logger, info};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use slog::{Logger, info, warn};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
+use crate::client::{CallMemory, ClientHandle, ClientRegistry};
+use crate::monitored_stream::{CallActivity, MonitoredStream, SOCKET_BUFFER_BYTES};
 use crate::{clock, telemetry};
 
 /// Time without a call after which a stop closes a connection with the idle response.
 const IDLE_TIMEOUT: TimeSpan = TimeSpan(3_500);
 /// How long a caller has to read the last response and to close its side.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause after the system failed to accept a connection.
+const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(50);
+/// Maximum number of calls that clients sent together with earlier ones and that are handled between two turns of all
+/// other tasks. Without it such clients would take the processor from other calls and from the box's own tasks.
+const MAX_PIPELINED_CALLS: usize = 8;
 /// Interval of checking whether the call in progress on a connection has finished.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -63,31 +69,37 @@
     pub header_timeout: Option<Duration>,
 }
 
-/// Accepts callers' connections, counts the open ones, and closes them in a planned stop.
+/// Accepts callers' connections, counts the open ones, and closes them in a planned stop or to make room for others.
 pub struct ConnectionManager {
     log: Logger,
     limits: ConnectionLimits,
+    clients: Arc<ClientRegistry>,
     idle_response: fn() -> Response<Full<Bytes>>,
     phase: watch::Sender<StopPhase>,
     open: AtomicUsize,
     ended_idle: AtomicUsize,
+    /// Turns of calls that clients sent together with earlier ones.
+    pipelined_calls: Semaphore,
 }
 
 impl ConnectionManager {
-    /// Creates a manager without connections. `idle_response` builds the response that is sent on an idle connection
-    /// before it is closed.
+    /// Creates a manager without connections, whose clients share `clients`. `idle_response` builds the response that is
+    /// sent on a connection before it is closed without a call in progress.
     pub fn new(
         log: Logger,
         limits: ConnectionLimits,
+        clients: Arc<ClientRegistry>,
         idle_response: fn() -> Response<Full<Bytes>>,
     ) -> Arc<ConnectionManager> {
         Arc::new(ConnectionManager {
             log,
             limits,
+            clients,
             idle_response,
             phase: watch::Sender::new(StopPhase::Serving),
             open: AtomicUsize::new(0),
             ended_idle: AtomicUsize::new(0),
+            pipelined_calls: Semaphore::new(MAX_PIPELINED_CALLS),
         })
     }
 
@@ -114,14 +126,54 @@
     /// Accepts connections and passes each to `spawn`, until [`StopPhase::ClosingIdle`]; then closes the listener.
     pub async fn accept(self: &Arc<Self>, listener: TcpListener, spawn: impl Fn(CallerConnection)) {
         let _guard = self.track();
+        if let Err(error) = set_buffer_sizes(&listener) {
+            info!(self.log, "socket buffers keep their default size"; "error" => %error);
+        }
         let mut phase = self.phase.subscribe();
-        let spawn = |stream| spawn(CallerConnection { stream, guard: self.track() });
+        let spawn = |stream, client| {
+            spawn(CallerConnection { stream, client: Arc::new(client), guard: self.track() })
+        };
         tokio::select! {
-            () = listener::accept_all(&listener, &spawn) => {}
+            () = self.accept_within_limits(&listener, &spawn) => {}
             () = wait_for_phase(&mut phase, StopPhase::ClosingIdle) => {}
         }
-        listener::close(&self.log, listener, spawn).await;
+        listener::close(&self.log, listener, |stream| spawn(stream, self.clients.add())).await;
     }
+
+    /// Accepts connections while there is room for them. The others wait in the queue of the listener. Never returns.
+    async fn accept_within_limits(
+        &self,
+        listener: &TcpListener,
+        spawn: &impl Fn(TcpStream, ClientHandle),
+    ) {
+        let mut failed = false;
+        loop {
+            let client = self.clients.admit().await;
+            // It must not have to make room before it has a connection.
+            client.set_phase(ClientPhase::Answering);
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    client.set_phase(ClientPhase::Silent);
+                    spawn(stream, client);
+                    failed = false;
+                }
+                Err(error) => {
+                    if !failed {
+                        warn!(self.log, "connections cannot be accepted"; "error" => %error);
+                    }
+                    failed = true;
+                    tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Sets the buffer sizes that the connections of a listener take over.
+fn set_buffer_sizes(listener: &TcpListener) -> std::io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)
 }
 
 /// Returns once the stop has reached a phase.
@@ -141,166 +193,123 @@
     }
 }
 
-/// Tracks the calls on a connection, to tell whether and since when it is idle.
-struct CallActivity {
-    opened_at: Moment,
-    call_count: AtomicUsize,
-    call_in_progress: AtomicBool,
-    /// Whether part of a response waits for the caller to read.
-    write_blocked: AtomicBool,
-    /// When the last call or write ended, in milliseconds of [`clock::now`].
-    last_active: AtomicU64,
-}
-
-impl CallActivity {
-    fn new() -> CallActivity {
-        let now = clock::now();
-        CallActivity {
-            opened_at: now,
-            call_count: AtomicUsize::new(0),
-            call_in_progress: AtomicBool::new(false),
-            write_blocked: AtomicBool::new(false),
-            last_active: AtomicU64::new(now.0),
-        }
-    }
-
-    fn begin_call(&self) {
-        self.call_count.fetch_add(1, Ordering::SeqCst);
-        self.call_in_progress.store(true, Ordering::SeqCst);
-    }
-
-    fn end_call(&self) {
-        self.last_active.store(clock::now().0, Ordering::SeqCst);
-        self.call_in_progress.store(false, Ordering::SeqCst);
-    }
-
-    /// Records whether a write is blocked. The end of a blocked write counts as activity.
-    fn record_write(&self, is_pending: bool) {
-        if self.write_blocked.swap(is_pending, Ordering::SeqCst) && !is_pending {
-            self.last_active.store(clock::now().0, Ordering::SeqCst);
-        }
-    }
-
-    /// Returns how long the connection has been idle, or `None` while a call is in progress or its response is not
-    /// written.
-    fn idle_time(&self, now: Moment) -> Option<TimeSpan> {
-        let is_busy = self.call_in_progress.load(Ordering::SeqCst)
-            || self.write_blocked.load(Ordering::SeqCst);
-        let last_active = Moment(self.last_active.load(Ordering::SeqCst));
-        (!is_busy).then(|| now.since(last_active))
-    }
-}
-
-/// A TCP stream that records whether a write is blocked because the caller does not read. It is needed because hyper
-/// finishes a call when it has received the response, not when it has written it.
-struct MonitoredStream {
-    stream: TcpStream,
-    activity: Arc<CallActivity>,
-}
-
-impl AsyncRead for MonitoredStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for MonitoredStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.activity.record_write(written.is_pending());
-        written
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.activity.record_write(written.is_pending());
-        written
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
-
 /// A caller's connection that is accepted and not yet served.
 pub struct CallerConnection {
     stream: TcpStream,
+    client: Arc<ClientHandle>,
     guard: OpenGuard,
 }
 
+/// A reason for which the box closes a connection by itself.
+enum CloseReason {
+    /// A planned stop is due to close it because it is idle.
+    Idle,
+    /// It has to make room for others.
+    Evicted,
+    /// The head of a call takes too long to arrive.
+    LateHead,
+}
+
 impl CallerConnection {
-    /// Serves calls with `handle` until the caller or a planned stop closes the connection.
-    pub async fn serve<F>(self, handle: impl Fn(Request<Incoming>) -> F)
+    /// Serves calls with `handle` until the caller or the box closes the connection. `handle` charges what a call holds
+    /// to its [`CallMemory`].
+    pub async fn serve<F, B>(self, handle: impl Fn(Request<Incoming>, CallMemory) -> F)
     where
-        F: Future<Output = Response<Full<Bytes>>>,
+        F: Future<Output = Response<B>>,
+        B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>> + 'static,
     {
-        let CallerConnection { stream, guard } = self;
+        let CallerConnection { stream, client, guard } = self;
         let manager = &guard.manager;
         // An error means that the connection is closed, which the first read reports.
         let _ = stream.set_nodelay(true);
-        let activity = Arc::new(CallActivity::new());
-        let stream = MonitoredStream { stream, activity: activity.clone() };
+        let activity = Arc::new(CallActivity::new(client, manager.limits.max_header_bytes));
+        let stream = MonitoredStream::new(stream, activity.clone());
         let phase = manager.phase.subscribe();
         let service = service_fn(|request: Request<Incoming>| {
-            activity.begin_call();
-            let response = handle(request);
+            let has_body = !request.body().is_end_stream();
+            let is_pipelined = activity.begin_call();
             let (activity, phase) = (activity.clone(), phase.clone());
+            let handle = &handle;
             Box::pin(async move {
-                let mut response = response.await;
-                if *phase.borrow() > StopPhase::Serving {
+                activity.wait_until_written().await;
+                let _turn = match is_pipelined {
+                    true => {
+                        activity.charge_queue();
+                        let turn = manager.pipelined_calls.acquire().await.ok();
+                        tokio::task::yield_now().await;
+                        turn
+                    }
+                    false => None,
+                };
+                activity.handle_call(has_body);
+                let client = activity.client();
+                let mut response = handle(request, CallMemory::new(client.clone())).await;
+                let is_last = *phase.borrow() > StopPhase::Serving
+                    || client.must_close()
+                    || !client.may_keep_idle();
+                if is_last {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                activity.end_call();
+                activity.end_call(response.body().size_hint().lower());
                 Ok::<_, Infallible>(response)
             })
         });
         let mut connection = manager.builder().serve_connection(TokioIo::new(stream), service);
         loop {
             let mut phase = phase.clone();
-            tokio::select! {
+            let reason = tokio::select! {
                 // After a pause of the process, reads a call that arrived meanwhile before it checks the idle time.
                 biased;
                 result = std::future::poll_fn(|context| connection.poll_without_shutdown(context)) => {
                     let stream = connection.into_parts().io.into_inner();
                     if result.is_ok() {
-                        manager.close(stream.stream).await;
+                        manager.close(stream.into_inner()).await;
                     }
                     return;
                 }
-                () = wait_until_idle(&activity, &mut phase) => {}
-            }
-            if activity.idle_time(clock::now()).is_some() {
-                break;
+                () = wait_until_idle(&activity, &mut phase) => CloseReason::Idle,
+                () = wait_until_evictable(&activity) => CloseReason::Evicted,
+                () = wait_for_late_head(&activity, manager.limits.header_timeout) => {
+                    CloseReason::LateHead
+                }
+            };
+            match reason {
+                CloseReason::Idle if activity.idle_time(clock::now()).is_some() => {
+                    let parts = connection.into_parts();
+                    let stream = parts.io.into_inner().into_inner();
+                    return manager.close_idle(stream, parts.read_buf.len(), &activity).await;
+                }
+                CloseReason::Evicted if activity.is_evictable() => {
+                    let stream = connection.into_parts().io.into_inner().into_inner();
+                    return manager.close_now(stream, &activity, "evicted").await;
+                }
+                CloseReason::LateHead => {
+                    let stream = connection.into_parts().io.into_inner().into_inner();
+                    return manager.close_now(stream, &activity, "late_head").await;
+                }
+                CloseReason::Idle | CloseReason::Evicted => {}
             }
         }
-        let parts = connection.into_parts();
-        manager.close_idle(parts.io.into_inner().stream, parts.read_buf.len(), &activity).await;
+    }
+}
+
+/// Returns once the connection has to make room and no call on it is being handled.
+async fn wait_until_evictable(activity: &CallActivity) {
+    loop {
+        activity.client().evicted(Eviction::Connection).await;
+        if activity.is_evictable() {
+            return;
+        }
+        // The handler ends soon, since it reads the body no further.
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Returns once the head of a call has been incomplete for the time limit, if there is one.
+async fn wait_for_late_head(activity: &CallActivity, timeout: Option<Duration>) {
+    match timeout {
+        Some(timeout) => activity.wait_for_late_head(timeout).await,
+        None => std::future::pending().await,
     }
 }
 
@@ -326,7 +335,8 @@
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.header_timeout)
+            // It would also close idle connections.
+            .header_read_timeout(None)
             .max_buf_size(self.limits.max_header_bytes);
         if let Some(max_headers) = self.limits.max_headers {
             builder.max_headers(max_headers);
@@ -343,6 +353,15 @@
         }
     }
 
+    /// Closes a connection without waiting for its client. `cause` is the cause in metrics.
+    async fn close_now(&self, stream: TcpStream, activity: &CallActivity, cause: &'static str) {
+        if !activity.is_blocked() {
+            // An error means that the client does not read, or has closed the connection.
+            let _ = stream.try_write(&encode_response((self.idle_response)()).await);
+        }
+        telemetry::count_connection_end(cause);
+    }
+
     /// Sends the idle response on an idle connection and closes it. `buffered_bytes` of a further call may be in the
     /// read buffer already.
     async fn close_idle(
@@ -365,7 +384,7 @@
             let is_written = matches!(write_result, Ok(Ok(())));
             info!(self.log, "connection ended while a call was on its way";
                 "age_ms" => clock::now().since(activity.opened_at).0,
-                "calls" => activity.call_count.load(Ordering::SeqCst), "idle_ms" => idle_time.0,
+                "calls" => activity.call_count(), "idle_ms" => idle_time.0,
                 "unread_bytes" => unread_bytes, "answered" => is_written);
         }
     }
--- a/crates/sedgehilld/src/filters/forward.rs
+++ b/crates/sedgehilld/src/filters/forward.rs
@@ -8,6 +8,7 @@
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
 use sedgehill_core::dispatch::EndpointOutcome;
+use sedgehill_core::units::MemorySize;
 use slog::info;
 
 use super::FilterChain;
@@ -16,6 +17,7 @@
 use super::identify::RequestContext;
 use super::outcome::{NotRunReason, RequestOutcome, RequestRecord, UnknownReason};
 use super::pool::EndpointConnection;
+use crate::client::CallMemory;
 use crate::shared::PAUSE_THRESHOLD;
 
 /// Header of a 503 answer by which an endpoint says that it did not start the request.
@@ -80,7 +82,7 @@
 /// Sends a request to the endpoint of a slot and reads the complete answer.
 pub async fn forward(
     chain: &FilterChain,
-    context: &RequestContext,
+    context: &mut RequestContext,
     mut slot: EndpointSlot,
 ) -> Result<Response<Bytes>, AttemptFailure> {
     let address = slot.choice().address;
@@ -108,7 +110,7 @@
 /// Sends a request on a connection, unless the endpoint may not receive it any more when it is written.
 async fn attempt(
     chain: &FilterChain,
-    context: &RequestContext,
+    context: &mut RequestContext,
     slot: &EndpointSlot,
     connection: &mut EndpointConnection,
 ) -> Result<Response<Bytes>, AttemptFailure> {
@@ -117,7 +119,7 @@
     let request = build_request(context, slot.choice().address);
     connection.gate.arm(slot.send_permit());
     let socket = connection.socket.clone();
-    let exchange = exchange(connection, request, max_answer);
+    let exchange = exchange(connection, request, max_answer, &mut context.memory);
     let result = wait_for_answer(exchange, timeout, &socket).await;
     let write_delay = connection.gate.write_delay();
     if write_delay > PAUSE_THRESHOLD {
@@ -171,6 +173,7 @@
     connection: &mut EndpointConnection,
     request: Request<Full<Bytes>>,
     max_answer: usize,
+    memory: &mut CallMemory,
 ) -> Result<Response<Bytes>, AttemptFailure> {
     if connection.sender.ready().await.is_err() {
         return Err(AttemptFailure::NotStarted);
@@ -182,15 +185,20 @@
             None => AttemptFailure::MayHaveRun(UnknownReason::ConnectionLost),
         }
     })?;
-    read_answer(response, max_answer).await
+    read_answer(response, max_answer, memory).await
 }
 
 async fn read_answer(
     response: Response<Incoming>,
     max_answer: usize,
+    memory: &mut CallMemory,
 ) -> Result<Response<Bytes>, AttemptFailure> {
     let (parts, body) = response.into_parts();
-    match Limited::new(body, max_answer).collect().await {
+    let charged = body.map_frame(|frame| {
+        memory.charge(MemorySize(frame.data_ref().map_or(0, |data| data.len() as u64)));
+        frame
+    });
+    match Limited::new(charged, max_answer).collect().await {
         Ok(collected) => Ok(Response::from_parts(parts, collected.to_bytes())),
         Err(error) if error.is::<LengthLimitError>() => {
             Err(AttemptFailure::MayHaveRun(UnknownReason::AnswerTooLong))
--- a/crates/sedgehilld/src/filters/identify.rs
+++ b/crates/sedgehilld/src/filters/identify.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Request};
@@ -13,6 +12,8 @@
 use sedgehill_platform::admin::BoxHealth;
 
 use super::outcome::{NotRunReason, RequestOutcome};
+use crate::call_body::{self, BodyError};
+use crate::client::CallMemory;
 use crate::clock;
 use crate::controllers::ControlHandle;
 use crate::shared::{SharedState, TrafficView};
@@ -50,6 +51,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Memory of the body, and of the answer while it is read.
+    pub memory: CallMemory,
 }
 
 /// Returns the organisation and idempotency key of a request, if both are readable.
@@ -66,6 +69,7 @@
     id: RequestId,
     arrived: Moment,
     request: Request<Incoming>,
+    mut memory: CallMemory,
 ) -> Result<RequestContext, RequestOutcome> {
     wait_until_fresh(shared, arrived).await;
     if shared.health.load().health == BoxHealth::NotReady {
@@ -81,7 +85,7 @@
     }
     let timeout =
         parse_header::<TimeSpan>(&parts.headers, DEADLINE_HEADER)?.unwrap_or(kind.timeout);
-    let body = read_body(shared, body).await?;
+    let body = read_body(shared, body, &mut memory).await?;
     Ok(RequestContext {
         id,
         service: path.service,
@@ -95,6 +99,7 @@
             + &parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default(),
         headers: parts.headers,
         body,
+        memory,
     })
 }
 
@@ -172,15 +177,17 @@
 }
 
 /// Reads the complete body. This happens before a slot is reserved, so that a slow caller occupies no endpoint.
-async fn read_body(shared: &SharedState, body: Incoming) -> Result<Bytes, RequestOutcome> {
+async fn read_body(
+    shared: &SharedState,
+    body: Incoming,
+    memory: &mut CallMemory,
+) -> Result<Bytes, RequestOutcome> {
     let limits = &shared.settings.limits;
-    let limited = Limited::new(body, limits.max_body.0 as usize);
     let timeout = Duration::from_millis(limits.receive_timeout.as_millis());
-    match tokio::time::timeout(timeout, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(not_run(NotRunReason::BodyTooLarge))
-        }
-        Ok(Err(_)) | Err(_) => Err(not_run(NotRunReason::BodyIncomplete)),
-    }
+    let body = call_body::read_body(body, limits.max_body.0 as usize, timeout, memory).await;
+    body.map_err(|error| match error {
+        BodyError::TooLarge => not_run(NotRunReason::BodyTooLarge),
+        BodyError::Incomplete => not_run(NotRunReason::BodyIncomplete),
+        BodyError::NoMemory => not_run(NotRunReason::NoMemory),
+    })
 }
--- a/crates/sedgehilld/src/filters/mod.rs
+++ b/crates/sedgehilld/src/filters/mod.rs
@@ -24,6 +24,7 @@
 use slog::info;
 use uuid::Uuid;
 
+use crate::client::CallMemory;
 use crate::clock;
 use crate::controllers::ControlHandle;
 use crate::shared::{RequestTrace, SharedState};
@@ -61,12 +62,13 @@
 pub async fn run_chain(
     chain: Arc<FilterChain>,
     request: Request<Incoming>,
+    memory: CallMemory,
 ) -> Response<Full<Bytes>> {
     let _in_flight = chain.shared.track_in_flight();
     let id = RequestId(Uuid::now_v7());
     let mut record = RequestRecord::default();
     let path = request.uri().path().to_owned();
-    let outcome = match run_filters(&chain, id, request, &mut record).await {
+    let outcome = match run_filters(&chain, id, request, memory, &mut record).await {
         Ok(outcome) | Err(outcome) => outcome,
     };
     record_outcome(&chain, id, &path, &record, &outcome);
@@ -77,17 +79,18 @@
     chain: &FilterChain,
     id: RequestId,
     request: Request<Incoming>,
+    memory: CallMemory,
     record: &mut RequestRecord,
 ) -> Result<RequestOutcome, RequestOutcome> {
     let arrived = clock::now();
     let key = identify::find_key(&request);
-    let (context, claim) = match admit(chain, id, arrived, request).await {
+    let (mut context, claim) = match admit(chain, id, arrived, request, memory).await {
         Ok(admitted) => admitted,
         Err(outcome) => {
             return Err(claim::check_key_of_refused(&chain.handle, key, arrived, outcome).await);
         }
     };
-    let outcome = send_with_retries(chain, &context, record).await;
+    let outcome = send_with_retries(chain, &mut context, record).await;
     if let Some(claim) = claim {
         claim::release_if_not_run(&chain.handle, &context, claim, &outcome);
     }
@@ -101,8 +104,10 @@
     id: RequestId,
     arrived: Moment,
     request: Request<Incoming>,
+    memory: CallMemory,
 ) -> Result<(RequestContext, Option<RecordId>), RequestOutcome> {
-    let context = identify::identify(&chain.shared, &chain.handle, id, arrived, request).await?;
+    let context =
+        identify::identify(&chain.shared, &chain.handle, id, arrived, request, memory).await?;
     limit::check(&chain.shared, &context)?;
     let claim = claim::claim(&chain.handle, &context).await?;
     Ok((context, claim))
@@ -110,7 +115,7 @@
 
 async fn send_with_retries(
     chain: &FilterChain,
-    context: &RequestContext,
+    context: &mut RequestContext,
     record: &mut RequestRecord,
 ) -> RequestOutcome {
     chain.retry_budget.lock().record_request();
--- a/crates/sedgehilld/src/filters/outcome.rs
+++ b/crates/sedgehilld/src/filters/outcome.rs
@@ -80,6 +80,8 @@
         BodyTooLarge = "body-too-large", 413;
         /// The body did not arrive completely in time.
         BodyIncomplete = "body-incomplete", 408;
+        /// The box has no memory for the body, or needs that of this caller for others.
+        NoMemory = "no-memory", 503;
         /// The kind is once-only and the request has no idempotency key.
         KeyMissing = "key-missing", 400;
         /// The idempotency key is older than the claim window, or lies in the future.
@@ -129,7 +131,8 @@
         const SHORT_DELAY_SECONDS: u32 = 1;
         const LONG_DELAY_SECONDS: u32 = 5;
         match self {
-            NotRunReason::RateLimit
+            NotRunReason::NoMemory
+            | NotRunReason::RateLimit
             | NotRunReason::QueueLimit
             | NotRunReason::QueueFull
             | NotRunReason::Deadline
--- a/crates/sedgehilld/src/main.rs
+++ b/crates/sedgehilld/src/main.rs
@@ -7,12 +7,15 @@
 //! them on the workers of the platform.
 
 mod admin;
+mod call_body;
 mod cell;
+mod client;
 mod clock;
 mod connection;
 mod controllers;
 mod filters;
 mod logging;
+mod monitored_stream;
 mod settings;
 mod shared;
 mod telemetry;
--- a/crates/sedgehilld/src/settings.rs
+++ b/crates/sedgehilld/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use quick_error::quick_error;
+use sedgehill_core::client_budget::BudgetLimits;
 use sedgehill_core::fields::{FieldReader, ManifestError, ManifestErrors};
 use sedgehill_core::ids::{BoxId, HallName};
 use sedgehill_core::lead::LeadTiming;
@@ -125,13 +126,30 @@
     pub heartbeat_every: TimeSpan,
     /// Limits on requests, answers and queues.
     pub limits: LimitSettings,
+    /// Memory of the box.
+    pub memory: MemorySize,
+    /// File descriptors that the process may use.
+    pub descriptors: usize,
     /// Timing of a planned stop.
     pub drain: DrainSettings,
     /// Whether to log each placement decision and each request.
     pub log_decisions: bool,
 }
 
+/// The memory of a box without the setting `memory`, as the users' boxes have.
+const DEFAULT_MEMORY: MemorySize = MemorySize(256 << 20);
+/// The file descriptors of a process without the setting `descriptors`, as on the users' boxes.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+/// Part of the memory of a box that its callers may use, as a divisor. The state of the cluster, the links of other
+/// boxes and answers that are being read need the rest.
+const CALLER_MEMORY_DIVISOR: u64 = 3;
+
 impl BoxSettings {
+    /// Returns what callers may hold together.
+    pub fn caller_limits(&self) -> BudgetLimits {
+        BudgetLimits::new(MemorySize(self.memory.0 / CALLER_MEMORY_DIVISOR), self.descriptors)
+    }
+
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<BoxSettings, SettingsError> {
         let raw = RawSettings(read_object(path)?);
@@ -191,6 +209,8 @@
     let member = optional_group(reader, "members", read_member);
     let heartbeat_every = reader.text_or("heartbeat_every", TimeSpan(500));
     let limits = optional_group(reader, "limits", read_limits);
+    let memory = reader.text_or("memory", DEFAULT_MEMORY);
+    let descriptors = reader.text_or("descriptors", DEFAULT_DESCRIPTORS);
     let drain = optional_group(reader, "drain", read_drain);
     let log_decisions = reader.flag_or("log_decisions", true);
     Some(BoxSettings {
@@ -206,6 +226,8 @@
         member: member?,
         heartbeat_every: heartbeat_every?,
         limits: limits?,
+        memory: memory?,
+        descriptors: descriptors?,
         drain: drain?,
         log_decisions: log_decisions?,
     })
--- a/crates/sedgehilld/src/shared.rs
+++ b/crates/sedgehilld/src/shared.rs
@@ -17,6 +17,7 @@
 use sedgehill_platform::admin::{BoxHealth, HealthReport};
 use tokio::sync::oneshot;
 
+use crate::client::ClientRegistry;
 use crate::clock;
 use crate::connection::ConnectionManager;
 use crate::logging::LogSink;
@@ -178,6 +179,7 @@
         let connections = ConnectionManager::new(
             log.logger.clone(),
             caller_limits(&settings),
+            ClientRegistry::new(log.logger.clone(), "callers", settings.caller_limits()),
             build_idle_response,
         );
         SharedState {
--- a/crates/sedgehilld/src/telemetry.rs
+++ b/crates/sedgehilld/src/telemetry.rs
@@ -67,7 +67,7 @@
     counter!("sedgehill_request_retries_total").increment(1);
 }
 
-/// Counts a caller's connection that a planned stop closed while it was idle, by cause.
+/// Counts a caller's connection that the box closed by itself, by cause.
 pub fn count_connection_end(cause: &'static str) {
     counter!("sedgehill_connections_ended_total", "cause" => cause).increment(1);
 }
@@ -124,6 +124,17 @@
     counter!("sedgehill_cell_crashes_total", "result" => result, "told_by" => told_by).increment(1);
 }
 
+/// Counts a client that had to make room, by its ports, by what it gave up, and by what happened on its connection.
+pub fn count_evicted_client(ports: &'static str, gave_up: &'static str, phase: &'static str) {
+    let labels = [("ports", ports), ("gave_up", gave_up), ("phase", phase)];
+    counter!("sedgehill_clients_evicted_total", &labels).increment(1);
+}
+
+/// Counts a call that got no memory because only clients hold it that are being answered, or idle.
+pub fn count_exhausted_budget(ports: &'static str) {
+    counter!("sedgehill_client_memory_exhausted_total", "ports" => ports).increment(1);
+}
+
 /// Counts a run that a worker reports and that this lead did not start: `adopted` or `unwanted`.
 pub fn count_run_found(result: &'static str) {
     counter!("sedgehill_cell_runs_found_total", "result" => result).increment(1);
--- a/crates/sedgehilld/src/traffic.rs
+++ b/crates/sedgehilld/src/traffic.rs
@@ -44,7 +44,7 @@
     let spawn = |connection: CallerConnection| {
         let chain = chain.clone();
         tokio::spawn(async move {
-            connection.serve(|request| run_chain(chain.clone(), request)).await;
+            connection.serve(|request, memory| run_chain(chain.clone(), request, memory)).await;
         });
     };
     shared.connections.accept(listener, spawn).await;
