daemon: the operators' port takes a bounded number of connections

The port is served by the same connection manager as that of callers, with a budget apart from theirs, and its calls are answered by the same warp filters.

--- a/crates/sedgehilld/src/admin.rs
+++ b/crates/sedgehilld/src/admin.rs
@@ -3,23 +3,62 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
+use http_body_util::Full;
+use hyper::body::Bytes;
+use sedgehill_core::client_budget::BudgetLimits;
 use sedgehill_core::spec::ConfigKey;
+use sedgehill_core::units::MemorySize;
 use sedgehill_platform::admin::{BoxHealth, ChangeRequest};
 use tokio::net::TcpListener;
-use warp::http::StatusCode;
+use tower_service::Service;
+use warp::http::{Response, StatusCode};
 use warp::reply::{Json, WithStatus};
 use warp::{Filter, Rejection, Reply};
 
+use crate::client::ClientRegistry;
+use crate::connection::{CallerConnection, ConnectionLimits, ConnectionManager};
 use crate::controllers::{ControlHandle, ControlState};
 use crate::shared::SharedState;
 
 /// Maximum size of the body of a change, in bytes.
 const MAX_CHANGE_BYTES: u64 = 1 << 20;
 
+/// What operators and readers of metrics may hold, apart from callers.
+const OPERATOR_LIMITS: BudgetLimits =
+    BudgetLimits { memory: MemorySize(16 << 20), connections: 64, idle_connections: 48 };
+/// Maximum total size of the headers of a call, in bytes.
+const MAX_HEADER_BYTES: usize = 16 << 10;
+const CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits {
+    max_header_bytes: MAX_HEADER_BYTES,
+    max_headers: None,
+    header_timeout: None,
+};
+
 /// Serves operators' calls until the process ends.
 pub async fn serve(listener: TcpListener, shared: Arc<SharedState>, handle: ControlHandle) {
+    let log = shared.log.logger.clone();
+    let clients = ClientRegistry::new(log.clone(), "operators", OPERATOR_LIMITS);
+    let manager = ConnectionManager::new(log, CONNECTION_LIMITS, clients, build_idle_response);
     let routes = monitoring_routes(shared).or(read_routes(handle.clone())).or(change_route(handle));
-    warp::serve(routes).incoming(listener).run().await;
+    let service = warp::service(routes);
+    let spawn = |connection: CallerConnection| {
+        let service = service.clone();
+        tokio::spawn(async move {
+            let handle = |request, _| {
+                let answer = service.clone().call(request);
+                async move { answer.await.unwrap_or_else(|never: Infallible| match never {}) }
+            };
+            connection.serve(handle).await;
+        });
+    };
+    manager.accept(listener, spawn).await;
+}
+
+/// Builds the response that is sent on a connection that has to make room for another: nothing of a call was read.
+fn build_idle_response() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
 }
 
 fn monitoring_routes(
