cell: submissions that wait at the lead are bounded in bytes

Cause, by reading: a lead queued up to 1,024 submissions of all boxes whatever their size, 256 MiB of the largest jobs; their callers are charged at their own boxes only. Now they may take half of the memory of callers, and further ones are refused as not done, as they are beyond the number. Test: the memory of a job counts all that a caller can make long. No test fills the queue of a lead from many boxes.

--- a/crates/sedgehill-cell/src/job.rs
+++ b/crates/sedgehill-cell/src/job.rs
@@ -101,6 +101,18 @@
         self.repeat.map_or(1, |repeat| repeat.count)
     }
 
+    /// Returns about how much memory the specification takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let text_bytes = |text: &Option<Arc<str>>| text.as_ref().map_or(0, |text| text.len());
+        let step_bytes = |step: &StepSpec| {
+            size_of::<StepSpec>()
+                + size_of_val(step.after.as_slice())
+                + text_bytes(&step.label)
+                + text_bytes(&step.near_rack)
+        };
+        self.payload.len() + self.steps.iter().map(step_bytes).sum::<usize>()
+    }
+
     /// Returns the longest chain of dependent steps in one repetition, as the sum of their estimates.
     pub fn longest_chain(&self) -> TimeSpan {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -74,6 +74,15 @@
         Some(record.owner.as_ref().map(|owner| owner.organisation.clone()))
     }
 
+    /// Returns about how much memory a record of a caller takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let spec_bytes = match self {
+            CellRecord::Job(record) | CellRecord::LeadJob(record) => record.spec.memory_bytes(),
+            CellRecord::Cancel | CellRecord::Progress(_) => 0,
+        };
+        size_of::<CellRecord>() + spec_bytes
+    }
+
     /// Returns the key under which the record is stored.
     pub fn key(&self, job: JobId) -> String {
         let prefix = match self {
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod fake;
 mod further_starts;
 mod halls;
+mod job_memory;
 mod large_rosters;
 mod late_crashes;
 mod lead_jobs;
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -39,6 +39,8 @@
 /// The most submissions that wait for a batch before further ones are refused, enough for some
 /// seconds.
 const MAX_QUEUED_SUBMISSIONS: usize = 1_024;
+/// Part of the memory of callers that submissions may take while they wait for a batch, as a divisor.
+const QUEUE_MEMORY_DIVISOR: usize = 2;
 /// How long a new lead tries to fence and to catch up before it gives up.
 const FENCE_LIMIT: TimeSpan = TimeSpan(3_000);
 
@@ -123,7 +125,7 @@
         if self.is_taken(job, record) {
             return Some(SubmissionOutcome::Taken);
         }
-        if self.ended.get() || self.submissions.borrow().len() >= MAX_QUEUED_SUBMISSIONS {
+        if self.ended.get() || !self.may_queue(host, record) {
             return Some(SubmissionOutcome::NotDone);
         }
         if self.append_stuck.get() {
@@ -143,6 +145,16 @@
         answer.await.ok()
     }
 
+    /// Returns whether a record may wait for the next batch. Other boxes submit records as well, which their callers are
+    /// charged for there.
+    fn may_queue(&self, host: &CellBox, record: &CellRecord) -> bool {
+        let waiting = self.submissions.borrow();
+        let waiting_bytes: usize =
+            waiting.iter().map(|submission| submission.record.memory_bytes()).sum();
+        let max_bytes = host.settings.caller_limits().memory.0 as usize / QUEUE_MEMORY_DIVISOR;
+        waiting.len() < MAX_QUEUED_SUBMISSIONS && waiting_bytes + record.memory_bytes() <= max_bytes
+    }
+
     /// Returns whether a job of another organisation with the same id is queued or being appended.
     fn is_taken(&self, job: JobId, record: &CellRecord) -> bool {
         let Some(owner) = record.owner() else { return false };
