--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -407,6 +407,82 @@
     }
 }
 
+// Jobs of gangs, of unlisted workers and of tasks that crash their workers, with a take-over and three crashes of all
+// workers in between: one job is still running after sixty rounds without faults.
+#[test]
+fn a_job_ends_after_a_take_over_and_crashes_of_all_workers() {
+    let moves = vec![
+        Move::LoseAnswers(0),
+        Move::SubmitRanked { count: 2, need: 3, gang: false, owner: 0, priority: 1, saves: false },
+        Move::SubmitRanked { count: 2, need: 1, gang: false, owner: 0, priority: 0, saves: false },
+        Move::RestartWorker(0),
+        Move::Submit { count: 3, need: 1, gang: true, chained: true, owner: 0, crashes: None },
+        Move::Submit {
+            count: 1,
+            need: 2,
+            gang: false,
+            chained: false,
+            owner: 2,
+            crashes: Some(CrashRule {
+                after: TimeSpan(441),
+                back: TimeSpan(7101),
+                runs: usize::MAX,
+            }),
+        },
+        Move::RestartWorker(0),
+        Move::Turns(33),
+        Move::TurnUnrecorded,
+        Move::ReplaceWorker(0),
+        Move::Misplace(3, 0),
+        Move::CrashAll(2161),
+        Move::Submit { count: 3, need: 1, gang: true, chained: false, owner: 1, crashes: None },
+        Move::Turns(39),
+        Move::Submit { count: 3, need: 3, gang: true, chained: false, owner: 2, crashes: None },
+        Move::Submit { count: 1, need: 1, gang: false, chained: true, owner: 0, crashes: None },
+        Move::Turns(39),
+        Move::Turns(30),
+        Move::Submit {
+            count: 1,
+            need: 2,
+            gang: false,
+            chained: false,
+            owner: 1,
+            crashes: Some(CrashRule {
+                after: TimeSpan(561),
+                back: TimeSpan(3821),
+                runs: usize::MAX,
+            }),
+        },
+        Move::Submit { count: 2, need: 1, gang: true, chained: true, owner: 2, crashes: None },
+        Move::NewLead,
+        Move::Submit { count: 1, need: 2, gang: false, chained: false, owner: 2, crashes: None },
+        Move::Turns(29),
+        Move::Turns(8),
+        Move::Submit {
+            count: 1,
+            need: 3,
+            gang: false,
+            chained: false,
+            owner: 1,
+            crashes: Some(CrashRule {
+                after: TimeSpan(1441),
+                back: TimeSpan(3341),
+                runs: usize::MAX,
+            }),
+        },
+        Move::Turns(1),
+        Move::CrashAll(1601),
+        Move::SetUnlisted(2, true),
+        Move::Turns(344),
+        Move::CrashAll(801),
+        Move::Turns(306),
+        Move::Crash(1, 5661),
+        Move::Turns(3),
+        Move::CrashAll(2801),
+    ];
+    run_moves(true, 0, moves).unwrap();
+}
+
 // A start goes unanswered, and reports of its worker arrive. Then the worker restarts under its id, and the start reaches
 // the next life, whose first end has the number of an end of the earlier life. The acknowledgement of that one is carried
 // out by the next life, which forgets an end that nobody has read, and the task starts again although it is done.
