--- a/crates/sedgehill-core/src/client_budget.rs
+++ b/crates/sedgehill-core/src/client_budget.rs
@@ -264,23 +264,16 @@
             given_up: 0,
             is_closing: false,
         };
+        self.count(id, &client);
         self.clients.insert(id, client);
-        self.kept_count += 1;
-        self.held += CONNECTION_MEMORY.0;
-        self.stalled.insert((now, id));
         id
     }
 
     /// Removes a client whose connection is closed.
     pub fn remove(&mut self, id: ClientId) {
-        let Some(client) = self.clients.remove(&id) else { return };
-        self.held -= client.counted();
-        self.held_by_calls -= client.counted_call();
-        self.given_up -= client.given_up();
-        self.kept_count -= usize::from(!client.is_closing);
-        self.idle_count -= usize::from(client.phase == ClientPhase::Idle);
-        self.stalled.remove(&(client.since, id));
-        self.stalled_calls.remove(&(client.since, id));
+        if let Some(client) = self.clients.remove(&id) {
+            self.uncount(id, &client);
+        }
     }
 
     /// Records that a client enters a phase, or that bytes were read or written in it. A client whose call was read in
@@ -353,15 +346,14 @@
 
     /// Changes a client, and all sums and orders that depend on it.
     fn update(&mut self, id: ClientId, change: impl FnOnce(&mut ClientUse)) {
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        self.held -= client.counted();
-        self.held_by_calls -= client.counted_call();
-        self.given_up -= client.given_up();
-        self.kept_count -= usize::from(!client.is_closing);
-        self.idle_count -= usize::from(client.phase == ClientPhase::Idle);
-        self.stalled.remove(&(client.since, id));
-        self.stalled_calls.remove(&(client.since, id));
-        change(client);
+        let Some(mut client) = self.clients.remove(&id) else { return };
+        self.uncount(id, &client);
+        change(&mut client);
+        self.count(id, &client);
+        self.clients.insert(id, client);
+    }
+
+    fn count(&mut self, id: ClientId, client: &ClientUse) {
         self.held += client.counted();
         self.held_by_calls += client.counted_call();
         self.given_up += client.given_up();
@@ -375,6 +367,16 @@
         }
     }
 
+    fn uncount(&mut self, id: ClientId, client: &ClientUse) {
+        self.held -= client.counted();
+        self.held_by_calls -= client.counted_call();
+        self.given_up -= client.given_up();
+        self.kept_count -= usize::from(!client.is_closing);
+        self.idle_count -= usize::from(client.phase == ClientPhase::Idle);
+        self.stalled.remove(&(client.since, id));
+        self.stalled_calls.remove(&(client.since, id));
+    }
+
     /// Lets other clients than `id` make room until the budget holds, if they can. Otherwise the next calls are refused
     /// until there is room.
     fn make_room(&mut self, id: ClientId, evicted: &mut Vec<EvictedClient>) {
--- a/crates/sedgehilld/src/connection.rs
+++ b/crates/sedgehilld/src/connection.rs
@@ -27,7 +27,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Semaphore, SemaphorePermit, watch};
 
 use crate::client::{CallMemory, ClientHandle, ClientRegistry};
 use crate::monitored_stream::{CallActivity, MonitoredStream, SOCKET_BUFFER_BYTES};
@@ -224,30 +224,17 @@
         let _ = stream.set_nodelay(true);
         let activity = Arc::new(CallActivity::new(client, manager.limits.max_header_bytes));
         let stream = MonitoredStream::new(stream, activity.clone());
-        let phase = manager.phase.subscribe();
         let service = service_fn(|request: Request<Incoming>| {
             let has_body = !request.body().is_end_stream();
             let is_pipelined = activity.begin_call();
-            let (activity, phase) = (activity.clone(), phase.clone());
+            let activity = activity.clone();
             let handle = &handle;
             Box::pin(async move {
-                activity.wait_until_written().await;
-                let _turn = match is_pipelined {
-                    true => {
-                        activity.charge_queue();
-                        let turn = manager.pipelined_calls.acquire().await.ok();
-                        tokio::task::yield_now().await;
-                        turn
-                    }
-                    false => None,
-                };
+                let _turn = manager.wait_for_turn(&activity, is_pipelined).await;
                 activity.handle_call(has_body);
-                let client = activity.client();
-                let mut response = handle(request, CallMemory::new(client.clone())).await;
-                let is_last = *phase.borrow() > StopPhase::Serving
-                    || client.must_close()
-                    || !client.may_keep_idle();
-                if is_last {
+                let memory = CallMemory::new(activity.client().clone());
+                let mut response = handle(request, memory).await;
+                if manager.is_last_call(activity.client()) {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 activity.end_call(response.body().size_hint().lower());
@@ -256,7 +243,6 @@
         });
         let mut connection = manager.builder().serve_connection(TokioIo::new(stream), service);
         loop {
-            let mut phase = phase.clone();
             let reason = tokio::select! {
                 // After a pause of the process, reads a call that arrived meanwhile before it checks the idle time.
                 biased;
@@ -267,11 +253,7 @@
                     }
                     return;
                 }
-                () = wait_until_idle(&activity, &mut phase) => CloseReason::Idle,
-                () = wait_until_evictable(&activity) => CloseReason::Evicted,
-                () = wait_for_late_head(&activity, manager.limits.header_timeout) => {
-                    CloseReason::LateHead
-                }
+                reason = manager.wait_for_close_reason(&activity) => reason,
             };
             match reason {
                 CloseReason::Idle if activity.idle_time(clock::now()).is_some() => {
@@ -331,6 +313,40 @@
 }
 
 impl ConnectionManager {
+    /// Waits until a call may be handled. Returns the turn of a call that was sent together with an earlier one, which
+    /// has to be kept until the call ends.
+    async fn wait_for_turn(
+        &self,
+        activity: &CallActivity,
+        is_pipelined: bool,
+    ) -> Option<SemaphorePermit<'_>> {
+        activity.wait_until_written().await;
+        if !is_pipelined {
+            return None;
+        }
+        activity.charge_queue();
+        // An error cannot occur, since the semaphore is never closed.
+        let turn = self.pipelined_calls.acquire().await.ok();
+        tokio::task::yield_now().await;
+        turn
+    }
+
+    /// Returns whether the response to a call has to announce the end of the connection.
+    fn is_last_call(&self, client: &ClientHandle) -> bool {
+        *self.phase.borrow() > StopPhase::Serving || client.must_close() || !client.may_keep_idle()
+    }
+
+    /// Waits until the box has a reason to close a connection by itself. The reason may not hold any more when the
+    /// connection is looked at again.
+    async fn wait_for_close_reason(&self, activity: &CallActivity) -> CloseReason {
+        let mut phase = self.phase.subscribe();
+        tokio::select! {
+            () = wait_until_idle(activity, &mut phase) => CloseReason::Idle,
+            () = wait_until_evictable(activity) => CloseReason::Evicted,
+            () = wait_for_late_head(activity, self.limits.header_timeout) => CloseReason::LateHead,
+        }
+    }
+
     fn builder(&self) -> http1::Builder {
         let mut builder = http1::Builder::new();
         builder
--- a/crates/sedgehilld/src/monitored_stream.rs
+++ b/crates/sedgehilld/src/monitored_stream.rs
@@ -95,6 +95,7 @@
         self.head_bytes.store(0, Ordering::SeqCst);
         if !self.is_blocked() {
             self.release_received();
+            self.record_flush();
             self.client.set_phase(ClientPhase::Receiving);
         }
         !self.has_read.load(Ordering::SeqCst)
