--- a/crates/sedgehill-core/src/client_budget.rs
+++ b/crates/sedgehill-core/src/client_budget.rs
@@ -24,7 +24,6 @@
 /// Part of the descriptors of a box that its clients may use, as a divisor. Endpoints or workers, other boxes and the
 /// platform need the rest.
 const DESCRIPTOR_DIVISOR: usize = 2;
-
 /// Maximum number of connections that are being closed to make room, beside those of the limit.
 const MAX_CLOSING: usize = 32;
 
@@ -80,7 +79,7 @@
 }
 
 impl ClientPhase {
-    /// Returns whether the box waits for the client while the client holds more than an idle connection.
+    /// Returns whether the box waits for the client to send the rest of a call or to read an answer.
     pub fn is_stalled(self) -> bool {
         matches!(self, ClientPhase::Silent | ClientPhase::Receiving | ClientPhase::Blocked)
     }
--- a/crates/sedgehilld/src/monitored_stream.rs
+++ b/crates/sedgehilld/src/monitored_stream.rs
@@ -228,6 +228,7 @@
         self.client.shrink_connection(self.response_charge.swap(0, Ordering::SeqCst));
     }
 }
+
 /// A TCP stream that records what happens on it. It reads nothing while a response waits for the client to read, so
 /// that a client cannot make the box collect responses. It has to see writes itself, because hyper finishes a call when
 /// it has received the response, not when it has written it.
