cell, daemon: progress that exceeds a record is divided, and no refused record ends the lead

Its progress took 515,902 bytes of the 262,144 that the store takes; each lead in turn ended with the reason record_refused, and other clients' jobs stayed pending.

Cause: the size for which a job is accepted leaves out crash histories, and a record that the store refuses for good ended the lead, which handed it to the next one. The sizes in the log lines settled it; saved states and locations, the other candidates, are left out before.

Change: the crash histories, locations and waits of a large job are stored in parts of 128 tasks or fewer, appended before the main record, which names their size. A refused progress record is divided further, and costs its own job at most; a refused roster is split, and the refused record of one worker costs that worker's use. Starts that depend on a refused record are not sent, and refusals alone do not confirm the lead. No job is refused that was taken before, and no crash is forgotten.

--- a/crates/sedgehill-cell/src/lib.rs
+++ b/crates/sedgehill-cell/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod job;
 pub mod organisation;
 pub mod progress;
+pub mod progress_parts;
 pub mod reading;
 pub mod replica;
 pub mod scheduler;
--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -6,6 +6,7 @@
 use crate::crash_history::{CrashHistory, WorkerCrash};
 use crate::ids::{FencingToken, OrganisationName, RunNumber, WorkerLife};
 use crate::job::JobSpec;
+use crate::progress_parts::PartSize;
 
 /// The state of a job as callers see it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,6 +58,9 @@
 
 /// The stored progress of a job. Each record replaces the one before it.
 ///
+/// Progress that exceeds the size limit of a record is stored as several records: one with the fields that every job
+/// has, and a [`ProgressPart`](crate::progress_parts::ProgressPart) for each range of tasks with the lists from `crash_histories` to `loss_waits`.
+///
 /// Fields are encoded by position. Those from `crash_histories` on were added one after the other in later
 /// versions: earlier versions ignore them, and shorter records are decoded with empty lists in their place.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -81,6 +85,8 @@
     /// The values of [`UnresolvedRun::waited`](crate::crash_history::UnresolvedRun::waited) of the runs that are lost,
     /// by the index of the task among all tasks.
     pub loss_waits: Vec<(u32, Vec<LossWait>)>,
+    /// How the lists from `crash_histories` to `loss_waits` are stored: none if they are in this record.
+    pub part_size: Option<PartSize>,
 }
 
 /// How long leads have waited for news of a lost run.
@@ -104,38 +110,16 @@
     pub recorded_by: FencingToken,
 }
 
-/// Bytes of stored progress apart from its tasks: the state, the organisation, and the crash histories of a few tasks.
+/// Bytes of stored progress apart from its tasks: the state and the organisation.
 const FIXED_BYTES: usize = 1_024;
 /// Bytes of a stored task: a flag, its run and the lengths of two lists.
 const TASK_BYTES: usize = 12;
 /// Bytes of the number of a failed run.
 const FAILED_RUN_BYTES: usize = 5;
 
-/// A part of stored progress that may be left out. Without it a later lead takes longer, and does nothing wrong.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProgressExtra {
-    /// The saved states of tasks. A task whose run is lost begins anew.
-    Checkpoints,
-    /// Where long-running tasks run. A later lead waits for all workers before it restarts one.
-    Locations,
-    /// How long starts have waited for news of lost runs. A later lead waits anew.
-    LossWaits,
-}
-
-impl ProgressExtra {
-    /// Returns the name used in logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            ProgressExtra::Checkpoints => "checkpoints",
-            ProgressExtra::Locations => "locations",
-            ProgressExtra::LossWaits => "loss waits",
-        }
-    }
-}
-
 impl JobProgress {
-    /// Returns the most bytes that the progress of a job takes in its stored form without its extras, unless many of its
-    /// tasks have a crash history.
+    /// Returns the most bytes that the progress of a job takes in its stored form without the parts that can be stored
+    /// apart from it, and without the saved states of tasks, which can be left out.
     pub fn max_stored_bytes(spec: &JobSpec, max_attempts: u32) -> usize {
         let per_repetition: usize = spec.steps.iter().map(|step| usize::from(step.count)).sum();
         let tasks = per_repetition.saturating_mul(spec.repetitions() as usize);
@@ -144,32 +128,6 @@
         FIXED_BYTES.saturating_add(tasks.saturating_mul(task_bytes))
     }
 
-    /// Returns the progress with as few extras left out as it takes to satisfy `fits`, and these extras. If even that is
-    /// not enough, all of them are left out.
-    pub fn fitted(&self, fits: impl Fn(&JobProgress) -> bool) -> (JobProgress, Vec<ProgressExtra>) {
-        let mut progress = self.clone();
-        let mut left_out = Vec::new();
-        let extras =
-            [ProgressExtra::LossWaits, ProgressExtra::Checkpoints, ProgressExtra::Locations];
-        for extra in extras {
-            if fits(&progress) {
-                break;
-            }
-            if extra == ProgressExtra::LossWaits && progress.loss_waits.is_empty() {
-                continue;
-            }
-            match extra {
-                ProgressExtra::Checkpoints => {
-                    progress.tasks.iter_mut().for_each(|task| task.checkpoint.clear());
-                }
-                ProgressExtra::Locations => progress.locations.clear(),
-                ProgressExtra::LossWaits => progress.loss_waits.clear(),
-            }
-            left_out.push(extra);
-        }
-        (progress, left_out)
-    }
-
     /// Returns the tasks of all steps, with defaults if none are stored yet.
     pub fn tasks_of(&self, spec: &JobSpec) -> Vec<TaskProgress> {
         let per_repetition: usize = spec.steps.iter().map(|step| usize::from(step.count)).sum();
--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -3,7 +3,7 @@
 //! Each kind of record about a job has its own key, so that an old record that arrives late never undoes a
 //! newer record of another kind.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use quick_error::quick_error;
@@ -13,6 +13,7 @@
 use crate::ids::{CellIdError, JobId, OrganisationName, QueueName};
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
+use crate::progress_parts::{PartId, ProgressPart};
 use crate::scheduler::{RosterChange, RosterParts, SpeedChange, SpeedParts};
 use crate::stored::decode_with_defaults;
 use crate::summary::JobSummary;
@@ -29,13 +30,16 @@
     /// The lead accepted the job. The lead may start its tasks as soon as this is recorded, so a later lead has
     /// to assume that some were started.
     LeadJob(JobRecord),
+    /// The lead recorded a part of the progress of the job. Its key ends with the part after a separator, and is no key
+    /// to earlier versions.
+    ProgressPart(ProgressPart),
 }
 
 quick_error! {
     /// The error of decoding a cell record.
     #[derive(Debug)]
     pub enum RecordError {
-        /// The key does not consist of a one-byte prefix and a job id.
+        /// The key does not consist of a one-byte prefix, a job id and, for a part of its progress, the part.
         Key(key: String) {
             display("`{key}` is not the key of a cell record")
         }
@@ -60,13 +64,32 @@
     /// The first character of the key of a job that the lead accepted.
     pub const LEAD_JOB_PREFIX: char = 'l';
 
+    /// The first character of the key of a part of progress.
+    pub const PART_PREFIX: char = 'q';
+
     /// Splits a key into the character for the kind of the record and the job id.
     pub fn decode_key(key: &str) -> Result<(char, JobId), RecordError> {
         let prefix = key.chars().next().ok_or_else(|| RecordError::Key(key.to_owned()))?;
         let id = key.get(1..).ok_or_else(|| RecordError::Key(key.to_owned()))?;
+        let id = match id.split_once(PART_SEPARATOR) {
+            Some((id, _)) if prefix == CellRecord::PART_PREFIX => id,
+            _ => id,
+        };
         Ok((prefix, id.parse()?))
     }
 
+    /// Returns which part of a job's progress is stored under a key; none if it is the key of another record.
+    pub fn decode_part(key: &str) -> Option<PartId> {
+        let (id, part) = key.strip_prefix(CellRecord::PART_PREFIX)?.split_once(PART_SEPARATOR)?;
+        id.parse::<JobId>().ok()?;
+        part.parse().ok()
+    }
+
+    /// Returns the key of a part of a job's progress.
+    pub fn part_key(job: JobId, part: PartId) -> String {
+        format!("{}{job}{PART_SEPARATOR}{part}", CellRecord::PART_PREFIX)
+    }
+
     /// Returns the owner of the job that the record accepts; none if the record accepts no job. The inner value is
     /// none for a job that was submitted without a key.
     pub fn owner(&self) -> Option<Option<OrganisationName>> {
@@ -78,7 +101,7 @@
     pub fn memory_bytes(&self) -> usize {
         let spec_bytes = match self {
             CellRecord::Job(record) | CellRecord::LeadJob(record) => record.spec.memory_bytes(),
-            CellRecord::Cancel | CellRecord::Progress(_) => 0,
+            CellRecord::Cancel | CellRecord::Progress(_) | CellRecord::ProgressPart(_) => 0,
         };
         size_of::<CellRecord>() + spec_bytes
     }
@@ -90,6 +113,7 @@
             CellRecord::Cancel => 'c',
             CellRecord::Progress(_) => CellRecord::PROGRESS_PREFIX,
             CellRecord::LeadJob(_) => CellRecord::LEAD_JOB_PREFIX,
+            CellRecord::ProgressPart(part) => return CellRecord::part_key(job, part.id),
         };
         format!("{prefix}{job}")
     }
@@ -105,7 +129,14 @@
         let record = match prefix {
             CellRecord::PROGRESS_PREFIX => decode_with_defaults(
                 value,
-                &[NO_HISTORIES, NO_CORRELATED, NO_LOCATIONS, NO_UNANSWERED],
+                &[
+                    NO_HISTORIES,
+                    NO_CORRELATED,
+                    NO_LOCATIONS,
+                    NO_UNANSWERED,
+                    NO_LOSS_WAITS,
+                    NO_PART_SIZE,
+                ],
             )?,
             _ => postcard::from_bytes(value)?,
         };
@@ -121,6 +152,12 @@
 const NO_LOCATIONS: u8 = 0;
 /// The encoded empty list for [`JobProgress::unanswered`].
 const NO_UNANSWERED: u8 = 0;
+/// The encoded empty list for [`JobProgress::loss_waits`].
+const NO_LOSS_WAITS: u8 = 0;
+/// The encoded absence of [`JobProgress::part_size`].
+const NO_PART_SIZE: u8 = 0;
+/// Separates the job from the part in the key of a part of progress.
+const PART_SEPARATOR: char = '/';
 
 /// One job of the replica.
 #[derive(Debug, Clone, Default)]
@@ -136,8 +173,10 @@
     summarized: bool,
     /// Whether the caller cancelled the job.
     pub cancelled: bool,
-    /// The progress of the job.
+    /// The progress of the job, without its parts if it is divided.
     pub progress: JobProgress,
+    /// The stored parts of the progress, also those that the progress no longer uses.
+    pub parts: BTreeMap<PartId, ProgressPart>,
     /// Whether a lead accepted the job.
     pub accepted_by_lead: bool,
     /// Whether a box accepted the job without the lead, and stored it as [`CellRecord::Job`].
@@ -168,7 +207,7 @@
     pub fn progress_for_lead(&self) -> JobProgress {
         JobProgress {
             may_have_started: self.accepted_by_lead || self.progress.may_have_started,
-            ..self.progress.clone()
+            ..self.progress.joined(self.parts.values())
         }
     }
 
@@ -320,6 +359,10 @@
                 job.progress = progress;
                 ReplicaChange::Other
             }
+            CellRecord::ProgressPart(part) => {
+                job.parts.insert(part.id, part);
+                ReplicaChange::Other
+            }
         };
         self.update_indexes(id, was_waiting, was_over, now);
         change
@@ -397,6 +440,36 @@
         }
     }
 
+    /// Returns the stored parts of a job's progress.
+    pub fn parts(&self, id: JobId) -> impl Iterator<Item = &ProgressPart> {
+        self.jobs.get(&id).into_iter().flat_map(|job| job.parts.values())
+    }
+
+    /// Returns a stored part of a job's progress.
+    pub fn part(&self, id: JobId, part: PartId) -> Option<&ProgressPart> {
+        self.jobs.get(&id)?.parts.get(&part)
+    }
+
+    /// Removes the parts of progress that are not among the newest records of all keys, which were read as a whole:
+    /// they were removed while this box received no records.
+    pub fn retain_parts<'a>(&mut self, newest_keys: impl Iterator<Item = &'a str>) {
+        let kept: HashSet<(JobId, PartId)> = newest_keys
+            .filter_map(|key| {
+                Some((CellRecord::decode_key(key).ok()?.1, CellRecord::decode_part(key)?))
+            })
+            .collect();
+        for (id, job) in &mut self.jobs {
+            job.parts.retain(|part, _| kept.contains(&(*id, *part)));
+        }
+    }
+
+    /// Removes a part of a job's progress.
+    pub fn remove_part(&mut self, id: JobId, part: PartId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.parts.remove(&part);
+        }
+    }
+
     /// Removes all that is known of a job.
     pub fn forget(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else { return };
--- a/crates/sedgehill-cell/src/scheduler/active_job.rs
+++ b/crates/sedgehill-cell/src/scheduler/active_job.rs
@@ -333,6 +333,7 @@
             locations: self.locations(),
             unanswered: self.history_lists(|crash_history| &crash_history.unanswered),
             loss_waits: self.loss_waits(),
+            part_size: None,
         }
     }
 
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -458,6 +458,12 @@
         self.finish_if_over(id, now);
     }
 
+    /// Gives up a job whose progress the store refuses for good, since a later lead would not know
+    /// what it has started.
+    pub fn fail_unrecordable_job(&mut self, id: JobId, now: Moment) {
+        self.fail_job(id, "progress cannot be recorded", now);
+    }
+
     /// Notes that a task of the job has started.
     fn note_started(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -217,6 +217,9 @@
         if !worker.runs.is_empty() {
             return true;
         }
+        if worker.unrecordable {
+            return false;
+        }
         let in_touch = worker.last_answer_at.is_some_and(|at| now < at.after(UNREACHABLE_AFTER));
         worker.is_listed(now, &self.timing) && !worker.entry.draining && in_touch
     }
@@ -237,6 +240,20 @@
         changes
     }
 
+    /// Notes that the store refuses a record of the roster for good. A record of several workers is
+    /// split from now on; a worker that has a record of its own is given no work.
+    pub fn note_roster_refused(&mut self, change: &RosterChange) {
+        if let Some(life) = change.worker() {
+            if let Some(key) = self.lives.get(life) {
+                self.workers[key.0].unrecordable = true;
+            }
+        } else if !change.is_split_marker() {
+            let split_above = change.entry_bytes() / 2;
+            self.timing.max_roster_record = self.timing.max_roster_record.min(split_above);
+            self.roster_changed = true;
+        }
+    }
+
     /// Returns a record of the roster to write again, which changes nothing.
     pub(super) fn repeated_roster_record(&mut self, now: Moment) -> RosterChange {
         let keys = self.next_roster(now);
--- a/crates/sedgehill-cell/src/scheduler/roster_records.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster_records.rs
@@ -53,6 +53,24 @@
         Ok(RosterChange { key: key.to_owned(), content })
     }
 
+    /// Returns the worker that the record is about; none if it holds the whole roster or is removed.
+    pub(super) fn worker(&self) -> Option<&WorkerLife> {
+        let entry =
+            self.content.as_ref().filter(|_| self.key != WorkerRoster::KEY)?.workers.first();
+        entry.map(|entry| &entry.life)
+    }
+
+    /// Returns whether the record is the marker of a split roster.
+    pub(super) fn is_split_marker(&self) -> bool {
+        let workers = self.content.iter().flat_map(|content| &content.workers);
+        workers.map(|entry| &*entry.life.id.0).eq([MARKER_ID])
+    }
+
+    /// Returns about how many bytes the entries of the record take.
+    pub(super) fn entry_bytes(&self) -> usize {
+        self.content.iter().flat_map(|content| &content.workers).map(stored_len).sum()
+    }
+
     /// Returns the value of the record, empty if it is removed.
     pub fn encode(&self) -> Vec<u8> {
         self.content.as_ref().map(WorkerRoster::encode).unwrap_or_default()
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -22,6 +22,8 @@
 use sedgehill_cell::job::{JobRecord, JobSpec, QueuePolicy, StepSpec};
 use sedgehill_cell::organisation::OrganisationPolicy;
 use sedgehill_cell::progress::JobProgress;
+use sedgehill_cell::progress_parts::PartSize;
+use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::{
     AdviceQuestion, CellOrder, CellPolicy, CellTiming, EndRow, OWN_BOX, RosterParts, Scheduler,
     SpeedParts, StartOrder, WorkerAnswer, WorkerEntry, WorkerKey,
@@ -106,6 +108,8 @@
     pub policy: CellPolicy,
     /// The most bytes of a single record of the roster; a larger roster is split.
     pub max_roster_record: usize,
+    /// The most bytes of a record of progress; larger progress is divided.
+    pub max_progress_record: usize,
     /// The most ends that a worker lists in one report.
     pub max_listed_ends: usize,
     /// The organisations in the current configuration.
@@ -235,6 +239,7 @@
             speeds: SpeedParts::default(),
             policy: CellPolicy::default(),
             max_roster_record: CellTiming::default().max_roster_record,
+            max_progress_record: usize::MAX,
             max_listed_ends: MAX_LISTED_ENDS,
             organisations: Vec::new(),
             highest: HashMap::new(),
@@ -395,12 +400,32 @@
             batch.roster.iter().for_each(|change| self.roster.apply(change.clone()));
             batch.speeds.iter().for_each(|change| self.speeds.apply(change.clone()));
             for (id, progress) in &batch.jobs {
-                self.store.get_mut(id).unwrap().1 = progress.clone();
+                let stored = self.read_back(*id, progress);
+                self.store.get_mut(id).unwrap().1 = stored;
             }
             scheduler.batch_recorded(&batch);
         }
     }
 
+    /// Returns progress as a later lead reads it from records of limited size.
+    fn read_back(&self, id: JobId, progress: &JobProgress) -> JobProgress {
+        let fits = |record: CellRecord| record.encode().len() <= self.max_progress_record;
+        let (mut main, mut overflow) =
+            progress.fitted(|main| fits(CellRecord::Progress(main.clone())));
+        let parts_fit = overflow.divide_parts(&mut main, PartSize::MAX, |part| {
+            fits(CellRecord::ProgressPart(part.clone()))
+        });
+        assert!(parts_fit && fits(CellRecord::Progress(main.clone())), "job {id} does not fit");
+        let mut replica = CellReplica::default();
+        let job = CellRecord::Job(JobRecord::clone(&self.store[&id].0));
+        let parts = overflow.parts.into_iter().map(CellRecord::ProgressPart);
+        for record in [job].into_iter().chain(parts).chain([CellRecord::Progress(main)]) {
+            let (id, decoded) = CellRecord::decode(&record.key(id), &record.encode()).unwrap();
+            replica.apply(id, decoded, self.now);
+        }
+        replica.job(id).unwrap().progress_for_lead()
+    }
+
     /// Returns the scheduler's key of a worker that is polled.
     pub fn worker_key(&self, scheduler: &Scheduler, number: usize) -> WorkerKey {
         let key = self.watched.iter().find(|key| self.number(scheduler, **key) == number);
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod predecessor;
 mod probation;
 mod progress;
+mod progress_parts;
 mod question_load;
 mod question_order;
 mod random;
--- a/crates/sedgehill-cell/tests/testsuite/progress.rs
+++ b/crates/sedgehill-cell/tests/testsuite/progress.rs
@@ -5,9 +5,8 @@
 use proptest::prelude::*;
 use sedgehill_cell::ids::{FencingToken, RunNumber, StepId, WorkerId, WorkerLife};
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
-use sedgehill_cell::progress::{
-    JobProgress, JobState, LossWait, ProgressExtra, TaskLocation, TaskProgress,
-};
+use sedgehill_cell::progress::{JobProgress, JobState, LossWait, TaskLocation, TaskProgress};
+use sedgehill_cell::progress_parts::ProgressOverflow;
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{HelperId, RunEnd, Scheduler};
 use sedgehill_core::units::{Moment, TimeSpan};
@@ -220,28 +219,28 @@
 }
 
 #[test]
-fn only_what_does_not_fit_is_left_out_of_progress() {
-    use ProgressExtra::{Checkpoints, Locations};
+fn progress_is_divided_before_saved_states_are_left_out() {
     let progress = largest_progress(10, 2);
+    let fitted = |limit: usize| progress.fitted(|reduced| stored_bytes(reduced) <= limit);
     let whole = stored_bytes(&progress);
-    let left_out = |limit: usize| progress.fitted(|reduced| stored_bytes(reduced) <= limit).1;
-    assert_eq!(left_out(whole), []);
-    assert_eq!(left_out(whole - 1), [Checkpoints]);
-    assert_eq!(left_out(whole - 1_500), [Checkpoints, Locations]);
-    let (fitted, _) = progress.fitted(|_| false);
-    assert_eq!(fitted.tasks[0].failed_runs, progress.tasks[0].failed_runs);
-    assert!(fitted.locations.is_empty() && fitted.tasks[9].checkpoint.is_empty());
+    assert_eq!(fitted(whole), (progress.clone(), ProgressOverflow::default()));
+    let (divided, overflow) = fitted(whole - 1);
+    assert!(!overflow.without_checkpoints);
+    assert_eq!(divided.joined(overflow.parts.iter()), progress);
+    let (reduced, overflow) = fitted(stored_bytes(&divided) - 1);
+    assert!(overflow.without_checkpoints && reduced.tasks[9].checkpoint.is_empty());
+    assert_eq!(reduced.tasks[0].failed_runs, progress.tasks[0].failed_runs);
+    assert_eq!(reduced.joined(overflow.parts.iter()).locations, progress.locations);
 }
 
-// The time waited for news of lost runs takes eight bytes for each task of a wide job that lost its workers. It is left
-// out before what costs a later lead more.
+// The time waited for news of lost runs takes eight bytes for each task of a wide job that lost its workers. A lead that
+// does not know it waits anew.
 #[test]
-fn waits_for_news_are_left_out_of_progress_first() {
+fn waits_for_news_are_kept_in_divided_progress() {
     let waits = |task: u32| (task, vec![LossWait { run: RunNumber(1), waited: TimeSpan(4_000) }]);
     let progress =
         JobProgress { loss_waits: (0..100).map(waits).collect(), ..JobProgress::default() };
-    let bytes = |progress: &JobProgress| CellRecord::Progress(progress.clone()).encode().len();
-    let (kept, left_out) = progress.fitted(|progress| bytes(progress) < 100);
-    assert_eq!(left_out, [ProgressExtra::LossWaits]);
-    assert!(kept.loss_waits.is_empty());
+    let (main, overflow) = progress.fitted(|reduced| stored_bytes(reduced) < 100);
+    assert!(stored_bytes(&main) < 100);
+    assert_eq!(main.joined(overflow.parts.iter()).loss_waits, progress.loss_waits);
 }
--- a/crates/sedgehill-cell/tests/testsuite/random.rs
+++ b/crates/sedgehill-cell/tests/testsuite/random.rs
@@ -99,6 +99,9 @@
     prop::option::weighted(0.15, crash_rule)
 }
 
+/// Bytes of a record that holds the progress of any job here, or the crash histories of one task, but hardly both.
+const MAX_DIVIDED_RECORD: usize = 400;
+
 fn any_move() -> impl Strategy<Value = Move> {
     let worker = 0..usize::from(WORKERS);
     let end = prop_oneof![
@@ -379,6 +382,20 @@
         run_moves_in(cell, moves)?;
     }
 
+    // Crash histories are stored apart from the progress of their job, and read back by each new lead.
+    #[test]
+    fn random_faults_break_no_rule_where_progress_is_divided(
+        keeps_ids in any::<bool>(),
+        moves in prop::collection::vec(any_move(), 1..120),
+    ) {
+        let mut cell = match keeps_ids {
+            true => FakeCell::with_lasting_ids(WORKERS, CORES),
+            false => FakeCell::new(WORKERS, CORES),
+        };
+        cell.max_progress_record = MAX_DIVIDED_RECORD;
+        run_moves_in(cell, moves)?;
+    }
+
     // Where ids are kept, a late start can reach the next life of its worker; see
     // `an_end_of_the_next_life_is_acknowledged_unread_after_a_late_start`.
     #[test]
--- a/crates/sedgehilld/src/cell/apply.rs
+++ b/crates/sedgehilld/src/cell/apply.rs
@@ -164,6 +164,11 @@
 fn forget_key(host: &CellBox, key: &str) {
     match CellRecord::decode_key(key) {
         Ok((CellRecord::PROGRESS_PREFIX, id)) => host.replica.borrow_mut().forget(id),
+        Ok((CellRecord::PART_PREFIX, id)) => {
+            if let Some(part) = CellRecord::decode_part(key) {
+                host.replica.borrow_mut().remove_part(id, part);
+            }
+        }
         Ok(_) => {}
         Err(error) => warn!(host.log, "dropped key not readable"; "key" => key, "error" => %error),
     }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -32,9 +32,6 @@
 
 /// Interval at which a box checks whether it should claim the lead.
 pub const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(40);
-/// How long a box whose record the store refused for good leaves the lead to others. Each lead would
-/// fail on the same record, and each take-over costs a call to every worker.
-const REFUSED_RECORD_PAUSE: Duration = Duration::from_secs(10);
 /// The minimum pause between two rounds of the scheduler, so that changes within a few milliseconds
 /// are handled together.
 const MIN_SCHEDULE_PAUSE: Duration = Duration::from_millis(4);
@@ -210,10 +207,7 @@
             let has_predecessor = host.watch.borrow().has_predecessor();
             let claim_context = ClaimContext::of(&host);
             if claim(&host).await {
-                let end = lead_cell(&host, has_predecessor, &claim_context).await;
-                if end == Some(LeadEndReason::RecordRefused) {
-                    tokio::time::sleep(REFUSED_RECORD_PAUSE).await;
-                }
+                lead_cell(&host, has_predecessor, &claim_context).await;
             }
         }
     }
@@ -274,13 +268,9 @@
     }
 }
 
-/// Leads the cell until the lead ends. Returns the reason of its end; none if the claim is unknown.
-async fn lead_cell(
-    host: &Rc<CellBox>,
-    has_predecessor: bool,
-    claim_context: &ClaimContext,
-) -> Option<LeadEndReason> {
-    let token = host.watch.borrow().newest().map(|record| record.token)?;
+/// Leads the cell until the lead ends.
+async fn lead_cell(host: &Rc<CellBox>, has_predecessor: bool, claim_context: &ClaimContext) {
+    let Some(token) = host.watch.borrow().newest().map(|record| record.token) else { return };
     telemetry::count_cell_event("lead", "claimed");
     claim_context.count();
     info!(host.log, "leading"; "token" => %token, "predecessor" => has_predecessor);
@@ -330,8 +320,8 @@
         Ok(recorder) => recorder,
         Err(end) => {
             lead_log::log_end(host, &session, end);
-            release_lead(host, &session, end).await;
-            return Some(end);
+            release_lead(host, &session).await;
+            return;
         }
     };
     session.scheduler.borrow_mut().note_fenced(clock::now());
@@ -361,9 +351,8 @@
     // Whoever waits for one of these submissions appends it from its own box.
     session.submissions.borrow_mut().clear();
     *host.session.borrow_mut() = None;
-    release_lead(host, &session, end).await;
+    release_lead(host, &session).await;
     telemetry::count_cell_event("lead", "ended");
-    Some(end)
 }
 
 /// Runs the rounds of the scheduler, and carries out its orders.
--- a/crates/sedgehilld/src/cell/lead_log.rs
+++ b/crates/sedgehilld/src/cell/lead_log.rs
@@ -56,8 +56,6 @@
     FencedByWorker,
     /// A much stronger box is available.
     Yielding,
-    /// The store refuses a record of this lead for good.
-    RecordRefused,
     /// The lead could not fence earlier leads and catch up in time.
     NotFenced,
     /// A task of the lead returned by itself, which should not happen.
@@ -72,7 +70,6 @@
             LeadEndReason::FencedByStore => "fenced_by_store",
             LeadEndReason::FencedByWorker => "fenced_by_worker",
             LeadEndReason::Yielding => "yielding",
-            LeadEndReason::RecordRefused => "record_refused",
             LeadEndReason::NotFenced => "not_fenced",
             LeadEndReason::Halted => "halted",
         }
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -4,14 +4,17 @@
 //! progress and the submissions of a few milliseconds, and a job that the lead accepted may be
 //! started as soon as it is recorded.
 
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sedgehill_adapter::error::CallError;
-use sedgehill_adapter::store::{AppendCondition, AppendOutcome, KeyedRecord, StoreTopic};
+use sedgehill_adapter::store::{
+    AppendCondition, AppendOutcome, KeyedRecord, StoreLimits, StoreTopic,
+};
 use sedgehill_cell::ids::{FencingToken, JobId};
 use sedgehill_cell::replica::CellRecord;
-use sedgehill_cell::scheduler::ProgressBatch;
+use sedgehill_cell::scheduler::{ProgressBatch, RosterChange};
 use sedgehill_core::units::{Moment, TimeSpan};
 use slog::{error, info, warn};
 use tokio::sync::oneshot;
@@ -20,7 +23,7 @@
 use super::hedge::{self, AppendCall};
 use super::lead::LeadSession;
 use super::lead_log::LeadEndReason;
-use super::recorder_batch::{BatchRecords, RecorderBatch};
+use super::recorder_batch::{BatchRecords, RecorderBatch, progress_records};
 use super::state::CellBox;
 use super::submission::SubmissionOutcome;
 use super::topic_follower;
@@ -222,21 +225,26 @@
 }
 
 impl ProgressRecorder {
-    /// Records batches until a later lead exists or a record is refused for good.
+    /// Records batches until a later lead exists.
     pub async fn run(&mut self, host: &CellBox, session: &LeadSession) -> LeadEndReason {
         loop {
             tokio::time::sleep(BATCH_INTERVAL).await;
-            let batch = RecorderBatch::take(host, session);
+            let mut batch = RecorderBatch::take(host, session);
             let records = batch.records(host);
             let mut too_large = Vec::new();
             if !records.records.is_empty() {
                 session.in_flight_owners.replace(batch.owners());
-                let recording = self.record_all(host, session, &batch, &records);
+                let recording = self.record_all(host, session, &batch, records);
                 let on_stuck = || session.refuse_queued();
                 let recorded = hedge::await_append(host, recording, on_stuck).await;
                 session.append_stuck.set(false);
                 match recorded {
-                    Ok(refused) => too_large = refused,
+                    Ok(refused) => {
+                        if let Some(progress) = &mut batch.progress {
+                            give_up_refused(host, session, progress, &refused);
+                        }
+                        too_large = refused.submissions;
+                    }
                     Err(end) => return end,
                 }
                 self.log_roster(host, batch.progress.as_ref());
@@ -261,15 +269,16 @@
 
     /// Records a batch with as few appends as the store's limits allow, one after the other. If the
     /// store refuses one for good, its records are appended in halves, down to the refused one.
-    /// Returns the numbers of the submissions that the store refused.
+    /// Progress whose record is refused is divided further. Returns what the store refuses even so.
     async fn record_all(
         &mut self,
         host: &CellBox,
         session: &LeadSession,
         batch: &RecorderBatch,
-        records: &BatchRecords,
-    ) -> Result<Vec<usize>, LeadEndReason> {
-        let mut refused = Vec::new();
+        mut records: BatchRecords,
+    ) -> Result<RefusedRecords, LeadEndReason> {
+        let mut refused = RefusedRecords::default();
+        let mut job_limits: HashMap<JobId, StoreLimits> = HashMap::new();
         let mut pending = host.settings.store_limits.divide(&records.records);
         pending.reverse();
         while let Some(range) = pending.pop() {
@@ -286,14 +295,27 @@
                     pending.extend([middle..range.end, range.start..middle]);
                 }
                 RecordOutcome::RefusedForGood => {
+                    let record = part[0].clone();
                     error!(host.log, "record refused for good"; "token" => %self.token,
-                        "key" => &part[0].key, "record_bytes" => part[0].stored_bytes(),
+                        "key" => &record.key, "record_bytes" => record.stored_bytes(),
                         "limit_bytes" => host.settings.store_limits.record_bytes);
                     telemetry::count_cell_event("record", "refused");
-                    if numbers.is_empty() {
-                        return Err(LeadEndReason::RecordRefused);
+                    let Some((id, progress)) = batch.progress_of(&record.key) else {
+                        refused.submissions.extend(numbers);
+                        refused.keys.insert(record.key);
+                        continue;
+                    };
+                    let limits = job_limits.entry(id).or_insert(host.settings.store_limits);
+                    limits.record_bytes = record.stored_bytes() / 2;
+                    let divided = progress_records(host, id, progress, limits);
+                    if divided.fit {
+                        // Those that are still pending are appended before the divided ones.
+                        let first = records.records.len();
+                        records.records.extend(divided.records);
+                        pending.insert(0, first..records.records.len());
+                    } else {
+                        refused.jobs.insert(id);
                     }
-                    refused.extend(numbers);
                 }
             }
         }
@@ -384,6 +406,41 @@
     }
 }
 
+/// What the store refuses for good of a batch.
+#[derive(Debug, Default)]
+struct RefusedRecords {
+    /// The numbers of the submissions.
+    submissions: Vec<usize>,
+    /// The jobs whose progress cannot be recorded.
+    jobs: HashSet<JobId>,
+    /// The keys of all other records.
+    keys: HashSet<String>,
+}
+
+/// Takes what the store refused out of a batch, so that nothing that depends on its record is done.
+/// A job whose progress cannot be recorded fails; a worker whose entry in the roster cannot be
+/// recorded is given no work.
+fn give_up_refused(
+    host: &CellBox,
+    session: &LeadSession,
+    batch: &mut ProgressBatch,
+    refused: &RefusedRecords,
+) {
+    let now = clock::now();
+    let mut scheduler = session.scheduler.borrow_mut();
+    batch.jobs.retain(|(id, _)| !refused.jobs.contains(id));
+    for id in &refused.jobs {
+        warn!(host.log, "job given up: its progress cannot be recorded"; "job" => %id,
+            "token" => %session.token);
+        scheduler.fail_unrecordable_job(*id, now);
+    }
+    let is_refused = |change: &mut RosterChange| refused.keys.contains(&change.key);
+    for change in batch.roster.extract_if(.., is_refused) {
+        scheduler.note_roster_refused(&change);
+    }
+    batch.speeds.retain(|change| !refused.keys.contains(&change.key));
+}
+
 /// The outcome of recording what fits into one append.
 enum RecordOutcome {
     /// It is in the store.
--- a/crates/sedgehilld/src/cell/recorder_batch.rs
+++ b/crates/sedgehilld/src/cell/recorder_batch.rs
@@ -1,16 +1,17 @@
 //! The batches of records that a lead appends, and what they consist of.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::ops::Range;
 
 use bytes::Bytes;
-use sedgehill_adapter::store::KeyedRecord;
+use sedgehill_adapter::store::{KeyedRecord, StoreLimits};
 use sedgehill_cell::ids::{JobId, OrganisationName};
 use sedgehill_cell::progress::JobProgress;
+use sedgehill_cell::progress_parts::{PartId, PartSize, ProgressPart};
 use sedgehill_cell::replica::CellRecord;
 use sedgehill_cell::scheduler::{ProgressBatch, SpeedChange};
 use sedgehill_core::units::Moment;
-use slog::warn;
+use slog::{info, warn};
 
 use super::lead::LeadSession;
 use super::recorder::LeadSubmission;
@@ -44,16 +45,23 @@
         self.submissions.iter().map(|submission| (submission.job, owner(submission))).collect()
     }
 
+    /// Returns the progress that is stored under a key, or in a part under it.
+    pub fn progress_of(&self, key: &str) -> Option<(JobId, &JobProgress)> {
+        let (prefix, id) = CellRecord::decode_key(key).ok()?;
+        let is_progress = matches!(prefix, CellRecord::PROGRESS_PREFIX | CellRecord::PART_PREFIX);
+        let jobs = self.progress.iter().flat_map(|batch| &batch.jobs).filter(|_| is_progress);
+        let mut jobs = jobs.filter(|(other, _)| *other == id);
+        jobs.next().map(|(id, progress)| (*id, progress))
+    }
+
     /// Returns the records of the batch. Those of the submissions are consecutive.
     pub fn records(&self, host: &CellBox) -> BatchRecords {
-        let record = |id: JobId, record: &CellRecord| KeyedRecord {
-            key: record.key(id),
-            value: record.encode().into(),
-        };
+        let limits = &host.settings.store_limits;
         let mut records = Vec::new();
         if let Some(batch) = &self.progress {
-            let progress = batch.jobs.iter();
-            records.extend(progress.map(|(id, progress)| progress_record(host, *id, progress)));
+            for (id, progress) in &batch.jobs {
+                records.extend(progress_records(host, *id, progress, limits).records);
+            }
             records.extend(batch.roster.iter().map(|change| KeyedRecord {
                 key: change.key.clone(),
                 value: change.encode().into(),
@@ -62,9 +70,8 @@
         }
         let first_submission = records.len();
         let submissions = self.submissions.iter();
-        records.extend(submissions.map(|submission| record(submission.job, &submission.record)));
-        let dropped = self.dropped.iter();
-        records.extend(dropped.map(|key| KeyedRecord { key: key.clone(), value: Bytes::new() }));
+        records.extend(submissions.map(|submission| encode(submission.job, &submission.record)));
+        records.extend(self.dropped.iter().map(|key| removal(key.clone())));
         BatchRecords { records, first_submission }
     }
 }
@@ -85,21 +92,57 @@
     }
 }
 
-/// Returns the record of the progress of a job. Extras that do not fit into a record are left out.
-fn progress_record(host: &CellBox, id: JobId, progress: &JobProgress) -> KeyedRecord {
-    let limits = &host.settings.store_limits;
-    let encode = |progress: &JobProgress| {
-        let record = CellRecord::Progress(progress.clone());
-        KeyedRecord { key: record.key(id), value: record.encode().into() }
-    };
-    let (fitted, left_out) = progress.fitted(|progress| limits.allow(&encode(progress)));
-    let record = encode(&fitted);
-    if !left_out.is_empty() {
-        let names: Vec<&str> = left_out.iter().map(|extra| extra.name()).collect();
-        warn!(host.log, "progress recorded in part"; "job" => %id, "left_out" => names.join(","),
-            "record_bytes" => record.stored_bytes(), "limit_bytes" => limits.record_bytes);
+fn encode(id: JobId, record: &CellRecord) -> KeyedRecord {
+    KeyedRecord { key: record.key(id), value: record.encode().into() }
+}
+
+/// The records that store the progress of a job.
+pub struct ProgressRecords {
+    /// The changed parts, then the progress itself, then the removal of parts that are no longer used.
+    pub records: Vec<KeyedRecord>,
+    /// Whether each record satisfies the limits.
+    pub fit: bool,
+}
+
+/// Returns the records after which the store holds the progress of a job. Progress that exceeds the limits is divided.
+pub fn progress_records(
+    host: &CellBox,
+    id: JobId,
+    progress: &JobProgress,
+    limits: &StoreLimits,
+) -> ProgressRecords {
+    let allows = |record: CellRecord| limits.allow(&encode(id, &record));
+    let (mut main, mut overflow) =
+        progress.fitted(|progress| allows(CellRecord::Progress(progress.clone())));
+    let replica = host.replica.borrow();
+    let current_size = replica.job(id).and_then(|job| job.progress.part_size);
+    let parts_fit =
+        overflow.divide_parts(&mut main, current_size.unwrap_or(PartSize::MAX), |part| {
+            allows(CellRecord::ProgressPart(part.clone()))
+        });
+    let is_changed = |part: &&ProgressPart| replica.part(id, part.id) != Some(*part);
+    let changed = overflow.parts.iter().filter(is_changed);
+    let mut records: Vec<KeyedRecord> =
+        changed.map(|part| encode(id, &CellRecord::ProgressPart(part.clone()))).collect();
+    if main.part_size != current_size {
+        info!(host.log, "progress divided"; "job" => %id, "parts" => overflow.parts.len(),
+            "tasks_per_part" => main.part_size.map(PartSize::tasks));
     }
-    record
+    let main_record = encode(id, &CellRecord::Progress(main));
+    let fit = parts_fit && limits.allow(&main_record);
+    if overflow.without_checkpoints || !fit {
+        warn!(host.log, "progress recorded in part"; "job" => %id, "fits" => fit,
+            "record_bytes" => main_record.stored_bytes(), "limit_bytes" => limits.record_bytes);
+    }
+    records.push(main_record);
+    let used: HashSet<PartId> = overflow.parts.iter().map(|part| part.id).collect();
+    let unused = replica.parts(id).map(|part| part.id).filter(|part| !used.contains(part));
+    records.extend(unused.map(|part| removal(CellRecord::part_key(id, part))));
+    ProgressRecords { records, fit }
+}
+
+fn removal(key: String) -> KeyedRecord {
+    KeyedRecord { key, value: Bytes::new() }
 }
 
 /// Returns a record of the speeds of workers; none if the store would refuse it, which would end the
--- a/crates/sedgehilld/src/cell/renewal.rs
+++ b/crates/sedgehilld/src/cell/renewal.rs
@@ -14,11 +14,10 @@
 /// Pause after a renewal that failed.
 const RENEW_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Gives up the lead. Resigns in the store if this box is stopping, should yield to a stronger one or
-/// has a record that the store refuses, so that another box can claim at once.
-pub async fn release_lead(host: &CellBox, session: &LeadSession, end: LeadEndReason) {
-    let hands_over = host.stopping.get() || session.should_yield(host);
-    if hands_over || end == LeadEndReason::RecordRefused {
+/// Gives up the lead. Resigns in the store if this box is stopping or should yield to a stronger one,
+/// so that another box can claim at once.
+pub async fn release_lead(host: &CellBox, session: &LeadSession) {
+    if host.stopping.get() || session.should_yield(host) {
         resign(host, session.token).await;
     }
     host.watch.borrow_mut().step_down();
--- a/crates/sedgehilld/src/cell/submission.rs
+++ b/crates/sedgehilld/src/cell/submission.rs
@@ -264,7 +264,7 @@
         CellRecord::Job(record) | CellRecord::LeadJob(record) => {
             JobProgress::max_stored_bytes(&record.spec, record.policy.max_attempts)
         }
-        CellRecord::Cancel | CellRecord::Progress(_) => 0,
+        CellRecord::Cancel | CellRecord::Progress(_) | CellRecord::ProgressPart(_) => 0,
     };
     let fits = limits.allow(&keyed_record) && progress_bytes <= limits.record_bytes;
     if !fits {
--- a/crates/sedgehilld/src/cell/topic_follower.rs
+++ b/crates/sedgehilld/src/cell/topic_follower.rs
@@ -247,6 +247,7 @@
         StoreTopic::Progress => {
             let keys = newest.records.iter().map(|record| record.key.as_str());
             host.replica.borrow_mut().retain_roster(keys.clone());
+            host.replica.borrow_mut().retain_parts(keys.clone());
             host.replica.borrow_mut().retain_speeds(keys);
         }
         StoreTopic::Leads | StoreTopic::Jobs | StoreTopic::Workers => {}
