cell: a long-running task restarts early however its place was learned

Cause: a new lead restarts such a task before the take-over is settled if the lead before recorded the only worker that may have it. Adopting the run replaced that location by one with the new lead's own token, which did not count for itself.

Change: a location counts if this lead recorded it, or one since which all leads record locations, which the claims of leads tell (a new last field; earlier releases ignore it and interrupt the series). The same wait ended on related paths: a task that the new lead itself had started, one whose location an earlier lead recorded before one that recorded nothing, one whose worker had left the roster, and gangs. A run adopted at another worker than the recorded one still waits, since the task may run on both. `task without a run` names `earlier_lead` where a task waits for the take-over; it named `no_room`.

The overlapping leads and random restarts now use these claims.

--- a/crates/sedgehill-cell/src/authority.rs
+++ b/crates/sedgehill-cell/src/authority.rs
@@ -33,13 +33,20 @@
     pub strength: BoxStrength,
     /// Whether the holder has resigned. It gives no further orders, so any box may claim the lead at once.
     pub resigned: bool,
-    /// Whether no lead before this one can give orders any more. This field was added last: earlier versions ignore
-    /// it, and their records are decoded without it.
+    /// Whether no lead before this one can give orders any more.
     pub predecessors_expired: bool,
+    /// The first of the leads up to this one that all record where they start long-running tasks before they start
+    /// them; none from a version that may not.
+    ///
+    /// This field and the one before it were added last: earlier versions ignore them, and their records are decoded
+    /// without them.
+    pub locations_since: Option<FencingToken>,
 }
 
 /// The encoded [`LeadRecord::predecessors_expired`] of records without it: earlier leads may still give orders.
 const PREDECESSORS_NOT_EXPIRED: u8 = 0;
+/// The encoded [`LeadRecord::locations_since`] of records without it.
+const NO_LOCATIONS_SINCE: u8 = 0;
 
 impl LeadRecord {
     /// Returns the stored form of the record.
@@ -49,7 +56,7 @@
 
     /// Decodes a record from its stored form.
     pub fn decode(value: &[u8]) -> Result<LeadRecord, postcard::Error> {
-        decode_with_defaults(value, &[PREDECESSORS_NOT_EXPIRED])
+        decode_with_defaults(value, &[PREDECESSORS_NOT_EXPIRED, NO_LOCATIONS_SINCE])
     }
 }
 
@@ -407,8 +414,11 @@
     /// Returns the record with which this box claims the lead after the newest record.
     pub fn next_claim(&self, peer_address: &str) -> LeadRecord {
         let last = self.newest.as_ref().map_or(FencingToken(0), |record| record.token);
+        let token = last.next_lead();
+        let earlier = self.newest.as_ref().and_then(|record| record.locations_since);
         LeadRecord {
-            token: last.next_lead(),
+            token,
+            locations_since: Some(earlier.unwrap_or(token)),
             holder: self.name.clone(),
             life: self.life,
             peer_address: peer_address.to_owned(),
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -4,11 +4,11 @@
 //! A new lead starts with the jobs that every box knows and with no knowledge of the workers. It
 //! starts no task of an inherited job until every worker has reported to it, or until everything
 //! that an earlier lead may have ordered has certainly ended ([`Scheduler::take_over`]). The
-//! exception is a long-running task outside a gang whose only possible worker is known: it restarts
-//! once that worker has reported or ended. The end of a run is acknowledged to its worker only after
-//! it has been recorded in the store. When a start goes unanswered, the task does not run elsewhere
-//! until one of these happens: a stop is answered, a report of the worker shows whether the run is
-//! there, or the worker's lease ends.
+//! exception is a long-running task whose only possible worker is known: it restarts once that
+//! worker has reported or ended; the members of a gang restart once this holds for all of them. The
+//! end of a run is acknowledged to its worker only after it has been recorded in the store. When a
+//! start goes unanswered, the task does not run elsewhere until one of these happens: a stop is
+//! answered, a report of the worker shows whether the run is there, or the worker's lease ends.
 
 mod active_job;
 mod admission;
@@ -162,6 +162,11 @@
     token: FencingToken,
     /// The token of the lead before this one; none if it is not known.
     previous_token: Option<FencingToken>,
+    /// The first of the leads up to this one that all record where they start long-running tasks
+    /// before they start them.
+    locations_since: FencingToken,
+    /// The lives in the roster of earlier leads, by the id of their worker.
+    inherited_lives: HashMap<WorkerId, Vec<WorkerLife>>,
     workers: Vec<WorkerState>,
     /// Every life of a worker that this lead has known.
     lives: HashMap<WorkerLife, WorkerKey>,
@@ -243,6 +248,8 @@
         Scheduler {
             token,
             previous_token: None,
+            locations_since: token,
+            inherited_lives: HashMap::new(),
             workers: Vec::new(),
             lives: HashMap::new(),
             ids: HashMap::new(),
@@ -301,6 +308,12 @@
         self.previous_token = Some(token);
     }
 
+    /// Sets the first of the leads up to this one that all record where they start long-running
+    /// tasks before they start them.
+    pub fn set_locations_since(&mut self, token: FencingToken) {
+        self.locations_since = token;
+    }
+
     /// Sets the time of day, in milliseconds since 1970, which scheduled jobs are started by. It
     /// may jump.
     pub fn set_wall_clock(&mut self, unix_ms: u64, now: Moment) {
--- a/crates/sedgehill-cell/src/scheduler/placement.rs
+++ b/crates/sedgehill-cell/src/scheduler/placement.rs
@@ -94,11 +94,9 @@
                 }
                 let waiting = self.waiting_groups(job, step, now);
                 for candidate in waiting.candidates(job.id, step) {
-                    // A long-running task outside a gang is a candidate for a restart only if it is
-                    // known where it may run.
-                    let location_known = candidate.restarts && !job.step_spec(step).gang;
                     if let Some(reason) = blocked_by
-                        && !(location_known && reason == StallReason::EarlierLead)
+                        && !(reason == StallReason::EarlierLead
+                            && self.is_settled_candidate(&candidate, job))
                     {
                         blocked.push((reason, candidate));
                         continue;
--- a/crates/sedgehill-cell/src/scheduler/reports.rs
+++ b/crates/sedgehill-cell/src/scheduler/reports.rs
@@ -146,13 +146,15 @@
             }
             return;
         }
-        let location = (self.workers[key.0].entry.life.clone(), self.token);
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             return self.track_unknown(key, row, now);
         };
         let Some(index) = job.task_index(&row.task) else {
             return self.track_unknown(key, row, now);
         };
+        let life = self.workers[key.0].entry.life.clone();
+        let location = self.adopted_location(&job.tasks[index], life);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         let step = job.step_index(&row.task.step).expect("every task belongs to a step");
         let need = job.step_spec(step).need;
         let long_running = job.step_spec(step).long_running;
@@ -162,7 +164,7 @@
         let wanted = !is_over && !task.progress.done && matches!(task.phase, TaskPhase::Waiting(_));
         if wanted {
             task.phase = TaskPhase::Placed(key, row.run);
-            task.location = long_running.then_some(location);
+            task.location = location.filter(|_| long_running);
         }
         self.track_run(key, row, Some(need), now);
         self.note_run_seen(&row.task, row.run);
--- a/crates/sedgehill-cell/src/scheduler/restart.rs
+++ b/crates/sedgehill-cell/src/scheduler/restart.rs
@@ -204,13 +204,75 @@
         }
     }
 
-    /// Whether the only worker that may have a run of the task has ended, or has reported to this
-    /// lead. In that case it refuses orders of earlier leads, and its runs are known.
+    /// Whether it is known of the only worker that may have a run of the task whether it has one: the
+    /// worker has ended, or has reported to this lead. In that case it refuses orders of earlier
+    /// leads, and its runs are known.
     fn is_location_settled(&self, task: &ActiveTask) -> bool {
         let Some((life, recorded_by)) = &task.location else { return false };
-        let worker = self.lives.get(life).map(|key| &self.workers[key.0]);
-        Some(*recorded_by) == self.previous_token
-            && worker.is_some_and(|worker| worker.dead || worker.last_report_at.is_some())
+        if !self.is_only_location(*recorded_by) {
+            return false;
+        }
+        // The location may have been recorded before the start of the life was known.
+        let may_equal = |key: &&WorkerKey| self.workers[key.0].entry.life.may_equal(life);
+        let key = self.lives.get(life).or_else(|| self.ids.get(&life.id).filter(may_equal));
+        match key.map(|key| &self.workers[key.0]) {
+            Some(worker) => worker.dead || worker.last_report_at.is_some(),
+            // A worker leaves the roster only without runs.
+            None => self.workers_listed_at.is_some() && !self.may_be_inherited(life),
+        }
+    }
+
+    /// Whether the roster of earlier leads may hold a life.
+    fn may_be_inherited(&self, life: &WorkerLife) -> bool {
+        let lives = self.inherited_lives.get(&life.id).into_iter().flatten();
+        lives.into_iter().any(|inherited| inherited.may_equal(life))
+    }
+
+    /// Whether no lead after the one that recorded the location of a task can have started the task
+    /// elsewhere without recording that.
+    fn is_only_location(&self, recorded_by: FencingToken) -> bool {
+        recorded_by >= self.locations_since || Some(recorded_by) == self.previous_token
+    }
+
+    /// Returns the location of a task that a worker reports as running. An earlier lead may have
+    /// started it elsewhere as well, after its start here had gone unanswered. In that case none
+    /// is known until the take-over is settled.
+    pub(super) fn adopted_location(
+        &self,
+        task: &ActiveTask,
+        life: WorkerLife,
+    ) -> Option<(WorkerLife, FencingToken)> {
+        let recorded_here = matches!(
+            &task.location,
+            Some((recorded, by)) if *recorded == life && self.is_only_location(*by)
+        );
+        let is_only = recorded_here || self.take_over.settled || self.is_location_settled(task);
+        is_only.then_some((life, self.token))
+    }
+
+    /// Notes where the tasks of a job run that are placed and without a location, once the take-over
+    /// is settled: they run nowhere else.
+    pub(super) fn settle_locations(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_long_running()) else { return };
+        for (task, key, _) in job.placed() {
+            let Some(step) = job.step_index(&task.step) else { continue };
+            let Some(index) = job.task_index(&task) else { continue };
+            let is_unknown =
+                job.step_spec(step).long_running && job.tasks[index].location.is_none();
+            if is_unknown {
+                let life = self.workers[key.0].entry.life.clone();
+                job.tasks[index].location = Some((life, self.token));
+                self.dirty.insert(id);
+            }
+        }
+    }
+
+    /// Whether the waiting tasks of a candidate may be started before the take-over is settled: it
+    /// is known of each, and of each member of its gang, that it runs nowhere.
+    pub(super) fn is_settled_candidate(&self, candidate: &Candidate, job: &ActiveJob) -> bool {
+        let is_gang = job.step_spec(candidate.step).gang;
+        let tasks = job.step_tasks(candidate.step);
+        candidate.restarts && (!is_gang || tasks.iter().all(|task| self.is_settled_task(job, task)))
     }
 
     /// Whether the task may be started with regard to the orders of earlier leads.
@@ -387,11 +449,15 @@
         let candidate = Candidate { job: task.step.job, step, restarts: true };
         let Some(details) = self.stall_details(&candidate, open, now) else { return };
         let stale_view = self.stale_view(now);
+        let unsettled = self.jobs.get(&task.step.job).and_then(|job| {
+            let active_task = &job.tasks[job.task_index(&task)?];
+            (!self.is_settled_task(job, active_task)).then_some(StallReason::EarlierLead)
+        });
         let Some(due) = self.restarts.due.get_mut(&task) else { return };
         due.reported_at = Some(now);
         // There is no reason if the step was not examined since the task lost its run, or if nothing
         // prevented its starts last time: the worker may not have confirmed the run yet.
-        let reason = stale_view.or(due.reason).unwrap_or(StallReason::NoRoom);
+        let reason = stale_view.or(unsettled).or(due.reason).unwrap_or(StallReason::NoRoom);
         let (cause, ahead, without_run) = (due.cause, due.ahead, now.since(due.since));
         self.events.push(CellEvent::RestartLate {
             task,
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -108,6 +108,8 @@
     /// that are to be polled and are not yet.
     pub fn add_roster(&mut self, parts: &RosterParts, now: Moment) -> Vec<WorkerKey> {
         for (entry, largest_capacity) in parts.workers() {
+            let lives = self.inherited_lives.entry(entry.life.id.clone()).or_default();
+            lives.push(entry.life.clone());
             let key = self.find_or_add_worker(entry.clone(), "inherited", now);
             let Some(key) = key else { continue };
             self.workers[key.0].in_roster = true;
--- a/crates/sedgehill-cell/src/scheduler/take_over.rs
+++ b/crates/sedgehill-cell/src/scheduler/take_over.rs
@@ -80,6 +80,7 @@
             for id in ids {
                 self.note_possible_crashes(id, now);
                 self.find_lost_restarts(id);
+                self.settle_locations(id);
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.unsettled_starts = false;
                 }
--- a/crates/sedgehill-cell/tests/testsuite/authority.rs
+++ b/crates/sedgehill-cell/tests/testsuite/authority.rs
@@ -50,6 +50,7 @@
         strength: BoxStrength(250),
         predecessors_expired: true,
         resigned: false,
+        locations_since: None,
     };
     let older = LeadRecord { token: sedgehill_cell::ids::FencingToken(3), ..first.clone() };
     box_watch.note_record(first.clone(), START);
@@ -277,10 +278,31 @@
     let read_by_earlier = (earlier.token, earlier.holder.as_str(), earlier.resigned);
     assert_eq!(read_by_earlier, (record.token.0, "a", true));
     let read = LeadRecord::decode(&postcard::to_stdvec(&earlier).unwrap()).unwrap();
-    assert_eq!(read, LeadRecord { predecessors_expired: false, ..record.clone() });
+    assert_eq!(
+        read,
+        LeadRecord { predecessors_expired: false, locations_since: None, ..record.clone() }
+    );
+    assert_eq!(LeadRecord::decode(&record.encode()).unwrap(), record);
     assert!(LeadRecord::decode(&record.encode()[..4]).is_err());
 }
 
+/// A lead of an earlier version may start tasks without recording where, so what was recorded before it proves nothing.
+#[test]
+fn a_lead_of_an_earlier_version_interrupts_the_leads_that_record_locations() {
+    let follow = |record: &LeadRecord| {
+        let mut follower = watch("b", 2);
+        follower.note_record(record.clone(), START);
+        follower.next_claim("127.0.0.1:2")
+    };
+    let first = watch("a", 1).next_claim("127.0.0.1:1");
+    assert_eq!(first.locations_since, Some(first.token));
+    let second = follow(&first);
+    assert_eq!(second.locations_since, Some(first.token));
+    let earlier_version = LeadRecord { locations_since: None, ..follow(&second) };
+    let next = follow(&earlier_version);
+    assert_eq!(next.locations_since, Some(next.token));
+}
+
 /// All boxes of a cell lost power, and each read all records at once: the last holder, which claims first, had them
 /// after the others.
 #[test]
--- a/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
+++ b/crates/sedgehill-cell/tests/testsuite/fake/mod.rs
@@ -108,6 +108,9 @@
     pub policy: CellPolicy,
     /// The most bytes of a single record of the roster; a larger roster is split.
     pub max_roster_record: usize,
+    /// The first of the leads that all record where they start long-running tasks; none if any of them may be of a
+    /// release that does not.
+    pub locations_since: Option<FencingToken>,
     /// The most bytes of a record of progress; larger progress is divided.
     pub max_progress_record: usize,
     /// The most ends that a worker lists in one report.
@@ -239,6 +242,7 @@
             speeds: SpeedParts::default(),
             policy: CellPolicy::default(),
             max_roster_record: CellTiming::default().max_roster_record,
+            locations_since: None,
             max_progress_record: usize::MAX,
             max_listed_ends: MAX_LISTED_ENDS,
             organisations: Vec::new(),
@@ -271,6 +275,9 @@
         };
         let mut scheduler = Scheduler::take_over(timing, self.token, predecessor, self.now);
         scheduler.set_previous_token(earlier);
+        if let Some(first) = self.locations_since {
+            scheduler.set_locations_since(first);
+        }
         scheduler.inherit_speeds(&self.speeds, 0, self.now);
         scheduler.add_helper(OWN_BOX);
         scheduler.set_organisations(&self.organisations, self.now);
--- a/crates/sedgehill-cell/tests/testsuite/main.rs
+++ b/crates/sedgehill-cell/tests/testsuite/main.rs
@@ -45,6 +45,7 @@
 mod repetitions;
 mod replica;
 mod reports;
+mod restart_locations;
 mod restart_room;
 mod restarts;
 mod roster;
--- a/crates/sedgehill-cell/tests/testsuite/overlap/answers.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlap/answers.rs
@@ -32,7 +32,9 @@
                 self.lead_append_pending = false;
                 if self.handle_own_record(&record, &store, sent) {
                     let renew_at = now.after(AuthorityTiming::default().renew_interval);
-                    self.session = Some(Session::new(record.token, predecessor, renew_at, now));
+                    let mut session = Session::new(record.token, predecessor, renew_at, now);
+                    session.scheduler.set_locations_since(record.locations_since.unwrap());
+                    self.session = Some(session);
                 }
             }
             Purpose::Resign(record) => {
--- a/crates/sedgehill-cell/tests/testsuite/restarts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/restarts.rs
@@ -3,7 +3,7 @@
 //! Guards against tasks of long-running jobs that have no run for longer than users allow, as seen on a large cell
 //! after runs that had ended `failed` or `lapsed` at reachable workers.
 
-use sedgehill_cell::ids::{CellTask, JobId};
+use sedgehill_cell::ids::{CellTask, FencingToken, JobId};
 use sedgehill_cell::job::{AdvicePolicy, JobRecord, StepSpec};
 use sedgehill_cell::scheduler::{
     CellEvent, HelperId, RestartCause, RunEnd, Scheduler, StallReason,
@@ -79,6 +79,7 @@
 impl RestartScenario {
     pub fn new(load: Load, advice: AdvisedQueues) -> RestartScenario {
         let mut cell = FakeCell::new(WORKERS, CORES);
+        cell.locations_since = Some(FencingToken(0));
         let mut lead = cell.lead(false);
         (1..=HELPERS).for_each(|helper| lead.add_helper(HelperId(helper)));
         // One worker in three is allowed for the long-running job, as in the users' queue of that kind.
--- a/crates/sedgehill-standin/tests/testsuite/link_script.rs
+++ b/crates/sedgehill-standin/tests/testsuite/link_script.rs
@@ -148,6 +148,7 @@
             strength: BoxStrength(1_000),
             resigned: false,
             predecessors_expired: false,
+            locations_since: None,
         };
         platform.store.put_bytes(LEAD_TOPIC, "lead", &record.encode());
         ScriptedLead { listener }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -270,7 +270,8 @@
 
 /// Leads the cell until the lead ends.
 async fn lead_cell(host: &Rc<CellBox>, has_predecessor: bool, claim_context: &ClaimContext) {
-    let Some(token) = host.watch.borrow().newest().map(|record| record.token) else { return };
+    let Some(claim) = host.watch.borrow().newest().cloned() else { return };
+    let token = claim.token;
     telemetry::count_cell_event("lead", "claimed");
     claim_context.count();
     info!(host.log, "leading"; "token" => %token, "predecessor" => has_predecessor);
@@ -282,6 +283,9 @@
     if let Some(earlier) = claim_context.predecessor_token() {
         scheduler.set_previous_token(earlier);
     }
+    if let Some(first) = claim.locations_since {
+        scheduler.set_locations_since(first);
+    }
     let session = Rc::new(LeadSession {
         token,
         scheduler: RefCell::new(scheduler),
