--- a/crates/sedgehill-standin/src/cell_platform/store.rs
+++ b/crates/sedgehill-standin/src/cell_platform/store.rs
@@ -56,8 +56,8 @@
     largest_record: usize,
     /// The fault that appends meet.
     append_fault: Option<PathFault>,
-    /// Additional items in pages of newest records, with their topics. They need not be well formed.
-    raw_items: Vec<(String, serde_json::Value)>,
+    /// Additional items in pages of newest records, as JSON text with their topics. They need not be well formed.
+    raw_items: Vec<(String, String)>,
 }
 
 impl StoreState {
@@ -181,6 +181,11 @@
 
     /// Adds an item to the pages of a topic's newest records as it is, well formed or not.
     pub fn put_raw_item(&self, topic: &str, item: serde_json::Value) {
+        self.put_raw_text(topic, item.to_string());
+    }
+
+    /// Like [`StandinStore::put_raw_item`], with any JSON text.
+    pub fn put_raw_text(&self, topic: &str, item: String) {
         self.state.lock().raw_items.push((topic.to_owned(), item));
     }
 
@@ -402,10 +407,10 @@
     let encode = |value: &Bytes| base64::engine::general_purpose::STANDARD.encode(value);
     let raw_items =
         state.raw_items.iter().filter(|(other, _)| other == topic).map(|(_, item)| item.clone());
-    let items = newest
-        .into_iter()
-        .filter(|(_, value)| !value.is_empty())
-        .map(|(key, value)| serde_json::json!({ "key": key, "value": encode(value), "offset": 0 }));
-    let items: Vec<serde_json::Value> = raw_items.chain(items).collect();
-    json(&serde_json::json!({ "items": items, "more": false, "end": records.len() }))
+    let items = newest.into_iter().filter(|(_, value)| !value.is_empty()).map(|(key, value)| {
+        serde_json::json!({ "key": key, "value": encode(value), "offset": 0 }).to_string()
+    });
+    let items: Vec<String> = raw_items.chain(items).collect();
+    let body = format!(r#"{{"items":[{}],"more":false,"end":{}}}"#, items.join(","), records.len());
+    JsonResponse::new(Full::new(body.into()))
 }
--- a/crates/sedgehill-standin/tests/testsuite/main.rs
+++ b/crates/sedgehill-standin/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod logging;
 mod messages;
 mod network;
+mod odd_content;
 mod once_only;
 mod organisations;
 mod peers;
--- /dev/null
+++ b/crates/sedgehill-standin/tests/testsuite/odd_content.rs
@@ -0,0 +1,122 @@
+//! Entries of other writers that are nested deeply, hold numbers or ports out of range, or have odd keys, in each topic and
+//! list that a running box reads, in cell mode: the box says what it passes over and follows on.
+//!
+//! Guards against boxes that read a list no longer, or end, because of one entry in it.
+
+use std::path::Path;
+
+use sedgehill_standin::cell_platform::{CellPlatform, LEAD_TOPIC, OPERATOR_TOPIC, PROGRESS_TOPIC};
+
+use crate::cell_support::{
+    assert_no_violation, start_box, submit as submit_to_cell, wait_completed, wait_for, wait_ready,
+};
+
+const WORKER_TOPIC: &str = "keyed.servers";
+const JOBS_TOPIC: &str = "keyed.sedgehill-jobs";
+/// Nested deeply enough to overflow the stack of a decoder that calls itself for each level.
+const DEPTH: usize = 50_000;
+
+fn nested() -> String {
+    "[".repeat(DEPTH) + &"]".repeat(DEPTH)
+}
+
+/// Returns entries of workers with one odd field each.
+fn odd_entries(address: &str) -> Vec<String> {
+    let nested = nested();
+    let entry = |address: &str, cpu: &str, other: &str| {
+        format!(
+            r#"{{"service":"pool","address":"{address}","zone":"a","state":"ready","seq":{other},
+            "capacity":{{"cpu":{cpu},"mem_mb":16384,"gpu":0}},"labels":[]}}"#
+        )
+    };
+    let ports = ["127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:99999999999999999999"];
+    let numbers = ["1e999", "-1", "18446744073709551615", "18446744073709551616", &nested];
+    let at_ports = ports.iter().map(|odd| entry(odd, "4000", "1"));
+    let of_size = numbers.iter().map(|odd| entry(address, odd, "1"));
+    at_ports.chain(of_size).chain([nested.clone(), "[".repeat(DEPTH), "1e999".to_owned()]).collect()
+}
+
+fn count_lines(directory: &Path, name: &str, message: &str) -> usize {
+    let log = std::fs::read_to_string(directory.join(format!("{name}.log"))).unwrap();
+    log.lines().filter(|line| line.contains(&format!("\"{message}\""))).count()
+}
+
+/// Leaves odd records in all topics that a box reads. Returns the number of those in the list of workers.
+fn put_odd_records(platform: &CellPlatform) -> usize {
+    let entries = odd_entries(&platform.worker_addresses[0].to_string());
+    for (number, entry) in entries.iter().enumerate() {
+        platform.store.put_bytes(WORKER_TOPIC, &format!("odd-{number}"), entry.as_bytes());
+    }
+    let keys =
+        ["", "\u{0}", "a b", "roster/", "roster", "q", "q0000000000000001/0.0", "evacuate/", "l1"];
+    let long_key = "k".repeat(255);
+    for topic in [OPERATOR_TOPIC, LEAD_TOPIC, JOBS_TOPIC, PROGRESS_TOPIC] {
+        for key in keys.into_iter().chain([long_key.as_str()]) {
+            for value in [&b"\xff\xfe"[..], nested().as_bytes(), b"1e999", &[0x80; 40], &[0; 3]] {
+                platform.store.put_bytes(topic, key, value);
+            }
+        }
+    }
+    entries.len()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_records_in_any_topic_stop_no_box_of_a_cell() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(3).await.unwrap();
+    platform.configure(1);
+    let mut boxes = vec![start_box(directory.path(), "first", &platform)];
+    wait_ready(&boxes[0]).await;
+    submit_to_cell(&[&boxes[0]], 1).await;
+    wait_completed(&boxes[0], 1).await;
+    let odd_entries = put_odd_records(&platform);
+    // A running lead follows on, and so does a box that reads all topics anew, alone in the end.
+    boxes.push(start_box(directory.path(), "second", &platform));
+    for (number, process) in boxes.iter().enumerate() {
+        wait_ready(process).await;
+        let id = number as u64 + 2;
+        submit_to_cell(&[process], id).await;
+        wait_completed(process, id).await;
+    }
+    wait_for("the entries to be reported", async || {
+        count_lines(directory.path(), "first", "worker entry not readable") >= odd_entries
+    })
+    .await;
+    assert_eq!(count_lines(directory.path(), "first", "worker entry not readable"), odd_entries);
+    assert!(count_lines(directory.path(), "second", "cell record not readable") > 0);
+    // The configuration goes on as well.
+    platform.configure(2);
+    assert!(boxes.iter_mut().all(|process| !process.has_ended()));
+    drop(boxes.remove(0));
+    submit_to_cell(&[&boxes[0]], 9).await;
+    wait_completed(&boxes[0], 9).await;
+    assert!(!boxes[0].has_ended());
+    assert_no_violation(&platform);
+}
+
+/// An odd item made the page unreadable that holds it, and with it the list.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_items_in_a_page_of_the_store_stop_no_box() {
+    let directory = tempfile::tempdir().unwrap();
+    let platform = CellPlatform::start(3).await.unwrap();
+    platform.configure(1);
+    let process = start_box(directory.path(), "only", &platform);
+    wait_ready(&process).await;
+    for topic in [WORKER_TOPIC, OPERATOR_TOPIC, LEAD_TOPIC, JOBS_TOPIC, PROGRESS_TOPIC] {
+        for odd in [nested(), "1e999".to_owned(), r#""\ud800""#.to_owned()] {
+            platform.store.put_raw_text(topic, format!(r#"{{"key":"odd","value":{odd}}}"#));
+            platform.store.put_raw_text(topic, odd);
+        }
+    }
+    let mut other = start_box(directory.path(), "other", &platform);
+    wait_ready(&other).await;
+    for (id, process) in [(1, &process), (2, &other)] {
+        submit_to_cell(&[process], id).await;
+        wait_completed(process, id).await;
+    }
+    drop(process);
+    submit_to_cell(&[&other], 3).await;
+    wait_completed(&other, 3).await;
+    assert!(!other.has_ended());
+    assert_no_violation(&platform);
+}
