daemon, platform client: an odd entry hides no other in the platform's list

Seen: by the tests of odd content, in the daemon's own mode. One entry that cannot be read made the whole list unreadable: a box used the list before for ever, and one that started used no endpoint and no worker.

Cause: the list was decoded as one value, and the error was dropped.

Test: odd_content::odd_entries_in_the_list_stop_no_box_in_log_mode failed before.

--- a/crates/sedgehill-platform/src/client.rs
+++ b/crates/sedgehill-platform/src/client.rs
@@ -124,7 +124,9 @@
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         let bytes = body.collect().await.map_err(|error| unknown(&error))?.to_bytes();
         if status.is_success() {
-            return serde_json::from_slice(&bytes).map_err(|error| unknown(&error));
+            // Text that another writer left in an entry need not be valid.
+            let text = String::from_utf8_lossy(&bytes);
+            return serde_json::from_str(&text).map_err(|error| unknown(&error));
         }
         let text = String::from_utf8_lossy(&bytes).into_owned();
         match status.is_client_error() {
--- a/crates/sedgehill-standin/src/list_server.rs
+++ b/crates/sedgehill-standin/src/list_server.rs
@@ -4,18 +4,22 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::{Method, StatusCode};
+use http_body_util::Full;
 use parking_lot::Mutex;
 use sedgehill_core::ids::{EndpointId, WorkerId};
 use sedgehill_platform::list::PlatformList;
 
-use crate::http_server::{self, ServerGuard, read_json, status};
+use crate::http_server::{self, JsonResponse, ServerGuard, read_json, status};
 
 #[derive(Debug)]
 struct ListState {
     lag: Duration,
     /// All versions of the list, the newest one last, each with the time of the change.
     versions: Vec<(Instant, PlatformList)>,
+    /// Entries of other writers, as JSON that need not be valid for an entry, with the field that lists them.
+    foreign: Vec<(&'static str, String)>,
     down: bool,
 }
 
@@ -28,7 +32,12 @@
 impl StandinList {
     /// Creates a list whose changes become visible after `lag`.
     pub fn new(list: PlatformList, lag: Duration) -> StandinList {
-        let state = ListState { lag, versions: vec![(Instant::now() - lag, list)], down: false };
+        let state = ListState {
+            lag,
+            versions: vec![(Instant::now() - lag, list)],
+            foreign: Vec::new(),
+            down: false,
+        };
         StandinList { state: Arc::new(Mutex::new(state)) }
     }
 
@@ -58,6 +67,23 @@
         });
     }
 
+    /// Lists an entry as another writer left it, before the others of a field of the list.
+    pub fn put_foreign(&self, field: &'static str, entry: String) {
+        self.state.lock().foreign.push((field, entry));
+    }
+
+    /// Returns the body of an answer: the visible list and the entries of other writers.
+    fn body(&self) -> Bytes {
+        let mut body = serde_json::to_string(&self.visible_list()).expect("the list serializes");
+        for (field, entry) in &self.state.lock().foreign {
+            let start = format!("\"{field}\":[");
+            let position = body.find(&start).expect("the list has the field") + start.len();
+            let separator = if body[position..].starts_with(']') { "" } else { "," };
+            body.insert_str(position, &format!("{entry}{separator}"));
+        }
+        body.into()
+    }
+
     /// Sets whether requests for the list fail with status 503.
     pub fn set_down(&self, down: bool) {
         self.state.lock().down = down;
@@ -82,7 +108,7 @@
                     return status(StatusCode::SERVICE_UNAVAILABLE);
                 }
                 match (request.method().clone(), request.uri().path()) {
-                    (Method::GET, "/v1/list") => http_server::json(&list.visible_list()),
+                    (Method::GET, "/v1/list") => JsonResponse::new(Full::new(list.body())),
                     (Method::POST, "/v1/list") => match read_json::<PlatformList>(request).await {
                         Some(new) => {
                             list.change(|list| *list = new);
--- a/crates/sedgehill-standin/tests/testsuite/odd_content.rs
+++ b/crates/sedgehill-standin/tests/testsuite/odd_content.rs
@@ -1,15 +1,19 @@
 //! Entries of other writers that are nested deeply, hold numbers or ports out of range, or have odd keys, in each topic and
-//! list that a running box reads, in cell mode: the box says what it passes over and follows on.
+//! list that a running box reads, in both modes: the box says what it passes over and follows on.
 //!
 //! Guards against boxes that read a list no longer, or end, because of one entry in it.
 
 use std::path::Path;
+use std::time::Duration;
 
+use sedgehill_standin::caller::CallPlan;
 use sedgehill_standin::cell_platform::{CellPlatform, LEAD_TOPIC, OPERATOR_TOPIC, PROGRESS_TOPIC};
+use sedgehill_standin::ledger::CallerOutcome;
 
 use crate::cell_support::{
     assert_no_violation, start_box, submit as submit_to_cell, wait_completed, wait_for, wait_ready,
 };
+use crate::support::{CHECK, small_plan, start_published, submit, wait_phase};
 
 const WORKER_TOPIC: &str = "keyed.servers";
 const JOBS_TOPIC: &str = "keyed.sedgehill-jobs";
@@ -120,3 +124,58 @@
     assert!(!other.has_ended());
     assert_no_violation(&platform);
 }
+
+/// One odd entry made the whole list unreadable in this mode: boxes used the last list for ever, and one that started
+/// then used none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_entries_in_the_list_stop_no_box_in_log_mode() {
+    let mut cluster = start_published(&small_plan()).await;
+    let nested = nested();
+    let place = r#""hall":"gdansk-hala-a""#;
+    let total = r#""total":{"cores":4000,"memory":4096,"accelerators":0},"leaving":false"#;
+    let mut odd = 0;
+    for field in ["boxes", "endpoints", "workers"] {
+        let entries = [
+            nested.clone(),
+            "1e999".to_owned(),
+            "null".to_owned(),
+            format!(
+                r#"{{"id":"odd-1",{place},"service":"windyk","address":"127.0.0.1:65536","peer_address":"127.0.0.1:65536","rack":"r",{total}}}"#
+            ),
+            format!(
+                r#"{{"id":"odd-2",{place},"service":"windyk","address":"127.0.0.1:0","peer_address":"127.0.0.1:0","rack":"r",{total}}}"#
+            ),
+            format!(
+                r#"{{"id":"odd-3",{place},"service":{nested},"address":"127.0.0.1:9","peer_address":{nested},"rack":{nested},{total}}}"#
+            ),
+            format!(
+                r#"{{"id":"odd-4",{place},"service":"windyk","address":"127.0.0.1:9","peer_address":1e999,"rack":"r","total":{{"cores":1e999,"memory":1,"accelerators":0}},"leaving":1e999}}"#
+            ),
+            r#"{"id":"\ud800"}"#.to_owned(),
+        ];
+        odd += entries.len();
+        entries.into_iter().for_each(|entry| cluster.list.put_foreign(field, entry));
+    }
+    // One that starts now reads the list for the first time.
+    cluster.boxes[2].kill();
+    cluster.start_box(2);
+    for index in 0..cluster.boxes.len() {
+        cluster.wait_ready(index).await;
+    }
+    // A change after the odd entries is followed.
+    let leaving = cluster.endpoints[0].id().clone();
+    cluster.list.set_endpoint_leaving(&leaving, true);
+    for process in &cluster.boxes {
+        let plan = CallPlan::new(CHECK, Duration::from_millis(5));
+        let report = cluster.caller().call(process.addresses.traffic, &plan, false).await;
+        assert_eq!(report.outcome, CallerOutcome::Answered, "{report:?}");
+    }
+    let batch = submit(&cluster, "arrears-rerun", 10).await;
+    wait_phase(&cluster, &batch, "done").await;
+    for process in &mut cluster.boxes {
+        assert_eq!(process.try_wait(), None, "{} has ended", process.id);
+        let reported = process.log_text().matches("list entry not readable").count();
+        assert_eq!(reported.min(odd), odd.min(16), "{}", process.id);
+    }
+    cluster.assert_no_violation();
+}
--- a/crates/sedgehilld/src/controllers/members.rs
+++ b/crates/sedgehilld/src/controllers/members.rs
@@ -8,7 +8,8 @@
 use sedgehill_core::member::{BoxHeartbeat, HallCapacity, MemberState};
 use sedgehill_core::units::Moment;
 use sedgehill_peer::{PeerMessage, PeerRequest};
-use sedgehill_platform::list::ListClient;
+use sedgehill_platform::list::{ListClient, ListReading, UnreadableEntry};
+use slog::warn;
 use tokio::sync::mpsc;
 
 use super::{ControlContext, ControlState, publish, refresh};
@@ -19,14 +20,16 @@
 pub async fn read_list(context: ControlContext) {
     let client = ListClient::new(context.client.clone(), context.shared.settings.platform.list);
     let interval = Duration::from_millis(context.shared.settings.heartbeat_every.as_millis());
+    let mut known_unreadable = BTreeSet::new();
     loop {
         let started_at = clock::now();
         let result = client.fetch().await;
         // A list that was fetched across a pause of the process may be stale.
         let was_paused = clock::now().since(started_at) > PAUSE_THRESHOLD;
-        if let Ok(list) = result
+        if let Ok(ListReading { list, unreadable }) = result
             && !was_paused
         {
+            log_unreadable_entries(&context, &mut known_unreadable, unreadable);
             let changed = {
                 let mut state = context.state.borrow_mut();
                 let changed = state.list != list || !state.list_loaded;
@@ -44,6 +47,22 @@
     }
 }
 
+/// Logs entries that cannot be read, each once for as long as it is listed.
+fn log_unreadable_entries(
+    context: &ControlContext,
+    known: &mut BTreeSet<UnreadableEntry>,
+    unreadable: Vec<UnreadableEntry>,
+) {
+    /// The most entries that are logged for one reading of the list.
+    const MAX_LOGGED_ENTRIES: usize = 16;
+    let unreadable: BTreeSet<UnreadableEntry> = unreadable.into_iter().collect();
+    for entry in unreadable.difference(known).take(MAX_LOGGED_ENTRIES) {
+        warn!(context.shared.log.logger, "list entry not readable"; "kind" => entry.kind,
+            "entry" => &entry.text, "reason" => &entry.reason, "unreadable" => unreadable.len());
+    }
+    *known = unreadable;
+}
+
 /// Sends heartbeats to all other boxes until the process ends.
 pub async fn send_heartbeats(context: ControlContext) {
     let interval = Duration::from_millis(context.shared.settings.heartbeat_every.as_millis());
