daemon, platform client: entries of other writers in the log are passed over

Seen: by the tests of odd content, in the daemon's own mode. One entry of the log that no box wrote ended the reading of the log for good.

Cause: all entries of an answer were decoded as one value. Change: an entry without a record in the form of a box's record is passed over with the line `log entry of another writer passed over`.

Test: odd_content::entries_of_other_writers_in_the_log_stop_no_box failed before.

--- a/crates/sedgehill-standin/src/log_server.rs
+++ b/crates/sedgehill-standin/src/log_server.rs
@@ -91,6 +91,12 @@
         self.state.lock().faults = faults;
     }
 
+    /// Appends a batch as another writer would.
+    pub fn put_foreign(&self, batch: Value) {
+        self.state.lock().append(batch);
+        self.appended.notify_waiters();
+    }
+
     /// Returns the number of appends so far.
     pub fn append_count(&self) -> u64 {
         self.state.lock().append_count
--- a/crates/sedgehill-standin/tests/testsuite/odd_content.rs
+++ b/crates/sedgehill-standin/tests/testsuite/odd_content.rs
@@ -9,6 +9,7 @@
 use sedgehill_standin::caller::CallPlan;
 use sedgehill_standin::cell_platform::{CellPlatform, LEAD_TOPIC, OPERATOR_TOPIC, PROGRESS_TOPIC};
 use sedgehill_standin::ledger::CallerOutcome;
+use serde_json::{Value, json};
 
 use crate::cell_support::{
     assert_no_violation, start_box, submit as submit_to_cell, wait_completed, wait_for, wait_ready,
@@ -179,3 +180,36 @@
     }
     cluster.assert_no_violation();
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_of_other_writers_in_the_log_stop_no_box() {
+    let mut cluster = start_published(&small_plan()).await;
+    let deep = (0..1_000).fold(json!(1), |inner, _| json!([inner]));
+    let own_like =
+        json!({ "id": u64::MAX, "by": "other", "body": { "type": 7, "hall": deep.clone() } });
+    let batches: [Value; 7] = [
+        json!(null),
+        json!([]),
+        json!({}),
+        deep.clone(),
+        json!({ "records": 7 }),
+        json!({ "records": [null, 1e308, u64::MAX, deep] }),
+        json!({ "records": [own_like] }),
+    ];
+    let count = batches.len();
+    batches.into_iter().for_each(|batch| cluster.log.put_foreign(batch));
+    cluster.boxes[2].kill();
+    cluster.start_box(2);
+    for index in 0..cluster.boxes.len() {
+        cluster.wait_ready(index).await;
+    }
+    let batch = submit(&cluster, "arrears-rerun", 10).await;
+    wait_phase(&cluster, &batch, "done").await;
+    for process in &mut cluster.boxes {
+        assert_eq!(process.try_wait(), None, "{} has ended", process.id);
+        let reported =
+            process.log_text().matches("log entry of another writer passed over").count();
+        assert!(reported >= count, "{}: {reported}", process.id);
+    }
+    cluster.assert_no_violation();
+}
--- a/crates/sedgehilld/src/controllers/log_reader.rs
+++ b/crates/sedgehilld/src/controllers/log_reader.rs
@@ -63,6 +63,10 @@
 pub fn apply_reply(context: &ControlContext, reply: ReadReply, started_at: Moment) {
     let now = clock::now();
     let changed = !reply.entries.is_empty();
+    for (offset, reason) in &reply.foreign {
+        warn!(context.shared.log.logger, "log entry of another writer passed over";
+            "offset" => offset.0, "reason" => reason);
+    }
     {
         let mut state = context.state.borrow_mut();
         state.last_log_reply_at = now;
