daemon: a cancellation waits until both topics of jobs were read

Cause: a box that does not know the job waits until its view of the jobs topic was complete at the time of the call, but jobs that the lead accepts are recorded in the progress topic.

Change: it waits for both views.

--- a/crates/sedgehilld/src/cell/state.rs
+++ b/crates/sedgehilld/src/cell/state.rs
@@ -436,7 +436,8 @@
 
     /// Returns the state of a job by knowledge that is not older than `since`. A box hears of a job
     /// that another box accepted some milliseconds later, so it waits until it knows the job, or its
-    /// view was complete at `since`. A view that does not get there is soon no longer fresh, and the
+    /// views were complete at `since`: jobs that the lead accepts are in the progress topic, all
+    /// others in the jobs topic. A view that does not get there is soon no longer fresh, and the
     /// lead is asked. A job of another organisation needs no wait: it is not the caller's.
     pub async fn find_job_state_since(
         &self,
@@ -447,7 +448,8 @@
         let give_up_at = since.after(MAX_FRESH_AGE);
         loop {
             let is_known = self.replica.borrow().job(job).is_some();
-            let is_current = is_known || self.jobs_view.is_complete_since(since);
+            let views = [&self.jobs_view, &self.progress_view];
+            let is_current = is_known || views.iter().all(|view| view.is_complete_since(since));
             let link = self.link.borrow().clone();
             match (self.local_job_state(job, caller), link) {
                 (StateAnswer::Untold, Some(link)) => {
