cell: a worker of another system ends no lead

Cause: each listed worker was called, and any refusal of the token counted as proof of a later lead, as the lines `fenced by a worker` and `not leading any more` of the record show.

Change: entries of pools that neither the configuration nor an open job names are passed over and named in the log; a refusal counts only from a worker that had answered a lead of this cell, and one that had not is called no more.

Tests: entries::a_worker_of_a_pool_that_nothing_names_is_not_called needs the new call and has no form before the change; entries::only_a_worker_that_has_answered_a_lead_* asserts what the old code did not do, by reading; it was not run on it.

--- a/crates/sedgehill-cell/src/scheduler/answers.rs
+++ b/crates/sedgehill-cell/src/scheduler/answers.rs
@@ -61,6 +61,11 @@
             return;
         }
         match refusal {
+            // A worker that no lead of this cell is known to have called may belong to another system.
+            WorkerRefusal::Fenced if self.never_answered(key) => {
+                self.workers[key.0].refuses_token = true;
+                self.report_worker_change(key, "refuses the token");
+            }
             WorkerRefusal::Fenced => {
                 self.report_fenced_out(key, call);
                 self.fenced_out = true;
--- a/crates/sedgehill-cell/src/scheduler/event.rs
+++ b/crates/sedgehill-cell/src/scheduler/event.rs
@@ -15,8 +15,8 @@
 use super::suspects::CrashDetection;
 use super::worker_speeds::SpeedStats;
 use crate::ids::{
-    CellTask, FencingToken, JobId, LifeStart, OrganisationName, QueueName, RunNumber, StepId,
-    WorkerLife,
+    CellTask, FencingToken, JobId, LifeStart, OrganisationName, PoolName, QueueName, RunNumber,
+    StepId, WorkerLife,
 };
 use crate::organisation::ResourceLimit;
 use crate::progress::JobState;
@@ -107,6 +107,13 @@
         /// The worker.
         worker: WorkerLife,
     },
+    /// A listed worker belongs to a pool that neither the configuration nor an open job names.
+    EntryPassedOver {
+        /// The worker.
+        worker: WorkerLife,
+        /// Its pool.
+        pool: PoolName,
+    },
     /// A lost run is no longer remembered, since its job is over or nothing was heard for long.
     LossForgotten {
         /// The task.
--- a/crates/sedgehill-cell/src/scheduler/mod.rs
+++ b/crates/sedgehill-cell/src/scheduler/mod.rs
@@ -129,7 +129,7 @@
 use self::worker_speeds::WorkerSpeeds;
 use self::write_ahead::UnrecordedStart;
 use crate::ids::{
-    CellTask, FencingToken, JobId, QueueName, RunNumber, StepId, WorkerId, WorkerLife,
+    CellTask, FencingToken, JobId, PoolName, QueueName, RunNumber, StepId, WorkerId, WorkerLife,
 };
 use crate::job::JobRecord;
 use crate::progress::{JobProgress, JobState};
@@ -167,6 +167,10 @@
     locations_since: FencingToken,
     /// The lives in the roster of earlier leads, by the id of their worker.
     inherited_lives: HashMap<WorkerId, Vec<WorkerLife>>,
+    /// The pools that the configuration names or has named; none if it is not known yet.
+    named_pools: Option<BTreeSet<PoolName>>,
+    /// The listed lives of other pools.
+    passed_over: BTreeSet<WorkerLife>,
     workers: Vec<WorkerState>,
     /// Every life of a worker that this lead has known.
     lives: HashMap<WorkerLife, WorkerKey>,
@@ -250,6 +254,8 @@
             previous_token: None,
             locations_since: token,
             inherited_lives: HashMap::new(),
+            named_pools: None,
+            passed_over: BTreeSet::new(),
             workers: Vec::new(),
             lives: HashMap::new(),
             ids: HashMap::new(),
--- a/crates/sedgehill-cell/src/scheduler/roster.rs
+++ b/crates/sedgehill-cell/src/scheduler/roster.rs
@@ -28,7 +28,17 @@
         let mut listed = BTreeSet::new();
         // What an earlier list said of another life may be out of date.
         self.workers.iter_mut().for_each(|worker| worker.other_listed_entry = None);
+        let passed_over = std::mem::take(&mut self.passed_over);
         for entry in entries {
+            if !self.may_use_entry(&entry) {
+                let worker = entry.life;
+                if !passed_over.contains(&worker) {
+                    let pool = entry.pool;
+                    self.events.push(CellEvent::EntryPassedOver { worker: worker.clone(), pool });
+                }
+                self.passed_over.insert(worker);
+                continue;
+            }
             let Some(key) = self.find_or_add_worker(entry.clone(), "listed", now) else { continue };
             self.read_entry(key, entry, now);
             listed.insert(key);
@@ -51,6 +61,21 @@
         self.unpolled()
     }
 
+    /// Sets the pools that the configuration names. Those of earlier versions stay, since workers may
+    /// still run what was started there.
+    pub fn add_named_pools(&mut self, pools: impl Iterator<Item = PoolName>) {
+        self.named_pools.get_or_insert_default().extend(pools);
+    }
+
+    /// Whether an entry may be used: its life is known already, or its pool is named by the
+    /// configuration or by an open job. Any other belongs to another system, whose workers must not
+    /// be called.
+    fn may_use_entry(&self, entry: &WorkerEntry) -> bool {
+        let Some(named) = &self.named_pools else { return true };
+        let serves_job = || self.jobs.values().any(|job| job.record.policy.pool == entry.pool);
+        named.contains(&entry.pool) || self.lives.contains_key(&entry.life) || serves_job()
+    }
+
     /// Updates a worker from its entry in the store.
     fn read_entry(&mut self, key: WorkerKey, entry: WorkerEntry, now: Moment) {
         let WorkerEntry { pool, draining, capacity, labels, hall, .. } = entry;
@@ -302,7 +327,7 @@
         let unlisted_runs = worker.may_have_unlisted_runs();
         let listed = worker.listed || worker.other_listed_entry.is_some();
         let wanted = listed || !worker.runs.is_empty() || unlisted_runs || worker.replaces_earlier;
-        !worker.is_over() && wanted
+        !worker.is_over() && !worker.refuses_token && wanted
     }
 
     /// Notes that another life answers at a worker's address. If this life answered there before,
--- a/crates/sedgehill-cell/src/scheduler/worker.rs
+++ b/crates/sedgehill-cell/src/scheduler/worker.rs
@@ -41,6 +41,8 @@
     pub added_at: Moment,
     /// Whether it is in the recorded roster.
     pub in_roster: bool,
+    /// It has refused the token of this lead before it answered any lead. It is called no more.
+    pub refuses_token: bool,
     /// The store refuses its record in the roster, so that it can be given no work.
     pub unrecordable: bool,
     /// It was in the roster of an earlier lead, which may have started runs there.
@@ -136,6 +138,7 @@
             hall_emptied: false,
             added_at: now,
             in_roster: false,
+            refuses_token: false,
             unrecordable: false,
             inherited: false,
             polled: false,
--- a/crates/sedgehill-cell/tests/testsuite/entries.rs
+++ b/crates/sedgehill-cell/tests/testsuite/entries.rs
@@ -1,11 +1,14 @@
 //! Faulty worker entries: unreadable ones, and ones with the address of another worker.
 
+use std::rc::Rc;
+
+use sedgehill_cell::ids::{FencingToken, JobId};
 use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::scheduler::{
-    HoldReport, RosterChange, RunEnd, Scheduler, WorkerAnswer, WorkerEntry, WorkerRefusal,
-    WorkerRoster,
+    CellEvent, CellTiming, HoldReport, RosterChange, RunEnd, Scheduler, WorkerAnswer, WorkerEntry,
+    WorkerKey, WorkerRefusal, WorkerRoster,
 };
-use sedgehill_core::units::TimeSpan;
+use sedgehill_core::units::{Moment, TimeSpan};
 
 use crate::fake::{FakeCell, job, step, task};
 
@@ -226,3 +229,55 @@
     assert!(next.is_settled());
     assert_eq!(cell.starts.len(), 2, "the lease has certainly ended");
 }
+
+/// Guards against a cell that stands still. The entry of a worker of another system, whose token was far higher, had each
+/// lead take itself for replaced within half a second.
+#[test]
+fn a_worker_of_a_pool_that_nothing_names_is_not_called() {
+    let mut cell = FakeCell::new(3, 4);
+    let other = WorkerEntry { pool: "ledger".into(), ..cell.workers[2].entry.clone() };
+    cell.workers[2].shown = Some(other.clone());
+    let mut lead = Scheduler::take_over(CellTiming::default(), FencingToken(8), false, cell.now);
+    lead.add_named_pools(["pool".into()].into_iter());
+    let mut entries: Vec<WorkerEntry> =
+        cell.workers[..2].iter().map(|worker| worker.entry.clone()).collect();
+    entries.push(other.clone());
+    let passed_over = |lead: &mut Scheduler| {
+        let events = lead.take_events().into_iter();
+        events.filter(|event| matches!(event, CellEvent::EntryPassedOver { .. })).count()
+    };
+    for expected in [1, 0, 0] {
+        let polled = lead.update_workers(entries.clone(), &[], cell.now);
+        assert!(polled.iter().all(|key| lead.entry(*key).pool == "pool".into()));
+        assert_eq!(passed_over(&mut lead), expected, "it is reported once");
+    }
+    // An open job of a queue that was removed still uses its pool.
+    let mut record = job(vec![step(1, 1)]);
+    record.policy.pool = other.pool.clone();
+    lead.add_own_job(JobId(1), Rc::new(record), cell.now);
+    let polled = lead.update_workers(entries, &[], cell.now);
+    assert_eq!(polled.len(), 1);
+    assert_eq!(lead.entry(polled[0]).life, other.life);
+}
+
+#[test]
+fn only_a_worker_that_has_answered_a_lead_shows_that_a_later_one_exists() {
+    let mut cell = FakeCell::new(3, 4);
+    let mut lead = cell.lead(false);
+    let refuse = |lead: &mut Scheduler, key: WorkerKey, now: Moment| {
+        let refusal = WorkerAnswer::NotDone(WorkerRefusal::Fenced);
+        lead.hold_answered(key, refusal, now, now);
+    };
+    let key = cell.worker_key(&lead, 2);
+    refuse(&mut lead, key, cell.now);
+    assert!(!lead.is_fenced_out());
+    assert!(!lead.should_poll(key), "it is called no more");
+    cell.turns(&mut lead, 5);
+    cell.submit_led(&mut lead, 1, job(vec![step(8, 1)]));
+    cell.turns(&mut lead, 5);
+    assert_eq!(cell.workers[2].run_count(), 0);
+    assert_eq!(cell.workers[0].run_count() + cell.workers[1].run_count(), 8);
+    let key = cell.worker_key(&lead, 0);
+    refuse(&mut lead, key, cell.now);
+    assert!(lead.is_fenced_out());
+}
--- a/crates/sedgehilld/src/cell/events.rs
+++ b/crates/sedgehilld/src/cell/events.rs
@@ -49,6 +49,7 @@
         }
         CellEvent::LossUnresolved { .. } => telemetry::count_crash("open", ""),
         CellEvent::LossUnheard { .. } => telemetry::count_crash("unheard", ""),
+        CellEvent::EntryPassedOver { .. } => telemetry::count_cell_event("entry", "passed_over"),
         CellEvent::LossForgotten { .. } => telemetry::count_crash("forgotten", ""),
         CellEvent::FurtherStart { .. } => telemetry::count_crash("further_start", ""),
         CellEvent::LossCleared { .. } => telemetry::count_crash("cleared", ""),
@@ -151,6 +152,9 @@
         CellEvent::LossUnheard { task, run, worker } => {
             info!(log, "loss unheard"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
+        CellEvent::EntryPassedOver { worker, pool } => {
+            warn!(log, "worker of an unnamed pool passed over"; "token" => %token, "worker" => %worker, "pool" => %pool);
+        }
         CellEvent::LossForgotten { task, run, worker } => {
             info!(log, "loss forgotten"; "token" => %token, "task" => %task, "run" => run.0, "worker" => %worker);
         }
--- a/crates/sedgehilld/src/cell/lead.rs
+++ b/crates/sedgehilld/src/cell/lead.rs
@@ -141,10 +141,13 @@
             .is_some_and(|since| clock::now().since(since) >= YIELD_DELAY)
     }
 
-    /// Passes the limits of organisations to the scheduler if the configuration has changed.
-    fn apply_limits(&self, host: &CellBox) {
+    /// Passes the pools and the limits of organisations to the scheduler if the configuration has
+    /// changed.
+    fn apply_config(&self, host: &CellBox) {
         let config = host.config();
         if self.config_version.replace(config.version) != config.version {
+            let pools = config.routes.iter().map(|route| route.policy.pool.clone());
+            self.scheduler.borrow_mut().add_named_pools(pools);
             let organisations = &config.organisations;
             self.scheduler.borrow_mut().set_organisations(organisations, clock::now());
             info!(host.log, "limits in force"; "token" => %self.token, "config" => config.version,
@@ -332,7 +335,7 @@
     session.scheduler.borrow_mut().add_helper(OWN_BOX);
     let speeds = host.replica.borrow().speeds().clone();
     session.scheduler.borrow_mut().inherit_speeds(&speeds, clock::unix_ms(), clock::now());
-    session.apply_limits(host);
+    session.apply_config(host);
     session.apply_halls(host);
     let job_ids: Vec<JobId> = host.replica.borrow().jobs().map(|(id, _)| id).collect();
     for id in job_ids {
@@ -370,7 +373,7 @@
         monitor.update(host, session, may_order);
         if may_order {
             let now = clock::now();
-            session.apply_limits(host);
+            session.apply_config(host);
             session.apply_halls(host);
             session.scheduler.borrow_mut().set_wall_clock(clock::unix_ms(), now);
             session.scheduler.borrow_mut().schedule(now);
