--- a/crates/sedgehill-cell/tests/testsuite/overlapping.rs
+++ b/crates/sedgehill-cell/tests/testsuite/overlapping.rs
@@ -6,14 +6,15 @@
 use sedgehill_cell::progress::JobProgress;
 use sedgehill_cell::replica::{CellRecord, CellReplica};
 use sedgehill_cell::scheduler::{
-    CellEvent, CellOrder, CellTiming, HoldReport, Scheduler, WorkerAnswer, WorkerKey,
+    CellEvent, CellOrder, CellTiming, HoldReport, RunEnd, Scheduler, WorkerAnswer, WorkerKey,
     WorkerRefusal, WorkerTime,
 };
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use crate::cases::cases;
 use crate::fake::{FakeCell, job, step, task, worker_entry};
-use crate::overlap::scenario::{WORKERS, apply_event, scenario, start_world};
+use crate::overlap::scenario::{Event, WORKERS, apply_event, scenario, start_world};
+use crate::overlap::{Delivery, Path};
 
 fn watch(name: &str, life: u64, now: Moment) -> LeadWatch {
     LeadWatch::new(name.into(), life, BoxStrength(1_000), now)
@@ -338,6 +339,59 @@
     }
 }
 
+/// A course in which a task is started three times after five workers may have crashed under it, as leads that overlap each
+/// know of some of the crashes.
+#[test]
+fn a_task_is_started_twice_at_most_after_crashes_under_overlapping_leads_seed_ae05c8fe() {
+    let lost = Path { request: Delivery::Lost, reply: Delivery::Lost };
+    let delayed_reply =
+        Path { request: Delivery::Immediate, reply: Delivery::Delayed(TimeSpan(221)) };
+    let delayed_request =
+        Path { request: Delivery::Delayed(TimeSpan(2_161)), reply: Delivery::Immediate };
+    let submit =
+        |host, count, need, crashes| Event::Submit { host, count, need, gang: false, crashes };
+    let leads_path = |path| Event::StorePath { host: 0, leads: Some(path), rest: None };
+    let done = || Event::End { pick: 0, end: RunEnd::Done };
+    let events = [
+        submit(0, 1, 3, None),
+        Event::Run(400),
+        Event::Run(901),
+        Event::Run(501),
+        Event::Resize { worker: 0, cores: 0 },
+        leads_path(lost),
+        Event::Resize { worker: 1, cores: 0 },
+        Event::WorkerPath { host: 0, worker: 0, path: lost },
+        Event::Run(901),
+        Event::WorkerPath { host: 1, worker: 0, path: lost },
+        leads_path(delayed_reply),
+        Event::Run(20),
+        Event::WorkerPath { host: 0, worker: 0, path: delayed_request },
+        Event::Run(20),
+        Event::Resign(0),
+        Event::Run(181),
+        submit(0, 1, 1, None),
+        Event::Run(2_000),
+        Event::Kill { host: 2, span: 981 },
+        leads_path(lost),
+        submit(0, 2, 3, Some(1_501)),
+        submit(0, 3, 1, None),
+        Event::Run(3_241),
+        done(),
+        Event::Run(381),
+        Event::Run(641),
+        done(),
+        done(),
+    ];
+    let runs = [301, 2_581, 41, 301, 401, 1_021].map(Event::Run);
+    let mut world = start_world(&[false; WORKERS], false);
+    world.long_running = true;
+    for event in events.into_iter().chain(runs) {
+        apply_event(&mut world, event);
+    }
+    world.heal();
+    world.settle(TimeSpan(20_000));
+}
+
 #[test]
 fn without_faults_jobs_run_and_the_lead_is_kept() {
     let mut world = start_world(&[false; WORKERS], false);
