cell: a part of progress that is left over does not keep its job

The lead removes the parts of an ended job after its final record. If it was lost in between, a part stayed in the store, and a box that had been away counted its job as recorded and would have started it again.

Change: parts do not count as records of a job; parts that are left over are removed together with the final record.

Test: progress_parts::a_part_that_is_left_over_does_not_keep_its_job; the function it tests was private to the daemon before.

--- a/crates/sedgehill-cell/src/replica.rs
+++ b/crates/sedgehill-cell/src/replica.rs
@@ -144,6 +144,14 @@
     }
 }
 
+/// Returns the jobs of which the newest records of all keys hold one. A part of progress does not count: it is removed
+/// after the records that depend on it, and may be left over.
+pub fn recorded_jobs<'a>(keys: impl Iterator<Item = &'a str>) -> HashSet<JobId> {
+    let decoded = keys.filter_map(|key| CellRecord::decode_key(key).ok());
+    let whole = decoded.filter(|(prefix, _)| *prefix != CellRecord::PART_PREFIX);
+    whole.map(|(_, id)| id).collect()
+}
+
 /// The encoded empty list for [`JobProgress::crash_histories`], before which progress of the earliest version ends.
 const NO_HISTORIES: u8 = 0;
 /// The encoded empty list for [`JobProgress::correlated_ms`].
--- a/crates/sedgehill-cell/tests/testsuite/progress_parts.rs
+++ b/crates/sedgehill-cell/tests/testsuite/progress_parts.rs
@@ -9,7 +9,7 @@
 use sedgehill_cell::job::StepSpec;
 use sedgehill_cell::progress::{JobProgress, JobState, LossWait, TaskLocation, TaskProgress};
 use sedgehill_cell::progress_parts::{PartId, PartSize};
-use sedgehill_cell::replica::{CellRecord, CellReplica};
+use sedgehill_cell::replica::{CellRecord, CellReplica, recorded_jobs};
 use sedgehill_core::units::{Moment, TimeSpan};
 
 use crate::fake::{FakeCell, job, step, task};
@@ -168,6 +168,23 @@
     assert_eq!(replica.parts(JOB).map(|part| part.id).collect::<Vec<_>>(), [ids[1]]);
 }
 
+/// A job whose records are gone must be forgotten although a part is left over, or a box that was away would start it again.
+#[test]
+fn a_part_that_is_left_over_does_not_keep_its_job() {
+    let progress = progress_with(&[1; 300], 10);
+    let records = records_of(&progress, 9_000);
+    let mut replica = replica_of(&records);
+    assert_eq!(replica.lead_accepted_ids(), [JOB]);
+    let keys: Vec<String> = records.iter().map(|record| record.key(JOB)).collect();
+    let (main, parts) = keys.split_last().unwrap();
+    assert!(parts.len() >= 3);
+    let recorded = |keys: &[String]| recorded_jobs(keys.iter().map(String::as_str));
+    replica.forget_missing(&[JOB], &recorded(std::slice::from_ref(main)));
+    assert!(replica.job(JOB).is_some());
+    replica.forget_missing(&[JOB], &recorded(parts));
+    assert!(replica.job(JOB).is_none());
+}
+
 /// Earlier releases report such a key as unreadable and skip its record.
 #[test]
 fn the_key_of_a_part_is_no_key_of_an_earlier_release() {
--- a/crates/sedgehilld/src/cell/recorder_batch.rs
+++ b/crates/sedgehilld/src/cell/recorder_batch.rs
@@ -173,6 +173,7 @@
     for id in replica.ended_before(limit, MAX_BATCH_DROPS) {
         keys.push(CellRecord::Cancel.key(id));
         keys.push(key(CellRecord::PROGRESS_PREFIX, id));
+        keys.extend(replica.parts(id).map(|part| CellRecord::part_key(id, part.id)));
     }
     keys
 }
--- a/crates/sedgehilld/src/cell/topic_follower.rs
+++ b/crates/sedgehilld/src/cell/topic_follower.rs
@@ -1,6 +1,5 @@
 //! Follows the topics of the store: the configuration, the leads, the jobs and their progress.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,9 +7,8 @@
 use sedgehill_adapter::error::CallError;
 use sedgehill_adapter::http_client::CallLimits;
 use sedgehill_adapter::store::{KeyedRecord, ReadOutcome, StoreTopic};
-use sedgehill_cell::ids::JobId;
 use sedgehill_cell::reading::is_unconfirmed;
-use sedgehill_cell::replica::CellRecord;
+use sedgehill_cell::replica::recorded_jobs;
 use sedgehill_core::units::TimeSpan;
 use slog::{info, warn};
 
@@ -252,7 +250,8 @@
         }
         StoreTopic::Leads | StoreTopic::Jobs | StoreTopic::Workers => {}
     }
-    host.replica.borrow_mut().forget_missing(&known_ids, &recorded_jobs(&newest.records));
+    let recorded = recorded_jobs(newest.records.iter().map(|record| record.key.as_str()));
+    host.replica.borrow_mut().forget_missing(&known_ids, &recorded);
     view.offset.set(Some(newest.end));
     view.full_records.set(true);
     view.note_complete(sent);
@@ -261,12 +260,6 @@
     Ok(newest.records.len())
 }
 
-/// Returns the jobs that have at least one record.
-fn recorded_jobs(records: &[KeyedRecord]) -> HashSet<JobId> {
-    let decoded = records.iter().map(|record| CellRecord::decode_key(&record.key));
-    decoded.filter_map(|key| key.ok().map(|(_, id)| id)).collect()
-}
-
 /// Returns the session of a lead that reads a topic through another box. This includes the
 /// configuration, since the lead's decisions depend on it.
 fn relaying_session(host: &CellBox, topic: StoreTopic) -> Option<Rc<LeadSession>> {
