daemon: one refusal divides the progress of a job once

Found on reading the diff again. If the store refuses several parts of one job, each refusal appended a whole new division, and parts refused again multiplied: other jobs would wait for these appends. Only where the settings name larger limits than the store has. A refused record that a smaller, pending division replaces is passed over now.

Tests: store_limits::* pass (5 of 5); none has several refused parts, so the multiplication itself was found by reading.

--- a/crates/sedgehill-cell/src/progress.rs
+++ b/crates/sedgehill-cell/src/progress.rs
@@ -59,7 +59,8 @@
 /// The stored progress of a job. Each record replaces the one before it.
 ///
 /// Progress that exceeds the size limit of a record is stored as several records: one with the fields that every job
-/// has, and a [`ProgressPart`](crate::progress_parts::ProgressPart) for each range of tasks with the lists from `crash_histories` to `loss_waits`.
+/// has, and a [`ProgressPart`](crate::progress_parts::ProgressPart) for each range of tasks with the lists from
+/// `crash_histories` to `loss_waits`.
 ///
 /// Fields are encoded by position. Those from `crash_histories` on were added one after the other in later
 /// versions: earlier versions ignore them, and shorter records are decoded with empty lists in their place.
--- a/crates/sedgehilld/src/cell/recorder.rs
+++ b/crates/sedgehilld/src/cell/recorder.rs
@@ -305,6 +305,11 @@
                         refused.keys.insert(record.key);
                         continue;
                     };
+                    // A smaller division, which is pending, replaces this record.
+                    let divided_to = job_limits.get(&id).map(|limits| limits.record_bytes);
+                    if divided_to.is_some_and(|bytes| record.stored_bytes() > bytes) {
+                        continue;
+                    }
                     let limits = job_limits.entry(id).or_insert(host.settings.store_limits);
                     limits.record_bytes = record.stored_bytes() / 2;
                     let divided = progress_records(host, id, progress, limits);
